--- /dev/null
+++ b/common/clock_source.c
@@ -0,0 +1,107 @@
+#include "common/clock_source.h"
+
+#define MS_PER_SEC 1000
+#define US_PER_SEC 1000000
+#define NS_PER_US 1000
+#define NS_PER_MS 1000000
+#define NS_PER_SEC 1000000000
+
+static struct timespec
+system_elapsed(const clock_source_t *clock)
+{
+	struct timespec now;
+
+	(void)clock;
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return now;
+}
+
+static struct timespec
+system_wall(const clock_source_t *clock)
+{
+	struct timespec now;
+
+	(void)clock;
+	clock_gettime(CLOCK_REALTIME, &now);
+	return now;
+}
+
+static struct timespec
+manual_time(const clock_source_t *clock)
+{
+	return clock->set;
+}
+
+static const clock_ops_t system_ops = {system_elapsed, system_wall};
+static const clock_ops_t manual_ops = {manual_time, manual_time};
+
+void
+clock_system_init(clock_source_t *clock)
+{
+	*clock = (clock_source_t){.ops = &system_ops};
+}
+
+void
+clock_manual_init(clock_source_t *clock, struct timespec at)
+{
+	*clock = (clock_source_t){.ops = &manual_ops, .set = at};
+}
+
+void
+clock_manual_advance(clock_source_t *clock, int64_t ms)
+{
+	clock->set = timespec_after_ms(clock->set, ms);
+}
+
+struct timespec
+clock_elapsed(const clock_source_t *clock)
+{
+	return clock->ops->elapsed(clock);
+}
+
+struct timespec
+clock_wall(const clock_source_t *clock)
+{
+	return clock->ops->wall(clock);
+}
+
+int64_t
+timespec_us_between(struct timespec from, struct timespec to)
+{
+	return (int64_t)(to.tv_sec - from.tv_sec) * US_PER_SEC +
+	    (to.tv_nsec - from.tv_nsec) / NS_PER_US;
+}
+
+int64_t
+timespec_ms_between(struct timespec from, struct timespec to)
+{
+	return timespec_us_between(from, to) / (US_PER_SEC / MS_PER_SEC);
+}
+
+struct timespec
+timespec_after_ms(struct timespec at, int64_t ms)
+{
+	at.tv_sec += ms / MS_PER_SEC;
+	at.tv_nsec += (ms % MS_PER_SEC) * NS_PER_MS;
+	if (at.tv_nsec >= NS_PER_SEC) {
+		at.tv_sec++;
+		at.tv_nsec -= NS_PER_SEC;
+	}
+	if (at.tv_nsec < 0) {
+		at.tv_sec--;
+		at.tv_nsec += NS_PER_SEC;
+	}
+	return at;
+}
+
+int64_t
+timespec_ms(struct timespec at)
+{
+	return (int64_t)at.tv_sec * MS_PER_SEC + at.tv_nsec / NS_PER_MS;
+}
+
+struct timespec
+timespec_of_ms(int64_t ms)
+{
+	return timespec_after_ms((struct timespec){0}, ms);
+}
--- /dev/null
+++ b/common/http_server.c
@@ -0,0 +1,121 @@
+#include "common/http_server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/keyvalq_struct.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+const char *
+http_request_header(struct evhttp_request *req, const char *name)
+{
+	return evhttp_find_header(evhttp_request_get_input_headers(req), name);
+}
+
+bool
+http_request_query(
+    struct evhttp_request *req, const char *name, char *out, size_t size)
+{
+	const char *query =
+	    evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req));
+	struct evkeyvalq params;
+	const char *value;
+	bool found = false;
+
+	if (query == NULL || evhttp_parse_query_str(query, &params) != 0)
+		return false;
+	value = evhttp_find_header(&params, name);
+	if (value != NULL) {
+		snprintf(out, size, "%s", value);
+		found = true;
+	}
+	evhttp_clear_headers(&params);
+	return found;
+}
+
+json_t *
+http_request_json(struct evhttp_request *req, err_t *err)
+{
+	struct evbuffer *input = evhttp_request_get_input_buffer(req);
+	size_t len = evbuffer_get_length(input);
+	const char *text = (const char *)evbuffer_pullup(input, -1);
+	json_error_t failure;
+	json_t *value;
+
+	value = len == 0
+	    ? NULL
+	    : json_loadb(text, len, JSON_REJECT_DUPLICATES, &failure);
+	if (json_is_object(value))
+		return value;
+	if (len == 0)
+		err_set(err, ERR_BAD_REQUEST, "the body is empty");
+	else if (value == NULL)
+		err_set(err, ERR_BAD_REQUEST, "the body is no JSON: %.80s",
+		    failure.text);
+	else
+		err_set(err, ERR_BAD_REQUEST, "the body is no JSON object");
+	json_decref(value);
+	return NULL;
+}
+
+void
+http_answer_json(struct evhttp_request *req, int status, json_t *value)
+{
+	struct evbuffer *out = evbuffer_new();
+	char *text = json_dumps(value, JSON_COMPACT);
+
+	json_decref(value);
+	if (out == NULL || text == NULL) {
+		free(text);
+		if (out != NULL)
+			evbuffer_free(out);
+		evhttp_send_error(req, HTTP_INTERNAL, NULL);
+		return;
+	}
+	evbuffer_add_printf(out, "%s\n", text);
+	free(text);
+	http_answer_header(req, "Content-Type", "application/json");
+	evhttp_send_reply(req, status, NULL, out);
+	evbuffer_free(out);
+}
+
+/* How much a caller may send ahead of its answer. */
+#define AHEAD_MAX 65536
+
+void
+http_request_watch(struct evhttp_request *req,
+    void (*gone)(struct evhttp_connection *, void *), void *arg)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
+	bufferevent_data_cb readable, writable;
+	bufferevent_event_cb event;
+	void *state;
+
+	evhttp_connection_set_closecb(conn, gone, arg);
+	bufferevent_getcb(bev, &readable, &writable, &event, &state);
+	bufferevent_setcb(bev, NULL, writable, event, state);
+	bufferevent_setwatermark(bev, EV_READ, 0, AHEAD_MAX);
+	bufferevent_enable(bev, EV_READ);
+}
+
+void
+http_request_unwatch(struct evhttp_request *req)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+
+	if (conn == NULL)
+		return;
+	evhttp_connection_set_closecb(conn, NULL, NULL);
+	bufferevent_setwatermark(
+	    evhttp_connection_get_bufferevent(conn), EV_READ, 0, 0);
+}
+
+void
+http_answer_header(
+    struct evhttp_request *req, const char *name, const char *value)
+{
+	evhttp_add_header(evhttp_request_get_output_headers(req), name, value);
+}
--- /dev/null
+++ b/include/common/clock_source.h
@@ -0,0 +1,55 @@
+/**
+ * @file
+ * The clock as an interface, and arithmetic on struct timespec.
+ */
+#ifndef COMMON_CLOCK_SOURCE_H
+#define COMMON_CLOCK_SOURCE_H
+
+#include <stdint.h>
+#include <time.h>
+
+typedef struct clock_source clock_source_t;
+
+/** What a clock can do. */
+typedef struct clock_ops {
+	/** Time since boot; counts while the machine or process is suspended.
+	 */
+	struct timespec (*elapsed)(const clock_source_t *);
+	/** Wall-clock time, UTC. */
+	struct timespec (*wall)(const clock_source_t *);
+} clock_ops_t;
+
+/** A clock: a table of functions, and a set time for those that need one. */
+struct clock_source {
+	const clock_ops_t *ops;
+	struct timespec set;
+};
+
+/** The machine's clock: CLOCK_BOOTTIME and CLOCK_REALTIME. */
+void clock_system_init(clock_source_t *);
+
+/** A clock that stands at @p at until clock_manual_advance(). */
+void clock_manual_init(clock_source_t *, struct timespec at);
+
+/** Move a manual clock on by @p ms milliseconds. */
+void clock_manual_advance(clock_source_t *, int64_t ms);
+
+struct timespec clock_elapsed(const clock_source_t *);
+struct timespec clock_wall(const clock_source_t *);
+
+/** Milliseconds from @p from until @p to; negative if @p to is earlier. */
+int64_t timespec_ms_between(struct timespec from, struct timespec to);
+
+/** Microseconds from @p from until @p to. */
+int64_t timespec_us_between(struct timespec from, struct timespec to);
+
+/** @p at moved on by @p ms milliseconds. */
+struct timespec timespec_after_ms(struct timespec at, int64_t ms);
+
+/** @p at in milliseconds since its epoch. */
+int64_t timespec_ms(struct timespec at);
+
+/** The time @p ms milliseconds after the epoch. */
+struct timespec timespec_of_ms(int64_t ms);
+
+#endif
--- /dev/null
+++ b/include/common/http_call.h
@@ -0,0 +1,65 @@
+/**
+ * @file
+ * One HTTP call by evhttp: small bodies, one connection a call.
+ */
+#ifndef COMMON_HTTP_CALL_H
+#define COMMON_HTTP_CALL_H
+
+#include <event2/http.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define HTTP_HOST_SIZE 64
+
+/** An IP number and port. */
+typedef struct http_address {
+	char host[HTTP_HOST_SIZE];
+	uint16_t port;
+} http_address_t;
+
+/** A header of a call. */
+typedef struct http_header {
+	const char *name;
+	const char *value;
+} http_header_t;
+
+/** One call. What it points to is copied. */
+typedef struct http_call {
+	const http_address_t *address;
+	enum evhttp_cmd_type method;
+	const char *path;
+	const http_header_t *headers; /**< ended by a NULL name; may be NULL */
+	const char *body;	      /**< may be NULL */
+	size_t body_len;	      /**< bytes */
+	int timeout_ms;
+} http_call_t;
+
+/** The reply; valid only inside the callback. */
+typedef struct http_reply {
+	int status;		   /**< 0: no reply came */
+	const char *body;	   /**< ended by a zero */
+	size_t body_len;	   /**< bytes */
+	struct evkeyvalq *headers; /**< NULL when no reply came */
+} http_reply_t;
+
+typedef void (*http_done_t)(void *arg, const http_reply_t *reply);
+
+/** "IP:PORT" to an address. */
+bool http_address_parse(const char *text, http_address_t *address);
+
+/**
+ * Start a call. @p done is called exactly once, from the loop, unless false is
+ * returned.
+ */
+bool http_call_start(
+    struct event_base *, const http_call_t *, http_done_t done, void *arg);
+
+/** Make the call and wait for it on a loop of its own; for command lines.
+ * @param done called once before the return, or not at all on false */
+bool http_call_wait(const http_call_t *, http_done_t done, void *arg);
+
+/** The reply's body as JSON, or NULL. The caller gives the reference back. */
+json_t *http_reply_json(const http_reply_t *);
+
+#endif
--- /dev/null
+++ b/include/common/log.h
@@ -0,0 +1,32 @@
+/**
+ * @file
+ * The logger: one short line an event, with a fixed prefix for each part.
+ */
+#ifndef COMMON_LOG_H
+#define COMMON_LOG_H
+
+/** The parts of the system that log. */
+typedef enum log_part {
+	LOG_CONFIG,
+	LOG_CTL,
+	LOG_FRONT,
+	LOG_LEDGER,
+	LOG_MAIN,
+	LOG_PEER,
+	LOG_ROUTE,
+	LOG_STANDIN,
+	LOG_STORE,
+	LOG_PARTS
+} log_part_t;
+
+/** Most important first. */
+typedef enum log_level { LOG_ERROR, LOG_WARN, LOG_INFO, LOG_DEBUG } log_level_t;
+
+/** Set the name printed on each line and the least important level shown. */
+void log_init(const char *program, log_level_t level);
+
+/** Write one line to standard error. Secrets are never passed here. */
+void log_line(log_level_t level, log_part_t part, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+
+#endif
--- /dev/null
+++ b/include/moortack/config/config.h
@@ -0,0 +1,134 @@
+/**
+ * @file
+ * A configuration, compiled from its document into tables.
+ */
+#ifndef MOORTACK_CONFIG_CONFIG_H
+#define MOORTACK_CONFIG_CONFIG_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/err.h"
+#include "common/table.h"
+
+#define CONFIG_NAME_SIZE 48
+#define CONFIG_PLACES_MAX 64
+#define CONFIG_VERSIONS_MAX 256
+#define CONFIG_KEYS_MAX 4
+#define CONFIG_KEY_HASH_SIZE 65 /**< hexadecimal, with its end */
+#define CONFIG_ALL_PERCENT 100
+#define CONFIG_QUALITY_FULL 1000
+
+/** What a version may be given. */
+typedef enum version_state {
+	VERSION_STAGED,	   /**< no traffic yet */
+	VERSION_ROLLING,   /**< a share of the new sessions */
+	VERSION_LIVE,	   /**< the rest of the new sessions */
+	VERSION_DRAINING,  /**< its sessions only */
+	VERSION_WITHDRAWN, /**< no new work at all */
+	VERSION_STATES
+} version_state_t;
+
+/** Importance of an organisation's work, most important first. */
+typedef enum class {
+	CLASS_CRITICAL,
+	CLASS_HIGH,
+	CLASS_MEDIUM,
+	CLASS_SHEDDABLE,
+	CLASSES
+} class_t;
+
+typedef enum model_kind {
+	MODEL_ENGINE,  /**< generates tokens */
+	MODEL_SERVICE, /**< a plain service */
+} model_kind_t;
+
+typedef struct place {
+	char name[CONFIG_NAME_SIZE];
+	char region[CONFIG_NAME_SIZE];
+} place_t;
+
+typedef struct model {
+	char name[CONFIG_NAME_SIZE];
+	model_kind_t kind;
+	uint32_t cost;	  /**< millionths of the billing unit a token or call */
+	uint32_t quality; /**< share of good answers expected, thousandths */
+	bool idempotent;  /**< a service whose calls may be repeated */
+} model_t;
+
+typedef struct version {
+	char name[CONFIG_NAME_SIZE]; /**< model@version */
+	handle_t model;
+	version_state_t state;
+	uint32_t percent; /**< of new sessions, while rolling */
+} version_t;
+
+typedef struct version_set {
+	uint64_t bits[CONFIG_VERSIONS_MAX / 64];
+} version_set_t;
+
+typedef struct organisation {
+	char name[CONFIG_NAME_SIZE];
+	char key_hashes[CONFIG_KEYS_MAX][CONFIG_KEY_HASH_SIZE];
+	uint32_t keys;
+	class_t class;
+	uint64_t places;	/**< bit n: the place of handle n is allowed */
+	version_set_t versions; /**< allowed */
+	uint32_t limit;		/**< requests a second over all; 0: none */
+	uint32_t quality;	/**< target, thousandths */
+	bool fallback;		/**< a session may leave a withdrawn version */
+} organisation_t;
+
+/** One revision. Read only once compiled; shared by counting references. */
+typedef struct config {
+	uint64_t revision;
+	json_t *document;
+	table_t places;	       /**< place_t */
+	table_t models;	       /**< model_t */
+	table_t versions;      /**< version_t */
+	table_t organisations; /**< organisation_t */
+	uint32_t references;
+} config_t;
+
+/**
+ * Check a document and compile it.
+ * @param document its reference is shared, not taken
+ * @return a configuration with one reference, or NULL with @p err filled
+ */
+config_t *config_compile(json_t *document, uint64_t revision, err_t *err);
+
+config_t *config_share(config_t *);
+void config_release(config_t *);
+
+/** @return handles; HANDLE_NONE when there is no such name */
+handle_t config_place(const config_t *, const char *name);
+handle_t config_model(const config_t *, const char *name);
+handle_t config_version(const config_t *, const char *name);
+handle_t config_organisation(const config_t *, const char *name);
+
+/** The organisation that has this key, by the key's hash. */
+handle_t config_organisation_by_key(const config_t *, const char *key_hash);
+
+/** The row of a handle that is known to be valid. */
+const place_t *config_place_at(const config_t *, handle_t);
+const model_t *config_model_at(const config_t *, handle_t);
+const version_t *config_version_at(const config_t *, handle_t);
+const organisation_t *config_organisation_at(const config_t *, handle_t);
+
+/** Whether @p organisation may use the version. */
+bool organisation_allows_version(const organisation_t *, handle_t version);
+
+/** Whether the data of @p organisation may go to the place. */
+bool organisation_allows_place(const organisation_t *, handle_t place);
+
+bool version_set_has(const version_set_t *, handle_t version);
+void version_set_add(version_set_t *, handle_t version);
+
+const char *version_state_name(version_state_t);
+const char *class_name(class_t);
+
+/** The hash that the configuration keeps of a key. */
+void key_hash(const char *key, char out[CONFIG_KEY_HASH_SIZE]);
+
+#endif
--- /dev/null
+++ b/include/moortack/exchange/exchange.h
@@ -0,0 +1,141 @@
+/**
+ * @file
+ * One request's life: admission, session, ticket, attempts, the stream back,
+ * the bill, and its one outcome.
+ */
+#ifndef MOORTACK_EXCHANGE_EXCHANGE_H
+#define MOORTACK_EXCHANGE_EXCHANGE_H
+
+#include <event2/http.h>
+
+#include "common/err.h"
+#include "moortack/exchange/session.h"
+#include "moortack/exchange/sse.h"
+#include "moortack/ledger/bill.h"
+#include "moortack/ledger/redeem.h"
+#include "moortack/ledger/ticket.h"
+#include "moortack/limit/admission.h"
+#include "moortack/route/balance.h"
+
+#define EXCHANGE_ID_SIZE 33
+#define EXCHANGE_ATTEMPTS_MAX BALANCE_AVOID_MAX
+#define EXCHANGE_PATH_SIZE 256
+
+typedef enum exchange_phase {
+	PHASE_CLAIM,  /**< its key is being bound to a ticket */
+	PHASE_WAIT,   /**< for an endpoint with room */
+	PHASE_TICKET, /**< an endpoint is held; its witnesses are asked */
+	PHASE_SENT,   /**< an attempt is under way */
+	PHASE_RESUME, /**< a cut stream is taken up again */
+	PHASE_BILL,   /**< the answer is whole; its bill is being held */
+} exchange_phase_t;
+
+typedef struct front front_t;
+typedef struct upstream upstream_t;
+
+typedef struct exchange {
+	waiter_t waiter; /**< must stay first */
+	front_t *front;
+	uint64_t tag;
+	exchange_phase_t phase;
+	struct evhttp_request *req; /**< NULL: the caller has gone */
+	char id[EXCHANGE_ID_SIZE];
+	char organisation[CONFIG_NAME_SIZE];
+	char model[CONFIG_NAME_SIZE];
+	char version[CONFIG_NAME_SIZE];
+	bool engine;	 /**< a model engine; else a plain service */
+	bool stream;	 /**< the caller wants events */
+	bool idempotent; /**< may be sent again */
+	char path[EXCHANGE_PATH_SIZE]; /**< at the endpoint */
+	json_t *body;		       /**< what the caller sent */
+	struct timespec begun;
+
+	session_t session;
+	bool session_given; /**< it came with a token */
+
+	/* At most once. */
+	bool keyed;   /**< it has a ticket */
+	bool settled; /**< what its ticket says is known */
+	bool granted; /**< both witnesses let this attempt go */
+	ticket_t ticket;
+	redeem_t redeem;
+	uint64_t attempt_id;
+
+	/* The attempt under way. */
+	uint32_t attempts;
+	handle_t tried[EXCHANGE_ATTEMPTS_MAX];
+	handle_t endpoint; /**< HANDLE_NONE: none is held */
+	char endpoint_address[ENDPOINT_ADDRESS_SIZE];
+	char endpoint_place[CONFIG_NAME_SIZE];
+	upstream_t *upstream;
+	struct evhttp_request *upstream_req;
+	struct timespec sent_at;
+	bool ran;	  /**< an attempt may have run */
+	int64_t first_ms; /**< until its first byte; -1: none yet */
+	int resumes;
+
+	/* The answer. */
+	bool reply_started; /**< bytes went to the caller */
+	int status;
+	sse_t sse;
+	struct evbuffer *answer; /**< of a plain answer */
+	uint64_t tokens_in;
+} exchange_t;
+
+/** Begin a chat completion. The request is answered in the end. */
+void exchange_chat(front_t *, struct evhttp_request *);
+
+/** Begin a call of a plain service. @param path what follows the prefix */
+void exchange_service(front_t *, struct evhttp_request *, const char *path);
+
+/** Try to give a waiting exchange an endpoint. */
+void exchange_try(exchange_t *);
+
+/** Go on with an exchange whose endpoint is held and whose ticket is good. */
+void exchange_send(exchange_t *);
+
+/** Take up a cut stream where it stopped. @return false: it can't be */
+bool exchange_resume(exchange_t *);
+
+/** Send the caller's body upstream; or, while resuming, ask for the rest. */
+bool exchange_upstream_start(exchange_t *);
+
+/** Break off the attempt under way; its late reply is dropped. */
+void exchange_upstream_cancel(exchange_t *);
+
+/** The endpoint's answer is whole. */
+void exchange_whole(exchange_t *);
+
+/** Add what the answer says of itself: session, version, place, request. */
+void exchange_answer_headers(exchange_t *);
+
+/** The bill is kept: the caller may have the end of the answer. */
+void exchange_billed(exchange_t *);
+
+/** The attempt failed. @param ran whether the endpoint may have run it */
+void
+exchange_attempt_failed(exchange_t *, bool ran, bool health, const char *why);
+
+/** End with a failure, told to the caller at once. */
+void exchange_fail(exchange_t *, err_code_t, const char *detail);
+
+/** Let go of the endpoint that is held. */
+void exchange_endpoint_release(exchange_t *);
+
+/** Ask the witnesses to let the attempt go. */
+void exchange_redeem(exchange_t *);
+
+/** A witness answered. */
+void exchange_witness(exchange_t *, int which, bool lost, witness_state_t,
+    int status, const char *answer);
+
+/** Tell both witnesses that the attempt will never be sent. */
+void exchange_unsent(exchange_t *);
+
+/** Tell both witnesses the outcome. */
+void exchange_outcome(exchange_t *, int status, const char *body, size_t len);
+
+/** Free it and answer nothing more. */
+void exchange_end(exchange_t *);
+
+#endif
--- /dev/null
+++ b/include/moortack/ledger/keyring.h
@@ -0,0 +1,44 @@
+/**
+ * @file
+ * The keys that authenticate tokens, by id, so that they can be rotated: the
+ * first seals, all open.
+ */
+#ifndef MOORTACK_LEDGER_KEYRING_H
+#define MOORTACK_LEDGER_KEYRING_H
+
+#include <sodium.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/err.h"
+
+#define KEYRING_MAX 4
+#define TOKEN_TEXT_MAX 1024
+
+/** What a token is for; one never passes as another. */
+typedef enum token_kind {
+	TOKEN_SESSION = 1,
+	TOKEN_TICKET = 2,
+} token_kind_t;
+
+typedef struct keyring {
+	struct {
+		uint8_t id;
+		uint8_t key[crypto_auth_KEYBYTES];
+	} keys[KEYRING_MAX];
+	int count;
+} keyring_t;
+
+/** Read "ID:HEX,ID:HEX", ids 0 to 255, keys of 32 bytes. */
+bool keyring_parse(keyring_t *, const char *text, err_t *err);
+
+/** Seal a payload into text. @return false when it doesn't fit */
+bool token_seal(const keyring_t *, token_kind_t, const void *payload,
+    size_t len, char out[TOKEN_TEXT_MAX]);
+
+/** Check a text and copy its payload out.
+ * @param size room in @p out, bytes @return length; 0: not genuine */
+size_t token_open(const keyring_t *, token_kind_t, const char *text,
+    uint8_t *out, size_t size);
+
+#endif
--- /dev/null
+++ b/include/moortack/ledger/witness.h
@@ -0,0 +1,73 @@
+/**
+ * @file
+ * What a witness remembers of single-use tickets: a bounded table, in memory.
+ *
+ * A ticket names two witnesses. An attempt may be sent to an endpoint only once
+ * both have let it go. Hence a witness that was never asked, or that has
+ * marked the ticket dead, proves that no attempt ran or will.
+ */
+#ifndef MOORTACK_LEDGER_WITNESS_H
+#define MOORTACK_LEDGER_WITNESS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define TICKET_ID_SIZE 16
+#define WITNESS_ANSWER_MAX 4096
+
+typedef enum witness_op {
+	WITNESS_GO,	 /**< let this attempt run, once */
+	WITNESS_KILL,	 /**< it must never run any more */
+	WITNESS_OUTCOME, /**< it ran, with this answer */
+	WITNESS_UNSENT,	 /**< it was let go, but no byte was sent */
+} witness_op_t;
+
+typedef enum witness_state {
+	WITNESS_ABSENT,
+	WITNESS_WENT,	 /**< let go; the outcome isn't known here */
+	WITNESS_DONE,	 /**< ran, with this answer */
+	WITNESS_DEAD,	 /**< can never run */
+	WITNESS_EXPIRED, /**< too old for this witness to say */
+	WITNESS_YOURS,	 /**< go */
+	WITNESS_REFUSED, /**< the table is full */
+} witness_state_t;
+
+typedef struct witness_question {
+	witness_op_t op;
+	uint8_t ticket[TICKET_ID_SIZE];
+	int64_t expires_ms; /**< wall-clock */
+	uint64_t attempt;   /**< random; a repeated GO of it is one GO */
+	int status;	    /**< WITNESS_OUTCOME: of the answer */
+	const void *answer; /**< WITNESS_OUTCOME: its body */
+	size_t answer_len;  /**< bytes; over WITNESS_ANSWER_MAX it isn't kept */
+} witness_question_t;
+
+/** The body points into the table and is valid until the next call. */
+typedef struct witness_answer {
+	witness_state_t state;
+	int status;
+	const void *answer; /**< NULL when it wasn't kept */
+	size_t answer_len;
+} witness_answer_t;
+
+typedef struct witness_entry witness_entry_t;
+
+typedef struct witness {
+	witness_entry_t *entries; /**< by ticket */
+	uint32_t max;		  /**< entries at most */
+	int64_t wall_ms;	  /**< latest time seen; never goes back */
+	int64_t next_expiry_ms;
+} witness_t;
+
+void witness_init(witness_t *, uint32_t max);
+void witness_finish(witness_t *);
+
+/** Answer one question at wall-clock time @p wall_ms. */
+witness_answer_t
+witness_ask(witness_t *, const witness_question_t *, int64_t wall_ms);
+
+/** Tickets held. */
+uint32_t witness_count(const witness_t *);
+
+#endif
--- /dev/null
+++ b/include/moortack/member/freshness.h
@@ -0,0 +1,67 @@
+/**
+ * @file
+ * Until when a daemon may take it that the configuration it holds is in force.
+ *
+ * Evidence is a read of the store's head that it has caught up with, or answers
+ * to its own heartbeats from more than half of the members, itself counted,
+ * that hold no later revision. A plan is confirmed only by a daemon that hears
+ * more than half of the members, so one of those that answered either knows of
+ * the plan or will by its next heartbeat.
+ *
+ * Each piece of evidence is dated by when it was asked for, on a clock that
+ * counts suspended time: an answer that waited in a socket while the process
+ * was stopped proves nothing new.
+ */
+#ifndef MOORTACK_MEMBER_FRESHNESS_H
+#define MOORTACK_MEMBER_FRESHNESS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/clock_source.h"
+#include "common/table.h"
+
+/** What the last answered heartbeat to one peer proved. */
+typedef struct peer_evidence {
+	uint64_t incarnation;
+	struct timespec asked_at;
+	struct timespec store_at; /**< the peer's own last read of the head */
+	uint64_t revision;
+	uint64_t epoch;
+	bool store_read;
+} peer_evidence_t;
+
+typedef struct freshness {
+	int64_t window_ms; /**< how long evidence counts */
+	int64_t outage_ms; /**< how long peers may vouch without any having
+			      read the store */
+	uint64_t revision; /**< held */
+	uint64_t epoch;	   /**< of the membership held */
+	uint32_t members;  /**< listed, with this one */
+	bool store_read;
+	struct timespec store_at;
+	table_t peers; /**< peer_evidence_t */
+} freshness_t;
+
+void freshness_init(freshness_t *, int64_t window_ms, int64_t outage_ms);
+void freshness_finish(freshness_t *);
+
+/** The store's head was read by a call made at @p asked_at.
+ * @param head counts only once this daemon holds it */
+void
+freshness_store_read(freshness_t *, uint64_t head, struct timespec asked_at);
+
+/** A peer answered a heartbeat. @return false when memory is out */
+bool freshness_peer_answered(freshness_t *, const peer_evidence_t *);
+
+/** A peer is no longer a member. */
+void freshness_peer_forget(freshness_t *, uint64_t incarnation);
+
+/** Until when new work may be taken; in the past when it may not. */
+struct timespec freshness_until(const freshness_t *);
+
+/** Whether more than half of the members, with this one, have answered a
+ * heartbeat sent within the window. */
+bool freshness_majority(const freshness_t *, struct timespec now);
+
+#endif
--- /dev/null
+++ b/include/moortack/member/members.h
@@ -0,0 +1,54 @@
+/**
+ * @file
+ * The members: the daemons listed in the table.
+ */
+#ifndef MOORTACK_MEMBER_MEMBERS_H
+#define MOORTACK_MEMBER_MEMBERS_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/clock_source.h"
+#include "common/table.h"
+#include "moortack/config/config.h"
+
+#define MEMBER_ADDRESS_SIZE 64
+#define INCARNATION_TEXT_SIZE 17 /**< hexadecimal, with its end */
+
+/** One daemon, as listed and as heard. */
+typedef struct member {
+	uint64_t incarnation; /**< random at each start */
+	char peer_address[MEMBER_ADDRESS_SIZE];
+	char http_address[MEMBER_ADDRESS_SIZE];
+	char place[CONFIG_NAME_SIZE];
+	bool draining;
+	bool answers; /**< its last heartbeat was answered in time */
+	uint64_t revision;
+	struct timespec heard_at; /**< its last answer, or when it was listed */
+} member_t;
+
+/** All members but this daemon, counted by references like a config_t. */
+typedef struct members {
+	uint64_t epoch;
+	table_t rows; /**< member_t */
+	uint32_t references;
+} members_t;
+
+members_t *members_new(void);
+members_t *members_share(members_t *);
+void members_release(members_t *);
+
+/** A copy with one reference; NULL when memory is out. */
+members_t *members_copy(const members_t *);
+
+member_t *members_at(const members_t *, handle_t);
+member_t *members_find(const members_t *, uint64_t incarnation);
+
+/** The row of a member as the table keeps it; a new reference. */
+json_t *member_json(const member_t *);
+bool member_parse(const char *text, member_t *out);
+
+void incarnation_text(uint64_t, char out[INCARNATION_TEXT_SIZE]);
+
+#endif
--- /dev/null
+++ b/include/moortack/options.h
@@ -0,0 +1,51 @@
+/**
+ * @file
+ * The settings of a daemon, as checked values.
+ */
+#ifndef MOORTACK_OPTIONS_H
+#define MOORTACK_OPTIONS_H
+
+#include <stdint.h>
+
+#include "common/settings.h"
+
+typedef struct options {
+	char listen[SETTING_TEXT_SIZE];
+	char peer_listen[SETTING_TEXT_SIZE];
+	char peer_advertise[SETTING_TEXT_SIZE];
+	char place[SETTING_TEXT_SIZE];
+	char store[SETTING_TEXT_SIZE];
+	char vm_list[SETTING_TEXT_SIZE];
+	char rating[SETTING_TEXT_SIZE];
+	char operators[SETTING_TEXT_SIZE];
+	char token_keys[SETTING_TEXT_SIZE];
+	char peer_key[SETTING_TEXT_SIZE];
+	int64_t log_level;
+	int64_t head_ms;      /**< between reads of the store's head */
+	int64_t heartbeat_ms; /**< between heartbeats to a peer */
+	int64_t fresh_ms;     /**< how long evidence of freshness counts */
+	int64_t outage_ms;    /**< how long peers may vouch in an outage */
+	int64_t dead_ms;      /**< silence after which a peer is taken off */
+	int64_t store_timeout_ms;
+	int64_t load_ms; /**< between load reports of an endpoint */
+	int64_t list_ms; /**< between reads of the VM list */
+	int64_t flush_ms;
+	int64_t held_ms;
+	int64_t bills_max;
+	int64_t tickets_max;
+	int64_t ticket_ttl_ms;
+	int64_t session_ttl_ms;
+	int64_t entries_ttl_ms;
+	int64_t exchanges_max;
+	int64_t waiting_max;
+	int64_t cutoff_ms;
+	int64_t deadline_ms; /**< of a request that names none */
+	int64_t upstream_idle_ms;
+	int64_t drain_ms; /**< to finish after SIGTERM */
+	int64_t body_max;
+	int64_t retry_percent;
+	int64_t guard;
+	int64_t witnesses; /**< 0 switches the tickets off: for tests only */
+} options_t;
+
+#endif
--- /dev/null
+++ b/moortack/config/registry.c
@@ -0,0 +1,422 @@
+#include "moortack/config/registry.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "moortack/config/intent.h"
+#include "registry_priv.h"
+
+#define US_PER_MS 1000
+#define MS_PER_SEC 1000
+#define SNAPSHOT_EVERY 64
+
+static void
+config_body_release(void *body)
+{
+	config_release(body);
+}
+
+static void
+config_tell(registry_t *registry)
+{
+	task_post(registry->ports.front, registry->ports.config,
+	    config_share(registry->config), config_body_release);
+}
+
+void
+registry_freshness_tell(registry_t *registry)
+{
+	freshness_news_t *news = malloc(sizeof(*news));
+	struct timespec now = clock_elapsed(registry->process.clock);
+	bool fresh;
+
+	if (news == NULL)
+		return;
+	news->until = freshness_until(&registry->freshness);
+	news->ready = registry->config->revision > 0;
+	news->listed = registry->joined || registry->leaving;
+	fresh = timespec_ms_between(now, news->until) > 0;
+	if (fresh != registry->was_fresh) {
+		registry->was_fresh = fresh;
+		timeline_add(registry->process.timeline,
+		    fresh ? EVENT_FRESH : EVENT_STALE, "configuration",
+		    "revision %" PRIu64, registry->config->revision);
+		if (!fresh)
+			counter_add(registry->process.counters,
+			    COUNTER_STALE_PAUSES, 1);
+	}
+	task_post(registry->ports.front, registry->ports.fresh, news, NULL);
+}
+
+const revision_row_t *
+registry_row(const registry_t *registry, uint64_t number)
+{
+	const revision_row_t *row = &registry->rows[number % REVISIONS_KEPT];
+
+	return row->text != NULL && row->number == number ? row : NULL;
+}
+
+static void
+row_keep(registry_t *registry, uint64_t number, const char *text)
+{
+	revision_row_t *row = &registry->rows[number % REVISIONS_KEPT];
+
+	free(row->text);
+	row->number = number;
+	row->text = strdup(text);
+}
+
+static void
+config_take(registry_t *registry, config_t *config)
+{
+	config_release(registry->config);
+	registry->config = config;
+	registry->freshness.revision = config->revision;
+	if (config->revision > registry->head)
+		registry->head = config->revision;
+	counter_add(registry->process.counters, COUNTER_REVISIONS_TAKEN, 1);
+	config_tell(registry);
+}
+
+bool
+registry_take(registry_t *registry, uint64_t number, const char *text)
+{
+	json_t *row;
+	json_t *document;
+	config_t *config = NULL;
+	err_t err = {0};
+	const char *plan;
+
+	if (number != registry->config->revision + 1)
+		return false;
+	row = json_loads(text, 0, NULL);
+	document = intent_apply(
+	    registry->config->document, json_object_get(row, "intent"), &err);
+	if (document != NULL)
+		config = config_compile(document, number, &err);
+	json_decref(document);
+	if (config == NULL) {
+		/* Every confirmed plan was compiled before: a newer program
+		 * wrote it, or the table is damaged. */
+		log_line(LOG_ERROR, LOG_CONFIG,
+		    "Revision %" PRIu64 " cannot be read: %s.", number,
+		    err.detail);
+		json_decref(row);
+		return false;
+	}
+	row_keep(registry, number, text);
+	config_take(registry, config);
+	plan = json_string_value(json_object_get(row, "plan"));
+	timeline_add(registry->process.timeline, EVENT_REVISION_TAKEN,
+	    plan != NULL ? plan : "", "revision %" PRIu64, number);
+	json_decref(row);
+	return true;
+}
+
+static void
+store_seen(registry_t *registry, bool answers)
+{
+	if (answers != registry->store_lost)
+		return;
+	registry->store_lost = !answers;
+	timeline_add(registry->process.timeline,
+	    answers ? EVENT_STORE_BACK : EVENT_STORE_LOST, "store", "%s", "");
+	log_line(answers ? LOG_INFO : LOG_WARN, LOG_CONFIG, "%s",
+	    answers ? "The store answers again."
+		    : "The store does not answer.");
+}
+
+static void
+snapshot_written(void *arg, store_result_t result, const json_t *reply)
+{
+	(void)reply;
+	(void)arg;
+	if (result != STORE_OK)
+		log_line(LOG_WARN, LOG_CONFIG, "A snapshot was not written.");
+}
+
+/* One daemon in the fleet most likely writes it; several do no harm. */
+static void
+snapshot_write(registry_t *registry)
+{
+	json_t *snapshot = json_pack("{s:I,s:O}", "revision",
+	    (json_int_t)registry->config->revision, "document",
+	    registry->config->document);
+	char *text = json_dumps(snapshot, JSON_COMPACT);
+
+	json_decref(snapshot);
+	if (text != NULL) {
+		store_txn(registry->store, json_array(),
+		    json_pack("[o]", store_row("snapshot", text)),
+		    snapshot_written, registry);
+	}
+	free(text);
+}
+
+static void
+rows_read(void *arg, store_result_t result, const json_t *reply)
+{
+	registry_t *registry = arg;
+	uint64_t before = registry->config->revision;
+	json_t *row;
+	size_t i;
+
+	registry->rows_pending = false;
+	if (result != STORE_OK)
+		return;
+	json_array_foreach(json_object_get(reply, "rows"), i, row)
+	{
+		const char *key = json_string_value(json_array_get(row, 0));
+		const char *text = json_string_value(json_array_get(row, 1));
+		uint64_t number;
+
+		if (key == NULL || text == NULL ||
+		    sscanf(key, "rev/%" SCNu64, &number) != 1)
+			continue;
+		if (number > registry->config->revision &&
+		    !registry_take(registry, number, text))
+			break;
+	}
+	if (registry->config->revision / SNAPSHOT_EVERY >
+	    before / SNAPSHOT_EVERY)
+		snapshot_write(registry);
+	if (registry->config->revision > before)
+		registry_head_read(registry);
+}
+
+void
+registry_rows_read(registry_t *registry)
+{
+	char after[KEY_SIZE];
+
+	if (registry->rows_pending)
+		return;
+	snprintf(after, sizeof(after), REVISION_KEY_FORMAT,
+	    registry->config->revision);
+	registry->rows_pending =
+	    store_scan(registry->store, "rev/", after, rows_read, registry);
+}
+
+static void
+snapshot_take(registry_t *registry, const char *text)
+{
+	json_t *snapshot = json_loads(text, 0, NULL);
+	json_t *document = json_object_get(snapshot, "document");
+	uint64_t revision =
+	    (uint64_t)json_integer_value(json_object_get(snapshot, "revision"));
+	config_t *config = NULL;
+	err_t err;
+
+	if (revision > registry->config->revision && json_is_object(document))
+		config = config_compile(document, revision, &err);
+	if (config != NULL)
+		config_take(registry, config);
+	json_decref(snapshot);
+}
+
+static void
+head_judge(registry_t *registry, uint64_t head)
+{
+	if (head < registry->head) {
+		counter_add(
+		    registry->process.counters, COUNTER_STORE_BEHIND, 1);
+		timeline_add(registry->process.timeline, EVENT_STORE_BEHIND,
+		    "store", "head %" PRIu64 ", was %" PRIu64, head,
+		    registry->head);
+		log_line(LOG_ERROR, LOG_CONFIG,
+		    "The store's head went back from %" PRIu64 " to %" PRIu64
+		    "; this daemon keeps what it holds.",
+		    registry->head, head);
+		return;
+	}
+	registry->head = head;
+	if (head > registry->config->revision)
+		registry_rows_read(registry);
+	else
+		freshness_store_read(
+		    &registry->freshness, head, registry->head_asked_at);
+}
+
+static void
+head_read(void *arg, store_result_t result, const json_t *reply)
+{
+	registry_t *registry = arg;
+	const char *head = store_value(reply, "head");
+	const char *epoch = store_value(reply, "epoch");
+	const char *snapshot = store_value(reply, "snapshot");
+
+	registry->head_pending = false;
+	store_seen(registry, result == STORE_OK);
+	if (result == STORE_OK) {
+		uint64_t members_epoch =
+		    epoch != NULL ? strtoull(epoch, NULL, 10) : 0;
+
+		if (snapshot != NULL && registry->config->revision == 0)
+			snapshot_take(registry, snapshot);
+		head_judge(
+		    registry, head != NULL ? strtoull(head, NULL, 10) : 0);
+		if (members_epoch != registry->store_epoch || !registry->joined)
+			registry_members_read(registry);
+	}
+	registry_freshness_tell(registry);
+}
+
+void
+registry_head_read(registry_t *registry)
+{
+	json_t *keys;
+
+	if (registry->head_pending)
+		return;
+	keys = json_pack("[s,s]", "head", "epoch");
+	if (registry->config->revision == 0)
+		json_array_append_new(keys, json_string("snapshot"));
+	registry->head_asked_at = clock_elapsed(registry->process.clock);
+	registry->head_pending =
+	    store_get(registry->store, keys, head_read, registry);
+}
+
+static void
+head_ticked(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	registry_head_read(arg);
+	registry_freshness_tell(arg);
+}
+
+static void
+heartbeat_ticked(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	registry_heartbeat(arg);
+}
+
+static void
+handle(void *state, msg_t *msg)
+{
+	registry_t *registry = state;
+
+	switch ((enum registry_message)msg->kind) {
+	case REGISTRY_ADMIN:
+		registry_admin_take(registry, msg->body);
+		msg->body = NULL;
+		break;
+	case REGISTRY_LEAVE:
+		registry_leave_now(registry);
+		break;
+	case REGISTRY_STANDING:
+		registry_standing(registry, msg->body);
+		break;
+	case REGISTRY_STOOD:
+		registry_stood(registry, msg->body);
+		break;
+	case REGISTRY_ASKED_ROWS:
+		registry_rows_asked(registry, msg->body);
+		break;
+	case REGISTRY_ROWS:
+		registry_rows_answered(registry, msg->body);
+		break;
+	}
+}
+
+static struct event *
+tick_new(registry_t *registry, event_callback_fn callback, int64_t ms)
+{
+	struct timeval interval = {
+	    ms / MS_PER_SEC, ms % MS_PER_SEC * US_PER_MS};
+	struct event *event = event_new(
+	    registry->process.base, -1, EV_PERSIST, callback, registry);
+
+	if (event != NULL)
+		event_add(event, &interval);
+	return event;
+}
+
+void
+admin_ask_free(void *body)
+{
+	admin_ask_t *ask = body;
+
+	json_decref(ask->intent);
+	free(ask);
+}
+
+void
+admin_answer_free(void *body)
+{
+	admin_answer_t *answer = body;
+
+	json_decref(answer->body);
+	free(answer);
+}
+
+void
+registry_admin(registry_t *registry, admin_ask_t *ask)
+{
+	task_post(&registry->task, REGISTRY_ADMIN, ask, admin_ask_free);
+}
+
+void
+registry_leave(registry_t *registry)
+{
+	task_post(&registry->task, REGISTRY_LEAVE, NULL, NULL);
+}
+
+static void
+routes_set(registry_t *registry)
+{
+	peers_route(registry->peers, WIRE__ENVELOPE__BODY_STANDING,
+	    &registry->task, REGISTRY_STANDING);
+	peers_route(registry->peers, WIRE__ENVELOPE__BODY_REVISIONS_ASK,
+	    &registry->task, REGISTRY_ASKED_ROWS);
+}
+
+registry_t *
+registry_new(const process_t *process, const options_t *options, store_t *store,
+    peers_t *peers, const registry_ports_t *ports, err_t *err)
+{
+	registry_t *registry = calloc(1, sizeof(*registry));
+	json_t *document = document_new();
+
+	if (registry == NULL) {
+		json_decref(document);
+		err_set(err, ERR_MEMORY, "no memory");
+		return NULL;
+	}
+	registry->process = *process;
+	registry->options = options;
+	registry->store = store;
+	registry->peers = peers;
+	registry->ports = *ports;
+	registry->config = config_compile(document, 0, err);
+	json_decref(document);
+	registry->members = members_new();
+	freshness_init(
+	    &registry->freshness, options->fresh_ms, options->outage_ms);
+	task_init(&registry->task, process->base, handle, registry);
+	routes_set(registry);
+	registry->head_tick = tick_new(registry, head_ticked, options->head_ms);
+	registry->heartbeat_tick =
+	    tick_new(registry, heartbeat_ticked, options->heartbeat_ms);
+	registry_head_read(registry);
+	return registry;
+}
+
+void
+registry_free(registry_t *registry)
+{
+	event_free(registry->head_tick);
+	event_free(registry->heartbeat_tick);
+	task_finish(&registry->task);
+	freshness_finish(&registry->freshness);
+	members_release(registry->members);
+	config_release(registry->config);
+	for (int i = 0; i < REVISIONS_KEPT; i++)
+		free(registry->rows[i].text);
+	free(registry);
+}
--- /dev/null
+++ b/moortack/config/registry_admin.c
@@ -0,0 +1,477 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "moortack/config/plan.h"
+#include "registry_priv.h"
+
+#define CONFIRM_TRIES 6
+#define CONFIRM_RETRY_MS 300
+#define SPREAD_CHECK_MS 50
+#define SPREAD_CHECKS 60
+
+/** One operator's question under way. */
+typedef struct admin_job {
+	registry_t *registry;
+	admin_ask_t *ask;
+	json_t *plan;	 /**< ADMIN_CONFIRM: as it was made */
+	char *text;	 /**< the revision's row, as it was written */
+	uint64_t number; /**< the revision that it becomes */
+	int tries;	 /**< to write it */
+	int checks;	 /**< of its spread */
+} admin_job_t;
+
+static void confirm_read(admin_job_t *);
+
+static void
+job_answer(admin_job_t *job, const err_t *err, json_t *body)
+{
+	admin_answer_t *answer = calloc(1, sizeof(*answer));
+
+	if (answer != NULL) {
+		answer->tag = job->ask->tag;
+		answer->body = body;
+		if (err != NULL)
+			answer->err = *err;
+		task_post(job->registry->ports.front,
+		    job->registry->ports.admin, answer, admin_answer_free);
+	} else {
+		json_decref(body);
+	}
+	admin_ask_free(job->ask);
+	json_decref(job->plan);
+	free(job->text);
+	free(job);
+}
+
+static void
+job_fail(admin_job_t *job, err_code_t code, const char *detail)
+{
+	err_t err;
+
+	err_set(&err, code, "%s", detail);
+	job_answer(job, &err, NULL);
+}
+
+static void
+later(admin_job_t *job, int64_t ms, event_callback_fn callback)
+{
+	struct timeval wait = {ms / 1000, ms % 1000 * 1000};
+
+	event_base_once(
+	    job->registry->process.base, -1, EV_TIMEOUT, callback, job, &wait);
+}
+
+/* --- plan ------------------------------------------------------------- */
+
+static void
+plan_stored(void *arg, store_result_t result, const json_t *reply)
+{
+	admin_job_t *job = arg;
+
+	(void)reply;
+	/* A lost reply is harmless: to confirm reads the plan back. */
+	if (result != STORE_OK) {
+		job_fail(job, ERR_STORE,
+		    "the plan was not stored; ask for it again");
+		return;
+	}
+	timeline_add(job->registry->process.timeline, EVENT_PLAN_MADE,
+	    json_string_value(json_object_get(job->plan, "id")),
+	    "base %" PRIu64 " by %.20s", job->registry->config->revision,
+	    job->ask->operator_name);
+	job_answer(job, NULL, json_incref(job->plan));
+}
+
+static void
+plan_start(admin_job_t *job)
+{
+	char key[KEY_SIZE];
+	char *text;
+	err_t err;
+
+	job->plan = plan_make(job->registry->config, job->ask->intent,
+	    job->ask->operator_name, &err);
+	if (job->plan == NULL) {
+		job_answer(job, &err, NULL);
+		return;
+	}
+	snprintf(key, sizeof(key), "plan/%s",
+	    json_string_value(json_object_get(job->plan, "id")));
+	text = json_dumps(job->plan, JSON_COMPACT);
+	if (text == NULL ||
+	    !store_txn(job->registry->store, json_array(),
+		json_pack("[o]", store_row(key, text)), plan_stored, job))
+		job_fail(job, ERR_MEMORY, "no memory");
+	free(text);
+}
+
+/* --- confirm ---------------------------------------------------------- */
+
+static uint32_t
+in_force_count(const registry_t *registry, uint64_t number)
+{
+	uint32_t count = registry->config->revision >= number ? 1 : 0;
+
+	for (handle_t h = 0; h < registry->members->rows.len; h++)
+		count += members_at(registry->members, h)->revision >= number;
+	return count;
+}
+
+static void
+spread_check(evutil_socket_t fd, short what, void *arg)
+{
+	admin_job_t *job = arg;
+	registry_t *registry = job->registry;
+	uint32_t members = registry->members->rows.len + 1;
+	uint32_t in_force = in_force_count(registry, job->number);
+
+	(void)fd;
+	(void)what;
+	if (in_force < members && ++job->checks < SPREAD_CHECKS) {
+		later(job, SPREAD_CHECK_MS, spread_check);
+		return;
+	}
+	job_answer(job, NULL,
+	    json_pack("{s:s,s:I,s:i,s:i}", "plan", job->ask->plan, "revision",
+		(json_int_t)job->number, "in_force", (int)in_force, "members",
+		(int)members));
+}
+
+static void
+confirmed(admin_job_t *job, uint64_t number)
+{
+	registry_t *registry = job->registry;
+
+	job->number = number;
+	timeline_add(registry->process.timeline, EVENT_PLAN_CONFIRMED,
+	    job->ask->plan, "revision %" PRIu64, number);
+	/* Peers learn of it by the heartbeat and ask for the row. */
+	registry_heartbeat(registry);
+	registry_head_read(registry);
+	spread_check(-1, 0, job);
+}
+
+static void
+confirm_retry(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	confirm_read(arg);
+}
+
+static void
+confirm_again(admin_job_t *job)
+{
+	if (++job->tries >= CONFIRM_TRIES) {
+		job_fail(job, ERR_STORE,
+		    "the store does not answer: whether the plan is in force "
+		    "is not known; confirm it again, which is safe");
+		return;
+	}
+	later(job, CONFIRM_RETRY_MS, confirm_retry);
+}
+
+static json_t *
+revision_json(admin_job_t *job)
+{
+	return json_pack("{s:s,s:s,s:s,s:I,s:O}", "plan", job->ask->plan,
+	    "operator", job->ask->operator_name, "planned_by",
+	    json_string_value(json_object_get(job->plan, "operator")), "at_ms",
+	    (json_int_t)timespec_ms(clock_wall(job->registry->process.clock)),
+	    "intent", json_object_get(job->plan, "intent"));
+}
+
+static void
+confirm_written(void *arg, store_result_t result, const json_t *reply)
+{
+	admin_job_t *job = arg;
+
+	(void)reply;
+	if (result != STORE_OK) {
+		/* Lost, or overtaken: what the table holds decides. */
+		confirm_again(job);
+		return;
+	}
+	registry_take(job->registry, job->number, job->text);
+	confirmed(job, job->number);
+}
+
+static void
+confirm_write(admin_job_t *job, uint64_t head)
+{
+	char base[NUMBER_SIZE];
+	char next[NUMBER_SIZE];
+	char row_key[KEY_SIZE];
+	char done_key[KEY_SIZE];
+	json_t *row = revision_json(job);
+
+	free(job->text);
+	job->text = json_dumps(row, JSON_COMPACT);
+	json_decref(row);
+	job->number = head + 1;
+	snprintf(base, sizeof(base), "%" PRIu64, head);
+	snprintf(next, sizeof(next), "%" PRIu64, job->number);
+	snprintf(row_key, sizeof(row_key), REVISION_KEY_FORMAT, job->number);
+	snprintf(done_key, sizeof(done_key), "done/%.40s", job->ask->plan);
+	if (job->text == NULL ||
+	    !store_txn(job->registry->store,
+		json_pack("[o,o]", store_row("head", head > 0 ? base : NULL),
+		    store_row(done_key, NULL)),
+		json_pack("[o,o,o]", store_row("head", next),
+		    store_row(row_key, job->text), store_row(done_key, next)),
+		confirm_written, job))
+		job_fail(job, ERR_MEMORY, "no memory");
+}
+
+static void
+conflict_read(void *arg, store_result_t result, const json_t *reply)
+{
+	admin_job_t *job = arg;
+	err_t err;
+
+	timeline_add(job->registry->process.timeline, EVENT_PLAN_REFUSED,
+	    job->ask->plan, "conflict");
+	err_set(&err, ERR_CONFLICT,
+	    "the configuration changed since this plan was made; see "
+	    "\"changed\" and plan again");
+	job_answer(job, &err,
+	    result == STORE_OK
+		? json_pack("{s:O}", "changed", json_object_get(reply, "rows"))
+		: NULL);
+}
+
+static void
+conflict_answer(admin_job_t *job, uint64_t base)
+{
+	char after[KEY_SIZE];
+
+	snprintf(after, sizeof(after), REVISION_KEY_FORMAT, base);
+	if (!store_scan(
+		job->registry->store, "rev/", after, conflict_read, job))
+		job_fail(job, ERR_MEMORY, "no memory");
+}
+
+static void
+confirm_judge(admin_job_t *job, const json_t *reply)
+{
+	char key[KEY_SIZE];
+	const char *head_text = store_value(reply, "head");
+	uint64_t head = head_text != NULL ? strtoull(head_text, NULL, 10) : 0;
+	uint64_t base;
+	const char *done;
+	const char *plan;
+
+	snprintf(key, sizeof(key), "done/%.40s", job->ask->plan);
+	done = store_value(reply, key);
+	if (done != NULL) {
+		registry_rows_read(job->registry);
+		confirmed(job, strtoull(done, NULL, 10));
+		return;
+	}
+	snprintf(key, sizeof(key), "plan/%.40s", job->ask->plan);
+	plan = store_value(reply, key);
+	json_decref(job->plan);
+	job->plan = plan != NULL ? json_loads(plan, 0, NULL) : NULL;
+	if (job->plan == NULL) {
+		job_fail(job, ERR_NOT_FOUND, "there is no such plan");
+		return;
+	}
+	base = (uint64_t)json_integer_value(json_object_get(job->plan, "base"));
+	if (base != head)
+		conflict_answer(job, base);
+	else
+		confirm_write(job, head);
+}
+
+static void
+confirm_was_read(void *arg, store_result_t result, const json_t *reply)
+{
+	admin_job_t *job = arg;
+
+	if (result != STORE_OK)
+		confirm_again(job);
+	else
+		confirm_judge(job, reply);
+}
+
+static void
+confirm_read(admin_job_t *job)
+{
+	char plan_key[KEY_SIZE];
+	char done_key[KEY_SIZE];
+	json_t *keys;
+
+	snprintf(plan_key, sizeof(plan_key), "plan/%.40s", job->ask->plan);
+	snprintf(done_key, sizeof(done_key), "done/%.40s", job->ask->plan);
+	keys = json_pack("[s,s,s]", "head", plan_key, done_key);
+	if (!store_get(job->registry->store, keys, confirm_was_read, job))
+		job_fail(job, ERR_MEMORY, "no memory");
+}
+
+static void
+confirm_start(admin_job_t *job)
+{
+	registry_t *registry = job->registry;
+
+	/* See freshness.h: without more than half of the members in reach the
+	 * change might not come into force in time. */
+	if (!freshness_majority(
+		&registry->freshness, clock_elapsed(registry->process.clock))) {
+		job_fail(job, ERR_PEERS,
+		    "fewer than half of the members answer this daemon; "
+		    "confirm at another entry");
+		return;
+	}
+	confirm_read(job);
+}
+
+/* --- show, status, history -------------------------------------------- */
+
+static void
+shown(void *arg, store_result_t result, const json_t *reply)
+{
+	admin_job_t *job = arg;
+	char key[KEY_SIZE];
+	const char *text;
+	json_t *plan;
+
+	snprintf(key, sizeof(key), "plan/%.40s", job->ask->plan);
+	text = store_value(reply, key);
+	plan = text != NULL ? json_loads(text, 0, NULL) : NULL;
+	if (result != STORE_OK)
+		job_fail(job, ERR_STORE, "the store does not answer");
+	else if (plan == NULL)
+		job_fail(job, ERR_NOT_FOUND, "there is no such plan");
+	else
+		job_answer(job, NULL, plan);
+}
+
+static void
+show_start(admin_job_t *job)
+{
+	char key[KEY_SIZE];
+
+	if (*job->ask->plan == '\0') {
+		job_answer(job, NULL,
+		    json_pack("{s:I,s:O}", "revision",
+			(json_int_t)job->registry->config->revision, "document",
+			job->registry->config->document));
+		return;
+	}
+	snprintf(key, sizeof(key), "plan/%.40s", job->ask->plan);
+	if (!store_get(job->registry->store, json_pack("[s]", key), shown, job))
+		job_fail(job, ERR_MEMORY, "no memory");
+}
+
+static json_t *
+member_status(const registry_t *registry, const member_t *member)
+{
+	struct timespec now = clock_elapsed(registry->process.clock);
+
+	return json_pack("{s:s,s:s,s:I,s:b,s:b,s:I}", "entry",
+	    member->http_address, "place", member->place, "revision",
+	    (json_int_t)member->revision, "answers", member->answers,
+	    "draining", member->draining, "heard_ms_ago",
+	    (json_int_t)timespec_ms_between(member->heard_at, now));
+}
+
+static void
+status_start(admin_job_t *job)
+{
+	registry_t *registry = job->registry;
+	struct timespec now = clock_elapsed(registry->process.clock);
+	json_t *entries = json_array();
+
+	for (handle_t h = 0; h < registry->members->rows.len; h++)
+		json_array_append_new(entries,
+		    member_status(registry, members_at(registry->members, h)));
+	json_array_append_new(entries,
+	    json_pack("{s:s,s:s,s:I,s:b,s:b,s:I}", "entry",
+		registry->options->listen, "place", registry->options->place,
+		"revision", (json_int_t)registry->config->revision, "answers",
+		1, "draining", registry->leaving, "heard_ms_ago",
+		(json_int_t)0));
+	job_answer(job, NULL,
+	    json_pack("{s:I,s:I,s:i,s:i,s:b,s:I,s:b,s:o}", "accepted",
+		(json_int_t)registry->head, "held",
+		(json_int_t)registry->config->revision, "in_force",
+		(int)in_force_count(registry, registry->head), "members",
+		(int)registry->members->rows.len + 1, "fresh",
+		timespec_ms_between(
+		    now, freshness_until(&registry->freshness)) > 0,
+		"fresh_ms",
+		(json_int_t)timespec_ms_between(
+		    now, freshness_until(&registry->freshness)),
+		"store_lost", registry->store_lost, "entries", entries));
+}
+
+static void
+history_read(void *arg, store_result_t result, const json_t *reply)
+{
+	admin_job_t *job = arg;
+	json_t *list;
+	json_t *row;
+	size_t i;
+
+	if (result != STORE_OK) {
+		job_fail(job, ERR_STORE, "the store does not answer");
+		return;
+	}
+	list = json_array();
+	json_array_foreach(json_object_get(reply, "rows"), i, row)
+	{
+		uint64_t number = 0;
+		json_t *revision = json_loads(
+		    json_string_value(json_array_get(row, 1)), 0, NULL);
+
+		sscanf(json_string_value(json_array_get(row, 0)),
+		    "rev/%" SCNu64, &number);
+		json_object_set_new(
+		    revision, "revision", json_integer((json_int_t)number));
+		json_array_append_new(list, revision);
+	}
+	job_answer(job, NULL, json_pack("{s:o}", "revisions", list));
+}
+
+static void
+history_start(admin_job_t *job)
+{
+	char after[KEY_SIZE];
+
+	snprintf(after, sizeof(after), REVISION_KEY_FORMAT, job->ask->after);
+	if (!store_scan(job->registry->store, "rev/", after, history_read, job))
+		job_fail(job, ERR_MEMORY, "no memory");
+}
+
+void
+registry_admin_take(registry_t *registry, admin_ask_t *ask)
+{
+	admin_job_t *job = calloc(1, sizeof(*job));
+
+	if (job == NULL) {
+		admin_ask_free(ask);
+		return;
+	}
+	job->registry = registry;
+	job->ask = ask;
+	switch (ask->action) {
+	case ADMIN_PLAN:
+		plan_start(job);
+		break;
+	case ADMIN_SHOW:
+		show_start(job);
+		break;
+	case ADMIN_CONFIRM:
+		confirm_start(job);
+		break;
+	case ADMIN_STATUS:
+		status_start(job);
+		break;
+	case ADMIN_HISTORY:
+		history_start(job);
+		break;
+	}
+}
--- /dev/null
+++ b/moortack/exchange/begin.c
@@ -0,0 +1,433 @@
+#include <ctype.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../front/front_priv.h"
+#include "common/http_server.h"
+
+#define KEY_MAX 128
+#define DEADLINE_MAX_MS 3600000
+
+/** What is known of a request before its body is looked at. */
+typedef struct arrival {
+	front_t *front;
+	struct evhttp_request *req;
+	handle_t organisation;
+	class_t class;
+	struct timespec now;
+} arrival_t;
+
+static bool
+limits_pass(arrival_t *arrival, err_t *err)
+{
+	front_t *front = arrival->front;
+	const organisation_t *organisation =
+	    config_organisation_at(front->config, arrival->organisation);
+	/* Each daemon grants its share of the organisation's limit. */
+	uint32_t entries = front->members->rows.len + 1;
+	int64_t wait_ms;
+
+	if (!admission_open(&front->admission, arrival->class, arrival->now))
+		return err_set(err, ERR_OVERLOAD,
+		    "requests of class %s are refused for now",
+		    class_name(arrival->class));
+	if (front->room.count >= front->room.max)
+		return err_set(
+		    err, ERR_STORE, "as many bills wait for the store as may");
+	if (!rate_take(&front->rates[arrival->organisation % FRONT_RATES_MAX],
+		(double)organisation->limit / entries, arrival->now, &wait_ms))
+		return err_set(err, ERR_LIMIT,
+		    "%s is over its limit of %u a second; next in %lld ms",
+		    organisation->name, organisation->limit,
+		    (long long)wait_ms);
+	return true;
+}
+
+/* Everything that can be refused without the body, cheapest first. */
+static bool
+arrival_pass(arrival_t *arrival, err_t *err)
+{
+	front_t *front = arrival->front;
+
+	if (!front_may_work(front, err))
+		return false;
+	arrival->organisation = auth_caller(front, arrival->req);
+	if (arrival->organisation == HANDLE_NONE)
+		return err_set(err, ERR_AUTHENTICATION, "no such key");
+	arrival->class =
+	    config_organisation_at(front->config, arrival->organisation)->class;
+	/* A retry is worth less than a first attempt. */
+	if (http_request_header(arrival->req, RETRY_HEADER) != NULL &&
+	    arrival->class < CLASS_SHEDDABLE)
+		arrival->class ++;
+	return limits_pass(arrival, err);
+}
+
+static bool
+is_keyed(struct evhttp_request *req)
+{
+	return http_request_header(req, TICKET_HEADER) != NULL ||
+	    http_request_header(req, KEY_HEADER) != NULL;
+}
+
+/* A keyed request that is refused here may have run before. */
+static void
+arrival_refuse(front_t *front, struct evhttp_request *req, const err_t *err)
+{
+	timeline_add(front->process.timeline, EVENT_REQUEST_REFUSED, "", "%s",
+	    err_info(err->code)->name);
+	answer_failure(front, req, err, is_keyed(req) ? "unknown" : NULL, NULL);
+}
+
+static bool
+deadline_take(arrival_t *arrival, exchange_t *exchange, err_t *err)
+{
+	const char *text = http_request_header(arrival->req, DEADLINE_HEADER);
+	long long ms = arrival->front->options->deadline_ms;
+	char *end;
+
+	if (text != NULL) {
+		ms = strtoll(text, &end, 10);
+		if (*text == '\0' || *end != '\0' || ms < 1 ||
+		    ms > DEADLINE_MAX_MS)
+			return err_set(err, ERR_BAD_REQUEST,
+			    DEADLINE_HEADER " must be from 1 to %d",
+			    DEADLINE_MAX_MS);
+	}
+	exchange->waiter.deadline = timespec_after_ms(arrival->now, ms);
+	return true;
+}
+
+static void
+claim_answered(void *arg, uint64_t tag, const char *text)
+{
+	exchange_t *exchange = front_exchange(arg, tag);
+
+	if (exchange == NULL || exchange->phase != PHASE_CLAIM)
+		return;
+	if (text == NULL) {
+		exchange_fail(exchange, ERR_STORE,
+		    "the store did not say whose this key is; a ticket needs "
+		    "no store");
+		return;
+	}
+	if (!ticket_open(&exchange->front->keyring, text, &exchange->ticket)) {
+		exchange_fail(exchange, ERR_TICKET_INVALID,
+		    "the key's ticket was sealed with a key that is gone");
+		return;
+	}
+	exchange->phase = PHASE_WAIT;
+	exchange_try(exchange);
+}
+
+static bool
+key_valid(const char *key)
+{
+	size_t len = strlen(key);
+
+	for (size_t i = 0; i < len; i++) {
+		if (!isalnum((unsigned char)key[i]) &&
+		    strchr("._-:", key[i]) == NULL)
+			return false;
+	}
+	return len > 0 && len <= KEY_MAX;
+}
+
+static bool
+claim_begin(exchange_t *exchange, const char *key, err_t *err)
+{
+	char sealed[TOKEN_TEXT_MAX];
+	ticket_t ticket;
+
+	if (!key_valid(key))
+		return err_set(err, ERR_BAD_REQUEST,
+		    KEY_HEADER " must be 1 to %d letters, digits, '.', '_', "
+			       "'-', ':'",
+		    KEY_MAX);
+	ticket_mint(exchange->front, exchange->organisation, &ticket);
+	exchange->phase = PHASE_CLAIM;
+	if (!ticket_seal(&exchange->front->keyring, &ticket, sealed) ||
+	    !claim_start(exchange->front->store, exchange->organisation, key,
+		sealed, claim_answered, exchange->front, exchange->tag))
+		return err_set(err, ERR_MEMORY, "no memory");
+	return true;
+}
+
+/* A ticket or a key makes it run at most once. */
+static bool
+key_take(arrival_t *arrival, exchange_t *exchange, err_t *err)
+{
+	const char *ticket = http_request_header(arrival->req, TICKET_HEADER);
+	const char *key = http_request_header(arrival->req, KEY_HEADER);
+
+	exchange->phase = PHASE_WAIT;
+	exchange->keyed = ticket != NULL || key != NULL;
+	if (exchange->keyed && arrival->front->options->witnesses == 0) {
+		exchange->keyed = false;
+		return true;
+	}
+	if (!exchange->keyed && !exchange->idempotent)
+		return err_set(err, ERR_TICKET_REQUIRED,
+		    "%s may not be repeated: send a " TICKET_HEADER
+		    " or an " KEY_HEADER,
+		    exchange->model);
+	if (ticket != NULL) {
+		if (!ticket_open(
+			&arrival->front->keyring, ticket, &exchange->ticket) ||
+		    strcmp(exchange->ticket.organisation,
+			exchange->organisation) != 0)
+			return err_set(err, ERR_TICKET_INVALID,
+			    "the ticket is not genuine or not yours");
+		return true;
+	}
+	return key == NULL || claim_begin(exchange, key, err);
+}
+
+static bool
+session_take(arrival_t *arrival, exchange_t *exchange, err_t *err)
+{
+	front_t *front = arrival->front;
+	const char *text = http_request_header(arrival->req, SESSION_HEADER);
+
+	if (text == NULL) {
+		exchange->session.id = rng_bits(front->process.rng) | 1;
+		memcpy(exchange->session.organisation, exchange->organisation,
+		    sizeof(exchange->session.organisation));
+		exchange->session.revision = front->config->revision;
+		return true;
+	}
+	exchange->session_given = true;
+	return session_open(&front->keyring, text, exchange->organisation,
+	    timespec_ms(clock_wall(front->process.clock)), &exchange->session,
+	    err);
+}
+
+static bool
+model_allowed(const arrival_t *arrival, handle_t model)
+{
+	const config_t *config = arrival->front->config;
+	const organisation_t *organisation =
+	    config_organisation_at(config, arrival->organisation);
+
+	for (handle_t v = 0; v < config->versions.len; v++) {
+		if (config_version_at(config, v)->model == model &&
+		    organisation_allows_version(organisation, v))
+			return true;
+	}
+	return false;
+}
+
+static bool
+model_take(arrival_t *arrival, exchange_t *exchange, const char *name,
+    model_kind_t kind, err_t *err)
+{
+	const config_t *config = arrival->front->config;
+	handle_t model = config_model(config, name);
+
+	/* Whether a model exists is not told to those who may not use it. */
+	if (model == HANDLE_NONE ||
+	    config_model_at(config, model)->kind != kind ||
+	    !model_allowed(arrival, model))
+		return err_set(err, ERR_NOT_ALLOWED,
+		    "model '%.47s' is not one that %s may use", name,
+		    exchange->organisation);
+	snprintf(exchange->model, sizeof(exchange->model), "%s", name);
+	exchange->idempotent =
+	    kind == MODEL_ENGINE || config_model_at(config, model)->idempotent;
+	return true;
+}
+
+static bool
+version_take(arrival_t *arrival, exchange_t *exchange, err_t *err)
+{
+	front_t *front = arrival->front;
+	const config_t *config = front->config;
+	handle_t version;
+
+	if (exchange->session_given) {
+		size_t len = strlen(exchange->model);
+
+		if (strncmp(exchange->session.version, exchange->model, len) !=
+			0 ||
+		    exchange->session.version[len] != '@')
+			return err_set(err, ERR_BAD_REQUEST,
+			    "the session is on %s, not on model %s",
+			    exchange->session.version, exchange->model);
+		memcpy(exchange->version, exchange->session.version,
+		    sizeof(exchange->version));
+		return true;
+	}
+	version = rollout_choose(config, arrival->organisation,
+	    config_model(config, exchange->model), exchange->session.id,
+	    &front->stopped);
+	if (version == HANDLE_NONE)
+		return err_set(err, ERR_NO_ENDPOINT,
+		    "no version of %s takes new sessions", exchange->model);
+	memcpy(exchange->version, config_version_at(config, version)->name,
+	    sizeof(exchange->version));
+	return true;
+}
+
+/* Room for an exchange, with what its organisation's entry says. */
+static exchange_t *
+exchange_begin(arrival_t *arrival, err_t *err)
+{
+	front_t *front = arrival->front;
+	exchange_t *exchange = front_exchange_new(front);
+	unsigned char id[(EXCHANGE_ID_SIZE - 1) / 2];
+
+	if (exchange == NULL) {
+		err_set(err, ERR_OVERLOAD,
+		    "this entry has as many requests as "
+		    "it may");
+		return NULL;
+	}
+	counter_add(front->process.counters, COUNTER_REQUESTS, 1);
+	exchange->req = arrival->req;
+	exchange->begun = arrival->now;
+	exchange->waiter.class = arrival->class;
+	exchange->waiter.since = arrival->now;
+	memcpy(exchange->organisation,
+	    config_organisation_at(front->config, arrival->organisation)->name,
+	    sizeof(exchange->organisation));
+	randombytes_buf(id, sizeof(id));
+	sodium_bin2hex(exchange->id, sizeof(exchange->id), id, sizeof(id));
+	return exchange;
+}
+
+static void
+caller_gone(struct evhttp_connection *conn, void *arg)
+{
+	exchange_t *exchange = arg;
+	front_t *front = exchange->front;
+	struct evhttp_request *req = exchange->req;
+
+	(void)conn;
+	exchange->req = NULL;
+	if (front->stopping)
+		return;
+	/* libevent leaves a request whose connection failed to its owner. */
+	evhttp_request_free(req);
+	counter_add(front->process.counters, COUNTER_CALLERS_GONE, 1);
+	/* What may not be repeated runs on, so that its outcome is known. */
+	if (exchange->phase == PHASE_BILL ||
+	    (exchange->keyed && !exchange->engine && exchange->granted))
+		return;
+	exchange_fail(exchange, ERR_STREAM_CUT, "the caller has gone");
+}
+
+static void
+exchange_run(arrival_t *arrival, exchange_t *exchange)
+{
+	timeline_add(arrival->front->process.timeline, EVENT_REQUEST_TAKEN,
+	    exchange->id, "%.20s %.24s", exchange->organisation,
+	    exchange->version);
+	http_request_watch(arrival->req, caller_gone, exchange);
+	if (exchange->phase == PHASE_WAIT)
+		exchange_try(exchange);
+}
+
+static void
+exchange_refuse(arrival_t *arrival, exchange_t *exchange, const err_t *err)
+{
+	if (exchange != NULL) {
+		exchange->req = NULL;
+		exchange_end(exchange);
+	}
+	arrival_refuse(arrival->front, arrival->req, err);
+}
+
+static bool
+chat_body_take(arrival_t *arrival, exchange_t *exchange, err_t *err)
+{
+	const json_t *messages;
+	const char *model;
+
+	exchange->engine = true;
+	exchange->body = http_request_json(arrival->req, err);
+	if (exchange->body == NULL)
+		return false;
+	exchange->stream =
+	    json_is_true(json_object_get(exchange->body, "stream"));
+	messages = json_object_get(exchange->body, "messages");
+	model = json_string_value(json_object_get(exchange->body, "model"));
+	if (model == NULL || json_array_size(messages) == 0)
+		return err_set(err, ERR_BAD_REQUEST,
+		    "the body needs \"model\" and \"messages\"");
+	snprintf(
+	    exchange->path, sizeof(exchange->path), "/v1/chat/completions");
+	return model_take(arrival, exchange, model, MODEL_ENGINE, err);
+}
+
+void
+exchange_chat(front_t *front, struct evhttp_request *req)
+{
+	arrival_t arrival = {.front = front,
+	    .req = req,
+	    .now = clock_elapsed(front->process.clock)};
+	exchange_t *exchange;
+	err_t err;
+
+	if (!arrival_pass(&arrival, &err)) {
+		arrival_refuse(front, req, &err);
+		return;
+	}
+	exchange = exchange_begin(&arrival, &err);
+	if (exchange == NULL || !sse_init(&exchange->sse) ||
+	    !chat_body_take(&arrival, exchange, &err) ||
+	    !deadline_take(&arrival, exchange, &err) ||
+	    !session_take(&arrival, exchange, &err) ||
+	    !version_take(&arrival, exchange, &err) ||
+	    !key_take(&arrival, exchange, &err)) {
+		exchange_refuse(&arrival, exchange, &err);
+		return;
+	}
+	exchange_run(&arrival, exchange);
+}
+
+static bool
+service_path_take(
+    arrival_t *arrival, exchange_t *exchange, const char *path, err_t *err)
+{
+	size_t len = strcspn(path, "/");
+	char name[CONFIG_NAME_SIZE];
+
+	if (len == 0 || len >= sizeof(name) ||
+	    strlen(path + len) >= sizeof(exchange->path))
+		return err_set(err, ERR_BAD_REQUEST,
+		    "the path is /v1/services/SERVICE/...");
+	snprintf(name, sizeof(name), "%.*s", (int)len, path);
+	snprintf(exchange->path, sizeof(exchange->path), "/%s",
+	    path + len + (path[len] == '/'));
+	exchange->body = http_request_json(arrival->req, err);
+	return exchange->body != NULL &&
+	    model_take(arrival, exchange, name, MODEL_SERVICE, err);
+}
+
+void
+exchange_service(front_t *front, struct evhttp_request *req, const char *path)
+{
+	arrival_t arrival = {.front = front,
+	    .req = req,
+	    .now = clock_elapsed(front->process.clock)};
+	exchange_t *exchange;
+	err_t err;
+
+	if (!arrival_pass(&arrival, &err)) {
+		arrival_refuse(front, req, &err);
+		return;
+	}
+	exchange = exchange_begin(&arrival, &err);
+	if (exchange == NULL ||
+	    !service_path_take(&arrival, exchange, path, &err) ||
+	    !deadline_take(&arrival, exchange, &err) ||
+	    !session_take(&arrival, exchange, &err) ||
+	    !version_take(&arrival, exchange, &err) ||
+	    !key_take(&arrival, exchange, &err)) {
+		exchange_refuse(&arrival, exchange, &err);
+		return;
+	}
+	exchange_run(&arrival, exchange);
+}
--- /dev/null
+++ b/moortack/exchange/dispatch.c
@@ -0,0 +1,195 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "../front/front_priv.h"
+#include "common/http_server.h"
+#include "common/log.h"
+
+static bool
+query_make(const exchange_t *exchange, balance_query_t *query)
+{
+	const front_t *front = exchange->front;
+
+	*query = (balance_query_t){.config = front->config,
+	    .organisation =
+		config_organisation(front->config, exchange->organisation),
+	    .version = config_version(front->config, exchange->version),
+	    .place = config_place(front->config, front->options->place),
+	    .hint = HANDLE_NONE,
+	    .avoid_count = exchange->attempts,
+	    .now = clock_elapsed(front->process.clock)};
+	if (*exchange->session.endpoint != '\0')
+		query->hint =
+		    fleet_find(&front->fleet, exchange->session.endpoint);
+	memcpy(query->avoid, exchange->tried, sizeof(query->avoid));
+	return query->organisation != HANDLE_NONE &&
+	    query->version != HANDLE_NONE;
+}
+
+/* Whether the version may take this request's work, by the newest revision.
+ * A new session may still be moved; one that is under way may not. */
+static bool
+version_check(exchange_t *exchange, err_t *err)
+{
+	front_t *front = exchange->front;
+	const config_t *config = front->config;
+	handle_t version = config_version(config, exchange->version);
+	handle_t organisation =
+	    config_organisation(config, exchange->organisation);
+	const version_t *row = config_version_at(config, version);
+	bool gone = row == NULL || row->state == VERSION_WITHDRAWN ||
+	    row->state == VERSION_STAGED;
+	bool closed = !exchange->session_given &&
+	    (gone || row->state == VERSION_DRAINING ||
+		version_set_has(&front->stopped, version));
+	bool fallback;
+	char was[CONFIG_NAME_SIZE];
+
+	if (organisation == HANDLE_NONE)
+		return err_set(err, ERR_NOT_ALLOWED,
+		    "the organisation is no longer configured");
+	if (!gone && !closed)
+		return true;
+	fallback = config_organisation_at(config, organisation)->fallback;
+	if (exchange->session_given && !fallback)
+		return err_set(err, ERR_VERSION_WITHDRAWN,
+		    "the session's version %s was withdrawn",
+		    exchange->version);
+	memcpy(was, exchange->version, sizeof(was));
+	version = rollout_choose(config, organisation,
+	    config_model(config, exchange->model), exchange->session.id,
+	    &front->stopped);
+	if (version == HANDLE_NONE)
+		return err_set(err, ERR_NO_ENDPOINT,
+		    "no version of %s takes new sessions", exchange->model);
+	memcpy(exchange->version, config_version_at(config, version)->name,
+	    sizeof(exchange->version));
+	exchange->session_given = false;
+	return true;
+}
+
+static void
+endpoint_hold(exchange_t *exchange, handle_t handle)
+{
+	endpoint_t *endpoint = fleet_at(&exchange->front->fleet, handle);
+
+	endpoint_start(endpoint);
+	exchange->endpoint = handle;
+	memcpy(exchange->endpoint_address, endpoint->address,
+	    sizeof(exchange->endpoint_address));
+	memcpy(exchange->endpoint_place, endpoint->place_name,
+	    sizeof(exchange->endpoint_place));
+}
+
+void
+exchange_endpoint_release(exchange_t *exchange)
+{
+	endpoint_t *endpoint =
+	    fleet_at(&exchange->front->fleet, exchange->endpoint);
+
+	if (endpoint != NULL)
+		endpoint_end(endpoint);
+	exchange->endpoint = HANDLE_NONE;
+}
+
+static void
+exchange_queue(exchange_t *exchange)
+{
+	front_t *front = exchange->front;
+
+	exchange->phase = PHASE_WAIT;
+	if (exchange->waiter.queued)
+		return;
+	if (!admission_wait(&front->admission, &exchange->waiter))
+		exchange_fail(
+		    exchange, ERR_OVERLOAD, "as many requests wait as may");
+}
+
+void
+exchange_try(exchange_t *exchange)
+{
+	front_t *front = exchange->front;
+	balance_query_t query;
+	handle_t picked;
+	err_t err;
+
+	if (!front_may_work(front, &err) || !version_check(exchange, &err)) {
+		exchange_fail(exchange, err.code, err.detail);
+		return;
+	}
+	if (!query_make(exchange, &query)) {
+		exchange_fail(
+		    exchange, ERR_NOT_ALLOWED, "it is no longer allowed");
+		return;
+	}
+	switch (balance_pick(&front->fleet, &balance_two_choices, &query,
+	    front->process.rng, &picked)) {
+	case BALANCE_PICKED:
+		break;
+	case BALANCE_FULL:
+		exchange_queue(exchange);
+		return;
+	case BALANCE_NONE:
+		exchange_fail(exchange, ERR_NO_ENDPOINT,
+		    "no endpoint that is allowed serves this version");
+		return;
+	}
+	admission_leave(&front->admission, &exchange->waiter);
+	endpoint_hold(exchange, picked);
+	if (exchange->keyed && !exchange->granted)
+		exchange_redeem(exchange);
+	else
+		exchange_send(exchange);
+}
+
+/* The last look before bytes leave: time may have passed since the endpoint
+ * was chosen, also while the process was stopped. */
+static bool
+dispatch_check(exchange_t *exchange, err_t *err)
+{
+	front_t *front = exchange->front;
+	const endpoint_t *endpoint =
+	    fleet_at(&front->fleet, exchange->endpoint);
+	balance_query_t query;
+
+	if (!front_may_work(front, err))
+		return false;
+	if (timespec_ms_between(exchange->waiter.deadline,
+		clock_elapsed(front->process.clock)) >= 0)
+		return err_set(err, ERR_DEADLINE,
+		    "the deadline passed before it was sent");
+	if (!query_make(exchange, &query) || endpoint == NULL ||
+	    !balance_allows(endpoint, &query))
+		return err_set(err, ERR_NO_ENDPOINT,
+		    "what was allowed changed before it was sent");
+	return true;
+}
+
+void
+exchange_send(exchange_t *exchange)
+{
+	front_t *front = exchange->front;
+	err_t err;
+
+	if (!dispatch_check(exchange, &err)) {
+		exchange_endpoint_release(exchange);
+		if (err.code == ERR_NO_ENDPOINT) {
+			/* Choose anew, among what is allowed now. */
+			exchange_queue(exchange);
+			return;
+		}
+		exchange_fail(exchange, err.code, err.detail);
+		return;
+	}
+	exchange->phase = PHASE_SENT;
+	exchange->sent_at = clock_elapsed(front->process.clock);
+	exchange->tried[exchange->attempts++] = exchange->endpoint;
+	counter_add(front->process.counters, COUNTER_ATTEMPTS, 1);
+	if (exchange->attempts > 1)
+		counter_add(front->process.counters, COUNTER_RETRIES, 1);
+	timeline_add(front->process.timeline, EVENT_ATTEMPT_SENT, exchange->id,
+	    "%.20s %.24s", exchange->endpoint_address, exchange->version);
+	if (!exchange_upstream_start(exchange))
+		exchange_attempt_failed(
+		    exchange, false, false, "no memory to send it");
+}
--- /dev/null
+++ b/moortack/front/admin.c
@@ -0,0 +1,259 @@
+#include <event2/buffer.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/http_server.h"
+#include "front_priv.h"
+
+#define EVENTS_MAX 4096
+
+typedef struct admin_path {
+	const char *path;
+	enum evhttp_cmd_type method;
+	void (*serve)(front_t *, struct evhttp_request *,
+	    const operator_row_t *, const char *rest);
+} admin_path_t;
+
+static uint64_t
+slot_take(front_t *front, struct evhttp_request *req)
+{
+	handle_t handle = 0;
+	admin_slot_t *slot;
+
+	while (handle < front->admin_slots.len &&
+	    ((admin_slot_t *)table_at(&front->admin_slots, handle))->req !=
+		NULL)
+		handle++;
+	if (handle == front->admin_slots.len &&
+	    table_add(&front->admin_slots) == NULL)
+		return 0;
+	slot = table_at(&front->admin_slots, handle);
+	slot->req = req;
+	slot->generation++;
+	return (uint64_t)slot->generation << 32 | (handle + 1);
+}
+
+static admin_slot_t *
+slot_of(front_t *front, uint64_t tag)
+{
+	admin_slot_t *slot =
+	    table_at(&front->admin_slots, (handle_t)(tag & UINT32_MAX) - 1);
+
+	return slot != NULL && slot->generation == tag >> 32 ? slot : NULL;
+}
+
+static admin_ask_t *
+ask_new(front_t *front, struct evhttp_request *req,
+    const operator_row_t *operator_row, admin_action_t action)
+{
+	admin_ask_t *ask = calloc(1, sizeof(*ask));
+
+	if (ask == NULL)
+		return NULL;
+	ask->action = action;
+	ask->tag = slot_take(front, req);
+	memcpy(
+	    ask->operator_name, operator_row->name, sizeof(ask->operator_name));
+	return ask;
+}
+
+static void
+plan(front_t *front, struct evhttp_request *req,
+    const operator_row_t *operator_row, const char *rest)
+{
+	err_t err;
+	json_t *intent = http_request_json(req, &err);
+	admin_ask_t *ask;
+
+	(void)rest;
+	if (intent == NULL || !operator_may(operator_row, intent, &err)) {
+		answer_failure(front, req, &err, NULL, NULL);
+		json_decref(intent);
+		return;
+	}
+	ask = ask_new(front, req, operator_row, ADMIN_PLAN);
+	ask->intent = intent;
+	registry_admin(front->registry, ask);
+}
+
+static void
+show(front_t *front, struct evhttp_request *req,
+    const operator_row_t *operator_row, const char *rest)
+{
+	admin_ask_t *ask = ask_new(front, req, operator_row, ADMIN_SHOW);
+
+	snprintf(ask->plan, sizeof(ask->plan), "%.40s", rest);
+	registry_admin(front->registry, ask);
+}
+
+static void
+confirm(front_t *front, struct evhttp_request *req,
+    const operator_row_t *operator_row, const char *rest)
+{
+	admin_ask_t *ask = ask_new(front, req, operator_row, ADMIN_CONFIRM);
+
+	snprintf(ask->plan, sizeof(ask->plan), "%.40s", rest);
+	registry_admin(front->registry, ask);
+}
+
+static void
+status(front_t *front, struct evhttp_request *req,
+    const operator_row_t *operator_row, const char *rest)
+{
+	(void)rest;
+	registry_admin(
+	    front->registry, ask_new(front, req, operator_row, ADMIN_STATUS));
+}
+
+static void
+history(front_t *front, struct evhttp_request *req,
+    const operator_row_t *operator_row, const char *rest)
+{
+	admin_ask_t *ask = ask_new(front, req, operator_row, ADMIN_HISTORY);
+	char after[24] = "0";
+
+	(void)rest;
+	http_request_query(req, "after", after, sizeof(after));
+	ask->after = strtoull(after, NULL, 10);
+	registry_admin(front->registry, ask);
+}
+
+static void
+timeline(front_t *front, struct evhttp_request *req,
+    const operator_row_t *operator_row, const char *rest)
+{
+	char subject[TIMELINE_SUBJECT_SIZE] = "";
+	json_t *events = json_array();
+	const timeline_event_t *event;
+
+	(void)operator_row;
+	(void)rest;
+	http_request_query(req, "subject", subject, sizeof(subject));
+	for (uint64_t back = EVENTS_MAX; back-- > 0;) {
+		event = timeline_at(front->process.timeline, back);
+		if (event == NULL ||
+		    (*subject != '\0' && strcmp(subject, event->subject) != 0))
+			continue;
+		json_array_append_new(events,
+		    json_pack("{s:I,s:s,s:s,s:s,s:s}", "stamp",
+			(json_int_t)event->stamp, "type",
+			event_type_name(event->type), "subject", event->subject,
+			"note", event->note, "entry", front->options->listen));
+	}
+	http_answer_json(req, 200, json_pack("{s:o}", "events", events));
+}
+
+static json_t *
+endpoint_json(const endpoint_t *endpoint)
+{
+	static const char *const states[] = {"live", "leaving", "gone"};
+
+	return json_pack("{s:s,s:s,s:s,s:b,s:i,s:i,s:i,s:f}", "address",
+	    endpoint->address, "place", endpoint->place_name, "state",
+	    states[endpoint->state], "ejected", endpoint->ejected, "inflight",
+	    (int)endpoint->inflight, "reported", (int)endpoint->reported,
+	    "slots", (int)endpoint->slots, "first_token_ms",
+	    endpoint->first_token_ms);
+}
+
+static void
+endpoints(front_t *front, struct evhttp_request *req,
+    const operator_row_t *operator_row, const char *rest)
+{
+	json_t *list = json_array();
+
+	(void)operator_row;
+	(void)rest;
+	for (handle_t h = 0; h < front->fleet.endpoints.len; h++)
+		json_array_append_new(
+		    list, endpoint_json(fleet_at(&front->fleet, h)));
+	http_answer_json(req, 200, json_pack("{s:o}", "endpoints", list));
+}
+
+/* Sorted by path. */
+static const admin_path_t paths[] = {
+    {"confirm/", EVHTTP_REQ_POST, confirm},
+    {"endpoints", EVHTTP_REQ_GET, endpoints},
+    {"history", EVHTTP_REQ_GET, history},
+    {"plan", EVHTTP_REQ_POST, plan},
+    {"plan/", EVHTTP_REQ_GET, show},
+    {"status", EVHTTP_REQ_GET, status},
+    {"timeline", EVHTTP_REQ_GET, timeline},
+};
+
+/* A path that ends in '/' takes what follows; any other stands alone. */
+static bool
+path_matches(const admin_path_t *row, const char *path)
+{
+	size_t len = strlen(row->path);
+
+	if (strncmp(row->path, path, len) != 0)
+		return false;
+	return path[len] == '\0' || row->path[len - 1] == '/';
+}
+
+void
+admin_request(front_t *front, struct evhttp_request *req, const char *path)
+{
+	const operator_row_t *operator_row = auth_operator(front, req);
+	enum evhttp_cmd_type method = evhttp_request_get_command(req);
+	err_t err;
+
+	if (operator_row == NULL) {
+		err_set(&err, ERR_AUTHENTICATION, "no such operator's key");
+		answer_failure(front, req, &err, NULL, NULL);
+		return;
+	}
+	for (size_t i = 0; i < sizeof(paths) / sizeof(*paths); i++) {
+		if (paths[i].method == method &&
+		    path_matches(&paths[i], path)) {
+			paths[i].serve(front, req, operator_row,
+			    path + strlen(paths[i].path));
+			return;
+		}
+	}
+	err_set(&err, ERR_NOT_FOUND, "there is no such admin path");
+	answer_failure(front, req, &err, NULL, NULL);
+}
+
+void
+admin_answered(front_t *front, admin_answer_t *answer)
+{
+	admin_slot_t *slot = slot_of(front, answer->tag);
+	struct evhttp_request *req;
+
+	if (slot == NULL || slot->req == NULL)
+		return;
+	req = slot->req;
+	slot->req = NULL;
+	if (answer->err.code != ERR_NONE) {
+		answer_failure(
+		    front, req, &answer->err, NULL, json_incref(answer->body));
+		return;
+	}
+	http_answer_json(req, 200, json_incref(answer->body));
+}
+
+void
+metrics_answer(front_t *front, struct evhttp_request *req)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	if (out == NULL) {
+		evhttp_send_error(req, HTTP_INTERNAL, NULL);
+		return;
+	}
+	counters_write(front->process.counters, out);
+	evbuffer_add_printf(out,
+	    "# TYPE moortack_exchanges gauge\nmoortack_exchanges %u\n"
+	    "# TYPE moortack_waiting gauge\nmoortack_waiting %u\n"
+	    "# TYPE moortack_bills_unflushed gauge\n"
+	    "moortack_bills_unflushed %u\n"
+	    "# TYPE moortack_revision gauge\nmoortack_revision %llu\n",
+	    front->busy, front->admission.count, front->room.count,
+	    (unsigned long long)front->config->revision);
+	http_answer_header(req, "Content-Type", "text/plain; version=0.0.4");
+	evhttp_send_reply(req, 200, NULL, out);
+	evbuffer_free(out);
+}
--- /dev/null
+++ b/moortack/front/answer.c
@@ -0,0 +1,52 @@
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "common/http_server.h"
+#include "front_priv.h"
+
+#define MS_PER_SEC 1000
+
+static int64_t
+retry_after(const front_t *front, const err_info_t *info)
+{
+	if (!info->retry)
+		return 0;
+	return admission_retry_after_ms(&front->admission,
+	    clock_elapsed(front->process.clock),
+	    rng_below(front->process.rng, UINT32_MAX));
+}
+
+json_t *
+failure_json(
+    front_t *front, const err_t *err, const char *ran, int64_t retry_after_ms)
+{
+	const err_info_t *info = err_info(err->code);
+
+	counter_refusal(front->process.counters, err->code);
+	if (ran == NULL)
+		ran = info->ran == ERR_NOT_RUN ? "not_run" : "unknown";
+	return json_pack("{s:{s:s,s:s,s:s,s:b,s:I}}", "error", "type",
+	    info->name, "message", err->detail, "ran", ran, "retry",
+	    info->retry, "retry_after_ms", (json_int_t)retry_after_ms);
+}
+
+void
+answer_failure(front_t *front, struct evhttp_request *req, const err_t *err,
+    const char *ran, json_t *more)
+{
+	const err_info_t *info = err_info(err->code);
+	int64_t after_ms = retry_after(front, info);
+	json_t *body = failure_json(front, err, ran, after_ms);
+	char seconds[24];
+
+	if (more != NULL) {
+		json_object_update(body, more);
+		json_decref(more);
+	}
+	if (after_ms > 0) {
+		snprintf(seconds, sizeof(seconds), "%" PRId64,
+		    (after_ms + MS_PER_SEC - 1) / MS_PER_SEC);
+		http_answer_header(req, "Retry-After", seconds);
+	}
+	http_answer_json(req, info->status, body);
+}
--- /dev/null
+++ b/moortack/front/entries.c
@@ -0,0 +1,174 @@
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "common/http_server.h"
+#include "front_priv.h"
+
+#define ENTRIES_MAX 4
+#define CANDIDATES_MAX 1024
+#define TICKETS_MAX 100
+
+typedef struct entry {
+	const char *address;
+	const char *place;
+} entry_t;
+
+/* Every member that answers and stays, this daemon too. */
+static uint32_t
+entries_list(const front_t *front, entry_t *out)
+{
+	uint32_t count = 0;
+
+	if (!front->draining)
+		out[count++] =
+		    (entry_t){front->options->listen, front->options->place};
+	for (handle_t h = 0;
+	     h < front->members->rows.len && count < CANDIDATES_MAX; h++) {
+		const member_t *member = members_at(front->members, h);
+
+		if (member->answers && !member->draining)
+			out[count++] =
+			    (entry_t){member->http_address, member->place};
+	}
+	return count;
+}
+
+static void
+entries_shuffle(rng_t *rng, entry_t *entries, uint32_t count)
+{
+	for (uint32_t i = count; i > 1; i--) {
+		uint32_t j = rng_below(rng, i);
+		entry_t swap = entries[i - 1];
+
+		entries[i - 1] = entries[j];
+		entries[j] = swap;
+	}
+}
+
+static bool
+place_taken(const json_t *list, const char *place)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(list, i, item)
+	{
+		if (strcmp(json_string_value(json_object_get(item, "place")),
+			place) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* First one in each place, so that a caller can leave a place that is cut
+ * off; then any others. */
+static json_t *
+entries_pick(const entry_t *entries, uint32_t count)
+{
+	json_t *list = json_array();
+	bool used[CANDIDATES_MAX] = {false};
+
+	for (int round = 0; round < 2; round++) {
+		for (uint32_t i = 0;
+		     i < count && json_array_size(list) < ENTRIES_MAX; i++) {
+			if (used[i] ||
+			    (round == 0 && place_taken(list, entries[i].place)))
+				continue;
+			used[i] = true;
+			json_array_append_new(list,
+			    json_pack("{s:s,s:s}", "address",
+				entries[i].address, "place", entries[i].place));
+		}
+	}
+	return list;
+}
+
+void
+entries_answer(front_t *front, struct evhttp_request *req)
+{
+	entry_t entries[CANDIDATES_MAX];
+	uint32_t count = entries_list(front, entries);
+	err_t err;
+
+	if (auth_caller(front, req) == HANDLE_NONE) {
+		err_set(&err, ERR_AUTHENTICATION, "no such key");
+		answer_failure(front, req, &err, NULL, NULL);
+		return;
+	}
+	entries_shuffle(front->process.rng, entries, count);
+	http_answer_json(req, 200,
+	    json_pack("{s:o,s:I}", "entries", entries_pick(entries, count),
+		"ttl_ms", (json_int_t)front->options->entries_ttl_ms));
+}
+
+/* A member in another place if there is one; this daemon if it is alone. */
+static uint64_t
+second_witness(front_t *front)
+{
+	uint32_t count = front->members->rows.len;
+	uint32_t first = count > 0 ? rng_below(front->process.rng, count) : 0;
+	uint64_t fallback = front->process.incarnation;
+
+	for (uint32_t i = 0; i < count; i++) {
+		const member_t *member =
+		    members_at(front->members, (first + i) % count);
+
+		if (!member->answers || member->draining)
+			continue;
+		if (strcmp(member->place, front->options->place) != 0)
+			return member->incarnation;
+		fallback = member->incarnation;
+	}
+	return fallback;
+}
+
+void
+ticket_mint(front_t *front, const char *organisation, ticket_t *out)
+{
+	*out = (ticket_t){
+	    .expires_ms = timespec_ms(clock_wall(front->process.clock)) +
+		front->options->ticket_ttl_ms,
+	    .witnesses = {front->process.incarnation, second_witness(front)}};
+	randombytes_buf(out->id, sizeof(out->id));
+	snprintf(
+	    out->organisation, sizeof(out->organisation), "%s", organisation);
+}
+
+void
+tickets_answer(front_t *front, struct evhttp_request *req)
+{
+	handle_t organisation = auth_caller(front, req);
+	json_t *list;
+	char text[16] = "1";
+	int count;
+	err_t err;
+
+	if (organisation == HANDLE_NONE) {
+		err_set(&err, ERR_AUTHENTICATION, "no such key");
+		answer_failure(front, req, &err, NULL, NULL);
+		return;
+	}
+	http_request_query(req, "count", text, sizeof(text));
+	if (sscanf(text, "%d", &count) != 1 || count < 1 ||
+	    count > TICKETS_MAX) {
+		err_set(&err, ERR_BAD_REQUEST, "count must be from 1 to %d",
+		    TICKETS_MAX);
+		answer_failure(front, req, &err, NULL, NULL);
+		return;
+	}
+	list = json_array();
+	while (count-- > 0) {
+		char sealed[TOKEN_TEXT_MAX];
+		ticket_t ticket;
+
+		ticket_mint(front,
+		    config_organisation_at(front->config, organisation)->name,
+		    &ticket);
+		if (ticket_seal(&front->keyring, &ticket, sealed))
+			json_array_append_new(list, json_string(sealed));
+	}
+	http_answer_json(req, 200,
+	    json_pack("{s:o,s:I}", "tickets", list, "ttl_ms",
+		(json_int_t)front->options->ticket_ttl_ms));
+}
--- /dev/null
+++ b/moortack/front/front.c
@@ -0,0 +1,522 @@
+#include "moortack/front/front.h"
+
+#include <event2/buffer.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/http_call.h"
+#include "common/http_server.h"
+#include "common/log.h"
+#include "front_priv.h"
+
+#define TICK_US 10000
+#define HEADERS_MAX 16384
+#define IDLE_CALLER_S 60
+
+typedef struct front_path {
+	const char *path;
+	enum evhttp_cmd_type method;
+	void (*serve)(front_t *, struct evhttp_request *);
+} front_path_t;
+
+static void
+healthy(front_t *front, struct evhttp_request *req)
+{
+	err_t err;
+
+	if (!front_may_work(front, &err)) {
+		answer_failure(front, req, &err, NULL, NULL);
+		return;
+	}
+	http_answer_json(req, 200, json_pack("{s:b}", "ready", 1));
+}
+
+/* Sorted by path. */
+static const front_path_t paths[] = {
+    {"/healthz", EVHTTP_REQ_GET, healthy},
+    {"/metrics", EVHTTP_REQ_GET, metrics_answer},
+    {"/v1/chat/completions", EVHTTP_REQ_POST, exchange_chat},
+    {"/v1/entries", EVHTTP_REQ_GET, entries_answer},
+    {"/v1/tickets", EVHTTP_REQ_POST, tickets_answer},
+};
+
+static void
+request(struct evhttp_request *req, void *arg)
+{
+	static const char admin[] = "/admin/";
+	static const char services[] = "/v1/services/";
+	front_t *front = arg;
+	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(req);
+	const char *path = uri != NULL ? evhttp_uri_get_path(uri) : NULL;
+	enum evhttp_cmd_type method = evhttp_request_get_command(req);
+	err_t err;
+
+	if (path == NULL)
+		path = "";
+	for (size_t i = 0; i < sizeof(paths) / sizeof(*paths); i++) {
+		if (paths[i].method == method &&
+		    strcmp(paths[i].path, path) == 0) {
+			paths[i].serve(front, req);
+			return;
+		}
+	}
+	if (strncmp(path, admin, sizeof(admin) - 1) == 0) {
+		admin_request(front, req, path + sizeof(admin) - 1);
+	} else if (strncmp(path, services, sizeof(services) - 1) == 0 &&
+	    method == EVHTTP_REQ_POST) {
+		exchange_service(front, req, path + sizeof(services) - 1);
+	} else {
+		err_set(&err, ERR_NOT_FOUND, "there is no such path");
+		answer_failure(front, req, &err, NULL, NULL);
+	}
+}
+
+bool
+front_may_work(const front_t *front, err_t *err)
+{
+	struct timespec now = clock_elapsed(front->process.clock);
+
+	if (!front->fresh.ready || !front->fresh.listed)
+		return err_set(err, ERR_NOT_READY,
+		    "this entry holds no confirmed configuration yet");
+	if (timespec_ms_between(now, front->fresh.until) <= 0)
+		return err_set(err, ERR_CONFIG_STALE,
+		    "this entry cannot tell whether its configuration is still "
+		    "in force");
+	return true;
+}
+
+/* --- exchanges -------------------------------------------------------- */
+
+exchange_t *
+front_exchange_new(front_t *front)
+{
+	exchange_t *exchange;
+	exchange_slot_t *slot;
+	handle_t handle = 0;
+
+	if (front->busy >= front->options->exchanges_max)
+		return NULL;
+	while (handle < front->slots.len &&
+	    ((exchange_slot_t *)table_at(&front->slots, handle))->exchange !=
+		NULL)
+		handle++;
+	if (handle == front->slots.len && table_add(&front->slots) == NULL)
+		return NULL;
+	exchange = calloc(1, sizeof(*exchange));
+	if (exchange == NULL)
+		return NULL;
+	slot = table_at(&front->slots, handle);
+	slot->exchange = exchange;
+	slot->generation++;
+	exchange->front = front;
+	exchange->endpoint = HANDLE_NONE;
+	exchange->first_ms = -1;
+	/* Witnesses' tags need one bit more: see witness_task.c. */
+	exchange->tag =
+	    (uint64_t)(slot->generation & 0x7fffffff) << 32 | (handle + 1);
+	front->busy++;
+	return exchange;
+}
+
+exchange_t *
+front_exchange(const front_t *front, uint64_t tag)
+{
+	const exchange_slot_t *slot =
+	    table_at(&front->slots, (handle_t)(tag & UINT32_MAX) - 1);
+
+	if (slot == NULL || slot->exchange == NULL ||
+	    slot->exchange->tag != tag)
+		return NULL;
+	return slot->exchange;
+}
+
+void
+front_exchange_free(front_t *front, exchange_t *exchange)
+{
+	exchange_slot_t *slot =
+	    table_at(&front->slots, (handle_t)(exchange->tag & UINT32_MAX) - 1);
+
+	slot->exchange = NULL;
+	front->busy--;
+	free(exchange);
+}
+
+void
+front_dispatch(front_t *front)
+{
+	waiter_t *waiter = admission_next(&front->admission, NULL);
+
+	while (waiter != NULL) {
+		waiter_t *next = admission_next(&front->admission, waiter);
+
+		exchange_try((exchange_t *)waiter);
+		waiter = next;
+	}
+}
+
+static void
+overdue_end(front_t *front, struct timespec now)
+{
+	waiter_t *waiter;
+
+	while ((waiter = admission_overdue(&front->admission, now)) != NULL) {
+		bool late = timespec_ms_between(waiter->deadline, now) >= 0;
+
+		exchange_fail((exchange_t *)waiter,
+		    late ? ERR_DEADLINE : ERR_OVERLOAD,
+		    late ? "the deadline passed while it waited"
+			 : "its class waited longer than it may");
+	}
+}
+
+static void
+deadlines_check(front_t *front, struct timespec now)
+{
+	for (handle_t h = 0; h < front->slots.len; h++) {
+		exchange_slot_t *slot = table_at(&front->slots, h);
+		exchange_t *exchange = slot->exchange;
+
+		if (exchange == NULL || exchange->phase == PHASE_BILL ||
+		    timespec_ms_between(exchange->waiter.deadline, now) < 0)
+			continue;
+		exchange_fail(exchange,
+		    exchange->ran ? ERR_UNKNOWN_OUTCOME : ERR_DEADLINE,
+		    "the deadline passed");
+	}
+}
+
+static void
+drained_check(front_t *front)
+{
+	if (!front->draining || front->drained_told || front->busy > 0 ||
+	    !front->room.flushed)
+		return;
+	front->drained_told = true;
+	front->drained(front->drained_arg);
+}
+
+static void
+ticked(evutil_socket_t fd, short what, void *arg)
+{
+	front_t *front = arg;
+	struct timespec now = clock_elapsed(front->process.clock);
+
+	(void)fd;
+	(void)what;
+	overdue_end(front, now);
+	deadlines_check(front, now);
+	front_dispatch(front);
+	drained_check(front);
+}
+
+/* --- messages --------------------------------------------------------- */
+
+static void
+config_take(front_t *front, config_t *config)
+{
+	config_release(front->config);
+	front->config = config_share(config);
+	front->stopped = (version_set_t){0};
+	fleet_resolve(&front->fleet, config);
+	front_dispatch(front);
+}
+
+static void
+members_take(front_t *front, members_t *members)
+{
+	members_release(front->members);
+	front->members = members_share(members);
+}
+
+static void
+vm_take(front_t *front, const json_t *vm)
+{
+	const char *address = json_string_value(json_object_get(vm, "address"));
+	const char *place = json_string_value(json_object_get(vm, "place"));
+	const char *state = json_string_value(json_object_get(vm, "state"));
+	bool leaving = state != NULL && strcmp(state, "leaving") == 0;
+	http_address_t checked;
+	handle_t handle;
+	json_t *version;
+	size_t i;
+
+	if (address == NULL || place == NULL ||
+	    !http_address_parse(address, &checked))
+		return;
+	if (fleet_find(&front->fleet, address) == HANDLE_NONE)
+		timeline_add(front->process.timeline, EVENT_ENDPOINT_SEEN,
+		    address, "%s", place);
+	handle = fleet_list(&front->fleet, address, place, leaving,
+	    clock_elapsed(front->process.clock));
+	if (handle == HANDLE_NONE)
+		return;
+	json_array_foreach(json_object_get(vm, "versions"), i, version)
+	{
+		if (json_is_string(version))
+			endpoint_serve(fleet_at(&front->fleet, handle),
+			    json_string_value(version));
+	}
+}
+
+void
+front_vms(front_t *front, const json_t *vms)
+{
+	json_t *vm;
+	size_t i;
+
+	fleet_list_begin(&front->fleet);
+	json_array_foreach(vms, i, vm)
+	{
+		vm_take(front, vm);
+	}
+	fleet_list_end(&front->fleet);
+	fleet_resolve(&front->fleet, front->config);
+}
+
+/* The list lags: what one daemon hears of a leave, all hear. */
+static void
+leave_tell(front_t *front, const char *address)
+{
+	Wire__EndpointLeft left = WIRE__ENDPOINT_LEFT__INIT;
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+
+	timeline_add(front->process.timeline, EVENT_ENDPOINT_LEAVING, address,
+	    "%s", "it said so");
+	left.address = (char *)address;
+	envelope.body_case = WIRE__ENVELOPE__BODY_ENDPOINT_LEFT;
+	envelope.endpoint_left = &left;
+	for (handle_t h = 0; h < front->members->rows.len; h++)
+		peers_tell(front->peers,
+		    members_at(front->members, h)->incarnation, &envelope);
+}
+
+static void
+leave_heard(front_t *front, const peer_question_t *question)
+{
+	const char *address = question->envelope->endpoint_left->address;
+	endpoint_t *endpoint =
+	    fleet_at(&front->fleet, fleet_find(&front->fleet, address));
+
+	if (endpoint == NULL || endpoint->state != ENDPOINT_LIVE)
+		return;
+	endpoint_leave(endpoint);
+	timeline_add(front->process.timeline, EVENT_ENDPOINT_LEAVING, address,
+	    "%s", "a peer said so");
+}
+
+static void
+load_take(front_t *front, const load_report_t *report)
+{
+	if (fleet_report(&front->fleet, report, front->config))
+		leave_tell(front, report->address);
+	if (front->admission.count > 0)
+		front_dispatch(front);
+}
+
+static void
+witness_take(front_t *front, const witness_news_t *news)
+{
+	exchange_t *exchange = front_exchange(front, news->tag);
+
+	if (exchange != NULL)
+		exchange_witness(exchange, news->which, news->lost, news->state,
+		    news->status, news->answer);
+}
+
+static void
+billed_take(front_t *front, const billing_news_t *news)
+{
+	exchange_t *exchange = front_exchange(front, news->tag);
+
+	if (exchange != NULL && exchange->phase == PHASE_BILL)
+		exchange_billed(exchange);
+}
+
+static void
+handle(void *state, msg_t *msg)
+{
+	front_t *front = state;
+
+	switch ((enum front_message)msg->kind) {
+	case FRONT_CONFIG:
+		config_take(front, msg->body);
+		break;
+	case FRONT_FRESH:
+		front->fresh = *(freshness_news_t *)msg->body;
+		break;
+	case FRONT_MEMBERS:
+		members_take(front, msg->body);
+		break;
+	case FRONT_ADMIN:
+		admin_answered(front, msg->body);
+		break;
+	case FRONT_WITNESS:
+		witness_take(front, msg->body);
+		break;
+	case FRONT_BILLED:
+		billed_take(front, msg->body);
+		break;
+	case FRONT_ROOM:
+		front->room = *(billing_room_t *)msg->body;
+		break;
+	case FRONT_VMS:
+		front_vms(front, msg->body);
+		break;
+	case FRONT_LOAD:
+		load_take(front, msg->body);
+		break;
+	case FRONT_LEFT:
+		leave_heard(front, msg->body);
+		break;
+	}
+}
+
+/* --- life ------------------------------------------------------------- */
+
+static bool
+http_open(front_t *front, err_t *err)
+{
+	http_address_t address;
+
+	front->http = evhttp_new(front->process.base);
+	if (front->http == NULL)
+		return err_set(err, ERR_MEMORY, "no memory");
+	http_address_parse(front->options->listen, &address);
+	evhttp_set_max_body_size(
+	    front->http, (ev_ssize_t)front->options->body_max);
+	evhttp_set_max_headers_size(front->http, HEADERS_MAX);
+	evhttp_set_timeout(front->http, IDLE_CALLER_S);
+	evhttp_set_allowed_methods(
+	    front->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST);
+	evhttp_set_gencb(front->http, request, front);
+	front->bound = evhttp_bind_socket_with_handle(
+	    front->http, address.host, address.port);
+	if (front->bound == NULL)
+		return err_set(err, ERR_SETTING, "cannot listen on %s",
+		    front->options->listen);
+	return true;
+}
+
+static void
+tables_init(front_t *front)
+{
+	table_init(&front->operators, sizeof(operator_row_t));
+	table_init(&front->slots, sizeof(exchange_slot_t));
+	table_init(&front->admin_slots, sizeof(admin_slot_t));
+	fleet_init(&front->fleet);
+	admission_init(&front->admission, (uint32_t)front->options->waiting_max,
+	    front->options->cutoff_ms);
+	front->members = members_new();
+	front->room.max = (uint32_t)front->options->bills_max;
+}
+
+front_t *
+front_new(const process_t *process, const options_t *options, store_t *store,
+    peers_t *peers, void (*drained)(void *), void *arg, err_t *err)
+{
+	static const struct timeval interval = {0, TICK_US};
+	front_t *front = calloc(1, sizeof(*front));
+	json_t *empty = json_object();
+
+	if (front == NULL) {
+		json_decref(empty);
+		err_set(err, ERR_MEMORY, "no memory");
+		return NULL;
+	}
+	front->process = *process;
+	front->options = options;
+	front->store = store;
+	front->peers = peers;
+	front->drained = drained;
+	front->drained_arg = arg;
+	tables_init(front);
+	task_init(&front->task, process->base, handle, front);
+	front->config = config_compile(empty, 0, err);
+	json_decref(empty);
+	if (front->config == NULL ||
+	    !keyring_parse(&front->keyring, options->token_keys, err) ||
+	    !operators_parse(&front->operators, options->operators, err) ||
+	    !http_open(front, err)) {
+		front_free(front);
+		return NULL;
+	}
+	peers_route(peers, WIRE__ENVELOPE__BODY_ENDPOINT_LEFT, &front->task,
+	    FRONT_LEFT);
+	front->tick = event_new(process->base, -1, EV_PERSIST, ticked, front);
+	event_add(front->tick, &interval);
+	return front;
+}
+
+void
+front_connect(front_t *front, registry_t *registry, witness_task_t *witnesses,
+    billing_t *billing)
+{
+	front->registry = registry;
+	front->witnesses = witnesses;
+	front->billing = billing;
+}
+
+task_t *
+front_task(front_t *front)
+{
+	return &front->task;
+}
+
+uint32_t
+front_busy(const front_t *front)
+{
+	return front->busy;
+}
+
+void
+front_drain(front_t *front)
+{
+	front->draining = true;
+	timeline_add(front->process.timeline, EVENT_DRAINING,
+	    front->options->listen, "%u in progress", front->busy);
+}
+
+uint32_t
+front_cut(front_t *front)
+{
+	uint32_t cut = 0;
+
+	for (handle_t h = 0; h < front->slots.len; h++) {
+		exchange_slot_t *slot = table_at(&front->slots, h);
+
+		if (slot->exchange == NULL)
+			continue;
+		cut++;
+		exchange_fail(slot->exchange,
+		    slot->exchange->ran ? ERR_UNKNOWN_OUTCOME : ERR_DRAINING,
+		    "this entry leaves");
+	}
+	return cut;
+}
+
+void
+front_free(front_t *front)
+{
+	front->stopping = true;
+	if (front->tick != NULL)
+		event_free(front->tick);
+	for (handle_t h = 0; h < front->slots.len; h++) {
+		exchange_slot_t *slot = table_at(&front->slots, h);
+
+		if (slot->exchange != NULL)
+			exchange_end(slot->exchange);
+	}
+	upstreams_free(front);
+	if (front->http != NULL)
+		evhttp_free(front->http);
+	task_finish(&front->task);
+	table_finish(&front->slots);
+	table_finish(&front->admin_slots);
+	table_finish(&front->operators);
+	fleet_finish(&front->fleet);
+	members_release(front->members);
+	config_release(front->config);
+	free(front);
+}
--- /dev/null
+++ b/moortack/front/front_priv.h
@@ -0,0 +1,154 @@
+/**
+ * @file
+ * What the files of the front and of the exchanges share.
+ */
+#ifndef MOORTACK_FRONT_FRONT_PRIV_H
+#define MOORTACK_FRONT_FRONT_PRIV_H
+
+#include "moortack/exchange/exchange.h"
+#include "moortack/front/front.h"
+#include "moortack/ledger/claim.h"
+#include "moortack/ledger/keyring.h"
+#include "moortack/limit/rate.h"
+#include "moortack/route/rollout.h"
+
+#define FRONT_RATES_MAX 4096
+#define SESSION_HEADER "Moortack-Session"
+#define TICKET_HEADER "Moortack-Ticket"
+#define KEY_HEADER "Idempotency-Key"
+#define DEADLINE_HEADER "Moortack-Deadline-Ms"
+#define RETRY_HEADER "Moortack-Retry"
+
+/** A place for an exchange; the generation tells a late message apart. */
+typedef struct exchange_slot {
+	exchange_t *exchange;
+	uint32_t generation;
+} exchange_slot_t;
+
+/** An operator's question that waits for the registry. */
+typedef struct admin_slot {
+	struct evhttp_request *req;
+	uint32_t generation;
+} admin_slot_t;
+
+/** One operator: who may change what. */
+typedef struct operator_row {
+	char name[CONFIG_NAME_SIZE];
+	char key_hash[CONFIG_KEY_HASH_SIZE];
+	char kinds[CONFIG_NAME_SIZE]; /**< "*" or kinds joined by '+' */
+} operator_row_t;
+
+/** A connection to an endpoint, kept between requests. */
+struct upstream {
+	struct evhttp_connection *conn;
+	char address[ENDPOINT_ADDRESS_SIZE];
+	upstream_t *next;
+};
+
+struct front {
+	process_t process;
+	const options_t *options;
+	store_t *store;
+	peers_t *peers;
+	task_t task;
+	struct evhttp *http;
+	struct evhttp_bound_socket *bound;
+	registry_t *registry;
+	witness_task_t *witnesses;
+	billing_t *billing;
+
+	config_t *config;
+	members_t *members;
+	freshness_news_t fresh;
+	billing_room_t room;
+	fleet_t fleet;
+	keyring_t keyring;
+	admission_t admission;
+	rate_t rates[FRONT_RATES_MAX]; /**< by organisation handle */
+	version_set_t stopped;	       /**< by the guard, here */
+	table_t operators;	       /**< operator_row_t */
+
+	table_t slots;	     /**< exchange_slot_t */
+	table_t admin_slots; /**< admin_slot_t */
+	uint32_t busy;
+	upstream_t *idle;
+	uint32_t idle_count;
+
+	struct event *tick;
+	bool draining;
+	bool drained_told;
+	bool stopping;
+	void (*drained)(void *);
+	void *drained_arg;
+};
+
+/* answer.c */
+
+/** Answer a failure. @param ran overrides what the type says; NULL: don't */
+void answer_failure(front_t *, struct evhttp_request *, const err_t *,
+    const char *ran, json_t *more);
+
+/** The JSON object of a failure. */
+json_t *
+failure_json(front_t *, const err_t *, const char *ran, int64_t retry_after_ms);
+
+/* auth.c */
+
+/** The organisation whose key came with the request, or HANDLE_NONE. */
+handle_t auth_caller(const front_t *, struct evhttp_request *);
+
+/** The operator whose key came with the request, or NULL. */
+const operator_row_t *auth_operator(const front_t *, struct evhttp_request *);
+
+/** Whether the operator may make every change of the intent. */
+bool operator_may(const operator_row_t *, const json_t *intent, err_t *err);
+
+/** Read the setting "operators". */
+bool operators_parse(table_t *, const char *text, err_t *err);
+
+/* entries.c */
+
+void entries_answer(front_t *, struct evhttp_request *);
+void tickets_answer(front_t *, struct evhttp_request *);
+
+/** Fill a new ticket for the organisation. */
+void ticket_mint(front_t *, const char *organisation, ticket_t *out);
+
+/* admin.c */
+
+void admin_request(front_t *, struct evhttp_request *, const char *path);
+void admin_answered(front_t *, admin_answer_t *);
+void metrics_answer(front_t *, struct evhttp_request *);
+
+/* front.c */
+
+/** Whether new work may be taken or sent now; else why not, in @p err. */
+bool front_may_work(const front_t *, err_t *err);
+
+/** Try the waiting exchanges. */
+void front_dispatch(front_t *);
+
+/** A slot for an exchange, or NULL when there are too many. */
+exchange_t *front_exchange_new(front_t *);
+void front_exchange_free(front_t *, exchange_t *);
+
+/** Find the exchange of a tag, or NULL when it has ended. */
+exchange_t *front_exchange(const front_t *, uint64_t tag);
+
+/** Take over a list of VMs. */
+void front_vms(front_t *, const json_t *vms);
+
+/* upstream.c (exchange) */
+
+/** A connection to an address: an idle one, or a new one.
+ * @param fresh never an idle one */
+upstream_t *upstream_take(front_t *, const char *address, bool fresh);
+
+/** Give it back for the next request. */
+void upstream_give(front_t *, upstream_t *);
+
+/** Close it, once its request was cancelled or has ended. */
+void upstream_close(front_t *, upstream_t *);
+void upstreams_free(front_t *);
+
+#endif
--- /dev/null
+++ b/moortack/member/freshness.c
@@ -0,0 +1,170 @@
+#include "moortack/member/freshness.h"
+
+#include <stdlib.h>
+
+#define MEMBERS_MAX 1024
+
+void
+freshness_init(freshness_t *freshness, int64_t window_ms, int64_t outage_ms)
+{
+	*freshness = (freshness_t){
+	    .window_ms = window_ms, .outage_ms = outage_ms, .members = 1};
+	table_init(&freshness->peers, sizeof(peer_evidence_t));
+}
+
+void
+freshness_finish(freshness_t *freshness)
+{
+	table_finish(&freshness->peers);
+}
+
+void
+freshness_store_read(
+    freshness_t *freshness, uint64_t head, struct timespec asked_at)
+{
+	if (head > freshness->revision)
+		return;
+	if (freshness->store_read &&
+	    timespec_ms_between(freshness->store_at, asked_at) < 0)
+		return;
+	freshness->store_read = true;
+	freshness->store_at = asked_at;
+}
+
+static peer_evidence_t *
+peer_find(const freshness_t *freshness, uint64_t incarnation)
+{
+	for (handle_t h = 0; h < freshness->peers.len; h++) {
+		peer_evidence_t *peer = table_at(&freshness->peers, h);
+
+		if (peer->incarnation == incarnation)
+			return peer;
+	}
+	return NULL;
+}
+
+bool
+freshness_peer_answered(freshness_t *freshness, const peer_evidence_t *evidence)
+{
+	peer_evidence_t *peer = peer_find(freshness, evidence->incarnation);
+
+	if (peer == NULL)
+		peer = table_add(&freshness->peers);
+	if (peer == NULL)
+		return false;
+	*peer = *evidence;
+	return true;
+}
+
+void
+freshness_peer_forget(freshness_t *freshness, uint64_t incarnation)
+{
+	peer_evidence_t *peer = peer_find(freshness, incarnation);
+
+	if (peer != NULL)
+		*peer = *(peer_evidence_t *)table_at(
+		    &freshness->peers, --freshness->peers.len);
+}
+
+static int
+latest_first(const void *a, const void *b)
+{
+	int64_t us = timespec_us_between(
+	    *(const struct timespec *)a, *(const struct timespec *)b);
+
+	return us > 0 ? 1 : us < 0 ? -1 : 0;
+}
+
+/* How many peers must answer, so that with this one they are over half. */
+static uint32_t
+peers_needed(const freshness_t *freshness)
+{
+	return freshness->members / 2;
+}
+
+static bool
+evidence_counts(const freshness_t *freshness, const peer_evidence_t *peer)
+{
+	return peer->revision <= freshness->revision &&
+	    peer->epoch == freshness->epoch;
+}
+
+/* The last read of the store by this daemon or by a peer that counts. */
+static struct timespec
+last_store_read(const freshness_t *freshness)
+{
+	struct timespec last = freshness->store_at;
+
+	for (handle_t h = 0; h < freshness->peers.len; h++) {
+		const peer_evidence_t *peer = table_at(&freshness->peers, h);
+
+		if (evidence_counts(freshness, peer) && peer->store_read &&
+		    timespec_ms_between(last, peer->store_at) > 0)
+			last = peer->store_at;
+	}
+	return last;
+}
+
+/* When the majority was last whole: the time of the last answer it needs. */
+static struct timespec
+majority_at(const freshness_t *freshness)
+{
+	struct timespec times[MEMBERS_MAX];
+	uint32_t needed = peers_needed(freshness);
+	uint32_t n = 0;
+
+	for (handle_t h = 0; h < freshness->peers.len && n < MEMBERS_MAX; h++) {
+		const peer_evidence_t *peer = table_at(&freshness->peers, h);
+
+		if (evidence_counts(freshness, peer))
+			times[n++] = peer->asked_at;
+	}
+	if (needed == 0 || n < needed)
+		return (struct timespec){0};
+	qsort(times, n, sizeof(*times), latest_first);
+	return times[needed - 1];
+}
+
+static struct timespec
+earlier(struct timespec a, struct timespec b)
+{
+	return timespec_us_between(a, b) > 0 ? a : b;
+}
+
+static struct timespec
+later(struct timespec a, struct timespec b)
+{
+	return timespec_us_between(a, b) > 0 ? b : a;
+}
+
+struct timespec
+freshness_until(const freshness_t *freshness)
+{
+	struct timespec by_store = {0};
+	struct timespec by_peers;
+	struct timespec bound;
+
+	if (!freshness->store_read)
+		return by_store;
+	by_store = timespec_after_ms(freshness->store_at, freshness->window_ms);
+	by_peers =
+	    timespec_after_ms(majority_at(freshness), freshness->window_ms);
+	bound =
+	    timespec_after_ms(last_store_read(freshness), freshness->outage_ms);
+	return later(by_store, earlier(by_peers, bound));
+}
+
+bool
+freshness_majority(const freshness_t *freshness, struct timespec now)
+{
+	uint32_t answered = 0;
+
+	for (handle_t h = 0; h < freshness->peers.len; h++) {
+		const peer_evidence_t *peer = table_at(&freshness->peers, h);
+
+		if (timespec_ms_between(peer->asked_at, now) <
+		    freshness->window_ms)
+			answered++;
+	}
+	return answered >= peers_needed(freshness);
+}
--- /dev/null
+++ b/moortack/member/members.c
@@ -0,0 +1,112 @@
+#include "moortack/member/members.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+members_t *
+members_new(void)
+{
+	members_t *members = calloc(1, sizeof(*members));
+
+	if (members == NULL)
+		return NULL;
+	members->references = 1;
+	table_init(&members->rows, sizeof(member_t));
+	return members;
+}
+
+members_t *
+members_share(members_t *members)
+{
+	members->references++;
+	return members;
+}
+
+void
+members_release(members_t *members)
+{
+	if (members == NULL || --members->references > 0)
+		return;
+	table_finish(&members->rows);
+	free(members);
+}
+
+members_t *
+members_copy(const members_t *from)
+{
+	members_t *members = members_new();
+
+	if (members == NULL)
+		return NULL;
+	members->epoch = from->epoch;
+	for (handle_t h = 0; h < from->rows.len; h++) {
+		member_t *row = table_add(&members->rows);
+
+		if (row == NULL) {
+			members_release(members);
+			return NULL;
+		}
+		*row = *members_at(from, h);
+	}
+	return members;
+}
+
+member_t *
+members_at(const members_t *members, handle_t handle)
+{
+	return table_at(&members->rows, handle);
+}
+
+member_t *
+members_find(const members_t *members, uint64_t incarnation)
+{
+	for (handle_t h = 0; h < members->rows.len; h++) {
+		member_t *member = members_at(members, h);
+
+		if (member->incarnation == incarnation)
+			return member;
+	}
+	return NULL;
+}
+
+void
+incarnation_text(uint64_t incarnation, char out[INCARNATION_TEXT_SIZE])
+{
+	snprintf(out, INCARNATION_TEXT_SIZE, "%016" PRIx64, incarnation);
+}
+
+json_t *
+member_json(const member_t *member)
+{
+	char text[INCARNATION_TEXT_SIZE];
+
+	incarnation_text(member->incarnation, text);
+	return json_pack("{s:s,s:s,s:s,s:s}", "incarnation", text, "peer",
+	    member->peer_address, "http", member->http_address, "place",
+	    member->place);
+}
+
+bool
+member_parse(const char *text, member_t *out)
+{
+	json_t *row = json_loads(text, 0, NULL);
+	const char *incarnation, *peer, *http, *place;
+	bool good;
+
+	*out = (member_t){0};
+	good =
+	    json_unpack(row, "{s:s,s:s,s:s,s:s}", "incarnation", &incarnation,
+		"peer", &peer, "http", &http, "place", &place) == 0;
+	if (good) {
+		out->incarnation = strtoull(incarnation, NULL, 16);
+		snprintf(
+		    out->peer_address, sizeof(out->peer_address), "%s", peer);
+		snprintf(
+		    out->http_address, sizeof(out->http_address), "%s", http);
+		snprintf(out->place, sizeof(out->place), "%s", place);
+	}
+	json_decref(row);
+	return good && out->incarnation != 0;
+}
--- /dev/null
+++ b/moortack/member/peers.c
@@ -0,0 +1,631 @@
+#include "moortack/member/peers.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include <zmq.h>
+
+#include "common/log.h"
+
+#define TICK_MS 20
+#define SEND_HWM 1000
+#define RECONNECT_MS 100
+#define RECONNECT_MAX_MS 2000
+#define Z85_KEY_SIZE 41
+#define CURVE_KEY_SIZE 32
+#define ZAP_FRAMES 7
+#define ZAP_ADDRESS "inproc://zeromq.zap.01"
+#define MESSAGE_MAX (4 << 20)
+#define DRAIN_ROUNDS 8
+
+enum peers_message { PEERS_ASK, PEERS_ANSWER, PEERS_MEMBERS };
+
+/** A socket and the event of its edge-triggered descriptor. */
+typedef struct peer_socket {
+	peers_t *peers;
+	void *socket;
+	struct event *event;
+	void (*drain)(struct peer_socket *);
+} peer_socket_t;
+
+/** An open connection to one member. */
+typedef struct link {
+	uint64_t incarnation;
+	peer_socket_t socket;
+	UT_hash_handle hh;
+} link_t;
+
+/** A question whose answer is awaited. */
+typedef struct pending {
+	uint64_t id;
+	peer_ask_t ask;
+	struct timespec asked_at;
+	UT_hash_handle hh;
+} pending_t;
+
+/** A packed message on its way to the task. */
+typedef struct outgoing {
+	peer_ask_t ask;
+	uint64_t id;
+	uint8_t identity[PEER_IDENTITY_MAX];
+	size_t identity_len;
+	size_t len;
+	uint8_t bytes[];
+} outgoing_t;
+
+struct peers {
+	process_t process;
+	task_t task;
+	void *context;
+	peer_socket_t router;
+	peer_socket_t zap;
+	link_t *links;
+	pending_t *pending;
+	members_t *members;
+	struct event *tick;
+	char host[MEMBER_ADDRESS_SIZE]; /**< IP of its own */
+	char secret[Z85_KEY_SIZE];
+	char public[Z85_KEY_SIZE];
+	uint8_t public_bytes[CURVE_KEY_SIZE];
+	struct {
+		task_t *task;
+		int kind;
+	} routes[PEER_BODIES];
+};
+
+void
+peer_question_free(void *body)
+{
+	peer_question_t *question = body;
+
+	wire__envelope__free_unpacked(question->envelope, NULL);
+	free(question);
+}
+
+void
+peer_answer_free(void *body)
+{
+	peer_answer_t *answer = body;
+
+	if (answer->envelope != NULL)
+		wire__envelope__free_unpacked(answer->envelope, NULL);
+	free(answer);
+}
+
+static void
+members_body_release(void *body)
+{
+	members_release(body);
+}
+
+/* The descriptor is edge-triggered: read until there is nothing more. */
+static void
+socket_drain(peer_socket_t *socket)
+{
+	for (int i = 0; i < DRAIN_ROUNDS; i++) {
+		int events = 0;
+		size_t size = sizeof(events);
+
+		zmq_getsockopt(socket->socket, ZMQ_EVENTS, &events, &size);
+		if ((events & ZMQ_POLLIN) == 0)
+			return;
+		socket->drain(socket);
+	}
+	event_active(socket->event, EV_READ, 0);
+}
+
+static void
+socket_readable(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	socket_drain(arg);
+}
+
+static bool
+socket_open(peers_t *peers, peer_socket_t *socket, int type,
+    void (*drain)(peer_socket_t *))
+{
+	static const int linger = 0;
+	static const int hwm = SEND_HWM;
+	static const int reconnect = RECONNECT_MS;
+	static const int reconnect_max = RECONNECT_MAX_MS;
+	static const int immediate = 1;
+	static const int64_t message_max = MESSAGE_MAX;
+	int fd;
+	size_t size = sizeof(fd);
+
+	*socket = (peer_socket_t){.peers = peers, .drain = drain};
+	socket->socket = zmq_socket(peers->context, type);
+	if (socket->socket == NULL)
+		return false;
+	zmq_setsockopt(socket->socket, ZMQ_LINGER, &linger, sizeof(linger));
+	zmq_setsockopt(socket->socket, ZMQ_SNDHWM, &hwm, sizeof(hwm));
+	zmq_setsockopt(
+	    socket->socket, ZMQ_IMMEDIATE, &immediate, sizeof(immediate));
+	zmq_setsockopt(
+	    socket->socket, ZMQ_MAXMSGSIZE, &message_max, sizeof(message_max));
+	zmq_setsockopt(
+	    socket->socket, ZMQ_RECONNECT_IVL, &reconnect, sizeof(reconnect));
+	zmq_setsockopt(socket->socket, ZMQ_RECONNECT_IVL_MAX, &reconnect_max,
+	    sizeof(reconnect_max));
+	zmq_getsockopt(socket->socket, ZMQ_FD, &fd, &size);
+	socket->event = event_new(peers->process.base, fd, EV_READ | EV_PERSIST,
+	    socket_readable, socket);
+	return socket->event != NULL && event_add(socket->event, NULL) == 0;
+}
+
+static void
+socket_close(peer_socket_t *socket)
+{
+	if (socket->event != NULL)
+		event_free(socket->event);
+	if (socket->socket != NULL)
+		zmq_close(socket->socket);
+	*socket = (peer_socket_t){0};
+}
+
+/* One frame of a message; false when there was none. */
+static bool
+frame_read(void *socket, zmq_msg_t *frame, bool *more)
+{
+	zmq_msg_init(frame);
+	if (zmq_msg_recv(frame, socket, ZMQ_DONTWAIT) < 0) {
+		zmq_msg_close(frame);
+		return false;
+	}
+	*more = zmq_msg_more(frame) != 0;
+	return true;
+}
+
+static void
+rest_skip(void *socket, bool more)
+{
+	zmq_msg_t frame;
+
+	while (more && frame_read(socket, &frame, &more))
+		zmq_msg_close(&frame);
+}
+
+static Wire__Envelope *
+envelope_read(peers_t *peers, void *socket)
+{
+	Wire__Envelope *envelope;
+	zmq_msg_t frame;
+	bool more;
+
+	if (!frame_read(socket, &frame, &more))
+		return NULL;
+	envelope = wire__envelope__unpack(
+	    NULL, zmq_msg_size(&frame), zmq_msg_data(&frame));
+	zmq_msg_close(&frame);
+	rest_skip(socket, more);
+	if (envelope == NULL)
+		return NULL;
+	counter_add(peers->process.counters, COUNTER_PEER_RECEIVED, 1);
+	hlc_receive(&peers->process.timeline->hlc, envelope->stamp,
+	    timespec_ms(clock_wall(peers->process.clock)));
+	return envelope;
+}
+
+static void
+answer_post(const pending_t *pending, Wire__Envelope *envelope)
+{
+	peer_answer_t *answer = malloc(sizeof(*answer));
+
+	if (answer == NULL) {
+		if (envelope != NULL)
+			wire__envelope__free_unpacked(envelope, NULL);
+		return;
+	}
+	*answer = (peer_answer_t){.tag = pending->ask.tag,
+	    .from = pending->ask.to,
+	    .asked_at = pending->asked_at,
+	    .envelope = envelope};
+	task_post(
+	    pending->ask.task, pending->ask.kind, answer, peer_answer_free);
+}
+
+static void
+pending_end(peers_t *peers, pending_t *pending, Wire__Envelope *envelope)
+{
+	HASH_DEL(peers->pending, pending);
+	answer_post(pending, envelope);
+	free(pending);
+}
+
+static void
+link_drain(peer_socket_t *socket)
+{
+	peers_t *peers = socket->peers;
+	Wire__Envelope *envelope = envelope_read(peers, socket->socket);
+	pending_t *pending = NULL;
+
+	if (envelope == NULL)
+		return;
+	if (envelope->answer)
+		HASH_FIND(hh, peers->pending, &envelope->id,
+		    sizeof(envelope->id), pending);
+	if (pending == NULL || pending->ask.to != envelope->from) {
+		wire__envelope__free_unpacked(envelope, NULL);
+		return;
+	}
+	pending_end(peers, pending, envelope);
+}
+
+static void
+question_post(
+    peers_t *peers, const zmq_msg_t *identity, Wire__Envelope *envelope)
+{
+	peer_question_t *question = calloc(1, sizeof(*question));
+	size_t len = zmq_msg_size(identity);
+
+	if (question == NULL || len > PEER_IDENTITY_MAX ||
+	    envelope->body_case >= PEER_BODIES ||
+	    peers->routes[envelope->body_case].task == NULL ||
+	    (envelope->to != 0 && envelope->to != peers->process.incarnation)) {
+		free(question);
+		wire__envelope__free_unpacked(envelope, NULL);
+		return;
+	}
+	memcpy(question->identity, zmq_msg_data((zmq_msg_t *)identity), len);
+	question->identity_len = len;
+	question->envelope = envelope;
+	task_post(peers->routes[envelope->body_case].task,
+	    peers->routes[envelope->body_case].kind, question,
+	    peer_question_free);
+}
+
+static void
+router_drain(peer_socket_t *socket)
+{
+	Wire__Envelope *envelope;
+	zmq_msg_t identity;
+	bool more;
+
+	if (!frame_read(socket->socket, &identity, &more))
+		return;
+	envelope = more ? envelope_read(socket->peers, socket->socket) : NULL;
+	if (envelope != NULL)
+		question_post(socket->peers, &identity, envelope);
+	zmq_msg_close(&identity);
+}
+
+/* ZAP, RFC 27: only the holder of the fleet's secret key may connect. */
+static void
+zap_drain(peer_socket_t *socket)
+{
+	static const char *const answers[2][2] = {
+	    {"400", "not of this fleet"}, {"200", "OK"}};
+	zmq_msg_t frames[ZAP_FRAMES];
+	int count = 0;
+	bool more = true;
+	bool known;
+
+	while (more && count < ZAP_FRAMES &&
+	    frame_read(socket->socket, &frames[count], &more))
+		count++;
+	rest_skip(socket->socket, more && count == ZAP_FRAMES);
+	known = count == ZAP_FRAMES &&
+	    zmq_msg_size(&frames[6]) == CURVE_KEY_SIZE &&
+	    memcmp(zmq_msg_data(&frames[6]), socket->peers->public_bytes,
+		CURVE_KEY_SIZE) == 0;
+	if (count >= 2) {
+		zmq_send(socket->socket, "1.0", 3, ZMQ_SNDMORE);
+		zmq_send(socket->socket, zmq_msg_data(&frames[1]),
+		    zmq_msg_size(&frames[1]), ZMQ_SNDMORE);
+		zmq_send(socket->socket, answers[known][0], 3, ZMQ_SNDMORE);
+		zmq_send(socket->socket, answers[known][1],
+		    strlen(answers[known][1]), ZMQ_SNDMORE);
+		zmq_send(socket->socket, "", 0, ZMQ_SNDMORE);
+		zmq_send(socket->socket, "", 0, 0);
+	}
+	for (int i = 0; i < count; i++)
+		zmq_msg_close(&frames[i]);
+}
+
+static void
+curve_set(const peers_t *peers, void *socket, bool server)
+{
+	int yes = 1;
+
+	zmq_setsockopt(
+	    socket, ZMQ_CURVE_SECRETKEY, peers->secret, Z85_KEY_SIZE);
+	zmq_setsockopt(
+	    socket, ZMQ_CURVE_PUBLICKEY, peers->public, Z85_KEY_SIZE);
+	if (server) {
+		zmq_setsockopt(socket, ZMQ_CURVE_SERVER, &yes, sizeof(yes));
+		zmq_setsockopt(socket, ZMQ_ZAP_DOMAIN, "fleet", 5);
+	} else {
+		zmq_setsockopt(
+		    socket, ZMQ_CURVE_SERVERKEY, peers->public, Z85_KEY_SIZE);
+	}
+}
+
+static link_t *
+link_open(peers_t *peers, uint64_t incarnation)
+{
+	const member_t *member = members_find(peers->members, incarnation);
+	char endpoint[2 * MEMBER_ADDRESS_SIZE + 16];
+	link_t *link;
+
+	HASH_FIND(hh, peers->links, &incarnation, sizeof(incarnation), link);
+	if (link != NULL || member == NULL)
+		return link;
+	link = calloc(1, sizeof(*link));
+	if (link == NULL)
+		return NULL;
+	if (!socket_open(peers, &link->socket, ZMQ_DEALER, link_drain)) {
+		socket_close(&link->socket);
+		free(link);
+		return NULL;
+	}
+	link->incarnation = incarnation;
+	curve_set(peers, link->socket.socket, false);
+	/* From the address that it listens on, so that a firewall can tell. */
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s:0;%s", peers->host,
+	    member->peer_address);
+	zmq_connect(link->socket.socket, endpoint);
+	HASH_ADD(hh, peers->links, incarnation, sizeof(incarnation), link);
+	return link;
+}
+
+static void
+link_close(peers_t *peers, link_t *link)
+{
+	HASH_DEL(peers->links, link);
+	socket_close(&link->socket);
+	free(link);
+}
+
+static bool
+bytes_send(peers_t *peers, peer_socket_t *socket, const outgoing_t *out)
+{
+	bool sent =
+	    zmq_send(socket->socket, out->bytes, out->len, ZMQ_DONTWAIT) >= 0;
+
+	if (sent) {
+		counter_add(peers->process.counters, COUNTER_PEER_SENT, 1);
+		counter_add(
+		    peers->process.counters, COUNTER_PEER_BYTES_SENT, out->len);
+	}
+	/* Sending may have swallowed the edge of what arrived meanwhile. */
+	event_active(socket->event, EV_READ, 0);
+	return sent;
+}
+
+static void
+ask_send(peers_t *peers, const outgoing_t *out)
+{
+	link_t *link = link_open(peers, out->ask.to);
+	pending_t *pending;
+
+	if (out->ask.task == NULL) {
+		if (link != NULL)
+			bytes_send(peers, &link->socket, out);
+		return;
+	}
+	pending = calloc(1, sizeof(*pending));
+	if (pending == NULL)
+		return;
+	*pending = (pending_t){.id = out->id,
+	    .ask = out->ask,
+	    .asked_at = clock_elapsed(peers->process.clock)};
+	HASH_ADD(hh, peers->pending, id, sizeof(pending->id), pending);
+	/* A link that isn't up refuses: its asker hears so at once. */
+	if (link == NULL || !bytes_send(peers, &link->socket, out))
+		pending_end(peers, pending, NULL);
+}
+
+static void
+answer_send(peers_t *peers, const outgoing_t *out)
+{
+	zmq_send(peers->router.socket, out->identity, out->identity_len,
+	    ZMQ_DONTWAIT | ZMQ_SNDMORE);
+	bytes_send(peers, &peers->router, out);
+}
+
+static void
+members_take(peers_t *peers, members_t *members)
+{
+	link_t *link, *next;
+
+	members_release(peers->members);
+	peers->members = members_share(members);
+	HASH_ITER(hh, peers->links, link, next)
+	{
+		if (members_find(members, link->incarnation) == NULL)
+			link_close(peers, link);
+	}
+	for (handle_t h = 0; h < members->rows.len; h++)
+		link_open(peers, members_at(members, h)->incarnation);
+}
+
+static void
+handle(void *state, msg_t *msg)
+{
+	peers_t *peers = state;
+
+	switch ((enum peers_message)msg->kind) {
+	case PEERS_ASK:
+		ask_send(peers, msg->body);
+		break;
+	case PEERS_ANSWER:
+		answer_send(peers, msg->body);
+		break;
+	case PEERS_MEMBERS:
+		members_take(peers, msg->body);
+		break;
+	}
+}
+
+static void
+tick(evutil_socket_t fd, short what, void *arg)
+{
+	peers_t *peers = arg;
+	struct timespec now = clock_elapsed(peers->process.clock);
+	pending_t *pending, *next;
+
+	(void)fd;
+	(void)what;
+	HASH_ITER(hh, peers->pending, pending, next)
+	{
+		if (timespec_ms_between(pending->asked_at, now) >=
+		    pending->ask.timeout_ms)
+			pending_end(peers, pending, NULL);
+	}
+}
+
+static outgoing_t *
+envelope_pack(peers_t *peers, Wire__Envelope *envelope)
+{
+	outgoing_t *out;
+	size_t len;
+
+	envelope->from = peers->process.incarnation;
+	envelope->stamp = hlc_tick(&peers->process.timeline->hlc,
+	    timespec_ms(clock_wall(peers->process.clock)));
+	len = wire__envelope__get_packed_size(envelope);
+	out = calloc(1, sizeof(*out) + len);
+	if (out == NULL)
+		return NULL;
+	out->len = wire__envelope__pack(envelope, out->bytes);
+	return out;
+}
+
+void
+peers_ask(peers_t *peers, const peer_ask_t *ask, Wire__Envelope *envelope)
+{
+	outgoing_t *out;
+
+	envelope->id = rng_bits(peers->process.rng);
+	envelope->to = ask->to;
+	out = envelope_pack(peers, envelope);
+	if (out == NULL)
+		return;
+	out->ask = *ask;
+	out->id = envelope->id;
+	task_post(&peers->task, PEERS_ASK, out, NULL);
+}
+
+void
+peers_tell(peers_t *peers, uint64_t to, Wire__Envelope *envelope)
+{
+	const peer_ask_t ask = {.to = to};
+
+	peers_ask(peers, &ask, envelope);
+}
+
+void
+peers_answer(
+    peers_t *peers, const peer_question_t *question, Wire__Envelope *envelope)
+{
+	outgoing_t *out;
+
+	envelope->id = question->envelope->id;
+	envelope->to = question->envelope->from;
+	envelope->answer = true;
+	out = envelope_pack(peers, envelope);
+	if (out == NULL)
+		return;
+	memcpy(out->identity, question->identity, question->identity_len);
+	out->identity_len = question->identity_len;
+	task_post(&peers->task, PEERS_ANSWER, out, NULL);
+}
+
+void
+peers_members(peers_t *peers, members_t *members)
+{
+	task_post(&peers->task, PEERS_MEMBERS, members_share(members),
+	    members_body_release);
+}
+
+void
+peers_route(
+    peers_t *peers, Wire__Envelope__BodyCase body, task_t *task, int kind)
+{
+	peers->routes[body].task = task;
+	peers->routes[body].kind = kind;
+}
+
+static bool
+keys_set(peers_t *peers, const char *secret, err_t *err)
+{
+	if (strlen(secret) != Z85_KEY_SIZE - 1 ||
+	    zmq_curve_public(peers->public, secret) != 0 ||
+	    zmq_z85_decode(peers->public_bytes, peers->public) == NULL)
+		return err_set(err, ERR_SETTING,
+		    "peer-key: want a CURVE secret key, 40 characters of Z85");
+	memcpy(peers->secret, secret, Z85_KEY_SIZE);
+	return true;
+}
+
+static bool
+sockets_open(peers_t *peers, const char *address, err_t *err)
+{
+	char endpoint[MEMBER_ADDRESS_SIZE + 8];
+
+	if (!socket_open(peers, &peers->zap, ZMQ_REP, zap_drain) ||
+	    zmq_bind(peers->zap.socket, ZAP_ADDRESS) != 0 ||
+	    !socket_open(peers, &peers->router, ZMQ_ROUTER, router_drain))
+		return err_set(err, ERR_INTERNAL, "cannot open peer sockets");
+	curve_set(peers, peers->router.socket, true);
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
+	if (zmq_bind(peers->router.socket, endpoint) != 0)
+		return err_set(err, ERR_SETTING, "peer-listen %s: %s", address,
+		    zmq_strerror(zmq_errno()));
+	return true;
+}
+
+peers_t *
+peers_new(const process_t *process, const char *address, const char *secret,
+    err_t *err)
+{
+	static const struct timeval interval = {0, TICK_MS * 1000};
+	peers_t *peers = calloc(1, sizeof(*peers));
+
+	if (peers == NULL) {
+		err_set(err, ERR_MEMORY, "no memory");
+		return NULL;
+	}
+	peers->process = *process;
+	snprintf(peers->host, sizeof(peers->host), "%.*s",
+	    (int)strcspn(address, ":"), address);
+	peers->members = members_new();
+	peers->context = zmq_ctx_new();
+	if (!task_init(&peers->task, process->base, handle, peers) ||
+	    !keys_set(peers, secret, err) ||
+	    !sockets_open(peers, address, err)) {
+		peers_free(peers);
+		return NULL;
+	}
+	peers->tick = event_new(process->base, -1, EV_PERSIST, tick, peers);
+	event_add(peers->tick, &interval);
+	return peers;
+}
+
+void
+peers_free(peers_t *peers)
+{
+	pending_t *pending, *next_pending;
+	link_t *link, *next_link;
+
+	HASH_ITER(hh, peers->pending, pending, next_pending)
+	{
+		HASH_DEL(peers->pending, pending);
+		free(pending);
+	}
+	HASH_ITER(hh, peers->links, link, next_link)
+	{
+		link_close(peers, link);
+	}
+	if (peers->tick != NULL)
+		event_free(peers->tick);
+	socket_close(&peers->router);
+	socket_close(&peers->zap);
+	task_finish(&peers->task);
+	members_release(peers->members);
+	zmq_ctx_term(peers->context);
+	free(peers);
+}
--- /dev/null
+++ b/moortack/route/balance.c
@@ -0,0 +1,272 @@
+#include "moortack/route/balance.h"
+
+#include <string.h>
+
+#define CANDIDATES_MAX 1024
+#define OVERCOMMIT_PERCENT 150 /* of its slots: the rest queues there */
+#define REMOTE_FACTOR 1.3      /* another place costs a round trip */
+#define HINT_FACTOR 0.6	       /* a cached prefix saves the prefill */
+#define DEFAULT_FIRST_MS 20.0
+#define SMOOTHING 0.2
+#define SLOW_START_MS 5000
+#define SLOW_START_FACTOR 4.0
+#define EJECT_FAILURES 3
+#define EJECT_BASE_MS 1000
+#define EJECT_MAX_MS 30000
+#define EJECT_POOL_PERCENT 50 /* at most this share of a pool is out */
+#define ALL_PERCENT 100
+
+bool
+balance_allows(const endpoint_t *endpoint, const balance_query_t *query)
+{
+	const organisation_t *organisation =
+	    config_organisation_at(query->config, query->organisation);
+	const version_t *version =
+	    config_version_at(query->config, query->version);
+
+	return endpoint->state == ENDPOINT_LIVE && organisation != NULL &&
+	    version != NULL && version->state != VERSION_WITHDRAWN &&
+	    version->state != VERSION_STAGED &&
+	    endpoint_serves(endpoint, query->version) &&
+	    organisation_allows_version(organisation, query->version) &&
+	    organisation_allows_place(organisation, endpoint->place);
+}
+
+/* What others have there, from the report, and what this daemon has. */
+static uint32_t
+endpoint_load(const endpoint_t *endpoint)
+{
+	uint32_t others = endpoint->reported > endpoint->inflight_at_report
+	    ? endpoint->reported - endpoint->inflight_at_report
+	    : 0;
+
+	return others + endpoint->inflight;
+}
+
+static bool
+endpoint_full(const endpoint_t *endpoint)
+{
+	return endpoint_load(endpoint) * ALL_PERCENT >=
+	    endpoint->slots * OVERCOMMIT_PERCENT;
+}
+
+static bool
+endpoint_out(const endpoint_t *endpoint, struct timespec now)
+{
+	if (!endpoint->ejected)
+		return false;
+	return endpoint->probing ||
+	    timespec_ms_between(endpoint->ejected_until, now) < 0;
+}
+
+static bool
+avoided(const balance_query_t *query, handle_t handle)
+{
+	for (uint32_t i = 0; i < query->avoid_count; i++) {
+		if (query->avoid[i] == handle)
+			return true;
+	}
+	return false;
+}
+
+static double
+slow_start_factor(const endpoint_t *endpoint, struct timespec now)
+{
+	int64_t age = timespec_ms_between(endpoint->since, now);
+
+	if (age >= SLOW_START_MS || age < 0)
+		return 1.0;
+	return 1.0 +
+	    (SLOW_START_FACTOR - 1.0) * (double)(SLOW_START_MS - age) /
+	    SLOW_START_MS;
+}
+
+/* Expected wait: how long the endpoint takes, by how much it has. */
+static double
+endpoint_cost(
+    const fleet_t *fleet, handle_t handle, const balance_query_t *query)
+{
+	const endpoint_t *endpoint = fleet_at(fleet, handle);
+	double first = endpoint->first_token_ms > 0 ? endpoint->first_token_ms
+						    : DEFAULT_FIRST_MS;
+	double cost =
+	    first * (endpoint_load(endpoint) + 1) / (double)endpoint->slots;
+
+	if (endpoint->place != query->place && query->place != HANDLE_NONE)
+		cost *= REMOTE_FACTOR;
+	if (handle == query->hint)
+		cost *= HINT_FACTOR;
+	return cost * slow_start_factor(endpoint, query->now);
+}
+
+static bool
+hint_usable(const fleet_t *fleet, const handle_t *candidates, uint32_t count,
+    const balance_query_t *query)
+{
+	const endpoint_t *endpoint = fleet_at(fleet, query->hint);
+
+	/* A hot endpoint sheds its sessions: the prefix isn't worth a queue. */
+	if (endpoint == NULL || endpoint_load(endpoint) >= endpoint->slots)
+		return false;
+	for (uint32_t i = 0; i < count; i++) {
+		if (candidates[i] == query->hint)
+			return true;
+	}
+	return false;
+}
+
+static handle_t
+two_choices(const fleet_t *fleet, const handle_t *candidates, uint32_t count,
+    const balance_query_t *query, rng_t *rng)
+{
+	handle_t a = candidates[rng_below(rng, count)];
+	handle_t b;
+
+	if (hint_usable(fleet, candidates, count, query))
+		return query->hint;
+	b = candidates[rng_below(rng, count)];
+	return endpoint_cost(fleet, a, query) <= endpoint_cost(fleet, b, query)
+	    ? a
+	    : b;
+}
+
+static handle_t
+random_choice(const fleet_t *fleet, const handle_t *candidates, uint32_t count,
+    const balance_query_t *query, rng_t *rng)
+{
+	(void)fleet;
+	(void)query;
+	return candidates[rng_below(rng, count)];
+}
+
+static handle_t
+least_reported(const fleet_t *fleet, const handle_t *candidates, uint32_t count,
+    const balance_query_t *query, rng_t *rng)
+{
+	handle_t best = candidates[0];
+
+	(void)query;
+	(void)rng;
+	for (uint32_t i = 1; i < count; i++) {
+		if (fleet_at(fleet, candidates[i])->reported <
+		    fleet_at(fleet, best)->reported)
+			best = candidates[i];
+	}
+	return best;
+}
+
+/* The state of the turn is the caller's random stream's: see the bench. */
+static handle_t
+round_robin(const fleet_t *fleet, const handle_t *candidates, uint32_t count,
+    const balance_query_t *query, rng_t *rng)
+{
+	(void)fleet;
+	(void)query;
+	return candidates[rng->state++ % count];
+}
+
+const balance_policy_t balance_two_choices = {"two choices", two_choices};
+const balance_policy_t balance_random = {"random", random_choice};
+const balance_policy_t balance_least_reported = {
+    "least reported", least_reported};
+const balance_policy_t balance_round_robin = {"round robin", round_robin};
+
+balance_result_t
+balance_pick(const fleet_t *fleet, const balance_policy_t *policy,
+    const balance_query_t *query, rng_t *rng, handle_t *out)
+{
+	handle_t candidates[CANDIDATES_MAX];
+	uint32_t count = 0;
+	bool any = false;
+
+	for (handle_t h = 0; h < fleet->endpoints.len && count < CANDIDATES_MAX;
+	     h++) {
+		const endpoint_t *endpoint = fleet_at(fleet, h);
+
+		if (!balance_allows(endpoint, query) || avoided(query, h))
+			continue;
+		any = true;
+		if (!endpoint_out(endpoint, query->now) &&
+		    !endpoint_full(endpoint))
+			candidates[count++] = h;
+	}
+	if (count == 0)
+		return any ? BALANCE_FULL : BALANCE_NONE;
+	*out = policy->choose(fleet, candidates, count, query, rng);
+	return BALANCE_PICKED;
+}
+
+void
+endpoint_start(endpoint_t *endpoint)
+{
+	endpoint->inflight++;
+	if (endpoint->ejected)
+		endpoint->probing = true;
+}
+
+void
+endpoint_end(endpoint_t *endpoint)
+{
+	if (endpoint->inflight > 0)
+		endpoint->inflight--;
+	endpoint->probing = false;
+}
+
+void
+endpoint_succeed(
+    endpoint_t *endpoint, double first_token_ms, struct timespec now)
+{
+	endpoint_end(endpoint);
+	if (endpoint->ejected)
+		endpoint->since = now;
+	endpoint->ejected = false;
+	endpoint->failures = 0;
+	endpoint->ejections = 0;
+	if (first_token_ms <= 0)
+		return;
+	if (endpoint->first_token_ms <= 0)
+		endpoint->first_token_ms = first_token_ms;
+	endpoint->first_token_ms +=
+	    SMOOTHING * (first_token_ms - endpoint->first_token_ms);
+}
+
+/* Whether another endpoint of the same versions may be out as well. */
+static bool
+pool_spares(const fleet_t *fleet, const endpoint_t *endpoint)
+{
+	uint32_t pool = 0;
+	uint32_t out = 0;
+
+	for (handle_t h = 0; h < fleet->endpoints.len; h++) {
+		const endpoint_t *other = fleet_at(fleet, h);
+
+		if (other->state != ENDPOINT_LIVE ||
+		    memcmp(&other->versions, &endpoint->versions,
+			sizeof(other->versions)) != 0)
+			continue;
+		pool++;
+		out += other->ejected;
+	}
+	return (out + 1) * ALL_PERCENT <= pool * EJECT_POOL_PERCENT;
+}
+
+bool
+endpoint_fail(fleet_t *fleet, handle_t handle, struct timespec now)
+{
+	endpoint_t *endpoint = fleet_at(fleet, handle);
+	bool was_out = endpoint->ejected;
+	int64_t ms;
+
+	endpoint_end(endpoint);
+	if (++endpoint->failures < EJECT_FAILURES)
+		return false;
+	if (!was_out && !pool_spares(fleet, endpoint))
+		return false;
+	ms = EJECT_BASE_MS << (endpoint->ejections < 5 ? endpoint->ejections
+						       : 5);
+	endpoint->ejections++;
+	endpoint->ejected = true;
+	endpoint->ejected_until =
+	    timespec_after_ms(now, ms < EJECT_MAX_MS ? ms : EJECT_MAX_MS);
+	return !was_out;
+}
--- /dev/null
+++ b/moortack/wire/generate.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Makes peer.pb-c.[ch] anew from peer.proto. The result is committed, so that
+# the build needs no protoc-c.
+set -eu
+cd "$(dirname "$0")"
+protoc-c --c_out=. peer.proto
+mv peer.pb-c.h ../../include/moortack/wire/
+sed -i 's|"peer.pb-c.h"|"moortack/wire/peer.pb-c.h"|' peer.pb-c.c
--- /dev/null
+++ b/moortackctl/plan.c
@@ -0,0 +1,34 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "client.h"
+
+command_status_t
+command_plan(const command_context_t *context, err_t *err)
+{
+	json_error_t failure;
+	json_t *intent;
+	json_t *changes;
+
+	if (context->word_count != 1) {
+		err_set(err, ERR_BAD_REQUEST,
+		    "usage: plan FILE, or - for standard input");
+		return COMMAND_USAGE;
+	}
+	intent = strcmp(context->words[0], "-") == 0
+	    ? json_loadf(stdin, JSON_REJECT_DUPLICATES, &failure)
+	    : json_load_file(
+		  context->words[0], JSON_REJECT_DUPLICATES, &failure);
+	if (intent == NULL) {
+		err_set(err, ERR_BAD_REQUEST, "%s line %d: %s",
+		    context->words[0], failure.line, failure.text);
+		return COMMAND_USAGE;
+	}
+	changes = json_incref(json_object_get(intent, "changes"));
+	json_decref(intent);
+	if (changes == NULL) {
+		err_set(err, ERR_BAD_REQUEST, "the intent has no \"changes\"");
+		return COMMAND_USAGE;
+	}
+	return client_plan(context, changes, err);
+}
--- /dev/null
+++ b/moortackctl/settings.c
@@ -0,0 +1,28 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "client.h"
+
+/* Reaching this far means that they were all read and checked. */
+command_status_t
+command_settings(const command_context_t *context, err_t *err)
+{
+	if (context->word_count != 1 ||
+	    strcmp(context->words[0], "check") != 0) {
+		err_set(err, ERR_BAD_REQUEST, "usage: settings check");
+		return COMMAND_USAGE;
+	}
+	for (int i = 0; i < context->entry_count; i++) {
+		json_t *reply;
+		int status = client_call_entry(
+		    context, &context->entries[i], "/admin/status", &reply);
+
+		json_decref(reply);
+		printf("%s:%u %s\n", context->entries[i].host,
+		    context->entries[i].port,
+		    status == 200     ? "takes the key"
+			: status == 0 ? "does not answer"
+				      : "refuses the key");
+	}
+	return COMMAND_OK;
+}
--- /dev/null
+++ b/moortackctl/show.c
@@ -0,0 +1,20 @@
+#include <stdio.h>
+
+#include "client.h"
+
+command_status_t
+command_show(const command_context_t *context, err_t *err)
+{
+	char path[128] = "/admin/plan/";
+	json_t *reply;
+	command_status_t status;
+
+	if (context->word_count > 0)
+		snprintf(
+		    path, sizeof(path), "/admin/plan/%.64s", context->words[0]);
+	status = client_call(context, path, NULL, &reply, err);
+	if (status == COMMAND_OK)
+		client_print(reply);
+	json_decref(reply);
+	return status;
+}
--- /dev/null
+++ b/moortackctl/status.c
@@ -0,0 +1,34 @@
+#include <stdio.h>
+
+#include "client.h"
+
+command_status_t
+command_status(const command_context_t *context, err_t *err)
+{
+	json_t *reply;
+	long long in_force, members;
+	command_status_t status =
+	    client_call(context, "/admin/status", NULL, &reply, err);
+
+	if (status != COMMAND_OK) {
+		json_decref(reply);
+		return status;
+	}
+	in_force = json_integer_value(json_object_get(reply, "in_force"));
+	members = json_integer_value(json_object_get(reply, "members"));
+	if (context->json)
+		client_print(reply);
+	else
+		printf("Revision %lld accepted, in force at %lld of %lld.\n"
+		       "The configuration is %s here%s.\n",
+		    (long long)json_integer_value(
+			json_object_get(reply, "accepted")),
+		    in_force, members,
+		    json_is_true(json_object_get(reply, "fresh")) ? "fresh"
+								  : "stale",
+		    json_is_true(json_object_get(reply, "store_lost"))
+			? "; the store does not answer"
+			: "");
+	json_decref(reply);
+	return in_force < members ? COMMAND_PARTLY : COMMAND_OK;
+}
--- /dev/null
+++ b/moortackctl/version.c
@@ -0,0 +1,24 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "client.h"
+
+command_status_t
+command_version(const command_context_t *context, err_t *err)
+{
+	json_t *value;
+
+	if (context->word_count < 2 || context->word_count > 3) {
+		err_set(err, ERR_BAD_REQUEST,
+		    "usage: version MODEL@VERSION STATE [PERCENT]");
+		return COMMAND_USAGE;
+	}
+	value = json_pack("{s:s}", "state", context->words[1]);
+	if (context->word_count == 3)
+		json_object_set_new(value, "percent",
+		    json_integer(strtol(context->words[2], NULL, 10)));
+	return client_plan(context,
+	    json_pack("[{s:s,s:s,s:o}]", "set", "version", "name",
+		context->words[0], "value", value),
+	    err);
+}
--- /dev/null
+++ b/moortackd/options.h
@@ -0,0 +1,19 @@
+/**
+ * @file
+ * The table of the daemon's settings.
+ */
+#ifndef MOORTACKD_OPTIONS_H
+#define MOORTACKD_OPTIONS_H
+
+#include "moortack/options.h"
+
+#define OPTIONS_PREFIX "MOORTACK"
+
+/** Load and check the settings, also against each other. */
+settings_result_t
+options_load(options_t *, int argc, const char **argv, err_t *err);
+
+/** Write the help of all settings to standard output. */
+void options_help(void);
+
+#endif
--- /dev/null
+++ b/standin/fake.c
@@ -0,0 +1,181 @@
+#include "standin/fake.h"
+
+#include <event2/bufferevent.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/http_call.h"
+#include "common/http_server.h"
+#include "common/log.h"
+
+#define BODY_MAX (16L << 20)
+
+typedef struct held_request {
+	fake_t *fake;
+	struct evhttp_request *req;
+} held_request_t;
+
+static const setting_t settings[] = {
+    {"listen", SETTING_ADDRESS, offsetof(fake_t, listen), 1, 64, NULL, "",
+	"Address to listen on"},
+};
+
+int64_t
+fake_int(const json_t *object, const char *name, int64_t fallback)
+{
+	const json_t *value = json_object_get(object, name);
+
+	return json_is_integer(value) ? json_integer_value(value) : fallback;
+}
+
+static void
+drop_now(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	evhttp_connection_free(arg);
+}
+
+void
+fake_drop(fake_t *fake, struct evhttp_request *req)
+{
+	static const struct timeval soon = {0, 1000};
+
+	event_base_once(fake->base, -1, EV_TIMEOUT, drop_now,
+	    evhttp_request_get_connection(req), &soon);
+}
+
+static void
+fault_take(fake_t *fake, struct evhttp_request *req)
+{
+	json_t *body = http_request_json(req, NULL);
+	const json_t *down = json_object_get(body, "down");
+
+	if (body == NULL) {
+		http_answer_json(req, 400, json_object());
+		return;
+	}
+	if (down != NULL)
+		fake->faults.down = json_is_true(down);
+	fake->faults.slow_ms = fake_int(body, "slow_ms", fake->faults.slow_ms);
+	if (fake->fault != NULL)
+		fake->fault(fake, body);
+	json_decref(fake->faults.all);
+	fake->faults.all = json_incref(body);
+	http_answer_json(req, 200, body);
+}
+
+static void
+held_serve(evutil_socket_t fd, short what, void *arg)
+{
+	held_request_t *held = arg;
+
+	(void)fd;
+	(void)what;
+	held->fake->request(held->fake, held->req);
+	free(held);
+}
+
+static void
+serve(struct evhttp_request *req, void *arg)
+{
+	fake_t *fake = arg;
+	const char *uri = evhttp_request_get_uri(req);
+	struct timeval delay;
+	held_request_t *held;
+
+	if (strcmp(uri, "/fault") == 0) {
+		fault_take(fake, req);
+		return;
+	}
+	if (fake->faults.down && strcmp(uri, "/runs") != 0) {
+		fake_drop(fake, req);
+		return;
+	}
+	if (fake->faults.slow_ms == 0) {
+		fake->request(fake, req);
+		return;
+	}
+	held = malloc(sizeof(*held));
+	if (held == NULL)
+		return;
+	*held = (held_request_t){fake, req};
+	delay.tv_sec = fake->faults.slow_ms / 1000;
+	delay.tv_usec = fake->faults.slow_ms % 1000 * 1000;
+	event_base_once(fake->base, -1, EV_TIMEOUT, held_serve, held, &delay);
+}
+
+static void
+stop(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	event_base_loopbreak(arg);
+}
+
+static void
+sample(evutil_socket_t fd, short what, void *arg)
+{
+	fake_t *fake = arg;
+
+	(void)fd;
+	(void)what;
+	fake->sample(fake);
+}
+
+static bool
+fake_listen(fake_t *fake)
+{
+	http_address_t address;
+
+	fake->base = event_base_new();
+	fake->http = fake->base != NULL ? evhttp_new(fake->base) : NULL;
+	if (fake->http == NULL || !http_address_parse(fake->listen, &address))
+		return false;
+	evhttp_set_max_body_size(fake->http, BODY_MAX);
+	evhttp_set_allowed_methods(fake->http,
+	    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+		EVHTTP_REQ_DELETE);
+	evhttp_set_gencb(fake->http, serve, fake);
+	return evhttp_bind_socket(fake->http, address.host, address.port) == 0;
+}
+
+int
+fake_main(fake_t *fake, int argc, const char **argv)
+{
+	struct timeval interval = {
+	    fake->sample_ms / 1000, fake->sample_ms % 1000 * 1000};
+	struct event *term;
+	struct event *tick = NULL;
+	err_t err;
+
+	log_init(fake->name, LOG_INFO);
+	clock_system_init(&fake->clock);
+	if (settings_load(settings, 1, "STANDIN", argc, argv, fake, &err) !=
+	    SETTINGS_OK) {
+		settings_help(settings, 1, "STANDIN", stdout);
+		return 2;
+	}
+	if (!fake_listen(fake)) {
+		log_line(LOG_ERROR, LOG_STANDIN, "cannot listen on %s",
+		    fake->listen);
+		return 1;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	term = evsignal_new(fake->base, SIGTERM, stop, fake->base);
+	event_add(term, NULL);
+	if (fake->sample != NULL) {
+		tick = event_new(fake->base, -1, EV_PERSIST, sample, fake);
+		event_add(tick, &interval);
+	}
+	event_base_dispatch(fake->base);
+	if (tick != NULL)
+		event_free(tick);
+	event_free(term);
+	json_decref(fake->faults.all);
+	evhttp_free(fake->http);
+	event_base_free(fake->base);
+	return 0;
+}
--- /dev/null
+++ b/standin/vmlist.c
@@ -0,0 +1,68 @@
+/**
+ * @file
+ * The platform's list of live and leaving VMs. PUT /vms sets it, GET /vms reads
+ * it as it was "lag_ms" ago; the fault "silent" freezes what is read.
+ */
+#include <string.h>
+
+#include "common/http_server.h"
+#include "standin/fake.h"
+
+typedef struct vmlist {
+	fake_t fake;
+	json_t *shown;
+	json_t *set;
+	struct timespec set_at;
+	int64_t lag_ms;
+	bool silent;
+} vmlist_t;
+
+static void
+shown_update(vmlist_t *list)
+{
+	struct timespec now = clock_elapsed(&list->fake.clock);
+
+	if (list->silent || list->set == NULL ||
+	    timespec_ms_between(list->set_at, now) < list->lag_ms)
+		return;
+	json_decref(list->shown);
+	list->shown = list->set;
+	list->set = NULL;
+}
+
+static void
+request(fake_t *fake, struct evhttp_request *req)
+{
+	vmlist_t *list = (vmlist_t *)fake;
+
+	shown_update(list);
+	if (evhttp_request_get_command(req) == EVHTTP_REQ_PUT) {
+		json_decref(list->set);
+		list->set = http_request_json(req, NULL);
+		list->set_at = clock_elapsed(&fake->clock);
+		http_answer_json(req, 200, json_object());
+		return;
+	}
+	http_answer_json(req, 200,
+	    list->shown != NULL ? json_incref(list->shown) : json_object());
+}
+
+static void
+fault(fake_t *fake, const json_t *body)
+{
+	vmlist_t *list = (vmlist_t *)fake;
+	const json_t *silent = json_object_get(body, "silent");
+
+	list->lag_ms = fake_int(body, "lag_ms", list->lag_ms);
+	if (silent != NULL)
+		list->silent = json_is_true(silent);
+}
+
+int
+main(int argc, const char **argv)
+{
+	vmlist_t list = {
+	    .fake = {.request = request, .fault = fault, .name = "vmlist"}};
+
+	return fake_main(&list.fake, argc, argv);
+}
--- /dev/null
+++ b/test/scenario/lib.lua
@@ -0,0 +1,544 @@
+-- The words that scenarios are written in. Waits are on events, with a
+-- generous limit; nothing is asserted about how fast something was.
+local lib = {}
+
+lib.LIMIT = 20000 -- ms that any wait may take
+lib.OPERATOR_KEY = "operator-key"
+lib.LIMITED_KEY = "limited-key"
+lib.OPERATOR_HASH =
+  "790f9de90d5cce7ad6a1214ea3e1f3323e3304befa235f39f6facdd9cc2af8aa"
+lib.LIMITED_HASH =
+  "3d21fd89962b3eaf2eec61405a7e68fd7eaecb7fe1a1f868e801d5d0a8f6685b"
+lib.ORGANISATIONS = {
+  ["pyykki-dock"] = {key = "pyykki-dock-key",
+    hash = "ed73a8911ca9ffdb391151e2a96e07c6f541c7baa113f45e2e8be7ecd5f10c32"},
+  ["fachschule"] = {key = "fachschule-key",
+    hash = "58dc320f261f11269675b78d1119d2c48689869910099ab0dbf567b0b53663d6"},
+}
+-- Keys for tests only.
+local PEER_KEY = "7buN8gk#QjP#N2gOip/+CO%Q9sFLVq}kzM6plT8}"
+local TOKEN_KEYS =
+  "1:0a0095df9ca11401ac40fb0ca03c2c7186d69f7e02c192abf87801b3437e4b8f"
+local SIGNALS = {KILL = 9, TERM = 15, CONT = 18, STOP = 19}
+
+local log_dir = build .. "/scenario-logs/" .. network
+os.execute("mkdir -p '" .. log_dir .. "'")
+
+function lib.say(format, ...)
+  print(string.format(format, ...))
+end
+
+function lib.check(holds, format, ...)
+  if not holds then
+    error("FAILED: " .. string.format(format, ...) ..
+      "\n  logs: " .. log_dir, 2)
+  end
+end
+
+function lib.equal(got, want, what)
+  lib.check(got == want, "%s: got %s, want %s", what, tostring(got),
+    tostring(want))
+end
+
+-- Wait until condition() returns something true, which is returned.
+function lib.wait_until(what, condition, limit)
+  local finish = run.now() + (limit or lib.LIMIT)
+  while true do
+    local value = condition()
+    if value then return value end
+    lib.check(run.now() < finish, "never came: %s", what)
+    run.sleep(20)
+  end
+end
+
+-- HTTP -----------------------------------------------------------------
+
+local Call = {}
+Call.__index = Call
+
+function lib.begin(method, address, path, options)
+  options = options or {}
+  local body = options.body
+  if type(body) == "table" then body = run.encode(body) end
+  local headers = options.headers or {}
+  if options.key then headers["Authorization"] = "Bearer " .. options.key end
+  return setmetatable({slot = run.begin(method, address, path, headers, body,
+    options.timeout_ms or 30000)}, Call)
+end
+
+function Call:look()
+  local answer = {}
+  answer.done, answer.status, answer.body, answer.headers, answer.ms =
+    run.peek(self.slot)
+  answer.json = answer.body ~= "" and run.decode(answer.body) or nil
+  return answer
+end
+
+function Call:finish()
+  lib.wait_until("the end of a call", function()
+    return (run.peek(self.slot))
+  end, 60000)
+  local answer = self:look()
+  run.close(self.slot)
+  return answer
+end
+
+function Call:leave()
+  run.close(self.slot)
+end
+
+function lib.http(method, address, path, options)
+  return lib.begin(method, address, path, options):finish()
+end
+
+function lib.fault(address, faults)
+  local answer = lib.http("POST", address, "/fault", {body = faults})
+  lib.equal(answer.status, 200, "fault at " .. address)
+end
+
+-- Processes ---------------------------------------------------------------
+
+local Process = {}
+Process.__index = Process
+
+local function program(name)
+  if name:match("^standin%-") then return build .. "/standin/" .. name end
+  return build .. "/" .. name .. "/" .. name
+end
+
+function lib.spawn(name, words, variables, log)
+  local argv = {program(name)}
+  for _, word in ipairs(words) do argv[#argv + 1] = word end
+  local pid = run.spawn(argv, variables or {}, log_dir .. "/" .. log)
+  return setmetatable({pid = pid, log = log_dir .. "/" .. log}, Process)
+end
+
+function Process:signal(name) run.signal(self.pid, SIGNALS[name]) end
+function Process:kill() self:signal("KILL"); return self:wait() end
+function Process:stop() self:signal("STOP") end
+function Process:continue() self:signal("CONT") end
+
+function Process:wait(limit)
+  local status
+  lib.wait_until("the end of process " .. self.pid, function()
+    status = run.reap(self.pid)
+    return status ~= nil
+  end, limit)
+  return status
+end
+
+local function fake(name, address, log)
+  local process = lib.spawn("standin-" .. name, {"--listen", address}, {}, log)
+  process.address = address
+  lib.wait_until(name .. " listens", function()
+    return lib.http("GET", address, "/", {timeout_ms = 500}).status ~= 0
+  end)
+  return process
+end
+
+-- The cluster -------------------------------------------------------------
+
+local Cluster = {}
+Cluster.__index = Cluster
+
+local FAST = {["head-ms"] = 200, ["heartbeat-ms"] = 200, ["fresh-ms"] = 1500,
+  ["dead-ms"] = 2500, ["list-ms"] = 200, ["load-ms"] = 100,
+  ["flush-ms"] = 200, ["held-ms"] = 1500, ["store-timeout-ms"] = 400,
+  ["entries-ttl-ms"] = 500, ["ticket-ttl-ms"] = 60000}
+
+function lib.cluster(options)
+  options = options or {}
+  local c = setmetatable({daemons = {}, engines = {}, services = {},
+    options = options, started = 0}, Cluster)
+  c.store = fake("store", network .. "1:7000", "store.log")
+  c.vmlist = fake("vmlist", network .. "2:7000", "vmlist.log")
+  c.rating = fake("rating", network .. "3:7000", "rating.log")
+  for i, engine in ipairs(options.engines or {}) do
+    c:engine_add(i, engine)
+  end
+  for i, service in ipairs(options.services or {}) do
+    c:service_add(i, service)
+  end
+  c:list_vms()
+  for i, place in ipairs(options.places) do c:daemon_start(i, place) end
+  return c
+end
+
+function Cluster:engine_add(i, options)
+  local address = network .. (19 + i) .. ":8000"
+  local engine = fake("engine", address, "engine" .. i .. ".log")
+  engine.place = options.place
+  engine.kind = "engine"
+  for _, version in ipairs(options.versions) do
+    lib.http("POST", address, "/orders",
+      {body = {op = "load", version = version, fence = 1}})
+  end
+  if options.faults then lib.fault(address, options.faults) end
+  self.engines[i] = engine
+  return engine
+end
+
+function Cluster:service_add(i, options)
+  local address = network .. (59 + i) .. ":8000"
+  local service = fake("service", address, "service" .. i .. ".log")
+  service.place = options.place
+  service.kind = "service"
+  service.versions = options.versions
+  self.services[i] = service
+  return service
+end
+
+-- Tell the platform's list what is live; leaving and gone by name.
+function Cluster:list_vms(leaving)
+  local vms = {}
+  for _, list in ipairs({self.engines, self.services}) do
+    for _, vm in pairs(list) do
+      if not vm.gone then
+        vms[#vms + 1] = {address = vm.address, place = vm.place,
+          kind = vm.kind, versions = vm.versions,
+          state = vm == leaving and "leaving" or "live"}
+      end
+    end
+  end
+  lib.http("PUT", self.vmlist.address, "/vms", {body = {vms = vms}})
+end
+
+function Cluster:daemon_start(i, place, extra)
+  local ip = network .. (99 + i)
+  local words = {}
+  local settings = {}
+  for name, value in pairs(FAST) do settings[name] = value end
+  for name, value in pairs(self.options.settings or {}) do
+    settings[name] = value
+  end
+  for name, value in pairs(extra or {}) do settings[name] = value end
+  for name, value in pairs(settings) do
+    words[#words + 1] = "--" .. name
+    words[#words + 1] = tostring(value)
+  end
+  local fixed = {"--listen", ip .. ":8080", "--peer-listen", ip .. ":9090",
+    "--place", place, "--store", self.store.address, "--vm-list",
+    self.vmlist.address, "--rating", self.rating.address}
+  for _, word in ipairs(fixed) do words[#words + 1] = word end
+  if self.options.relays then
+    self:relay_start(i, ip)
+    words[#words + 1] = "--peer-advertise"
+    words[#words + 1] = network .. (149 + i) .. ":9101"
+  end
+  local daemon = lib.spawn("moortackd", words, {
+    "MOORTACK_OPERATORS=ops:" .. lib.OPERATOR_HASH .. ":*,limited:" ..
+      lib.LIMITED_HASH .. ":place",
+    "MOORTACK_TOKEN_KEYS=" .. TOKEN_KEYS,
+    "MOORTACK_PEER_KEY=" .. PEER_KEY}, "daemon" .. i .. ".log")
+  daemon.ip = ip
+  daemon.place = place
+  daemon.address = ip .. ":8080"
+  self.daemons[i] = daemon
+  return daemon
+end
+
+-- A relay before a daemon's peer address, to cut other daemons off from it.
+function Cluster:relay_start(i, ip)
+  self.relays = self.relays or {}
+  if self.relays[i] then return end
+  local relay = fake("relay", network .. (149 + i) .. ":9100",
+    "relay" .. i .. ".log")
+  lib.fault(relay.address, {target = ip .. ":9090"})
+  self.relays[i] = relay
+end
+
+-- Cut daemon i off from the daemons in others, both ways.
+function Cluster:cut(i, others, fault)
+  local sources = {}
+  for _, other in ipairs(others) do
+    sources[#sources + 1] = self.daemons[other].ip
+    lib.fault(self.relays[other].address,
+      {target = self.daemons[other].ip .. ":9090",
+        [fault or "cut"] = {self.daemons[i].ip}})
+  end
+  lib.fault(self.relays[i].address,
+    {target = self.daemons[i].ip .. ":9090", [fault or "cut"] = sources})
+end
+
+function Cluster:heal()
+  for i, relay in pairs(self.relays) do
+    lib.fault(relay.address, {target = self.daemons[i].ip .. ":9090"})
+  end
+end
+
+function Cluster:entries()
+  local list = {}
+  for _, daemon in pairs(self.daemons) do list[#list + 1] = daemon.address end
+  return table.concat(list, ",")
+end
+
+function Cluster:admin(method, path, body, daemon, key)
+  return lib.http(method, (daemon or self.daemons[1]).address,
+    "/admin/" .. path, {key = key or lib.OPERATOR_KEY, body = body})
+end
+
+function Cluster:status(daemon)
+  return self:admin("GET", "status", nil, daemon).json
+end
+
+-- Every daemon lists all the others and they answer each other.
+function Cluster:wait_joined(count)
+  for _, daemon in pairs(self.daemons) do
+    lib.wait_until(daemon.address .. " knows its peers", function()
+      local status = self:status(daemon)
+      if not status or status.members ~= count then return false end
+      for _, entry in ipairs(status.entries) do
+        if not entry.answers then return false end
+      end
+      return true
+    end)
+  end
+end
+
+-- The revision that each daemon of the list holds is at least this.
+function Cluster:wait_revision(revision, daemons)
+  for _, daemon in pairs(daemons or self.daemons) do
+    lib.wait_until(daemon.address .. " holds revision " .. revision,
+      function()
+        local status = self:status(daemon)
+        return status and status.held >= revision
+      end)
+  end
+end
+
+function Cluster:plan(changes, daemon)
+  local answer = self:admin("POST", "plan", {changes = changes}, daemon)
+  lib.check(answer.status == 200, "plan: %s", answer.body)
+  return answer.json
+end
+
+function Cluster:confirm(plan, daemon)
+  return self:admin("POST", "confirm/" .. plan.id, {}, daemon)
+end
+
+-- Plan, confirm, and wait until every daemon holds it.
+function Cluster:change(changes, daemon)
+  local plan = self:plan(changes, daemon)
+  local answer = self:confirm(plan, daemon)
+  lib.check(answer.status == 200, "confirm: %s", answer.body)
+  self:wait_revision(answer.json.revision)
+  return answer.json.revision
+end
+
+function Cluster:set_version(name, state, percent)
+  return self:change({{set = "version", name = name,
+    value = {state = state, percent = percent}}})
+end
+
+-- A configuration like the users': two organisations, engines and services.
+function lib.standard_changes()
+  local changes = {}
+  local function set(kind, name, value)
+    changes[#changes + 1] = {set = kind, name = name, value = value}
+  end
+  set("place", "vantaa-hall", {region = "uusimaa"})
+  set("place", "espoo-depot", {region = "uusimaa"})
+  set("place", "halle-nord", {region = "salzkammergut"})
+  set("model", "linen-lm", {kind = "engine", cost = 100, quality = 800})
+  set("model", "ofenrat", {kind = "engine", cost = 200, quality = 900})
+  set("model", "dock-app", {kind = "service", cost = 5})
+  set("model", "buchungsdienst", {kind = "service", cost = 7})
+  set("version", "linen-lm@1", {state = "live"})
+  set("version", "linen-lm@2", {state = "staged"})
+  set("version", "ofenrat@1", {state = "live"})
+  set("version", "dock-app@1", {state = "live"})
+  set("version", "buchungsdienst@1", {state = "live"})
+  set("organisation", "pyykki-dock", {class = "critical",
+    places = {"vantaa-hall", "espoo-depot"},
+    allow = {"linen-lm@*", "dock-app@*"},
+    keys = {lib.ORGANISATIONS["pyykki-dock"].hash}})
+  set("organisation", "fachschule", {class = "high",
+    places = {"halle-nord"}, allow = {"ofenrat@*", "buchungsdienst@*"},
+    keys = {lib.ORGANISATIONS["fachschule"].hash}})
+  return changes
+end
+
+-- Three daemons in three places with the standard configuration in force.
+function lib.standard(options)
+  options = options or {}
+  options.places = options.places or
+    {"vantaa-hall", "espoo-depot", "halle-nord"}
+  options.engines = options.engines or {
+    {place = "vantaa-hall", versions = {"linen-lm@1", "linen-lm@2"}},
+    {place = "espoo-depot", versions = {"linen-lm@1", "linen-lm@2"}},
+    {place = "halle-nord", versions = {"ofenrat@1"}},
+  }
+  options.services = options.services or {
+    {place = "vantaa-hall", versions = {"dock-app@1"}},
+    {place = "halle-nord", versions = {"buchungsdienst@1"}},
+  }
+  local c = lib.cluster(options)
+  c:wait_joined(#options.places)
+  c:change(lib.standard_changes())
+  c:wait_ready()
+  return c
+end
+
+-- Every daemon takes work and sees every endpoint.
+function Cluster:wait_ready()
+  local count = 0
+  for _ in pairs(self.engines) do count = count + 1 end
+  for _ in pairs(self.services) do count = count + 1 end
+  for _, daemon in pairs(self.daemons) do
+    lib.wait_until(daemon.address .. " is ready", function()
+      local answer = lib.http("GET", daemon.address, "/healthz")
+      local list = self:admin("GET", "endpoints", nil, daemon).json
+      return answer.status == 200 and list and #list.endpoints >= count
+    end)
+  end
+  -- Load reports tell which versions an engine has.
+  run.sleep(300)
+end
+
+-- Requests ------------------------------------------------------------------
+
+function lib.chat_begin(daemon, options)
+  options.headers = options.headers or {}
+  options.headers["Moortack-Session"] = options.session
+  return lib.begin("POST", daemon.address, "/v1/chat/completions", {
+    key = lib.ORGANISATIONS[options.organisation or "pyykki-dock"].key,
+    headers = options.headers,
+    body = {model = options.model or "linen-lm", stream = options.stream,
+      max_tokens = options.tokens or 8,
+      messages = {{role = "user", content = options.prompt or "hello"}}}})
+end
+
+function lib.chat(daemon, options)
+  return lib.chat_begin(daemon, options or {}):finish()
+end
+
+-- The text that the fake engine makes of a prompt.
+function lib.whole_text(prompt, tokens)
+  local parts = {prompt}
+  for i = 1, tokens - 1 do parts[#parts + 1] = " w" .. i end
+  return table.concat(parts)
+end
+
+-- The text of a stream, whether it has its end mark, and its error.
+function lib.stream_text(body)
+  local parts, done, failure = {}, false, nil
+  for event in body:gmatch("(.-)\n\n") do
+    local data = event:match("data: (.*)")
+    if data == "[DONE]" then
+      done = true
+    elseif event:match("^event: error") then
+      failure = run.decode(data).error.type
+    elseif data then
+      local value = run.decode(data)
+      local choice = value and value.choices and value.choices[1]
+      if choice and choice.delta then
+        parts[#parts + 1] = choice.delta.content
+      end
+    end
+  end
+  return table.concat(parts), done, failure
+end
+
+function lib.ticket(daemon, organisation)
+  local answer = lib.http("POST", daemon.address, "/v1/tickets",
+    {key = lib.ORGANISATIONS[organisation].key, body = {}})
+  lib.check(answer.status == 200, "ticket: %s", answer.body)
+  return answer.json.tickets[1]
+end
+
+function lib.book_begin(daemon, options)
+  local organisation = options.organisation or "fachschule"
+  return lib.begin("POST", daemon.address, "/v1/services/" ..
+    (options.service or "buchungsdienst") .. "/book", {
+    key = lib.ORGANISATIONS[organisation].key,
+    headers = {["Moortack-Ticket"] = options.ticket,
+      ["Idempotency-Key"] = options.idempotency_key,
+      ["Moortack-Deadline-Ms"] = options.deadline_ms},
+    body = options.body or {kiln = 3}})
+end
+
+function lib.book(daemon, options)
+  return lib.book_begin(daemon, options):finish()
+end
+
+-- What the fakes saw ----------------------------------------------------------
+
+function lib.runs(process)
+  return lib.http("GET", process.address, "/runs").json or {}
+end
+
+-- Runs at a service by request id, and how many in all.
+function Cluster:service_runs()
+  local all, total = {}, 0
+  for _, service in pairs(self.services) do
+    for id, count in pairs(lib.runs(service)) do
+      all[id] = (all[id] or 0) + count
+      total = total + count
+    end
+  end
+  return all, total
+end
+
+function Cluster:engine_runs()
+  local all = {}
+  for i, engine in pairs(self.engines) do
+    for _, one in ipairs(lib.runs(engine)) do
+      one.engine = i
+      one.place = engine.place
+      all[#all + 1] = one
+    end
+  end
+  return all
+end
+
+-- Bills in the store, by request: how many records each has.
+function Cluster:bills()
+  local by_request, total, after = {}, 0, ""
+  while true do
+    local answer = lib.http("POST", self.store.address, "/table/scan",
+      {body = {prefix = "bill/", after = after}})
+    local rows = answer.json and answer.json.rows or {}
+    if #rows == 0 then return by_request, total end
+    for _, row in ipairs(rows) do
+      after = row[1]
+      for _, bill in ipairs(run.decode(row[2])) do
+        by_request[bill.request] = (by_request[bill.request] or 0) + 1
+        total = total + 1
+      end
+    end
+  end
+end
+
+-- Every request of the list has exactly one bill, and there are no others.
+function Cluster:check_billed_once(requests)
+  local count = 0
+  for _ in pairs(requests) do count = count + 1 end
+  lib.wait_until("all bills are in the store", function()
+    local bills = self:bills()
+    for id in pairs(requests) do
+      if not bills[id] then return false end
+    end
+    return true
+  end)
+  local bills, total = self:bills()
+  for id in pairs(requests) do
+    lib.equal(bills[id], 1, "bills of request " .. id)
+  end
+  return total, count
+end
+
+function Cluster:events(type, daemon)
+  local found = {}
+  local answer = self:admin("GET", "timeline", nil, daemon)
+  for _, event in ipairs(answer.json and answer.json.events or {}) do
+    if event.type == type then found[#found + 1] = event end
+  end
+  return found
+end
+
+function Cluster:counter(daemon, name)
+  local text = lib.http("GET", daemon.address, "/metrics").body
+  return tonumber(text:match("\nmoortack_" .. name .. "_total (%d+)"))
+end
+
+return lib
--- /dev/null
+++ b/test/scenario/runner.c
@@ -0,0 +1,569 @@
+/**
+ * @file
+ * Runs one scenario: a Lua script with verbs for processes, signals and HTTP.
+ *
+ *   runner BUILD_DIR SCRIPT [ARGUMENT]...
+ *
+ * Every runner has loopback addresses of its own, made from its process id, so
+ * that scenarios run side by side. What it started, it ends.
+ */
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <fcntl.h>
+#include <jansson.h>
+#include <lauxlib.h>
+#include <lua.h>
+#include <lualib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "common/clock_source.h"
+#include "common/http_call.h"
+
+#define PROCESSES_MAX 256
+#define CALLS_MAX 4096
+#define WORDS_MAX 64
+#define CALL_TIMEOUT_MS 30000
+
+/** A call that was begun; its body grows as it arrives. */
+typedef struct call {
+	bool used;
+	bool done;
+	int status;
+	struct evbuffer *body;
+	char *headers; /**< JSON object of the answer's headers */
+	struct evhttp_request *req;
+	struct evhttp_connection *conn;
+	struct timespec begun;
+	struct timespec ended;
+} call_t;
+
+static struct event_base *base;
+static pid_t processes[PROCESSES_MAX];
+static int process_count;
+static call_t calls[CALLS_MAX];
+static const char *build_dir;
+
+/* --- JSON and Lua ------------------------------------------------------ */
+
+static void
+lua_push_json(lua_State *lua, const json_t *value)
+{
+	const char *key;
+	json_t *item;
+	size_t i;
+
+	switch (json_typeof(value)) {
+	case JSON_OBJECT:
+		lua_newtable(lua);
+		json_object_foreach((json_t *)value, key, item)
+		{
+			lua_push_json(lua, item);
+			lua_setfield(lua, -2, key);
+		}
+		return;
+	case JSON_ARRAY:
+		lua_newtable(lua);
+		json_array_foreach(value, i, item)
+		{
+			lua_push_json(lua, item);
+			lua_rawseti(lua, -2, (lua_Integer)i + 1);
+		}
+		return;
+	case JSON_STRING:
+		lua_pushstring(lua, json_string_value(value));
+		return;
+	case JSON_INTEGER:
+		lua_pushinteger(lua, json_integer_value(value));
+		return;
+	case JSON_REAL:
+		lua_pushnumber(lua, json_real_value(value));
+		return;
+	case JSON_NULL:
+		lua_pushnil(lua);
+		return;
+	default:
+		lua_pushboolean(lua, json_is_true(value));
+	}
+}
+
+static json_t *lua_to_json(lua_State *, int);
+
+static json_t *
+lua_table_json(lua_State *lua, int index)
+{
+	json_t *value;
+
+	if (lua_rawlen(lua, index) > 0) {
+		value = json_array();
+		for (lua_Integer i = 1;
+		     i <= (lua_Integer)lua_rawlen(lua, index); i++) {
+			lua_rawgeti(lua, index, i);
+			json_array_append_new(
+			    value, lua_to_json(lua, lua_gettop(lua)));
+			lua_pop(lua, 1);
+		}
+		return value;
+	}
+	value = json_object();
+	lua_pushnil(lua);
+	while (lua_next(lua, index) != 0) {
+		lua_pushvalue(lua, -2);
+		json_object_set_new(value, lua_tostring(lua, -1),
+		    lua_to_json(lua, lua_gettop(lua) - 1));
+		lua_pop(lua, 2);
+	}
+	return value;
+}
+
+static json_t *
+lua_to_json(lua_State *lua, int index)
+{
+	switch (lua_type(lua, index)) {
+	case LUA_TTABLE:
+		return lua_table_json(lua, index);
+	case LUA_TBOOLEAN:
+		return json_boolean(lua_toboolean(lua, index));
+	case LUA_TNUMBER:
+		return lua_isinteger(lua, index)
+		    ? json_integer(lua_tointeger(lua, index))
+		    : json_real(lua_tonumber(lua, index));
+	case LUA_TSTRING:
+		return json_string(lua_tostring(lua, index));
+	default:
+		return json_null();
+	}
+}
+
+/* encode(value): JSON text; an empty table is an object. */
+static int
+verb_encode(lua_State *lua)
+{
+	json_t *value = lua_to_json(lua, 1);
+	char *text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+
+	lua_pushstring(lua, text);
+	free(text);
+	json_decref(value);
+	return 1;
+}
+
+/* decode(text): a value, or nil. */
+static int
+verb_decode(lua_State *lua)
+{
+	size_t len;
+	const char *text = luaL_checklstring(lua, 1, &len);
+	json_t *value = json_loadb(text, len, JSON_DECODE_ANY, NULL);
+
+	if (value == NULL)
+		lua_pushnil(lua);
+	else
+		lua_push_json(lua, value);
+	json_decref(value);
+	return 1;
+}
+
+/* --- processes --------------------------------------------------------- */
+
+static int
+words_read(lua_State *lua, int index, char **out)
+{
+	int n = 0;
+
+	for (; n < WORDS_MAX - 1; n++) {
+		lua_rawgeti(lua, index, n + 1);
+		if (lua_isnil(lua, -1)) {
+			lua_pop(lua, 1);
+			break;
+		}
+		out[n] = strdup(lua_tostring(lua, -1));
+		lua_pop(lua, 1);
+	}
+	out[n] = NULL;
+	return n;
+}
+
+static void
+child_run(char **words, char **variables, const char *log)
+{
+	int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+
+	dup2(fd, STDOUT_FILENO);
+	dup2(fd, STDERR_FILENO);
+	for (; *variables != NULL; variables++)
+		putenv(*variables);
+	execv(words[0], words);
+	fprintf(stderr, "%s: %s\n", words[0], strerror(errno));
+	_exit(127);
+}
+
+/* spawn({program, flag...}, {"NAME=VALUE"...}, log): a process id. */
+static int
+verb_spawn(lua_State *lua)
+{
+	char *words[WORDS_MAX];
+	char *variables[WORDS_MAX];
+	const char *log = luaL_checkstring(lua, 3);
+	int word_count = words_read(lua, 1, words);
+	int variable_count = words_read(lua, 2, variables);
+	pid_t pid;
+
+	if (process_count == PROCESSES_MAX)
+		return luaL_error(lua, "too many processes");
+	pid = fork();
+	if (pid == 0)
+		child_run(words, variables, log);
+	processes[process_count++] = pid;
+	for (int i = 0; i < word_count; i++)
+		free(words[i]);
+	for (int i = 0; i < variable_count; i++)
+		free(variables[i]);
+	lua_pushinteger(lua, pid);
+	return 1;
+}
+
+static bool
+owned(pid_t pid)
+{
+	for (int i = 0; i < process_count; i++) {
+		if (processes[i] == pid)
+			return true;
+	}
+	return false;
+}
+
+static void
+forget(pid_t pid)
+{
+	for (int i = 0; i < process_count; i++) {
+		if (processes[i] == pid)
+			processes[i] = processes[--process_count];
+	}
+}
+
+/* signal(pid, number): only to what spawn() started. */
+static int
+verb_signal(lua_State *lua)
+{
+	pid_t pid = (pid_t)luaL_checkinteger(lua, 1);
+
+	if (!owned(pid))
+		return luaL_error(lua, "process %d is not ours", (int)pid);
+	kill(pid, (int)luaL_checkinteger(lua, 2));
+	return 0;
+}
+
+/* reap(pid): its exit status, -signal, or nil while it runs. */
+static int
+verb_reap(lua_State *lua)
+{
+	pid_t pid = (pid_t)luaL_checkinteger(lua, 1);
+	int status;
+
+	if (!owned(pid) || waitpid(pid, &status, WNOHANG) != pid) {
+		lua_pushnil(lua);
+		return 1;
+	}
+	forget(pid);
+	lua_pushinteger(
+	    lua, WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status));
+	return 1;
+}
+
+/* --- time --------------------------------------------------------------- */
+
+static int64_t
+now_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return timespec_ms(now);
+}
+
+static int
+verb_now(lua_State *lua)
+{
+	lua_pushinteger(lua, now_ms());
+	return 1;
+}
+
+static void
+loop_for(int64_t ms)
+{
+	struct timeval wait = {ms / 1000, ms % 1000 * 1000};
+
+	event_base_loopexit(base, &wait);
+	event_base_dispatch(base);
+}
+
+/* sleep(ms): calls that were begun go on meanwhile. */
+static int
+verb_sleep(lua_State *lua)
+{
+	int64_t end = now_ms() + luaL_checkinteger(lua, 1);
+
+	do {
+		loop_for(end > now_ms() ? end - now_ms() : 0);
+	} while (now_ms() < end);
+	return 0;
+}
+
+/* --- HTTP --------------------------------------------------------------- */
+
+static void
+call_data(struct evhttp_request *req, void *arg)
+{
+	call_t *call = arg;
+
+	call->status = evhttp_request_get_response_code(req);
+	evbuffer_add_buffer(call->body, evhttp_request_get_input_buffer(req));
+}
+
+static char *
+headers_json(struct evhttp_request *req)
+{
+	json_t *headers = json_object();
+	struct evkeyval *header;
+	char *text;
+
+	for (header = evhttp_request_get_input_headers(req)->tqh_first;
+	     header != NULL; header = header->next.tqe_next)
+		json_object_set_new(
+		    headers, header->key, json_string(header->value));
+	text = json_dumps(headers, JSON_COMPACT);
+	json_decref(headers);
+	return text;
+}
+
+static void
+call_done(struct evhttp_request *req, void *arg)
+{
+	call_t *call = arg;
+
+	call->done = true;
+	call->req = NULL;
+	clock_gettime(CLOCK_MONOTONIC, &call->ended);
+	if (req == NULL || evhttp_request_get_response_code(req) == 0) {
+		call->status = 0;
+		return;
+	}
+	call->status = evhttp_request_get_response_code(req);
+	evbuffer_add_buffer(call->body, evhttp_request_get_input_buffer(req));
+	call->headers = headers_json(req);
+}
+
+static enum evhttp_cmd_type
+method_of(const char *name)
+{
+	if (strcmp(name, "POST") == 0)
+		return EVHTTP_REQ_POST;
+	if (strcmp(name, "PUT") == 0)
+		return EVHTTP_REQ_PUT;
+	if (strcmp(name, "DELETE") == 0)
+		return EVHTTP_REQ_DELETE;
+	return EVHTTP_REQ_GET;
+}
+
+static void
+headers_add(lua_State *lua, int index, struct evkeyvalq *out)
+{
+	if (!lua_istable(lua, index))
+		return;
+	lua_pushnil(lua);
+	while (lua_next(lua, index) != 0) {
+		evhttp_add_header(
+		    out, lua_tostring(lua, -2), lua_tostring(lua, -1));
+		lua_pop(lua, 1);
+	}
+}
+
+static int
+call_slot(void)
+{
+	for (int i = 0; i < CALLS_MAX; i++) {
+		if (!calls[i].used)
+			return i;
+	}
+	return -1;
+}
+
+/* begin(method, "ip:port", path, headers, body, timeout_ms): a call. */
+static int
+verb_begin(lua_State *lua)
+{
+	const char *method = luaL_checkstring(lua, 1);
+	const char *address = luaL_checkstring(lua, 2);
+	const char *path = luaL_checkstring(lua, 3);
+	size_t len = 0;
+	const char *body =
+	    lua_isstring(lua, 5) ? lua_tolstring(lua, 5, &len) : NULL;
+	int64_t timeout_ms = luaL_optinteger(lua, 6, CALL_TIMEOUT_MS);
+	struct timeval timeout = {timeout_ms / 1000, timeout_ms % 1000 * 1000};
+	int slot = call_slot();
+	http_address_t http;
+	call_t *call;
+
+	if (slot < 0 || !http_address_parse(address, &http))
+		return luaL_error(lua, "bad call of %s", address);
+	call = &calls[slot];
+	*call = (call_t){.used = true, .body = evbuffer_new()};
+	clock_gettime(CLOCK_MONOTONIC, &call->begun);
+	call->conn =
+	    evhttp_connection_base_new(base, NULL, http.host, http.port);
+	evhttp_connection_set_timeout_tv(call->conn, &timeout);
+	call->req = evhttp_request_new(call_done, call);
+	evhttp_request_set_chunked_cb(call->req, call_data);
+	evhttp_add_header(
+	    evhttp_request_get_output_headers(call->req), "Host", http.host);
+	headers_add(lua, 4, evhttp_request_get_output_headers(call->req));
+	if (body != NULL)
+		evbuffer_add(
+		    evhttp_request_get_output_buffer(call->req), body, len);
+	evhttp_make_request(call->conn, call->req, method_of(method), path);
+	lua_pushinteger(lua, slot);
+	return 1;
+}
+
+static call_t *
+call_check(lua_State *lua)
+{
+	lua_Integer slot = luaL_checkinteger(lua, 1);
+
+	if (slot < 0 || slot >= CALLS_MAX || !calls[slot].used)
+		luaL_error(lua, "there is no such call");
+	return &calls[slot];
+}
+
+/* peek(call): done, status, body so far, headers, milliseconds taken. */
+static int
+verb_peek(lua_State *lua)
+{
+	call_t *call = call_check(lua);
+	size_t len = evbuffer_get_length(call->body);
+	json_t *headers = call->headers != NULL
+	    ? json_loads(call->headers, 0, NULL)
+	    : json_object();
+
+	lua_pushboolean(lua, call->done);
+	lua_pushinteger(lua, call->status);
+	lua_pushlstring(lua, (char *)evbuffer_pullup(call->body, -1), len);
+	lua_push_json(lua, headers);
+	lua_pushinteger(lua,
+	    call->done ? timespec_ms_between(call->begun, call->ended) : -1);
+	json_decref(headers);
+	return 5;
+}
+
+/* close(call): the caller goes away. */
+static int
+verb_close(lua_State *lua)
+{
+	call_t *call = call_check(lua);
+
+	if (call->req != NULL)
+		evhttp_cancel_request(call->req);
+	evhttp_connection_free(call->conn);
+	evbuffer_free(call->body);
+	free(call->headers);
+	*call = (call_t){0};
+	return 0;
+}
+
+/* --- life ---------------------------------------------------------------- */
+
+static const luaL_Reg verbs[] = {
+    {"begin", verb_begin},
+    {"close", verb_close},
+    {"decode", verb_decode},
+    {"encode", verb_encode},
+    {"now", verb_now},
+    {"peek", verb_peek},
+    {"reap", verb_reap},
+    {"signal", verb_signal},
+    {"sleep", verb_sleep},
+    {"spawn", verb_spawn},
+    {NULL, NULL},
+};
+
+static void
+all_end(void)
+{
+	for (int i = 0; i < process_count; i++) {
+		kill(processes[i], SIGCONT);
+		kill(processes[i], SIGKILL);
+	}
+	while (process_count > 0)
+		waitpid(processes[--process_count], NULL, 0);
+}
+
+static void
+interrupted(int number)
+{
+	all_end();
+	_exit(128 + number);
+}
+
+static void
+globals_set(lua_State *lua, int argc, char **argv)
+{
+	char prefix[32];
+	char library[4096];
+	pid_t pid = getpid();
+
+	/* 127.A.B: one network of its own for each runner. */
+	snprintf(prefix, sizeof(prefix), "127.%d.%d.", 1 + (pid >> 8) % 250,
+	    pid % 256);
+	lua_pushstring(lua, prefix);
+	lua_setglobal(lua, "network");
+	lua_pushstring(lua, build_dir);
+	lua_setglobal(lua, "build");
+	lua_newtable(lua);
+	for (int i = 3; i < argc; i++) {
+		lua_pushstring(lua, argv[i]);
+		lua_rawseti(lua, -2, i - 2);
+	}
+	lua_setglobal(lua, "arguments");
+	luaL_newlib(lua, verbs);
+	lua_setglobal(lua, "run");
+	snprintf(library, sizeof(library), "%s", argv[2]);
+	*(strrchr(library, '/') != NULL ? strrchr(library, '/') : library) =
+	    '\0';
+	lua_pushstring(lua, library);
+	lua_setglobal(lua, "script_dir");
+}
+
+int
+main(int argc, char **argv)
+{
+	lua_State *lua;
+	int failed;
+
+	if (argc < 3) {
+		fprintf(stderr, "usage: runner BUILD_DIR SCRIPT\n");
+		return 2;
+	}
+	build_dir = argv[1];
+	base = event_base_new();
+	lua = luaL_newstate();
+	signal(SIGINT, interrupted);
+	signal(SIGTERM, interrupted);
+	signal(SIGPIPE, SIG_IGN);
+	luaL_openlibs(lua);
+	globals_set(lua, argc, argv);
+	failed = luaL_dofile(lua, argv[2]);
+	if (failed)
+		fprintf(stderr, "%s\n", lua_tostring(lua, -1));
+	all_end();
+	lua_close(lua);
+	return failed ? 1 : 0;
+}
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# The formatter and the linter, over everything but generated code.
+set -eu
+cd "$(dirname "$0")/.."
+files=$(git ls-files '*.c' '*.h' | grep -v '\.pb-c\.')
+clang-format --dry-run -Werror $files
+cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr \
+	--enable=warning,performance,portability \
+	--suppressions-list=tools/cppcheck-suppressions.txt \
+	-I include -j 4 $(echo "$files" | tr ' ' '\n' | grep '\.c$')
