--- a/test/scenario/lib.lua
+++ b/test/scenario/lib.lua
@@ -102,6 +102,7 @@
 Process.__index = Process
 
 local function program(name)
+  if name == "moortack-load" then return build .. "/bench/" .. name end
   if name:match("^standin%-") then return build .. "/standin/" .. name end
   return build .. "/" .. name .. "/" .. name
 end
@@ -541,4 +542,51 @@
   return tonumber(text:match("\nmoortack_" .. name .. "_total (%d+)"))
 end
 
+-- Load in the background ------------------------------------------------------
+
+-- Start callers; finish_load() waits for them and gives back what they saw.
+function lib.load(addresses, options)
+  local words = {"--entries", addresses}
+  for name, value in pairs(options) do
+    words[#words + 1] = "--" .. name
+    words[#words + 1] = tostring(value)
+  end
+  lib.loads = (lib.loads or 0) + 1
+  local out = log_dir .. "/load" .. lib.loads .. ".jsonl"
+  words[#words + 1] = "--out"
+  words[#words + 1] = out
+  local process = lib.spawn("moortack-load", words, {},
+    "load" .. lib.loads .. ".log")
+  process.out = out
+  return process
+end
+
+-- The summary, and one row a request.
+function lib.finish_load(process)
+  local status = process:wait(120000)
+  local rows = {}
+  for line in io.lines(process.out) do rows[#rows + 1] = run.decode(line) end
+  local file = io.open(process.log)
+  local text = file:read("a")
+  file:close()
+  local summary = run.decode(text:match("({.*})"))
+  lib.check(summary, "the load has no summary: %s", text)
+  return summary, rows, status
+end
+
+-- Processor time in ms and resident memory in KiB of a process.
+function lib.usage(process)
+  local file = io.open("/proc/" .. process.pid .. "/stat")
+  local text = file:read("a"):match("%) (.*)")
+  file:close()
+  local fields = {}
+  for field in text:gmatch("%S+") do fields[#fields + 1] = field end
+  local resident
+  for line in io.lines("/proc/" .. process.pid .. "/status") do
+    resident = resident or line:match("^VmRSS:%s+(%d+)")
+  end
+  return (tonumber(fields[12]) + tonumber(fields[13])) * 10,
+    tonumber(resident)
+end
+
 return lib
