member: forget a departed peer without reading past the table

Cause: freshness_peer_forget() shortened the table before it read the last row, so the read was out of range and the daemon died when a peer left.

Change: read, then shorten. The daemon now also serves those who still hold its address while it drains, closes the door after that, flushes, and hands over to a peer what it can't flush.

Ruled out: the door's closing itself (the trace ends in members_take()).

Shown to fail first: unit_freshness a_peer_that_left_is_forgotten (SIGSEGV in the daemon, whole_path exit -11); now 7 of 7 and whole_path pass.

--- a/include/moortack/ledger/bill_book.h
+++ b/include/moortack/ledger/bill_book.h
@@ -42,13 +42,16 @@
 size_t bill_book_collect(bill_book_t *, uint64_t incarnation,
     interval_set_t *mark, bill_t *out, size_t max);
 
+/** Copy any records. @return how many */
+size_t bill_book_copy(const bill_book_t *, bill_t *out, size_t max);
+
 /** The store has these numbers of the incarnation. */
 void bill_book_drop(
     bill_book_t *, uint64_t incarnation, uint64_t first, uint64_t last);
 
 uint32_t bill_book_count(const bill_book_t *);
 
-/** Whether another record fits; kept apart from the peers' share. */
+/** Whether another record of its own fits; peers may take up half. */
 bool bill_book_has_room(const bill_book_t *);
 
 #endif
--- a/include/moortack/ledger/billing.h
+++ b/include/moortack/ledger/billing.h
@@ -28,7 +28,7 @@
 typedef struct billing_room {
 	uint32_t count; /**< records not yet in the store */
 	uint32_t max;
-	bool flushed; /**< nothing of this daemon's own is left */
+	bool drained; /**< draining, and nothing is left here */
 } billing_room_t;
 
 typedef struct billing billing_t;
@@ -46,7 +46,8 @@
 /** Post a record. @param tag of the answer; 0: none wanted */
 void billing_record(billing_t *, const bill_t *, uint64_t tag);
 
-/** Post that everything is to be flushed at once: this daemon leaves. */
+/** Post that this daemon leaves: everything is flushed at once or, when the
+ * store is out, handed over to a peer. */
 void billing_drain(billing_t *);
 
 /** Where the registry posts a members_t, and as what. */
--- a/moortack/front/answer.c
+++ b/moortack/front/answer.c
@@ -48,5 +48,7 @@
 		    (after_ms + MS_PER_SEC - 1) / MS_PER_SEC);
 		http_answer_header(req, "Retry-After", seconds);
 	}
+	if (front->draining)
+		http_answer_header(req, "Connection", "close");
 	http_answer_json(req, info->status, body);
 }
--- a/moortack/front/front.c
+++ b/moortack/front/front.c
@@ -13,6 +13,7 @@
 #define TICK_US 10000
 #define HEADERS_MAX 16384
 #define IDLE_CALLER_S 60
+#define DOOR_MARGIN_MS 200 /* for the list to spread */
 
 typedef struct front_path {
 	const char *path;
@@ -187,11 +188,26 @@
 	}
 }
 
+/* Callers keep the list of entries for a while: until then, those who still
+ * come are served. */
 static void
-drained_check(front_t *front)
+door_check(front_t *front, struct timespec now)
 {
-	if (!front->draining || front->drained_told || front->busy > 0 ||
-	    !front->room.flushed)
+	if (front->bound == NULL ||
+	    timespec_ms_between(front->door_closes, now) < 0)
+		return;
+	evhttp_del_accept_socket(front->http, front->bound);
+	front->bound = NULL;
+	billing_drain(front->billing);
+}
+
+static void
+drained_check(front_t *front, struct timespec now)
+{
+	if (!front->draining || front->drained_told)
+		return;
+	door_check(front, now);
+	if (front->bound != NULL || front->busy > 0 || !front->room.drained)
 		return;
 	front->drained_told = true;
 	front->drained(front->drained_arg);
@@ -208,7 +224,7 @@
 	overdue_end(front, now);
 	deadlines_check(front, now);
 	front_dispatch(front);
-	drained_check(front);
+	drained_check(front, now);
 }
 
 /* --- messages --------------------------------------------------------- */
@@ -474,6 +490,9 @@
 front_drain(front_t *front)
 {
 	front->draining = true;
+	front->door_closes =
+	    timespec_after_ms(clock_elapsed(front->process.clock),
+		front->options->entries_ttl_ms + DOOR_MARGIN_MS);
 	timeline_add(front->process.timeline, EVENT_DRAINING,
 	    front->options->listen, "%u in progress", front->busy);
 }
--- a/moortack/front/front_priv.h
+++ b/moortack/front/front_priv.h
@@ -76,6 +76,7 @@
 
 	struct event *tick;
 	bool draining;
+	struct timespec door_closes; /**< while draining */
 	bool drained_told;
 	bool stopping;
 	void (*drained)(void *);
--- a/moortack/ledger/bill_book.c
+++ b/moortack/ledger/bill_book.c
@@ -50,7 +50,6 @@
 	return HASH_COUNT(book->entries);
 }
 
-/* Held records may take up half; own ones may take up all. */
 bool
 bill_book_has_room(const bill_book_t *book)
 {
@@ -153,6 +152,20 @@
 	return n;
 }
 
+size_t
+bill_book_copy(const bill_book_t *book, bill_t *out, size_t max)
+{
+	book_entry_t *entry, *next;
+	size_t n = 0;
+
+	HASH_ITER(hh, book->entries, entry, next)
+	{
+		if (n < max)
+			out[n++] = entry->bill;
+	}
+	return n;
+}
+
 void
 bill_book_drop(
     bill_book_t *book, uint64_t incarnation, uint64_t first, uint64_t last)
--- a/moortack/ledger/billing.c
+++ b/moortack/ledger/billing.c
@@ -10,6 +10,7 @@
 #define HOLD_TIMEOUT_MS 400
 #define HOLD_TRIES 3
 #define BATCH_MAX 500
+#define HAND_MAX 200
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
 #define KEY_SIZE 64
@@ -21,6 +22,7 @@
 	BILLING_PEER_HOLDS, /**< a peer's question: keep these */
 	BILLING_PEER_DROPS, /**< a peer's word: the store has these */
 	BILLING_HELD,	    /**< a peer's answer */
+	BILLING_HANDED,	    /**< a peer's answer to what was handed over */
 };
 
 typedef struct record {
@@ -59,6 +61,10 @@
 	struct event *tick;
 	bool flushing;
 	bool draining;
+	bool handing; /**< a peer is being asked to take over */
+	bill_t handed[HAND_MAX];
+	size_t handed_count;
+	int hand_tries;
 };
 
 static void flush_next(billing_t *);
@@ -86,7 +92,8 @@
 		return;
 	room->count = bill_book_count(&billing->book);
 	room->max = billing->book.max;
-	room->flushed = bill_book_count(&billing->book) == 0;
+	room->drained =
+	    billing->draining && bill_book_count(&billing->book) == 0;
 	task_post(billing->ports.front, billing->ports.room, room, NULL);
 }
 
@@ -239,6 +246,59 @@
 		    drop->ranges[i]->first, drop->ranges[i]->last);
 }
 
+/* --- handing over: the store is out and this daemon leaves ------------- */
+
+/* Any member may flush any record, so one more copy does no harm. */
+static void
+hand_over(billing_t *billing)
+{
+	const holding_t turn = {.tries = billing->hand_tries++};
+	const member_t *member = holder_choose(billing, &turn);
+	Wire__Bill bills[HAND_MAX];
+	Wire__Bill *pointers[HAND_MAX];
+	Wire__BillHold hold = WIRE__BILL_HOLD__INIT;
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	peer_ask_t ask = {.timeout_ms = HOLD_TIMEOUT_MS,
+	    .task = &billing->task,
+	    .kind = BILLING_HANDED};
+
+	if (billing->handing || member == NULL)
+		return;
+	billing->handed_count =
+	    bill_book_copy(&billing->book, billing->handed, HAND_MAX);
+	if (billing->handed_count == 0)
+		return;
+	for (size_t i = 0; i < billing->handed_count; i++) {
+		bill_pack(&billing->handed[i], &bills[i]);
+		pointers[i] = &bills[i];
+	}
+	hold.n_bills = billing->handed_count;
+	hold.bills = pointers;
+	envelope.body_case = WIRE__ENVELOPE__BODY_BILL_HOLD;
+	envelope.bill_hold = &hold;
+	ask.to = member->incarnation;
+	billing->handing = true;
+	peers_ask(billing->peers, &ask, &envelope);
+}
+
+static void
+handed(billing_t *billing, const peer_answer_t *answer)
+{
+	billing->handing = false;
+	if (answer->envelope != NULL &&
+	    answer->envelope->body_case == WIRE__ENVELOPE__BODY_BILL_HELD &&
+	    answer->envelope->bill_held->held) {
+		for (size_t i = 0; i < billing->handed_count; i++)
+			bill_book_drop(&billing->book,
+			    billing->handed[i].incarnation,
+			    billing->handed[i].sequence,
+			    billing->handed[i].sequence);
+	}
+	room_post(billing);
+	if (bill_book_count(&billing->book) > 0)
+		hand_over(billing);
+}
+
 /* --- flushing: the store has it --------------------------------------- */
 
 static void
@@ -355,6 +415,8 @@
 	const char *mark = store_value(reply, flush->mark_key);
 
 	if (result != STORE_OK) {
+		if (flush->billing->draining)
+			hand_over(flush->billing);
 		flush_end(flush, false);
 		return;
 	}
@@ -438,6 +500,9 @@
 	case BILLING_HELD:
 		held_answered(billing, msg->body);
 		break;
+	case BILLING_HANDED:
+		handed(billing, msg->body);
+		break;
 	}
 }
 
--- a/moortack/member/freshness.c
+++ b/moortack/member/freshness.c
@@ -61,9 +61,11 @@
 {
 	peer_evidence_t *peer = peer_find(freshness, incarnation);
 
-	if (peer != NULL)
-		*peer = *(peer_evidence_t *)table_at(
-		    &freshness->peers, --freshness->peers.len);
+	if (peer == NULL)
+		return;
+	*peer = *(peer_evidence_t *)table_at(
+	    &freshness->peers, freshness->peers.len - 1);
+	freshness->peers.len--;
 }
 
 static int
--- a/moortackd/main.c
+++ b/moortackd/main.c
@@ -88,7 +88,6 @@
 	    front_busy(daemon->front));
 	registry_leave(daemon->registry);
 	front_drain(daemon->front);
-	billing_drain(daemon->billing);
 	event_add(daemon->drain_end, &limit);
 }
 
--- a/standin/service.c
+++ b/standin/service.c
@@ -1,9 +1,12 @@
 /**
  * @file
- * A plain service, such as a booking system: it counts every run by request id.
- * GET /runs shows the counts. Faults: "down", "slow_ms", and "cut" (that many
- * calls run and then lose their connection).
+ * A plain service, such as a booking system: it counts every run by request id,
+ * or by the "prompt" of its body where there is one, so that a test can name
+ * what must run once. GET /runs shows the counts. Faults: "down", "slow_ms"
+ * (before the run), "late_ms" (after it), and "cut" (that many calls run and
+ * then lose their connection).
  */
+#include <stdlib.h>
 #include <string.h>
 
 #include "common/http_server.h"
@@ -13,30 +16,65 @@
 	fake_t fake;
 	json_t *runs; /**< request id to count */
 	int64_t cut;
+	int64_t late_ms;
 	bool leaving;
 } service_t;
 
+/** An answer that is due later. */
+typedef struct late {
+	struct evhttp_request *req;
+	json_t *answer;
+} late_t;
+
+static void
+late_answer(evutil_socket_t fd, short what, void *arg)
+{
+	late_t *late = arg;
+
+	(void)fd;
+	(void)what;
+	http_answer_json(late->req, 200, late->answer);
+	free(late);
+}
+
+static void
+answer(service_t *service, struct evhttp_request *req, json_t *value)
+{
+	const struct timeval wait = {
+	    service->late_ms / 1000, service->late_ms % 1000 * 1000};
+	late_t *late = malloc(sizeof(*late));
+
+	if (late == NULL)
+		return;
+	*late = (late_t){req, value};
+	event_base_once(
+	    service->fake.base, -1, EV_TIMEOUT, late_answer, late, &wait);
+}
+
 static void
 call(service_t *service, struct evhttp_request *req)
 {
 	const char *id = http_request_header(req, "X-Request-Id");
-	json_t *body;
+	json_t *body = http_request_json(req, NULL);
+	const char *name = json_string_value(json_object_get(body, "prompt"));
 	int64_t count;
 
 	if (id == NULL) {
+		json_decref(body);
 		http_answer_json(req, 400, json_object());
 		return;
 	}
-	count = fake_int(service->runs, id, 0) + 1;
-	json_object_set_new(service->runs, id, json_integer(count));
+	if (name == NULL)
+		name = id;
+	count = fake_int(service->runs, name, 0) + 1;
+	json_object_set_new(service->runs, name, json_integer(count));
 	if (service->cut > 0) {
 		service->cut--;
+		json_decref(body);
 		fake_drop(&service->fake, req);
 		return;
 	}
-	body = http_request_json(req, NULL);
-	http_answer_json(
-	    req, 200, json_pack("{s:s,s:o*}", "ran", id, "body", body));
+	answer(service, req, json_pack("{s:s,s:o*}", "ran", id, "body", body));
 }
 
 static void
@@ -64,6 +102,7 @@
 	const json_t *leaving = json_object_get(body, "leaving");
 
 	service->cut = fake_int(body, "cut", service->cut);
+	service->late_ms = fake_int(body, "late_ms", service->late_ms);
 	if (leaving != NULL)
 		service->leaving = json_is_true(leaving);
 }
--- /dev/null
+++ b/test/unit/freshness_test.c
@@ -0,0 +1,167 @@
+/**
+ * @file
+ * When a daemon may take its configuration to be in force.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "moortack/member/freshness.h"
+
+#define WINDOW_MS 8000
+#define OUTAGE_MS 60000
+#define START_MS 1000000
+
+static struct timespec
+at(int64_t ms)
+{
+	return timespec_of_ms(START_MS + ms);
+}
+
+static int64_t
+until_ms(const freshness_t *freshness)
+{
+	return timespec_ms(freshness_until(freshness)) - START_MS;
+}
+
+static void
+answer(freshness_t *freshness, uint64_t peer, int64_t asked_ms,
+    uint64_t revision, uint64_t epoch)
+{
+	const peer_evidence_t evidence = {.incarnation = peer,
+	    .asked_at = at(asked_ms),
+	    .revision = revision,
+	    .epoch = epoch};
+
+	assert_true(freshness_peer_answered(freshness, &evidence));
+}
+
+static void
+init(freshness_t *freshness, uint32_t members)
+{
+	freshness_init(freshness, WINDOW_MS, OUTAGE_MS);
+	freshness->members = members;
+	freshness->revision = 5;
+	freshness->epoch = 3;
+}
+
+static void
+never_without_the_store(void **state)
+{
+	freshness_t freshness;
+
+	(void)state;
+	init(&freshness, 1);
+	assert_true(until_ms(&freshness) < 0);
+	freshness_finish(&freshness);
+}
+
+static void
+dated_by_the_question(void **state)
+{
+	freshness_t freshness;
+
+	(void)state;
+	init(&freshness, 3);
+	freshness_store_read(&freshness, 5, at(100));
+	assert_int_equal(until_ms(&freshness), 100 + WINDOW_MS);
+	/* An older read that comes late takes nothing back. */
+	freshness_store_read(&freshness, 5, at(50));
+	assert_int_equal(until_ms(&freshness), 100 + WINDOW_MS);
+	freshness_finish(&freshness);
+}
+
+static void
+a_head_not_yet_held_proves_nothing(void **state)
+{
+	freshness_t freshness;
+
+	(void)state;
+	init(&freshness, 3);
+	freshness_store_read(&freshness, 6, at(100));
+	assert_true(until_ms(&freshness) < 0);
+	freshness_finish(&freshness);
+}
+
+static void
+peers_vouch_only_in_a_majority(void **state)
+{
+	freshness_t freshness;
+
+	(void)state;
+	init(&freshness, 5);
+	freshness_store_read(&freshness, 5, at(0));
+	answer(&freshness, 11, 20000, 5, 3);
+	assert_int_equal(until_ms(&freshness), WINDOW_MS);
+	answer(&freshness, 12, 19000, 5, 3);
+	/* The majority is as old as the answer it can't do without. */
+	assert_int_equal(until_ms(&freshness), 19000 + WINDOW_MS);
+	freshness_finish(&freshness);
+}
+
+static void
+peers_ahead_or_elsewhere_do_not_vouch(void **state)
+{
+	freshness_t freshness;
+
+	(void)state;
+	init(&freshness, 3);
+	freshness_store_read(&freshness, 5, at(0));
+	answer(&freshness, 11, 20000, 6, 3);
+	assert_int_equal(until_ms(&freshness), WINDOW_MS);
+	answer(&freshness, 11, 20000, 5, 4);
+	assert_int_equal(until_ms(&freshness), WINDOW_MS);
+	answer(&freshness, 11, 20000, 4, 3);
+	assert_int_equal(until_ms(&freshness), 20000 + WINDOW_MS);
+	freshness_finish(&freshness);
+}
+
+static void
+an_outage_has_a_bound(void **state)
+{
+	freshness_t freshness;
+
+	(void)state;
+	init(&freshness, 3);
+	freshness_store_read(&freshness, 5, at(0));
+	answer(&freshness, 11, 59000, 5, 3);
+	assert_int_equal(until_ms(&freshness), OUTAGE_MS);
+	freshness_finish(&freshness);
+}
+
+static void
+a_peer_that_left_is_forgotten(void **state)
+{
+	freshness_t freshness;
+
+	(void)state;
+	init(&freshness, 3);
+	freshness_store_read(&freshness, 5, at(0));
+	answer(&freshness, 11, 20000, 5, 3);
+	answer(&freshness, 12, 21000, 5, 3);
+	freshness_peer_forget(&freshness, 12);
+	assert_int_equal(until_ms(&freshness), 20000 + WINDOW_MS);
+	freshness_peer_forget(&freshness, 11);
+	assert_int_equal(until_ms(&freshness), WINDOW_MS);
+	freshness_peer_forget(&freshness, 11);
+	assert_false(freshness_majority(&freshness, at(21000)));
+	freshness_finish(&freshness);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(never_without_the_store),
+	    cmocka_unit_test(dated_by_the_question),
+	    cmocka_unit_test(a_head_not_yet_held_proves_nothing),
+	    cmocka_unit_test(peers_vouch_only_in_a_majority),
+	    cmocka_unit_test(peers_ahead_or_elsewhere_do_not_vouch),
+	    cmocka_unit_test(an_outage_has_a_bound),
+	    cmocka_unit_test(a_peer_that_left_is_forgotten),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
