route: choose endpoints by own requests in flight

Reports are half a second old, a request lasts 400 ms, and all eight daemons go by the same reports, so all of them sent to what had been free.

Change: the cost counts what this daemon has at the endpoint; the endpoint that holds the prompt's prefix is a third choice and no longer taken whenever it has room. Reports still say when an endpoint is full.

--- /dev/null
+++ b/bench/experiment.c
@@ -0,0 +1,218 @@
+/**
+ * @file
+ * bench-experiment [NAME]...: runs experiments and prints their tables.
+ */
+#include "experiment.h"
+
+#include <gsl/gsl_sort.h>
+#include <gsl/gsl_statistics.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define START_MS 1000000
+
+typedef struct experiment {
+	const char *name;
+	void (*run)(void);
+} experiment_t;
+
+/* Sorted by name. */
+static const experiment_t experiments[] = {
+    {"admission", experiment_admission},
+    {"balance", experiment_balance},
+    {"cascade", experiment_cascade},
+    {"exposure", experiment_exposure},
+    {"retry", experiment_retry},
+    {"weights", experiment_weights},
+};
+
+void
+samples_init(samples_t *samples)
+{
+	*samples = (samples_t){0};
+}
+
+void
+samples_finish(samples_t *samples)
+{
+	free(samples->values);
+	*samples = (samples_t){0};
+}
+
+void
+samples_add(samples_t *samples, double value)
+{
+	if (samples->count == samples->max) {
+		samples->max = samples->max * 2 + 64;
+		samples->values = realloc(
+		    samples->values, samples->max * sizeof(double));
+		if (samples->values == NULL)
+			abort();
+	}
+	samples->values[samples->count++] = value;
+}
+
+double
+samples_quantile(samples_t *samples, double share)
+{
+	if (samples->count == 0)
+		return 0;
+	gsl_sort(samples->values, 1, samples->count);
+	return gsl_stats_quantile_from_sorted_data(
+	    samples->values, 1, samples->count, share);
+}
+
+double
+samples_mean(const samples_t *samples)
+{
+	return samples->count == 0
+	    ? 0
+	    : gsl_stats_mean(samples->values, 1, samples->count);
+}
+
+double
+samples_spread(const samples_t *samples)
+{
+	return samples->count < 2
+	    ? 0
+	    : gsl_stats_sd(samples->values, 1, samples->count);
+}
+
+void
+figure_print(const samples_t *samples, const char *format)
+{
+	printf(" | ");
+	printf(format, samples_mean(samples));
+	printf("±");
+	printf(format, samples_spread(samples));
+}
+
+void
+des_init(des_t *des)
+{
+	*des = (des_t){0};
+}
+
+void
+des_finish(des_t *des)
+{
+	free(des->heap);
+	*des = (des_t){0};
+}
+
+static bool
+before(const des_event_t *a, const des_event_t *b)
+{
+	return a->at_ms < b->at_ms ||
+	    (a->at_ms == b->at_ms && a->order < b->order);
+}
+
+static void
+swap(des_event_t *a, des_event_t *b)
+{
+	des_event_t kept = *a;
+
+	*a = *b;
+	*b = kept;
+}
+
+void
+des_add(des_t *des, double after_ms, des_event_t event)
+{
+	size_t at = des->count;
+
+	if (des->count == des->max) {
+		des->max = des->max * 2 + 256;
+		des->heap = realloc(des->heap, des->max * sizeof(event));
+		if (des->heap == NULL)
+			abort();
+	}
+	event.at_ms = des->now_ms + after_ms;
+	event.order = des->added++;
+	des->heap[des->count++] = event;
+	while (at > 0 && before(&des->heap[at], &des->heap[(at - 1) / 2])) {
+		swap(&des->heap[at], &des->heap[(at - 1) / 2]);
+		at = (at - 1) / 2;
+	}
+}
+
+bool
+des_next(des_t *des, des_event_t *out)
+{
+	size_t at = 0;
+
+	if (des->count == 0)
+		return false;
+	*out = des->heap[0];
+	des->heap[0] = des->heap[--des->count];
+	for (;;) {
+		size_t least = at;
+
+		for (size_t child = 2 * at + 1;
+		    child <= 2 * at + 2 && child < des->count; child++) {
+			if (before(&des->heap[child], &des->heap[least]))
+				least = child;
+		}
+		if (least == at)
+			break;
+		swap(&des->heap[at], &des->heap[least]);
+		at = least;
+	}
+	des->now_ms = out->at_ms;
+	return true;
+}
+
+struct timespec
+des_time(const des_t *des)
+{
+	return timespec_of_ms(START_MS + (int64_t)des->now_ms);
+}
+
+static uint32_t
+gsl_next(rng_t *rng)
+{
+	return (uint32_t)gsl_rng_get(((bench_rng_t *)rng)->gsl);
+}
+
+void
+bench_rng_init(bench_rng_t *rng, uint64_t seed)
+{
+	rng->rng = (rng_t){.next = gsl_next};
+	rng->gsl = gsl_rng_alloc(gsl_rng_mt19937);
+	gsl_rng_set(rng->gsl, (unsigned long)seed);
+}
+
+void
+bench_rng_finish(bench_rng_t *rng)
+{
+	gsl_rng_free(rng->gsl);
+}
+
+static bool
+wanted(const char *name, int argc, char **argv)
+{
+	for (int i = 1; i < argc; i++) {
+		if (strcmp(argv[i], name) == 0)
+			return true;
+	}
+	return argc == 1;
+}
+
+int
+main(int argc, char **argv)
+{
+	if (sodium_init() < 0)
+		return 1;
+	for (size_t i = 0; i < sizeof(experiments) / sizeof(*experiments);
+	    i++) {
+		if (!wanted(experiments[i].name, argc, argv))
+			continue;
+		printf("\n### %s (%d seeds)\n\n", experiments[i].name,
+		    EXPERIMENT_SEEDS);
+		experiments[i].run();
+		fflush(stdout);
+	}
+	return 0;
+}
--- /dev/null
+++ b/bench/exposure.h
@@ -0,0 +1,17 @@
+/**
+ * @file
+ * Single figures of the exposure experiment.
+ */
+#ifndef BENCH_EXPOSURE_H
+#define BENCH_EXPOSURE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Bad answers of one roll-out with the local guard at this limit. */
+double exposure_bad_answers(double limit, double bad, uint64_t seed);
+
+/** Whether one good roll-out is stopped. */
+bool exposure_false_stop(double limit, uint64_t seed);
+
+#endif
--- a/moortack/route/balance.c
+++ b/moortack/route/balance.c
@@ -81,7 +81,9 @@
 	    SLOW_START_MS;
 }
 
-/* Expected wait: how long the endpoint takes, by how much it has. */
+/* Expected wait: how long the endpoint takes, by what this daemon has there.
+ * What others have is left out: reports of it are as old as a request is long,
+ * and all daemons would go by the same ones (docs/MEASUREMENTS.md, balance). */
 static double
 endpoint_cost(
     const fleet_t *fleet, handle_t handle, const balance_query_t *query)
@@ -90,7 +92,7 @@
 	double first = endpoint->first_token_ms > 0 ? endpoint->first_token_ms
 						    : DEFAULT_FIRST_MS;
 	double cost =
-	    first * (endpoint_load(endpoint) + 1) / (double)endpoint->slots;
+	    first * (endpoint->inflight + 1) / (double)endpoint->slots;
 
 	if (endpoint->place != query->place && query->place != HANDLE_NONE)
 		cost *= REMOTE_FACTOR;
@@ -115,19 +117,23 @@
 	return false;
 }
 
+/* The endpoint with the prompt's prefix is a third choice, and no more: going
+ * there whenever it isn't full doubled the 99th percentile. */
 static handle_t
 two_choices(const fleet_t *fleet, const handle_t *candidates, uint32_t count,
     const balance_query_t *query, rng_t *rng)
 {
-	handle_t a = candidates[rng_below(rng, count)];
-	handle_t b;
-
-	if (hint_usable(fleet, candidates, count, query))
-		return query->hint;
-	b = candidates[rng_below(rng, count)];
-	return endpoint_cost(fleet, a, query) <= endpoint_cost(fleet, b, query)
-	    ? a
-	    : b;
+	handle_t best = candidates[rng_below(rng, count)];
+	handle_t other = candidates[rng_below(rng, count)];
+
+	if (endpoint_cost(fleet, other, query) <
+	    endpoint_cost(fleet, best, query))
+		best = other;
+	if (hint_usable(fleet, candidates, count, query) &&
+	    endpoint_cost(fleet, query->hint, query) <=
+		endpoint_cost(fleet, best, query))
+		best = query->hint;
+	return best;
 }
 
 static handle_t
