front: unload withdrawn versions at engines, under a lease

Cause: a withdrawal stopped new work at the daemons; the engines kept the version, and an engine that was reached some other way would still run it.

Change: a lease in the table with a fencing number that grows when it changes hands, usable only with a margin left by the clock that counts suspended time; its holder unloads what is withdrawn and still reported, and repeats until the reports agree.

Ruled out: relying on the engine to refuse an old fencing number (some ignore it): what is ordered follows from the configuration in force, so a late order is the same order.

--- a/bench/admission.c
+++ b/bench/admission.c
@@ -1,7 +1,7 @@
 /**
  * @file
- * Admission: one entry before a pool of known capacity, offered up to five times
- * as much, by four classes, with the cost of a refusal as measured.
+ * Admission: one entry before a pool of known capacity, offered up to five
+ * times as much, by four classes, with the cost of a refusal as measured.
  */
 #include <gsl/gsl_randist.h>
 #include <stdio.h>
@@ -102,15 +102,14 @@
 {
 	if (overloaded(pool))
 		pool->result.refused[class]++;
-	processor_take(
-	    pool, pool->what->r * SERVICE_MS / SLOTS);
+	processor_take(pool, pool->what->r * SERVICE_MS / SLOTS);
 }
 
 static void
 arrive(pool_t *pool)
 {
-	double rate = SLOTS / SERVICE_MS *
-	    (overloaded(pool) ? pool->what->times : 0.6);
+	double rate =
+	    SLOTS / SERVICE_MS * (overloaded(pool) ? pool->what->times : 0.6);
 	int class = class_choose(pool);
 	struct timespec now = des_time(&pool->des);
 	job_t *job;
@@ -120,7 +119,7 @@
 	if (overloaded(pool))
 		pool->result.offered[class]++;
 	if (pool->what->classes &&
-	    !admission_open(&pool->admission, (class_t)class, now)) {
+	    !admission_open(&pool->admission, (class_t) class, now)) {
 		job_refuse(pool, class);
 		return;
 	}
@@ -130,7 +129,7 @@
 	job->class = class;
 	job->begun_ms = pool->des.now_ms;
 	job->waiter = (waiter_t){
-	    .class = pool->what->classes ? (class_t)class : CLASS_CRITICAL,
+	    .class = pool->what->classes ? (class_t) class : CLASS_CRITICAL,
 	    .since = now,
 	    .deadline = timespec_after_ms(now, (int64_t)DEADLINE_MS)};
 	if (!processor_take(pool, SERVICE_MS / SLOTS * pool->what->entry) ||
@@ -227,8 +226,7 @@
 {
 	samples_t good[CLASSES] = {0};
 	samples_t goodput = {0}, recovery = {0}, p99 = {0};
-	double capacity =
-	    SLOTS / SERVICE_MS * (LOAD_TO_MS - LOAD_FROM_MS);
+	double capacity = SLOTS / SERVICE_MS * (LOAD_TO_MS - LOAD_FROM_MS);
 
 	for (uint64_t seed = 1; seed <= EXPERIMENT_SEEDS; seed++) {
 		admission_result_t one;
@@ -238,8 +236,8 @@
 			samples_add(
 			    &good[c], 100 * one.good[c] / one.offered[c]);
 			if (c == CLASS_CRITICAL)
-				samples_add(&p99,
-				    samples_quantile(&one.took[c], 0.99));
+				samples_add(
+				    &p99, samples_quantile(&one.took[c], 0.99));
 			samples_finish(&one.took[c]);
 		}
 		samples_add(&goodput, 100 * sum(one.good) / capacity);
@@ -264,22 +262,30 @@
 {
 	static const double times[] = {1, 2, 3, 5};
 
-	printf("A pool of 200 requests a second; the load is raised for 20 s; "
-	       "deadline 3 s.\nGoodput is what came within its deadline, of the "
-	       "pool's capacity.\n\n"
-	       "| load | policy | goodput %% | critical served %% | high | "
-	       "medium | sheddable | critical p99 ms | recovery ms |\n"
-	       "| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+	printf(
+	    "A pool of 200 requests a second; the load is raised for 20 s; "
+	    "deadline 3 s.\nGoodput is what came within its deadline, of the "
+	    "pool's capacity.\n\n"
+	    "| load | policy | goodput %% | critical served %% | high | "
+	    "medium | sheddable | critical p99 ms | recovery ms |\n"
+	    "| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
 	for (size_t t = 0; t < sizeof(times) / sizeof(*times); t++) {
 		row_print("one queue, no classes",
-		    &(admission_case_t){.times = times[t], .r = 0.05,
-			.entry = 0.05, .cutoff_ms = 2000});
+		    &(admission_case_t){.times = times[t],
+			.r = 0.05,
+			.entry = 0.05,
+			.cutoff_ms = 2000});
 		row_print("classes by age, r 0.3 (refusal in the handler)",
-		    &(admission_case_t){.times = times[t], .r = 0.3,
-			.entry = 0.3, .cutoff_ms = 2000, .classes = true});
+		    &(admission_case_t){.times = times[t],
+			.r = 0.3,
+			.entry = 0.3,
+			.cutoff_ms = 2000,
+			.classes = true});
 		row_print("classes by age, r as measured",
 		    &(admission_case_t){.times = times[t],
-			.r = ADMISSION_R, .entry = 0.05, .cutoff_ms = 2000,
+			.r = ADMISSION_R,
+			.entry = 0.05,
+			.cutoff_ms = 2000,
 			.classes = true});
 	}
 }
--- a/bench/admission.h
+++ b/bench/admission.h
@@ -28,7 +28,7 @@
 } admission_result_t;
 
 /** @param out its samples are the caller's to finish */
-void admission_run(
-    const admission_case_t *, uint64_t seed, admission_result_t *out);
+void
+admission_run(const admission_case_t *, uint64_t seed, admission_result_t *out);
 
 #endif
--- a/bench/balance.c
+++ b/bench/balance.c
@@ -127,8 +127,7 @@
 static double
 hold_ms(sim_t *sim, int e)
 {
-	double mean = SERVICE_MS *
-	    (sim->fault == FAULT_SLOW && e == 0 ? 4 : 1);
+	double mean = SERVICE_MS * (sim->fault == FAULT_SLOW && e == 0 ? 4 : 1);
 
 	return gsl_ran_gamma(sim->rng.gsl, 2.0, mean / 2.0);
 }
@@ -162,8 +161,7 @@
 		sim->starts++;
 		sim->hits += hit;
 		des_add(&sim->des, prefill + hold,
-		    (des_event_t){
-			.kind = DONE, .a = r, .b = e, .x = prefill});
+		    (des_event_t){.kind = DONE, .a = r, .b = e, .x = prefill});
 		if (sim->des.now_ms > WARM_MS)
 			samples_add(&sim->first,
 			    sim->des.now_ms + prefill - request->begun_ms);
@@ -180,8 +178,8 @@
 	    &sim->fleets[request->daemon], (handle_t)e, des_time(&sim->des));
 	if (request->avoid_count < BALANCE_AVOID_MAX) {
 		request->avoid[request->avoid_count++] = (handle_t)e;
-		des_add(&sim->des, REMOTE_MS,
-		    (des_event_t){.kind = TRY, .a = r});
+		des_add(
+		    &sim->des, REMOTE_MS, (des_event_t){.kind = TRY, .a = r});
 	} else {
 		sim->gave_up++;
 	}
@@ -244,13 +242,12 @@
 		load_report_t report = {
 		    .answered = !engine->dead, .slots = SLOTS};
 
-		snprintf(report.address, sizeof(report.address),
-		    "10.0.0.%d:1", e);
+		snprintf(
+		    report.address, sizeof(report.address), "10.0.0.%d:1", e);
 		report.running = (uint32_t)engine->load[1];
 		for (int i = HISTORY - 1; i > 0; i--)
 			engine->load[i] = engine->load[i - 1];
-		engine->load[0] =
-		    engine->running + engine->tail - engine->head;
+		engine->load[0] = engine->running + engine->tail - engine->head;
 		for (int d = 0; d < DAEMONS; d++)
 			fleet_report(&sim->fleets[d], &report, config);
 	}
@@ -274,8 +271,8 @@
 }
 
 static void
-event_take(sim_t *sim, const config_t *config, const des_event_t *event,
-    double rate)
+event_take(
+    sim_t *sim, const config_t *config, const des_event_t *event, double rate)
 {
 	request_t *request = &sim->requests[event->a];
 
@@ -292,8 +289,7 @@
 	case DONE:
 		sim->engines[event->b].running--;
 		endpoint_succeed(
-		    fleet_at(&sim->fleets[request->daemon],
-			(handle_t)event->b),
+		    fleet_at(&sim->fleets[request->daemon], (handle_t)event->b),
 		    event->x, des_time(&sim->des));
 		engine_start(sim, event->b);
 		break;
@@ -353,9 +349,10 @@
 	samples_add(&result->p99, samples_quantile(&sim.first, 0.99));
 	samples_add(&result->p999, samples_quantile(&sim.first, 0.999));
 	samples_add(&result->imbalance, imbalance(&sim));
-	samples_add(&result->hits, 100.0 * (double)sim.hits / (double)sim.starts);
-	samples_add(&result->failed,
-	    100.0 * (double)sim.gave_up / sim.request_count);
+	samples_add(
+	    &result->hits, 100.0 * (double)sim.hits / (double)sim.starts);
+	samples_add(
+	    &result->failed, 100.0 * (double)sim.gave_up / sim.request_count);
 	for (int d = 0; d < DAEMONS; d++)
 		fleet_finish(&sim.fleets[d]);
 	samples_finish(&sim.first);
@@ -400,7 +397,7 @@
 	       "| --- | --- | --- | --- | --- | --- | --- | --- |\n");
 	for (size_t c = 0; c < sizeof(cases) / sizeof(*cases); c++) {
 		for (size_t p = 0; p < sizeof(policies) / sizeof(*policies);
-		    p++)
+		     p++)
 			row_print(cases[c].name, policies[p], cases[c].fault,
 			    cases[c].load);
 	}
--- a/bench/cascade.c
+++ b/bench/cascade.c
@@ -37,8 +37,8 @@
 
 typedef struct policy {
 	const char *name;
-	int fixed;	   /**< model asked always; -1: a cascade */
-	double threshold;  /**< of a fixed cascade; 0: the library's */
+	int fixed;	  /**< model asked always; -1: a cascade */
+	double threshold; /**< of a fixed cascade; 0: the library's */
 } policy_t;
 
 static const policy_t policies[] = {
@@ -87,26 +87,24 @@
 	for (int r = 0; r < REQUESTS; r++) {
 		int phase = r / (REQUESTS / PHASES);
 		double hardness = gsl_rng_uniform(rng);
-		bool explore =
-		    gsl_rng_uniform(rng) * 100 < EXPLORE_PERCENT;
+		bool explore = gsl_rng_uniform(rng) * 100 < EXPLORE_PERCENT;
 		int model = policy->fixed >= 0 ? policy->fixed
-		    : policy->threshold > 0
-		    ? 0
-		    : cascade_first(&cascade, explore);
+		    : policy->threshold > 0    ? 0
+					    : cascade_first(&cascade, explore);
 		double latency = 0;
 		answer_t answer;
 
 		for (;; model++) {
 			answer = answer_make(rng, model, hardness, phase);
 			outcome->cost[phase] += costs[model];
-			latency += gsl_ran_gamma(
-			    rng, 8, latencies_ms[model] / 8);
+			latency +=
+			    gsl_ran_gamma(rng, 8, latencies_ms[model] / 8);
 			if (policy->fixed >= 0 || model == MODELS - 1)
 				break;
 			if (policy->threshold > 0
 				? answer.confidence >= policy->threshold
-				: cascade_accepts(&cascade, model,
-				      answer.confidence))
+				: cascade_accepts(
+				      &cascade, model, answer.confidence))
 				break;
 		}
 		outcome->good[phase] += answer.good;
--- a/bench/experiment.c
+++ b/bench/experiment.c
@@ -46,8 +46,8 @@
 {
 	if (samples->count == samples->max) {
 		samples->max = samples->max * 2 + 64;
-		samples->values = realloc(
-		    samples->values, samples->max * sizeof(double));
+		samples->values =
+		    realloc(samples->values, samples->max * sizeof(double));
 		if (samples->values == NULL)
 			abort();
 	}
@@ -151,7 +151,7 @@
 		size_t least = at;
 
 		for (size_t child = 2 * at + 1;
-		    child <= 2 * at + 2 && child < des->count; child++) {
+		     child <= 2 * at + 2 && child < des->count; child++) {
 			if (before(&des->heap[child], &des->heap[least]))
 				least = child;
 		}
@@ -206,7 +206,7 @@
 	if (sodium_init() < 0)
 		return 1;
 	for (size_t i = 0; i < sizeof(experiments) / sizeof(*experiments);
-	    i++) {
+	     i++) {
 		if (!wanted(experiments[i].name, argc, argv))
 			continue;
 		printf("\n### %s (%d seeds)\n\n", experiments[i].name,
--- a/bench/exposure.c
+++ b/bench/exposure.c
@@ -28,8 +28,8 @@
 
 typedef struct fault {
 	const char *name;
-	double bad;	  /**< share of bad answers added */
-	bool only_one;	  /**< for the first organisation alone */
+	double bad;    /**< share of bad answers added */
+	bool only_one; /**< for the first organisation alone */
 } fault_t;
 
 static const fault_t faults[] = {
@@ -71,7 +71,7 @@
 {
 	for (int d = 0; d < DAEMONS; d++) {
 		double when = now +
-		    (kind == KIND_STORE	 ? STORE_S
+		    (kind == KIND_STORE ? STORE_S
 			    : d == from ? 1e-9
 					: SPREAD_S);
 
@@ -122,8 +122,7 @@
 }
 
 static rollout_t
-rollout_run(
-    kind_t kind, const fault_t *fault, double limit, uint64_t seed)
+rollout_run(kind_t kind, const fault_t *fault, double limit, uint64_t seed)
 {
 	static world_t world;
 	gsl_rng *rng = gsl_rng_alloc(gsl_rng_mt19937);
@@ -139,8 +138,8 @@
 		int o = (int)gsl_rng_uniform_int(rng, ORGANISATIONS);
 		bool new_version = gsl_rng_uniform(rng) < SHARE &&
 		    !stopped_for(&world, daemon, o, now);
-		double extra = new_version && fault != NULL &&
-			(!fault->only_one || o == 0)
+		double extra =
+		    new_version && fault != NULL && (!fault->only_one || o == 0)
 		    ? fault->bad
 		    : 0;
 		bool worse = gsl_rng_uniform(rng) < extra;
--- a/bench/retry.c
+++ b/bench/retry.c
@@ -206,8 +206,8 @@
 		samples_t amplification = {0}, recovery = {0}, good = {0};
 
 		for (uint64_t s = 1; s <= EXPERIMENT_SEEDS; s++)
-			run_one(&policies[p], s, &amplification, &recovery,
-			    &good);
+			run_one(
+			    &policies[p], s, &amplification, &recovery, &good);
 		printf("| %s", policies[p].name);
 		figure_print(&amplification, "%.2f");
 		figure_print(&recovery, "%.0f");
--- a/bench/weights.c
+++ b/bench/weights.c
@@ -69,8 +69,8 @@
 			samples_add(
 			    &bad, exposure_bad_answers(limits[i], 0.2, s));
 		for (int g = 0; g < GOOD_ROLLOUTS; g++)
-			stops += exposure_false_stop(
-			    limits[i], (uint64_t)g + 5000);
+			stops +=
+			    exposure_false_stop(limits[i], (uint64_t)g + 5000);
 		printf("| %.0f", limits[i]);
 		figure_print(&bad, "%.0f");
 		printf(" | %.1f |\n", 100.0 * stops / GOOD_ROLLOUTS);
--- a/include/moortack/exchange/deferred.h
+++ b/include/moortack/exchange/deferred.h
@@ -4,9 +4,9 @@
  * collected by its caller, each whole and once.
  *
  * Rows: "defer/ID" holds a job {"organisation", "model", "body", "state"}; a
- * daemon takes one by writing its claim with a lease into it, and ends it in one
- * transaction that checks the claim, so a daemon whose lease lapsed while it
- * was stopped changes nothing, and that carries the bill, so there is one.
+ * daemon takes one by writing its claim with a lease into it, and ends it in
+ * one transaction that checks the claim, so a daemon whose lease lapsed while
+ * it was stopped changes nothing, and that carries the bill, so there is one.
  */
 #ifndef MOORTACK_EXCHANGE_DEFERRED_H
 #define MOORTACK_EXCHANGE_DEFERRED_H
--- a/include/moortack/options.h
+++ b/include/moortack/options.h
@@ -45,6 +45,7 @@
 	int64_t deadline_ms; /**< of a request that names none */
 	int64_t upstream_idle_ms;
 	int64_t drain_ms; /**< to finish after SIGTERM */
+	int64_t orders_lease_ms;
 	int64_t lease_ms; /**< of a deferred request */
 	int64_t body_max;
 	int64_t retry_percent;
--- a/moortack/exchange/deferred.c
+++ b/moortack/exchange/deferred.c
@@ -69,14 +69,13 @@
 		    location, sizeof(location), "/v1/deferred/%s", call->id);
 		http_answer_header(call->req, "Location", location);
 		http_answer_json(call->req, STATUS_ACCEPTED,
-		    json_pack("{s:s,s:s}", "id", call->id, "location",
-			location));
+		    json_pack(
+			"{s:s,s:s}", "id", call->id, "location", location));
 	} else {
 		err_set(&err, ERR_STORE,
 		    "whether it is held is not known; send it again under the "
 		    "same key");
-		answer_failure(
-		    call->front, call->req, &err, "unknown", NULL);
+		answer_failure(call->front, call->req, &err, "unknown", NULL);
 	}
 	free(call->row);
 	free(call);
@@ -133,8 +132,8 @@
 void
 deferred_accept(front_t *front, struct evhttp_request *req)
 {
-	const organisation_t *organisation = config_organisation_at(
-	    front->config, auth_caller(front, req));
+	const organisation_t *organisation =
+	    config_organisation_at(front->config, auth_caller(front, req));
 	accept_call_t *call;
 	json_t *body;
 	json_t *row;
@@ -150,8 +149,8 @@
 	}
 	call->front = front;
 	call->req = req;
-	id_make(organisation->name, http_request_header(req, KEY_HEADER),
-	    call->id);
+	id_make(
+	    organisation->name, http_request_header(req, KEY_HEADER), call->id);
 	row = json_pack("{s:s,s:s,s:o,s:s,s:I,s:i}", "id", call->id,
 	    "organisation", organisation->name, "body", body, "by", "",
 	    "until_ms", (json_int_t)0, "tries", 0);
@@ -179,8 +178,8 @@
 
 	if (failure != NULL) {
 		err_set(&err,
-		    err_code_named(json_string_value(
-			json_object_get(failure, "type"))),
+		    err_code_named(
+			json_string_value(json_object_get(failure, "type"))),
 		    "%s",
 		    json_string_value(json_object_get(failure, "message")));
 		answer_failure(call->front, call->req, &err, NULL, NULL);
@@ -215,8 +214,7 @@
 	} else {
 		http_answer_json(call->req, STATUS_ACCEPTED,
 		    json_pack("{s:s}", "state",
-			json_integer_value(
-			    json_object_get(row, "until_ms")) > 0
+			json_integer_value(json_object_get(row, "until_ms")) > 0
 			    ? "running"
 			    : "pending"));
 	}
--- a/moortack/exchange/deferred_run.c
+++ b/moortack/exchange/deferred_run.c
@@ -25,9 +25,9 @@
 struct deferred_job {
 	front_t *front;
 	char id[40];
-	char *claim; /**< the row as this daemon wrote it */
-	json_t *row; /**< the same, parsed */
-	json_t *end_puts; /**< the transaction that ends it */
+	char *claim;	       /**< the row as this daemon wrote it */
+	json_t *row;	       /**< the same, parsed */
+	json_t *end_puts;      /**< the transaction that ends it */
 	struct timespec until; /**< of the lease, by the elapsed clock */
 };
 
@@ -109,16 +109,15 @@
 	snprintf(queue_key, sizeof(queue_key), "defer/%s", job->id);
 	snprintf(done_key, sizeof(done_key), "deferred/%s", job->id);
 	snprintf(bill_key, sizeof(bill_key), "bill/deferred/%s", job->id);
-	json_object_set(result, "organisation",
-	    json_object_get(job->row, "organisation"));
+	json_object_set(
+	    result, "organisation", json_object_get(job->row, "organisation"));
 	text = json_text(result);
 	job->end_puts = json_pack("[o,o]", store_row(queue_key, NULL),
 	    store_row(done_key, text != NULL ? text : "{}"));
 	free(text);
 	if (bill != NULL) {
 		text = json_text(bill);
-		json_array_append_new(
-		    job->end_puts, store_row(bill_key, text));
+		json_array_append_new(job->end_puts, store_row(bill_key, text));
 		free(text);
 	}
 	job_end_write(job);
@@ -128,16 +127,16 @@
 deferred_done(exchange_t *exchange, const bill_t *bill)
 {
 	deferred_job_t *job = exchange->job;
-	json_t *answer = json_loadb(
-	    (const char *)evbuffer_pullup(exchange->answer, -1),
-	    evbuffer_get_length(exchange->answer), 0, NULL);
+	json_t *answer =
+	    json_loadb((const char *)evbuffer_pullup(exchange->answer, -1),
+		evbuffer_get_length(exchange->answer), 0, NULL);
 	bill_t named = *bill;
 
 	exchange->job = NULL;
 	snprintf(named.request, sizeof(named.request), "%s", job->id);
 	job_finish(job,
-	    json_pack("{s:o,s:s}", "answer", answer, "version",
-		exchange->version),
+	    json_pack(
+		"{s:o,s:s}", "answer", answer, "version", exchange->version),
 	    json_pack("[o]", bill_json(&named)));
 }
 
@@ -253,8 +252,7 @@
 	snprintf(key, sizeof(key), "defer/%s", job->id);
 	if (job->claim == NULL ||
 	    !store_txn(front->store, json_pack("[o]", store_row(key, text)),
-		json_pack("[o]", store_row(key, job->claim)), job_claimed,
-		job))
+		json_pack("[o]", store_row(key, job->claim)), job_claimed, job))
 		job_free(job);
 }
 
@@ -297,8 +295,7 @@
 	struct timespec now = clock_elapsed(front->process.clock);
 	err_t err;
 
-	if (front->jobs_looking || front->draining ||
-	    front->jobs >= JOBS_MAX ||
+	if (front->jobs_looking || front->draining || front->jobs >= JOBS_MAX ||
 	    timespec_ms_between(front->jobs_looked_at, now) < 0 ||
 	    !front_may_work(front, &err))
 		return;
--- a/moortack/front/front.c
+++ b/moortack/front/front.c
@@ -228,6 +228,7 @@
 	(void)fd;
 	(void)what;
 	deferred_tick(front);
+	orders_tick(front);
 	overdue_end(front, now);
 	deadlines_check(front, now);
 	front_dispatch(front);
@@ -542,6 +543,8 @@
 	    front->options->cutoff_ms);
 	front->members = members_new();
 	front->room.max = (uint32_t)front->options->bills_max;
+	lease_init(&front->orders_lease, &front->process, front->store,
+	    "orders", front->options->orders_lease_ms);
 }
 
 front_t *
--- a/moortack/front/front_priv.h
+++ b/moortack/front/front_priv.h
@@ -11,6 +11,7 @@
 #include "moortack/ledger/keyring.h"
 #include "moortack/limit/rate.h"
 #include "moortack/limit/retry_budget.h"
+#include "moortack/member/lease.h"
 #include "moortack/route/learn.h"
 #include "moortack/route/rollout.h"
 
@@ -74,6 +75,8 @@
 	table_t slots;	     /**< exchange_slot_t */
 	table_t admin_slots; /**< admin_slot_t */
 	uint32_t busy;
+	lease_t orders_lease;
+	struct timespec ordered_at;
 	struct timespec jobs_looked_at;
 	uint32_t jobs; /**< deferred requests that run here */
 	bool jobs_looking;
@@ -113,6 +116,11 @@
 /** Read the setting "operators". */
 bool operators_parse(table_t *, const char *text, err_t *err);
 
+/* orders.c */
+
+/** Order what is due, now and then. */
+void orders_tick(front_t *);
+
 /* entries.c */
 
 void entries_answer(front_t *, struct evhttp_request *);
--- /dev/null
+++ b/moortack/member/lease.c
@@ -0,0 +1,118 @@
+#include "moortack/member/lease.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define KEY_SIZE 48
+#define MARGIN_PARTS 3 /* the last third of a lease is not used */
+
+void
+lease_init(lease_t *lease, const process_t *process, store_t *store,
+    const char *name, int64_t ttl_ms)
+{
+	*lease = (lease_t){
+	    .process = process, .store = store, .ttl_ms = ttl_ms};
+	snprintf(lease->name, sizeof(lease->name), "%s", name);
+}
+
+bool
+lease_usable(const lease_t *lease)
+{
+	struct timespec now = clock_elapsed(lease->process->clock);
+
+	return lease->held &&
+	    timespec_ms_between(now, lease->until) >
+	    lease->ttl_ms / MARGIN_PARTS;
+}
+
+static void
+written(void *arg, store_result_t result, const json_t *reply)
+{
+	lease_t *lease = arg;
+
+	(void)reply;
+	lease->asking = false;
+	/* After a lost reply it may be held or not: not using it is safe, and
+	 * the next ask finds this daemon's own row. */
+	if (result != STORE_OK)
+		return;
+	lease->held = true;
+	lease->fence = lease->asked_fence;
+	lease->until = timespec_after_ms(lease->asked_at, lease->ttl_ms);
+}
+
+static json_t *
+row_new(const lease_t *lease, const char *holder)
+{
+	int64_t wall_ms = timespec_ms(clock_wall(lease->process->clock));
+
+	return json_pack("{s:s,s:I,s:I}", "holder", holder, "fence",
+	    (json_int_t)lease->asked_fence, "until_ms",
+	    (json_int_t)(wall_ms + lease->ttl_ms));
+}
+
+static bool
+row_write(lease_t *lease, const char *key, const char *before)
+{
+	char holder[INCARNATION_TEXT_SIZE];
+	json_t *row;
+	char *text;
+	bool started;
+
+	incarnation_text(lease->process->incarnation, holder);
+	row = row_new(lease, holder);
+	text = json_dumps(row, JSON_COMPACT);
+	json_decref(row);
+	if (text == NULL)
+		return false;
+	started = store_txn(lease->store,
+	    json_pack("[o]", store_row(key, before)),
+	    json_pack("[o]", store_row(key, text)), written, lease);
+	free(text);
+	return started;
+}
+
+static void
+was_read(void *arg, store_result_t result, const json_t *reply)
+{
+	lease_t *lease = arg;
+	char key[KEY_SIZE];
+	char self[INCARNATION_TEXT_SIZE];
+	const char *text;
+	const char *holder;
+	json_t *row;
+	int64_t fence, until_ms;
+	bool mine, lapsed;
+
+	snprintf(key, sizeof(key), "lease/%s", lease->name);
+	text = store_value(reply, key);
+	row = text != NULL ? json_loads(text, 0, NULL) : NULL;
+	holder = json_string_value(json_object_get(row, "holder"));
+	fence = json_integer_value(json_object_get(row, "fence"));
+	until_ms = json_integer_value(json_object_get(row, "until_ms"));
+	incarnation_text(lease->process->incarnation, self);
+	mine = holder != NULL && strcmp(holder, self) == 0;
+	lapsed = until_ms <= timespec_ms(clock_wall(lease->process->clock));
+	if (!mine)
+		lease->held = false;
+	lease->asked_fence = mine && !lapsed ? fence : fence + 1;
+	if (result != STORE_OK || (!mine && !lapsed) ||
+	    !row_write(lease, key, text))
+		lease->asking = false;
+	json_decref(row);
+}
+
+void
+lease_ask(lease_t *lease)
+{
+	char key[KEY_SIZE];
+
+	if (lease->asking)
+		return;
+	snprintf(key, sizeof(key), "lease/%s", lease->name);
+	lease->asked_at = clock_elapsed(lease->process->clock);
+	lease->asking = store_get(
+	    lease->store, json_pack("[s]", key), was_read, lease);
+}
--- a/moortackd/options.c
+++ b/moortackd/options.c
@@ -82,6 +82,10 @@
 	"10000", "ms", "Silence after which an endpoint's answer is given up"},
     {"drain-ms", SETTING_INT, OPTION(drain_ms), 100, 3600000, "60000", "ms",
 	"Time to finish what is in progress after SIGTERM"},
+    {"orders-lease-ms", SETTING_INT, OPTION(orders_lease_ms), 500, 600000,
+	"15000", "ms",
+	"How long one daemon may order engines before another "
+	"takes over"},
     {"lease-ms", SETTING_INT, OPTION(lease_ms), 500, 3600000, "60000", "ms",
 	"How long a daemon may take for a deferred request before another one "
 	"takes it over"},
--- a/test/scenario/lib.lua
+++ b/test/scenario/lib.lua
@@ -107,8 +107,13 @@
   return build .. "/" .. name .. "/" .. name
 end
 
+-- lib.wrap: words put before the daemon's own, such as those of a profiler.
 function lib.spawn(name, words, variables, log)
-  local argv = {program(name)}
+  local argv = {}
+  for _, word in ipairs(name == "moortackd" and lib.wrap or {}) do
+    argv[#argv + 1] = word
+  end
+  argv[#argv + 1] = program(name)
   for _, word in ipairs(words) do argv[#argv + 1] = word end
   local pid = run.spawn(argv, variables or {}, log_dir .. "/" .. log)
   return setmetatable({pid = pid, log = log_dir .. "/" .. log}, Process)
@@ -145,7 +150,8 @@
 local FAST = {["head-ms"] = 200, ["heartbeat-ms"] = 200, ["fresh-ms"] = 1500,
   ["dead-ms"] = 2500, ["list-ms"] = 200, ["load-ms"] = 100,
   ["flush-ms"] = 200, ["held-ms"] = 1500, ["store-timeout-ms"] = 400,
-  ["entries-ttl-ms"] = 500, ["lease-ms"] = 4000, ["ticket-ttl-ms"] = 60000}
+  ["entries-ttl-ms"] = 500, ["lease-ms"] = 4000,
+  ["orders-lease-ms"] = 3000, ["ticket-ttl-ms"] = 60000}
 
 function lib.cluster(options)
   options = options or {}
