common: a call owns its connection

Cause: libevent frees a connection by itself only when an answer came; one that never connected stayed. A daemon that polls a dead endpoint kept over 1 kB for each try. Calls under way at the end were not freed either.

Change: each small call holds its connection and frees it outside the connection's own callback; http_calls_end() ends those of a loop that are under way. The load tool does the same.

Ruled out: evhttp_connection_free_on_completion(), which is not looked at where the connection never came about.

--- a/bench/load.c
+++ b/bench/load.c
@@ -85,6 +85,7 @@
 	int64_t first_us; /**< -1: none yet */
 	char ticket[HEADER_SIZE];
 	struct evbuffer *body;
+	struct evhttp_connection *conn;
 	int entry;
 	int tries;
 } shot_t;
@@ -337,12 +338,22 @@
 	evbuffer_add_buffer(shot->body, evhttp_request_get_input_buffer(req));
 }
 
+static void
+conn_free(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	evhttp_connection_free(arg);
+}
+
 static void
 shot_done(struct evhttp_request *req, void *arg)
 {
+	static const struct timeval now = {0, 0};
 	shot_t *shot = arg;
 	int status = req != NULL ? evhttp_request_get_response_code(req) : 0;
 
+	event_base_once(load.base, -1, EV_TIMEOUT, conn_free, shot->conn, &now);
 	/* Never connected: nothing was sent, so another entry is tried. */
 	if (req != NULL && status == 0 && ++shot->tries < TRIES_MAX) {
 		shot->entry = (shot->entry + 1) % load.entry_count;
@@ -410,7 +421,7 @@
 	char path[SETTING_TEXT_SIZE + 32];
 
 	evhttp_connection_set_timeout(conn, REQUEST_TIMEOUT_S);
-	evhttp_connection_free_on_completion(conn);
+	shot->conn = conn;
 	evhttp_request_set_chunked_cb(req, shot_data);
 	headers_add(shot, evhttp_request_get_output_headers(req));
 	evbuffer_add(evhttp_request_get_output_buffer(req), body, strlen(body));
@@ -628,6 +639,8 @@
 		event_add(load.follow, &follow_every);
 	next_plan();
 	event_base_dispatch(load.base);
+	http_calls_end(load.base);
+	event_base_loop(load.base, EVLOOP_NONBLOCK);
 	summary_print();
 	if (load.out != NULL)
 		fclose(load.out);
--- a/common/http_call.c
+++ b/common/http_call.c
@@ -9,11 +9,21 @@
 #define US_PER_MS 1000
 #define REPLY_MAX (64L << 20)
 
+/** A call under way. It owns its connection: libevent frees one by itself when
+ * an answer came, and keeps it when it never connected. */
 typedef struct pending_call {
+	struct event_base *base;
+	struct evhttp_connection *conn;
 	http_done_t done;
 	void *arg;
+	struct event *ended; /**< frees it, outside the connection's callback */
+	struct pending_call *next;
+	struct pending_call *prev;
 } pending_call_t;
 
+/* All that are under way, so that they can be ended with their loop. */
+static pending_call_t *pending_calls;
+
 bool
 http_address_parse(const char *text, http_address_t *address)
 {
@@ -31,10 +41,35 @@
 	return address->port != 0;
 }
 
+static void
+pending_free(pending_call_t *call)
+{
+	if (call->prev != NULL)
+		call->prev->next = call->next;
+	else if (pending_calls == call)
+		pending_calls = call->next;
+	if (call->next != NULL)
+		call->next->prev = call->prev;
+	if (call->conn != NULL)
+		evhttp_connection_free(call->conn);
+	if (call->ended != NULL)
+		event_free(call->ended);
+	free(call);
+}
+
+static void
+call_ended(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	pending_free(arg);
+}
+
 static void
 call_done(struct evhttp_request *req, void *arg)
 {
 	pending_call_t *call = arg;
+	http_done_t done = call->done;
 	http_reply_t reply = {0};
 	struct evbuffer *input;
 
@@ -46,8 +81,9 @@
 		reply.body = (const char *)evbuffer_pullup(input, -1);
 		reply.headers = evhttp_request_get_input_headers(req);
 	}
-	call->done(call->arg, &reply);
-	free(call);
+	call->done = NULL;
+	event_active(call->ended, EV_TIMEOUT, 0);
+	done(call->arg, &reply);
 }
 
 static struct evhttp_request *
@@ -71,42 +107,78 @@
 	return req;
 }
 
+static pending_call_t *
+pending_new(struct event_base *base, const http_call_t *call, http_done_t done,
+    void *arg)
+{
+	pending_call_t *pending = calloc(1, sizeof(*pending));
+	const http_address_t *address = call->address;
+
+	if (pending == NULL)
+		return NULL;
+	pending->base = base;
+	pending->done = done;
+	pending->arg = arg;
+	pending->ended = event_new(base, -1, 0, call_ended, pending);
+	pending->conn = call->tls != NULL
+	    ? tls_connection_new(call->tls, base, address->host, address->port)
+	    : evhttp_connection_base_new(
+		  base, NULL, address->host, address->port);
+	pending->next = pending_calls;
+	if (pending_calls != NULL)
+		pending_calls->prev = pending;
+	pending_calls = pending;
+	if (pending->conn != NULL && pending->ended != NULL)
+		return pending;
+	pending_free(pending);
+	return NULL;
+}
+
 bool
 http_call_start(struct event_base *base, const http_call_t *call,
     http_done_t done, void *arg)
 {
-	struct evhttp_connection *conn;
-	struct evhttp_request *req;
-	pending_call_t *pending;
 	struct timeval timeout = {call->timeout_ms / MS_PER_SEC,
 	    (call->timeout_ms % MS_PER_SEC) * US_PER_MS};
+	pending_call_t *pending = pending_new(base, call, done, arg);
+	struct evhttp_request *req =
+	    pending != NULL ? request_new(call, pending) : NULL;
 
-	pending = malloc(sizeof(*pending));
-	conn = call->tls != NULL
-	    ? tls_connection_new(
-		  call->tls, base, call->address->host, call->address->port)
-	    : evhttp_connection_base_new(
-		  base, NULL, call->address->host, call->address->port);
-	if (pending == NULL || conn == NULL)
-		goto fail;
-	*pending = (pending_call_t){done, arg};
-	req = request_new(call, pending);
-	if (req == NULL)
-		goto fail;
-	evhttp_connection_set_timeout_tv(conn, &timeout);
-	evhttp_connection_set_max_body_size(conn, REPLY_MAX);
-	evhttp_connection_free_on_completion(conn);
+	if (req == NULL) {
+		if (pending != NULL)
+			pending_free(pending);
+		return false;
+	}
+	evhttp_connection_set_timeout_tv(pending->conn, &timeout);
+	evhttp_connection_set_max_body_size(pending->conn, REPLY_MAX);
 	/* evhttp frees the request on failure too. */
-	if (evhttp_make_request(conn, req, call->method, call->path) != 0) {
-		free(pending);
+	if (evhttp_make_request(pending->conn, req, call->method, call->path) !=
+	    0) {
+		pending_free(pending);
 		return false;
 	}
 	return true;
-fail:
-	if (conn != NULL)
-		evhttp_connection_free(conn);
-	free(pending);
-	return false;
+}
+
+void
+http_calls_end(struct event_base *base)
+{
+	pending_call_t *call = pending_calls;
+
+	while (call != NULL) {
+		const http_reply_t none = {0};
+		http_done_t done = call->done;
+		void *arg = call->arg;
+
+		if (call->base != base) {
+			call = call->next;
+			continue;
+		}
+		pending_free(call);
+		if (done != NULL)
+			done(arg, &none);
+		call = pending_calls;
+	}
 }
 
 bool
--- a/common/tls.c
+++ b/common/tls.c
@@ -97,8 +97,8 @@
 	if (ssl == NULL)
 		return NULL;
 	X509_VERIFY_PARAM_set1_ip_asc(SSL_get0_param(ssl), host);
-	bev = bufferevent_openssl_socket_new(base, -1, ssl,
-	    BUFFEREVENT_SSL_CONNECTING, BEV_OPT_CLOSE_ON_FREE);
+	bev = bufferevent_openssl_socket_new(
+	    base, -1, ssl, BUFFEREVENT_SSL_CONNECTING, BEV_OPT_CLOSE_ON_FREE);
 	if (bev == NULL) {
 		SSL_free(ssl);
 		return NULL;
--- a/include/common/http_call.h
+++ b/include/common/http_call.h
@@ -58,6 +58,10 @@
 bool http_call_start(
     struct event_base *, const http_call_t *, http_done_t done, void *arg);
 
+/** End the calls of a loop that are under way, each with "no reply": before the
+ * loop is freed. */
+void http_calls_end(struct event_base *);
+
 /** Make the call and wait for it on a loop of its own; for command lines.
  * @param done called once before the return, or not at all on false */
 bool http_call_wait(const http_call_t *, http_done_t done, void *arg);
--- a/moortackd/main.c
+++ b/moortackd/main.c
@@ -165,6 +165,7 @@
 	event_free(daemon->term);
 	event_free(daemon->interrupt);
 	event_free(daemon->drain_end);
+	http_calls_end(daemon->process.base);
 	watch_free(daemon->watch);
 	registry_free(daemon->registry);
 	witness_task_free(daemon->witnesses);
--- /dev/null
+++ b/test/unit/http_call_test.c
@@ -0,0 +1,108 @@
+/**
+ * @file
+ * Small calls: one answer each, and nothing left behind when none comes.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include <event2/event.h>
+#include <malloc.h>
+
+#include "common/http_call.h"
+
+#define CALLS 200
+#define GROWTH_MAX 20000 /* bytes: a kept connection is over 1,000 */
+
+static void
+count_refused(void *arg, const http_reply_t *reply)
+{
+	assert_int_equal(reply->status, 0);
+	(*(int *)arg)++;
+}
+
+/* Nobody listens on the port of a socket that is bound and not listening. */
+static http_address_t
+refusing_address(int *fd)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(address);
+	http_address_t out = {.host = "127.0.0.1"};
+
+	*fd = socket(AF_INET, SOCK_STREAM, 0);
+	assert_int_equal(
+	    bind(*fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	assert_int_equal(
+	    getsockname(*fd, (struct sockaddr *)&address, &len), 0);
+	out.port = ntohs(address.sin_port);
+	return out;
+}
+
+static void
+calls_make(struct event_base *base, const http_call_t *call, int *refused)
+{
+	for (int i = 0; i < CALLS; i++) {
+		assert_true(
+		    http_call_start(base, call, count_refused, refused));
+		event_base_loop(base, 0);
+	}
+}
+
+static void
+a_refused_call_leaves_nothing(void **state)
+{
+	struct event_base *base = event_base_new();
+	int fd;
+	const http_address_t address = refusing_address(&fd);
+	const http_call_t call = {.address = &address,
+	    .method = EVHTTP_REQ_GET,
+	    .path = "/",
+	    .timeout_ms = 1000};
+	int refused = 0;
+	size_t before;
+
+	(void)state;
+	calls_make(base, &call, &refused);
+	before = mallinfo2().uordblks;
+	calls_make(base, &call, &refused);
+	assert_int_equal(refused, 2 * CALLS);
+	assert_true(mallinfo2().uordblks < before + GROWTH_MAX);
+	evutil_closesocket(fd);
+	event_base_free(base);
+}
+
+static void
+calls_under_way_end_with_the_process(void **state)
+{
+	struct event_base *base = event_base_new();
+	int fd;
+	const http_address_t address = refusing_address(&fd);
+	const http_call_t call = {.address = &address,
+	    .method = EVHTTP_REQ_GET,
+	    .path = "/",
+	    .timeout_ms = 1000};
+	int ended = 0;
+
+	(void)state;
+	for (int i = 0; i < 5; i++)
+		assert_true(
+		    http_call_start(base, &call, count_refused, &ended));
+	http_calls_end(base);
+	assert_int_equal(ended, 5);
+	evutil_closesocket(fd);
+	event_base_free(base);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(a_refused_call_leaves_nothing),
+	    cmocka_unit_test(calls_under_way_end_with_the_process),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
