--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,13 @@
 		-artifact_prefix=build-fuzz/$$name- build-fuzz/corpus/$$name \
 		test/fuzz/corpus/$$name || exit 1; done
 
+# The experiments' tables (about four minutes), then the figures of the daemon.
+bench: all
+	@$(BUILD)/bench/bench-experiment
+	@for name in overhead refusal overload memory; do echo "### $$name"; \
+		$(BUILD)/test/scenario/runner $(CURDIR)/$(BUILD) \
+		bench/$$name.lua || exit 1; done
+
 # Every test with the address and undefined-behaviour sanitizers.
 sanitize: setup
 	@[ -f build-sanitize/build.ninja ] || meson setup build-sanitize \
