member: heartbeats to a bounded few, with ages passed on

Change: eight members a second at random are asked, two of them also for what they know of the others: an age of 100 ms steps for each member, and who holds their revision. Such evidence is dated by the question minus the age, rounded up, so it is never later than the truth. At most 48 links stay open. A link that is new and not up yet no longer counts as a member that is silent.

--- a/include/moortack/member/freshness.h
+++ b/include/moortack/member/freshness.h
@@ -8,6 +8,11 @@
  * more than half of the members, so one of those that answered either knows of
  * the plan or will by its next heartbeat.
  *
+ * In a large fleet nobody asks everyone. An answer then brings along what its
+ * sender knows of the others, as ages; such evidence is dated by the question
+ * minus the age, which is never later than the truth, since ages are durations
+ * on one clock each and are rounded up.
+ *
  * Each piece of evidence is dated by when it was asked for, on a clock that
  * counts suspended time: an answer that waited in a socket while the process
  * was stopped proves nothing new.
@@ -54,6 +59,30 @@
 /** A peer answered a heartbeat. @return false when memory is out */
 bool freshness_peer_answered(freshness_t *, const peer_evidence_t *);
 
+/** One unit of an age, milliseconds, and the age that says nothing. */
+#define FRESHNESS_AGE_MS 100
+#define FRESHNESS_AGE_UNKNOWN 255
+
+/**
+ * What this daemon knows, to pass on: for each member, how long ago it is known
+ * to have held no later revision than this daemon does now.
+ * @param members incarnations in order, this daemon's too
+ * @param ages receives @p count units, rounded up
+ */
+void freshness_ages(const freshness_t *, const uint64_t *members,
+    uint32_t count, uint64_t self, struct timespec now, uint8_t *ages);
+
+/**
+ * Take over what came with a peer's answer.
+ * @param from the answer itself: when it was asked for, revision, epoch
+ */
+void freshness_merge(freshness_t *, const peer_evidence_t *from,
+    const uint64_t *members, uint32_t count, uint64_t self,
+    const uint8_t *ages);
+
+/** When a peer is last known to have answered anybody; 0: never. */
+struct timespec freshness_heard_at(const freshness_t *, uint64_t incarnation);
+
 /** A peer is no longer a member. */
 void freshness_peer_forget(freshness_t *, uint64_t incarnation);
 
--- a/include/moortack/member/members.h
+++ b/include/moortack/member/members.h
@@ -45,6 +45,10 @@
 member_t *members_at(const members_t *, handle_t);
 member_t *members_find(const members_t *, uint64_t incarnation);
 
+/** The incarnations of all members in order, @p self among them.
+ * @param out room for one more than there are rows @return how many */
+uint32_t members_ranked(const members_t *, uint64_t self, uint64_t *out);
+
 /** The row of a member as the table keeps it; a new reference. */
 json_t *member_json(const member_t *);
 bool member_parse(const char *text, member_t *out);
--- a/include/moortack/wire/peer.pb-c.h
+++ b/include/moortack/wire/peer.pb-c.h
@@ -109,10 +109,22 @@
    * of the ping; the pong repeats it
    */
   uint64_t sequence;
+  /*
+   * in a ping: answer with the two below
+   */
+  protobuf_c_boolean want_ages;
+  /*
+   * a byte a member, see freshness.h
+   */
+  ProtobufCBinaryData ages;
+  /*
+   * a bit a member: it holds this revision
+   */
+  ProtobufCBinaryData holds;
 };
 #define WIRE__STANDING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__standing__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL} }
 
 
 struct  Wire__RevisionsAsk
--- a/moortack/config/registry_members.c
+++ b/moortack/config/registry_members.c
@@ -1,13 +1,18 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "common/log.h"
 #include "registry_priv.h"
 
-/** Members asked in one heartbeat round; a larger fleet is gone through in
- * turn. */
-#define HEARTBEAT_FANOUT 32
+/** Members asked in one heartbeat round; in a larger fleet, at random. */
+#define HEARTBEAT_FANOUT 8
+/** Of them, those that are asked for what they know of the others. */
+#define AGES_ASKED 2
+#define SILENT_HEARTBEATS 5
+#define MEMBERS_MAX 1024
+#define BITS 8
 #define HEARTBEAT_TIMEOUTS 2
 #define ROWS_ASKED_MAX 128
 
@@ -316,31 +321,39 @@
 	}
 }
 
-void
-registry_heartbeat(registry_t *registry)
+static void
+member_ask(registry_t *registry, const member_t *member, bool want_ages)
 {
 	Wire__Standing standing;
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
-	uint32_t count = registry->members->rows.len;
-	uint32_t asked = count < HEARTBEAT_FANOUT ? count : HEARTBEAT_FANOUT;
+	const peer_ask_t ask = {.to = member->incarnation,
+	    .timeout_ms =
+		(int)registry->options->heartbeat_ms * HEARTBEAT_TIMEOUTS,
+	    .task = &registry->task,
+	    .kind = REGISTRY_STOOD};
 
-	registry->heartbeat++;
 	standing_fill(registry, &standing);
+	standing.want_ages = want_ages;
 	envelope.body_case = WIRE__ENVELOPE__BODY_STANDING;
 	envelope.standing = &standing;
+	peers_ask(registry->peers, &ask, &envelope);
+}
+
+void
+registry_heartbeat(registry_t *registry)
+{
+	uint32_t count = registry->members->rows.len;
+	bool all = count <= HEARTBEAT_FANOUT;
+	uint32_t asked = all ? count : HEARTBEAT_FANOUT;
+
+	registry->heartbeat++;
 	for (uint32_t i = 0; i < asked; i++) {
-		const member_t *member = members_at(
-		    registry->members, (registry->first_peer + i) % count);
-		const peer_ask_t ask = {.to = member->incarnation,
-		    .timeout_ms = (int)registry->options->heartbeat_ms *
-			HEARTBEAT_TIMEOUTS,
-		    .task = &registry->task,
-		    .kind = REGISTRY_STOOD};
-
-		peers_ask(registry->peers, &ask, &envelope);
+		uint32_t pick =
+		    all ? i : rng_below(registry->process.rng, count);
+
+		member_ask(registry, members_at(registry->members, pick),
+		    !all && i < AGES_ASKED);
 	}
-	if (count > 0)
-		registry->first_peer = (registry->first_peer + asked) % count;
 	dead_check(registry, clock_elapsed(registry->process.clock));
 }
 
@@ -370,12 +383,43 @@
 		registry_members_read(registry);
 }
 
+/* What this daemon knows of the others, for an asker of the same epoch. */
+static void
+ages_fill(const registry_t *registry, Wire__Standing *standing, uint8_t *ages,
+    uint8_t *holds)
+{
+	uint64_t ranked[MEMBERS_MAX + 1];
+	uint64_t self = registry->process.incarnation;
+	uint32_t count;
+
+	if (registry->members->rows.len > MEMBERS_MAX || !registry->joined)
+		return;
+	count = members_ranked(registry->members, self, ranked);
+	freshness_ages(&registry->freshness, ranked, count, self,
+	    clock_elapsed(registry->process.clock), ages);
+	memset(holds, 0, (count + BITS - 1) / BITS);
+	for (uint32_t i = 0; i < count; i++) {
+		const member_t *member =
+		    members_find(registry->members, ranked[i]);
+
+		if (member == NULL ||
+		    member->revision >= registry->config->revision)
+			holds[i / BITS] |= (uint8_t)(1 << i % BITS);
+	}
+	standing->ages.data = ages;
+	standing->ages.len = count;
+	standing->holds.data = holds;
+	standing->holds.len = (count + BITS - 1) / BITS;
+}
+
 void
 registry_standing(registry_t *registry, const peer_question_t *question)
 {
 	const Wire__Standing *theirs = question->envelope->standing;
 	member_t *member =
 	    members_find(registry->members, question->envelope->from);
+	uint8_t ages[MEMBERS_MAX + 1];
+	uint8_t holds[MEMBERS_MAX / BITS + 1];
 	Wire__Standing standing;
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 
@@ -386,20 +430,70 @@
 	standing_learn(registry, question->envelope->from, theirs);
 	standing_fill(registry, &standing);
 	standing.sequence = theirs->sequence;
+	if (theirs->want_ages && theirs->epoch == standing.epoch)
+		ages_fill(registry, &standing, ages, holds);
 	envelope.body_case = WIRE__ENVELOPE__BODY_STANDING;
 	envelope.standing = &standing;
 	peers_answer(registry->peers, question, &envelope);
 }
 
 static void
-answer_missed(registry_t *registry, member_t *member)
+answer_missed(
+    registry_t *registry, member_t *member, const peer_answer_t *answer)
 {
+	int64_t silent_ms;
+
 	if (member == NULL || !member->answers)
 		return;
+	silent_ms = timespec_ms_between(
+	    member->heard_at, clock_elapsed(registry->process.clock));
+	/* A link that is being opened says nothing of the member yet. */
+	if (answer->unsent &&
+	    silent_ms < registry->options->heartbeat_ms * SILENT_HEARTBEATS)
+		return;
 	member->answers = false;
 	members_tell(registry);
 }
 
+/* What an answer brought of the other members. */
+static void
+ages_take(registry_t *registry, const Wire__Standing *standing,
+    const peer_evidence_t *evidence)
+{
+	uint64_t ranked[MEMBERS_MAX + 1];
+	uint64_t self = registry->process.incarnation;
+	uint32_t count;
+	bool changed = false;
+
+	if (registry->members->rows.len > MEMBERS_MAX ||
+	    standing->epoch != registry->members->epoch)
+		return;
+	count = members_ranked(registry->members, self, ranked);
+	if (standing->ages.len != count ||
+	    standing->holds.len != (count + BITS - 1) / BITS)
+		return;
+	freshness_merge(&registry->freshness, evidence, ranked, count, self,
+	    standing->ages.data);
+	for (uint32_t i = 0; i < count; i++) {
+		member_t *member = members_find(registry->members, ranked[i]);
+		struct timespec heard;
+
+		if (member == NULL)
+			continue;
+		heard = freshness_heard_at(&registry->freshness, ranked[i]);
+		if (timespec_ms_between(member->heard_at, heard) > 0) {
+			member->heard_at = heard;
+			changed |= !member->answers;
+			member->answers = true;
+		}
+		if ((standing->holds.data[i / BITS] >> i % BITS & 1) != 0 &&
+		    standing->revision > member->revision)
+			member->revision = standing->revision;
+	}
+	if (changed)
+		members_tell(registry);
+}
+
 void
 registry_stood(registry_t *registry, const peer_answer_t *answer)
 {
@@ -409,9 +503,11 @@
 	bool changed;
 
 	if (answer->envelope == NULL || answer->envelope->standing == NULL) {
-		answer_missed(registry, member);
+		answer_missed(registry, member, answer);
 		return;
 	}
+	if (member == NULL)
+		return;
 	standing = answer->envelope->standing;
 	evidence = (peer_evidence_t){.incarnation = answer->from,
 	    .asked_at = answer->asked_at,
@@ -420,8 +516,6 @@
 	    .store_read = standing->store_age_ms >= 0,
 	    .store_at =
 		timespec_after_ms(answer->asked_at, -standing->store_age_ms)};
-	if (member == NULL)
-		return;
 	freshness_peer_answered(&registry->freshness, &evidence);
 	changed = !member->answers || member->draining != standing->draining;
 	member->answers = true;
@@ -430,6 +524,7 @@
 	member->heard_at = answer->asked_at;
 	if (changed)
 		members_tell(registry);
+	ages_take(registry, standing, &evidence);
 	standing_learn(registry, answer->from, standing);
 	registry_freshness_tell(registry);
 }
--- a/moortack/config/registry_priv.h
+++ b/moortack/config/registry_priv.h
@@ -8,6 +8,7 @@
 #include "moortack/config/registry.h"
 
 #define REVISIONS_KEPT 512
+#define SNAPSHOT_EVERY 64
 #define REVISION_KEY_FORMAT "rev/%012" PRIu64
 #define KEY_SIZE 96
 #define NUMBER_SIZE 24
@@ -51,8 +52,7 @@
 	bool joining;
 	bool leaving;
 	bool was_fresh;
-	uint64_t heartbeat;  /**< sequence */
-	uint32_t first_peer; /**< of the next heartbeat round */
+	uint64_t heartbeat; /**< sequence */
 };
 
 /* registry.c */
@@ -60,6 +60,9 @@
 /** Take over one revision. @return false when it is not the next one */
 bool registry_take(registry_t *, uint64_t number, const char *text);
 
+/** Write what is held as the snapshot; several that do so do no harm. */
+void registry_snapshot_write(registry_t *);
+
 /** Tell the front how fresh this daemon is. */
 void registry_freshness_tell(registry_t *);
 
--- a/moortack/member/freshness.c
+++ b/moortack/member/freshness.c
@@ -56,6 +56,85 @@
 	return true;
 }
 
+/* Evidence at second hand never takes the place of newer evidence. */
+static void
+peer_heard(freshness_t *freshness, const peer_evidence_t *evidence)
+{
+	peer_evidence_t *peer = peer_find(freshness, evidence->incarnation);
+
+	if (peer == NULL) {
+		freshness_peer_answered(freshness, evidence);
+		return;
+	}
+	if (timespec_us_between(peer->asked_at, evidence->asked_at) <= 0)
+		return;
+	peer->asked_at = evidence->asked_at;
+	peer->revision = evidence->revision;
+	peer->epoch = evidence->epoch;
+}
+
+static uint8_t
+age_units(int64_t ms)
+{
+	int64_t units = (ms + FRESHNESS_AGE_MS - 1) / FRESHNESS_AGE_MS;
+
+	if (units < 0)
+		return 0;
+	return units < FRESHNESS_AGE_UNKNOWN ? (uint8_t)units
+					     : FRESHNESS_AGE_UNKNOWN;
+}
+
+static bool
+evidence_counts(const freshness_t *freshness, const peer_evidence_t *peer)
+{
+	return peer->revision <= freshness->revision &&
+	    peer->epoch == freshness->epoch;
+}
+
+void
+freshness_ages(const freshness_t *freshness, const uint64_t *members,
+    uint32_t count, uint64_t self, struct timespec now, uint8_t *ages)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		const peer_evidence_t *peer = peer_find(freshness, members[i]);
+
+		ages[i] = FRESHNESS_AGE_UNKNOWN;
+		if (members[i] == self)
+			ages[i] = 0;
+		else if (peer != NULL && evidence_counts(freshness, peer))
+			ages[i] =
+			    age_units(timespec_ms_between(peer->asked_at, now));
+	}
+}
+
+void
+freshness_merge(freshness_t *freshness, const peer_evidence_t *from,
+    const uint64_t *members, uint32_t count, uint64_t self, const uint8_t *ages)
+{
+	if (from->epoch != freshness->epoch)
+		return;
+	for (uint32_t i = 0; i < count; i++) {
+		peer_evidence_t evidence = *from;
+
+		if (members[i] == self || members[i] == from->incarnation ||
+		    ages[i] == FRESHNESS_AGE_UNKNOWN)
+			continue;
+		evidence.incarnation = members[i];
+		evidence.asked_at = timespec_after_ms(
+		    from->asked_at, -(int64_t)ages[i] * FRESHNESS_AGE_MS);
+		evidence.store_read = false;
+		peer_heard(freshness, &evidence);
+	}
+}
+
+struct timespec
+freshness_heard_at(const freshness_t *freshness, uint64_t incarnation)
+{
+	const peer_evidence_t *peer = peer_find(freshness, incarnation);
+
+	return peer != NULL ? peer->asked_at : (struct timespec){0};
+}
+
 void
 freshness_peer_forget(freshness_t *freshness, uint64_t incarnation)
 {
@@ -84,13 +163,6 @@
 	return freshness->members / 2;
 }
 
-static bool
-evidence_counts(const freshness_t *freshness, const peer_evidence_t *peer)
-{
-	return peer->revision <= freshness->revision &&
-	    peer->epoch == freshness->epoch;
-}
-
 /* The last read of the store by this daemon or by a peer that counts. */
 static struct timespec
 last_store_read(const freshness_t *freshness)
--- a/moortack/member/members.c
+++ b/moortack/member/members.c
@@ -71,6 +71,27 @@
 	return NULL;
 }
 
+/* The table lists rows in order of their key, which is the incarnation. */
+uint32_t
+members_ranked(const members_t *members, uint64_t self, uint64_t *out)
+{
+	uint32_t count = 0;
+	bool placed = false;
+
+	for (handle_t h = 0; h < members->rows.len; h++) {
+		uint64_t incarnation = members_at(members, h)->incarnation;
+
+		if (!placed && incarnation > self) {
+			out[count++] = self;
+			placed = true;
+		}
+		out[count++] = incarnation;
+	}
+	if (!placed)
+		out[count++] = self;
+	return count;
+}
+
 void
 incarnation_text(uint64_t incarnation, char out[INCARNATION_TEXT_SIZE])
 {
--- a/moortack/member/peers.c
+++ b/moortack/member/peers.c
@@ -18,6 +18,8 @@
 #define ZAP_ADDRESS "inproc://zeromq.zap.01"
 #define MESSAGE_MAX (4 << 20)
 #define DRAIN_ROUNDS 8
+#define LINKS_EAGER 16
+#define LINKS_MAX 48
 
 enum peers_message { PEERS_ASK, PEERS_ANSWER, PEERS_MEMBERS };
 
@@ -32,6 +34,8 @@
 /** An open connection to one member. */
 typedef struct link {
 	uint64_t incarnation;
+	struct timespec used_at;
+	bool was_up; /**< something was sent on it */
 	peer_socket_t socket;
 	UT_hash_handle hh;
 } link_t;
@@ -210,7 +214,7 @@
 }
 
 static void
-answer_post(const pending_t *pending, Wire__Envelope *envelope)
+answer_post(const pending_t *pending, Wire__Envelope *envelope, bool unsent)
 {
 	peer_answer_t *answer = malloc(sizeof(*answer));
 
@@ -222,16 +226,18 @@
 	*answer = (peer_answer_t){.tag = pending->ask.tag,
 	    .from = pending->ask.to,
 	    .asked_at = pending->asked_at,
-	    .envelope = envelope};
+	    .envelope = envelope,
+	    .unsent = unsent};
 	task_post(
 	    pending->ask.task, pending->ask.kind, answer, peer_answer_free);
 }
 
 static void
-pending_end(peers_t *peers, pending_t *pending, Wire__Envelope *envelope)
+pending_end(
+    peers_t *peers, pending_t *pending, Wire__Envelope *envelope, bool unsent)
 {
 	HASH_DEL(peers->pending, pending);
-	answer_post(pending, envelope);
+	answer_post(pending, envelope, unsent);
 	free(pending);
 }
 
@@ -251,7 +257,7 @@
 		wire__envelope__free_unpacked(envelope, NULL);
 		return;
 	}
-	pending_end(peers, pending, envelope);
+	pending_end(peers, pending, envelope, false);
 }
 
 static void
@@ -351,6 +357,8 @@
 	link_t *link;
 
 	HASH_FIND(hh, peers->links, &incarnation, sizeof(incarnation), link);
+	if (link != NULL)
+		link->used_at = clock_elapsed(peers->process.clock);
 	if (link != NULL || member == NULL)
 		return link;
 	link = calloc(1, sizeof(*link));
@@ -362,6 +370,7 @@
 		return NULL;
 	}
 	link->incarnation = incarnation;
+	link->used_at = clock_elapsed(peers->process.clock);
 	curve_set(peers, link->socket.socket, false);
 	/* From the address that it listens on, so that a firewall can tell. */
 	snprintf(endpoint, sizeof(endpoint), "tcp://%s:0;%s", peers->host,
@@ -414,8 +423,11 @@
 	    .asked_at = clock_elapsed(peers->process.clock)};
 	HASH_ADD(hh, peers->pending, id, sizeof(pending->id), pending);
 	/* A link that isn't up refuses: its asker hears so at once. */
-	if (link == NULL || !bytes_send(peers, &link->socket, out))
-		pending_end(peers, pending, NULL);
+	if (link != NULL && bytes_send(peers, &link->socket, out))
+		link->was_up = true;
+	else
+		pending_end(
+		    peers, pending, NULL, link != NULL && !link->was_up);
 }
 
 static void
@@ -438,10 +450,28 @@
 		if (members_find(members, link->incarnation) == NULL)
 			link_close(peers, link);
 	}
-	for (handle_t h = 0; h < members->rows.len; h++)
+	for (handle_t h = 0; h < members->rows.len && h < LINKS_EAGER; h++)
 		link_open(peers, members_at(members, h)->incarnation);
 }
 
+/* A link takes some 90 KB: those not used for longest are closed. */
+static void
+links_bound(peers_t *peers)
+{
+	while (HASH_COUNT(peers->links) > LINKS_MAX) {
+		link_t *oldest = peers->links;
+		link_t *link, *next;
+
+		HASH_ITER(hh, peers->links, link, next)
+		{
+			if (timespec_us_between(
+				link->used_at, oldest->used_at) > 0)
+				oldest = link;
+		}
+		link_close(peers, oldest);
+	}
+}
+
 static void
 handle(void *state, msg_t *msg)
 {
@@ -469,11 +499,12 @@
 
 	(void)fd;
 	(void)what;
+	links_bound(peers);
 	HASH_ITER(hh, peers->pending, pending, next)
 	{
 		if (timespec_ms_between(pending->asked_at, now) >=
 		    pending->ask.timeout_ms)
-			pending_end(peers, pending, NULL);
+			pending_end(peers, pending, NULL, false);
 	}
 }
 
--- a/moortack/wire/peer.pb-c.c
+++ b/moortack/wire/peer.pb-c.c
@@ -772,7 +772,7 @@
   assert(message->base.descriptor == &wire__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__standing__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wire__standing__field_descriptors[8] =
 {
   {
     "revision",
@@ -834,18 +834,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "want_ages",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Standing, want_ages),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ages",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Standing, ages),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holds",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Standing, holds),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__standing__field_indices_by_name[] = {
+  6,   /* field[6] = ages */
   3,   /* field[3] = draining */
   1,   /* field[1] = epoch */
+  7,   /* field[7] = holds */
   0,   /* field[0] = revision */
   4,   /* field[4] = sequence */
   2,   /* field[2] = store_age_ms */
+  5,   /* field[5] = want_ages */
 };
 static const ProtobufCIntRange wire__standing__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wire__standing__descriptor =
 {
@@ -855,7 +894,7 @@
   "Wire__Standing",
   "wire",
   sizeof(Wire__Standing),
-  5,
+  8,
   wire__standing__field_descriptors,
   wire__standing__field_indices_by_name,
   1,  wire__standing__number_ranges,
--- a/test/fuzz/freshness_fuzz.c
+++ b/test/fuzz/freshness_fuzz.c
@@ -14,12 +14,13 @@
 
 #define DAEMONS 5
 #define ASKS 32
-#define STEP_MS 10
-#define WINDOW_MS 100
-#define OUTAGE_MS 100000
-#define HEARTBEAT_MS 20
+#define STEP_MS 50
+#define WINDOW_MS 1000
+#define OUTAGE_MS 10000000
+#define HEARTBEAT_MS 200
 #define REVISIONS 64
 #define START_MS 1000000
+#define ALL ((1u << DAEMONS) - 1)
 
 /** A heartbeat under way: asked, then answered, then read. */
 typedef struct ask {
@@ -28,6 +29,7 @@
 	int from;
 	int to;
 	peer_evidence_t evidence;
+	uint8_t ages[DAEMONS]; /**< what the other knew, with its answer */
 } ask_t;
 
 typedef struct daemon {
@@ -50,6 +52,8 @@
 	struct timespec now;
 } world_t;
 
+static const uint64_t members[DAEMONS] = {1, 2, 3, 4, 5};
+
 static void
 learn(world_t *world, int n, uint64_t revision)
 {
@@ -57,8 +61,9 @@
 		world->daemons[n].freshness.revision = revision;
 }
 
+/* It asks some of the others; of the rest it hears at second hand. */
 static void
-heartbeat(world_t *world, int from)
+heartbeat(world_t *world, int from, uint32_t asked)
 {
 	daemon_t *daemon = &world->daemons[from];
 
@@ -66,7 +71,8 @@
 		return;
 	daemon->last_heartbeat = world->now;
 	for (int to = 0; to < DAEMONS; to++) {
-		for (int i = 0; i < ASKS && to != from; i++) {
+		for (int i = 0;
+		     i < ASKS && to != from && (asked >> to & 1) != 0; i++) {
 			if (world->asks[i].used)
 				continue;
 			world->asks[i] = (ask_t){.used = true,
@@ -94,6 +100,8 @@
 		ask->evidence.revision = other->freshness.revision;
 		ask->evidence.store_read = other->freshness.store_read;
 		ask->evidence.store_at = other->freshness.store_at;
+		freshness_ages(&other->freshness, members, DAEMONS,
+		    members[ask->to], world->now, ask->ages);
 		learn(world, ask->to, self->freshness.revision);
 		return;
 	}
@@ -101,6 +109,8 @@
 		return;
 	ask->used = false;
 	freshness_peer_answered(&self->freshness, &ask->evidence);
+	freshness_merge(&self->freshness, &ask->evidence, members, DAEMONS,
+	    members[ask->from], ask->ages);
 	/* It asks for the rows at once; the fetch may be lost like any other.
 	 */
 	if (!other->stopped && input_below(input, 3) != 0)
@@ -161,7 +171,7 @@
 		return;
 	world->head++;
 	daemon->freshness.revision = world->head;
-	heartbeat(world, n);
+	heartbeat(world, n, ALL);
 }
 
 static void
@@ -196,7 +206,7 @@
 	for (int n = 0; n < DAEMONS; n++) {
 		if (timespec_ms_between(world->daemons[n].last_heartbeat,
 			world->now) >= HEARTBEAT_MS)
-			heartbeat(world, n);
+			heartbeat(world, n, input_below(input, ALL + 1));
 		read_move(world, n, input);
 	}
 	for (int round = 0; round < 2; round++) {
@@ -213,7 +223,7 @@
 
 	switch (input_below(input, 16)) {
 	case 0:
-		heartbeat(world, a);
+		heartbeat(world, a, ALL);
 		break;
 	case 1:
 	case 2:
