member: a question waits for its new link to come up

Cause: with 72 daemons and at most 48 links, links are opened anew all the time; the first question on each was refused as not sent and its member then counted as silent, so wait_joined never came in capacity.lua.

Change: such a question waits for the link, up to its timeout; one on a link that was up and isn't still fails at once.

--- a/include/moortack/member/peers.h
+++ b/include/moortack/member/peers.h
@@ -40,7 +40,6 @@
 	uint64_t from;		  /**< incarnation that was asked */
 	struct timespec asked_at; /**< elapsed clock */
 	Wire__Envelope *envelope; /**< NULL: none came in time */
-	bool unsent;		  /**< its link is new and isn't up yet */
 } peer_answer_t;
 
 /** How an answer finds its asker. */
--- a/moortack/config/registry_members.c
+++ b/moortack/config/registry_members.c
@@ -10,7 +10,6 @@
 #define HEARTBEAT_FANOUT 8
 /** Of them, those that are asked for what they know of the others. */
 #define AGES_ASKED 2
-#define SILENT_HEARTBEATS 5
 #define MEMBERS_MAX 1024
 #define BITS 8
 #define HEARTBEAT_TIMEOUTS 2
@@ -438,19 +437,10 @@
 }
 
 static void
-answer_missed(
-    registry_t *registry, member_t *member, const peer_answer_t *answer)
+answer_missed(registry_t *registry, member_t *member)
 {
-	int64_t silent_ms;
-
 	if (member == NULL || !member->answers)
 		return;
-	silent_ms = timespec_ms_between(
-	    member->heard_at, clock_elapsed(registry->process.clock));
-	/* A link that is being opened says nothing of the member yet. */
-	if (answer->unsent &&
-	    silent_ms < registry->options->heartbeat_ms * SILENT_HEARTBEATS)
-		return;
 	member->answers = false;
 	members_tell(registry);
 }
@@ -503,7 +493,7 @@
 	bool changed;
 
 	if (answer->envelope == NULL || answer->envelope->standing == NULL) {
-		answer_missed(registry, member, answer);
+		answer_missed(registry, member);
 		return;
 	}
 	if (member == NULL)
--- a/moortack/member/peers.c
+++ b/moortack/member/peers.c
@@ -40,23 +40,26 @@
 	UT_hash_handle hh;
 } link_t;
 
+typedef struct outgoing outgoing_t;
+
 /** A question whose answer is awaited. */
 typedef struct pending {
 	uint64_t id;
 	peer_ask_t ask;
 	struct timespec asked_at;
+	outgoing_t *waiting; /**< for a new link to come up; or NULL */
 	UT_hash_handle hh;
 } pending_t;
 
 /** A packed message on its way to the task. */
-typedef struct outgoing {
+struct outgoing {
 	peer_ask_t ask;
 	uint64_t id;
 	uint8_t identity[PEER_IDENTITY_MAX];
 	size_t identity_len;
 	size_t len;
 	uint8_t bytes[];
-} outgoing_t;
+};
 
 struct peers {
 	process_t process;
@@ -214,7 +217,7 @@
 }
 
 static void
-answer_post(const pending_t *pending, Wire__Envelope *envelope, bool unsent)
+answer_post(const pending_t *pending, Wire__Envelope *envelope)
 {
 	peer_answer_t *answer = malloc(sizeof(*answer));
 
@@ -226,18 +229,17 @@
 	*answer = (peer_answer_t){.tag = pending->ask.tag,
 	    .from = pending->ask.to,
 	    .asked_at = pending->asked_at,
-	    .envelope = envelope,
-	    .unsent = unsent};
+	    .envelope = envelope};
 	task_post(
 	    pending->ask.task, pending->ask.kind, answer, peer_answer_free);
 }
 
 static void
-pending_end(
-    peers_t *peers, pending_t *pending, Wire__Envelope *envelope, bool unsent)
+pending_end(peers_t *peers, pending_t *pending, Wire__Envelope *envelope)
 {
 	HASH_DEL(peers->pending, pending);
-	answer_post(pending, envelope, unsent);
+	answer_post(pending, envelope);
+	free(pending->waiting);
 	free(pending);
 }
 
@@ -257,7 +259,7 @@
 		wire__envelope__free_unpacked(envelope, NULL);
 		return;
 	}
-	pending_end(peers, pending, envelope, false);
+	pending_end(peers, pending, envelope);
 }
 
 static void
@@ -404,6 +406,37 @@
 	return sent;
 }
 
+static bool
+link_send(peers_t *peers, link_t *link, const outgoing_t *out)
+{
+	bool sent = bytes_send(peers, &link->socket, out);
+
+	link->was_up |= sent;
+	return sent;
+}
+
+static outgoing_t *
+outgoing_copy(const outgoing_t *out)
+{
+	outgoing_t *copy = malloc(sizeof(*copy) + out->len);
+
+	if (copy != NULL)
+		memcpy(copy, out, sizeof(*copy) + out->len);
+	return copy;
+}
+
+/* What waits for a new link to come up. */
+static void
+waiting_send(peers_t *peers, pending_t *pending)
+{
+	link_t *link = link_open(peers, pending->ask.to);
+
+	if (link == NULL || !link_send(peers, link, pending->waiting))
+		return;
+	free(pending->waiting);
+	pending->waiting = NULL;
+}
+
 static void
 ask_send(peers_t *peers, const outgoing_t *out)
 {
@@ -422,12 +455,14 @@
 	    .ask = out->ask,
 	    .asked_at = clock_elapsed(peers->process.clock)};
 	HASH_ADD(hh, peers->pending, id, sizeof(pending->id), pending);
-	/* A link that isn't up refuses: its asker hears so at once. */
-	if (link != NULL && bytes_send(peers, &link->socket, out))
-		link->was_up = true;
-	else
-		pending_end(
-		    peers, pending, NULL, link != NULL && !link->was_up);
+	if (link != NULL && link_send(peers, link, out))
+		return;
+	/* One that was up and isn't refuses: its asker hears so at once. A new
+	 * one is given the time to come up. */
+	if (link != NULL && !link->was_up)
+		pending->waiting = outgoing_copy(out);
+	if (pending->waiting == NULL)
+		pending_end(peers, pending, NULL);
 }
 
 static void
@@ -504,7 +539,9 @@
 	{
 		if (timespec_ms_between(pending->asked_at, now) >=
 		    pending->ask.timeout_ms)
-			pending_end(peers, pending, NULL, false);
+			pending_end(peers, pending, NULL);
+		else if (pending->waiting != NULL)
+			waiting_send(peers, pending);
 	}
 }
 
@@ -645,6 +682,7 @@
 	HASH_ITER(hh, peers->pending, pending, next_pending)
 	{
 		HASH_DEL(peers->pending, pending);
+		free(pending->waiting);
 		free(pending);
 	}
 	HASH_ITER(hh, peers->links, link, next_link)
