config: find a key's organisation by its hash

Change: an index made when a revision is compiled; one key for two organisations, which had gone to the first, is refused by the plan.

Ruled out: sorting the rows (handles follow the document's order).

Conclusion: the cost of a refusal no longer grows with organisations.

--- a/bench/refusal.lua
+++ b/bench/refusal.lua
@@ -1,5 +1,6 @@
 -- What a refusal costs of a service, in the daemon's processor time: r of "Load
--- shedding: the arithmetic that decides whether it works".
+-- shedding: the arithmetic that decides whether it works". The argument is how
+-- many other organisations there are.
 package.path = script_dir .. "/../test/scenario/?.lua;" .. package.path
 local lib = require("lib")
 local RATE, SECONDS = 400, 6
@@ -7,6 +8,12 @@
   place = "vantaa-hall", versions = {"linen-lm@1"},
   faults = {slots = 400, token_ms = 2}}}})
 local daemon = c.daemons[1]
+local changes = {}
+for i = 1, tonumber(arguments[1] or 0) do
+  changes[i] = {set = "organisation", name = "o" .. i, value = {
+    keys = {lib.OPERATOR_HASH:sub(1, 56) .. string.format("%08d", i)}}}
+end
+if #changes > 0 then c:change(changes) end
 
 local function idle()
   local before = lib.usage(daemon)
--- a/include/moortack/config/config.h
+++ b/include/moortack/config/config.h
@@ -84,10 +84,11 @@
 typedef struct config {
 	uint64_t revision;
 	json_t *document;
-	table_t places;	       /**< place_t */
-	table_t models;	       /**< model_t */
-	table_t versions;      /**< version_t */
-	table_t organisations; /**< organisation_t */
+	table_t places;		 /**< place_t */
+	table_t models;		 /**< model_t */
+	table_t versions;	 /**< version_t */
+	table_t organisations;	 /**< organisation_t */
+	struct config_key *keys; /**< which organisation has a key */
 	uint32_t references;
 } config_t;
 
--- a/moortack/config/config.c
+++ b/moortack/config/config.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <uthash.h>
 
 #define BITS 64
 #define LIMIT_MAX 1000000
@@ -14,6 +15,13 @@
 static const char *const class_names[CLASSES] = {
     "critical", "high", "medium", "sheddable"};
 
+/** A key's hash and whose it is. */
+struct config_key {
+	char hash[CONFIG_KEY_HASH_SIZE];
+	handle_t organisation;
+	UT_hash_handle hh;
+};
+
 /** One entry while it is compiled. */
 typedef struct entry {
 	const char *kind;
@@ -340,6 +348,49 @@
 	return true;
 }
 
+/* Each request looks a key up, so it isn't searched for row by row. */
+static bool
+keys_index(config_t *config, err_t *err)
+{
+	for (handle_t h = 0; h < config->organisations.len; h++) {
+		const organisation_t *row = config_organisation_at(config, h);
+
+		for (uint32_t k = 0; k < row->keys; k++) {
+			struct config_key *key;
+
+			HASH_FIND_STR(config->keys, row->key_hashes[k], key);
+			if (key != NULL && key->organisation != h)
+				return err_set(err, ERR_BAD_REQUEST,
+				    "%s and %s have the same key", row->name,
+				    config_organisation_at(
+					config, key->organisation)
+					->name);
+			if (key != NULL)
+				continue;
+			key = calloc(1, sizeof(*key));
+			if (key == NULL)
+				return err_set(err, ERR_MEMORY, "no memory");
+			memcpy(
+			    key->hash, row->key_hashes[k], sizeof(key->hash));
+			key->organisation = h;
+			HASH_ADD_STR(config->keys, hash, key);
+		}
+	}
+	return true;
+}
+
+static void
+keys_free(config_t *config)
+{
+	struct config_key *key, *next;
+
+	HASH_ITER(hh, config->keys, key, next)
+	{
+		HASH_DEL(config->keys, key);
+		free(key);
+	}
+}
+
 config_t *
 config_compile(json_t *document, uint64_t revision, err_t *err)
 {
@@ -362,7 +413,7 @@
 		config, "versions", "version", version_compile, err) &&
 	    section_compile(config, "organisations", "organisation",
 		organisation_compile, err) &&
-	    rolling_check(config, err))
+	    rolling_check(config, err) && keys_index(config, err))
 		return config;
 	config_release(config);
 	return NULL;
@@ -380,6 +431,7 @@
 {
 	if (config == NULL || --config->references > 0)
 		return;
+	keys_free(config);
 	table_finish(&config->places);
 	table_finish(&config->models);
 	table_finish(&config->versions);
@@ -426,17 +478,10 @@
 handle_t
 config_organisation_by_key(const config_t *config, const char *hash)
 {
-	for (handle_t h = 0; h < config->organisations.len; h++) {
-		const organisation_t *organisation =
-		    config_organisation_at(config, h);
+	const struct config_key *key;
 
-		for (uint32_t k = 0; k < organisation->keys; k++) {
-			if (sodium_memcmp(organisation->key_hashes[k], hash,
-				CONFIG_KEY_HASH_SIZE - 1) == 0)
-				return h;
-		}
-	}
-	return HANDLE_NONE;
+	HASH_FIND_STR(config->keys, hash, key);
+	return key != NULL ? key->organisation : HANDLE_NONE;
 }
 
 const place_t *
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Takes one mechanism out at a time, in a copy, and runs the test that must then
-# fail: tools/mutants.sh [NAME]...
+# fail: tools/mutants.sh [NAME]...; with -n it only checks that the list fits the
+# code.
 set -u
 cd "$(dirname "$0")/.."
 work=$(mktemp -d)
@@ -30,8 +31,13 @@
 	esac
 }
 
+only_check=
+if [ "${1-}" = -n ]; then
+	only_check=1
+	shift
+fi
 tree_copy
-(cd "$work/tree" && meson setup "$work/build" >/dev/null &&
+[ -n "$only_check" ] || (cd "$work/tree" && meson setup "$work/build" >/dev/null &&
 	CC=clang meson setup "$work/fuzz" -Dfuzz=true -Db_lundef=false \
 		>/dev/null) || exit 1
 while IFS= read -r line; do
@@ -43,6 +49,13 @@
 	to=$(printf '%s' "$line" | cut -d'|' -f4 | tr '\001' '|')
 	test=$(printf '%s' "$line" | cut -d'|' -f5)
 	[ $# -eq 0 ] || wanted "$name" "$@" || continue
+	if [ -n "$only_check" ]; then
+		FROM=$from perl -0ne 'exit(index($_, $ENV{FROM}) < 0)' \
+			"$work/tree/$file" && continue
+		echo "$name: $file no longer has this text"
+		missed=$((missed + 1))
+		continue
+	fi
 	cp "$work/tree/$file" "$work/kept"
 	FROM=$from TO=$to perl -0pi -e \
 		's/\Q$ENV{FROM}\E/$ENV{TO}/ or die "no such text\n"' \
@@ -63,5 +76,5 @@
 	fi
 	cp "$work/kept" "$work/tree/$file"
 done <test/mutants/list
-echo "$caught caught, $missed missed"
+[ -n "$only_check" ] || echo "$caught caught, $missed missed"
 [ "$missed" = 0 ]
