--- a/common/clock_source.c
+++ b/common/clock_source.c
@@ -26,14 +26,7 @@
 	return now;
 }
 
-static struct timespec
-manual_time(const clock_source_t *clock)
-{
-	return clock->set;
-}
-
 static const clock_ops_t system_ops = {system_elapsed, system_wall};
-static const clock_ops_t manual_ops = {manual_time, manual_time};
 
 void
 clock_system_init(clock_source_t *clock)
@@ -41,18 +34,6 @@
 	*clock = (clock_source_t){.ops = &system_ops};
 }
 
-void
-clock_manual_init(clock_source_t *clock, struct timespec at)
-{
-	*clock = (clock_source_t){.ops = &manual_ops, .set = at};
-}
-
-void
-clock_manual_advance(clock_source_t *clock, int64_t ms)
-{
-	clock->set = timespec_after_ms(clock->set, ms);
-}
-
 struct timespec
 clock_elapsed(const clock_source_t *clock)
 {
--- a/common/counters.c
+++ b/common/counters.c
@@ -17,7 +17,7 @@
     {"streams_cut", "Streams ended with an error event."},
     {"callers_gone", "Callers that left before their answer ended."},
     {"tokens", "Tokens delivered."},
-    {"late_replies", "Replies of abandoned attempts, dropped."},
+    {"late_replies", "Answers of peers that came too late, dropped."},
     {"bills_recorded", "Billing records made here."},
     {"bills_alone", "Answers given while no peer held their bill."},
     {"bills_held", "Billing records held for peers."},
--- a/include/common/clock_source.h
+++ b/include/common/clock_source.h
@@ -19,18 +19,14 @@
 	struct timespec (*wall)(const clock_source_t *);
 } clock_ops_t;
 
-/** A clock: a table of functions, and a set time for those that need one. */
+/** A clock: a table of functions. */
 struct clock_source {
 	const clock_ops_t *ops;
-	struct timespec set;
 };
 
 /** The machine's clock: CLOCK_BOOTTIME and CLOCK_REALTIME. */
 void clock_system_init(clock_source_t *);
 
-/** A clock that stands at @p at until clock_manual_advance(). */
-void clock_manual_init(clock_source_t *, struct timespec at);
-
 /** Move a manual clock on by @p ms milliseconds. */
 void clock_manual_advance(clock_source_t *, int64_t ms);
 
--- a/moortack/exchange/attempt.c
+++ b/moortack/exchange/attempt.c
@@ -1,4 +1,5 @@
 #include <event2/buffer.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -72,7 +73,6 @@
 			http_answer_header(
 			    exchange->req, "Content-Type", "text/event-stream");
 			evhttp_send_reply_start(exchange->req, STATUS_OK, "OK");
-			/* libevent sets its callbacks anew. */
 		}
 		evhttp_send_reply_chunk(exchange->req, out);
 	}
@@ -296,24 +296,29 @@
 	return started;
 }
 
+/** A stream that is to be taken up after a while, if it still lives then. */
+typedef struct resume_call {
+	front_t *front;
+	uint64_t tag;
+} resume_call_t;
+
 static void
 resume_now(evutil_socket_t fd, short what, void *arg)
 {
-	uint64_t *names = arg;
-	front_t *front = (front_t *)(uintptr_t)names[0];
-	exchange_t *exchange = front_exchange(front, names[1]);
+	const resume_call_t call = *(resume_call_t *)arg;
+	exchange_t *exchange = front_exchange(call.front, call.tag);
 	char name[ATTEMPT_NAME_SIZE];
 	char path[128];
 
 	(void)fd;
 	(void)what;
-	free(names);
+	free(arg);
 	if (exchange == NULL || exchange->phase != PHASE_RESUME ||
 	    exchange->upstream_req != NULL)
 		return;
 	attempt_name(exchange, name);
-	snprintf(path, sizeof(path), "/v1/streams/%s?from=%llu", name,
-	    (unsigned long long)exchange->sse.tokens);
+	snprintf(path, sizeof(path), "/v1/streams/%s?from=%" PRIu64, name,
+	    exchange->sse.tokens);
 	if (!upstream_start(exchange, EVHTTP_REQ_GET, path, NULL))
 		exchange_attempt_failed(
 		    exchange, true, false, "no memory to resume it");
@@ -324,25 +329,23 @@
 {
 	static const struct timeval wait = {0, RESUME_WAIT_MS * 1000};
 	front_t *front = exchange->front;
-	uint64_t *names;
+	resume_call_t *call;
 
 	if (!exchange->engine || !exchange->stream ||
 	    exchange->resumes >= RESUMES_MAX)
 		return false;
-	names = malloc(2 * sizeof(*names));
-	if (names == NULL)
+	call = malloc(sizeof(*call));
+	if (call == NULL)
 		return false;
-	names[0] = (uint64_t)(uintptr_t)front;
-	names[1] = exchange->tag;
+	*call = (resume_call_t){front, exchange->tag};
 	exchange->resumes++;
 	exchange->phase = PHASE_RESUME;
 	sse_restart(&exchange->sse);
 	counter_add(front->process.counters, COUNTER_RESUMES, 1);
 	timeline_add(front->process.timeline, EVENT_STREAM_RESUMED,
-	    exchange->id, "after %llu tokens",
-	    (unsigned long long)exchange->sse.tokens);
+	    exchange->id, "after %" PRIu64 " tokens", exchange->sse.tokens);
 	event_base_once(
-	    front->process.base, -1, EV_TIMEOUT, resume_now, names, &wait);
+	    front->process.base, -1, EV_TIMEOUT, resume_now, call, &wait);
 	return true;
 }
 
--- a/moortack/exchange/begin.c
+++ b/moortack/exchange/begin.c
@@ -271,12 +271,16 @@
 /* What a chat request's body says; it is not the caller's word alone that
  * decides: the model must be one that the organisation may use. */
 static bool
-chat_body_take(arrival_t *arrival, exchange_t *exchange, err_t *err)
+chat_body_take(
+    arrival_t *arrival, exchange_t *exchange, const char *path, err_t *err)
 {
 	const json_t *messages = json_object_get(exchange->body, "messages");
 	const char *model =
 	    json_string_value(json_object_get(exchange->body, "model"));
 
+	(void)path;
+	if (!sse_init(&exchange->sse))
+		return err_set(err, ERR_MEMORY, "no memory");
 	exchange->engine = true;
 	exchange->stream =
 	    json_is_true(json_object_get(exchange->body, "stream"));
@@ -307,35 +311,45 @@
 	return exchange->req != NULL || exchange->job != NULL;
 }
 
+/* Takes what the body and the path say. */
+typedef bool (*body_take_t)(
+    arrival_t *, exchange_t *, const char *path, err_t *err);
+
+/* The same for both kinds: what is known of the request, in the order in which
+ * it can be refused. */
+static void
+exchange_start(arrival_t *arrival, body_take_t body_take, const char *path)
+{
+	err_t err;
+	exchange_t *exchange = exchange_begin(arrival, &err);
+
+	if (exchange == NULL ||
+	    (exchange->body = http_request_json(arrival->req, &err)) == NULL ||
+	    !body_take(arrival, exchange, path, &err) ||
+	    !arrival_deadline(arrival, exchange, &err) ||
+	    !session_take(arrival, exchange, &err) ||
+	    !version_take(arrival, exchange, &err) ||
+	    !key_take(arrival, exchange, &err)) {
+		exchange_refuse(arrival, exchange, &err);
+		return;
+	}
+	exchange_run(arrival, exchange);
+}
+
 void
 exchange_chat(front_t *front, struct evhttp_request *req)
 {
 	arrival_t arrival = {.front = front,
 	    .req = req,
 	    .now = clock_elapsed(front->process.clock)};
-	exchange_t *exchange;
 	err_t err;
 
-	if (!arrival_pass(&arrival, &err)) {
+	if (!arrival_pass(&arrival, &err))
 		arrival_refuse(front, req, &err);
-		return;
-	}
-	if (asks_for_later(req)) {
+	else if (asks_for_later(req))
 		deferred_accept(front, req);
-		return;
-	}
-	exchange = exchange_begin(&arrival, &err);
-	if (exchange == NULL || !sse_init(&exchange->sse) ||
-	    (exchange->body = http_request_json(req, &err)) == NULL ||
-	    !chat_body_take(&arrival, exchange, &err) ||
-	    !arrival_deadline(&arrival, exchange, &err) ||
-	    !session_take(&arrival, exchange, &err) ||
-	    !version_take(&arrival, exchange, &err) ||
-	    !key_take(&arrival, exchange, &err)) {
-		exchange_refuse(&arrival, exchange, &err);
-		return;
-	}
-	exchange_run(&arrival, exchange);
+	else
+		exchange_start(&arrival, chat_body_take, NULL);
 }
 
 bool
@@ -358,8 +372,7 @@
 	/* The answer is kept whole, so it isn't asked for in events. */
 	json_object_del(exchange->body, "stream");
 	session_begin(front, exchange);
-	if (!sse_init(&exchange->sse) ||
-	    !chat_body_take(&arrival, exchange, err) ||
+	if (!chat_body_take(&arrival, exchange, NULL, err) ||
 	    !version_take(&arrival, exchange, err)) {
 		exchange_end(exchange);
 		return false;
@@ -372,7 +385,7 @@
 }
 
 static bool
-service_path_take(
+service_body_take(
     arrival_t *arrival, exchange_t *exchange, const char *path, err_t *err)
 {
 	size_t len = strcspn(path, "/");
@@ -385,9 +398,7 @@
 	snprintf(name, sizeof(name), "%.*s", (int)len, path);
 	snprintf(exchange->path, sizeof(exchange->path), "/%s",
 	    path + len + (path[len] == '/'));
-	exchange->body = http_request_json(arrival->req, err);
-	return exchange->body != NULL &&
-	    model_take(arrival, exchange, name, MODEL_SERVICE, err);
+	return model_take(arrival, exchange, name, MODEL_SERVICE, err);
 }
 
 /* The pool of the service that the path names. */
@@ -407,22 +418,10 @@
 	    .req = req,
 	    .pools = service_pool(path),
 	    .now = clock_elapsed(front->process.clock)};
-	exchange_t *exchange;
 	err_t err;
 
-	if (!arrival_pass(&arrival, &err)) {
+	if (!arrival_pass(&arrival, &err))
 		arrival_refuse(front, req, &err);
-		return;
-	}
-	exchange = exchange_begin(&arrival, &err);
-	if (exchange == NULL ||
-	    !service_path_take(&arrival, exchange, path, &err) ||
-	    !arrival_deadline(&arrival, exchange, &err) ||
-	    !session_take(&arrival, exchange, &err) ||
-	    !version_take(&arrival, exchange, &err) ||
-	    !key_take(&arrival, exchange, &err)) {
-		exchange_refuse(&arrival, exchange, &err);
-		return;
-	}
-	exchange_run(&arrival, exchange);
+	else
+		exchange_start(&arrival, service_body_take, path);
 }
--- a/moortack/member/peers.c
+++ b/moortack/member/peers.c
@@ -149,6 +149,7 @@
 		HASH_FIND(hh, peers->pending, &envelope->id,
 		    sizeof(envelope->id), pending);
 	if (pending == NULL || pending->ask.to != envelope->from) {
+		counter_add(peers->process.counters, COUNTER_LATE_REPLIES, 1);
 		wire__envelope__free_unpacked(envelope, NULL);
 		return;
 	}
--- a/moortackd/main.c
+++ b/moortackd/main.c
@@ -46,6 +46,8 @@
 {
 	daemon_t *daemon = arg;
 
+	timeline_add(&daemon->timeline, EVENT_STOPPED, daemon->options.listen,
+	    "%s", "drained");
 	log_line(LOG_INFO, LOG_MAIN, "Drained; nothing was cut.");
 	event_base_loopbreak(daemon->process.base);
 }
