docs: plots of exposure, endpoint choice and admission

Cause: the tables with many rows say less at a glance than a picture.

Change: bench/plots.sh draws them with gnuplot from the experiments' own tables; make plots installs what it needs. Model choice and retries stay tables: a plot of five or four numbers says no more.

Ruled out: plots drawn by hand from copied figures.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The README's commands. Each installs what is missing, then calls meson.
 BUILD = build
 
-.PHONY: all setup demo check lint fuzz bench sanitize mutants format clean
+.PHONY: all setup demo check lint fuzz bench plots sanitize mutants format clean
 
 all: setup
 	@[ -f $(BUILD)/build.ninja ] || meson setup $(BUILD) >/dev/null
@@ -42,6 +42,11 @@
 		$(BUILD)/test/scenario/runner $(CURDIR)/$(BUILD) \
 		bench/$$name.lua || exit 1; done
 
+# The plots of docs/MEASUREMENTS.md.
+plots: all
+	@tools/setup.sh packages-bench.txt
+	@bench/plots.sh $(BUILD)
+
 # Every test with the address and undefined-behaviour sanitizers.
 sanitize: setup
 	@[ -f build-sanitize/build.ninja ] || meson setup build-sanitize \
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# Installs the Debian packages of packages.txt that are missing.
+# Installs the Debian packages of a list that are missing: setup.sh [LIST]
 set -eu
 cd "$(dirname "$0")"
 missing=
-for package in $(cat packages.txt); do
+for package in $(cat "${1-packages.txt}"); do
 	dpkg-query -W -f='${Status}' "$package" 2>/dev/null |
 		grep -q 'install ok installed' || missing="$missing $package"
 done
