member: half of the members is enough to confirm

Cause: with two equal regions apart nobody could confirm a plan: each side hears exactly half, and more than half was asked for. The side with the table went on serving but could not withdraw a version.

Change: at least half confirms, more than half vouches without the table: any set that vouches still has one of those who confirmed in it.

Ruled out: letting half vouch (both sides would go on, and one of them without the withdrawal).

--- a/include/moortack/member/freshness.h
+++ b/include/moortack/member/freshness.h
@@ -5,7 +5,7 @@
  * Evidence is a read of the store's head that it has caught up with, or answers
  * to its own heartbeats from more than half of the members, itself counted,
  * that hold no later revision. A plan is confirmed only by a daemon that hears
- * more than half of the members, so one of those that answered either knows of
+ * at least half of the members, so one of those that answered either knows of
  * the plan or will by its next heartbeat.
  *
  * In a large fleet nobody asks everyone. An answer then brings along what its
@@ -89,8 +89,9 @@
 /** Until when new work may be taken; in the past when it may not. */
 struct timespec freshness_until(const freshness_t *);
 
-/** Whether more than half of the members, with this one, have answered a
- * heartbeat sent within the window. */
-bool freshness_majority(const freshness_t *, struct timespec now);
+/** Whether at least half of the members, with this one, have answered a
+ * heartbeat sent within the window: those that vouch for each other without the
+ * table are more than half, so one of them is among these. */
+bool freshness_half(const freshness_t *, struct timespec now);
 
 #endif
--- a/moortack/config/registry_admin.c
+++ b/moortack/config/registry_admin.c
@@ -318,9 +318,9 @@
 {
 	registry_t *registry = job->registry;
 
-	/* See freshness.h: without more than half of the members in reach the
-	 * change might not come into force in time. */
-	if (!freshness_majority(
+	/* See freshness.h: without half of the members in reach the change
+	 * might not come into force in time. */
+	if (!freshness_half(
 		&registry->freshness, clock_elapsed(registry->process.clock))) {
 		job_fail(job, ERR_PEERS,
 		    "fewer than half of the members answer this daemon; "
--- a/moortack/config/registry_members.c
+++ b/moortack/config/registry_members.c
@@ -286,7 +286,7 @@
 {
 	if (registry->store_lost || !registry->joined ||
 	    registry->members_pending ||
-	    !freshness_majority(&registry->freshness, now))
+	    !freshness_half(&registry->freshness, now))
 		return;
 	for (handle_t h = 0; h < registry->members->rows.len; h++) {
 		const member_t *member = members_at(registry->members, h);
--- a/moortack/member/freshness.c
+++ b/moortack/member/freshness.c
@@ -229,7 +229,7 @@
 }
 
 bool
-freshness_majority(const freshness_t *freshness, struct timespec now)
+freshness_half(const freshness_t *freshness, struct timespec now)
 {
 	uint32_t answered = 0;
 
@@ -240,5 +240,5 @@
 		    freshness->window_ms)
 			answered++;
 	}
-	return answered >= peers_needed(freshness);
+	return 2 * (answered + 1) >= freshness->members;
 }
