--- a/moortackctl/confirm.c
+++ b/moortackctl/confirm.c
@@ -1,7 +1,11 @@
 #include <stdio.h>
+#include <time.h>
 
 #include "client.h"
 
+#define SPREAD_EVERY_NS 500000000
+#define SPREAD_TURNS 24 /* 12 s, in which a change is to be in force */
+
 static bool
 asked(const command_context_t *context)
 {
@@ -28,13 +32,50 @@
 	}
 }
 
+typedef struct spread {
+	long long revision;
+	long long in_force;
+	long long members;
+} spread_t;
+
+static long long
+number(const json_t *reply, const char *name)
+{
+	return json_integer_value(json_object_get(reply, name));
+}
+
+/* Ask on until every member holds it, and show how far it is. */
+static void
+spread_follow(const command_context_t *context, spread_t *spread)
+{
+	static const struct timespec wait = {0, SPREAD_EVERY_NS};
+	err_t err;
+
+	for (int i = 0; i < SPREAD_TURNS && spread->in_force < spread->members;
+	     i++) {
+		json_t *status;
+
+		printf("Revision %lld is in force at %lld of %lld ...\n",
+		    spread->revision, spread->in_force, spread->members);
+		fflush(stdout);
+		nanosleep(&wait, NULL);
+		if (client_call(context, "/admin/status", NULL, &status,
+			&err) == COMMAND_OK &&
+		    number(status, "held") >= spread->revision) {
+			spread->in_force = number(status, "in_force");
+			spread->members = number(status, "members");
+		}
+		json_decref(status);
+	}
+}
+
 command_status_t
 command_confirm(const command_context_t *context, err_t *err)
 {
 	char path[128];
 	json_t *reply;
 	command_status_t status;
-	long long in_force, members;
+	spread_t spread;
 
 	if (context->word_count != 1) {
 		err_set(err, ERR_BAD_REQUEST, "usage: confirm PLAN");
@@ -51,15 +92,15 @@
 		json_decref(reply);
 		return status;
 	}
-	in_force = json_integer_value(json_object_get(reply, "in_force"));
-	members = json_integer_value(json_object_get(reply, "members"));
-	if (context->json)
+	spread = (spread_t){number(reply, "revision"),
+	    number(reply, "in_force"), number(reply, "members")};
+	if (context->json) {
 		client_print(reply);
-	else
+	} else {
+		spread_follow(context, &spread);
 		printf("Accepted as revision %lld; in force at %lld of %lld.\n",
-		    (long long)json_integer_value(
-			json_object_get(reply, "revision")),
-		    in_force, members);
+		    spread.revision, spread.in_force, spread.members);
+	}
 	json_decref(reply);
-	return in_force < members ? COMMAND_PARTLY : COMMAND_OK;
+	return spread.in_force < spread.members ? COMMAND_PARTLY : COMMAND_OK;
 }
