test: the same checks of bookings and bills stand once

Cause: five scenarios held the same loops.

Change: lib.whole_of, lib.check_at_most_once; check_billed_once also looks that no other request has two records, which only some did: stricter for the rest.

--- a/test/scenario/graceful.lua
+++ b/test/scenario/graceful.lua
@@ -33,11 +33,5 @@
   lib.check(row.verdict == "whole" or row.ran == "not_run",
     "booking %s: %s", row.prompt, run.encode(row))
 end
-local whole = {}
-for _, list in ipairs({rows, book_rows}) do
-  for _, row in ipairs(list) do
-    if row.verdict == "whole" then whole[row.request] = true end
-  end
-end
-c:check_billed_once(whole)
+c:check_billed_once(lib.whole_of(rows, book_rows))
 lib.say("ok")
--- a/test/scenario/half_cut.lua
+++ b/test/scenario/half_cut.lua
@@ -22,18 +22,6 @@
 lib.equal(summary.bad + book_summary.bad, 0, "bad answers")
 lib.equal(summary.whole, summary.sent, "chats served")
 local runs = lib.runs(c.services[2])
-for _, row in ipairs(book_rows) do
-  local count = runs[row.prompt] or 0
-  lib.check(count <= 1, "booking %s ran %d times", row.prompt, count)
-  lib.check(not (row.ran == "not_run" and count > 0),
-    "booking %s was called not run and ran", row.prompt)
-end
-local whole = {}
-for _, list in ipairs({rows, book_rows}) do
-  for _, row in ipairs(list) do
-    if row.verdict == "whole" then whole[row.request] = true end
-  end
-end
-c:check_billed_once(whole)
-for id, count in pairs((c:bills())) do lib.equal(count, 1, "bills of " .. id) end
+lib.check_at_most_once(book_rows, runs)
+c:check_billed_once(lib.whole_of(rows, book_rows))
 lib.say("ok")
--- a/test/scenario/kill_in_outage.lua
+++ b/test/scenario/kill_in_outage.lua
@@ -26,6 +26,5 @@
 c.daemons[1] = c.daemons[3]
 c.daemons[2] = nil
 local total = c:check_billed_once(whole)
-for id, count in pairs((c:bills())) do lib.equal(count, 1, "bills of " .. id) end
 lib.say("%d bills, all once", total)
 lib.say("ok")
--- a/test/scenario/kills.lua
+++ b/test/scenario/kills.lua
@@ -39,12 +39,7 @@
 
 -- At most once, and "not run" was true.
 local runs = lib.runs(c.services[2])
-for _, row in ipairs(book_rows) do
-  local count = runs[row.prompt] or 0
-  lib.check(count <= 1, "booking %s ran %d times", row.prompt, count)
-  lib.check(not (row.ran == "not_run" and count > 0),
-    "booking %s was called not run and ran", row.prompt)
-end
+lib.check_at_most_once(book_rows, runs)
 
 local said = {}
 for _, row in ipairs(book_rows) do
@@ -57,7 +52,4 @@
 
 -- Every whole answer has one bill; no request has two.
 c:check_billed_once(whole)
-for id, count in pairs((c:bills())) do
-  lib.equal(count, 1, "bills of " .. id)
-end
 lib.say("ok")
--- a/test/scenario/lib.lua
+++ b/test/scenario/lib.lua
@@ -536,6 +536,9 @@
   for id in pairs(requests) do
     lib.equal(bills[id], 1, "bills of request " .. id)
   end
+  for id, records in pairs(bills) do
+    lib.equal(records, 1, "bills of request " .. id)
+  end
   return total, count
 end
 
@@ -585,6 +588,27 @@
   return summary, rows, status
 end
 
+-- The requests of these rows that were answered whole.
+function lib.whole_of(...)
+  local whole = {}
+  for _, rows in ipairs({...}) do
+    for _, row in ipairs(rows) do
+      if row.verdict == "whole" then whole[row.request] = true end
+    end
+  end
+  return whole
+end
+
+-- None of these bookings ran twice, and none that was called not run ran.
+function lib.check_at_most_once(rows, runs)
+  for _, row in ipairs(rows) do
+    local count = runs[row.prompt] or 0
+    lib.check(count <= 1, "booking %s ran %d times", row.prompt, count)
+    lib.check(not (row.ran == "not_run" and count > 0),
+      "booking %s was called not run and ran", row.prompt)
+  end
+end
+
 -- Processor time in ms and resident memory in KiB of a process.
 function lib.usage(process)
   local file = io.open("/proc/" .. process.pid .. "/stat")
--- a/test/scenario/lost_reply.lua
+++ b/test/scenario/lost_reply.lua
@@ -41,8 +41,5 @@
 end
 local summary, rows = lib.finish_load(load)
 lib.equal(summary.whole, summary.sent, "chats served")
-local whole = {}
-for _, row in ipairs(rows) do whole[row.request] = true end
-c:check_billed_once(whole)
-for id, count in pairs((c:bills())) do lib.equal(count, 1, "bills of " .. id) end
+c:check_billed_once(lib.whole_of(rows))
 lib.say("ok")
--- a/test/scenario/one_link.lua
+++ b/test/scenario/one_link.lua
@@ -19,7 +19,5 @@
   {key = "pyykki-dock-key", rate = 30, seconds = 2, tokens = 4}))
 lib.equal(summary.whole, summary.sent, "chats served in an outage as well")
 lib.fault(c.store.address, {down = false})
-local whole = {}
-for _, row in ipairs(rows) do whole[row.request] = true end
-c:check_billed_once(whole)
+c:check_billed_once(lib.whole_of(rows))
 lib.say("ok")
--- a/test/scenario/store_outage.lua
+++ b/test/scenario/store_outage.lua
@@ -30,11 +30,7 @@
 lib.equal(summary.whole, summary.sent, "chats served through the outage")
 lib.equal(book_summary.whole, book_summary.sent,
   "ticketed bookings served through the outage")
-local whole = {}
-for _, list in ipairs({rows, book_rows}) do
-  for _, row in ipairs(list) do whole[row.request] = true end
-end
-c:check_billed_once(whole)
+c:check_billed_once(lib.whole_of(rows, book_rows))
 -- The plan was either taken or not; to confirm it again settles that.
 local again = c:confirm(plan)
 lib.equal(again.status, 200, "confirm after the outage")
