exchange: one way to put a request on a version

Cause: choosing a version, refusing when there is none and copying its name stood three times; counting a version's runs in four scenarios.

Change: exchange_version_set(); runs_of() in the scenarios' library.

--- a/include/moortack/exchange/exchange.h
+++ b/include/moortack/exchange/exchange.h
@@ -106,8 +106,9 @@
 /** Begin a call of a plain service. @param path what follows the prefix */
 void exchange_service(front_t *, struct evhttp_request *, const char *path);
 
-/** The version for a new session on the exchange's model; HANDLE_NONE: none. */
-handle_t exchange_version_choose(const exchange_t *, handle_t organisation);
+/** Put the exchange on the version that a new session on its model gets.
+ * @return false with @p err filled when there is none */
+bool exchange_version_set(exchange_t *, handle_t organisation, err_t *err);
 
 /** Try to give a waiting exchange an endpoint. */
 void exchange_try(exchange_t *);
--- a/moortack/exchange/begin.c
+++ b/moortack/exchange/begin.c
@@ -170,9 +170,6 @@
 static bool
 version_take(arrival_t *arrival, exchange_t *exchange, err_t *err)
 {
-	const config_t *config = arrival->front->config;
-	handle_t version;
-
 	if (exchange->open_model && !open_model_take(arrival, exchange, err))
 		return false;
 	if (exchange->session_given) {
@@ -188,13 +185,7 @@
 		    sizeof(exchange->version));
 		return true;
 	}
-	version = exchange_version_choose(exchange, arrival->organisation);
-	if (version == HANDLE_NONE)
-		return err_set(err, ERR_NO_ENDPOINT,
-		    "no version of %s takes new sessions", exchange->model);
-	memcpy(exchange->version, config_version_at(config, version)->name,
-	    sizeof(exchange->version));
-	return true;
+	return exchange_version_set(exchange, arrival->organisation, err);
 }
 
 /* Room for an exchange, with what its organisation's entry says. */
--- a/moortack/exchange/dispatch.c
+++ b/moortack/exchange/dispatch.c
@@ -26,8 +26,8 @@
 	    query->version != HANDLE_NONE;
 }
 
-handle_t
-exchange_version_choose(const exchange_t *exchange, handle_t organisation)
+static handle_t
+version_choose(const exchange_t *exchange, handle_t organisation)
 {
 	static const version_set_t none = {0};
 	const front_t *front = exchange->front;
@@ -46,6 +46,20 @@
 	return version;
 }
 
+bool
+exchange_version_set(exchange_t *exchange, handle_t organisation, err_t *err)
+{
+	const config_t *config = exchange->front->config;
+	handle_t version = version_choose(exchange, organisation);
+
+	if (version == HANDLE_NONE)
+		return err_set(err, ERR_NO_ENDPOINT,
+		    "no version of %s takes new sessions", exchange->model);
+	memcpy(exchange->version, config_version_at(config, version)->name,
+	    sizeof(exchange->version));
+	return true;
+}
+
 /* Whether a request must move: its version is closed to it. */
 static bool
 version_closed(const exchange_t *exchange, const version_t *version,
@@ -89,12 +103,8 @@
 		return err_set(err, ERR_VERSION_WITHDRAWN,
 		    "the session's version %s was withdrawn",
 		    exchange->version);
-	version = exchange_version_choose(exchange, organisation);
-	if (version == HANDLE_NONE)
-		return err_set(err, ERR_NO_ENDPOINT,
-		    "no version of %s takes new sessions", exchange->model);
-	memcpy(exchange->version, config_version_at(config, version)->name,
-	    sizeof(exchange->version));
+	if (!exchange_version_set(exchange, organisation, err))
+		return false;
 	exchange->session_given = false;
 	return true;
 }
--- a/moortack/exchange/learning.c
+++ b/moortack/exchange/learning.c
@@ -118,18 +118,9 @@
 model_set(exchange_t *exchange, handle_t organisation,
     const learn_cascade_t *row, int step, err_t *err)
 {
-	const config_t *config = exchange->front->config;
-	handle_t version;
-
 	exchange->step = step;
 	memcpy(exchange->model, row->models[step], sizeof(exchange->model));
-	version = exchange_version_choose(exchange, organisation);
-	if (version == HANDLE_NONE)
-		return err_set(err, ERR_NO_ENDPOINT,
-		    "no version of %s takes new sessions", exchange->model);
-	memcpy(exchange->version, config_version_at(config, version)->name,
-	    sizeof(exchange->version));
-	return true;
+	return exchange_version_set(exchange, organisation, err);
 }
 
 /* A stream can't be taken back once it has begun, so its model is chosen by
--- a/test/scenario/allowed.lua
+++ b/test/scenario/allowed.lua
@@ -21,16 +21,9 @@
 -- A version is taken away, for this organisation alone.
 c:set_version("linen-lm@2", "live")
 organisation({allow = {"linen-lm@2", "dock-app@*"}})
-local function runs_of(version)
-  local count = 0
-  for _, one in ipairs(c:engine_runs()) do
-    if one.version == version then count = count + 1 end
-  end
-  return count
-end
-local old = runs_of("linen-lm@1")
+local old = c:runs_of("linen-lm@1")
 run.sleep(1500)
-lib.equal(runs_of("linen-lm@1"), old, "runs of a version taken away")
+lib.equal(c:runs_of("linen-lm@1"), old, "runs of a version taken away")
 local summary = lib.finish_load(load)
 lib.say("%s", run.encode(summary))
 lib.equal(summary.bad, 0, "bad answers")
--- a/test/scenario/cut_off.lua
+++ b/test/scenario/cut_off.lua
@@ -33,16 +33,9 @@
 lib.equal(answer.status, 200, "confirm by the majority")
 -- By now every daemon holds it or has stopped: the window, two heartbeats.
 run.sleep(math.max(0, started + 1500 + 400 + 300 - run.now()))
-local function old_runs()
-  local count = 0
-  for _, one in ipairs(c:engine_runs()) do
-    if one.version == "linen-lm@1" then count = count + 1 end
-  end
-  return count
-end
-local then_runs = old_runs()
+local then_runs = c:runs_of("linen-lm@1")
 run.sleep(2500)
-lib.equal(old_runs(), then_runs, "runs of the withdrawn version after that")
+lib.equal(c:runs_of("linen-lm@1"), then_runs, "runs of the withdrawn version after that")
 local refused = lib.chat(c.daemons[3], {})
 lib.equal(refused.json.error.type, "config_stale", "what the cut-off one says")
 lib.equal(refused.json.error.ran, "not_run", "whether it ran")
--- a/test/scenario/guard.lua
+++ b/test/scenario/guard.lua
@@ -6,13 +6,6 @@
 local c = lib.standard({settings = {["rating-ms"] = 200,
   ["rate-percent"] = 50}})
 
-local function runs_of(version)
-  local count = 0
-  for _, one in ipairs(c:engine_runs()) do
-    if one.version == version then count = count + 1 end
-  end
-  return count
-end
 
 c:set_version("linen-lm@2", "rolling", 30)
 for i = 1, 2 do lib.fault(c.engines[i].address, {bad = "linen-lm@2"}) end
@@ -23,7 +16,7 @@
     return #c:events("guard_stopped", c.daemons[i]) > 0
   end)
 end
-local stopped = runs_of("linen-lm@2")
+local stopped = c:runs_of("linen-lm@2")
 c:daemon_start(4, "vantaa-hall")
 c:wait_joined(4)
 c:wait_ready()
@@ -33,7 +26,7 @@
 lib.equal(lib.finish_load(late).whole > 100, true, "the newcomer serves")
 local summary = lib.finish_load(load)
 lib.say("%s; %d runs of the bad version", run.encode(summary), stopped)
-lib.equal(runs_of("linen-lm@2"), stopped, "runs of it after the stop")
+lib.equal(c:runs_of("linen-lm@2"), stopped, "runs of it after the stop")
 lib.check(stopped <= 60, "the bad version ran %d times", stopped)
 -- The failed ones were retried on the good version, within the budget.
 lib.check(summary.whole >= summary.sent - stopped, "chats served")
@@ -43,11 +36,11 @@
 c:change({{set = "place", name = "kerava-hall", value = {region = "x"}}})
 lib.finish_load(lib.load(c:entries(),
   {key = "pyykki-dock-key", rate = 60, seconds = 1, tokens = 4, seed = 4}))
-lib.equal(runs_of("linen-lm@2"), stopped, "runs after another plan")
+lib.equal(c:runs_of("linen-lm@2"), stopped, "runs after another plan")
 c:set_version("linen-lm@2", "rolling", 40)
 lib.finish_load(lib.load(c:entries(),
   {key = "pyykki-dock-key", rate = 60, seconds = 1, tokens = 4, seed = 5}))
-lib.check(runs_of("linen-lm@2") > stopped, "a plan sets it going again")
+lib.check(c:runs_of("linen-lm@2") > stopped, "a plan sets it going again")
 
 -- Bad by rating alone: its answers come whole and fast.
 lib.fault(c.rating.address, {bad = "linen-lm@2", share = 100})
--- a/test/scenario/lib.lua
+++ b/test/scenario/lib.lua
@@ -503,6 +503,15 @@
   return all
 end
 
+-- Runs of one version at all engines.
+function Cluster:runs_of(version)
+  local count = 0
+  for _, one in ipairs(self:engine_runs()) do
+    if one.version == version then count = count + 1 end
+  end
+  return count
+end
+
 -- Bills in the store, by request: how many records each has.
 function Cluster:bills()
   local by_request, total, after = {}, 0, ""
--- a/test/scenario/regions_apart.lua
+++ b/test/scenario/regions_apart.lua
@@ -54,14 +54,7 @@
 for i = 3, 4 do
   lib.equal(lib.chat(c.daemons[i], {}).status, 503, "chat at daemon " .. i)
 end
-local function old_runs()
-  local count = 0
-  for _, one in ipairs(c:engine_runs()) do
-    if one.version == "linen-lm@1" then count = count + 1 end
-  end
-  return count
-end
-local before = old_runs()
+local before = c:runs_of("linen-lm@1")
 -- They meet again.
 c:heal()
 lib.fault(relay.address, {target = c.store.address})
@@ -74,5 +67,5 @@
       back.headers["Moortack-Version"] == "linen-lm@2"
   end)
 end
-lib.equal(old_runs(), before, "runs of the withdrawn version since")
+lib.equal(c:runs_of("linen-lm@1"), before, "runs of the withdrawn version since")
 lib.say("ok")
