--- a/bench/load.c
+++ b/bench/load.c
@@ -23,6 +23,7 @@
 #include "common/http_call.h"
 #include "common/log.h"
 #include "common/settings.h"
+#include "load_text.h"
 
 #define ENTRIES_MAX 64
 #define PROMPT_SIZE 64
@@ -162,42 +163,6 @@
 	return text;
 }
 
-/* The text of a stream. @return false without an end mark */
-static bool
-stream_text(char *body, char *out, const char **failure)
-{
-	static const char data[] = "data: ";
-	bool done = false;
-	char *rest;
-
-	*out = '\0';
-	for (char *line = strtok_r(body, "\n", &rest); line != NULL;
-	     line = strtok_r(NULL, "\n", &rest)) {
-		json_t *event;
-		const char *piece;
-
-		if (strncmp(line, "event: error", 12) == 0)
-			*failure = "stream_cut";
-		if (strncmp(line, data, sizeof(data) - 1) != 0)
-			continue;
-		line += sizeof(data) - 1;
-		if (strcmp(line, "[DONE]") == 0) {
-			done = true;
-			continue;
-		}
-		event = json_loads(line, 0, NULL);
-		piece = json_string_value(json_object_get(
-		    json_object_get(
-			json_array_get(json_object_get(event, "choices"), 0),
-			"delta"),
-		    "content"));
-		if (piece != NULL)
-			strcat(out, piece);
-		json_decref(event);
-	}
-	return done;
-}
-
 static bool
 plain_whole(const shot_t *shot, const json_t *answer, const char *wanted)
 {
