relay: no end of an endpoint is missed around an outage; older rows change nothing

Cause (found by reading, four ways): a daemon that keeps an endpoint whose entry went in an outage vouched for the version after that entry's end. Whoever followed it and then read the store, or followed another, went on from that version and never heard of the end; so did the daemon itself once it began to follow. A short loss of the store within the two seconds after an outage ended the time for lapsed entries, and those already kept stayed for good. And an older row (a question that was out for long) made an endpoint that was known as leaving ready again. Change: while entries are kept, others are told the table only up to the oldest kept entry's last row, and whoever begins to follow asks for all rows first. A time for lapsed entries ends by itself only. Rows older than the cached one are dropped before anything else sees them. Ruled out: asking for all rows at each change of parents (bytes of a table each time); a second clock for the short loss. Before: unit_lapse fails in 4 of 6 tests. After: 6 of 6; unit_relay_node, unit_row_source pass.

--- a/include/moortack/relay/row_source.h
+++ b/include/moortack/relay/row_source.h
@@ -77,7 +77,10 @@
 		      those who ask it to go elsewhere */
 	bool old;  /**< the rows of who is followed are old */
 	struct timespec old_since;
-	bool taking;	/**< a row that is told now comes from another daemon */
+	bool taking; /**< a row that is told now comes from another daemon */
+	/** Changes from this version on are not all passed on yet; 0: all are.
+	 */
+	uint64_t kept_back[ROW_TABLES];
 	bool following; /**< the rows come from another daemon */
 	char followed[MEMBER_NAME_SIZE]; /**< who is asked; "": nobody */
 	uint64_t followed_source;	 /**< its incarnation */
@@ -96,4 +99,14 @@
 
 const row_watch_t *row_source_watch(const row_source_t *, row_table_t);
 
+/** Changes from this version on are kept back for now: neither does anybody who
+ * relies on this daemon's rows miss them, nor this one when it goes on with the
+ * rows of another. @param version 0: nothing is kept back any more */
+void row_source_keep_back(row_source_t *, row_table_t, uint64_t version);
+/** Up to which version others may rely on what this daemon tells them: changes
+ * that it keeps back are later. */
+uint64_t row_source_told(const row_source_t *, row_table_t);
+/** Which version this daemon names to whom it asks; 0: it needs all rows. */
+uint64_t row_source_known(const row_source_t *, row_table_t);
+
 #endif
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -56,6 +56,27 @@
 		order_row(node, row);
 }
 
+/* Entries that lapsed may be gone since their last row: whoever relies on this
+ * daemon has to hear of that still. */
+static void
+lapsed_keep_back(relay_node_t *node)
+{
+	uint64_t least = 0;
+
+	for (const endpoint_t *one = node->endpoints.endpoints; one != NULL;
+	     one = one->hh.next) {
+		const cached_row_t *row = one->lapsed
+		    ? row_cache_find(&node->source.cache, ROW_TABLE_ENDPOINTS,
+			  one->facts.id)
+		    : NULL;
+
+		if (row != NULL && (least == 0 || row->version < least))
+			least = row->version;
+	}
+	row_source_keep_back(
+	    &node->source, ROW_TABLE_ENDPOINTS, least == 0 ? 0 : least + 1);
+}
+
 /* An entry is gone, as of a version of the store: whoever knows less has to be
  * told. What another daemon tells is final. In an outage, and shortly after it,
  * entries also go that are of living endpoints. */
@@ -64,21 +85,25 @@
 {
 	bool keep =
 	    node->lapses && !node->source.taking && !endpoint->facts.leaving;
+	bool was_lapsed = endpoint->lapsed;
 	row_t end;
 
-	if (keep && endpoint->lapsed)
+	if (keep && was_lapsed)
 		return;
 	event_line(&node->log, "endpoint_gone",
 	    "id=%s service=%s lapsed=%d in_flight=%u", endpoint->facts.id,
 	    endpoint->facts.service, keep, endpoint->in_flight);
 	if (keep) {
 		endpoint->lapsed = true;
+		lapsed_keep_back(node);
 		return;
 	}
 	end = (row_t){
 	    .key = endpoint->facts.id, .version = version, .deleted = true};
 	row_source_put(&node->source, ROW_TABLE_ENDPOINTS, &end);
 	endpoint_set_remove(&node->endpoints, endpoint);
+	if (was_lapsed)
+		lapsed_keep_back(node);
 }
 
 static void
@@ -86,6 +111,7 @@
 {
 	endpoint_t *before = endpoint_set_find(&node->endpoints, facts->id);
 	bool was_leaving = before != NULL && before->facts.leaving;
+	bool was_lapsed = before != NULL && before->lapsed;
 
 	if (before == NULL || was_leaving != facts->leaving)
 		event_line(&node->log, "endpoint",
@@ -95,6 +121,8 @@
 		    facts->address.port, facts->place, facts->version,
 		    facts->leaving);
 	endpoint_set_take(&node->endpoints, facts);
+	if (was_lapsed)
+		lapsed_keep_back(node);
 }
 
 static void
@@ -135,15 +163,21 @@
 static void
 on_row(void *arg, row_table_t table, const row_t *row)
 {
+	relay_node_t *node = arg;
+
+	/* A question that was out for long brings rows that are older than what
+	 * another daemon told meanwhile. */
+	if (row_cache_newer(&node->source.cache, table, row))
+		return;
 	switch (table) {
 	case ROW_TABLE_ORDERS:
-		on_order_row(arg, row);
+		on_order_row(node, row);
 		break;
 	case ROW_TABLE_ENDPOINTS:
-		on_endpoint_row(arg, row);
+		on_endpoint_row(node, row);
 		break;
 	case ROW_TABLE_OWN:
-		on_own_row(arg, row);
+		on_own_row(node, row);
 		break;
 	case ROW_TABLES:
 		break;
@@ -183,14 +217,13 @@
 
 	event_line(&node->log, now ? "store_back" : "store_lost",
 	    "table=%s age_ms=%" PRId64, names[table], row_watch_age_ms(watch));
-	if (table != ROW_TABLE_ENDPOINTS)
-		return;
-	if (!now)
+	if (table != ROW_TABLE_ENDPOINTS || !now)
 		return;
 	/* The first answer of all ends no outage that this daemon saw, nor does
 	 * one after a time in which others told what the store has. */
-	node->lapses =
-	    watch->settled_once && row_watch_age_ms(watch) >= OUTAGE_MIN_MS;
+	if (!watch->settled_once || row_watch_age_ms(watch) < OUTAGE_MIN_MS)
+		return;
+	node->lapses = true;
 	node->store_back = clock_elapsed(node->ports.clock);
 }
 
@@ -223,11 +256,13 @@
 	struct timespec now = clock_elapsed(node->ports.clock);
 	endpoint_t *one, *next;
 
-	if (!node->lapses || !watch->reachable ||
+	if (node->source.following || !watch->reachable ||
 	    timespec_ms_between(node->store_back, now) <
 		node->settings.lapse_ms)
 		return;
 	node->lapses = false;
+	if (node->source.kept_back[ROW_TABLE_ENDPOINTS] == 0)
+		return;
 	for (one = node->endpoints.endpoints; one != NULL; one = next) {
 		next = one->hh.next;
 		if (one->lapsed)
@@ -238,10 +273,5 @@
 void
 relay_rows_lapses_drop(relay_node_t *node)
 {
-	if (!node->lapses)
-		return;
 	node->lapses = false;
-	for (endpoint_t *one = node->endpoints.endpoints; one != NULL;
-	     one = one->hh.next)
-		one->lapsed = false;
 }
--- a/moortack/relay/row_source.c
+++ b/moortack/relay/row_source.c
@@ -40,6 +40,42 @@
 	return &self->watches[table].watch;
 }
 
+void
+row_source_keep_back(row_source_t *self, row_table_t table, uint64_t version)
+{
+	self->kept_back[table] = version;
+}
+
+static bool
+kept_back_any(const row_source_t *self)
+{
+	for (int i = 0; i < ROW_TABLES; i++) {
+		if (self->kept_back[i] != 0)
+			return true;
+	}
+	return false;
+}
+
+uint64_t
+row_source_told(const row_source_t *self, row_table_t table)
+{
+	uint64_t version = row_source_watch(self, table)->version;
+	uint64_t kept_back = self->kept_back[table];
+
+	return kept_back != 0 && kept_back <= version ? kept_back - 1 : version;
+}
+
+uint64_t
+row_source_known(const row_source_t *self, row_table_t table)
+{
+	const row_watch_t *watch = row_source_watch(self, table);
+
+	if (self->kept_back[table] != 0 ||
+	    row_watch_age_ms(watch) >= VERSIONS_KNOWN_MS)
+		return 0;
+	return watch->version;
+}
+
 bool
 row_source_put(row_source_t *self, row_table_t table, const row_t *row)
 {
@@ -152,6 +188,11 @@
 	self->followed_change = answer->change;
 	if (self->following)
 		return;
+	if (kept_back_any(self)) {
+		/* Only all rows tell how what is kept back ended. */
+		self->followed_source = 0;
+		return;
+	}
 	self->following = true;
 	feed_server_set_lost(&self->server, self->down);
 	feed_server_refresh(&self->server);
@@ -176,12 +217,8 @@
 	    self->members->settings.name);
 	question->source = self->followed_source;
 	question->change = self->followed_change;
-	for (int i = 0; i < ROW_TABLES; i++) {
-		const row_watch_t *watch = &self->watches[i].watch;
-
-		if (row_watch_age_ms(watch) < VERSIONS_KNOWN_MS)
-			question->versions[i] = watch->version;
-	}
+	for (int i = 0; i < ROW_TABLES; i++)
+		question->versions[i] = row_source_known(self, (row_table_t)i);
 	question->report = self->ops->report(self->arg);
 	question->below = membership_below(self->members);
 }
@@ -198,8 +235,9 @@
 		const row_watch_t *watch = &self->watches[i].watch;
 		int64_t age_ms = row_watch_age_ms(watch);
 
-		answer->tables[i] = (feed_table_t){
-		    watch->version, age_ms == INT64_MAX ? -1 : age_ms};
+		answer->tables[i] =
+		    (feed_table_t){row_source_told(self, (row_table_t)i),
+			age_ms == INT64_MAX ? -1 : age_ms};
 	}
 	answer->store_now_ms =
 	    self->members->store_offset_ms + timespec_ms(now);
--- /dev/null
+++ b/test/unit/lapse_test.c
@@ -0,0 +1,347 @@
+/**
+ * @file
+ * Entries of endpoints that go in an outage of the store: they are kept for a
+ * while, and nobody who relies on this daemon's rows misses their end. Rows
+ * that are older than what is known change nothing.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include <event2/event.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../../moortack/relay/relay_node_priv.h"
+
+#define LAPSE_MS 2000
+#define OUTAGE_MS 4000
+#define VERSION_ENTRY 40
+#define VERSION_BEFORE 60
+#define VERSION_END 75
+#define VERSION_AFTER 90
+
+/** A clock that a test moves. */
+typedef struct manual_clock {
+	clock_source_t source;
+	struct timespec now;
+} manual_clock_t;
+
+static struct timespec
+manual_now(const clock_source_t *clock)
+{
+	return ((const manual_clock_t *)clock)->now;
+}
+
+static const clock_ops_t manual_ops = {manual_now, manual_now};
+
+/* A store that never answers. */
+static bool
+silent_read(row_store_t *store, const char *table, const char *from,
+    int64_t timeout_ms, row_done_t done, void *arg)
+{
+	(void)store;
+	(void)table;
+	(void)from;
+	(void)timeout_ms;
+	(void)done;
+	(void)arg;
+	return true;
+}
+
+static bool
+silent_feed(row_store_t *store, const char *table, uint64_t after,
+    int64_t wait_ms, int64_t timeout_ms, row_done_t done, void *arg)
+{
+	(void)store;
+	(void)table;
+	(void)after;
+	(void)wait_ms;
+	(void)timeout_ms;
+	(void)done;
+	(void)arg;
+	return true;
+}
+
+static bool
+silent_write(row_store_t *store, const row_change_t *expected,
+    size_t expected_len, const row_change_t *changes, size_t changes_len,
+    int64_t timeout_ms, row_done_t done, void *arg)
+{
+	(void)store;
+	(void)expected;
+	(void)expected_len;
+	(void)changes;
+	(void)changes_len;
+	(void)timeout_ms;
+	(void)done;
+	(void)arg;
+	return true;
+}
+
+static const row_store_ops_t silent_ops = {
+    silent_read, silent_feed, silent_write};
+
+/* An entry's text is "leaving" or anything else. */
+static bool
+entry_decode(const char *id, const char *text, size_t len,
+    endpoint_facts_t *facts, err_t *err)
+{
+	(void)err;
+	*facts = (endpoint_facts_t){
+	    .service = "s", .place = "a", .version = "v1", .slots = 1};
+	facts->leaving = len == 7 && memcmp(text, "leaving", len) == 0;
+	snprintf(facts->id, sizeof(facts->id), "%s", id);
+	return http_address_parse("127.0.0.1:9", &facts->address);
+}
+
+static bool
+entry_same(const char *a, size_t a_len, const char *b, size_t b_len)
+{
+	return a_len == b_len && memcmp(a, b, a_len) == 0;
+}
+
+static const source_dialect_t sources = {.orders_table = "orders",
+    .config_key = "config",
+    .rollout_prefix = "rollout/",
+    .endpoints_table = "endpoints",
+    .endpoint = entry_decode,
+    .endpoint_same = entry_same};
+
+/** A node whose rows the test tells. */
+typedef struct told_node {
+	relay_node_t node;
+	struct event_base *base;
+	manual_clock_t clock;
+	rng_t rng;
+	row_store_t store;
+} told_node_t;
+
+static void
+told_node_init(told_node_t *told)
+{
+	static const caller_dialect_t callers;
+	static const endpoint_dialect_t endpoints;
+	static const rollout_dialect_t rollouts;
+	const relay_node_settings_t settings = {.listen = {"127.0.0.1", 0},
+	    .name = "127.0.0.1:1",
+	    .place = "a",
+	    .endpoints_pause_ms = 600,
+	    .config_wait_ms = 500,
+	    .lapse_ms = LAPSE_MS,
+	    .grace_ms = 1000,
+	    .log_per_s = 1};
+	relay_ports_t ports;
+	err_t err;
+
+	told->clock = (manual_clock_t){{&manual_ops}, {1000, 0}};
+	told->store = (row_store_t){&silent_ops};
+	told->base = event_base_new();
+	rng_system_init(&told->rng);
+	ports = (relay_ports_t){told->base, &told->clock.source, &told->rng,
+	    &told->store, &sources, &callers, &endpoints, &rollouts};
+	assert_true(relay_node_init(&told->node, &ports, &settings, &err));
+}
+
+static void
+told_node_finish(told_node_t *told)
+{
+	relay_node_finish(&told->node);
+	event_base_free(told->base);
+}
+
+static void
+pass(told_node_t *told, int64_t ms)
+{
+	told->clock.now = timespec_after_ms(told->clock.now, ms);
+}
+
+static void
+entry_tell(
+    told_node_t *told, const char *id, const char *text, uint64_t version)
+{
+	row_t row = {.key = id,
+	    .value = text,
+	    .value_len = text != NULL ? strlen(text) : 0,
+	    .version = version,
+	    .deleted = text == NULL};
+
+	relay_rows_ops.row(&told->node, ROW_TABLE_ENDPOINTS, &row);
+}
+
+/* The store has answered: its entries are known up to the version. */
+static void
+store_answers(told_node_t *told, uint64_t version)
+{
+	row_watch_t *watch =
+	    &told->node.source.watches[ROW_TABLE_ENDPOINTS].watch;
+
+	row_watch_vouch(watch, version, told->clock.now);
+	watch->reachable = true;
+}
+
+static void
+store_lost(told_node_t *told)
+{
+	told->node.source.watches[ROW_TABLE_ENDPOINTS].watch.reachable = false;
+	relay_rows_ops.reachable(&told->node, ROW_TABLE_ENDPOINTS, false);
+}
+
+static void
+store_back(told_node_t *told, uint64_t version)
+{
+	relay_rows_ops.reachable(&told->node, ROW_TABLE_ENDPOINTS, true);
+	store_answers(told, version);
+}
+
+static const endpoint_t *
+entry_of(const told_node_t *told, const char *id)
+{
+	return endpoint_set_find(&told->node.endpoints, id);
+}
+
+/* An entry that is known, an outage, and the entry's end just after it. */
+static void
+entry_lapses(told_node_t *told)
+{
+	told_node_init(told);
+	entry_tell(told, "e1", "ready", VERSION_ENTRY);
+	store_answers(told, VERSION_BEFORE);
+	store_lost(told);
+	pass(told, OUTAGE_MS);
+	relay_rows_ops.reachable(&told->node, ROW_TABLE_ENDPOINTS, true);
+	entry_tell(told, "e1", NULL, VERSION_END);
+	store_answers(told, VERSION_AFTER);
+}
+
+static void
+an_entry_that_lapsed_is_kept_for_a_time(void **state)
+{
+	static told_node_t told;
+
+	(void)state;
+	entry_lapses(&told);
+	assert_non_null(entry_of(&told, "e1"));
+	pass(&told, LAPSE_MS - 1);
+	relay_rows_lapsed_end(&told.node);
+	assert_non_null(entry_of(&told, "e1"));
+	pass(&told, 1);
+	relay_rows_lapsed_end(&told.node);
+	assert_null(entry_of(&told, "e1"));
+	told_node_finish(&told);
+}
+
+/* Whoever goes on from the version that it was told hears of the end. */
+static void
+nobody_is_told_a_version_beyond_an_entry_that_is_kept(void **state)
+{
+	const row_source_t *source;
+	static told_node_t told;
+
+	(void)state;
+	entry_lapses(&told);
+	source = &told.node.source;
+	assert_true(row_source_told(source, ROW_TABLE_ENDPOINTS) < VERSION_END);
+	assert_int_equal(row_source_known(source, ROW_TABLE_ENDPOINTS), 0);
+	pass(&told, LAPSE_MS);
+	relay_rows_lapsed_end(&told.node);
+	assert_int_equal(
+	    row_source_told(source, ROW_TABLE_ENDPOINTS), VERSION_AFTER);
+	assert_int_equal(
+	    row_source_known(source, ROW_TABLE_ENDPOINTS), VERSION_AFTER);
+	told_node_finish(&told);
+}
+
+static void
+an_entry_that_comes_back_is_no_longer_kept_back(void **state)
+{
+	static told_node_t told;
+
+	(void)state;
+	entry_lapses(&told);
+	entry_tell(&told, "e1", "ready", VERSION_AFTER + 1);
+	store_answers(&told, VERSION_AFTER + 1);
+	assert_int_equal(
+	    row_source_told(&told.node.source, ROW_TABLE_ENDPOINTS),
+	    VERSION_AFTER + 1);
+	pass(&told, LAPSE_MS);
+	relay_rows_lapsed_end(&told.node);
+	assert_non_null(entry_of(&told, "e1"));
+	told_node_finish(&told);
+}
+
+/* A moment without the store soon after an outage does not keep for good what
+ * the outage left behind. */
+static void
+a_second_short_loss_ends_no_time(void **state)
+{
+	static told_node_t told;
+
+	(void)state;
+	entry_lapses(&told);
+	pass(&told, LAPSE_MS / 2);
+	store_lost(&told);
+	pass(&told, LAPSE_MS / 4);
+	store_back(&told, VERSION_AFTER);
+	pass(&told, LAPSE_MS);
+	relay_rows_lapsed_end(&told.node);
+	assert_null(entry_of(&told, "e1"));
+	told_node_finish(&told);
+}
+
+/* Whoever begins to follow another while it keeps entries asks it for all, and
+ * forgets none of them until it was told. */
+static void
+who_begins_to_follow_forgets_no_end(void **state)
+{
+	static told_node_t told;
+
+	(void)state;
+	entry_lapses(&told);
+	relay_rows_lapses_drop(&told.node);
+	assert_int_equal(
+	    row_source_known(&told.node.source, ROW_TABLE_ENDPOINTS), 0);
+	told.node.source.taking = true;
+	entry_tell(&told, "e1", NULL, VERSION_BEFORE);
+	assert_null(entry_of(&told, "e1"));
+	assert_int_equal(
+	    row_source_known(&told.node.source, ROW_TABLE_ENDPOINTS),
+	    VERSION_AFTER);
+	told_node_finish(&told);
+}
+
+static void
+an_older_row_brings_back_no_endpoint_that_leaves(void **state)
+{
+	static told_node_t told;
+
+	(void)state;
+	told_node_init(&told);
+	entry_tell(&told, "e1", "leaving", VERSION_BEFORE);
+	entry_tell(&told, "e1", "ready", VERSION_ENTRY);
+	assert_true(entry_of(&told, "e1")->facts.leaving);
+	entry_tell(&told, "e1", NULL, VERSION_ENTRY);
+	assert_non_null(entry_of(&told, "e1"));
+	entry_tell(&told, "e1", NULL, VERSION_END);
+	entry_tell(&told, "e1", "ready", VERSION_BEFORE);
+	assert_null(entry_of(&told, "e1"));
+	told_node_finish(&told);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(an_entry_that_lapsed_is_kept_for_a_time),
+	    cmocka_unit_test(
+		nobody_is_told_a_version_beyond_an_entry_that_is_kept),
+	    cmocka_unit_test(an_entry_that_comes_back_is_no_longer_kept_back),
+	    cmocka_unit_test(a_second_short_loss_ends_no_time),
+	    cmocka_unit_test(who_begins_to_follow_forgets_no_end),
+	    cmocka_unit_test(an_older_row_brings_back_no_endpoint_that_leaves),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
