relay: a larger model is asked only where its answer is expected in time

One fading record of all sizes decided. Change: the time until an answer begins is learned for each model as a straight line over the prompt's tokens (read_pace.c), and the choice weighs each larger model by it, by its cost, and by how often it is good enough once the smaller one was not (learned). What concerns models moves to relay_model.c.

--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -14,6 +14,7 @@
 #include "moortack/relay/event_log.h"
 #include "moortack/relay/membership.h"
 #include "moortack/relay/model_choice.h"
+#include "moortack/relay/read_pace.h"
 #include "moortack/relay/relay_config.h"
 #include "moortack/relay/relay_stats.h"
 #include "moortack/relay/retry_share.h"
@@ -35,12 +36,20 @@
 
 typedef struct relay_request relay_request_t;
 
+/** What is known of a model of a service. */
+typedef struct relay_model {
+	uint64_t name; /**< hash of it */
+	model_record_t record;
+	read_pace_t pace;
+} relay_model_t;
+
 /** What is counted for each service. */
 typedef struct relay_budget {
 	char service[ENDPOINT_NAME_SIZE];
 	retry_share_t share;
-	work_split_t work;     /**< of its prompts */
-	model_record_t record; /**< of the largest model */
+	work_split_t work; /**< of its prompts */
+	relay_model_t models[MODELS_MAX];
+	size_t models_len;
 	UT_hash_handle hh;
 } relay_budget_t;
 
--- a/include/moortack/relay/relay_config.h
+++ b/include/moortack/relay/relay_config.h
@@ -15,9 +15,10 @@
 #include <uthash.h>
 
 #include "common/err.h"
+#include "moortack/relay/model_choice.h"
 
 #define RELAY_POOLS_MAX 16
-#define RELAY_MODELS_MAX 8
+#define RELAY_MODELS_MAX MODELS_MAX
 
 /** What may be repeated. */
 typedef enum route_kind {
--- /dev/null
+++ b/moortack/relay/read_pace.c
@@ -0,0 +1,39 @@
+#include "moortack/relay/read_pace.h"
+
+/* Weight that what was measured before keeps at each new answer: some fifty
+ * count, so that a change of load or version shows within seconds. */
+#define FADING 0.98
+/* Answers after which the line is believed. */
+#define TAKEN_MIN 5
+/* Least variance of tokens, in those of the mean squared, for a slope. */
+#define VARIANCE_MIN 0.01
+
+void
+read_pace_take(read_pace_t *pace, double tokens, double ms)
+{
+	pace->count = FADING * pace->count + 1;
+	pace->x = FADING * pace->x + tokens;
+	pace->y = FADING * pace->y + ms;
+	pace->xx = FADING * pace->xx + tokens * tokens;
+	pace->xy = FADING * pace->xy + tokens * ms;
+	pace->taken++;
+}
+
+double
+read_pace_ms(const read_pace_t *pace, double tokens)
+{
+	double mean_x, mean_y, variance, slope, ms;
+
+	if (pace->taken < TAKEN_MIN)
+		return -1;
+	mean_x = pace->x / pace->count;
+	mean_y = pace->y / pace->count;
+	variance = pace->xx / pace->count - mean_x * mean_x;
+	if (variance <= VARIANCE_MIN * mean_x * mean_x)
+		return mean_y;
+	slope = (pace->xy / pace->count - mean_x * mean_y) / variance;
+	if (slope < 0)
+		slope = 0;
+	ms = mean_y + slope * (tokens - mean_x);
+	return ms > 0 ? ms : 0;
+}
--- a/moortack/relay/relay_answer.c
+++ b/moortack/relay/relay_answer.c
@@ -4,8 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "moortack/relay/model_choice.h"
-
 /* An endpoint is not read while its caller has this much to take. */
 #define CALLER_BEHIND_MAX (256U << 10)
 #define STATUS_OK 200
@@ -94,57 +92,6 @@
 	stats_add(&relay->stats, STAT_ATTEMPTS, 1);
 }
 
-void
-request_time_note(relay_request_t *req, bool begun)
-{
-	attempt_t *attempt = &req->attempt;
-	relay_budget_t *counts;
-	bool late = request_age_ms(req) > req->route->objective_ms;
-
-	if (attempt->timed || !req->arrival.any_model ||
-	    req->model_index + 1 != req->route->models_len || (!begun && !late))
-		return;
-	attempt->timed = true;
-	counts = relay_counts(req->relay, req->service);
-	if (counts != NULL)
-		model_record_take(&counts->record, !late);
-}
-
-/* Answers that are late already, though they have not begun. */
-static void
-late_note(relay_t *relay)
-{
-	for (relay_request_t *req = relay->first; req != NULL;
-	     req = req->next) {
-		if (req->attempt.sent && !req->attempt.headed)
-			request_time_note(req, false);
-	}
-}
-
-/* The head tells how good the model thinks its answer: while the caller has
- * received nothing, a larger one may be asked instead. */
-static void
-model_judge(relay_request_t *req)
-{
-	model_moment_t moment = {.model = req->model_index,
-	    .models = req->arrival.any_model ? req->route->models_len : 0,
-	    .confidence = req->confidence,
-	    .repeat_left = req->sends < req->route->attempts &&
-		relay_repeat_plenty(req->relay, req->service)};
-	const relay_budget_t *counts;
-	size_t next;
-
-	late_note(req->relay);
-	counts = relay_counts(req->relay, req->service);
-	moment.on_time =
-	    counts != NULL ? model_record_on_time(&counts->record) : 1;
-	next = model_next(&moment);
-	if (next == req->model_index)
-		return;
-	req->model_index = next;
-	attempt_over(req, ATTEMPT_DROPPED, "low_confidence");
-}
-
 static void
 on_head(void *arg, const http_msg_t *msg)
 {
@@ -159,8 +106,6 @@
 		return;
 	}
 	attempt->headed = true;
-	if (!answer->not_run && !answer->wrong_endpoint)
-		request_time_note(req, true);
 	attempt->first_ms = (double)timespec_ms_between(
 	    attempt->sent_at, clock_elapsed(req->relay->clock));
 	if (answer->load_told)
@@ -183,7 +128,7 @@
 	if (req->head == NULL)
 		attempt_over(req, ATTEMPT_UNKNOWN, "head_too_large");
 	else if (req->streaming)
-		model_judge(req);
+		relay_model_judge(req);
 }
 
 /* Pass on the events that are whole. @return false: the attempt is over */
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -92,6 +92,8 @@
 
 	if (attempt->endpoint == NULL)
 		return;
+	if (attempt->sent && !attempt->headed)
+		relay_model_unanswered(req);
 	attempt_uncount(req);
 	attempt->endpoint->connections--;
 	http_outbound_free(attempt->conn);
--- /dev/null
+++ b/moortack/relay/relay_model.c
@@ -0,0 +1,145 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "relay_request.h"
+
+/* What is known of a model of the request's service, or NULL: there are more
+ * than a route may name. */
+static relay_model_t *
+model_known(const relay_request_t *req, const char *name)
+{
+	relay_budget_t *counts = relay_counts(req->relay, req->service);
+	uint64_t hash = XXH3_64bits(name, strlen(name));
+	relay_model_t *model;
+
+	if (counts == NULL)
+		return NULL;
+	for (size_t i = 0; i < counts->models_len; i++) {
+		if (counts->models[i].name == hash)
+			return &counts->models[i];
+	}
+	if (counts->models_len == MODELS_MAX)
+		return NULL;
+	model = &counts->models[counts->models_len++];
+	*model = (relay_model_t){.name = hash};
+	return model;
+}
+
+/* Until the answer is late; negative: it is. */
+static double
+objective_left_ms(const relay_request_t *req)
+{
+	return (double)(req->route->objective_ms - request_age_ms(req));
+}
+
+const char *
+relay_model(relay_request_t *req)
+{
+	const relay_route_t *route = req->route;
+
+	if (!req->arrival.any_model || route->models_len == 0)
+		return NULL;
+	/* An answer that goes on keeps its model. */
+	if (req->model != NULL && req->begun)
+		return req->model;
+	if (!req->model_chosen) {
+		req->model_index = model_first(route->models_len);
+		req->model_chosen = true;
+	}
+	if (req->model_index >= route->models_len)
+		req->model_index = route->models_len - 1;
+	return route->models[req->model_index].name;
+}
+
+/* Answers that are late already, though they have not begun. */
+static void
+late_note(relay_t *relay)
+{
+	for (relay_request_t *req = relay->first; req != NULL;
+	     req = req->next) {
+		attempt_t *attempt = &req->attempt;
+		relay_model_t *model;
+
+		if (!attempt->sent || attempt->headed || attempt->late_told ||
+		    attempt->model == NULL || objective_left_ms(req) >= 0)
+			continue;
+		attempt->late_told = true;
+		model = model_known(req, attempt->model);
+		if (model != NULL)
+			model_record_take(&model->record, false);
+	}
+}
+
+static void
+head_note(relay_request_t *req)
+{
+	attempt_t *attempt = &req->attempt;
+	bool largest = req->model_index + 1 == req->route->models_len;
+	relay_model_t *model = model_known(req, attempt->model);
+
+	if (model == NULL)
+		return;
+	read_pace_take(&model->pace, req->arrival.tokens_in, attempt->first_ms);
+	if (!attempt->late_told)
+		model_record_take(&model->record, objective_left_ms(req) >= 0);
+	if (req->model_index > 0)
+		model_record_judge(&model->record, req->confidence, largest);
+}
+
+void
+relay_model_unanswered(relay_request_t *req)
+{
+	const attempt_t *attempt = &req->attempt;
+	relay_model_t *model =
+	    attempt->model != NULL ? model_known(req, attempt->model) : NULL;
+	double waited_ms;
+
+	if (model == NULL)
+		return;
+	waited_ms = (double)timespec_ms_between(
+	    attempt->sent_at, clock_elapsed(req->relay->clock));
+	/* Only a wait that is longer than expected says something. */
+	if (waited_ms > read_pace_ms(&model->pace, req->arrival.tokens_in))
+		read_pace_take(&model->pace, req->arrival.tokens_in, waited_ms);
+}
+
+static void
+option_fill(const relay_request_t *req, size_t index, model_option_t *option)
+{
+	const route_model_t *named = &req->route->models[index];
+	const relay_model_t *model = model_known(req, named->name);
+	bool largest = index + 1 == req->route->models_len;
+	static const relay_model_t unknown;
+
+	if (model == NULL)
+		model = &unknown;
+	*option = (model_option_t){.cost = named->cost,
+	    .first_ms = read_pace_ms(&model->pace, req->arrival.tokens_in),
+	    .good = model_record_good(&model->record, largest),
+	    .on_time = model_record_on_time(&model->record)};
+}
+
+void
+relay_model_judge(relay_request_t *req)
+{
+	const relay_route_t *route = req->route;
+	model_moment_t moment = {.model = req->model_index,
+	    .models = route->models_len,
+	    .confidence = req->confidence,
+	    .left_ms = objective_left_ms(req)};
+	size_t next;
+
+	if (!req->arrival.any_model || route->models_len == 0)
+		return;
+	head_note(req);
+	late_note(req->relay);
+	moment.repeat_left = req->sends < route->attempts &&
+	    relay_repeat_plenty(req->relay, req->service);
+	for (size_t i = moment.model + 1; i < moment.models; i++)
+		option_fill(req, i, &moment.options[i]);
+	next = model_next(&moment);
+	if (next == req->model_index)
+		return;
+	req->model_index = next;
+	attempt_over(req, ATTEMPT_DROPPED, "low_confidence");
+}
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -35,7 +35,7 @@
 	bool on_old;	   /**< counted as on the old version */
 	bool is_new;	   /**< of a roll-out's new version */
 	bool paced;	   /**< told to the guard */
-	bool timed;	   /**< told to the record of models */
+	bool late_told;	   /**< told to the record of models as late */
 } attempt_t;
 
 struct relay_request {
@@ -77,7 +77,7 @@
 	double first_ms;
 	uint32_t events;	      /**< passed on of the attempt under way */
 	struct timespec events_since; /**< when the first of them came */
-	const char *model;	      /**< that began the answer */
+	const char *model;	      /**< that began the answer; config's */
 	size_t model_index; /**< of the route's models, for the next attempt */
 	bool model_chosen;
 	int confidence; /**< of the model, 0 to 100; -1: not told */
@@ -122,8 +122,11 @@
 
 /** What is counted for a service, or NULL. */
 relay_budget_t *relay_counts(relay_t *, const char *service);
-/** Take note of whether the attempt's answer begins in time, once. */
-void request_time_note(relay_request_t *, bool begun);
+/** The head of a stream came: take note of it, and ask a larger model if that
+ * is better; the attempt is over then. */
+void relay_model_judge(relay_request_t *);
+/** The attempt ends before the head of its answer came. */
+void relay_model_unanswered(relay_request_t *);
 /** A request came for the service: retries are a part of these. */
 void relay_count_request(relay_t *, const char *service, struct timespec now);
 /** Whether the retry budget of the service allows one more; it is spent. */
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -5,7 +5,6 @@
 #include <xxhash.h>
 
 #include "moortack/relay/choose.h"
-#include "moortack/relay/model_choice.h"
 
 #define CANDIDATES_MAX 256
 /* An endpoint in another place costs priced bytes and time: as much as this
@@ -264,22 +263,3 @@
 	strcpy(req->endpoint_id, candidates.endpoints[chosen]->facts.id);
 	return candidates.endpoints[chosen];
 }
-
-const char *
-relay_model(relay_request_t *req)
-{
-	const relay_route_t *route = req->route;
-
-	if (!req->arrival.any_model || route->models_len == 0)
-		return NULL;
-	/* An answer that goes on keeps its model. */
-	if (req->model != NULL && req->begun)
-		return req->model;
-	if (!req->model_chosen) {
-		req->model_index = model_first(route->models_len);
-		req->model_chosen = true;
-	}
-	if (req->model_index >= route->models_len)
-		req->model_index = route->models_len - 1;
-	return route->models[req->model_index].name;
-}
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -15,6 +15,7 @@
 #include "moortack/relay/choose.h"
 #include "moortack/relay/event_scan.h"
 #include "moortack/relay/model_choice.h"
+#include "moortack/relay/read_pace.h"
 #include "moortack/relay/retry_share.h"
 #include "moortack/relay/rollout_plan.h"
 #include "moortack/relay/session_memory.h"
@@ -89,11 +90,22 @@
 	assert_int_equal(choose_endpoint(candidates, ENDPOINTS, &wish), 2);
 }
 
+/* Three models, of which the largest takes long to begin. */
+static model_moment_t
+doubtful_moment(double largest_ms)
+{
+	return (model_moment_t){.models = 3,
+	    .confidence = 20,
+	    .repeat_left = true,
+	    .left_ms = 1000,
+	    .options = {{0.02, 10, 1, 1}, {0.1, largest_ms / 4, 0.3, 1},
+		{0.4, largest_ms, 1, 1}}};
+}
+
 static void
 a_doubtful_answer_goes_to_a_larger_model(void **state)
 {
-	model_moment_t moment = {
-	    .models = 3, .confidence = 20, .repeat_left = true, .on_time = 1};
+	model_moment_t moment = doubtful_moment(100);
 
 	(void)state;
 	assert_int_equal(model_first(3), 0);
@@ -104,16 +116,64 @@
 	assert_int_equal(model_next(&moment), 0);
 	moment.confidence = 45;
 	assert_int_equal(model_next(&moment), 2);
-	moment.on_time = 0.4;
+	moment.options[2].on_time = 0.4;
 	assert_int_equal(model_next(&moment), 0);
-	moment.on_time = 1;
-	moment.confidence = 20;
+	moment = doubtful_moment(100);
 	moment.repeat_left = false;
 	assert_int_equal(model_next(&moment), 0);
 	moment = (model_moment_t){.model = 2, .models = 3, .repeat_left = true};
 	assert_int_equal(model_next(&moment), 2);
 }
 
+/* A prompt that the largest model cannot read in time is not worth its cost;
+ * one in between may be. */
+static void
+no_larger_model_is_asked_that_would_be_late(void **state)
+{
+	model_moment_t moment = doubtful_moment(2000);
+
+	(void)state;
+	assert_int_equal(model_next(&moment), 1);
+	moment.options[1].good = 0.05;
+	assert_int_equal(model_next(&moment), 0);
+	moment = doubtful_moment(100);
+	moment.left_ms = -1;
+	assert_int_equal(model_next(&moment), 0);
+	moment = doubtful_moment(-1);
+	moment.options[1].first_ms = -1;
+	assert_int_equal(model_next(&moment), 2);
+}
+
+static void
+the_pace_of_reading_is_learned(void **state)
+{
+	read_pace_t pace = {0};
+
+	(void)state;
+	assert_true(read_pace_ms(&pace, 1000) < 0);
+	for (int i = 0; i < 20; i++)
+		read_pace_take(&pace, 1000 * (i % 5 + 1), 50 + 100 * (i % 5));
+	assert_true(read_pace_ms(&pace, 10000) > 900);
+	assert_true(read_pace_ms(&pace, 10000) < 1000);
+	assert_true(read_pace_ms(&pace, 100) >= 0);
+	/* What becomes slow shows soon. */
+	for (int i = 0; i < 100; i++)
+		read_pace_take(&pace, 1000 * (i % 5 + 1), 500 + 1000 * (i % 5));
+	assert_true(read_pace_ms(&pace, 10000) > 8000);
+}
+
+static void
+one_size_of_prompts_gives_a_mean(void **state)
+{
+	read_pace_t pace = {0};
+
+	(void)state;
+	for (int i = 0; i < 10; i++)
+		read_pace_take(&pace, 800, 40);
+	assert_true(read_pace_ms(&pace, 8000) > 39);
+	assert_true(read_pace_ms(&pace, 8000) < 41);
+}
+
 static void
 late_answers_lower_the_record(void **state)
 {
@@ -356,6 +416,9 @@
 	    cmocka_unit_test(an_ejected_endpoint_is_taken_only_if_all_are),
 	    cmocka_unit_test(plain_work_goes_where_least_waits),
 	    cmocka_unit_test(a_doubtful_answer_goes_to_a_larger_model),
+	    cmocka_unit_test(no_larger_model_is_asked_that_would_be_late),
+	    cmocka_unit_test(the_pace_of_reading_is_learned),
+	    cmocka_unit_test(one_size_of_prompts_gives_a_mean),
 	    cmocka_unit_test(late_answers_lower_the_record),
 	    cmocka_unit_test(long_and_short_prompts_are_the_same_work),
 	    cmocka_unit_test(all_see_the_same_side),
