relay: a stream that is resumed names its model as the configuration in force does

The endpoints got what stood in that memory: a model they refuse (421), then a head that breaks off the request. Change: a request that goes on under a new configuration takes the model's name from there; if its answer has begun with a model that is no longer named, it ends. Ruled out: a copy of the name (a withdrawn model would still be used).

--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -192,6 +192,8 @@
 
 	if (code != ERR_NONE || req->config == relay->config)
 		return code;
+	if (!relay_model_carry(req, route))
+		return ERR_NO_ENDPOINT;
 	relay_config_release(req->config);
 	req->config = relay_config_share(relay->config);
 	req->route = route;
--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -51,6 +51,23 @@
 	return route->models[req->model_index].name;
 }
 
+bool
+relay_model_carry(relay_request_t *req, const relay_route_t *route)
+{
+	const char *named = req->model;
+
+	if (named == NULL)
+		return true;
+	req->model = NULL;
+	for (size_t i = 0; i < route->models_len; i++) {
+		if (strcmp(route->models[i].name, named) != 0)
+			continue;
+		req->model = route->models[i].name;
+		req->model_index = i;
+	}
+	return req->model != NULL || !req->begun;
+}
+
 /* Answers that are late already, though they have not begun. */
 static void
 late_note(relay_t *relay)
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -122,6 +122,10 @@
 
 /** What is counted for a service, or NULL. */
 relay_budget_t *relay_counts(relay_t *, const char *service);
+/** The request goes on under a new configuration, which owns the names of its
+ * models. @return false: its answer has begun with a model that the new one
+ * does not name */
+bool relay_model_carry(relay_request_t *, const relay_route_t *);
 /** The head of a stream came: take note of it, and ask a larger model if that
  * is better; the attempt is over then. */
 void relay_model_judge(relay_request_t *);
--- a/test/platform/failures.lua
+++ b/test/platform/failures.lua
@@ -31,6 +31,31 @@
   lib.check(words.whole(stream.body, 20), "events: %s", stream.body)
 end
 
+-- The configuration changes while a stream runs that breaks off later. It goes
+-- on with its model, as the new configuration names it, or not at all.
+local function resumed_after_change(models)
+  w:faults(1, {cut_after = 10, pause_ms = 40})
+  w:faults(2, {pause_ms = 40})
+  local call, answer
+  lib.wait_until("a stream breaks off", function()
+    local before = words.metric(d, "broken_total")
+    w:configure()
+    call = words.begin(d, "/stream/d")
+    lib.wait_until("it runs", function() return w:ran(call.id) > 0 end)
+    w:configure(nil, models)
+    answer = call:finish()
+    return words.metric(d, "broken_total") > before
+  end)
+  return answer, w:models(call.id)
+end
+local answer, names = resumed_after_change({"small", "large"})
+lib.check(words.whole(answer.body, 20), "events: %s", answer.body)
+lib.equal(table.concat(names, " "), "small small", "its models")
+answer, names = resumed_after_change({"tiny", "huge"})
+lib.equal(answer.status, 0, "a stream whose model was taken away")
+lib.equal(table.concat(names, " "), "small", "its models")
+w:configure()
+
 -- Refused by all: a promise with a time, and nothing has run.
 both({shed = true})
 local refused = words.call(d, "/book/1")
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -58,7 +58,7 @@
   return answer.json and answer.json.rows or {}
 end
 
-function World:configure(keys)
+function World:configure(keys, models)
   self.version = (self.version or 0) + 3
   local function route(name, prefix, kind, more)
     local one = {name = name, host = "a.example", prefix = prefix,
@@ -69,7 +69,7 @@
   end
   self:put("op", "config", {version = self.version,
     routes = {route("stream", "/stream/", "streaming", {resumable = true,
-        sizes = {"small", "large"}}),
+        sizes = models or {"small", "large"}}),
       route("book", "/book/", "unsafe", {max_attempts = 2}),
       route("scan", "/scan/", "safe"),
       route("open", "/open/", "safe", {anonymous = true})},
@@ -120,6 +120,17 @@
   return counts
 end
 
+-- The models that a request ran with, in the order of replicas.
+function World:models(id)
+  local names = {}
+  for _, one in ipairs(self:all_runs()) do
+    if one["Moortack-Attempt-Id"] == id then
+      names[#names + 1] = one["Moortack-Model-Id"]
+    end
+  end
+  return names
+end
+
 function World:ran(id)
   return self:runs_by_id()[id] or 0
 end
