relay: a roll-out's time and its sessions are known after restarts and in further roll-outs

Beside it, by reading: a session was remembered from the beginning of its request only (streams last longer than session_s); not at all when its version was the new one of the roll-out before; a list of sessions that did not change was not told again and forgotten; what was heard was reported as one's own, so nothing was forgotten at the first daemon. Change: the time of the order is worked out when it is asked for, from the state, the order and the store's clock, whichever came last. Requests on the old version are counted when they are asked for: those that began before the order were not counted. A state that was written is read at once, so that all hear of it sooner. The log names the session of a request.

--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -87,6 +87,14 @@
 /** Whether enough is known to serve. */
 bool relay_ready(const relay_t *);
 
+/** Remember the sessions whose requests are under way: a roll-out does not move
+ * them. */
+void relay_sessions_note(const relay_t *);
+
+/** Requests under way at endpoints that a roll-out replaces; the argument is a
+ * relay. */
+uint32_t relay_on_old(const void *relay, const rollout_t *);
+
 /** Take no new streams, and close connections behind their answers. */
 void relay_leave(relay_t *);
 
--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -42,19 +42,18 @@
 typedef struct rollout {
 	rollouts_t *owner;
 	rollout_order_t order;
-	struct timespec ordered; /**< when, by this daemon's clock */
-	bool ordered_known;	 /**< from the store, not from first sight */
-	rollout_state_t state;	 /**< as the store has it */
-	uint64_t state_order;	 /**< order that the state is of */
-	uint64_t state_version;	 /**< of the state's row; 0: none */
-	bool stopped;		 /**< found bad here */
+	struct timespec seen;  /**< the order, by this daemon's clock */
+	rollout_state_t state; /**< as the store has it */
+	uint64_t state_order;  /**< order that the state is of */
+	int64_t began_ms; /**< that order, by the store's clock; 0: unknown */
+	uint64_t state_version; /**< of the state's row; 0: none */
+	bool stopped;		/**< found bad here */
 	bool writing;
 	struct timespec write_after;
 	rollout_state_t wanted;
 	bool deadline_told;
 	version_guard_t guard;
-	uint32_t on_old; /**< requests of this daemon under way there */
-	double share;	 /**< when last logged */
+	double share; /**< when last logged */
 	UT_hash_handle hh;
 } rollout_t;
 
@@ -64,13 +63,18 @@
 	const rollout_dialect_t *dialect;
 	membership_t *members;
 	const row_watch_t *orders; /**< how old the orders are */
-	const row_watch_t *states; /**< and the states */
+	row_watch_t *states;	   /**< and the states */
 	event_log_t *log;
 	rollout_t *all;
 	struct event *timer;
 	int64_t now_offset_ms; /**< store's clock less this one's */
 	bool now_known;
-	session_memory_t served; /**< by an old version, here or elsewhere */
+	session_memory_t served; /**< by an old version, by this daemon */
+	session_memory_t heard;	 /**< by others, as they told */
+	/** Requests of this daemon that endpoints without the order's version
+	 * are at work on; the argument is relay. */
+	uint32_t (*on_old)(const void *relay, const rollout_t *);
+	const void *relay;
 };
 
 bool rollouts_init(rollouts_t *, struct event_base *);
@@ -94,9 +98,11 @@
 /** Sessions that others served; the row of ROLLOUT_SESSIONS_ROW. */
 void rollouts_sessions_row(rollouts_t *, const row_t *);
 /** The value of that row for others, or NULL; to be freed. */
-char *rollouts_sessions(rollouts_t *);
+char *rollouts_sessions(const rollouts_t *);
 /** Whether the endpoint is of the new version. */
 bool rollout_is_new(const rollout_t *, const endpoint_t *);
+/** Whether it is ordered and has not ended. */
+bool rollout_under_way(const rollout_t *);
 /** Whether the old version may be used. */
 bool rollout_old_allowed(const rollout_t *);
 
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -17,6 +17,7 @@
 #define RETRY_STORE_MS 600
 #define RETRY_SPREAD_MS 120
 #define REFUSAL_HEAD_SIZE 128
+#define SESSION_MARK_SHIFT 32
 /* Connections of callers at the same time: the users' smallest VMs have 4,100
  * descriptors, and endpoints need some of them. */
 #define CONNECTIONS_MAX 2500
@@ -98,6 +99,15 @@
 	free(req);
 }
 
+/* Tells sessions apart in the log; 0: none. */
+static uint32_t
+session_mark(const relay_request_t *req)
+{
+	return req->arrival.session != NULL
+	    ? (uint32_t)(req->spread >> SESSION_MARK_SHIFT)
+	    : 0;
+}
+
 void
 request_end(relay_request_t *req, const char *outcome, const char *why)
 {
@@ -111,7 +121,7 @@
 	    "tokens=%u,%u,%u ms=%.0f "
 	    "first_ms=%.0f limit_ms=%" PRId64 " config=%" PRIu64
 	    " config_age_ms=%" PRId64 " endpoints_age_ms=%" PRId64
-	    " endpoint=%s load=%.0f of=%zu",
+	    " endpoint=%s load=%.0f of=%zu session=%08" PRIx32,
 	    req->arrival.id, req->route->name,
 	    req->service != NULL ? req->service : "-",
 	    req->organisation != NULL ? req->organisation->name : "-", outcome,
@@ -122,7 +132,7 @@
 	    req->limit_ms, req->config->version,
 	    row_watch_age_ms(relay->config_watch),
 	    row_watch_age_ms(relay->endpoint_watch), req->endpoint_id,
-	    req->chosen_load, req->candidates);
+	    req->chosen_load, req->candidates, session_mark(req));
 	request_free(req);
 }
 
--- a/moortack/relay/relay_answer.c
+++ b/moortack/relay/relay_answer.c
@@ -73,15 +73,10 @@
 	relay_request_t *req = arg;
 	attempt_t *attempt = &req->attempt;
 	relay_t *relay = req->relay;
-	rollout_t *rollout;
 
 	attempt->sent = true;
 	attempt->sent_at = clock_elapsed(relay->clock);
 	attempt->endpoint->in_flight++;
-	if (attempt->on_old) {
-		rollout = rollouts_find(relay->rollouts, req->service);
-		rollout->on_old++;
-	}
 	if (req->sends == 0)
 		stats_observe(
 		    &relay->stats.added_ms, (double)request_age_ms(req));
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -60,22 +60,64 @@
 	    &rollout->guard, &answer, clock_elapsed(relay->clock));
 }
 
+/* Whether the attempt is at an endpoint that a roll-out under way replaces, or
+ * that the next one will. */
+static bool
+attempt_on_old(const relay_request_t *req)
+{
+	const endpoint_t *endpoint = req->attempt.endpoint;
+	const rollout_t *rollout =
+	    rollouts_find(req->relay->rollouts, endpoint->facts.service);
+
+	return rollout == NULL || !rollout_under_way(rollout) ||
+	    !rollout_is_new(rollout, endpoint);
+}
+
+/* The session is served by that version as long as the attempt lasts. */
+static void
+session_note(const relay_request_t *req)
+{
+	if (req->arrival.session != NULL && attempt_on_old(req))
+		rollouts_note_old(req->relay->rollouts, req->spread);
+}
+
+void
+relay_sessions_note(const relay_t *relay)
+{
+	for (const relay_request_t *req = relay->first; req != NULL;
+	     req = req->next) {
+		if (req->attempt.endpoint != NULL)
+			session_note(req);
+	}
+}
+
+uint32_t
+relay_on_old(const void *arg, const rollout_t *rollout)
+{
+	const relay_t *relay = arg;
+	uint32_t count = 0;
+
+	for (const relay_request_t *req = relay->first; req != NULL;
+	     req = req->next) {
+		const endpoint_t *endpoint = req->attempt.endpoint;
+
+		if (endpoint != NULL &&
+		    strcmp(endpoint->facts.service, rollout->order.service) ==
+			0 &&
+		    !rollout_is_new(rollout, endpoint))
+			count++;
+	}
+	return count;
+}
+
 /* The attempt no longer weighs on its endpoint. */
 static void
 attempt_uncount(relay_request_t *req)
 {
-	attempt_t *attempt = &req->attempt;
-	rollout_t *rollout;
-
-	if (!attempt->sent)
+	if (!req->attempt.sent)
 		return;
-	attempt->endpoint->in_flight--;
-	if (attempt->on_old) {
-		rollout = rollouts_find(
-		    req->relay->rollouts, attempt->endpoint->facts.service);
-		if (rollout != NULL && rollout->on_old > 0)
-			rollout->on_old--;
-	}
+	session_note(req);
+	req->attempt.endpoint->in_flight--;
 }
 
 static void
@@ -241,12 +283,9 @@
 		return;
 	}
 	rollout = rollouts_find(req->relay->rollouts, req->service);
-	if (rollout != NULL && rollout->order.number != 0) {
+	if (rollout != NULL && rollout->order.number != 0)
 		req->attempt.is_new = rollout_is_new(rollout, endpoint);
-		req->attempt.on_old = !req->attempt.is_new;
-	}
-	if (!req->attempt.is_new && req->arrival.session != NULL)
-		rollouts_note_old(req->relay->rollouts, req->spread);
+	session_note(req);
 	attempt_send(req);
 }
 
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -72,6 +72,33 @@
 	free(text);
 }
 
+/* What was passed on holds until it changes. */
+static void
+sessions_take(relay_node_t *node)
+{
+	const cached_row_t *known = row_cache_find(
+	    &node->source.cache, ROW_TABLE_OWN, ROLLOUT_SESSIONS_ROW);
+	row_t row = {.key = ROLLOUT_SESSIONS_ROW};
+
+	if (known == NULL || known->value == NULL)
+		return;
+	row.value = known->value;
+	row.value_len = known->value_len;
+	rollouts_sessions_row(&node->rollouts, &row);
+}
+
+static void
+sessions_step(relay_node_t *node)
+{
+	if (!rollouts_active(&node->rollouts))
+		return;
+	relay_sessions_note(&node->relay);
+	if (node->source.following)
+		sessions_take(node);
+	else
+		sessions_send(node);
+}
+
 static void
 members_step(relay_node_t *node)
 {
@@ -84,8 +111,6 @@
 		relay_rows_lapses_drop(node);
 	else
 		membership_clear(&node->members);
-	if (!following && rollouts_active(&node->rollouts))
-		sessions_send(node);
 }
 
 static void
@@ -121,6 +146,7 @@
 	(void)what;
 	relay_rows_lapsed_end(node);
 	members_step(node);
+	sessions_step(node);
 	report_send(node);
 	if (node->leaving)
 		leave_step(node);
@@ -195,9 +221,12 @@
 	    .dialect = ports->rollouts,
 	    .members = &node->members,
 	    .orders = orders,
-	    .states = row_source_watch(&node->source, ROW_TABLE_OWN),
+	    .states = &node->source.watches[ROW_TABLE_OWN].watch,
 	    .log = &node->log,
-	    .served = {.window_ms = node->settings.session_ms}};
+	    .served = {.window_ms = node->settings.session_ms},
+	    .heard = {.window_ms = node->settings.session_ms},
+	    .on_old = relay_on_old,
+	    .relay = &node->relay};
 	node->relay = (relay_t){.base = ports->base,
 	    .clock = ports->clock,
 	    .rng = ports->rng,
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -32,7 +32,6 @@
 	bool kept;	   /**< on a connection that was used before */
 	double first_ms;   /**< from the send to the answer's first byte */
 	bool headed;	   /**< the answer's head came */
-	bool on_old;	   /**< counted as on the old version */
 	bool is_new;	   /**< of a roll-out's new version */
 	bool paced;	   /**< told to the guard */
 	bool late_told;	   /**< told to the record of models as late */
--- a/moortack/relay/rollout_report.c
+++ b/moortack/relay/rollout_report.c
@@ -109,7 +109,7 @@
 {
 	const membership_t *members = rollout->owner->members;
 
-	if (rollout->on_old > 0)
+	if (rollout->owner->on_old(rollout->owner->relay, rollout) > 0)
 		return false;
 	for (const member_t *member = members->members; member != NULL;
 	     member = member->hh.next) {
@@ -150,7 +150,8 @@
 		json_array_append_new(rows, tally_row(&tallies[i]));
 	return json_pack("{s:I, s:f, s:i, s:o}", "order",
 	    (json_int_t)rollout->order.number, "share", rollout_share(&moment),
-	    "old", (int)rollout->on_old, "tally", rows);
+	    "old", (int)rollout->owner->on_old(rollout->owner->relay, rollout),
+	    "tally", rows);
 }
 
 json_t *
--- a/moortack/relay/rollouts.c
+++ b/moortack/relay/rollouts.c
@@ -54,6 +54,20 @@
 	return rollout->state;
 }
 
+/* When the order in force began, by this daemon's clock: as the state says, if
+ * it is of that order and the store's clock is known, or else when it was first
+ * seen here. */
+static struct timespec
+rollout_began(const rollout_t *rollout)
+{
+	const rollouts_t *self = rollout->owner;
+
+	if (rollout->state_order != rollout->order.number ||
+	    rollout->began_ms <= 0 || !self->now_known)
+		return rollout->seen;
+	return timespec_of_ms(rollout->began_ms - self->now_offset_ms);
+}
+
 rollout_moment_t
 rollout_moment(const rollout_t *rollout)
 {
@@ -61,7 +75,7 @@
 
 	return (rollout_moment_t){.state = state_now(rollout),
 	    .elapsed_ms = timespec_ms_between(
-		rollout->ordered, clock_elapsed(self->clock)),
+		rollout_began(rollout), clock_elapsed(self->clock)),
 	    .duration_ms = rollout->order.duration_ms,
 	    .stopped = rollout->stopped,
 	    .uncertain = row_watch_age_ms(self->orders) > UNCERTAIN_MS ||
@@ -74,49 +88,6 @@
 	return rollout != NULL && rollout->order.number != 0;
 }
 
-void
-rollouts_note_old(rollouts_t *self, uint64_t hash)
-{
-	if (rollout_takes(ROLLOUT_FIRST_SHARE, hash))
-		session_memory_note(
-		    &self->served, hash, clock_elapsed(self->clock));
-}
-
-void
-rollouts_sessions_row(rollouts_t *self, const row_t *row)
-{
-	json_t *list;
-
-	if (row->deleted)
-		return;
-	list = json_loadb(row->value, row->value_len, 0, NULL);
-	session_memory_take(&self->served, list, clock_elapsed(self->clock));
-	json_decref(list);
-}
-
-char *
-rollouts_sessions(rollouts_t *self)
-{
-	json_t *list =
-	    session_memory_list(&self->served, clock_elapsed(self->clock));
-	char *text = list != NULL ? json_dumps(list, JSON_COMPACT) : NULL;
-
-	json_decref(list);
-	return text;
-}
-
-/* Sessions that other daemons served come with their reports. */
-static void
-members_sessions_take(rollouts_t *self)
-{
-	struct timespec now = clock_elapsed(self->clock);
-
-	for (const member_t *member = self->members->members; member != NULL;
-	     member = member->hh.next)
-		session_memory_take(&self->served,
-		    json_object_get(member->report, "sessions"), now);
-}
-
 bool
 rollout_prefers_new(rollout_t *rollout, uint64_t hash, bool session)
 {
@@ -138,8 +109,7 @@
 		rollout->share = share;
 	}
 	if (session && rollout_pins(&moment) &&
-	    session_memory_has(&rollout->owner->served, hash,
-		clock_elapsed(rollout->owner->clock)))
+	    rollouts_session_served(rollout->owner, hash))
 		return false;
 	return rollout_takes(share, hash);
 }
@@ -166,8 +136,7 @@
 	rollout->order.number = order->number;
 	strcpy(rollout->order.to, order->to);
 	rollout->order.duration_ms = order->duration_ms;
-	rollout->ordered = clock_elapsed(self->clock);
-	rollout->ordered_known = false;
+	rollout->seen = clock_elapsed(self->clock);
 	rollout->stopped = false;
 	rollout->write_after = (struct timespec){0};
 	version_guard_restart(&rollout->guard);
@@ -199,7 +168,6 @@
 	rollout_t *rollout =
 	    rollout_of(self, row->key + strlen(ROLLOUT_PREFIX));
 	json_t *value;
-	int64_t began_ms;
 
 	if (rollout == NULL || row->version <= rollout->state_version)
 		return;
@@ -215,13 +183,8 @@
 	    (uint64_t)json_integer_value(json_object_get(value, "order"));
 	rollout->state =
 	    state_named(json_string_value(json_object_get(value, "state")));
-	began_ms = json_integer_value(json_object_get(value, "began_ms"));
-	if (self->now_known && began_ms > 0 &&
-	    rollout->state_order == rollout->order.number) {
-		rollout->ordered =
-		    timespec_of_ms(began_ms - self->now_offset_ms);
-		rollout->ordered_known = true;
-	}
+	rollout->began_ms =
+	    json_integer_value(json_object_get(value, "began_ms"));
 	json_decref(value);
 	event_line(self->log, "rollout_state",
 	    "service=%s order=%" PRIu64 " state=%s version=%" PRIu64,
@@ -240,6 +203,8 @@
 	 * lost answer is settled the same way. */
 	rollout->write_after =
 	    timespec_after_ms(clock_elapsed(self->clock), RETRY_MS);
+	if (!self->states->suspended)
+		row_watch_hurry(self->states);
 	event_line(self->log, "rollout_write",
 	    "service=%s order=%" PRIu64 " state=%s result=%d",
 	    rollout->order.service, rollout->order.number,
@@ -253,7 +218,8 @@
 	json_t *value = json_pack("{s:I, s:s, s:I}", "order",
 	    (json_int_t)rollout->order.number, "state", state_names[state],
 	    "began_ms",
-	    (json_int_t)(timespec_ms(rollout->ordered) + self->now_offset_ms));
+	    (json_int_t)(timespec_ms(rollout_began(rollout)) +
+		self->now_offset_ms));
 	char *text = json_dumps(value, JSON_COMPACT);
 
 	json_decref(value);
@@ -363,7 +329,7 @@
 	(void)fd;
 	(void)what;
 	if (rollouts_active(self))
-		members_sessions_take(self);
+		rollouts_sessions_take(self);
 	for (rollout_t *one = self->all; one != NULL; one = one->hh.next) {
 		if (ordered(one))
 			rollout_step(one);
--- a/moortack/relay/rollouts_priv.h
+++ b/moortack/relay/rollouts_priv.h
@@ -11,9 +11,6 @@
 /** What the share depends on, now. */
 rollout_moment_t rollout_moment(const rollout_t *);
 
-/** Whether it is ordered and has not ended. */
-bool rollout_under_way(const rollout_t *);
-
 /** Whether the answers counted by all daemons show the new version as bad. */
 bool rollout_found_bad(rollout_t *);
 
@@ -21,4 +18,9 @@
  * old one. */
 bool rollout_settled(const rollout_t *);
 
+/** Whether a session with this hash was served by an old version of late. */
+bool rollouts_session_served(const rollouts_t *, uint64_t hash);
+/** Take the sessions that other daemons report. */
+void rollouts_sessions_take(rollouts_t *);
+
 #endif
