relay: daemons that follow each other form no circle; who leaves says so at once

One that does not serve follows anybody, so it followed one of its own followers and stopped reading the store; nobody read there that it leaves. All rows aged until they were 2.4 s old; an endpoint that left meanwhile was used for over 2 s. Change: answers name the daemons through whom their rows came; rows that came through oneself are not taken, and the store is read until somebody else is found. Whoever is told to stop tells its followers that it is no use to them.

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -91,6 +91,9 @@
 endpoint_group_t *
 endpoint_set_group(const endpoint_set_t *, const char *service);
 
+/** How many said that they leave. */
+uint32_t endpoint_set_leaving(const endpoint_set_t *);
+
 endpoint_t *endpoint_hold(endpoint_t *);
 void endpoint_release(endpoint_t *);
 
--- a/include/moortack/relay/feed_wire.h
+++ b/include/moortack/relay/feed_wire.h
@@ -41,6 +41,8 @@
 	bool lost;  /**< the store does not answer the one that reads it */
 	int64_t store_now_ms;
 	feed_table_t tables[ROW_TABLES];
+	json_t *path; /**< names: who answers, whom that one follows, and so
+			 on to who reads the store; may be NULL */
 	json_t *rows; /**< of [table, key, version, value or null] */
 } feed_answer_t;
 
@@ -55,6 +57,8 @@
 void feed_question_clear(feed_question_t *);
 void feed_answer_clear(feed_answer_t *);
 
+/** Whether the rows of an answer came through this daemon. */
+bool feed_answer_through(const feed_answer_t *, const char *name);
 /** Append a cached row to an answer. */
 void feed_answer_add(feed_answer_t *, const cached_row_t *);
 /** The row at @p at of an answer; false if it is malformed. */
--- a/include/moortack/relay/row_source.h
+++ b/include/moortack/relay/row_source.h
@@ -83,8 +83,10 @@
 	uint64_t kept_back[ROW_TABLES];
 	bool following; /**< the rows come from another daemon */
 	char followed[MEMBER_NAME_SIZE]; /**< who is asked; "": nobody */
-	uint64_t followed_source;	 /**< its incarnation */
-	uint64_t followed_change;	 /**< newest one taken from it */
+	json_t *followed_path; /**< through whom its rows came; may be NULL */
+	bool leaving;	       /**< others are told to follow somebody else */
+	uint64_t followed_source; /**< its incarnation */
+	uint64_t followed_change; /**< newest one taken from it */
 	struct timespec followed_since;
 };
 
@@ -94,6 +96,9 @@
 /** Decide anew whom to follow; called a few times a second. */
 void row_source_tick(row_source_t *);
 
+/** Tell those who follow this daemon to follow another: it is about to stop. */
+void row_source_leave(row_source_t *);
+
 /** Put a row, or its end, into what others are told. */
 bool row_source_put(row_source_t *, row_table_t, const row_t *);
 
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -114,6 +114,17 @@
 	return endpoint;
 }
 
+uint32_t
+endpoint_set_leaving(const endpoint_set_t *set)
+{
+	uint32_t count = 0;
+
+	for (const endpoint_t *one = set->endpoints; one != NULL;
+	     one = one->hh.next)
+		count += one->facts.leaving;
+	return count;
+}
+
 endpoint_group_t *
 endpoint_set_group(const endpoint_set_t *set, const char *service)
 {
--- a/moortack/relay/feed_wire.c
+++ b/moortack/relay/feed_wire.c
@@ -43,6 +43,8 @@
 	    "lost", (int)answer->lost, "now_ms",
 	    (json_int_t)answer->store_now_ms, "tables", tables, "rows",
 	    answer->rows);
+	if (body != NULL && answer->path != NULL)
+		json_object_set(body, "path", answer->path);
 	text = body != NULL ? json_dumps(body, JSON_COMPACT) : NULL;
 	json_decref(body);
 	return text;
@@ -98,6 +100,7 @@
 		    json_integer_value(json_array_get(table, 1))};
 	}
 	answer->rows = json_incref(json_object_get(body, "rows"));
+	answer->path = json_incref(json_object_get(body, "path"));
 	json_decref(body);
 	if (json_is_array(answer->rows) && answer->number != 0)
 		return true;
@@ -118,7 +121,24 @@
 feed_answer_clear(feed_answer_t *answer)
 {
 	json_decref(answer->rows);
+	json_decref(answer->path);
 	answer->rows = NULL;
+	answer->path = NULL;
+}
+
+bool
+feed_answer_through(const feed_answer_t *answer, const char *name)
+{
+	const json_t *one;
+	size_t i;
+
+	json_array_foreach(answer->path, i, one)
+	{
+		if (json_is_string(one) &&
+		    strcmp(json_string_value(one), name) == 0)
+			return true;
+	}
+	return false;
 }
 
 void
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -307,6 +307,7 @@
 	node->gone_arg = arg;
 	event_line(&node->log, "leave", "under_way=%u", node->relay.under_way);
 	membership_set_state(&node->members, MEMBER_LEAVING);
+	row_source_leave(&node->source);
 	relay_leave(&node->relay);
 }
 
--- a/moortack/relay/row_source.c
+++ b/moortack/relay/row_source.c
@@ -11,6 +11,9 @@
 /* The same for one that the store does not answer: longer than it takes to look
  * again. */
 #define SHUN_LOST_MS 6000
+/* The same for one whose rows come through this daemon: it looks for another
+ * itself as soon as it is told. */
+#define SHUN_CIRCLE_MS 500
 /* Rows that are gone are told of for a minute: who knows less has to be told
  * all. */
 #define VERSIONS_KNOWN_MS 20000
@@ -93,6 +96,27 @@
 		row_watch_suspend(&self->watches[i].watch, suspend);
 }
 
+/* Whoever follows this daemon is told at once when it is no use to do so. */
+static void
+lost_tell(row_source_t *self)
+{
+	bool unreachable = false;
+
+	for (int i = 0; i < ROW_TABLES; i++)
+		unreachable |= !self->watches[i].watch.reachable;
+	if (self->keyed)
+		feed_server_set_lost(&self->server,
+		    self->leaving || self->down ||
+			(unreachable && !self->following));
+}
+
+void
+row_source_leave(row_source_t *self)
+{
+	self->leaving = true;
+	lost_tell(self);
+}
+
 /* Follow nobody; the store is read again unless somebody else is followed
  * at once. */
 static void
@@ -104,6 +128,8 @@
 	self->following = false;
 	self->down = false;
 	self->old = false;
+	json_decref(self->followed_path);
+	self->followed_path = NULL;
 	feed_client_stop(&self->client);
 }
 
@@ -167,6 +193,15 @@
 		followed_shun(self, SHUN_LOST_MS, "lost");
 		return;
 	}
+	if (feed_answer_through(answer, self->members->settings.name)) {
+		/* Nobody reads the store in a circle: this one does, until it
+		 * finds somebody else. */
+		membership_shun(self->members, self->followed, SHUN_CIRCLE_MS);
+		follow_stop(self, "circle");
+		return;
+	}
+	json_decref(self->followed_path);
+	self->followed_path = json_incref(answer->path);
 	if (tables_old(self, answer)) {
 		followed_old(self);
 		return;
@@ -194,7 +229,7 @@
 		return;
 	}
 	self->following = true;
-	feed_server_set_lost(&self->server, self->down);
+	lost_tell(self);
 	feed_server_refresh(&self->server);
 	watches_suspend(self, true);
 	event_line(self->log, "follow", "source=%s rows=%zu age_ms=%" PRId64,
@@ -241,6 +276,9 @@
 	}
 	answer->store_now_ms =
 	    self->members->store_offset_ms + timespec_ms(now);
+	answer->path = json_pack("[s]", self->members->settings.name);
+	if (self->following && self->followed_path != NULL)
+		json_array_extend(answer->path, self->followed_path);
 }
 
 static void
@@ -477,12 +515,8 @@
 	source_watch_t *watch = arg;
 
 	row_source_t *self = watch->source;
-	bool lost = false;
 
-	for (int i = 0; i < ROW_TABLES; i++)
-		lost |= !self->watches[i].watch.reachable;
-	feed_server_set_lost(
-	    &self->server, self->down || (lost && !self->following));
+	lost_tell(self);
 	self->ops->reachable(self->arg, watch->table, now);
 }
 
@@ -515,6 +549,7 @@
 	feed_server_finish(&self->server);
 	if (self->context != NULL)
 		zmq_ctx_term(self->context);
+	json_decref(self->followed_path);
 	for (int i = 0; i < ROW_TABLES; i++)
 		row_watch_finish(&self->watches[i].watch);
 	row_cache_finish(&self->cache);
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -100,11 +100,14 @@
 	row_cache_put(&cache, ROW_TABLE_ENDPOINTS, &row);
 	answer.rows = json_array();
 	answer.tables[ROW_TABLE_OWN] = (feed_table_t){17, 250};
+	answer.path = json_pack("[s, s]", "parent", "reader");
 	feed_answer_add(
 	    &answer, row_cache_find(&cache, ROW_TABLE_ENDPOINTS, row.key));
 	text = feed_answer_text(&answer);
 	assert_true(feed_answer_read(text, strlen(text), &copy));
 	assert_true(copy.lost);
+	assert_true(feed_answer_through(&copy, "reader"));
+	assert_false(feed_answer_through(&copy, "me"));
 	assert_int_equal(copy.tables[ROW_TABLE_OWN].age_ms, 250);
 	assert_true(feed_answer_row(&copy, 0, &table, &read));
 	assert_int_equal(table, ROW_TABLE_ENDPOINTS);
