relay: the version in use is learned when the endpoints are first known

Cause (platform_sessions failed once in make check under load): a daemon learned at its first request which version is in use while none is ordered. Endpoints of a version to come that had registered before that request could be taken for it. Change: it is learned as soon as the endpoints were read; one function for both. Ruled out: waiting for a request in the test (a daemon without traffic has the same fault). Before: unit_lapse's new test can't pass (nothing is learned without a request).

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -94,6 +94,11 @@
 /** How many said that they leave. */
 uint32_t endpoint_set_leaving(const endpoint_set_t *);
 
+/** Learn, once, which version most endpoints of a service have while none is
+ * ordered: others are not used until an order names them. */
+void endpoint_group_learn(endpoint_group_t *);
+void endpoint_set_learn(endpoint_set_t *);
+
 endpoint_t *endpoint_hold(endpoint_t *);
 void endpoint_release(endpoint_t *);
 
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -134,6 +134,36 @@
 	return group;
 }
 
+void
+endpoint_group_learn(endpoint_group_t *group)
+{
+	uint32_t best = 0;
+
+	if (group->base_version[0] != '\0')
+		return;
+	for (endpoint_t *one = group->first; one != NULL;
+	     one = one->next_of_service) {
+		uint32_t same = 0;
+
+		for (endpoint_t *other = group->first; other != NULL;
+		     other = other->next_of_service)
+			same += strcmp(one->facts.version,
+				    other->facts.version) == 0;
+		if (same > best) {
+			best = same;
+			strcpy(group->base_version, one->facts.version);
+		}
+	}
+}
+
+void
+endpoint_set_learn(endpoint_set_t *set)
+{
+	for (endpoint_group_t *group = set->groups; group != NULL;
+	     group = group->hh.next)
+		endpoint_group_learn(group);
+}
+
 endpoint_t *
 endpoint_set_take(endpoint_set_t *set, const endpoint_facts_t *facts)
 {
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -198,6 +198,8 @@
 	uint32_t daemons;
 
 	(void)whole;
+	if (table == ROW_TABLE_ENDPOINTS)
+		endpoint_set_learn(&node->endpoints);
 	if (table != ROW_TABLE_OWN)
 		return;
 	daemons = membership_count(&node->members);
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -52,30 +52,6 @@
 	return share > CONNECTIONS_MIN ? share : CONNECTIONS_MIN;
 }
 
-/* The version that most endpoints had when none was ordered yet: others are
- * not used until an order names them. */
-static void
-base_version_learn(endpoint_group_t *group)
-{
-	uint32_t best = 0;
-
-	if (group->base_version[0] != '\0')
-		return;
-	for (endpoint_t *one = group->first; one != NULL;
-	     one = one->next_of_service) {
-		uint32_t same = 0;
-
-		for (endpoint_t *other = group->first; other != NULL;
-		     other = other->next_of_service)
-			same += strcmp(one->facts.version,
-				    other->facts.version) == 0;
-		if (same > best) {
-			best = same;
-			strcpy(group->base_version, one->facts.version);
-		}
-	}
-}
-
 static bool
 version_fits(const endpoint_group_t *group, const rollout_t *rollout,
     version_class_t wanted, const endpoint_t *endpoint)
@@ -181,7 +157,7 @@
 	version_class_t wanted = class_wanted(req, rollout);
 
 	if (wanted == VERSION_ANY)
-		base_version_learn(group);
+		endpoint_group_learn(group);
 	candidates_find(req, group, rollout, wanted, out);
 	if (wanted == VERSION_NEW)
 		candidates_narrow(out, rollout);
--- a/test/unit/lapse_test.c
+++ b/test/unit/lapse_test.c
@@ -84,14 +84,15 @@
 static const row_store_ops_t silent_ops = {
     silent_read, silent_feed, silent_write};
 
-/* An entry's text is "leaving" or anything else. */
+/* An entry's text is "leaving" or the endpoint's version. */
 static bool
 entry_decode(const char *id, const char *text, size_t len,
     endpoint_facts_t *facts, err_t *err)
 {
 	(void)err;
-	*facts = (endpoint_facts_t){
-	    .service = "s", .place = "a", .version = "v1", .slots = 1};
+	*facts = (endpoint_facts_t){.service = "s", .place = "a", .slots = 1};
+	snprintf(
+	    facts->version, sizeof(facts->version), "%.*s", (int)len, text);
 	facts->leaving = len == 7 && memcmp(text, "leaving", len) == 0;
 	snprintf(facts->id, sizeof(facts->id), "%s", id);
 	return http_address_parse("127.0.0.1:9", &facts->address);
@@ -330,10 +331,31 @@
 	told_node_finish(&told);
 }
 
+/* Endpoints of a version that nobody ordered yet do not become the ones to use,
+ * however many they are. */
+static void
+the_version_in_use_is_learned_as_soon_as_it_is_known(void **state)
+{
+	static told_node_t told;
+
+	(void)state;
+	told_node_init(&told);
+	entry_tell(&told, "e1", "v1", VERSION_ENTRY);
+	relay_rows_ops.settled(&told.node, ROW_TABLE_ENDPOINTS, true);
+	entry_tell(&told, "e2", "v2", VERSION_ENTRY + 1);
+	entry_tell(&told, "e3", "v2", VERSION_ENTRY + 2);
+	relay_rows_ops.settled(&told.node, ROW_TABLE_ENDPOINTS, false);
+	assert_string_equal(
+	    endpoint_set_group(&told.node.endpoints, "s")->base_version, "v1");
+	told_node_finish(&told);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(
+		the_version_in_use_is_learned_as_soon_as_it_is_known),
 	    cmocka_unit_test(an_entry_that_lapsed_is_kept_for_a_time),
 	    cmocka_unit_test(
 		nobody_is_told_a_version_beyond_an_entry_that_is_kept),
