relay: a store that is back is told so; members are heard of over any number of daemons

Change: what is told is worked out at each tick. Those heard of are passed on with the time since, over any number of daemons. Ruled out: clearing the flag in one more place (it is a function of three things).

--- a/include/moortack/relay/feed_wire.h
+++ b/include/moortack/relay/feed_wire.h
@@ -23,8 +23,8 @@
 	uint64_t versions[ROW_TABLES]; /**< up to which the asker knows the
 					  tables; 0: send all */
 	json_t *report; /**< what the asker reports; may be NULL */
-	json_t *below;	/**< reports of those who ask the asker, by name, null
-			   for who has none; may be NULL */
+	json_t *below;	/**< whom the asker heard of; see membership_below();
+			   may be NULL */
 } feed_question_t;
 
 /** How far a table is known. */
--- a/include/moortack/relay/membership.h
+++ b/include/moortack/relay/membership.h
@@ -36,7 +36,6 @@
 	struct timespec changed; /**< when its row last changed */
 	struct timespec heard;	 /**< when it last asked this daemon */
 	bool heard_once;
-	bool direct;		 /**< it asked this daemon itself */
 	struct timespec shunned; /**< not followed until then */
 	uint32_t shuns;		 /**< in a row */
 	uint64_t version;
@@ -90,12 +89,12 @@
 /** Clear away the rows of the dead, if that is this daemon's to do. */
 void membership_clear(membership_t *);
 
-/** A daemon asked this one for rows, or one that asked tells of it.
- * @param report may be NULL @param direct it asked itself */
-void
-membership_heard(membership_t *, const char *name, json_t *report, bool direct);
-/** Reports of those who asked this daemon of late, by name; a new reference or
- * NULL. */
+/** A daemon asked this one for rows. @param report may be NULL */
+void membership_heard(membership_t *, const char *name, json_t *report);
+/** One that asked tells of those that it heard of; see membership_below(). */
+void membership_heard_below(membership_t *, const json_t *below);
+/** Those heard of lately: [milliseconds since then, report or null] by name; a
+ * new reference or NULL. */
 json_t *membership_below(const membership_t *);
 /** Don't name a member as the one to follow for this long, and longer each time
  * until it is trusted. */
--- a/moortack/relay/membership.c
+++ b/moortack/relay/membership.c
@@ -279,22 +279,47 @@
 	}
 }
 
-void
-membership_heard(
-    membership_t *self, const char *name, json_t *report, bool direct)
+/* The member was heard of then, with this report. */
+static void
+member_heard(
+    membership_t *self, const char *name, struct timespec at, json_t *report)
 {
 	member_t *member;
 
 	HASH_FIND_STR(self->members, name, member);
-	if (member == NULL)
+	if (member == NULL ||
+	    (member->heard_once && timespec_ms_between(member->heard, at) < 0))
 		return;
-	member->heard = clock_elapsed(self->clock);
+	member->heard = at;
 	member->heard_once = true;
-	member->direct = direct;
 	json_decref(member->report);
 	member->report = json_incref(report);
 }
 
+void
+membership_heard(membership_t *self, const char *name, json_t *report)
+{
+	member_heard(self, name, clock_elapsed(self->clock), report);
+}
+
+void
+membership_heard_below(membership_t *self, const json_t *below)
+{
+	struct timespec now = clock_elapsed(self->clock);
+	const char *name;
+	json_t *told;
+
+	json_object_foreach((json_t *)(uintptr_t)below, name, told)
+	{
+		int64_t age_ms = json_integer_value(json_array_get(told, 0));
+
+		if (json_array_size(told) == 2)
+			member_heard(self, name,
+			    timespec_after_ms(now, age_ms > 0 ? -age_ms : 0),
+			    json_array_get(told, 1));
+	}
+}
+
 json_t *
 membership_below(const membership_t *self)
 {
@@ -303,15 +328,14 @@
 
 	for (const member_t *member = self->members; member != NULL;
 	     member = member->hh.next) {
-		if (!member->heard_once || !member->direct ||
-		    timespec_ms_between(member->heard, now) >=
-			self->settings.silent_ms)
+		int64_t age_ms = timespec_ms_between(member->heard, now);
+
+		if (!member->heard_once || age_ms >= self->settings.silent_ms)
 			continue;
 		if (below == NULL)
 			below = json_object();
 		json_object_set_new(below, member->name,
-		    member->report != NULL ? json_incref(member->report)
-					   : json_null());
+		    json_pack("[I, O?]", (json_int_t)age_ms, member->report));
 	}
 	return below;
 }
--- a/moortack/relay/row_source.c
+++ b/moortack/relay/row_source.c
@@ -286,14 +286,8 @@
 {
 	row_source_t *self = arg;
 
-	const char *name;
-	json_t *report;
-
-	membership_heard(self->members, question->name, question->report, true);
-	json_object_foreach(question->below, name, report)
-	{
-		membership_heard(self->members, name, report, false);
-	}
+	membership_heard(self->members, question->name, question->report);
+	membership_heard_below(self->members, question->below);
 }
 
 static const feed_server_ops_t server_ops = {on_state, on_heard};
@@ -437,6 +431,7 @@
 	row_cache_trim(&self->cache);
 	if (self->settings.peer_address[0] == '\0')
 		return;
+	lost_tell(self);
 	if (!self->keyed) {
 		if (self->context == NULL)
 			key_look(self);
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -18,6 +18,7 @@
 #include "moortack/relay/feed_wire.h"
 #include "moortack/relay/membership.h"
 #include "moortack/relay/row_cache.h"
+#include "moortack/relay/row_source.h"
 #include "moortack/relay/row_watch.h"
 
 #define DAEMONS 40
@@ -339,7 +340,7 @@
 	(void)state;
 	membership_of(&self, base, &store, &clock.source, 1);
 	assert_int_equal(membership_count(&self), DAEMONS);
-	membership_heard(&self, "10.0.0.2:80", NULL, true);
+	membership_heard(&self, "10.0.0.2:80", NULL);
 	clock.now.tv_sec += 5;
 	assert_int_equal(membership_count(&self), DAEMONS - 1);
 	clock.now.tv_sec += 25;
@@ -350,10 +351,77 @@
 	event_base_free(base);
 }
 
+/* Whoever read the store again after it had followed another for a time does
+ * not go on telling that the store is lost. */
+static void
+a_store_that_is_back_is_not_told_as_lost(void **state)
+{
+	manual_clock_t clock = {{&manual_ops}, {100, 0}};
+	struct event_base *base = event_base_new();
+	row_store_t store = {&silent_ops};
+	membership_t members = {0};
+	row_source_t source = {.base = base,
+	    .clock = &clock.source,
+	    .members = &members,
+	    .keyed = true,
+	    .server = {.lost = true}};
+
+	(void)state;
+	membership_of(&members, base, &store, &clock.source, 1);
+	row_cache_init(&source.cache, &clock.source, bytes_same, NULL);
+	strcpy(source.settings.peer_address, "10.0.0.1:81");
+	members.order = -1; /* nobody stands before it */
+	for (int i = 0; i < ROW_TABLES; i++)
+		source.watches[i].watch =
+		    (row_watch_t){.reachable = true, .settled_once = true};
+	row_source_tick(&source);
+	assert_false(source.server.lost);
+	membership_finish(&members);
+	event_base_free(base);
+}
+
+/* What a daemon hears of those below it says how long ago that was, over any
+ * number of daemons in between. */
+static void
+those_below_are_heard_of_with_their_age(void **state)
+{
+	manual_clock_t clock = {{&manual_ops}, {100, 0}};
+	struct event_base *base = event_base_new();
+	row_store_t store = {&silent_ops};
+	membership_t leaf_parent, between, first;
+	json_t *below;
+
+	(void)state;
+	membership_of(&leaf_parent, base, &store, &clock.source, 3);
+	membership_of(&between, base, &store, &clock.source, 2);
+	membership_of(&first, base, &store, &clock.source, 1);
+	membership_heard(&leaf_parent, "10.0.0.9:80", NULL);
+	membership_heard(&first, "10.0.0.2:80", NULL);
+	clock.now.tv_sec += 2;
+	below = membership_below(&leaf_parent);
+	membership_heard_below(&between, below);
+	json_decref(below);
+	below = membership_below(&between);
+	membership_heard_below(&first, below);
+	json_decref(below);
+	assert_int_equal(membership_count(&first), DAEMONS);
+	clock.now.tv_sec += 3;
+	/* It was heard of 5 s ago, though only just told. */
+	below = membership_below(&between);
+	assert_null(below);
+	assert_int_equal(membership_count(&first), DAEMONS - 2);
+	membership_finish(&leaf_parent);
+	membership_finish(&between);
+	membership_finish(&first);
+	event_base_free(base);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(a_store_that_is_back_is_not_told_as_lost),
+	    cmocka_unit_test(those_below_are_heard_of_with_their_age),
 	    cmocka_unit_test(a_row_is_news_once_and_never_goes_back),
 	    cmocka_unit_test(rows_come_through_the_wire_as_they_are),
 	    cmocka_unit_test(a_whole_answer_ends_only_what_it_does_not_name),
