--- /dev/null
+++ b/moortack/relay/row_follow.c
@@ -0,0 +1,315 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "moortack/relay/feed_apply.h"
+#include "row_source_priv.h"
+
+/* A daemon that failed is not followed again for this long. */
+#define SHUN_MS 3000
+/* The same for one that the store does not answer: longer than it takes to look
+ * again. */
+#define SHUN_LOST_MS 6000
+/* The same for one whose rows come through this daemon: it looks for another
+ * itself as soon as it is told. */
+#define SHUN_CIRCLE_MS 500
+/* How long the first answer of another daemon is waited for before the store is
+ * read meanwhile. */
+#define FIRST_ANSWER_MS 400
+/* How long the rows of who is followed may be old before it is shunned. */
+#define OLD_MOST_MS 3000
+/* How long somebody who stands after this daemon is followed before the store
+ * is tried again. */
+#define DOWN_MS 4000
+
+void
+row_follow_tell_lost(row_source_t *self)
+{
+	bool unreachable = false;
+
+	for (int i = 0; i < ROW_TABLES; i++)
+		unreachable |= !self->watches[i].watch.reachable;
+	if (self->keyed)
+		feed_server_set_lost(&self->server,
+		    self->leaving || self->down ||
+			(unreachable && !self->following));
+}
+
+static bool
+kept_back_any(const row_source_t *self)
+{
+	for (int i = 0; i < ROW_TABLES; i++) {
+		if (self->kept_back[i] != 0)
+			return true;
+	}
+	return false;
+}
+
+/* Follow nobody; the store is read again unless somebody else is followed
+ * at once. */
+static void
+follow_end(row_source_t *self, const char *why)
+{
+	event_line(
+	    self->log, "unfollow", "source=%s why=%s", self->followed, why);
+	self->followed[0] = '\0';
+	self->following = false;
+	self->down = false;
+	self->old = false;
+	json_decref(self->followed_path);
+	self->followed_path = NULL;
+	feed_client_stop(&self->client);
+}
+
+/* Read the store again. */
+static void
+follow_stop(row_source_t *self, const char *why)
+{
+	if (self->followed[0] == '\0')
+		return;
+	follow_end(self, why);
+	row_source_suspend(self, false);
+}
+
+static void
+followed_shun(row_source_t *self, int64_t ms, const char *why)
+{
+	membership_shun(self->members, self->followed, ms);
+	follow_end(self, why);
+	row_follow_tick(self);
+	if (self->followed[0] == '\0')
+		row_source_suspend(self, false);
+}
+
+static bool
+tables_old(const row_source_t *self, const feed_answer_t *answer)
+{
+	for (int i = 0; i < ROW_TABLES; i++) {
+		if (answer->tables[i].age_ms < 0 ||
+		    answer->tables[i].age_ms > self->settings.old_ms[i])
+			return true;
+	}
+	return false;
+}
+
+/* Whoever is followed has old rows: it may just have lost whom it followed, and
+ * has news as soon as it finds another. The store is read meanwhile. */
+static void
+followed_old(row_source_t *self)
+{
+	struct timespec now = clock_elapsed(self->clock);
+
+	if (!self->old) {
+		self->old = true;
+		self->old_since = now;
+		event_line(self->log, "behind", "source=%s", self->followed);
+	}
+	if (timespec_ms_between(self->old_since, now) >= OLD_MOST_MS) {
+		followed_shun(self, SHUN_MS, "behind");
+		return;
+	}
+	self->following = false;
+	row_source_suspend(self, false);
+}
+
+static void
+on_answer(void *arg, const feed_answer_t *answer, struct timespec asked)
+{
+	row_source_t *self = arg;
+
+	if (answer->lost) {
+		followed_shun(self, SHUN_LOST_MS, "lost");
+		return;
+	}
+	if (feed_answer_through(answer, self->members->settings.name)) {
+		/* Nobody reads the store in a circle: this one does, until it
+		 * finds somebody else. */
+		membership_shun(self->members, self->followed, SHUN_CIRCLE_MS);
+		follow_stop(self, "circle");
+		return;
+	}
+	json_decref(self->followed_path);
+	self->followed_path = json_incref(answer->path);
+	if (tables_old(self, answer)) {
+		followed_old(self);
+		return;
+	}
+	self->old = false;
+	self->taking = true;
+	feed_apply(answer, &self->cache, self->ops->row, self->arg);
+	self->taking = false;
+	for (int i = 0; i < ROW_TABLES; i++) {
+		const feed_table_t *table = &answer->tables[i];
+
+		row_watch_vouch(&self->watches[i].watch, table->version,
+		    timespec_after_ms(asked, -table->age_ms));
+		self->ops->settled(self->arg, (row_table_t)i, false);
+	}
+	self->ops->store_clock(self->arg, answer->store_now_ms);
+	membership_trust(self->members, self->followed);
+	self->followed_source = answer->source;
+	self->followed_change = answer->change;
+	if (self->following)
+		return;
+	if (kept_back_any(self)) {
+		/* Only all rows tell how what is kept back ended. */
+		self->followed_source = 0;
+		return;
+	}
+	self->following = true;
+	row_follow_tell_lost(self);
+	feed_server_refresh(&self->server);
+	row_source_suspend(self, true);
+	event_line(self->log, "follow", "source=%s rows=%zu age_ms=%" PRId64,
+	    self->followed, json_array_size(answer->rows),
+	    answer->tables[ROW_TABLE_ORDERS].age_ms);
+}
+
+static void
+on_lost(void *arg)
+{
+	followed_shun(arg, SHUN_MS, "no_answer");
+}
+
+static void
+on_ask(void *arg, feed_question_t *question)
+{
+	row_source_t *self = arg;
+
+	snprintf(question->name, sizeof(question->name), "%s",
+	    self->members->settings.name);
+	question->source = self->followed_source;
+	question->change = self->followed_change;
+	for (int i = 0; i < ROW_TABLES; i++)
+		question->versions[i] = row_source_known(self, (row_table_t)i);
+	question->report = self->ops->report(self->arg);
+	question->below = membership_below(self->members);
+}
+
+static const feed_client_ops_t client_ops = {on_ask, on_answer, on_lost};
+
+static void
+on_state(void *arg, feed_answer_t *answer)
+{
+	row_source_t *self = arg;
+	struct timespec now = clock_elapsed(self->clock);
+
+	for (int i = 0; i < ROW_TABLES; i++) {
+		const row_watch_t *watch = &self->watches[i].watch;
+		int64_t age_ms = row_watch_age_ms(watch);
+
+		answer->tables[i] =
+		    (feed_table_t){row_source_told(self, (row_table_t)i),
+			age_ms == INT64_MAX ? -1 : age_ms};
+	}
+	answer->store_now_ms =
+	    self->members->store_offset_ms + timespec_ms(now);
+	answer->path = json_pack("[s]", self->members->settings.name);
+	if (self->following && self->followed_path != NULL)
+		json_array_extend(answer->path, self->followed_path);
+}
+
+static void
+on_heard(void *arg, const feed_question_t *question)
+{
+	row_source_t *self = arg;
+
+	membership_heard(self->members, question->name, question->report);
+	membership_heard_below(self->members, question->below);
+}
+
+static const feed_server_ops_t server_ops = {on_state, on_heard};
+
+void
+row_follow_start(row_source_t *self, const char *secret)
+{
+	char address[MEMBER_NAME_SIZE + 8];
+	err_t err;
+
+	snprintf(
+	    address, sizeof(address), "tcp://%s", self->settings.peer_address);
+	self->context = zmq_ctx_new();
+	if (self->context == NULL ||
+	    !peer_auth_init(&self->auth, secret, &err) ||
+	    !feed_server_init(&self->server, self->base, self->clock,
+		self->context, &self->auth, address, &self->cache, &server_ops,
+		self, self->incarnation, self->settings.hold_ms) ||
+	    !feed_client_init(&self->client, self->base, self->clock,
+		self->context, &self->auth, &client_ops, self)) {
+		event_line(self->log, "peers_failed", "address=%s", address);
+		return;
+	}
+	self->keyed = true;
+}
+
+static void
+follow(row_source_t *self, const member_t *member)
+{
+	char address[MEMBER_NAME_SIZE + 8];
+
+	snprintf(address, sizeof(address), "tcp://%s", member->peer);
+	strcpy(self->followed, member->name);
+	self->followed_source = 0;
+	self->followed_change = 0;
+	self->followed_since = clock_elapsed(self->clock);
+	if (!feed_client_follow(&self->client, address))
+		self->followed[0] = '\0';
+}
+
+/* Whether the store does not answer this daemon, as far as it has asked. */
+static bool
+store_is_lost(const row_source_t *self)
+{
+	for (int i = 0; i < ROW_TABLES; i++) {
+		if (!self->watches[i].watch.reachable)
+			return true;
+	}
+	return false;
+}
+
+/* Nobody stands before this daemon: it reads the store, or, while that does not
+ * answer, follows one that stands after it for a time. */
+static void
+first_step(row_source_t *self)
+{
+	const member_t *next;
+
+	if (self->down) {
+		if (timespec_ms_between(self->followed_since,
+			clock_elapsed(self->clock)) >= DOWN_MS)
+			follow_stop(self, "store_again");
+		return;
+	}
+	if (self->followed[0] != '\0') {
+		follow_stop(self, "no_parent");
+		return;
+	}
+	next = membership_next(self->members);
+	if (next == NULL || !row_source_settled(self) || !store_is_lost(self))
+		return;
+	self->down = true;
+	follow(self, next);
+}
+
+void
+row_follow_tick(row_source_t *self)
+{
+	const member_t *parent = membership_parent(self->members);
+
+	if (parent == NULL) {
+		first_step(self);
+		return;
+	}
+	if (self->followed[0] == '\0' && !row_source_settled(self))
+		return;
+	if (strcmp(parent->name, self->followed) != 0) {
+		self->down = false;
+		self->following = false;
+		follow(self, parent);
+	}
+	/* Whoever is followed anew has a moment to answer. */
+	if (!self->following &&
+	    timespec_ms_between(self->followed_since,
+		clock_elapsed(self->clock)) >= FIRST_ANSWER_MS)
+		row_source_suspend(self, false);
+}
--- /dev/null
+++ b/moortack/relay/row_source_priv.h
@@ -0,0 +1,30 @@
+/**
+ * @file
+ * What the files of a row source share: row_source.c reads the store and keeps
+ * the rows, row_follow.c follows other daemons, fleet_key.c has the key that
+ * they know each other by.
+ */
+#ifndef MOORTACK_RELAY_ROW_SOURCE_PRIV_H
+#define MOORTACK_RELAY_ROW_SOURCE_PRIV_H
+
+#include "moortack/relay/row_source.h"
+
+/** Whether every table was read once. */
+bool row_source_settled(const row_source_t *);
+
+/** Read the store no longer, or again. */
+void row_source_suspend(row_source_t *, bool suspend);
+
+/** Answer and ask other daemons from now on. */
+void row_follow_start(row_source_t *, const char *secret);
+
+/** Decide anew whom to follow. */
+void row_follow_tick(row_source_t *);
+
+/** Tell whoever follows this daemon at once when it is no use to do so. */
+void row_follow_tell_lost(row_source_t *);
+
+/** Find the fleet's key, or make it if nobody else does. */
+void fleet_key_look(row_source_t *);
+
+#endif
