relay: a lost store is asked for one table, and the way to it is looked for three times

Change: while the store does not answer, only the endpoints are asked for, and no member's row is written unless it leaves. After three daemons that say so, the store is likely lost for all: nobody is asked for 1 to 2 s. Who reaches the store again names all others again. Ruled out: only the first daemon looks (a store that turns away some would be lost to all who follow it).

--- a/include/moortack/relay/membership.h
+++ b/include/moortack/relay/membership.h
@@ -70,6 +70,7 @@
 	bool reachable;	  /**< the last write was answered */
 	struct timespec lost_since;
 	bool removed;
+	bool held;    /**< the store is lost: nothing is written */
 	bool alone;   /**< no other daemon hears of this one but by its row */
 	bool vouched; /**< the daemon that is followed names the living */
 	double order; /**< of this daemon */
@@ -99,6 +100,12 @@
 /** Don't name a member as the one to follow for this long, and longer each time
  * until it is trusted. */
 void membership_shun(membership_t *, const char *name, int64_t ms);
+/** Name all members again: the store is back for this daemon, and likely for
+ * others. */
+void membership_forgive(membership_t *);
+/** Write nothing for as long as the store is lost, but the end of the own row.
+ */
+void membership_hold(membership_t *, bool hold);
 /** The member answered well. */
 void membership_trust(membership_t *, const char *name);
 /**
--- a/include/moortack/relay/row_source.h
+++ b/include/moortack/relay/row_source.h
@@ -75,7 +75,10 @@
 	struct timespec key_after; /**< no key is made before */
 	bool down; /**< who is followed stands after this daemon, which tells
 		      those who ask it to go elsewhere */
-	bool old;  /**< the rows of who is followed are old */
+	bool idle; /**< another daemon tells the rows: the store is not read */
+	uint32_t lost_answers;	    /**< in a row */
+	struct timespec lost_until; /**< nobody is followed before */
+	bool old;		    /**< the rows of who is followed are old */
 	struct timespec old_since;
 	bool taking; /**< a row that is told now comes from another daemon */
 	/** Changes from this version on are not all passed on yet; 0: all are.
--- a/moortack/relay/membership.c
+++ b/moortack/relay/membership.c
@@ -11,6 +11,8 @@
 #define WRITE_TIMEOUT_MS 1200
 #define RETRY_MS 400
 #define RETRY_MOST_MS 2000
+/* How often is looked whether a row may be written again. */
+#define HELD_LOOK_MS 500
 /* Times that the time for which a member is shunned is doubled. */
 #define SHUNS_MAX 3
 #define HASH_RANGE 18446744073709551616.0
@@ -93,7 +95,11 @@
 
 	(void)fd;
 	(void)what;
-	if (!self->writing && !self->removed)
+	if (self->writing || self->removed)
+		return;
+	if (self->held)
+		beat_later(self, HELD_LOOK_MS);
+	else
 		row_write(self);
 }
 
@@ -353,6 +359,22 @@
 	member->shunned = timespec_after_ms(clock_elapsed(self->clock), ms);
 }
 
+void
+membership_forgive(membership_t *self)
+{
+	for (member_t *member = self->members; member != NULL;
+	     member = member->hh.next) {
+		member->shuns = 0;
+		member->shunned = (struct timespec){0};
+	}
+}
+
+void
+membership_hold(membership_t *self, bool hold)
+{
+	self->held = hold;
+}
+
 void
 membership_trust(membership_t *self, const char *name)
 {
--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -9,7 +9,11 @@
 #define SHUN_MS 3000
 /* The same for one that the store does not answer: longer than it takes to look
  * again. */
-#define SHUN_LOST_MS 6000
+#define SHUN_LOST_MS 2000
+/* After this many of them in a row the store is likely lost for all: for a
+ * time, and a random part of it more, no others are asked. */
+#define LOST_ANSWERS_MAX 3
+#define LOST_PAUSE_MS 1000
 /* The same for one whose rows come through this daemon: it looks for another
  * itself as soon as it is told. */
 #define SHUN_CIRCLE_MS 500
@@ -112,12 +116,26 @@
 	row_source_suspend(self, false);
 }
 
+static void
+lost_count(row_source_t *self)
+{
+	int64_t pause_ms =
+	    LOST_PAUSE_MS + (int64_t)rng_below(self->rng, LOST_PAUSE_MS);
+
+	if (++self->lost_answers < LOST_ANSWERS_MAX)
+		return;
+	self->lost_answers = 0;
+	self->lost_until =
+	    timespec_after_ms(clock_elapsed(self->clock), pause_ms);
+}
+
 static void
 on_answer(void *arg, const feed_answer_t *answer, struct timespec asked)
 {
 	row_source_t *self = arg;
 
 	if (answer->lost) {
+		lost_count(self);
 		followed_shun(self, SHUN_LOST_MS, "lost");
 		return;
 	}
@@ -147,6 +165,7 @@
 	}
 	self->ops->store_clock(self->arg, answer->store_now_ms);
 	membership_trust(self->members, self->followed);
+	self->lost_answers = 0;
 	self->followed_source = answer->source;
 	self->followed_change = answer->change;
 	if (self->following)
@@ -296,6 +315,10 @@
 {
 	const member_t *parent = membership_parent(self->members);
 
+	if (self->followed[0] == '\0' &&
+	    timespec_ms_between(clock_elapsed(self->clock), self->lost_until) >
+		0)
+		return;
 	if (parent == NULL) {
 		first_step(self);
 		return;
--- a/moortack/relay/row_source.c
+++ b/moortack/relay/row_source.c
@@ -56,11 +56,23 @@
 	return changed;
 }
 
+/* While the store does not answer, one table is asked for. */
+static void
+watches_apply(row_source_t *self)
+{
+	bool lost = !self->watches[ROW_TABLE_PROBE].watch.reachable &&
+	    row_source_settled(self);
+
+	for (int i = 0; i < ROW_TABLES; i++)
+		row_watch_suspend(&self->watches[i].watch,
+		    self->idle || (lost && i != ROW_TABLE_PROBE));
+}
+
 void
 row_source_suspend(row_source_t *self, bool suspend)
 {
-	for (int i = 0; i < ROW_TABLES; i++)
-		row_watch_suspend(&self->watches[i].watch, suspend);
+	self->idle = suspend;
+	watches_apply(self);
 }
 
 bool
@@ -87,6 +99,9 @@
 	if (self->settings.peer_address[0] == '\0')
 		return;
 	row_follow_tell_lost(self);
+	membership_hold(self->members,
+	    !self->watches[ROW_TABLE_PROBE].watch.reachable &&
+		row_source_settled(self) && !self->following);
 	if (!self->keyed) {
 		if (self->context == NULL)
 			fleet_key_look(self);
@@ -151,6 +166,11 @@
 	row_source_t *self = watch->source;
 
 	row_follow_tell_lost(self);
+	if (watch->table == ROW_TABLE_PROBE) {
+		watches_apply(self);
+		if (now)
+			membership_forgive(self->members);
+	}
 	self->ops->reachable(self->arg, watch->table, now);
 }
 
--- a/moortack/relay/row_source_priv.h
+++ b/moortack/relay/row_source_priv.h
@@ -12,6 +12,10 @@
 /** Whether every table was read once. */
 bool row_source_settled(const row_source_t *);
 
+/** The table that is asked for while the store does not answer: the one that is
+ * read most often. */
+#define ROW_TABLE_PROBE ROW_TABLE_ENDPOINTS
+
 /** Read the store no longer, or again. */
 void row_source_suspend(row_source_t *, bool suspend);
 
