relay: endpoints that another daemon tells are believed for a part of the bound for leaving

Added up, an endpoint that leaves while a daemon loses whom it follows could be used for longer than the bound. Only the tables concerned are then read from the store, beside the daemon that is followed; an answer with one old table still tells the rows of the others. No test over several daemons shows the bound itself.

--- a/include/moortack/relay/feed_client.h
+++ b/include/moortack/relay/feed_client.h
@@ -16,6 +16,8 @@
 	void (*ask)(void *arg, feed_question_t *);
 	/** An answer to a question that was asked at @p asked. */
 	void (*answer)(void *arg, const feed_answer_t *, struct timespec asked);
+	/** The answer takes longer than answers do. */
+	void (*slow)(void *arg);
 	/** No answer came in time. */
 	void (*lost)(void *arg);
 } feed_client_ops_t;
@@ -29,6 +31,7 @@
 	void *arg;
 	peer_socket_t dealer; /**< closed: nobody is asked */
 	struct event *timer;  /**< until the answer is late */
+	bool slow;	      /**< told as slow */
 	uint64_t number;      /**< of the question that is out */
 	struct timespec asked;
 } feed_client_t;
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -46,7 +46,8 @@
 	relay_bounds_t bounds;
 	int64_t config_wait_ms;	    /**< a question may be held this long */
 	int64_t endpoints_pause_ms; /**< between questions */
-	int64_t old_ms;	    /**< rows older than this are asked for elsewhere */
+	int64_t old_ms; /**< rows older than this are asked for elsewhere */
+	int64_t endpoints_old_ms; /**< the same for rows of endpoints */
 	int64_t lapse_ms;   /**< entries that went in an outage may come back */
 	int64_t session_ms; /**< requests of a session that belong together */
 	int64_t grace_ms;   /**< between the order to stop and the kill */
--- a/include/moortack/relay/row_source.h
+++ b/include/moortack/relay/row_source.h
@@ -75,7 +75,8 @@
 	struct timespec key_after; /**< no key is made before */
 	bool down; /**< who is followed stands after this daemon, which tells
 		      those who ask it to go elsewhere */
-	bool idle; /**< another daemon tells the rows: the store is not read */
+	/** Another daemon tells the rows: the store is not read. */
+	bool idle[ROW_TABLES];
 	uint32_t lost_answers;	    /**< in a row */
 	struct timespec lost_until; /**< nobody is followed before */
 	bool old;		    /**< the rows of who is followed are old */
--- a/moortack/relay/feed_client.c
+++ b/moortack/relay/feed_client.c
@@ -6,14 +6,23 @@
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
 /* The other side holds a question for half a second at most; an answer that
- * takes longer than this comes from a daemon that is gone, or stands still. */
-#define ANSWER_MS 1300
+ * takes longer than this is slow: what it would tell is asked for elsewhere. */
+#define SLOW_MS 700
+/* One that takes this much longer comes from a daemon that is gone, or stands
+ * still. */
+#define LATE_MS 600
+
+static void
+answer_wait(feed_client_t *client, int64_t ms)
+{
+	struct timeval time = {ms / MS_PER_SEC, ms % MS_PER_SEC * US_PER_MS};
+
+	event_add(client->timer, &time);
+}
 
 static bool
 question_send(feed_client_t *client)
 {
-	struct timeval late = {
-	    ANSWER_MS / MS_PER_SEC, ANSWER_MS % MS_PER_SEC * US_PER_MS};
 	feed_question_t question = {.number = ++client->number};
 	char *text;
 	int sent;
@@ -28,7 +37,8 @@
 	    zmq_send(client->dealer.socket, text, strlen(text), ZMQ_DONTWAIT);
 	free(text);
 	peer_socket_sent(&client->dealer);
-	event_add(client->timer, &late);
+	client->slow = false;
+	answer_wait(client, SLOW_MS);
 	return sent >= 0;
 }
 
@@ -39,7 +49,13 @@
 
 	(void)fd;
 	(void)what;
-	client->ops->lost(client->arg);
+	if (client->slow) {
+		client->ops->lost(client->arg);
+		return;
+	}
+	client->slow = true;
+	answer_wait(client, LATE_MS);
+	client->ops->slow(client->arg);
 }
 
 static void
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -186,7 +186,8 @@
 		    {0, OWN_PAUSE_MS, STORE_RETRY_MS, STORE_RETRY_MOST_MS,
 			OWN_TIMEOUT_MS}},
 		.hold_ms = settings->config_wait_ms,
-		.old_ms = {settings->old_ms, settings->old_ms, OWN_OLD_MS}},
+		.old_ms = {settings->old_ms, settings->endpoints_old_ms,
+		    OWN_OLD_MS}},
 	    .base = ports->base,
 	    .store = ports->store,
 	    .clock = ports->clock,
@@ -288,6 +289,8 @@
 	node->settings.bounds = settings->bounds;
 	node->settings.grace_ms = settings->grace_ms;
 	node->settings.endpoints_pause_ms = settings->endpoints_pause_ms;
+	node->source.settings.old_ms[ROW_TABLE_ENDPOINTS] =
+	    settings->endpoints_old_ms;
 	node->relay.bounds = settings->bounds;
 	node->source.watches[ROW_TABLE_ENDPOINTS].watch.pace.pause_ms =
 	    settings->endpoints_pause_ms;
--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -85,21 +85,30 @@
 		row_source_suspend(self, false);
 }
 
+static bool
+table_old(
+    const row_source_t *self, const feed_answer_t *answer, row_table_t table)
+{
+	int64_t age_ms = answer->tables[table].age_ms;
+
+	return age_ms < 0 || age_ms > self->settings.old_ms[table];
+}
+
 static bool
 tables_old(const row_source_t *self, const feed_answer_t *answer)
 {
 	for (int i = 0; i < ROW_TABLES; i++) {
-		if (answer->tables[i].age_ms < 0 ||
-		    answer->tables[i].age_ms > self->settings.old_ms[i])
+		if (table_old(self, answer, (row_table_t)i))
 			return true;
 	}
 	return false;
 }
 
 /* Whoever is followed has old rows: it may just have lost whom it followed, and
- * has news as soon as it finds another. The store is read meanwhile. */
+ * has news as soon as it finds another. The store is asked for these meanwhile.
+ */
 static void
-followed_old(row_source_t *self)
+followed_old(row_source_t *self, const feed_answer_t *answer)
 {
 	struct timespec now = clock_elapsed(self->clock);
 
@@ -112,8 +121,10 @@
 		followed_shun(self, SHUN_MS, "behind");
 		return;
 	}
-	self->following = false;
-	row_source_suspend(self, false);
+	for (int i = 0; i < ROW_TABLES; i++) {
+		if (table_old(self, answer, (row_table_t)i))
+			row_source_beside(self, (row_table_t)i);
+	}
 }
 
 static void
@@ -129,6 +140,23 @@
 	    timespec_after_ms(clock_elapsed(self->clock), pause_ms);
 }
 
+/* The tables are known as far as the answer says, with the ages that it tells.
+ */
+static void
+answer_vouch(
+    row_source_t *self, const feed_answer_t *answer, struct timespec asked)
+{
+	for (int i = 0; i < ROW_TABLES; i++) {
+		const feed_table_t *table = &answer->tables[i];
+
+		if (table->age_ms < 0)
+			continue;
+		row_watch_vouch(&self->watches[i].watch, table->version,
+		    timespec_after_ms(asked, -table->age_ms));
+		self->ops->settled(self->arg, (row_table_t)i, false);
+	}
+}
+
 static void
 on_answer(void *arg, const feed_answer_t *answer, struct timespec asked)
 {
@@ -148,28 +176,24 @@
 	}
 	json_decref(self->followed_path);
 	self->followed_path = json_incref(answer->path);
-	if (tables_old(self, answer)) {
-		followed_old(self);
-		return;
-	}
-	self->old = false;
 	self->taking = true;
 	feed_apply(answer, &self->cache, self->ops->row, self->arg);
 	self->taking = false;
-	for (int i = 0; i < ROW_TABLES; i++) {
-		const feed_table_t *table = &answer->tables[i];
-
-		row_watch_vouch(&self->watches[i].watch, table->version,
-		    timespec_after_ms(asked, -table->age_ms));
-		self->ops->settled(self->arg, (row_table_t)i, false);
+	answer_vouch(self, answer, asked);
+	self->followed_source = answer->source;
+	self->followed_change = answer->change;
+	if (tables_old(self, answer)) {
+		followed_old(self, answer);
+		return;
 	}
+	self->old = false;
 	self->ops->store_clock(self->arg, answer->store_now_ms);
 	membership_trust(self->members, self->followed);
 	self->lost_answers = 0;
-	self->followed_source = answer->source;
-	self->followed_change = answer->change;
-	if (self->following)
+	if (self->following) {
+		row_source_suspend(self, true);
 		return;
+	}
 	if (kept_back_any(self)) {
 		/* Only all rows tell how what is kept back ended. */
 		self->followed_source = 0;
@@ -184,6 +208,15 @@
 	    answer->tables[ROW_TABLE_ORDERS].age_ms);
 }
 
+static void
+on_slow(void *arg)
+{
+	row_source_t *self = arg;
+
+	event_line(self->log, "slow", "source=%s", self->followed);
+	row_source_beside(self, ROW_TABLE_ENDPOINTS);
+}
+
 static void
 on_lost(void *arg)
 {
@@ -205,7 +238,8 @@
 	question->below = membership_below(self->members);
 }
 
-static const feed_client_ops_t client_ops = {on_ask, on_answer, on_lost};
+static const feed_client_ops_t client_ops = {
+    on_ask, on_answer, on_slow, on_lost};
 
 static void
 on_state(void *arg, feed_answer_t *answer)
--- a/moortack/relay/row_source.c
+++ b/moortack/relay/row_source.c
@@ -65,13 +65,21 @@
 
 	for (int i = 0; i < ROW_TABLES; i++)
 		row_watch_suspend(&self->watches[i].watch,
-		    self->idle || (lost && i != ROW_TABLE_PROBE));
+		    self->idle[i] || (lost && i != ROW_TABLE_PROBE));
 }
 
 void
 row_source_suspend(row_source_t *self, bool suspend)
 {
-	self->idle = suspend;
+	for (int i = 0; i < ROW_TABLES; i++)
+		self->idle[i] = suspend;
+	watches_apply(self);
+}
+
+void
+row_source_beside(row_source_t *self, row_table_t table)
+{
+	self->idle[table] = false;
 	watches_apply(self);
 }
 
--- a/moortack/relay/row_source_priv.h
+++ b/moortack/relay/row_source_priv.h
@@ -19,6 +19,9 @@
 /** Read the store no longer, or again. */
 void row_source_suspend(row_source_t *, bool suspend);
 
+/** Read one table from the store beside the daemon that is followed. */
+void row_source_beside(row_source_t *, row_table_t);
+
 /** Answer and ask other daemons from now on. */
 void row_follow_start(row_source_t *, const char *secret);
 
--- a/test/unit/lapse_test.c
+++ b/test/unit/lapse_test.c
@@ -130,6 +130,7 @@
 	    .name = "127.0.0.1:1",
 	    .place = "a",
 	    .endpoints_pause_ms = 600,
+	    .endpoints_old_ms = 1300,
 	    .config_wait_ms = 500,
 	    .lapse_ms = LAPSE_MS,
 	    .grace_ms = 1000,
--- a/test/unit/relay_node_test.c
+++ b/test/unit/relay_node_test.c
@@ -192,6 +192,7 @@
 	    .name = "127.0.0.1:1",
 	    .place = "a",
 	    .endpoints_pause_ms = 20,
+	    .endpoints_old_ms = 1300,
 	    .config_wait_ms = 20,
 	    .lapse_ms = 2000,
 	    .grace_ms = 1000,
