relay: fewer calls to the store at the start and for members' rows

Later, half of the calls are members' rows, written every 10 s. Change: daemons that do not serve yet are followed too; the key is looked for again before one is made, and until then members are read every 0.4 s; a daemon that is heard of no more writes its row after 1 s, not at once; rows are written every 30 s, since those who live are heard of; who is not heard of for 12 s (25 s before) counts as dead. During roll-outs members are read every 1.0 s (0.4 s). Ruled out: no row before a daemon serves (nobody could be followed before).

--- a/moortack/relay/fleet_key.c
+++ b/moortack/relay/fleet_key.c
@@ -5,8 +5,10 @@
 
 #define KEY_TIMEOUT_MS 1500
 #define KEY_RETRY_MS 1500
-/* Daemons that start together don't all make a key. */
-#define KEY_SPREAD_MS 800
+/* Daemons that start together don't all make a key: each looks for it again,
+ * and for who else is there, before it does. */
+#define KEY_LOOK_MS 600
+#define KEY_SPREAD_MS 300
 #define KEY_SIZE 41
 
 static void
@@ -33,8 +35,8 @@
 	struct timespec now = clock_elapsed(self->clock);
 
 	if (self->key_after.tv_sec == 0)
-		self->key_after = timespec_after_ms(
-		    now, (int64_t)rng_below(self->rng, KEY_SPREAD_MS));
+		self->key_after = timespec_after_ms(now,
+		    KEY_LOOK_MS + (int64_t)rng_below(self->rng, KEY_SPREAD_MS));
 	if (timespec_ms_between(self->key_after, now) < 0)
 		return;
 	if (self->key_writing || membership_rank(self->members) != 0 ||
--- a/moortack/relay/member_tree.c
+++ b/moortack/relay/member_tree.c
@@ -11,17 +11,17 @@
 {
 	struct timespec now = clock_elapsed(self->clock);
 
-	return member->state == MEMBER_READY && member->peer[0] != '\0' &&
+	return member->state != MEMBER_LEAVING && member->peer[0] != '\0' &&
 	    timespec_ms_between(now, member->shunned) <= 0 &&
 	    membership_alive(self, member);
 }
 
-/* Whether the member stands before this daemon; before one that does not serve
- * yet, or no longer, all do. */
+/* Whether the member stands before this daemon; before one that leaves, all do.
+ */
 static bool
 stands_before(const membership_t *self, const member_t *member)
 {
-	return member->order < self->order || self->state != MEMBER_READY;
+	return member->order < self->order || self->state == MEMBER_LEAVING;
 }
 
 static int
--- a/moortack/relay/membership.c
+++ b/moortack/relay/membership.c
@@ -11,6 +11,9 @@
 #define WRITE_TIMEOUT_MS 1200
 #define RETRY_MS 400
 #define RETRY_MOST_MS 2000
+/* Whoever is heard of no more tells so by its row after this time: most find
+ * another daemon to follow sooner. */
+#define ALONE_MS 1000
 /* How often is looked whether a row may be written again. */
 #define HELD_LOOK_MS 500
 /* Times that the time for which a member is shunned is doubled. */
@@ -397,8 +400,8 @@
 			member->changed = now;
 	}
 	self->vouched = vouched;
-	if (self->alone != alone && alone && !self->removed && !self->writing)
-		beat_later(self, 0);
+	if (self->alone != alone && !self->removed && !self->writing)
+		beat_later(self, alone ? ALONE_MS : self->settings.beat_ms);
 	self->alone = alone;
 }
 
@@ -477,7 +480,7 @@
 
 	for (const member_t *member = self->members; member != NULL;
 	     member = member->hh.next) {
-		if (member->state == MEMBER_READY &&
+		if (member->state != MEMBER_LEAVING &&
 		    member->order < self->order &&
 		    membership_alive(self, member))
 			rank++;
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -19,14 +19,19 @@
 /* Rows of the daemons: how often they are read and written. */
 #define OWN_PAUSE_MS 1500
 #define OWN_OLD_MS 6000
-#define BEAT_MS 10000
+#define BEAT_MS 30000
 #define BEAT_ALONE_MS 2000
-#define LEASE_MS 25000
+/* A daemon that lives is heard of within a few seconds, or tells by its row that
+ * it follows nobody. */
+#define LEASE_MS 12000
+/* Until the fleet's key is known, the rows of the daemons are read this often:
+ * nobody can be followed before. */
+#define OWN_PAUSE_KEY_MS 400
 /* A daemon that follows this one asks it more than once a second. */
 #define SILENT_MS 4500
 /* The same while a roll-out is under way: its counts have to be known to all
  * well within the bound for stopping it. */
-#define OWN_PAUSE_BUSY_MS 400
+#define OWN_PAUSE_BUSY_MS 1000
 #define REPORT_BUSY_MS 700
 /* Parts of the time for leaving: until then streams are still taken, idle
  * connections kept, and answers waited for. */
@@ -45,6 +50,8 @@
 	row_watch_t *own = &node->source.watches[ROW_TABLE_OWN].watch;
 
 	own->pace.pause_ms = active ? OWN_PAUSE_BUSY_MS : OWN_PAUSE_MS;
+	if (!node->source.keyed)
+		own->pace.pause_ms = OWN_PAUSE_KEY_MS;
 	if (timespec_ms_between(node->reported, now) < REPORT_BUSY_MS)
 		return;
 	node->reported = now;
@@ -183,7 +190,7 @@
 			      ORDERS_TIMEOUT_MS},
 		    {0, settings->endpoints_pause_ms, STORE_RETRY_MS,
 			STORE_RETRY_MOST_MS, ENDPOINTS_TIMEOUT_MS},
-		    {0, OWN_PAUSE_MS, STORE_RETRY_MS, STORE_RETRY_MOST_MS,
+		    {0, OWN_PAUSE_KEY_MS, STORE_RETRY_MS, STORE_RETRY_MOST_MS,
 			OWN_TIMEOUT_MS}},
 		.hold_ms = settings->config_wait_ms,
 		.old_ms = {settings->old_ms, settings->endpoints_old_ms,
