relay: an endpoint's death is no sign of a bad version

The guard's words with the relay are in relay_guard.c. Ruled out: not counting broken answers at all (a version may break them); once for each endpoint (each daemon sees one). Before: platform_rollout_crash fails.

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -12,8 +12,10 @@
 
 #include "common/clock_source.h"
 #include "common/http_outbound.h"
+#include "moortack/relay/version_guard.h"
 
 #define ENDPOINT_NAME_SIZE 96
+#define ENDPOINT_DOUBTS_MAX 8
 
 /** What an endpoint says of itself; filled by an endpoint source. */
 typedef struct endpoint_facts {
@@ -34,6 +36,13 @@
 	uint32_t slots;
 } endpoint_load_t;
 
+/** An answer that broke off, and may be the endpoint's death or its version's
+ * fault. */
+typedef struct endpoint_doubt {
+	guard_answer_t answer;
+	struct timespec at;
+} endpoint_doubt_t;
+
 typedef struct endpoint endpoint_t;
 typedef struct endpoint_link endpoint_link_t;
 typedef struct endpoint_set endpoint_set_t;
@@ -62,6 +71,8 @@
 	bool load_known;
 	uint32_t failures; /**< in a row */
 	struct timespec ejected_until;
+	endpoint_doubt_t doubts[ENDPOINT_DOUBTS_MAX];
+	size_t doubts_len;
 	uint64_t hash; /**< of the id */
 	UT_hash_handle hh;
 	endpoint_t *next_of_service;
--- a/moortack/relay/relay_answer.c
+++ b/moortack/relay/relay_answer.c
@@ -101,6 +101,7 @@
 		return;
 	}
 	attempt->headed = true;
+	relay_guard_alive(req);
 	attempt->first_ms = (double)timespec_ms_between(
 	    attempt->sent_at, clock_elapsed(req->relay->clock));
 	if (answer->load_told)
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -17,48 +17,6 @@
  * on one that was used this recently. */
 #define IDLE_UNSAFE_MS 500
 #define RANK_MAX 9
-/* Events from which a pace is taken. */
-#define GAP_EVENTS_MIN 4
-#define US_PER_MS 1000.0
-
-/* Mean time between events of the attempt; negative: too few came. */
-static double
-event_gap_ms(const relay_request_t *req)
-{
-	int64_t us;
-
-	if (req->events < GAP_EVENTS_MIN)
-		return -1;
-	us = timespec_us_between(
-	    req->events_since, clock_elapsed(req->relay->clock));
-	return (double)us / US_PER_MS / (req->events - 1);
-}
-
-static void
-guard_tell(relay_request_t *req, bool failed)
-{
-	attempt_t *attempt = &req->attempt;
-	relay_t *relay = req->relay;
-	rollout_t *rollout = rollouts_find(relay->rollouts, req->service);
-	guard_answer_t answer;
-
-	if (rollout == NULL || rollout->order.number == 0 || attempt->paced ||
-	    !attempt->sent)
-		return;
-	attempt->paced = true;
-	answer = (guard_answer_t){
-	    .route = XXH3_64bits(req->route->name, strlen(req->route->name)),
-	    .model = attempt->model != NULL
-		? XXH3_64bits(attempt->model, strlen(attempt->model))
-		: 0,
-	    .fresh = attempt->is_new,
-	    .stream = req->route->kind == ROUTE_STREAM,
-	    .failed = failed,
-	    .first_ms = attempt->first_ms,
-	    .gap_ms = event_gap_ms(req)};
-	version_guard_take(
-	    &rollout->guard, &answer, clock_elapsed(relay->clock));
-}
 
 /* Whether the attempt is at an endpoint that a roll-out under way replaces, or
  * that the next one will. */
@@ -351,10 +309,10 @@
 	case ATTEMPT_UNKNOWN:
 		stats_add(stats, STAT_BROKEN, 1);
 		endpoint_failed(endpoint);
-		guard_tell(req, true);
+		relay_guard_doubt(req);
 		break;
 	case ATTEMPT_FAILED:
-		guard_tell(req, true);
+		relay_guard_tell(req, true);
 		break;
 	case ATTEMPT_DROPPED:
 		stats_add(stats, STAT_ESCALATED, 1);
@@ -398,5 +356,5 @@
 attempt_answered(relay_request_t *req, bool failed)
 {
 	endpoint_worked(req->attempt.endpoint);
-	guard_tell(req, failed);
+	relay_guard_tell(req, failed);
 }
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -21,8 +21,8 @@
 #define OWN_OLD_MS 6000
 #define BEAT_MS 30000
 #define BEAT_ALONE_MS 2000
-/* A daemon that lives is heard of within a few seconds, or tells by its row that
- * it follows nobody. */
+/* A daemon that lives is heard of within a few seconds, or tells by its row
+ * that it follows nobody. */
 #define LEASE_MS 12000
 /* Until the fleet's key is known, the rows of the daemons are read this often:
  * nobody can be followed before. */
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -114,6 +114,14 @@
 /** The model that the router names for the next attempt, or NULL. */
 const char *relay_model(relay_request_t *);
 
+/** The guard of a roll-out is told of the attempt's answer, once. */
+void relay_guard_tell(relay_request_t *, bool failed);
+/** The same of an answer that broke off or never came: told once the endpoint
+ * answers again, since one that died says nothing of its version. */
+void relay_guard_doubt(relay_request_t *);
+/** The attempt's endpoint answers: what broke before was not its death. */
+void relay_guard_alive(relay_request_t *);
+
 /** The endpoint has answered in good order. @param failed by its status */
 void attempt_answered(relay_request_t *, bool failed);
 /** Pass on an answer that was kept whole. */
