--- a/include/moortack/relay/choose.h
+++ b/include/moortack/relay/choose.h
@@ -12,8 +12,9 @@
 
 /** One endpoint that may be chosen. */
 typedef struct choose_candidate {
-	uint64_t hash; /**< of its id */
-	double load;   /**< requests that it likely holds */
+	uint64_t hash;	   /**< of its id */
+	double load;	   /**< requests that it likely holds */
+	double reading_ms; /**< of prompts that stand before the request */
 	uint32_t slots;
 	bool same_place;
 	bool ejected; /**< taken only if all are */
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -76,6 +76,7 @@
 		return;
 	session_note(req);
 	req->attempt.endpoint->in_flight--;
+	relay_model_read(req);
 }
 
 static void
