--- a/include/moortack/relay/choose.h
+++ b/include/moortack/relay/choose.h
@@ -12,9 +12,8 @@
 
 /** One endpoint that may be chosen. */
 typedef struct choose_candidate {
-	uint64_t hash;	   /**< of its id */
-	double load;	   /**< requests that it likely holds */
-	double reading_ms; /**< of prompts that stand before the request */
+	uint64_t hash; /**< of its id */
+	double load;   /**< requests that it likely holds */
 	uint32_t slots;
 	bool same_place;
 	bool ejected; /**< taken only if all are */
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -63,8 +63,6 @@
 	bool present;	      /**< in the set */
 	bool lapsed;	      /**< its entry is gone since an outage */
 	uint32_t in_flight;   /**< requests of this daemon */
-	double reading_ms;    /**< that it will likely take to read those of
-				 this daemon that it has not begun to answer */
 	uint32_t connections; /**< of this daemon, busy and idle */
 	endpoint_link_t *idle;
 	endpoint_load_t load;
--- a/moortack/relay/choose.c
+++ b/moortack/relay/choose.c
@@ -7,10 +7,6 @@
 #define BOUND_FACTOR 1.25
 #define BOUND_SLACK 2.0
 #define DICE_RANGE 4294967296.0
-/* Prompts that are read before the request may take this much longer than at
- * the endpoint with the fewest, for the sake of what it keeps: what is shared
- * takes about as long to read again. */
-#define READING_SLACK_MS 150.0
 /* Loads this close, as a share of the slots, are the same. */
 #define TIE_SHARE 0.02
 
@@ -39,20 +35,6 @@
 	return BOUND_FACTOR * sum / (double)count + BOUND_SLACK;
 }
 
-static double
-reading_bound(const choose_candidate_t *candidates, size_t len, bool sound)
-{
-	double least = -1;
-
-	for (size_t i = 0; i < len; i++) {
-		if (sound && candidates[i].ejected)
-			continue;
-		if (least < 0 || candidates[i].reading_ms < least)
-			least = candidates[i].reading_ms;
-	}
-	return least + READING_SLACK_MS;
-}
-
 /* The endpoint's place in the order for what is shared. */
 static uint64_t
 rendezvous(uint64_t endpoint, uint64_t affinity)
@@ -65,7 +47,6 @@
     const choose_wish_t *wish, bool sound)
 {
 	double bound = load_bound(candidates, len, sound);
-	double reading = reading_bound(candidates, len, sound);
 	size_t best = SIZE_MAX;
 	uint64_t best_weight = 0;
 
@@ -73,8 +54,7 @@
 		const choose_candidate_t *one = &candidates[i];
 		uint64_t weight;
 
-		if ((sound && one->ejected) || one->load > bound ||
-		    one->reading_ms > reading)
+		if ((sound && one->ejected) || one->load > bound)
 			continue;
 		weight = rendezvous(one->hash, wish->affinity);
 		if (best == SIZE_MAX || weight > best_weight) {
--- a/moortack/relay/relay_answer.c
+++ b/moortack/relay/relay_answer.c
@@ -77,7 +77,6 @@
 	attempt->sent = true;
 	attempt->sent_at = clock_elapsed(relay->clock);
 	attempt->endpoint->in_flight++;
-	relay_model_sent(req);
 	if (req->sends == 0)
 		stats_observe(
 		    &relay->stats.added_ms, (double)request_age_ms(req));
@@ -102,7 +101,6 @@
 		return;
 	}
 	attempt->headed = true;
-	relay_model_read(req);
 	relay_guard_alive(req);
 	attempt->first_ms = (double)timespec_ms_between(
 	    attempt->sent_at, clock_elapsed(req->relay->clock));
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -76,7 +76,6 @@
 		return;
 	session_note(req);
 	req->attempt.endpoint->in_flight--;
-	relay_model_read(req);
 }
 
 static void
--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -103,29 +103,6 @@
 		model_record_judge(&model->record, req->confidence, largest);
 }
 
-void
-relay_model_sent(relay_request_t *req)
-{
-	attempt_t *attempt = &req->attempt;
-	const relay_model_t *model =
-	    attempt->model != NULL ? model_known(req, attempt->model) : NULL;
-	double ms = model != NULL
-	    ? read_pace_ms(&model->pace, req->arrival.tokens_in)
-	    : 0;
-
-	attempt->expected_ms = ms > 0 ? ms : 0;
-	attempt->endpoint->reading_ms += attempt->expected_ms;
-}
-
-void
-relay_model_read(relay_request_t *req)
-{
-	attempt_t *attempt = &req->attempt;
-
-	attempt->endpoint->reading_ms -= attempt->expected_ms;
-	attempt->expected_ms = 0;
-}
-
 void
 relay_model_unanswered(relay_request_t *req)
 {
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -27,15 +27,14 @@
 	http_outbound_t *conn;
 	endpoint_answer_t answer;
 	struct timespec sent_at;
-	const char *model;  /**< named by the router; NULL: the caller's */
-	double expected_ms; /**< counted in its endpoint's reading_ms */
-	bool sent;	    /**< bytes may have left */
-	bool kept;	    /**< on a connection that was used before */
-	double first_ms;    /**< from the send to the answer's first byte */
-	bool headed;	    /**< the answer's head came */
-	bool is_new;	    /**< of a roll-out's new version */
-	bool paced;	    /**< told to the guard */
-	bool late_told;	    /**< told to the record of models as late */
+	const char *model; /**< named by the router; NULL: the caller's */
+	bool sent;	   /**< bytes may have left */
+	bool kept;	   /**< on a connection that was used before */
+	double first_ms;   /**< from the send to the answer's first byte */
+	bool headed;	   /**< the answer's head came */
+	bool is_new;	   /**< of a roll-out's new version */
+	bool paced;	   /**< told to the guard */
+	bool late_told;	   /**< told to the record of models as late */
 } attempt_t;
 
 struct relay_request {
@@ -137,10 +136,6 @@
 /** The head of a stream came: take note of it, and ask a larger model if that
  * is better; the attempt is over then. */
 void relay_model_judge(relay_request_t *);
-/** The attempt was sent: its endpoint reads its prompt from now on. */
-void relay_model_sent(relay_request_t *);
-/** It begins to answer, or the attempt ends. */
-void relay_model_read(relay_request_t *);
 /** The attempt ends before the head of its answer came. */
 void relay_model_unanswered(relay_request_t *);
 /** A request came for the service: retries are a part of these. */
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -87,7 +87,6 @@
 		out->endpoints[out->len] = one;
 		out->seen[out->len++] = (choose_candidate_t){.hash = one->hash,
 		    .load = endpoint_load_now(one, relay->daemons_most),
-		    .reading_ms = one->reading_ms,
 		    .slots = one->facts.slots,
 		    .same_place = strcmp(one->facts.place, relay->place) == 0,
 		    .ejected = endpoint_ejected(one)};
