relay: who comes from another daemon is told all endpoints and members

Change: whether a table is told whole is decided for each table; endpoints and members are told whole to who comes from another daemon, the orders by version. An order that is written again in the same words is passed on as another one (its number is its version). Ruled out: passing on each beat of each endpoint (75 a second at 90 endpoints).

--- a/include/moortack/relay/feed_apply.h
+++ b/include/moortack/relay/feed_apply.h
@@ -15,8 +15,8 @@
 feed_apply(const feed_answer_t *, row_cache_t *, feed_row_t told, void *arg);
 
 /** Put into an answer what the asker does not know. Who asked this daemon
- * before is told what changed since; who comes from another, what changed after
- * the versions that it knows; anybody else, all. */
+ * before is told what changed since; who comes from another, or may miss an
+ * end, all; of the orders, what is newer than the version that it knows. */
 void feed_fill(const row_cache_t *, uint64_t incarnation, const feed_point_t *,
     feed_answer_t *);
 
--- a/include/moortack/relay/feed_wire.h
+++ b/include/moortack/relay/feed_wire.h
@@ -38,14 +38,14 @@
 	uint64_t known;	  /**< what a whole answer does not name went by then;
 			     later than version while ends are kept back */
 	int64_t age_ms;	  /**< since it was newest; negative: never known */
+	bool whole;	  /**< all its rows, not only those that changed */
 } feed_table_t;
 
 typedef struct feed_answer {
 	uint64_t number;
 	uint64_t source;
 	uint64_t change;
-	bool whole; /**< all rows, not only those that changed */
-	bool lost;  /**< the store does not answer the one that reads it */
+	bool lost; /**< the store does not answer the one that reads it */
 	int64_t store_now_ms;
 	feed_table_t tables[ROW_TABLES];
 	json_t *path; /**< names: who answers, whom that one follows, and so
--- a/moortack/relay/feed_apply.c
+++ b/moortack/relay/feed_apply.c
@@ -15,7 +15,8 @@
 		    .deleted = true};
 
 		next = row->hh.next;
-		if (row->seen || row->value == NULL ||
+		if (!answer->tables[row->table].whole || row->seen ||
+		    row->value == NULL ||
 		    row->version > answer->tables[row->table].known)
 			continue;
 		told(arg, row->table, &end);
@@ -30,8 +31,8 @@
 	row_table_t table;
 	row_t row;
 
-	if (answer->whole) {
-		for (int i = 0; i < ROW_TABLES; i++)
+	for (int i = 0; i < ROW_TABLES; i++) {
+		if (answer->tables[i].whole)
 			row_cache_restart(cache, (row_table_t)i);
 	}
 	for (size_t i = 0; i < len; i++) {
@@ -39,23 +40,23 @@
 		    !row_cache_newer(cache, table, &row))
 			told(arg, table, &row);
 	}
-	if (!answer->whole)
-		return;
 	unnamed_end(answer, cache, told, arg);
-	for (int i = 0; i < ROW_TABLES; i++)
-		cache->since[i] = answer->tables[i].known;
+	for (int i = 0; i < ROW_TABLES; i++) {
+		if (answer->tables[i].whole)
+			cache->since[i] = answer->tables[i].known;
+	}
 }
 
-/* Whether all that the asker does not know is known here, ends too. */
+/* Whether the asker is told all rows of the table: it may miss an end, or it
+ * comes from another daemon, and rows that went and came back without a change
+ * of meaning are told to nobody. Orders are not taken back. */
 static bool
-knows_tables(const row_cache_t *cache, const feed_point_t *from)
+wants_whole(const row_cache_t *cache, const feed_point_t *from,
+    row_table_t table, bool again)
 {
-	for (int i = 0; i < ROW_TABLES; i++) {
-		if (from->versions[i] == 0 ||
-		    from->versions[i] < cache->since[i])
-			return false;
-	}
-	return true;
+	return from->versions[table] == 0 ||
+	    from->versions[table] < cache->since[table] ||
+	    (!again && table != ROW_TABLE_ORDERS);
 }
 
 void
@@ -64,13 +65,16 @@
 {
 	bool again = from->source == incarnation;
 
-	answer->whole = !knows_tables(cache, from);
+	for (int i = 0; i < ROW_TABLES; i++)
+		answer->tables[i].whole =
+		    wants_whole(cache, from, (row_table_t)i, again);
 	for (const cached_row_t *row = cache->rows; row != NULL;
 	     row = row->hh.next) {
 		bool told = again ? row->change > from->change
 				  : row->version > from->versions[row->table];
 
-		if (answer->whole ? row->value != NULL : told)
+		if (answer->tables[row->table].whole ? row->value != NULL
+						     : told)
 			feed_answer_add(answer, row);
 	}
 }
--- a/moortack/relay/feed_wire.c
+++ b/moortack/relay/feed_wire.c
@@ -35,16 +35,16 @@
 
 	for (size_t i = 0; i < ROW_TABLES; i++)
 		json_array_append_new(tables,
-		    json_pack("[I, I, I]",
+		    json_pack("[I, I, I, b]",
 			(json_int_t)answer->tables[i].version,
 			(json_int_t)answer->tables[i].age_ms,
-			(json_int_t)answer->tables[i].known));
-	body = json_pack("{s:I, s:I, s:I, s:b, s:b, s:I, s:o, s:O}", "number",
+			(json_int_t)answer->tables[i].known,
+			(int)answer->tables[i].whole));
+	body = json_pack("{s:I, s:I, s:I, s:b, s:I, s:o, s:O}", "number",
 	    (json_int_t)answer->number, "source", (json_int_t)answer->source,
-	    "change", (json_int_t)answer->change, "whole", (int)answer->whole,
-	    "lost", (int)answer->lost, "now_ms",
-	    (json_int_t)answer->store_now_ms, "tables", tables, "rows",
-	    answer->rows);
+	    "change", (json_int_t)answer->change, "lost", (int)answer->lost,
+	    "now_ms", (json_int_t)answer->store_now_ms, "tables", tables,
+	    "rows", answer->rows);
 	if (body != NULL && answer->path != NULL)
 		json_object_set(body, "path", answer->path);
 	text = body != NULL ? json_dumps(body, JSON_COMPACT) : NULL;
@@ -90,7 +90,6 @@
 	*answer = (feed_answer_t){.number = number_at(body, "number"),
 	    .source = number_at(body, "source"),
 	    .change = number_at(body, "change"),
-	    .whole = json_is_true(json_object_get(body, "whole")),
 	    .lost = json_is_true(json_object_get(body, "lost")),
 	    .store_now_ms =
 		json_integer_value(json_object_get(body, "now_ms"))};
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -173,7 +173,9 @@
 	if (table == ROW_TABLE_OWN &&
 	    strncmp(key, MEMBER_PREFIX, strlen(MEMBER_PREFIX)) == 0)
 		return membership_same(a, a_len, b, b_len);
-	return a_len == b_len && memcmp(a, b, a_len) == 0;
+	/* An order that is given again with the same words is another one. */
+	return table != ROW_TABLE_ORDERS && a_len == b_len &&
+	    memcmp(a, b, a_len) == 0;
 }
 
 static bool
--- a/moortack/relay/row_cache.c
+++ b/moortack/relay/row_cache.c
@@ -128,7 +128,8 @@
 		row = row_add(cache, table, now->key);
 	if (row == NULL)
 		return false;
-	same = !added && means_same(cache, row, now);
+	same = !added &&
+	    (now->version == row->version || means_same(cache, row, now));
 	row->version = now->version;
 	row->seen = true;
 	if (!value_set(row, now) || same)
--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -165,7 +165,7 @@
 		/* All rows make this daemon know what the other one knows, and
 		 * no more: it goes on from there, also from a version before
 		 * its own. */
-		if (answer->whole)
+		if (table->whole)
 			row_watch_rewind(
 			    &self->watches[i].watch, table->version);
 		if (table->age_ms < 0)
@@ -283,10 +283,11 @@
 		const row_watch_t *watch = &self->watches[i].watch;
 		int64_t age_ms = row_watch_age_ms(watch);
 
-		answer->tables[i] = (feed_table_t){
-		    .version = row_source_told(self, (row_table_t)i),
-		    .known = watch->version,
-		    .age_ms = age_ms == INT64_MAX ? -1 : age_ms};
+		feed_table_t *table = &answer->tables[i];
+
+		table->version = row_source_told(self, (row_table_t)i);
+		table->known = watch->version;
+		table->age_ms = age_ms == INT64_MAX ? -1 : age_ms;
 	}
 	answer->store_now_ms =
 	    self->members->store_offset_ms + timespec_ms(now);
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -100,7 +100,7 @@
 	row_cache_init(&cache, &clock.source, bytes_same, NULL);
 	row_cache_put(&cache, ROW_TABLE_ENDPOINTS, &row);
 	answer.rows = json_array();
-	answer.tables[ROW_TABLE_OWN] = (feed_table_t){17, 17, 250};
+	answer.tables[ROW_TABLE_OWN] = (feed_table_t){17, 17, 250, false};
 	answer.path = json_pack("[s, s]", "parent", "reader");
 	feed_answer_add(
 	    &answer, row_cache_find(&cache, ROW_TABLE_ENDPOINTS, row.key));
@@ -152,8 +152,7 @@
 {
 	manual_clock_t clock = {{&manual_ops}, {100, 0}};
 	row_cache_t here, there;
-	feed_answer_t answer = {
-	    .number = 1, .whole = true, .rows = json_array()};
+	feed_answer_t answer = {.number = 1, .rows = json_array()};
 	row_t named = row_of("named", "x", 30);
 	row_t gone = row_of("gone", "x", 31);
 	row_t later = row_of("later", "x", 90);
@@ -167,7 +166,7 @@
 	row_cache_put(&here, ROW_TABLE_ENDPOINTS, &gone);
 	row_cache_put(&here, ROW_TABLE_ENDPOINTS, &later);
 	answer.tables[ROW_TABLE_ENDPOINTS] =
-	    (feed_table_t){.version = 60, .known = 60};
+	    (feed_table_t){.version = 60, .known = 60, .whole = true};
 	feed_answer_add(
 	    &answer, row_cache_find(&there, ROW_TABLE_ENDPOINTS, "named"));
 	feed_apply(&answer, &here, cache_put, &here);
