relay: whether a table is told whole is read from an answer

Beside it: an end with the version of the row that it ends left no trace in the cache, and a follower told its own version, which lags behind while ends are kept back, as the one by which unnamed rows went. Change: the flag is read; an end is never the same as its row; the version by which unnamed rows went is passed on (named). Before: unit_row_source with the field fails; fuzz_follow, now over the wire's text.

--- a/include/moortack/relay/row_source.h
+++ b/include/moortack/relay/row_source.h
@@ -83,6 +83,9 @@
 	struct timespec old_since;
 	bool taking; /**< a row that is told now comes from another daemon */
 	bool taking_less; /**< which knows less of what is kept back here */
+	/** What is not among the rows went by then, as others told: later than
+	 * the version that is told while they keep ends back. */
+	uint64_t named[ROW_TABLES];
 	/** Changes from this version on are not all passed on yet; 0: all are.
 	 */
 	uint64_t kept_back[ROW_TABLES];
--- a/moortack/relay/feed_wire.c
+++ b/moortack/relay/feed_wire.c
@@ -101,7 +101,8 @@
 			(uint64_t)json_integer_value(json_array_get(table, 0)),
 		    .age_ms = json_integer_value(json_array_get(table, 1)),
 		    .known =
-			(uint64_t)json_integer_value(json_array_get(table, 2))};
+			(uint64_t)json_integer_value(json_array_get(table, 2)),
+		    .whole = json_is_true(json_array_get(table, 3))};
 	}
 	answer->rows = json_incref(json_object_get(body, "rows"));
 	answer->path = json_incref(json_object_get(body, "path"));
--- a/moortack/relay/row_cache.c
+++ b/moortack/relay/row_cache.c
@@ -128,7 +128,7 @@
 		row = row_add(cache, table, now->key);
 	if (row == NULL)
 		return false;
-	same = !added &&
+	same = !added && now->deleted == (row->value == NULL) &&
 	    (now->version == row->version || means_same(cache, row, now));
 	row->version = now->version;
 	row->seen = true;
--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -168,6 +168,8 @@
 		if (table->whole)
 			row_watch_rewind(
 			    &self->watches[i].watch, table->version);
+		if (table->known > self->named[i])
+			self->named[i] = table->known;
 		if (table->age_ms < 0)
 			continue;
 		row_watch_vouch(&self->watches[i].watch, table->version,
@@ -286,7 +288,8 @@
 		feed_table_t *table = &answer->tables[i];
 
 		table->version = row_source_told(self, (row_table_t)i);
-		table->known = watch->version;
+		table->known = watch->version > self->named[i] ? watch->version
+							       : self->named[i];
 		table->age_ms = age_ms == INT64_MAX ? -1 : age_ms;
 	}
 	answer->store_now_ms =
--- a/test/fuzz/follow_fuzz.c
+++ b/test/fuzz/follow_fuzz.c
@@ -267,6 +267,7 @@
 	    .change = parent->node.source.cache.change,
 	    .rows = json_array()};
 	feed_point_t from;
+	char *text;
 
 	if (strcmp(source->followed, parent->node.settings.name) != 0) {
 		follow_none(child);
@@ -277,6 +278,11 @@
 	row_follow_ask(source, &from);
 	feed_fill(&parent->node.source.cache, answer.source, &from, &answer);
 	row_follow_state(&parent->node.source, &answer);
+	answer.number = 1;
+	text = feed_answer_text(&answer);
+	feed_answer_clear(&answer);
+	FUZZ_CHECK(feed_answer_read(text, strlen(text), &answer));
+	free(text);
 	row_follow_take(source, &answer, world.clock.now);
 	feed_answer_clear(&answer);
 }
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -100,7 +100,7 @@
 	row_cache_init(&cache, &clock.source, bytes_same, NULL);
 	row_cache_put(&cache, ROW_TABLE_ENDPOINTS, &row);
 	answer.rows = json_array();
-	answer.tables[ROW_TABLE_OWN] = (feed_table_t){17, 17, 250, false};
+	answer.tables[ROW_TABLE_OWN] = (feed_table_t){17, 18, 250, true};
 	answer.path = json_pack("[s, s]", "parent", "reader");
 	feed_answer_add(
 	    &answer, row_cache_find(&cache, ROW_TABLE_ENDPOINTS, row.key));
@@ -109,7 +109,11 @@
 	assert_true(copy.lost);
 	assert_true(feed_answer_through(&copy, "reader"));
 	assert_false(feed_answer_through(&copy, "me"));
+	assert_int_equal(copy.tables[ROW_TABLE_OWN].version, 17);
+	assert_int_equal(copy.tables[ROW_TABLE_OWN].known, 18);
 	assert_int_equal(copy.tables[ROW_TABLE_OWN].age_ms, 250);
+	assert_true(copy.tables[ROW_TABLE_OWN].whole);
+	assert_false(copy.tables[ROW_TABLE_ORDERS].whole);
 	assert_true(feed_answer_row(&copy, 0, &table, &read));
 	assert_int_equal(table, ROW_TABLE_ENDPOINTS);
 	assert_string_equal(read.key, row.key);
