relay: each daemon that reads the store passes on its sessions in a row of its own

Change: the row's key ends with the name of who reads the store; a follower takes the row of the last one in the path of its answers.

--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -18,8 +18,10 @@
 #include "moortack/relay/version_guard.h"
 
 #define ROLLOUT_PREFIX "rollout/"
-/** Key of the row that passes on which sessions stay; not in the store. */
-#define ROLLOUT_SESSIONS_ROW "sessions"
+/** Keys of rows that pass on which sessions stay, with the name of the daemon
+ * that reads the store; not in the store. Each has its own row, since the
+ * versions of two of them can't be compared. */
+#define ROLLOUT_SESSIONS_PREFIX "sessions/"
 
 /** What the operator ordered for a service. */
 typedef struct rollout_order {
@@ -95,7 +97,7 @@
 /** A session's request goes to an old version, or to one that is not being
  * replaced: a roll-out to come leaves it there. */
 void rollouts_note_old(rollouts_t *, uint64_t hash);
-/** Sessions that others served; the row of ROLLOUT_SESSIONS_ROW. */
+/** Sessions that others served; a row of ROLLOUT_SESSIONS_PREFIX. */
 void rollouts_sessions_row(rollouts_t *, const row_t *);
 /** The value of that row for others, or NULL; to be freed. */
 char *rollouts_sessions(const rollouts_t *);
--- a/include/moortack/relay/row_source.h
+++ b/include/moortack/relay/row_source.h
@@ -104,6 +104,9 @@
 /** Decide anew whom to follow; called a few times a second. */
 void row_source_tick(row_source_t *);
 
+/** The daemon that reads the store for this one, or NULL: not known. */
+const char *row_source_reader(const row_source_t *);
+
 /** Tell those who follow this daemon to follow another: it is about to stop. */
 void row_source_leave(row_source_t *);
 
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -16,6 +16,7 @@
 #define STORE_RETRY_MS 250
 #define STORE_RETRY_MOST_MS 1000
 #define CONFIG_PAUSE_MS 20
+#define SESSIONS_KEY_SIZE (sizeof(ROLLOUT_SESSIONS_PREFIX) + MEMBER_NAME_SIZE)
 /* Rows of the daemons: how often they are read and written. */
 #define OWN_PAUSE_MS 1500
 #define OWN_OLD_MS 6000
@@ -68,10 +69,13 @@
 sessions_send(relay_node_t *node)
 {
 	char *text = rollouts_sessions(&node->rollouts);
-	row_t row = {.key = ROLLOUT_SESSIONS_ROW, .value = text};
+	char key[SESSIONS_KEY_SIZE];
+	row_t row = {.key = key, .value = text};
 
 	if (text == NULL)
 		return;
+	snprintf(key, sizeof(key), "%s%s", ROLLOUT_SESSIONS_PREFIX,
+	    node->settings.name);
 	row.value_len = strlen(text);
 	row.version = (uint64_t)(node->members.store_offset_ms +
 	    timespec_ms(clock_elapsed(node->ports.clock)));
@@ -79,14 +83,19 @@
 	free(text);
 }
 
-/* What was passed on holds until it changes. */
+/* What the one that reads the store passed on holds until it changes. */
 static void
 sessions_take(relay_node_t *node)
 {
-	const cached_row_t *known = row_cache_find(
-	    &node->source.cache, ROW_TABLE_OWN, ROLLOUT_SESSIONS_ROW);
-	row_t row = {.key = ROLLOUT_SESSIONS_ROW};
+	const char *reader = row_source_reader(&node->source);
+	char key[SESSIONS_KEY_SIZE];
+	const cached_row_t *known;
+	row_t row = {.key = key};
 
+	if (reader == NULL)
+		return;
+	snprintf(key, sizeof(key), "%s%.95s", ROLLOUT_SESSIONS_PREFIX, reader);
+	known = row_cache_find(&node->source.cache, ROW_TABLE_OWN, key);
 	if (known == NULL || known->value == NULL)
 		return;
 	row.value = known->value;
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -165,7 +165,8 @@
 		membership_row(&node->members, row);
 	else if (strncmp(row->key, ROLLOUT_PREFIX, strlen(ROLLOUT_PREFIX)) == 0)
 		rollouts_row(&node->rollouts, row);
-	else if (strcmp(row->key, ROLLOUT_SESSIONS_ROW) == 0)
+	else if (strncmp(row->key, ROLLOUT_SESSIONS_PREFIX,
+		     strlen(ROLLOUT_SESSIONS_PREFIX)) == 0)
 		rollouts_sessions_row(&node->rollouts, row);
 }
 
--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -62,6 +62,16 @@
 	return false;
 }
 
+const char *
+row_source_reader(const row_source_t *self)
+{
+	size_t len = json_array_size(self->followed_path);
+
+	return len > 0
+	    ? json_string_value(json_array_get(self->followed_path, len - 1))
+	    : NULL;
+}
+
 /* Follow nobody; the store is read again unless somebody else is followed
  * at once. */
 static void
