relay: who took rows from a daemon that knew less asks it for all once it knows as much

Cause (fuzz_follow_came_back, known red): a daemon that saw an entry go follows one that had not seen it go. The entry comes back in the same words; to the other one nothing has changed, and it is not told again, though the first one has dropped it. Change: a daemon notes the version up to which it knew more than whoever it follows. Until that one knows as much, what it tells in part of a table vouches for nothing; then it is asked for all rows once. Orders are always told in full by their versions. Ruled out (tried first): asking for all without holding back the version: whoever turned to the store in between went on from it, and the input failed still. Before: the input fails.

--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -72,6 +72,36 @@
 	    : NULL;
 }
 
+/* Note which tables the answer does not tell in full: those of which whoever is
+ * followed knows less than this daemon did. Once it knows as much, it has to be
+ * asked for all rows. Orders are told by their versions, and always in full.
+ * @return whether it has to be asked now */
+static bool
+partial_note(
+    row_source_t *self, const feed_answer_t *answer, bool partial[ROW_TABLES])
+{
+	bool ask_all = false;
+
+	for (int i = 0; i < ROW_TABLES; i++) {
+		const feed_table_t *table = &answer->tables[i];
+		uint64_t version = self->watches[i].watch.version;
+
+		partial[i] = false;
+		if (i == ROW_TABLE_ORDERS)
+			continue;
+		if (table->known < version && version > self->ahead[i])
+			self->ahead[i] = version;
+		if (self->ahead[i] == 0)
+			continue;
+		partial[i] = !table->whole;
+		if (table->known < self->ahead[i])
+			continue;
+		self->ahead[i] = 0;
+		ask_all |= partial[i];
+	}
+	return ask_all;
+}
+
 /* Follow nobody; the store is read again unless somebody else is followed
  * at once. */
 static void
@@ -163,11 +193,11 @@
 	    timespec_after_ms(clock_elapsed(self->clock), pause_ms);
 }
 
-/* The tables are known as far as the answer says, with the ages that it tells.
- */
+/* The tables are known as far as the answer says, with the ages that it tells,
+ * but for those that it tells in part. */
 static void
-answer_vouch(
-    row_source_t *self, const feed_answer_t *answer, struct timespec asked)
+answer_vouch(row_source_t *self, const feed_answer_t *answer,
+    const bool partial[ROW_TABLES], struct timespec asked)
 {
 	for (int i = 0; i < ROW_TABLES; i++) {
 		const feed_table_t *table = &answer->tables[i];
@@ -178,6 +208,8 @@
 		if (table->whole)
 			row_watch_rewind(
 			    &self->watches[i].watch, table->version);
+		if (partial[i])
+			continue;
 		if (table->known > self->named[i])
 			self->named[i] = table->known;
 		if (table->age_ms < 0)
@@ -192,6 +224,9 @@
 row_follow_take(
     row_source_t *self, const feed_answer_t *answer, struct timespec asked)
 {
+	bool partial[ROW_TABLES];
+	bool ask_all;
+
 	if (answer->lost) {
 		lost_count(self);
 		followed_shun(self, SHUN_LOST_MS, "lost");
@@ -208,10 +243,11 @@
 	self->followed_path = json_incref(answer->path);
 	self->taking = true;
 	self->taking_less = knows_less(self, answer);
+	ask_all = partial_note(self, answer, partial);
 	feed_apply(answer, &self->cache, self->ops->row, self->arg);
 	self->taking = false;
-	answer_vouch(self, answer, asked);
-	self->followed_source = answer->source;
+	answer_vouch(self, answer, partial, asked);
+	self->followed_source = ask_all ? 0 : answer->source;
 	self->followed_change = answer->change;
 	if (tables_old(self, answer)) {
 		followed_old(self, answer);
