relay: taking another daemon's answer in steps

Cause: row_follow_take had grown to 60 lines with six ways out; in endpoint_taken one name stood for the endpoint before and after; a second name for the most models. Change: answer_useless, answer_take, follow_begin; no change of behaviour. Before, after: the same units, platform_leaving_first, fuzz_follow pass.

--- a/include/moortack/relay/relay_config.h
+++ b/include/moortack/relay/relay_config.h
@@ -18,7 +18,6 @@
 #include "moortack/relay/model_choice.h"
 
 #define RELAY_POOLS_MAX 16
-#define RELAY_MODELS_MAX MODELS_MAX
 
 /** What may be repeated. */
 typedef enum route_kind {
@@ -54,7 +53,7 @@
 	bool resumable;
 	route_pool_t pools[RELAY_POOLS_MAX];
 	size_t pools_len;
-	route_model_t models[RELAY_MODELS_MAX]; /**< smallest first */
+	route_model_t models[MODELS_MAX]; /**< smallest first */
 	size_t models_len;
 	UT_hash_handle hh; /**< by key */
 } relay_route_t;
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -110,9 +110,11 @@
 static void
 endpoint_taken(relay_node_t *node, const endpoint_facts_t *facts, bool news)
 {
-	endpoint_t *before = endpoint_set_find(&node->endpoints, facts->id);
+	const endpoint_t *before =
+	    endpoint_set_find(&node->endpoints, facts->id);
 	bool was_leaving = before != NULL && before->facts.leaving;
 	bool was_lapsed = before != NULL && before->lapsed;
+	endpoint_t *endpoint;
 
 	if (before == NULL || was_leaving != facts->leaving)
 		event_line(&node->log, "endpoint",
@@ -121,11 +123,11 @@
 		    facts->id, facts->service, facts->address.host,
 		    facts->address.port, facts->place, facts->version,
 		    facts->leaving);
-	before = endpoint_set_take(&node->endpoints, facts);
-	if (!was_lapsed || before == NULL)
+	endpoint = endpoint_set_take(&node->endpoints, facts);
+	if (!was_lapsed || endpoint == NULL)
 		return;
 	/* A daemon that knows less still has the row that lapsed here. */
-	before->lapsed =
+	endpoint->lapsed =
 	    !news && node->source.taking && node->source.taking_less;
 	lapsed_keep_back(node);
 }
--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -220,25 +220,33 @@
 	}
 }
 
-void
-row_follow_take(
-    row_source_t *self, const feed_answer_t *answer, struct timespec asked)
+/* An answer of no use: whoever is followed is left.
+ * @return false: the answer is to be taken */
+static bool
+answer_useless(row_source_t *self, const feed_answer_t *answer)
 {
-	bool partial[ROW_TABLES];
-	bool ask_all;
-
 	if (answer->lost) {
 		lost_count(self);
 		followed_shun(self, SHUN_LOST_MS, "lost");
-		return;
-	}
-	if (feed_answer_through(answer, self->members->settings.name)) {
-		/* Nobody reads the store in a circle: this one does, until it
-		 * finds somebody else. */
-		membership_shun(self->members, self->followed, SHUN_CIRCLE_MS);
-		follow_stop(self, "circle");
-		return;
+		return true;
 	}
+	if (!feed_answer_through(answer, self->members->settings.name))
+		return false;
+	/* Nobody reads the store in a circle: this one does, until it finds
+	 * somebody else. */
+	membership_shun(self->members, self->followed, SHUN_CIRCLE_MS);
+	follow_stop(self, "circle");
+	return true;
+}
+
+/* Take the rows, and what is told of how far they go. */
+static void
+answer_take(
+    row_source_t *self, const feed_answer_t *answer, struct timespec asked)
+{
+	bool partial[ROW_TABLES];
+	bool ask_all;
+
 	json_decref(self->followed_path);
 	self->followed_path = json_incref(answer->path);
 	self->taking = true;
@@ -249,6 +257,27 @@
 	answer_vouch(self, answer, partial, asked);
 	self->followed_source = ask_all ? 0 : answer->source;
 	self->followed_change = answer->change;
+}
+
+static void
+follow_begin(row_source_t *self, const feed_answer_t *answer)
+{
+	self->following = true;
+	row_follow_tell_lost(self);
+	feed_server_refresh(&self->server);
+	row_source_suspend(self, true);
+	event_line(self->log, "follow", "source=%s rows=%zu age_ms=%" PRId64,
+	    self->followed, json_array_size(answer->rows),
+	    answer->tables[ROW_TABLE_ORDERS].age_ms);
+}
+
+void
+row_follow_take(
+    row_source_t *self, const feed_answer_t *answer, struct timespec asked)
+{
+	if (answer_useless(self, answer))
+		return;
+	answer_take(self, answer, asked);
 	if (tables_old(self, answer)) {
 		followed_old(self, answer);
 		return;
@@ -261,20 +290,14 @@
 		row_source_suspend(self, true);
 		return;
 	}
-	if (kept_back_any(self)) {
-		/* Only all rows of a daemon that knows as much tell how what
-		 * is kept back ended. */
-		if (!self->taking_less)
-			self->followed_source = 0;
+	if (!kept_back_any(self)) {
+		follow_begin(self, answer);
 		return;
 	}
-	self->following = true;
-	row_follow_tell_lost(self);
-	feed_server_refresh(&self->server);
-	row_source_suspend(self, true);
-	event_line(self->log, "follow", "source=%s rows=%zu age_ms=%" PRId64,
-	    self->followed, json_array_size(answer->rows),
-	    answer->tables[ROW_TABLE_ORDERS].age_ms);
+	/* Only all rows of a daemon that knows as much tell how what is kept
+	 * back ended. */
+	if (!self->taking_less)
+		self->followed_source = 0;
 }
 
 static void
