relay: the model in between is asked where the smallest one's estimate says it will do

Cause: an answer of the smallest model that was not good enough went to the largest one nearly always, though a tenth of the requests only just fails the smallest: one mean of all its answers, believed 0.25 at first, stood for the model in between. Change: the gain of a model's estimate over the smallest one's is learned by pairs (model_record); an estimate at the end of its range, which hides how bad the answer was, keeps the mean as before. Ruled out: separate records by buckets of the estimate (too few answers each at first). Tests: a_larger_models_gain_is_learned, the_lowest_estimate_is_judged_by_itself.

--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -13,7 +13,7 @@
 #include "moortack/relay/dialect.h"
 #include "moortack/relay/event_log.h"
 #include "moortack/relay/membership.h"
-#include "moortack/relay/model_choice.h"
+#include "moortack/relay/model_record.h"
 #include "moortack/relay/prefix_memory.h"
 #include "moortack/relay/read_pace.h"
 #include "moortack/relay/relay_config.h"
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -283,6 +283,7 @@
 	req->shared = shared_of(arrival);
 	req->taken = clock_elapsed(relay->clock);
 	req->limit_ms = limit_of(route, arrival);
+	req->smallest_estimate = -1;
 	req->next = relay->first;
 	if (relay->first != NULL)
 		relay->first->prev = req;
--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -110,8 +110,11 @@
 		: 0);
 	if (!attempt->late_told)
 		model_record_take(&model->record, objective_left_ms(req) >= 0);
-	if (req->model_index > 0)
-		model_record_judge(&model->record, req->confidence, largest);
+	if (req->model_index == 0)
+		req->smallest_estimate = req->confidence;
+	else
+		model_record_judge(&model->record, req->smallest_estimate,
+		    req->confidence, largest);
 }
 
 void
@@ -146,7 +149,8 @@
 	if (model == NULL)
 		model = &unknown;
 	*option = (model_option_t){.cost = named->cost,
-	    .good = model_record_good(&model->record, largest),
+	    .good = model_record_good(
+		&model->record, req->smallest_estimate, largest),
 	    .on_time = model_record_on_time(&model->record),
 	    .first_ms = -1};
 	if (relay_place(req, index, &place, &why))
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -95,7 +95,8 @@
 	const char *model;	      /**< that began the answer; config's */
 	size_t model_index; /**< of the route's models, for the next attempt */
 	bool model_chosen;
-	int confidence; /**< of the model, 0 to 100; -1: not told */
+	int confidence;	       /**< of the model, 0 to 100; -1: not told */
+	int smallest_estimate; /**< of the smallest model's answer; -1: none */
 	relay_request_t *next;
 	relay_request_t *prev;
 };
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -14,6 +14,7 @@
 #include "common/clock_source.h"
 #include "moortack/relay/event_scan.h"
 #include "moortack/relay/model_choice.h"
+#include "moortack/relay/model_record.h"
 #include "moortack/relay/read_pace.h"
 #include "moortack/relay/retry_share.h"
 #include "moortack/relay/rollout_plan.h"
@@ -74,6 +75,44 @@
 	assert_int_equal(model_next(&moment), 2);
 }
 
+/* The smallest model's estimate tells how good a larger one's answer will be,
+ * once some were compared. */
+static void
+a_larger_models_gain_is_learned(void **state)
+{
+	model_record_t record = {0};
+
+	(void)state;
+	/* Before: tried where the smallest model was doubtful, not bad. */
+	assert_true(model_record_good(&record, 45, false) > 0.7);
+	assert_true(model_record_good(&record, 15, false) < 0.1);
+	assert_true(model_record_good(&record, 15, true) > 0.9);
+	for (int smallest = 30; smallest < 50; smallest++)
+		model_record_judge(&record, smallest, smallest + 22, false);
+	assert_true(model_record_good(&record, 40, false) > 0.9);
+	assert_true(model_record_good(&record, 15, false) < 0.1);
+	/* A version that is worse shows. */
+	for (int smallest = 30; smallest < 70; smallest++)
+		model_record_judge(&record, smallest, smallest + 2, false);
+	assert_true(model_record_good(&record, 40, false) < 0.3);
+}
+
+/* An estimate at the end of its range hides how bad the answer was. */
+static void
+the_lowest_estimate_is_judged_by_itself(void **state)
+{
+	model_record_t record = {0};
+
+	(void)state;
+	assert_true(model_record_good(&record, 0, true) > 0.9);
+	for (int i = 0; i < 60; i++)
+		model_record_judge(&record, 0, 45, true);
+	assert_true(model_record_good(&record, 0, true) < 0.35);
+	assert_true(model_record_good(&record, 30, true) > 0.9);
+	model_record_judge(&record, 40, 100, true);
+	assert_true(model_record_good(&record, 30, true) > 0.9);
+}
+
 static void
 the_pace_of_reading_is_learned(void **state)
 {
@@ -303,6 +342,8 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_doubtful_answer_goes_to_a_larger_model),
 	    cmocka_unit_test(no_larger_model_is_asked_that_would_be_late),
+	    cmocka_unit_test(a_larger_models_gain_is_learned),
+	    cmocka_unit_test(the_lowest_estimate_is_judged_by_itself),
 	    cmocka_unit_test(the_pace_of_reading_is_learned),
 	    cmocka_unit_test(one_size_of_prompts_gives_a_mean),
 	    cmocka_unit_test(late_answers_lower_the_record),
