relay: the linked list of unread prompts by utlist

Cause: the linter does not know the list macros of the C library's header. Change: uthash's utlist, which is there; no change of behaviour.

--- a/include/moortack/relay/read_queue.h
+++ b/include/moortack/relay/read_queue.h
@@ -10,20 +10,20 @@
 
 #include <stdbool.h>
 #include <stdint.h>
-#include <sys/queue.h>
 
 /** One prompt that was sent and whose answer has not begun. */
 typedef struct read_ticket {
 	double read_ms;	    /**< that reading it ought to take */
 	double expected_ms; /**< when its answer ought to begin */
 	bool queued;
-	TAILQ_ENTRY(read_ticket) next;
+	struct read_ticket *next;
+	struct read_ticket *prev;
 } read_ticket_t;
 
 /** Times are milliseconds of the daemon's steady clock. */
 typedef struct read_queue {
-	TAILQ_HEAD(, read_ticket) tickets;
-	double free_ms; /**< when all that is known of is read */
+	read_ticket_t *tickets; /**< the oldest first */
+	double free_ms;		/**< when all that is known of is read */
 } read_queue_t;
 
 void read_queue_init(read_queue_t *);
--- a/moortack/relay/read_queue.c
+++ b/moortack/relay/read_queue.c
@@ -1,19 +1,19 @@
 #include "moortack/relay/read_queue.h"
 
 #include <stddef.h>
+#include <utlist.h>
 
 void
 read_queue_init(read_queue_t *queue)
 {
 	*queue = (read_queue_t){0};
-	TAILQ_INIT(&queue->tickets);
 }
 
 /* How late the oldest answer is: what stands behind it is at least as late. */
 static double
 overdue_ms(const read_queue_t *queue, double now_ms)
 {
-	const read_ticket_t *oldest = TAILQ_FIRST(&queue->tickets);
+	const read_ticket_t *oldest = queue->tickets;
 
 	return oldest != NULL && now_ms > oldest->expected_ms
 	    ? now_ms - oldest->expected_ms
@@ -38,18 +38,18 @@
 	ticket->read_ms = read_ms;
 	ticket->expected_ms = queue->free_ms;
 	ticket->queued = true;
-	TAILQ_INSERT_TAIL(&queue->tickets, ticket, next);
+	DL_APPEND(queue->tickets, ticket);
 }
 
 /* Take the ticket out; what is behind it moves by the time given. */
 static void
 ticket_out(read_queue_t *queue, read_ticket_t *ticket, double moved_ms)
 {
-	for (read_ticket_t *after = TAILQ_NEXT(ticket, next); after != NULL;
-	     after = TAILQ_NEXT(after, next))
+	for (read_ticket_t *after = ticket->next; after != NULL;
+	     after = after->next)
 		after->expected_ms += moved_ms;
 	queue->free_ms += moved_ms;
-	TAILQ_REMOVE(&queue->tickets, ticket, next);
+	DL_DELETE(queue->tickets, ticket);
 	ticket->queued = false;
 }
 
