common: a full entry takes new connections: who idles the longest makes room

Cause: at its bound of connections the entry closed each new one at once, so that idle callers and slow ones, who hold places for as long as the configuration lets them idle, kept all others out of a daemon that said it was ready. Change: the connection that has idled the longest is closed for a new one, or else the one longest about its request; none that waits for an answer. Ruled out: a shorter idle time near the bound (a storm fills the places faster than any time ends them); a higher bound (descriptors). Before: three of the four new tests failed (idle ones, slow heads, served ones hold the places). After: 4 of 4.

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -35,6 +35,7 @@
 	inbound_state_t state;
 	bool close_after;
 	bool too_large;
+	uint64_t turn; /**< counted on when it began to wait for a request */
 	void *user;
 	http_inbound_t *next;
 	http_inbound_t *prev;
@@ -48,6 +49,7 @@
 	http_inbound_limits_t limits;
 	http_inbound_t *first;
 	uint32_t open;
+	uint64_t turn;
 	bool draining;
 };
 
@@ -229,6 +231,38 @@
 	inbound_free(conn);
 }
 
+/* Whether a request has begun to come in. */
+static bool
+reading_begun(const http_inbound_t *conn)
+{
+	return conn->reader.started ||
+	    evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0;
+}
+
+/* Make room for a new connection: the one that has idled the longest goes, or
+ * else the one that has been longest about its request. None that waits for an
+ * answer does. @return false: all of them do */
+static bool
+room_make(http_inbound_server_t *server)
+{
+	http_inbound_t *oldest = NULL;
+
+	for (http_inbound_t *one = server->first; one != NULL;
+	     one = one->next) {
+		if (one->state != INBOUND_READING)
+			continue;
+		if (oldest == NULL ||
+		    reading_begun(one) < reading_begun(oldest) ||
+		    (reading_begun(one) == reading_begun(oldest) &&
+			one->turn < oldest->turn))
+			oldest = one;
+	}
+	if (oldest == NULL)
+		return false;
+	inbound_free(oldest);
+	return true;
+}
+
 static void
 on_accept(struct evconnlistener *listener, evutil_socket_t fd,
     struct sockaddr *address, int len, void *arg)
@@ -240,13 +274,15 @@
 	(void)listener;
 	(void)address;
 	(void)len;
-	if (server->open >= server->limits.connections ||
+	if ((server->open >= server->limits.connections &&
+		!room_make(server)) ||
 	    (conn = calloc(1, sizeof(*conn))) == NULL) {
 		evutil_closesocket(fd);
 		return;
 	}
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
 	conn->server = server;
+	conn->turn = server->turn++;
 	conn->bev =
 	    bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	if (conn->bev == NULL) {
@@ -388,6 +424,7 @@
 	}
 	http_reader_next(&conn->reader);
 	conn->state = INBOUND_READING;
+	conn->turn = conn->server->turn++;
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, 0);
 	timeouts_set(conn, conn->server->limits.idle_ms);
 	/* Deferred, so that a caller that sends ahead can't deepen the stack.
