relay: connections to endpoints that fall silent are found by bounds that are settings

Cause: an open connection may fall silent without a reset while new ones work. Sent bytes unacknowledged for 2 s ended it, a constant; an idle one, or one whose request had been acknowledged, was never found. A kept connection that gave no answer takes the idle ones to the same endpoint with it. Ruled out: a time limit on the answer itself (it can't tell a slow endpoint from a silent link, and breaking off work costs its endpoint); asking the kernel for unacknowledged bytes by ioctl after tens of ms (finer, and one more mechanism; the objective of the shortest requests, 150 ms, is missed on such a link still).

--- a/common/http_outbound.c
+++ b/common/http_outbound.c
@@ -9,9 +9,9 @@
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
 #define ANSWER_HEAD_MAX 65536 /* bytes */
-/* Sent bytes that are not acknowledged for this long end the connection: the
- * server's machine is gone. */
-#define UNACKNOWLEDGED_MS 2000
+/* The kernel asks an idle connection's other end whether it is there in whole
+ * seconds only; how often, once it was silent for the first of them. */
+#define PROBE_PAUSE_S 1
 
 struct http_outbound {
 	struct bufferevent *bev;
@@ -175,20 +175,36 @@
 		on_end(conn, (what & BEV_EVENT_EOF) != 0);
 }
 
+void
+http_outbound_set_silent(http_outbound_t *conn, int64_t silent_ms)
+{
+	unsigned int unacknowledged = (unsigned int)silent_ms;
+
+	setsockopt(bufferevent_getfd(conn->bev), IPPROTO_TCP, TCP_USER_TIMEOUT,
+	    &unacknowledged, sizeof(unacknowledged));
+}
+
+/* An open connection may fall silent for good, while new ones work. */
 static void
-socket_tune(evutil_socket_t fd)
+socket_tune(http_outbound_t *conn, int64_t silent_ms)
 {
+	evutil_socket_t fd = bufferevent_getfd(conn->bev);
+	int idle_s = (int)(silent_ms / MS_PER_SEC);
+	int pause_s = PROBE_PAUSE_S;
 	int yes = 1;
-	unsigned int unacknowledged = UNACKNOWLEDGED_MS;
 
+	if (idle_s < 1)
+		idle_s = 1;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged,
-	    sizeof(unacknowledged));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &yes, sizeof(yes));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &pause_s, sizeof(pause_s));
+	http_outbound_set_silent(conn, silent_ms);
 }
 
 http_outbound_t *
-http_outbound_new(
-    struct event_base *base, const http_address_t *address, int64_t connect_ms)
+http_outbound_new(struct event_base *base, const http_address_t *address,
+    int64_t connect_ms, int64_t silent_ms)
 {
 	http_outbound_t *conn = calloc(1, sizeof(*conn));
 	struct timeval limit = {
@@ -217,7 +233,7 @@
 		conn_release(conn);
 		return NULL;
 	}
-	socket_tune(bufferevent_getfd(conn->bev));
+	socket_tune(conn, silent_ms);
 	return conn;
 }
 
--- a/include/common/http_outbound.h
+++ b/include/common/http_outbound.h
@@ -40,9 +40,15 @@
 /** An idle connection ended, or said something unasked: forget it. */
 typedef void (*http_outbound_idle_end_t)(void *arg, http_outbound_t *);
 
-/** Start to connect. @return NULL: no socket could be had */
-http_outbound_t *http_outbound_new(
-    struct event_base *, const http_address_t *, int64_t connect_ms);
+/** Start to connect.
+ * @param silent_ms how long the other end may be silent, while bytes are on
+ * their way to it or the connection idles, before the connection is given up
+ * @return NULL: no socket could be had */
+http_outbound_t *http_outbound_new(struct event_base *, const http_address_t *,
+    int64_t connect_ms, int64_t silent_ms);
+
+/** Change how long sent bytes may be unacknowledged. */
+void http_outbound_set_silent(http_outbound_t *, int64_t silent_ms);
 
 /** Close; a request under way is given up without a further word. */
 void http_outbound_free(http_outbound_t *);
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -125,6 +125,9 @@
 /** Keep a connection. @param idle_max_ms how long */
 void endpoint_keep_link(endpoint_t *, http_outbound_t *, int64_t idle_max_ms);
 
+/** A kept connection was dead: those that idle likely are, too. */
+void endpoint_drop_links(endpoint_t *);
+
 void endpoint_told_load(endpoint_t *, const endpoint_load_t *);
 /** An answer came from it, or none did. */
 void endpoint_worked(endpoint_t *);
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -30,9 +30,13 @@
 	int64_t doubt_ms;     /**< its age at which nothing is denied: what
 				 isn't known may be new */
 	retry_bounds_t retries;
-	uint32_t body_kept;    /**< bytes of an answer kept before it is
-				  passed on */
-	uint32_t requests_max; /**< under way at the same time */
+	uint32_t body_kept;	  /**< bytes of an answer kept before it is
+				     passed on */
+	uint32_t requests_max;	  /**< under way at the same time */
+	int64_t silent_ms;	  /**< an endpoint's connection that is silent
+				     for longer is given up */
+	int64_t silent_repeat_ms; /**< the same while a request that may be
+				     repeated is sent on a kept one */
 } relay_bounds_t;
 
 typedef struct relay_request relay_request_t;
--- a/moortack/member/peer_socket.c
+++ b/moortack/member/peer_socket.c
@@ -3,6 +3,11 @@
 #define SEND_HWM 1000
 #define RECONNECT_MS 100
 #define RECONNECT_MAX_MS 2000
+/* A connection that has fallen silent is given up after IDLE + COUNT * PAUSE
+ * seconds; until then its questions go unanswered, and another is asked. */
+#define PROBE_IDLE_S 4
+#define PROBE_PAUSE_S 1
+#define PROBE_COUNT 3
 #define MESSAGE_MAX (4 << 20)
 #define DRAIN_ROUNDS 8
 
@@ -30,6 +35,21 @@
 	socket_drain(arg);
 }
 
+static void
+probes_set(void *socket)
+{
+	static const int yes = 1;
+	static const int idle_s = PROBE_IDLE_S;
+	static const int pause_s = PROBE_PAUSE_S;
+	static const int count = PROBE_COUNT;
+
+	zmq_setsockopt(socket, ZMQ_TCP_KEEPALIVE, &yes, sizeof(yes));
+	zmq_setsockopt(socket, ZMQ_TCP_KEEPALIVE_IDLE, &idle_s, sizeof(idle_s));
+	zmq_setsockopt(
+	    socket, ZMQ_TCP_KEEPALIVE_INTVL, &pause_s, sizeof(pause_s));
+	zmq_setsockopt(socket, ZMQ_TCP_KEEPALIVE_CNT, &count, sizeof(count));
+}
+
 bool
 peer_socket_open(peer_socket_t *socket, struct event_base *base, void *context,
     int type, void (*drain)(peer_socket_t *), void *owner)
@@ -57,6 +77,7 @@
 	    socket->socket, ZMQ_RECONNECT_IVL, &reconnect, sizeof(reconnect));
 	zmq_setsockopt(socket->socket, ZMQ_RECONNECT_IVL_MAX, &reconnect_max,
 	    sizeof(reconnect_max));
+	probes_set(socket->socket);
 	zmq_getsockopt(socket->socket, ZMQ_FD, &fd, &size);
 	socket->event =
 	    event_new(base, fd, EV_READ | EV_PERSIST, socket_readable, socket);
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -49,8 +49,8 @@
 	}
 }
 
-static void
-links_close(endpoint_t *endpoint)
+void
+endpoint_drop_links(endpoint_t *endpoint)
 {
 	endpoint_link_t *next;
 
@@ -76,7 +76,7 @@
 {
 	if (--endpoint->shared > 0)
 		return;
-	links_close(endpoint);
+	endpoint_drop_links(endpoint);
 	free(endpoint);
 }
 
@@ -87,7 +87,7 @@
 	HASH_DELETE(hh_short, set->by_short, endpoint);
 	group_remove(set, endpoint);
 	endpoint->present = false;
-	links_close(endpoint);
+	endpoint_drop_links(endpoint);
 	endpoint_release(endpoint);
 }
 
--- a/moortack/relay/relay_answer.c
+++ b/moortack/relay/relay_answer.c
@@ -298,7 +298,10 @@
 on_failed(void *arg, http_outbound_failure_t failure)
 {
 	relay_request_t *req = arg;
+	attempt_t *attempt = &req->attempt;
 
+	if (failure == HTTP_OUTBOUND_NO_ANSWER && attempt->kept)
+		endpoint_drop_links(attempt->endpoint);
 	if (failure == HTTP_OUTBOUND_NOT_SENT)
 		attempt_over(req, ATTEMPT_NOT_SENT, "connect");
 	else
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -130,10 +130,15 @@
 
 	attempt->conn = endpoint_take_link(endpoint, max_ms);
 	attempt->kept = attempt->conn != NULL;
+	if (attempt->kept)
+		http_outbound_set_silent(attempt->conn,
+		    request_idempotent(req) ? relay->bounds.silent_repeat_ms
+					    : relay->bounds.silent_ms);
 	if (attempt->conn == NULL) {
 		stats_add(&relay->stats, STAT_CONNECTIONS, 1);
-		attempt->conn = http_outbound_new(
-		    relay->base, &endpoint->facts.address, CONNECT_MS);
+		attempt->conn =
+		    http_outbound_new(relay->base, &endpoint->facts.address,
+			CONNECT_MS, relay->bounds.silent_ms);
 		if (attempt->conn == NULL)
 			return false;
 		endpoint->connections++;
--- a/test/unit/http_outbound_test.c
+++ b/test/unit/http_outbound_test.c
@@ -1,6 +1,7 @@
 /**
  * @file
- * A request leaves only if its owner still wants it when the connection is up.
+ * A request leaves only if its owner still wants it when the connection is up,
+ * and a connection on which nothing moves any more is given up.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -10,14 +11,24 @@
 
 #include <arpa/inet.h>
 #include <event2/event.h>
+#include <stdlib.h>
 #include <unistd.h>
 
 #include "common/http_outbound.h"
 
+#define SILENT_MS 300
+/* Far longer than that, and far below what a connection has without it. */
+#define LIMIT_S 8
+#define BODY_LEN (16U << 20)
+#define WINDOW 4096
+
 /** What the owner of a request was told. */
 typedef struct owner {
 	bool wanted;
 	int sent;
+	int failed;
+	http_outbound_failure_t failure;
+	struct event_base *base;
 	http_outbound_t *conn;
 } owner_t;
 
@@ -63,8 +74,12 @@
 static void
 on_failed(void *arg, http_outbound_failure_t failure)
 {
-	(void)arg;
-	(void)failure;
+	owner_t *owner = arg;
+
+	owner->failed++;
+	owner->failure = failure;
+	if (owner->base != NULL)
+		event_base_loopbreak(owner->base);
 }
 
 static const http_outbound_ops_t ops = {
@@ -91,7 +106,7 @@
 	getsockname(listener, (struct sockaddr *)&at, &len);
 	address.port = ntohs(at.sin_port);
 	*owner = (owner_t){.wanted = wanted};
-	owner->conn = http_outbound_new(base, &address, 1000);
+	owner->conn = http_outbound_new(base, &address, 1000, 2000);
 	evbuffer_add(head, "GET / HTTP/1.1\r\n\r\n", 18);
 	http_outbound_send(owner->conn, &ops, owner, head, NULL, false);
 	event_base_loopexit(base, &limit);
@@ -127,12 +142,56 @@
 	assert_int_equal(owner.sent, 0);
 }
 
+/* A server that takes nothing more stands for a link that has fallen silent:
+ * in both, sent bytes are not acknowledged, and no reset comes. */
+static void
+a_silent_connection_is_given_up(void **state)
+{
+	struct event_base *base = event_base_new();
+	struct sockaddr_in at = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(at);
+	struct timeval limit = {LIMIT_S, 0};
+	http_address_t address = {.host = "127.0.0.1"};
+	struct evbuffer *head = evbuffer_new();
+	struct evbuffer *body = evbuffer_new();
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	owner_t owner = {.wanted = true, .base = base};
+	int window = WINDOW;
+	char *bytes = calloc(1, BODY_LEN);
+
+	(void)state;
+	setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
+	assert_int_equal(bind(listener, (struct sockaddr *)&at, len), 0);
+	assert_int_equal(listen(listener, 1), 0);
+	getsockname(listener, (struct sockaddr *)&at, &len);
+	address.port = ntohs(at.sin_port);
+	owner.conn = http_outbound_new(base, &address, 1000, 60000);
+	http_outbound_set_silent(owner.conn, SILENT_MS);
+	evbuffer_add_printf(
+	    head, "PUT / HTTP/1.1\r\nContent-Length: %u\r\n\r\n", BODY_LEN);
+	evbuffer_add(body, bytes, BODY_LEN);
+	http_outbound_send(owner.conn, &ops, &owner, head, body, false);
+	event_base_loopexit(base, &limit);
+	event_base_dispatch(base);
+	assert_int_equal(owner.sent, 1);
+	assert_int_equal(owner.failed, 1);
+	assert_int_equal(owner.failure, HTTP_OUTBOUND_NO_ANSWER);
+	http_outbound_free(owner.conn);
+	close(listener);
+	evbuffer_free(head);
+	evbuffer_free(body);
+	event_base_free(base);
+	free(bytes);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_request_that_is_wanted_leaves),
 	    cmocka_unit_test(one_that_is_given_up_while_connecting_does_not),
+	    cmocka_unit_test(a_silent_connection_is_given_up),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
