common: the bound for connecting to an endpoint is none for sending to it

Ruled out: clearing the limit before connecting (connecting needs one). Before: a_server_that_reads_slowly_is_waited_for fails (given up after the limit).

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -19,6 +19,7 @@
 #define LINGER_MS 1000
 /* A caller that takes nothing for this long is gone. */
 #define DEAD_CALLER_MS 15000
+#define NEVER_S 86400
 #define BACKLOG 1024
 
 typedef enum inbound_state {
@@ -75,11 +76,14 @@
 static void
 timeouts_set(http_inbound_t *conn, int64_t read_ms)
 {
-	struct timeval read = {
-	    read_ms / MS_PER_SEC, read_ms % MS_PER_SEC * US_PER_MS};
+	/* libevent may go on with an old limit that is merely taken away. */
+	struct timeval read = {NEVER_S, 0};
 	struct timeval write = {DEAD_CALLER_MS / MS_PER_SEC, 0};
 
-	bufferevent_set_timeouts(conn->bev, read_ms > 0 ? &read : NULL, &write);
+	if (read_ms > 0)
+		read = (struct timeval){
+		    read_ms / MS_PER_SEC, read_ms % MS_PER_SEC * US_PER_MS};
+	bufferevent_set_timeouts(conn->bev, &read, &write);
 }
 
 /* Nothing more is read as a request; what comes is thrown away. */
--- a/common/http_outbound.c
+++ b/common/http_outbound.c
@@ -8,6 +8,7 @@
 
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
+#define NEVER_S 86400
 #define ANSWER_HEAD_MAX 65536 /* bytes */
 /* The kernel asks an idle connection's other end whether it is there in whole
  * seconds only; how often, once it was silent for the first of them. */
@@ -130,8 +131,12 @@
 static void
 on_connected(http_outbound_t *conn)
 {
+	/* libevent goes on with a persistent event's old time limit when it is
+	 * merely taken away: a long one replaces it. */
+	static const struct timeval never = {NEVER_S, 0};
+
 	conn->connected = true;
-	bufferevent_set_timeouts(conn->bev, NULL, NULL);
+	bufferevent_set_timeouts(conn->bev, NULL, &never);
 	if (conn->ops == NULL)
 		return;
 	if (!conn->ops->ready(conn->arg))
--- a/test/unit/http_outbound_test.c
+++ b/test/unit/http_outbound_test.c
@@ -142,42 +142,41 @@
 	assert_int_equal(owner.sent, 0);
 }
 
-/* A server that takes nothing more stands for a link that has fallen silent:
- * in both, sent bytes are not acknowledged, and no reset comes. */
+/* Send more than the server takes, and wait. A server that takes nothing more
+ * stands for a link that has fallen silent: in both, sent bytes are not
+ * acknowledged, and no reset comes. */
 static void
-a_silent_connection_is_given_up(void **state)
+send_in_vain(
+    owner_t *owner, int64_t connect_ms, int64_t silent_ms, time_t limit_s)
 {
 	struct event_base *base = event_base_new();
 	struct sockaddr_in at = {
 	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	socklen_t len = sizeof(at);
-	struct timeval limit = {LIMIT_S, 0};
+	struct timeval limit = {limit_s, 0};
 	http_address_t address = {.host = "127.0.0.1"};
 	struct evbuffer *head = evbuffer_new();
 	struct evbuffer *body = evbuffer_new();
 	int listener = socket(AF_INET, SOCK_STREAM, 0);
-	owner_t owner = {.wanted = true, .base = base};
 	int window = WINDOW;
 	char *bytes = calloc(1, BODY_LEN);
 
-	(void)state;
+	*owner = (owner_t){.wanted = true, .base = base};
 	setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
 	assert_int_equal(bind(listener, (struct sockaddr *)&at, len), 0);
 	assert_int_equal(listen(listener, 1), 0);
 	getsockname(listener, (struct sockaddr *)&at, &len);
 	address.port = ntohs(at.sin_port);
-	owner.conn = http_outbound_new(base, &address, 1000, 60000);
-	http_outbound_set_silent(owner.conn, SILENT_MS);
+	owner->conn = http_outbound_new(base, &address, connect_ms, 60000);
+	http_outbound_set_silent(owner->conn, silent_ms);
 	evbuffer_add_printf(
 	    head, "PUT / HTTP/1.1\r\nContent-Length: %u\r\n\r\n", BODY_LEN);
 	evbuffer_add(body, bytes, BODY_LEN);
-	http_outbound_send(owner.conn, &ops, &owner, head, body, false);
+	http_outbound_send(owner->conn, &ops, owner, head, body, false);
 	event_base_loopexit(base, &limit);
 	event_base_dispatch(base);
-	assert_int_equal(owner.sent, 1);
-	assert_int_equal(owner.failed, 1);
-	assert_int_equal(owner.failure, HTTP_OUTBOUND_NO_ANSWER);
-	http_outbound_free(owner.conn);
+	assert_int_equal(owner->sent, 1);
+	http_outbound_free(owner->conn);
 	close(listener);
 	evbuffer_free(head);
 	evbuffer_free(body);
@@ -185,6 +184,28 @@
 	free(bytes);
 }
 
+static void
+a_silent_connection_is_given_up(void **state)
+{
+	owner_t owner;
+
+	(void)state;
+	send_in_vain(&owner, 1000, SILENT_MS, LIMIT_S);
+	assert_int_equal(owner.failed, 1);
+	assert_int_equal(owner.failure, HTTP_OUTBOUND_NO_ANSWER);
+}
+
+/* The bound for connecting is none for what comes after. */
+static void
+a_server_that_reads_slowly_is_waited_for(void **state)
+{
+	owner_t owner;
+
+	(void)state;
+	send_in_vain(&owner, 200, 60000, 2);
+	assert_int_equal(owner.failed, 0);
+}
+
 int
 main(void)
 {
@@ -192,6 +213,7 @@
 	    cmocka_unit_test(a_request_that_is_wanted_leaves),
 	    cmocka_unit_test(one_that_is_given_up_while_connecting_does_not),
 	    cmocka_unit_test(a_silent_connection_is_given_up),
+	    cmocka_unit_test(a_server_that_reads_slowly_is_waited_for),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
