relay: ends are counted by cause; work for callers that left is watched in a test

Cause: the metrics told refusals and failures by type only, so that a price (late, refused, cut, given up) could not be read from them by cause. That work ends when a caller leaves was tested midway only. The stand-in replica counts who left, and can hold its answer; a scenario leaves before the first event, in the second attempt, and while the request is sent. Ruled out: a counter for each pair by hand (13 places that end a request).

--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -115,6 +115,8 @@
 	double age_ms = (double)request_age_ms(req);
 
 	stats_observe(&relay->stats.whole_ms, age_ms);
+	stats_end(&relay->stats, outcome, why,
+	    req->first_ms > (double)req->route->objective_ms);
 	event_line(relay->log, "request",
 	    "id=%s route=%s service=%s organisation=%s outcome=%s why=%s "
 	    "status=%d sends=%u connects_failed=%u model=%s confidence=%d "
@@ -305,6 +307,7 @@
     err_code_t code, const char *why)
 {
 	stats_add(&relay->stats, STAT_REFUSED, 1);
+	stats_end(&relay->stats, err_info(code)->name, why, false);
 	event_line(relay->log, "refuse",
 	    "id=%s outcome=%s why=%s config=%" PRIu64 " config_age_ms=%" PRId64
 	    " under_way=%u",
@@ -386,6 +389,8 @@
 	relay_t *relay = arg;
 
 	stats_add(&relay->stats, STAT_BAD_MESSAGES, 1);
+	stats_end(
+	    &relay->stats, err_info(err->code)->name, "bad_message", false);
 	event_line(relay->log, "bad_message", "outcome=%s why=\"%s\"",
 	    err_info(err->code)->name, err->detail);
 }
--- a/moortack/relay/relay_stats.c
+++ b/moortack/relay/relay_stats.c
@@ -1,6 +1,7 @@
 #include "moortack/relay/relay_stats.h"
 
 #include <inttypes.h>
+#include <string.h>
 
 typedef struct stat_info {
 	const char *name;
@@ -40,6 +41,58 @@
 	stats->values[counter] += by;
 }
 
+static stats_end_t *
+end_of(relay_stats_t *stats, const char *outcome, const char *why)
+{
+	stats_end_t *end;
+
+	for (size_t i = 0; i < stats->ends_len; i++) {
+		end = &stats->ends[i];
+		if (strcmp(end->outcome, outcome) == 0 &&
+		    strcmp(end->why, why) == 0)
+			return end;
+	}
+	if (stats->ends_len == STATS_ENDS_MAX)
+		return NULL;
+	end = &stats->ends[stats->ends_len++];
+	*end = (stats_end_t){.outcome = outcome, .why = why};
+	return end;
+}
+
+void
+stats_end(relay_stats_t *stats, const char *outcome, const char *why, bool late)
+{
+	stats_end_t *end = end_of(stats, outcome, why);
+
+	if (end == NULL)
+		return;
+	end->count++;
+	end->late += late;
+}
+
+static void
+ends_write(const relay_stats_t *stats, struct evbuffer *out)
+{
+	evbuffer_add_printf(out,
+	    "# HELP moortack_relay_ended_total Requests by outcome and "
+	    "cause.\n"
+	    "# TYPE moortack_relay_ended_total counter\n"
+	    "# HELP moortack_relay_late_total Of these, begun after the "
+	    "route's objective.\n"
+	    "# TYPE moortack_relay_late_total counter\n");
+	for (size_t i = 0; i < stats->ends_len; i++) {
+		const stats_end_t *end = &stats->ends[i];
+
+		evbuffer_add_printf(out,
+		    "moortack_relay_ended_total{outcome=\"%s\",why=\"%s\"} "
+		    "%" PRIu64 "\n"
+		    "moortack_relay_late_total{outcome=\"%s\",why=\"%s\"} "
+		    "%" PRIu64 "\n",
+		    end->outcome, end->why, end->count, end->outcome, end->why,
+		    end->late);
+	}
+}
+
 void
 stats_observe(stats_histogram_t *histogram, double ms)
 {
@@ -93,6 +146,7 @@
 			    "%" PRIu64 "\n",
 			    err_info((err_code_t)i)->name, stats->failures[i]);
 	}
+	ends_write(stats, out);
 	histogram_write(&stats->first_ms, "first", out);
 	histogram_write(&stats->whole_ms, "whole", out);
 	histogram_write(&stats->added_ms, "added", out);
--- a/test/platform/failures.lua
+++ b/test/platform/failures.lua
@@ -113,14 +113,50 @@
 lib.check(words.whole(stream.body, 20), "events: %s", stream.body)
 lib.equal(words.metric(d, "escalated_total"), 1, "larger models asked")
 
--- A caller that leaves is noticed.
-both({events = 1000, pause_ms = 20})
-local call = words.begin(d, "/stream/c")
-lib.wait_until("the stream begins", function()
-  return w:ran(call.id) > 0 and words.metric(d, "under_way") == 1
+-- Each end is counted by its cause.
+local function ended(outcome, why)
+  return words.metric(d, string.format(
+    'ended_total{outcome="%s",why="%s"}', outcome, why)) or 0
+end
+lib.check(ended("answered", "whole_stream") > 0, "streams are not counted")
+lib.check(ended("no_endpoint", "no_endpoints") > 0 or
+  ended("overload", "not_run") > 0, "refusals are not counted")
+lib.check(ended("unknown_outcome", "stray_answer") > 0,
+  "unknown outcomes are not counted")
+
+-- A caller that leaves is noticed, and work for it ends: midway, before the
+-- answer has begun, and in the second attempt.
+local function leaves(path, runs, faults)
+  both(faults)
+  local before = w:left()
+  local call = words.begin(d, path)
+  lib.wait_until("it runs", function()
+    return w:ran(call.id) >= runs and words.metric(d, "under_way") == 1
+  end)
+  call:leave()
+  lib.wait_until("the work for it ends", function()
+    return w:left() > before and words.metric(d, "under_way") == 0
+  end)
+  run.sleep(300)
+  lib.equal(w:ran(call.id), runs, "runs of a request whose caller left")
+end
+leaves("/stream/c", 1, {events = 1000, pause_ms = 20})
+leaves("/stream/c", 1, {hold = true})
+leaves("/scan/c", 1, {hold = true})
+leaves("/stream/c", 2, {confidence = 0, hold_model = "large"})
+
+-- One that leaves while its request is still being sent: it never runs.
+both({})
+for i = 1, 2 do w.replicas[i]:signal("STOP") end
+local sending = words.begin(d, "/scan/d", {body = ("x"):rep(3000000)})
+lib.wait_until("it is taken", function()
+  return words.metric(d, "under_way") == 1
 end)
-call:leave()
-lib.wait_until("the request is dropped", function()
+sending:leave()
+lib.wait_until("it is dropped", function()
   return words.metric(d, "under_way") == 0
 end)
+for i = 1, 2 do w.replicas[i]:signal("CONT") end
+run.sleep(300)
+lib.equal(w:ran(sending.id), 0, "runs of a request that was never sent whole")
 lib.say("ok")
--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -2,10 +2,11 @@
  * @file
  * A small stand-in of a replica: it counts what it runs, and streams events.
  *
- * GET /runs lists what it ran. Faults: "shed" refuses as not run, "fail"
- * answers 500, "cut_after" breaks a stream off after so many events, "stray"
- * answers with another request's id, "id" is its own, "confidence" of its
- * answers, "events" of a stream, "pause_ms" between them.
+ * GET /runs lists what it ran, and how many callers left meanwhile. Faults:
+ * "hold" says nothing, "hold_model" does so for one model, "shed" refuses as
+ * not run, "fail" answers 500, "cut_after" breaks a stream off after so many
+ * events, "stray" answers with another request's id, "id" is its own,
+ * "confidence" of its answers, "events" of a stream, "pause_ms" between them.
  */
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -31,6 +32,7 @@
 typedef struct replica {
 	fake_t fake;
 	json_t *runs;
+	int64_t left; /**< callers that went away while it worked */
 	json_t *faults;
 } replica_t;
 
@@ -101,6 +103,37 @@
 {
 	(void)conn;
 	((stream_t *)arg)->gone = true;
+	replica.left++;
+}
+
+/* Closes are noticed only while the connection is read. */
+static void
+gone_watch(struct evhttp_request *req,
+    void (*gone)(struct evhttp_connection *, void *), void *arg)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+
+	evhttp_connection_set_closecb(conn, gone, arg);
+	bufferevent_enable(evhttp_connection_get_bufferevent(conn), EV_READ);
+}
+
+static void
+held_gone(struct evhttp_connection *conn, void *arg)
+{
+	(void)conn;
+	(void)arg;
+	replica.left++;
+}
+
+static bool
+is_held(struct evhttp_request *req)
+{
+	const char *model = http_request_header(req, "Moortack-Model-Id");
+	const char *held =
+	    json_string_value(json_object_get(replica.faults, "hold_model"));
+
+	return fault_is("hold") ||
+	    (held != NULL && model != NULL && strcmp(held, model) == 0);
 }
 
 static void
@@ -158,11 +191,7 @@
 	stream->cut = fault_int("cut_after", 0);
 	stream->timer =
 	    event_new(replica.fake.base, -1, EV_PERSIST, stream_step, stream);
-	evhttp_connection_set_closecb(
-	    evhttp_request_get_connection(req), stream_gone, stream);
-	bufferevent_enable(evhttp_connection_get_bufferevent(
-			       evhttp_request_get_connection(req)),
-	    EV_READ);
+	gone_watch(req, stream_gone, stream);
 	http_answer_header(req, "Content-Type", "text/event-stream");
 	evhttp_send_reply_start(req, 200, NULL);
 	event_add(stream->timer, &pause);
@@ -196,8 +225,9 @@
 
 	(void)fake;
 	if (strcmp(uri, "/runs") == 0) {
-		http_answer_json(
-		    req, 200, json_pack("{s:O}", "runs", replica.runs));
+		http_answer_json(req, 200,
+		    json_pack("{s:O, s:I}", "runs", replica.runs, "left",
+			(json_int_t)replica.left));
 		return;
 	}
 	if (!expected_here(req)) {
@@ -211,6 +241,10 @@
 		return;
 	}
 	run_note(req);
+	if (is_held(req)) {
+		gone_watch(req, held_gone, NULL);
+		return;
+	}
 	head_set(req, true);
 	if (fault_is("fail"))
 		answer(req, 500, "failed\n");
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -102,6 +102,15 @@
   return lib.http("GET", self.replicas[i].address, "/runs").json.runs
 end
 
+-- Callers that went away while a replica worked for them, over all replicas.
+function World:left()
+  local count = 0
+  for _, replica in pairs(self.replicas) do
+    count = count + lib.http("GET", replica.address, "/runs").json.left
+  end
+  return count
+end
+
 function World:all_runs()
   local all = {}
   for i in pairs(self.replicas) do
@@ -177,8 +186,8 @@
 
 function words.metric(daemon, name)
   local answer = lib.http("GET", daemon.metrics, "/metrics")
-  return tonumber(answer.body:match("\nmoortack_relay_" .. name ..
-    " ([%d.e+-]+)"))
+  return tonumber(answer.body:match("\nmoortack_relay_" ..
+    name:gsub("%p", "%%%0") .. " ([%d.e+-]+)"))
 end
 
 local number = 0
