relay: a request's time counts from its caller's first try

Cause: a caller that was refused and came back was given the whole objective again, in the choice of its model and in what is counted as late. Change: callers of a route that all wait alike tell by a shorter time how long ago they first tried (first_try, learned for each route; nothing where callers wait for times of their own); the request's line has it as before_ms. Ruled out: remembering refused callers (they come back to another daemon, under a new id).

--- /dev/null
+++ b/include/moortack/relay/first_try.h
@@ -0,0 +1,22 @@
+/**
+ * @file
+ * How long ago a caller first tried, read from the time that it still waits:
+ * one that was refused and came back has less of it left than others of its
+ * route. A pure, fading estimate for one route.
+ */
+#ifndef MOORTACK_RELAY_FIRST_TRY_H
+#define MOORTACK_RELAY_FIRST_TRY_H
+
+#include <stdint.h>
+
+typedef struct first_try {
+	double most_ms; /**< that callers wait; fading */
+	double near;	/**< part of them that waits nearly as long; fading */
+} first_try_t;
+
+/** A request came whose caller waits this long.
+ * @return milliseconds since its first try; 0 where callers of the route wait
+ * for times of their own, or say none */
+double first_try_take(first_try_t *, int64_t deadline_ms);
+
+#endif
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -12,6 +12,7 @@
 #include "common/rng.h"
 #include "moortack/relay/dialect.h"
 #include "moortack/relay/event_log.h"
+#include "moortack/relay/first_try.h"
 #include "moortack/relay/membership.h"
 #include "moortack/relay/model_record.h"
 #include "moortack/relay/prefix_memory.h"
@@ -57,6 +58,13 @@
 	UT_hash_handle hh;
 } relay_budget_t;
 
+/** What is known of the callers of a route. */
+typedef struct relay_callers {
+	char *route; /**< its name */
+	first_try_t tries;
+	UT_hash_handle hh;
+} relay_callers_t;
+
 typedef struct relay {
 	struct event_base *base;
 	const clock_source_t *clock;
@@ -75,6 +83,7 @@
 	relay_config_t *config; /**< NULL: none yet */
 	relay_stats_t stats;
 	relay_budget_t *budgets;
+	relay_callers_t *callers_known;
 	prefix_memory_t prefixes; /**< what endpoints were sent */
 	http_inbound_server_t *server;
 	relay_request_t *first;
--- /dev/null
+++ b/moortack/relay/first_try.c
@@ -0,0 +1,32 @@
+#include "moortack/relay/first_try.h"
+
+/* Callers that wait at least this part of the longest time are at their first
+ * try: making a connection takes the rest. */
+#define NEAR_PART 0.97
+/* Part of a route's callers that has to wait alike, so that a shorter time
+ * tells of an earlier try. */
+#define ALIKE_MIN 0.5
+/* Weight of the newest request, and by which the longest time fades: a time
+ * that no caller has any more is forgotten after some thousand requests. */
+#define NEAR_WEIGHT 0.05
+#define MOST_FADING 0.9999
+
+double
+first_try_take(first_try_t *self, int64_t deadline_ms)
+{
+	double ms = (double)deadline_ms;
+	double is_near;
+
+	if (deadline_ms <= 0)
+		return 0;
+	if (self->most_ms == 0)
+		self->near = 1;
+	self->most_ms *= MOST_FADING;
+	if (ms > self->most_ms)
+		self->most_ms = ms;
+	is_near = ms >= NEAR_PART * self->most_ms ? 1 : 0;
+	self->near += NEAR_WEIGHT * (is_near - self->near);
+	if (is_near > 0 || self->near < ALIKE_MIN)
+		return 0;
+	return self->most_ms - ms;
+}
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -29,6 +29,12 @@
 	    req->taken, clock_elapsed(req->relay->clock));
 }
 
+double
+request_tried_ms(const relay_request_t *req)
+{
+	return req->before_ms + (double)request_age_ms(req);
+}
+
 int64_t
 request_left_ms(const relay_request_t *req)
 {
@@ -116,12 +122,13 @@
 
 	stats_observe(&relay->stats.whole_ms, age_ms);
 	stats_end(&relay->stats, outcome, why,
-	    req->first_ms > (double)req->route->objective_ms);
+	    req->before_ms + req->first_ms > (double)req->route->objective_ms);
 	event_line(relay->log, "request",
 	    "id=%s route=%s service=%s organisation=%s outcome=%s why=%s "
 	    "status=%d sends=%u connects_failed=%u model=%s confidence=%d "
 	    "tokens=%u,%u,%u ms=%.0f "
-	    "first_ms=%.0f objective_ms=%" PRId64 " pause_ms=%.0f "
+	    "first_ms=%.0f before_ms=%.0f objective_ms=%" PRId64
+	    " pause_ms=%.0f "
 	    "pause_most_ms=%" PRId64 " dropped_ms=%.0f limit_ms=%" PRId64
 	    " config=%" PRIu64 " config_age_ms=%" PRId64
 	    " endpoints_age_ms=%" PRId64
@@ -133,9 +140,9 @@
 	    req->model != NULL ? req->model : "-", req->confidence,
 	    req->arrival.tokens_in, req->arrival.tokens_out,
 	    req->arrival.tokens_out_likely, age_ms, req->first_ms,
-	    req->route->objective_ms, req->pause_ms, req->route->pause_ms,
-	    req->dropped_ms, req->limit_ms, req->config->version,
-	    row_watch_age_ms(relay->config_watch),
+	    req->before_ms, req->route->objective_ms, req->pause_ms,
+	    req->route->pause_ms, req->dropped_ms, req->limit_ms,
+	    req->config->version, row_watch_age_ms(relay->config_watch),
 	    row_watch_age_ms(relay->endpoint_watch), req->endpoint_id,
 	    req->place.load, req->place.candidates, session_mark(req));
 	request_free(req);
@@ -286,6 +293,8 @@
 	req->taken = clock_elapsed(relay->clock);
 	req->limit_ms = limit_of(route, arrival);
 	req->smallest_estimate = -1;
+	req->before_ms =
+	    relay_tried_before_ms(relay, route, arrival->deadline_ms);
 	req->next = relay->first;
 	if (relay->first != NULL)
 		relay->first->prev = req;
@@ -437,18 +446,12 @@
 void
 relay_finish(relay_t *relay)
 {
-	relay_budget_t *budget, *next;
-
 	while (relay->first != NULL)
 		request_end(relay->first, "cut", "stopped");
 	http_inbound_server_free(relay->server);
 	relay_config_release(relay->config);
 	prefix_memory_finish(&relay->prefixes);
-	HASH_ITER(hh, relay->budgets, budget, next)
-	{
-		HASH_DEL(relay->budgets, budget);
-		free(budget);
-	}
+	relay_counts_finish(relay);
 }
 
 void
--- a/moortack/relay/relay_counts.c
+++ b/moortack/relay/relay_counts.c
@@ -3,6 +3,8 @@
 
 #include "relay_request.h"
 
+/* Routes whose callers are told apart: those of some configurations. */
+#define ROUTES_KNOWN_MAX 4096
 /* Part of the retry budget that is kept for failures. */
 #define REPEATS_KEPT 0.25
 
@@ -58,3 +60,46 @@
 	if (share != NULL)
 		retry_share_request(share, &relay->bounds.retries, now);
 }
+
+double
+relay_tried_before_ms(
+    relay_t *relay, const relay_route_t *route, int64_t deadline_ms)
+{
+	relay_callers_t *callers;
+
+	HASH_FIND_STR(relay->callers_known, route->name, callers);
+	if (callers == NULL) {
+		if (HASH_COUNT(relay->callers_known) >= ROUTES_KNOWN_MAX)
+			return 0;
+		callers = calloc(1, sizeof(*callers));
+		if (callers == NULL)
+			return 0;
+		callers->route = strdup(route->name);
+		if (callers->route == NULL) {
+			free(callers);
+			return 0;
+		}
+		HASH_ADD_KEYPTR(hh, relay->callers_known, callers->route,
+		    strlen(callers->route), callers);
+	}
+	return first_try_take(&callers->tries, deadline_ms);
+}
+
+void
+relay_counts_finish(relay_t *relay)
+{
+	relay_callers_t *callers, *callers_next;
+	relay_budget_t *budget, *budget_next;
+
+	HASH_ITER(hh, relay->budgets, budget, budget_next)
+	{
+		HASH_DEL(relay->budgets, budget);
+		free(budget);
+	}
+	HASH_ITER(hh, relay->callers_known, callers, callers_next)
+	{
+		HASH_DEL(relay->callers_known, callers);
+		free(callers->route);
+		free(callers);
+	}
+}
--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -37,7 +37,7 @@
 static double
 objective_left_ms(const relay_request_t *req)
 {
-	return (double)(req->route->objective_ms - request_age_ms(req));
+	return (double)req->route->objective_ms - request_tried_ms(req);
 }
 
 const char *
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -61,6 +61,7 @@
 	uint64_t spread; /**< hash that places it among pools and versions */
 	uint64_t shared; /**< hash of the prompt parts that others have too */
 	struct timespec taken;
+	double before_ms; /**< from the caller's first try until then */
 	int64_t limit_ms; /**< after taken */
 	struct event *limit;
 	struct evbuffer *body; /**< kept for a repeat */
@@ -103,6 +104,8 @@
 
 /** Milliseconds since the request was taken. */
 int64_t request_age_ms(const relay_request_t *);
+/** Milliseconds since the caller's first try, as far as the wire tells. */
+double request_tried_ms(const relay_request_t *);
 /** Milliseconds that are left for the answer. */
 int64_t request_left_ms(const relay_request_t *);
 
@@ -150,6 +153,8 @@
 /** Pass on an answer that was kept whole. */
 void answer_pass(relay_request_t *);
 
+/** Forget what was counted. */
+void relay_counts_finish(relay_t *);
 /** What is counted for a service, or NULL. */
 relay_budget_t *relay_counts(relay_t *, const char *service);
 /** The model's name, or "": the route's with that index where the router
@@ -167,6 +172,9 @@
 void relay_model_judge(relay_request_t *);
 /** The attempt ends before the head of its answer came. */
 void relay_model_unanswered(relay_request_t *);
+/** How long ago the caller first tried; each request is asked about once. */
+double
+relay_tried_before_ms(relay_t *, const relay_route_t *, int64_t deadline_ms);
 /** A request came for the service: retries are a part of these. */
 void relay_count_request(relay_t *, const char *service, struct timespec now);
 /** Whether the retry budget of the service allows one more; it is spent. */
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -13,6 +13,7 @@
 
 #include "common/clock_source.h"
 #include "moortack/relay/event_scan.h"
+#include "moortack/relay/first_try.h"
 #include "moortack/relay/model_choice.h"
 #include "moortack/relay/model_record.h"
 #include "moortack/relay/read_pace.h"
@@ -113,6 +114,34 @@
 	assert_true(model_record_good(&record, 30, true) > 0.9);
 }
 
+/* Callers of a route that wait alike: who waits less has tried before. */
+static void
+who_came_back_has_less_time(void **state)
+{
+	first_try_t tries = {0};
+
+	(void)state;
+	for (int i = 0; i < 50; i++)
+		assert_true(first_try_take(&tries, 20000 - i % 10) == 0);
+	assert_true(first_try_take(&tries, 18500) > 1400);
+	assert_true(first_try_take(&tries, 18500) < 1600);
+	assert_true(first_try_take(&tries, 19990) == 0);
+	assert_true(first_try_take(&tries, 0) == 0);
+}
+
+/* Callers with times of their own tell nothing of earlier tries. */
+static void
+times_of_their_own_tell_nothing(void **state)
+{
+	first_try_t tries = {0};
+
+	(void)state;
+	for (int i = 0; i < 200; i++)
+		first_try_take(&tries, 1000 + i % 10 * 2000);
+	for (int i = 0; i < 10; i++)
+		assert_true(first_try_take(&tries, 1000 + i * 2000) == 0);
+}
+
 static void
 the_pace_of_reading_is_learned(void **state)
 {
@@ -344,6 +373,8 @@
 	    cmocka_unit_test(no_larger_model_is_asked_that_would_be_late),
 	    cmocka_unit_test(a_larger_models_gain_is_learned),
 	    cmocka_unit_test(the_lowest_estimate_is_judged_by_itself),
+	    cmocka_unit_test(who_came_back_has_less_time),
+	    cmocka_unit_test(times_of_their_own_tell_nothing),
 	    cmocka_unit_test(the_pace_of_reading_is_learned),
 	    cmocka_unit_test(one_size_of_prompts_gives_a_mean),
 	    cmocka_unit_test(late_answers_lower_the_record),
