relay: a refusal that names no request makes no promise on a used connection

Cause: an extra answer may come late, where the next one is expected, and only its id tells whose it is. A refusal without an id was taken for the request under way's, so that work that may run once could be promised as not run, or sent a second time. Change: for what may run once, on a connection that served another request before, an answer without an id is nobody's: the outcome is unknown. Elsewhere as before. Ruled out: not believing any refusal without an id (on a new connection there is nobody else it could be for). Before: platform_failures fails (503 where 502 is true). After: passes, five times.

--- a/include/moortack/relay/dialect.h
+++ b/include/moortack/relay/dialect.h
@@ -62,6 +62,7 @@
 /** What an endpoint's answer tells by its head. */
 typedef struct endpoint_answer {
 	bool other_request;  /**< it names another request than ours */
+	bool unnamed;	     /**< it names no request */
 	bool not_run;	     /**< the endpoint says that it did not run it */
 	bool wrong_endpoint; /**< another incarnation has the address */
 	bool genuine;	     /**< it bears the endpoint's signature */
--- a/moortack/relay/relay_answer.c
+++ b/moortack/relay/relay_answer.c
@@ -95,6 +95,8 @@
 	endpoint_answer_t *answer = &attempt->answer;
 
 	req->relay->endpoint_words->read(msg, &req->arrival, answer);
+	if (answer->unnamed && attempt->kept && !request_idempotent(req))
+		answer->other_request = true;
 	if (answer->other_request) {
 		stats_add(&req->relay->stats, STAT_STRAY_ANSWERS, 1);
 		attempt_over(req, ATTEMPT_UNKNOWN, "stray_answer");
--- a/test/platform/failures.lua
+++ b/test/platform/failures.lua
@@ -63,7 +63,18 @@
 lib.check(refused.headers["Retry-After"], "no time to come back")
 lib.equal(w:ran(refused.id), 0, "runs of a refused request")
 
+-- A refusal that names no request, on a connection that had another one before,
+-- may be the late answer to that one: no promise is made of it.
+both({})
+for i = 1, 4 do
+  lib.equal(words.call(d, "/book/1").status, 200, "a booking")
+end
+both({shed = true, unnamed = true})
+local unnamed = words.call(d, "/book/1")
+lib.equal(unnamed.status, 502, "refused by nobody knows whom")
+
 -- Refused by one: it runs at the other.
+both({shed = true})
 w:faults(2, {})
 for _ = 1, 8 do
   local booked = words.call(d, "/book/2")
--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -3,10 +3,11 @@
  * A small stand-in of a replica: it counts what it runs, and streams events.
  *
  * GET /runs lists what it ran, and how many callers left meanwhile. Faults:
- * "hold" says nothing, "hold_model" does so for one model, "shed" refuses as
- * not run, "fail" answers 500, "cut_after" breaks a stream off after so many
- * events, "stray" answers with another request's id, "id" is its own,
- * "confidence" of its answers, "events" of a stream, "pause_ms" between them.
+ * "unnamed" leaves out the request's id, "hold" says nothing, "hold_model" does
+ * so for one model, "shed" refuses as not run, "fail" answers 500, "cut_after"
+ * breaks a stream off after so many events, "stray" answers with another
+ * request's id, "id" is its own, "confidence" of its answers, "events" of a
+ * stream, "pause_ms" between them.
  */
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -77,7 +78,7 @@
 
 	if (fault_is("stray"))
 		id = "another";
-	if (id != NULL)
+	if (id != NULL && !fault_is("unnamed"))
 		http_answer_header(req, "Moortack-Attempt-Id", id);
 	http_answer_header(req, "Moortack-Replica-Load", "1,0,8");
 	http_answer_header(req, "Keep-Alive", "timeout=5");
