relay: connections wait a moment for a daemon that has just started

Change: the kernel keeps new connections waiting until enough is known to serve, 0.3 s at most; then they are answered as before. Ruled out: a shorter Retry-After (a second try is spent all the same); listening later (callers take a closed port for a failure).

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -351,6 +351,17 @@
 	server->limits = *limits;
 }
 
+void
+http_inbound_hold(http_inbound_server_t *server, bool hold)
+{
+	if (server->listener == NULL)
+		return;
+	if (hold)
+		evconnlistener_disable(server->listener);
+	else
+		evconnlistener_enable(server->listener);
+}
+
 void
 http_inbound_drain(http_inbound_server_t *server)
 {
--- a/include/common/http_inbound.h
+++ b/include/common/http_inbound.h
@@ -42,6 +42,8 @@
 void http_inbound_server_free(http_inbound_server_t *);
 void http_inbound_limit(http_inbound_server_t *, const http_inbound_limits_t *);
 
+/** New connections wait, or are taken again. */
+void http_inbound_hold(http_inbound_server_t *, bool hold);
 /** From now on each answer closes its connection. */
 void http_inbound_drain(http_inbound_server_t *);
 /** Take no new connections, and close those without a request. */
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -89,7 +89,9 @@
 	relay_request_t *first;
 	uint32_t under_way;
 	uint32_t daemons_most; /**< seen; shares of bounds are cut by it */
-	bool leaving;	       /**< new streams are sent elsewhere */
+	bool opened;	       /**< new connections are taken */
+	struct timespec started;
+	bool leaving; /**< new streams are sent elsewhere */
 } relay_t;
 
 bool relay_init(relay_t *, const http_address_t *listen, err_t *);
@@ -99,6 +101,12 @@
  * than that in force is dropped. */
 void relay_configure(relay_t *, relay_config_t *);
 
+/** Take new connections as soon as enough is known to serve, and before long in
+ * any case: who comes a moment too early after a restart is served, not
+ * refused.
+ */
+void relay_open(relay_t *);
+
 /** Whether enough is known to serve. */
 bool relay_ready(const relay_t *);
 
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -16,6 +16,9 @@
 #define RETRY_SOON_MS 60
 #define RETRY_STORE_MS 600
 #define RETRY_SPREAD_MS 120
+/* After its start a daemon knows enough to serve in some 30 ms while the store
+ * answers; connections wait for it in the kernel this long at most. */
+#define OPEN_LATEST_MS 300
 #define REFUSAL_HEAD_SIZE 128
 #define SESSION_MARK_SHIFT 32
 /* Connections of callers at the same time: the users' smallest VMs have 4,100
@@ -438,6 +441,8 @@
 	relay->config = NULL;
 	relay_config_release(config);
 	relay->daemons_most = 1;
+	relay->started = clock_elapsed(relay->clock);
+	http_inbound_hold(relay->server, true);
 	if (!prefix_memory_init(&relay->prefixes))
 		return err_set(err, ERR_MEMORY, "out of memory");
 	return true;
@@ -479,6 +484,18 @@
 	    row_watch_age_ms(relay->config_watch) <= relay->bounds.key_fresh_ms;
 }
 
+void
+relay_open(relay_t *relay)
+{
+	int64_t age_ms =
+	    timespec_ms_between(relay->started, clock_elapsed(relay->clock));
+
+	if (relay->opened || (!relay_ready(relay) && age_ms < OPEN_LATEST_MS))
+		return;
+	relay->opened = true;
+	http_inbound_hold(relay->server, false);
+}
+
 void
 relay_leave(relay_t *relay)
 {
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -160,6 +160,7 @@
 
 	(void)fd;
 	(void)what;
+	relay_open(&node->relay);
 	relay_rows_lapsed_end(node);
 	members_step(node);
 	send_notes_tick(&node->notes);
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -212,6 +212,7 @@
 	(void)whole;
 	if (table == ROW_TABLE_ENDPOINTS)
 		endpoint_set_learn(&node->endpoints);
+	relay_open(&node->relay);
 	if (table != ROW_TABLE_OWN)
 		return;
 	daemons = membership_count(&node->members);
--- a/test/unit/http_inbound_test.c
+++ b/test/unit/http_inbound_test.c
@@ -177,6 +177,24 @@
 	fill_and_ask(*state, whole);
 }
 
+/* Connections that come before a server is ready wait for it. */
+static void
+early_connections_wait(void **state)
+{
+	const fixture_t *fixture = *state;
+	int fd;
+
+	http_inbound_hold(fixture->server, true);
+	fd = client(fixture, whole);
+	assert_int_equal(handled, 0);
+	assert_false(answered(fd));
+	http_inbound_hold(fixture->server, false);
+	step(fixture);
+	assert_true(answered(fd));
+	close(fd);
+	step(fixture);
+}
+
 /* A request under way is never cut off for a new connection. */
 static void
 who_waits_for_an_answer_keeps_its_place(void **state)
@@ -209,6 +227,8 @@
 		slow_heads_make_room, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		those_that_were_served_make_room, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		early_connections_wait, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		who_waits_for_an_answer_keeps_its_place, setup, teardown),
 	};
