relay: what may be repeated leaves a silent kept connection for a new one

Cause: where the other end's kernel still acknowledges, or nothing is on its way, a connection that passes on nothing any more shows only by the missing answer; a request on it waited until its time limit. Change: a plain request that may be repeated, on a kept connection to an endpoint that did not say it was full, goes elsewhere after 0.6 of its objective, on a new connection, since others fall silent together; so does one whose kept connection gave no answer. The stand-in relay can silence what is open for good, the scenarios and the soak play it. Ruled out: the same for streams: their first event may well take that long, and breaking the reading off costs its endpoint (they have the bounds of silence on the connection). Before: platform_silent fails, 504 where 200 is wanted; with kept connections tried again 502.

--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -98,6 +98,8 @@
 	relay->under_way--;
 	if (req->limit != NULL)
 		event_free(req->limit);
+	if (req->silence != NULL)
+		event_free(req->silence);
 	if (req->body != NULL)
 		evbuffer_free(req->body);
 	if (req->kept != NULL)
--- a/moortack/relay/relay_answer.c
+++ b/moortack/relay/relay_answer.c
@@ -85,6 +85,7 @@
 	req->may_have_run = true;
 	req->unknown_sends++;
 	stats_add(&relay->stats, STAT_ATTEMPTS, 1);
+	attempt_watch_silence(req);
 }
 
 static void
@@ -103,6 +104,8 @@
 		return;
 	}
 	attempt->headed = true;
+	if (req->silence != NULL)
+		event_del(req->silence);
 	read_queue_begun(&attempt->endpoint->unread, &attempt->ticket,
 	    (double)timespec_ms(clock_elapsed(req->relay->clock)));
 	relay_guard_alive(req);
@@ -302,8 +305,10 @@
 	relay_request_t *req = arg;
 	attempt_t *attempt = &req->attempt;
 
-	if (failure == HTTP_OUTBOUND_NO_ANSWER && attempt->kept)
+	if (failure == HTTP_OUTBOUND_NO_ANSWER && attempt->kept) {
 		endpoint_drop_links(attempt->endpoint);
+		req->kept_dead = true;
+	}
 	if (failure == HTTP_OUTBOUND_NOT_SENT)
 		attempt_over(req, ATTEMPT_NOT_SENT, "connect");
 	else
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -17,6 +17,12 @@
  * on one that was used this recently. */
 #define IDLE_UNSAFE_MS 500
 #define RANK_MAX 9
+#define MS_PER_SEC 1000
+#define US_PER_MS 1000
+/* Part of the objective after which a kept connection without an answer counts
+ * as silent: the rest is twice what such a request takes on the users' sheets.
+ */
+#define SILENCE_PART 0.6
 
 /* Whether the attempt is at an endpoint that a roll-out under way replaces, or
  * that the next one will. */
@@ -85,6 +91,8 @@
 static void
 attempt_clear(relay_request_t *req)
 {
+	if (req->silence != NULL)
+		event_del(req->silence);
 	endpoint_release(req->attempt.endpoint);
 	req->attempt = (attempt_t){0};
 }
@@ -128,7 +136,8 @@
 	relay_t *relay = req->relay;
 	int64_t max_ms = request_idempotent(req) ? INT64_MAX : IDLE_UNSAFE_MS;
 
-	attempt->conn = endpoint_take_link(endpoint, max_ms);
+	attempt->conn =
+	    req->kept_dead ? NULL : endpoint_take_link(endpoint, max_ms);
 	attempt->kept = attempt->conn != NULL;
 	if (attempt->kept)
 		http_outbound_set_silent(attempt->conn,
@@ -223,6 +232,47 @@
 	    req, req->may_have_run ? ERR_UNKNOWN_OUTCOME : not_run, why);
 }
 
+/* A silent connection can't be told from a slow endpoint, but by the latter's
+ * being full: only what may be repeated at once is given up for it, while there
+ * is another attempt. */
+static bool
+silence_counts(const relay_request_t *req)
+{
+	const attempt_t *attempt = &req->attempt;
+	const endpoint_load_t *load = &attempt->endpoint->load;
+
+	return attempt->kept && req->route->kind == ROUTE_SAFE &&
+	    req->sends < req->route->attempts && load->waiting == 0 &&
+	    (load->slots == 0 || load->running < load->slots);
+}
+
+static void
+on_silence(evutil_socket_t fd, short what, void *arg)
+{
+	relay_request_t *req = arg;
+
+	(void)fd;
+	(void)what;
+	endpoint_drop_links(req->attempt.endpoint);
+	req->kept_dead = true;
+	attempt_over(req, ATTEMPT_UNKNOWN, "silent");
+}
+
+void
+attempt_watch_silence(relay_request_t *req)
+{
+	int64_t ms = (int64_t)((double)req->route->objective_ms * SILENCE_PART);
+	struct timeval delay = {ms / MS_PER_SEC, ms % MS_PER_SEC * US_PER_MS};
+
+	if (ms <= 0 || !silence_counts(req))
+		return;
+	if (req->silence == NULL)
+		req->silence =
+		    event_new(req->relay->base, -1, 0, on_silence, req);
+	if (req->silence != NULL)
+		event_add(req->silence, &delay);
+}
+
 void
 attempt_begin(relay_request_t *req)
 {
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -64,6 +64,9 @@
 	double before_ms; /**< from the caller's first try until then */
 	int64_t limit_ms; /**< after taken */
 	struct event *limit;
+	bool kept_dead; /**< a kept connection was silent: others may be, too */
+	struct event *silence; /**< the kept connection may be dead; NULL: not
+				  looked for */
 	struct evbuffer *body; /**< kept for a repeat */
 	attempt_t attempt;
 	uint64_t tried[TRIED_MAX]; /**< hashes of endpoints */
@@ -122,6 +125,8 @@
 /** The attempt's connection is up: whether its request may still be sent; if
  * not, another attempt was begun or the request has failed. */
 bool attempt_ready(relay_request_t *);
+/** Its request has left: look whether its connection is silent. */
+void attempt_watch_silence(relay_request_t *);
 /** Give up the attempt under way, without a word to the caller. */
 void attempt_cancel(relay_request_t *);
 /** The attempt ended without a whole answer: try again, or fail. */
--- a/soak/soak.lua
+++ b/soak/soak.lua
@@ -13,7 +13,10 @@
 math.randomseed(seed)
 
 local DAEMONS, REPLICAS, AT_ONCE = 4, 4, 6
-local w = words.world(REPLICAS, DAEMONS)
+local w = words.world(REPLICAS, 0)
+for i = 1, REPLICAS do w:link(i) end
+for i = 1, DAEMONS do w:daemon(i) end
+for i = 1, DAEMONS do words.wait_ready(w.daemons[i]) end
 local running = {} -- calls under way
 local books = {} -- ended ones
 local stopped = {} -- daemons that stand still, or are gone for now
@@ -91,6 +94,7 @@
   half = function() return replica_fault({half_after = math.random(15)}) end,
   shed = function() return replica_fault({shed = true}) end,
   fail = function() return replica_fault({fail = true}) end,
+  silent = function() w:silence(math.random(REPLICAS)) end,
   stray = function() return replica_fault({stray = true}) end,
   leave = function()
     local i = math.random(REPLICAS)
--- a/standin/relay.c
+++ b/standin/relay.c
@@ -2,7 +2,9 @@
  * @file
  * A TCP relay, to cut one process off from another. The fault "target" sets
  * where it relays to; "cut" lists source IPs whose connections are dropped and
- * refused, "stall" those whose bytes are no longer passed on, either way.
+ * refused, "stall" those whose bytes are no longer passed on, either way;
+ * "silent" makes the connections that are open now pass on nothing ever again,
+ * without a reset, while new ones work.
  */
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -24,6 +26,7 @@
 	struct relay *relay;
 	struct bufferevent *sides[SIDES]; /**< the caller's, the target's */
 	char source[IP_SIZE];
+	bool silent; /**< for good */
 	struct pair *next;
 } pair_t;
 
@@ -74,7 +77,7 @@
 	struct bufferevent *other =
 	    pair->sides[0] == bev ? pair->sides[1] : pair->sides[0];
 
-	if (listed(pair->relay, "stall", pair->source))
+	if (pair->silent || listed(pair->relay, "stall", pair->source))
 		evbuffer_drain(bufferevent_get_input(bev),
 		    evbuffer_get_length(bufferevent_get_input(bev)));
 	else
@@ -181,6 +184,9 @@
 
 	if (target != NULL)
 		http_address_parse(target, &relay->target);
+	for (pair_t *pair = relay->pairs; pair != NULL; pair = pair->next)
+		pair->silent |=
+		    json_is_true(json_object_get(body, "silent"));
 	if (relay->listener == NULL)
 		relay_listen(relay);
 }
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -88,11 +88,33 @@
     lib.fault(replica.address, {id = replica.id})
   end
   self:put("servers", replica.id, {service = "lm",
-    address = replica.address, zone = "a", version = version or "v1",
+    address = replica.link or replica.address, zone = "a", version = version or "v1",
     batch_slots = 8, state = state or "ready", sequence = 1})
   return replica
 end
 
+-- Put a relay before the replica: its connections can fall silent for good.
+function World:link(i)
+  local replica = self.replicas[i]
+  local relay = lib.spawn("standin/standin-relay",
+    {"--listen", address(30 + i, 9100)}, {}, "relay" .. i .. ".log")
+  relay.address = address(30 + i, 9100)
+  lib.wait_until("the relay listens", function()
+    return lib.http("GET", relay.address, "/", {timeout_ms = 500}).status ~= 0
+  end)
+  replica.relay = relay
+  replica.link = address(30 + i, 9101)
+  lib.fault(relay.address, {target = replica.address})
+  self:replica(i, "v1")
+end
+
+-- Whatever is open to the replica now passes on nothing any more.
+function World:silence(i)
+  local replica = self.replicas[i]
+  lib.fault(replica.relay.address,
+    {target = replica.address, silent = true})
+end
+
 function World:faults(i, faults)
   faults.id = self.replicas[i].id
   lib.fault(self.replicas[i].address, faults)
