--- a/standin/relay.c
+++ b/standin/relay.c
@@ -185,8 +185,7 @@
 	if (target != NULL)
 		http_address_parse(target, &relay->target);
 	for (pair_t *pair = relay->pairs; pair != NULL; pair = pair->next)
-		pair->silent |=
-		    json_is_true(json_object_get(body, "silent"));
+		pair->silent |= json_is_true(json_object_get(body, "silent"));
 	if (relay->listener == NULL)
 		relay_listen(relay);
 }
