--- a/bench/experiment.c
+++ b/bench/experiment.c
@@ -1,33 +1,17 @@
 /**
  * @file
- * bench-experiment [NAME]...: runs experiments and prints their tables.
+ * What experiments share: samples, a discrete clock, seeded random numbers.
  */
 #include "experiment.h"
 
 #include <gsl/gsl_sort.h>
 #include <gsl/gsl_statistics.h>
-#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define START_MS 1000000
 
-typedef struct experiment {
-	const char *name;
-	void (*run)(void);
-} experiment_t;
-
-/* Sorted by name. */
-static const experiment_t experiments[] = {
-    {"admission", experiment_admission},
-    {"balance", experiment_balance},
-    {"cascade", experiment_cascade},
-    {"exposure", experiment_exposure},
-    {"retry", experiment_retry},
-    {"weights", experiment_weights},
-};
-
 void
 samples_init(samples_t *samples)
 {
@@ -189,30 +173,3 @@
 {
 	gsl_rng_free(rng->gsl);
 }
-
-static bool
-wanted(const char *name, int argc, char **argv)
-{
-	for (int i = 1; i < argc; i++) {
-		if (strcmp(argv[i], name) == 0)
-			return true;
-	}
-	return argc == 1;
-}
-
-int
-main(int argc, char **argv)
-{
-	if (sodium_init() < 0)
-		return 1;
-	for (size_t i = 0; i < sizeof(experiments) / sizeof(*experiments);
-	     i++) {
-		if (!wanted(experiments[i].name, argc, argv))
-			continue;
-		printf("\n### %s (%d seeds)\n\n", experiments[i].name,
-		    EXPERIMENT_SEEDS);
-		experiments[i].run();
-		fflush(stdout);
-	}
-	return 0;
-}
--- a/bench/experiment.h
+++ b/bench/experiment.h
@@ -73,6 +73,7 @@
 void experiment_balance(void);
 void experiment_cascade(void);
 void experiment_exposure(void);
+void experiment_placing(void);
 void experiment_retry(void);
 void experiment_weights(void);
 
--- /dev/null
+++ b/test/unit/placing_load_test.c
@@ -0,0 +1,95 @@
+/**
+ * @file
+ * Plays loads against the code that places prompts, and checks what callers
+ * get: the experiment of bench/placing.c, asserted.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "placing.h"
+
+#define SEEDS 3
+/* Requests a second: random placing is late for 37 and 72 of 100 long ones. */
+#define HEAVY_PER_S 28
+#define HEAVIER_PER_S 40
+#define IN_TIME_MIN 0.98
+/* Of the next best policy's late answers, these many may be late. */
+#define LATE_PART 0.5
+
+static double
+in_time(const placing_result_t *result, placing_kind_t kind)
+{
+	return result->in_time[kind] / result->asked[kind];
+}
+
+static void
+play(
+    placing_policy_t policy, double per_s, uint64_t seed, placing_result_t *out)
+{
+	placing_run(policy, per_s, seed, out);
+	for (int i = 0; i < PLACING_KINDS; i++)
+		samples_finish(&out->first_ms[i]);
+}
+
+/* Neither the long prompts nor the short ones are late for the others. */
+static void
+both_kinds_are_in_time_under_a_heavy_load(void **state)
+{
+	placing_result_t told;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		play(PLACING_TOLD, HEAVIER_PER_S, seed, &told);
+		assert_true(in_time(&told, PLACING_LONG) >= IN_TIME_MIN);
+		assert_true(in_time(&told, PLACING_SHORT) >= IN_TIME_MIN);
+	}
+}
+
+/* It beats each baseline in the same run, and telling is what does it. */
+static void
+fewer_are_late_than_by_any_other_policy(void **state)
+{
+	placing_result_t told, other;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		play(PLACING_TOLD, HEAVY_PER_S, seed, &told);
+		for (int policy = PLACING_ALONE; policy < PLACING_POLICIES;
+		     policy++) {
+			play((placing_policy_t)policy, HEAVY_PER_S, seed,
+			    &other);
+			for (int i = 0; i < PLACING_KINDS; i++)
+				assert_true(1 - in_time(&told, i) <=
+				    LATE_PART * (1 - in_time(&other, i)));
+		}
+	}
+}
+
+/* What endpoints keep is found: hashing alone reads hardly less. */
+static void
+little_is_read_twice(void **state)
+{
+	placing_result_t told, hash;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		play(PLACING_TOLD, HEAVY_PER_S, seed, &told);
+		play(PLACING_HASH, HEAVY_PER_S, seed, &hash);
+		assert_true(told.tokens_read < 1.15 * hash.tokens_read);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(both_kinds_are_in_time_under_a_heavy_load),
+	    cmocka_unit_test(fewer_are_late_than_by_any_other_policy),
+	    cmocka_unit_test(little_is_read_twice),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
