--- /dev/null
+++ b/moortack/relay/relay_permit.c
@@ -0,0 +1,46 @@
+#include "relay_request.h"
+
+const char *
+relay_pool(const relay_route_t *route, uint64_t spread)
+{
+	uint64_t sum = 0;
+	uint64_t at;
+
+	for (size_t i = 0; i < route->pools_len; i++)
+		sum += route->pools[i].weight;
+	if (sum == 0)
+		return NULL;
+	at = spread % sum;
+	for (size_t i = 0; i < route->pools_len; i++) {
+		if (at < route->pools[i].weight)
+			return route->pools[i].service;
+		at -= route->pools[i].weight;
+	}
+	return NULL;
+}
+
+/* What an arrival may do. @return ERR_NONE, or why it is refused */
+err_code_t
+relay_permit(const relay_t *relay, const arrival_t *arrival, const char *target,
+    const relay_route_t **route, const relay_organisation_t **organisation)
+{
+	const relay_config_t *config = relay->config;
+	int64_t age_ms = row_watch_age_ms(relay->config_watch);
+	bool doubt = age_ms > relay->bounds.doubt_ms;
+
+	*organisation = NULL;
+	if (config == NULL)
+		return ERR_NOT_READY;
+	*route = relay_config_route(config, arrival->host, target);
+	if (*route == NULL)
+		return doubt ? ERR_CONFIG_STALE : ERR_NOT_FOUND;
+	if (!config->keys_used || (*route)->anonymous)
+		return ERR_NONE;
+	if (age_ms > relay->bounds.key_fresh_ms)
+		return ERR_CONFIG_STALE;
+	if (arrival->key != NULL && !arrival->several_keys)
+		*organisation = relay_config_key(config, arrival->key);
+	if (*organisation == NULL)
+		return doubt ? ERR_CONFIG_STALE : ERR_AUTHENTICATION;
+	return ERR_NONE;
+}
