--- a/moortack/relay/choose.c
+++ b/moortack/relay/choose.c
@@ -9,8 +9,8 @@
 #define TIE_MS 4.0
 /* What each request that an endpoint holds adds to what is expected there: its
  * steps are longer, and some are prompts of other daemons that can't be seen
- * otherwise. Without it the worth of two of the users' sheets is 0.004 and 0.016
- * less (20 days each). */
+ * otherwise. Without it the worth of two of the users' sheets is 0.004 and
+ * 0.016 less (20 days each). */
 #define LOAD_MS 15.0
 
 static bool
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -36,8 +36,8 @@
 
 /* What it costs that a shared token is read again, beyond the time of this
  * request's model: what moves to another endpoint is read there by the larger
- * models too, and what was read before was read for nothing. Without it the worth
- * of two of the users' sheets is 0.012 and 0.013 less (20 days each). */
+ * models too, and what was read before was read for nothing. Without it the
+ * worth of two of the users' sheets is 0.012 and 0.013 less (20 days each). */
 static double
 again_of(const relay_request_t *req)
 {
