--- a/bench/placing.c
+++ b/bench/placing.c
@@ -184,7 +184,7 @@
 			read_queue_add(
 			    queue, &attempt->ticket, read_ms, sim->des.now_ms);
 		else if (sim->policy == PLACING_TOLD)
-			read_queue_add_other(queue, read_ms, sim->des.now_ms);
+			read_queue_extend(queue, read_ms, sim->des.now_ms);
 		else
 			continue;
 		prefix_memory_note(&daemon->kept, prefixes,
--- a/include/moortack/relay/companions.h
+++ b/include/moortack/relay/companions.h
@@ -11,7 +11,7 @@
 #include "moortack/relay/membership.h"
 
 /** Others at most: what a daemon sends and takes stays the same as the fleet
- * grows. The fleets of today's users have 6 to 9 daemons. */
+ * grows. Fleets of up to nine daemons tell all. */
 #define COMPANIONS_MAX 8
 
 /** Those that are alive, if there are no more than COMPANIONS_MAX; else the
--- a/include/moortack/relay/read_queue.h
+++ b/include/moortack/relay/read_queue.h
@@ -35,8 +35,8 @@
 /** A prompt is sent; the ticket is the caller's, and is held until it ends. */
 void
 read_queue_add(read_queue_t *, read_ticket_t *, double read_ms, double now_ms);
-/** Another daemon sent a prompt. */
-void read_queue_add_other(read_queue_t *, double read_ms, double now_ms);
+/** More is to be read: another daemon sent a prompt. */
+void read_queue_extend(read_queue_t *, double read_ms, double now_ms);
 /** Its answer begins. */
 void read_queue_begun(read_queue_t *, read_ticket_t *, double now_ms);
 /** It is taken back, or its attempt has failed. */
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -88,10 +88,10 @@
 	http_inbound_server_t *server;
 	relay_request_t *first;
 	uint32_t under_way;
-	uint32_t daemons_most; /**< seen; shares of bounds are cut by it */
-	bool opened;	       /**< new connections are taken */
-	struct timespec started;
-	bool leaving; /**< new streams are sent elsewhere */
+	uint32_t daemons_most;	 /**< seen; shares of bounds are cut by it */
+	bool opened;		 /**< new connections are taken */
+	struct timespec started; /**< since when it listens */
+	bool leaving;		 /**< new streams are sent elsewhere */
 } relay_t;
 
 bool relay_init(relay_t *, const http_address_t *listen, err_t *);
@@ -103,8 +103,7 @@
 
 /** Take new connections as soon as enough is known to serve, and before long in
  * any case: who comes a moment too early after a restart is served, not
- * refused.
- */
+ * refused. Called at each change of what is known, and a few times a second. */
 void relay_open(relay_t *);
 
 /** Whether enough is known to serve. */
--- a/moortack/relay/choose.c
+++ b/moortack/relay/choose.c
@@ -5,7 +5,7 @@
 #define DICE_RANGE 4294967296.0
 /* Loads this close, as a share of the slots, are the same. */
 #define TIE_SHARE 0.02
-/* So are times. */
+/* Times this close, in milliseconds, are the same. */
 #define TIE_MS 4.0
 /* What each request that an endpoint holds adds to what is expected there: its
  * steps are longer, and some are prompts of other daemons that can't be seen
@@ -64,7 +64,9 @@
 choose_soonest(const choose_candidate_t *candidates, size_t len,
     const choose_wish_t *wish, bool sound)
 {
-	size_t first = first_in_order(candidates, len, wish, sound);
+	size_t first = wish->first_keeps > 0
+	    ? first_in_order(candidates, len, wish, sound)
+	    : SIZE_MAX;
 	size_t best = SIZE_MAX;
 	double best_ms = 0;
 
--- a/moortack/relay/companions.c
+++ b/moortack/relay/companions.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* @param place NULL: any */
 static bool
 is_companion(
     const membership_t *members, const member_t *member, const char *place)
@@ -24,19 +25,19 @@
 }
 
 static size_t
-count_of(const membership_t *members, const char *place)
+count_of(const membership_t *members)
 {
 	size_t count = 0;
 
 	for (const member_t *one = members->members; one != NULL;
 	     one = one->hh.next)
-		count += is_companion(members, one, place);
+		count += is_companion(members, one, NULL);
 	return count;
 }
 
 /* Keep the nearest ones, the nearest first. */
 static size_t
-insert(const membership_t *members, const member_t *member,
+nearest_insert(const membership_t *members, const member_t *member,
     const member_t *companions[COMPANIONS_MAX], size_t len)
 {
 	size_t at = len;
@@ -58,15 +59,14 @@
 companions_of(
     const membership_t *members, const member_t *companions[COMPANIONS_MAX])
 {
-	const char *place = count_of(members, NULL) > COMPANIONS_MAX
-	    ? members->settings.place
-	    : NULL;
+	const char *place =
+	    count_of(members) > COMPANIONS_MAX ? members->settings.place : NULL;
 	size_t len = 0;
 
 	for (const member_t *one = members->members; one != NULL;
 	     one = one->hh.next) {
 		if (is_companion(members, one, place))
-			len = insert(members, one, companions, len);
+			len = nearest_insert(members, one, companions, len);
 	}
 	return len;
 }
--- a/moortack/relay/read_queue.c
+++ b/moortack/relay/read_queue.c
@@ -28,25 +28,19 @@
 	return wait_ms + overdue_ms(queue, now_ms);
 }
 
-static void
-queue_extend(read_queue_t *queue, double read_ms, double now_ms)
+void
+read_queue_extend(read_queue_t *queue, double read_ms, double now_ms)
 {
 	if (queue->free_ms < now_ms)
 		queue->free_ms = now_ms;
 	queue->free_ms += read_ms;
 }
 
-void
-read_queue_add_other(read_queue_t *queue, double read_ms, double now_ms)
-{
-	queue_extend(queue, read_ms, now_ms);
-}
-
 void
 read_queue_add(
     read_queue_t *queue, read_ticket_t *ticket, double read_ms, double now_ms)
 {
-	queue_extend(queue, read_ms, now_ms);
+	read_queue_extend(queue, read_ms, now_ms);
 	ticket->read_ms = read_ms;
 	ticket->expected_ms = queue->free_ms;
 	ticket->queued = true;
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -180,5 +180,5 @@
 	memcpy(prefixes.hashes, note->prefixes,
 	    note->prefixes_len * sizeof(note->prefixes[0]));
 	prefix_memory_note(&relay->prefixes, &prefixes, endpoint->hash, now_ms);
-	read_queue_add_other(&endpoint->unread, note->read_ms, (double)now_ms);
+	read_queue_extend(&endpoint->unread, note->read_ms, (double)now_ms);
 }
--- a/test/unit/placing_test.c
+++ b/test/unit/placing_test.c
@@ -254,7 +254,7 @@
 
 	(void)state;
 	read_queue_init(&queue);
-	read_queue_add_other(&queue, 300, 1000);
+	read_queue_extend(&queue, 300, 1000);
 	assert_true(read_queue_wait_ms(&queue, 1100) == 200);
 	read_queue_add(&queue, &own, 100, 1100);
 	assert_true(read_queue_wait_ms(&queue, 1100) == 300);
