common: the server that takes callers' connections in a file of its own

Change: http_inbound_server.c (accepting, making room, listening), http_inbound_priv.h for what both share; no change of behaviour.

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -1,8 +1,5 @@
-#include "common/http_inbound.h"
+#include "http_inbound_priv.h"
 
-#include <arpa/inet.h>
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
@@ -20,43 +17,10 @@
 /* A caller that takes nothing for this long is gone. */
 #define DEAD_CALLER_MS 15000
 #define NEVER_S 86400
-#define BACKLOG 1024
-
-typedef enum inbound_state {
-	INBOUND_READING,
-	INBOUND_HANDLING,  /**< the request is with its handler */
-	INBOUND_STREAMING, /**< its answer is under way */
-	INBOUND_LINGERING, /**< the answer is written; the connection closes */
-} inbound_state_t;
-
-struct http_inbound {
-	http_inbound_server_t *server;
-	struct bufferevent *bev;
-	http_reader_t reader;
-	inbound_state_t state;
-	bool close_after;
-	bool too_large;
-	uint64_t turn; /**< counted on when it began to wait for a request */
-	void *user;
-	http_inbound_t *next;
-	http_inbound_t *prev;
-};
-
-struct http_inbound_server {
-	struct event_base *base;
-	struct evconnlistener *listener;
-	const http_inbound_ops_t *ops;
-	void *arg;
-	http_inbound_limits_t limits;
-	http_inbound_t *first;
-	uint32_t open;
-	uint64_t turn;
-	bool draining;
-};
 
 static void inbound_read(http_inbound_t *conn);
 
-static void
+void
 inbound_free(http_inbound_t *conn)
 {
 	http_inbound_server_t *server = conn->server;
@@ -235,52 +199,20 @@
 	inbound_free(conn);
 }
 
-/* Whether a request has begun to come in. */
-static bool
-reading_begun(const http_inbound_t *conn)
+bool
+inbound_begun(const http_inbound_t *conn)
 {
 	return conn->reader.started ||
 	    evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0;
 }
 
-/* Make room for a new connection: the one that has idled the longest goes, or
- * else the one that has been longest about its request. None that waits for an
- * answer does. @return false: all of them do */
-static bool
-room_make(http_inbound_server_t *server)
-{
-	http_inbound_t *oldest = NULL;
-
-	for (http_inbound_t *one = server->first; one != NULL;
-	     one = one->next) {
-		if (one->state != INBOUND_READING)
-			continue;
-		if (oldest == NULL ||
-		    reading_begun(one) < reading_begun(oldest) ||
-		    (reading_begun(one) == reading_begun(oldest) &&
-			one->turn < oldest->turn))
-			oldest = one;
-	}
-	if (oldest == NULL)
-		return false;
-	inbound_free(oldest);
-	return true;
-}
-
-static void
-on_accept(struct evconnlistener *listener, evutil_socket_t fd,
-    struct sockaddr *address, int len, void *arg)
+void
+inbound_open(http_inbound_server_t *server, evutil_socket_t fd)
 {
-	http_inbound_server_t *server = arg;
-	http_inbound_t *conn;
+	http_inbound_t *conn = calloc(1, sizeof(*conn));
 	int yes = 1;
 
-	(void)listener;
-	(void)address;
-	(void)len;
-	if ((server->open >= server->limits.connections &&
-		!room_make(server)) ||
-	    (conn = calloc(1, sizeof(*conn))) == NULL) {
+	if (conn == NULL) {
 		evutil_closesocket(fd);
 		return;
 	}
@@ -306,90 +238,6 @@
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 }
 
-http_inbound_server_t *
-http_inbound_listen(struct event_base *base, const http_address_t *address,
-    const http_inbound_ops_t *ops, void *arg, err_t *err)
-{
-	http_inbound_server_t *server = calloc(1, sizeof(*server));
-	struct sockaddr_in to = {
-	    .sin_family = AF_INET, .sin_port = htons(address->port)};
-
-	if (server == NULL) {
-		err_set(err, ERR_MEMORY, "out of memory");
-		return NULL;
-	}
-	server->base = base;
-	server->ops = ops;
-	server->arg = arg;
-	if (inet_pton(AF_INET, address->host, &to.sin_addr) == 1)
-		server->listener = evconnlistener_new_bind(base, on_accept,
-		    server, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, BACKLOG,
-		    (struct sockaddr *)&to, sizeof(to));
-	if (server->listener == NULL) {
-		err_set(err, ERR_SETTING, "cannot listen on %s:%u",
-		    address->host, address->port);
-		free(server);
-		return NULL;
-	}
-	return server;
-}
-
-void
-http_inbound_server_free(http_inbound_server_t *server)
-{
-	while (server->first != NULL)
-		inbound_free(server->first);
-	if (server->listener != NULL)
-		evconnlistener_free(server->listener);
-	free(server);
-}
-
-void
-http_inbound_limit(
-    http_inbound_server_t *server, const http_inbound_limits_t *limits)
-{
-	server->limits = *limits;
-}
-
-void
-http_inbound_hold(http_inbound_server_t *server, bool hold)
-{
-	if (server->listener == NULL)
-		return;
-	if (hold)
-		evconnlistener_disable(server->listener);
-	else
-		evconnlistener_enable(server->listener);
-}
-
-void
-http_inbound_drain(http_inbound_server_t *server)
-{
-	server->draining = true;
-}
-
-void
-http_inbound_refuse(http_inbound_server_t *server)
-{
-	http_inbound_t *next;
-
-	if (server->listener != NULL)
-		evconnlistener_free(server->listener);
-	server->listener = NULL;
-	for (http_inbound_t *conn = server->first; conn != NULL; conn = next) {
-		next = conn->next;
-		if (conn->state == INBOUND_READING && !conn->reader.started &&
-		    evbuffer_get_length(bufferevent_get_input(conn->bev)) == 0)
-			inbound_free(conn);
-	}
-}
-
-uint32_t
-http_inbound_connections(const http_inbound_server_t *server)
-{
-	return server->open;
-}
-
 const http_msg_t *
 http_inbound_request(const http_inbound_t *conn)
 {
--- /dev/null
+++ b/common/http_inbound_server.c
@@ -0,0 +1,130 @@
+#include "http_inbound_priv.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+
+#define BACKLOG 1024
+
+/* Make room for a new connection: the one that has idled the longest goes, or
+ * else the one that has been longest about its request. None that waits for an
+ * answer does. @return false: all of them do */
+static bool
+room_make(http_inbound_server_t *server)
+{
+	http_inbound_t *oldest = NULL;
+
+	for (http_inbound_t *one = server->first; one != NULL;
+	     one = one->next) {
+		if (one->state != INBOUND_READING)
+			continue;
+		if (oldest == NULL ||
+		    inbound_begun(one) < inbound_begun(oldest) ||
+		    (inbound_begun(one) == inbound_begun(oldest) &&
+			one->turn < oldest->turn))
+			oldest = one;
+	}
+	if (oldest == NULL)
+		return false;
+	inbound_free(oldest);
+	return true;
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+    struct sockaddr *address, int len, void *arg)
+{
+	http_inbound_server_t *server = arg;
+
+	(void)listener;
+	(void)address;
+	(void)len;
+	if (server->open >= server->limits.connections && !room_make(server))
+		evutil_closesocket(fd);
+	else
+		inbound_open(server, fd);
+}
+
+http_inbound_server_t *
+http_inbound_listen(struct event_base *base, const http_address_t *address,
+    const http_inbound_ops_t *ops, void *arg, err_t *err)
+{
+	http_inbound_server_t *server = calloc(1, sizeof(*server));
+	struct sockaddr_in to = {
+	    .sin_family = AF_INET, .sin_port = htons(address->port)};
+
+	if (server == NULL) {
+		err_set(err, ERR_MEMORY, "out of memory");
+		return NULL;
+	}
+	server->base = base;
+	server->ops = ops;
+	server->arg = arg;
+	if (inet_pton(AF_INET, address->host, &to.sin_addr) == 1)
+		server->listener = evconnlistener_new_bind(base, on_accept,
+		    server, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, BACKLOG,
+		    (struct sockaddr *)&to, sizeof(to));
+	if (server->listener == NULL) {
+		err_set(err, ERR_SETTING, "cannot listen on %s:%u",
+		    address->host, address->port);
+		free(server);
+		return NULL;
+	}
+	return server;
+}
+
+void
+http_inbound_server_free(http_inbound_server_t *server)
+{
+	while (server->first != NULL)
+		inbound_free(server->first);
+	if (server->listener != NULL)
+		evconnlistener_free(server->listener);
+	free(server);
+}
+
+void
+http_inbound_limit(
+    http_inbound_server_t *server, const http_inbound_limits_t *limits)
+{
+	server->limits = *limits;
+}
+
+void
+http_inbound_hold(http_inbound_server_t *server, bool hold)
+{
+	if (server->listener == NULL)
+		return;
+	if (hold)
+		evconnlistener_disable(server->listener);
+	else
+		evconnlistener_enable(server->listener);
+}
+
+void
+http_inbound_drain(http_inbound_server_t *server)
+{
+	server->draining = true;
+}
+
+void
+http_inbound_refuse(http_inbound_server_t *server)
+{
+	http_inbound_t *next;
+
+	if (server->listener != NULL)
+		evconnlistener_free(server->listener);
+	server->listener = NULL;
+	for (http_inbound_t *conn = server->first; conn != NULL; conn = next) {
+		next = conn->next;
+		if (conn->state == INBOUND_READING && !conn->reader.started &&
+		    evbuffer_get_length(bufferevent_get_input(conn->bev)) == 0)
+			inbound_free(conn);
+	}
+}
+
+uint32_t
+http_inbound_connections(const http_inbound_server_t *server)
+{
+	return server->open;
+}
