--- a/include/moortack/relay/membership.h
+++ b/include/moortack/relay/membership.h
@@ -10,6 +10,7 @@
 #include <uthash.h>
 
 #include "common/http_call.h"
+#include "moortack/relay/event_log.h"
 #include "moortack/relay/row_store.h"
 #include "moortack/relay/row_watch.h"
 
@@ -40,6 +41,7 @@
 	uint32_t shuns;		 /**< in a row */
 	uint64_t version;
 	bool clearing; /**< its row is being taken out */
+	bool named;    /**< to callers, as last logged */
 	UT_hash_handle hh;
 } member_t;
 
@@ -59,6 +61,7 @@
 	membership_settings_t settings;
 	row_store_t *store;
 	const clock_source_t *clock;
+	event_log_t *log; /**< NULL: none */
 	struct event *timer;
 	member_t *members;
 	member_state_t state;
@@ -79,8 +82,9 @@
 	int64_t store_offset_ms; /**< store's clock less this one's */
 } membership_t;
 
+/** @param log may be NULL */
 bool membership_init(membership_t *, struct event_base *, row_store_t *,
-    const clock_source_t *, const membership_settings_t *);
+    const clock_source_t *, event_log_t *log, const membership_settings_t *);
 void membership_finish(membership_t *);
 
 /** A row of the system's table whose key begins with MEMBER_PREFIX. */
@@ -129,6 +133,10 @@
 /** Take the own row out of the store. */
 void membership_leave(membership_t *);
 
+/** Whether callers may be sent to the member. */
+bool membership_named(const membership_t *, const member_t *);
+/** Log whose naming has changed since the last call. */
+void membership_log(membership_t *);
 /** Whether the member's row is not too old to be believed. */
 bool membership_alive(const membership_t *, const member_t *);
 /** Daemons that serve, this one among them. */
--- a/moortack/relay/membership.c
+++ b/moortack/relay/membership.c
@@ -1,5 +1,6 @@
 #include "moortack/relay/membership.h"
 
+#include <inttypes.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -119,9 +120,11 @@
 
 bool
 membership_init(membership_t *self, struct event_base *base, row_store_t *store,
-    const clock_source_t *clock, const membership_settings_t *settings)
+    const clock_source_t *clock, event_log_t *log,
+    const membership_settings_t *settings)
 {
 	memset(self, 0, sizeof(*self));
+	self->log = log;
 	self->settings = *settings;
 	self->store = store;
 	self->clock = clock;
@@ -196,6 +199,28 @@
 		beat_later(self, 0);
 }
 
+/* Milliseconds since then; -1: never. */
+static int64_t
+ms_since(const membership_t *self, bool ever, struct timespec then)
+{
+	return ever ? timespec_ms_between(then, clock_elapsed(self->clock))
+		    : -1;
+}
+
+static void
+member_log(const membership_t *self, const member_t *member, const char *event)
+{
+	if (self->log == NULL)
+		return;
+	event_line(self->log, event,
+	    "name=%s state=%s named=%d heard_ms=%" PRId64 " row_ms=%" PRId64
+	    " vouched=%d alone=%d",
+	    member->name, state_names[member->state], member->named,
+	    ms_since(self, member->heard_once, member->heard),
+	    ms_since(self, member->version != 0, member->changed),
+	    self->vouched, self->alone);
+}
+
 void
 membership_row(membership_t *self, const row_t *row)
 {
@@ -209,8 +234,10 @@
 	}
 	if (row->deleted) {
 		HASH_FIND_STR(self->members, name, member);
-		if (member != NULL)
-			member_free(self, member);
+		if (member == NULL)
+			return;
+		member_log(self, member, "member_gone");
+		member_free(self, member);
 		return;
 	}
 	value = json_loadb(row->value, row->value_len, 0, NULL);
@@ -462,6 +489,26 @@
 	    self->settings.silent_ms;
 }
 
+bool
+membership_named(const membership_t *self, const member_t *member)
+{
+	return member->state == MEMBER_READY && membership_alive(self, member);
+}
+
+void
+membership_log(membership_t *self)
+{
+	for (member_t *member = self->members; member != NULL;
+	     member = member->hh.next) {
+		bool named = membership_named(self, member);
+
+		if (member->named == named)
+			continue;
+		member->named = named;
+		member_log(self, member, "member");
+	}
+}
+
 uint32_t
 membership_count(const membership_t *self)
 {
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -127,6 +127,7 @@
 		relay_rows_lapses_drop(node);
 	else
 		membership_clear(&node->members);
+	membership_log(&node->members);
 }
 
 static void
@@ -270,7 +271,7 @@
 		&node->relay, err))
 		return false;
 	if (membership_init(&node->members, ports->base, ports->store,
-		ports->clock, &member) &&
+		ports->clock, &node->log, &member) &&
 	    rollouts_init(&node->rollouts, ports->base) && source_init(node))
 		return true;
 	return err_set(err, ERR_MEMORY, "out of memory");
@@ -354,8 +355,7 @@
 		return;
 	for (const member_t *one = node->members.members; one != NULL;
 	     one = one->hh.next) {
-		if (one->state == MEMBER_READY &&
-		    membership_alive(&node->members, one) &&
+		if (membership_named(&node->members, one) &&
 		    !each(arg, one->name, one->place))
 			return;
 	}
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -197,7 +197,7 @@
 	    .silent_ms = 4500};
 
 	snprintf(settings.name, sizeof(settings.name), "10.0.0.%d:80", own);
-	assert_true(membership_init(self, base, store, clock, &settings));
+	assert_true(membership_init(self, base, store, clock, NULL, &settings));
 	self->state = MEMBER_READY;
 	for (int i = 0; i < DAEMONS; i++) {
 		if (i != own)
