relay: daemons are named to callers by signs of life dated by who gave them

Cause: a daemon that stops following dated the rows of all others by that moment, so whoever takes over from a lost reader took it for alive for 12 s more, and all others went back to follow it after 3 s. Class: what is known is dated by when it was learned, not by when its subject showed it. Change: member_life.c decides who lives. The one that all ask knows who is silent and says so; its word keeps its age when it is passed on (vouched_ms, held_ms, silent in an answer; a list only while somebody is silent), and counts for half of the users' bound. Rows of members say when they were written. Who takes over speaks for itself once those left behind had the time to ask it. Clearing a dead member's row is tried again after a failure, and several go with one call. What may be named follows bounds.stable_ms. Ruled out: a shorter lease from the moment of taking over: two readers lost one after the other would add it up; rows as the only sign (405 writes a second at 810 daemons).

--- a/include/moortack/relay/feed_wire.h
+++ b/include/moortack/relay/feed_wire.h
@@ -48,9 +48,15 @@
 	bool lost; /**< the store does not answer the one that reads it */
 	int64_t store_now_ms;
 	feed_table_t tables[ROW_TABLES];
-	json_t *path; /**< names: who answers, whom that one follows, and so
-			 on to who reads the store; may be NULL */
-	json_t *rows; /**< of [table, key, version, value or null] */
+	json_t *path;	 /**< names: who answers, whom that one follows, and so
+			    on to who reads the store; may be NULL */
+	json_t *rows;	 /**< of [table, key, version, value or null] */
+	int64_t held_ms; /**< the question was held: the ages in the answer
+			    count from so much later */
+	int64_t vouched_ms; /**< since the word on who lives was spoken;
+			       negative: there is none */
+	json_t *silent;	    /**< names of those that it takes for silent; may be
+			       NULL */
 } feed_answer_t;
 
 /** A text to send, or NULL. */
--- a/include/moortack/relay/membership.h
+++ b/include/moortack/relay/membership.h
@@ -11,6 +11,7 @@
 
 #include "common/http_call.h"
 #include "moortack/relay/event_log.h"
+#include "moortack/relay/member_life.h"
 #include "moortack/relay/row_store.h"
 #include "moortack/relay/row_watch.h"
 
@@ -34,14 +35,11 @@
 	double order; /**< where it stands among all; see member_order() */
 	member_state_t state;
 	json_t *report;		 /**< what it reports besides; may be NULL */
-	struct timespec changed; /**< when its row last changed */
-	struct timespec heard;	 /**< when it last asked this daemon */
-	bool heard_once;
+	member_life_t life;	 /**< what is known of its being alive */
 	struct timespec shunned; /**< not followed until then */
 	uint32_t shuns;		 /**< in a row */
 	uint64_t version;
-	bool clearing; /**< its row is being taken out */
-	bool named;    /**< to callers, as last logged */
+	bool named; /**< to callers, as last logged */
 	UT_hash_handle hh;
 } member_t;
 
@@ -53,8 +51,7 @@
 	int64_t beat_ms; /**< between writes of the own row, while others hear
 			    of this daemon otherwise */
 	int64_t beat_alone_ms; /**< while they don't */
-	int64_t lease_ms;      /**< a row unchanged for longer is of the dead */
-	int64_t silent_ms;     /**< the same for those that asked this daemon */
+	life_bounds_t life;
 } membership_settings_t;
 
 typedef struct membership {
@@ -71,15 +68,17 @@
 	bool again;	  /**< something changed while a write was out */
 	int64_t retry_ms; /**< until the next write after a failed one */
 	bool reachable;	  /**< the last write was answered */
-	struct timespec lost_since;
 	bool removed;
-	bool held;    /**< the store is lost: nothing is written */
-	bool alone;   /**< no other daemon hears of this one but by its row */
-	bool vouched; /**< the daemon that is followed names the living */
-	double order; /**< of this daemon */
+	bool hold;     /**< see membership_hold() */
+	bool alone;    /**< no other daemon hears of this one but by its row */
+	bool clearing; /**< rows of the dead are being taken out */
+	struct timespec clear_after;
+	life_view_t view;
+	double order;		  /**< of this daemon */
 	const member_t **ordered; /**< who stands before this daemon */
 	size_t ordered_cap;
 	int64_t store_offset_ms; /**< store's clock less this one's */
+	bool store_clock_known;
 } membership_t;
 
 /** @param log may be NULL */
@@ -91,9 +90,6 @@
 void membership_row(membership_t *, const row_t *);
 /** Whether two rows of a member say the same, but for their beat. */
 bool membership_same(const char *a, size_t a_len, const char *b, size_t b_len);
-/** Clear away the rows of the dead, if that is this daemon's to do. */
-void membership_clear(membership_t *);
-
 /** A daemon asked this one for rows. @param report may be NULL */
 void membership_heard(membership_t *, const char *name, json_t *report);
 /** One that asked tells of those that it heard of; see membership_below(). */
@@ -107,11 +103,39 @@
 /** Name all members again: the store is back for this daemon, and likely for
  * others. */
 void membership_forgive(membership_t *);
-/** Write nothing for as long as the store is lost, but the end of the own row.
- */
+/** The store answers this daemon no more, and nobody else tells the rows: write
+ * nothing but the end of the own row, and judge nobody by its silence. */
 void membership_hold(membership_t *, bool hold);
 /** The member answered well. */
 void membership_trust(membership_t *, const char *name);
+/** It answered a question of @p asked, if only that it is no use. */
+void
+membership_answered(membership_t *, const char *name, struct timespec asked);
+/** It gave no answer. */
+void membership_no_answer(membership_t *, const char *name);
+/** The store's clock, as heard just now. */
+void membership_store_clock(membership_t *, int64_t now_ms);
+
+/** The rows of all were read for the first time. */
+void membership_rows_read(membership_t *);
+/**
+ * Take the word of another daemon: all gave a sign of life shortly before @p
+ * spoken, but for those that are listed.
+ * @param silent names, may be NULL
+ * @return whether somebody is silent now, or no longer
+ */
+bool membership_vouched(
+    membership_t *, struct timespec spoken, const json_t *silent);
+/** The word to pass on: its age in milliseconds, or -1. */
+int64_t membership_vouch_age_ms(const membership_t *);
+/** The names that it lists; a new reference, or NULL: none. */
+json_t *membership_silent(const membership_t *);
+/**
+ * Judge who is silent, take the rows of the dead out of the store, and tell by
+ * the own row if nobody else hears of this daemon; called a few times a second.
+ * @return whether the word to pass on is another one than before
+ */
+bool membership_step(membership_t *, bool following);
 /**
  * The member to follow. All that are ready stand in one order, the strong
  * ones more likely first, and form a tree: the first one reads the store, each
@@ -123,9 +147,6 @@
 /** The first that stands after this daemon: followed only while the store does
  * not answer this one and nobody stands before it. Or NULL. */
 const member_t *membership_next(const membership_t *);
-/** How others hear of this daemon, and this daemon of others. */
-void membership_follows(membership_t *, bool alone, bool vouched);
-
 /** Tell the others at once. */
 void membership_set_state(membership_t *, member_state_t);
 /** Replace what goes into the own row; takes the reference. */
@@ -135,11 +156,9 @@
 
 /** Whether callers may be sent to the member. */
 bool membership_named(const membership_t *, const member_t *);
-/** Log whose naming has changed since the last call. */
-void membership_log(membership_t *);
-/** Whether the member's row is not too old to be believed. */
+/** Whether something of the member may still go on. */
 bool membership_alive(const membership_t *, const member_t *);
-/** Daemons that serve, this one among them. */
+/** Daemons that may still be at work, this one among them. */
 uint32_t membership_count(const membership_t *);
 /** This daemon's place in the order of all, from 0: for who acts first. */
 uint32_t membership_rank(const membership_t *);
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -51,6 +51,8 @@
 	int64_t lapse_ms;   /**< entries that went in an outage may come back */
 	int64_t session_ms; /**< requests of a session that belong together */
 	int64_t grace_ms;   /**< between the order to stop and the kill */
+	int64_t off_named_ms; /**< a daemon that is off may be named this long
+			       */
 	double log_per_s;
 } relay_node_settings_t;
 
--- a/include/platform/node_file.h
+++ b/include/platform/node_file.h
@@ -24,6 +24,7 @@
 	double cores;		  /**< limits.cpu_quota */
 	int64_t leave_ms;	  /**< bounds.drain_ms */
 	int64_t grace_ms;	  /**< bounds.grace_s */
+	int64_t stable_ms;	  /**< bounds.stable_ms */
 	int64_t revoke_ms;	  /**< bounds.revoke_ms */
 	bool revoke_strict;	  /**< bounds.revoke_strict */
 	double retry_ratio;	  /**< bounds.retry_budget_ratio */
--- a/moortack/relay/feed_server.c
+++ b/moortack/relay/feed_server.c
@@ -30,6 +30,8 @@
 	    .source = server->incarnation,
 	    .change = server->cache->change,
 	    .lost = server->lost,
+	    .held_ms = timespec_ms_between(
+		waiting->asked, clock_elapsed(server->clock)),
 	    .rows = json_array()};
 	char *text;
 
--- a/moortack/relay/feed_wire.c
+++ b/moortack/relay/feed_wire.c
@@ -40,13 +40,17 @@
 			(json_int_t)answer->tables[i].age_ms,
 			(json_int_t)answer->tables[i].known,
 			(int)answer->tables[i].whole));
-	body = json_pack("{s:I, s:I, s:I, s:b, s:I, s:o, s:O}", "number",
-	    (json_int_t)answer->number, "source", (json_int_t)answer->source,
-	    "change", (json_int_t)answer->change, "lost", (int)answer->lost,
-	    "now_ms", (json_int_t)answer->store_now_ms, "tables", tables,
-	    "rows", answer->rows);
+	body = json_pack("{s:I, s:I, s:I, s:b, s:I, s:o, s:O, s:I, s:I}",
+	    "number", (json_int_t)answer->number, "source",
+	    (json_int_t)answer->source, "change", (json_int_t)answer->change,
+	    "lost", (int)answer->lost, "now_ms",
+	    (json_int_t)answer->store_now_ms, "tables", tables, "rows",
+	    answer->rows, "held_ms", (json_int_t)answer->held_ms, "vouched_ms",
+	    (json_int_t)answer->vouched_ms);
 	if (body != NULL && answer->path != NULL)
 		json_object_set(body, "path", answer->path);
+	if (body != NULL && answer->silent != NULL)
+		json_object_set(body, "silent", answer->silent);
 	text = body != NULL ? json_dumps(body, JSON_COMPACT) : NULL;
 	json_decref(body);
 	return text;
@@ -106,6 +110,10 @@
 	}
 	answer->rows = json_incref(json_object_get(body, "rows"));
 	answer->path = json_incref(json_object_get(body, "path"));
+	answer->held_ms = json_integer_value(json_object_get(body, "held_ms"));
+	answer->vouched_ms =
+	    json_integer_value(json_object_get(body, "vouched_ms"));
+	answer->silent = json_incref(json_object_get(body, "silent"));
 	json_decref(body);
 	if (json_is_array(answer->rows) && answer->number != 0)
 		return true;
@@ -127,8 +135,10 @@
 {
 	json_decref(answer->rows);
 	json_decref(answer->path);
+	json_decref(answer->silent);
 	answer->rows = NULL;
 	answer->path = NULL;
+	answer->silent = NULL;
 }
 
 bool
--- a/moortack/relay/member_tree.c
+++ b/moortack/relay/member_tree.c
@@ -13,7 +13,7 @@
 
 	return member->state != MEMBER_LEAVING && member->peer[0] != '\0' &&
 	    timespec_ms_between(now, member->shunned) <= 0 &&
-	    membership_alive(self, member);
+	    life_worth_asking(&self->view, &member->life, now);
 }
 
 /* Whether the member stands before this daemon; before one that leaves, all do.
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -22,14 +22,24 @@
 #define OWN_OLD_MS 6000
 #define BEAT_MS 30000
 #define BEAT_ALONE_MS 2000
-/* A daemon that lives is heard of within a few seconds, or tells by its row
- * that it follows nobody. */
-#define LEASE_MS 12000
+/* Whom nobody asks takes all others for silent after this time: they may follow
+ * somebody else, whom this daemon does not reach. */
+#define LONE_MS 12000
+/* While it is not known who lives, the rows of the daemons are read this often:
+ * those that nobody hears of write theirs. */
+#define OWN_PAUSE_DOUBT_MS 500
 /* Until the fleet's key is known, the rows of the daemons are read this often:
  * nobody can be followed before. */
 #define OWN_PAUSE_KEY_MS 400
-/* A daemon that follows this one asks it more than once a second. */
-#define SILENT_MS 4500
+/* Parts of the time for which a daemon that is off may be named. A daemon asks
+ * twice a second, and is heard of through one in between within 1.1 s; whoever
+ * loses the one it follows finds another within 1.9 s. What is left of the
+ * whole is for the way. */
+#define SILENT_PART 0.35
+#define VOUCH_PART 0.50
+/* A store that is back is noticed within 1.4 s: with this, daemons that went in
+ * the outage are named for 2.9 s after it. */
+#define GRANT_PART 0.25
 /* The same while a roll-out is under way: its counts have to be known to all
  * well within the bound for stopping it. */
 #define OWN_PAUSE_BUSY_MS 1000
@@ -51,6 +61,8 @@
 	row_watch_t *own = &node->source.watches[ROW_TABLE_OWN].watch;
 
 	own->pace.pause_ms = active ? OWN_PAUSE_BUSY_MS : OWN_PAUSE_MS;
+	if (!node->members.view.settled)
+		own->pace.pause_ms = OWN_PAUSE_DOUBT_MS;
 	if (!node->source.keyed)
 		own->pace.pause_ms = OWN_PAUSE_KEY_MS;
 	if (timespec_ms_between(node->reported, now) < REPORT_BUSY_MS)
@@ -118,16 +130,14 @@
 static void
 members_step(relay_node_t *node)
 {
-	bool following = node->source.following;
+	bool following;
 
 	row_source_tick(&node->source);
-	membership_follows(&node->members,
-	    !following && membership_rank(&node->members) != 0, following);
+	following = node->source.following;
+	if (membership_step(&node->members, following))
+		feed_server_refresh(&node->source.server);
 	if (following)
 		relay_rows_lapses_drop(node);
-	else
-		membership_clear(&node->members);
-	membership_log(&node->members);
 }
 
 static void
@@ -221,6 +231,17 @@
 	return row_source_init(&node->source, &relay_rows_ops, node);
 }
 
+static life_bounds_t
+life_bounds(const relay_node_settings_t *settings)
+{
+	double named_ms = (double)settings->off_named_ms;
+
+	return (life_bounds_t){.silent_ms = (int64_t)(named_ms * SILENT_PART),
+	    .vouch_ms = (int64_t)(named_ms * VOUCH_PART),
+	    .grant_ms = (int64_t)(named_ms * GRANT_PART),
+	    .lone_ms = LONE_MS};
+}
+
 static bool
 parts_init(relay_node_t *node, err_t *err)
 {
@@ -228,8 +249,7 @@
 	membership_settings_t member = {.beat_ms = BEAT_MS,
 	    .beat_alone_ms = BEAT_ALONE_MS,
 	    .strength = node->settings.strength,
-	    .lease_ms = LEASE_MS,
-	    .silent_ms = SILENT_MS};
+	    .life = life_bounds(&node->settings)};
 	const row_watch_t *orders =
 	    row_source_watch(&node->source, ROW_TABLE_ORDERS);
 
@@ -317,6 +337,9 @@
 	node->settings.endpoints_pause_ms = settings->endpoints_pause_ms;
 	node->source.settings.old_ms[ROW_TABLE_ENDPOINTS] =
 	    settings->endpoints_old_ms;
+	node->settings.off_named_ms = settings->off_named_ms;
+	node->members.settings.life = life_bounds(settings);
+	node->members.view.bounds = node->members.settings.life;
 	node->relay.bounds = settings->bounds;
 	node->source.watches[ROW_TABLE_ENDPOINTS].watch.pace.pause_ms =
 	    settings->endpoints_pause_ms;
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -215,6 +215,8 @@
 	relay_open(&node->relay);
 	if (table != ROW_TABLE_OWN)
 		return;
+	if (membership_vouch_age_ms(&node->members) < 0)
+		membership_rows_read(&node->members);
 	daemons = membership_count(&node->members);
 	/* Bounds that daemons share are cut by the most ever seen: too many
 	 * costs little, too few breaks them. */
@@ -247,8 +249,7 @@
 {
 	relay_node_t *node = arg;
 
-	node->members.store_offset_ms =
-	    now_ms - timespec_ms(clock_elapsed(node->ports.clock));
+	membership_store_clock(&node->members, now_ms);
 	rollouts_store_clock(&node->rollouts, now_ms);
 }
 
--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -197,7 +197,7 @@
  * but for those that it tells in part. */
 static void
 answer_vouch(row_source_t *self, const feed_answer_t *answer,
-    const bool partial[ROW_TABLES], struct timespec asked)
+    const bool partial[ROW_TABLES], struct timespec sent)
 {
 	for (int i = 0; i < ROW_TABLES; i++) {
 		const feed_table_t *table = &answer->tables[i];
@@ -215,7 +215,7 @@
 		if (table->age_ms < 0)
 			continue;
 		row_watch_vouch(&self->watches[i].watch, table->version,
-		    timespec_after_ms(asked, -table->age_ms));
+		    timespec_after_ms(sent, -table->age_ms));
 		self->ops->settled(self->arg, (row_table_t)i, false);
 	}
 }
@@ -242,7 +242,7 @@
 /* Take the rows, and what is told of how far they go. */
 static void
 answer_take(
-    row_source_t *self, const feed_answer_t *answer, struct timespec asked)
+    row_source_t *self, const feed_answer_t *answer, struct timespec sent)
 {
 	bool partial[ROW_TABLES];
 	bool ask_all;
@@ -254,7 +254,7 @@
 	ask_all = partial_note(self, answer, partial);
 	feed_apply(answer, &self->cache, self->ops->row, self->arg);
 	self->taking = false;
-	answer_vouch(self, answer, partial, asked);
+	answer_vouch(self, answer, partial, sent);
 	self->followed_source = ask_all ? 0 : answer->source;
 	self->followed_change = answer->change;
 }
@@ -271,13 +271,25 @@
 	    answer->tables[ROW_TABLE_ORDERS].age_ms);
 }
 
+/* Who lives, as whoever is followed says. */
+static void
+word_take(row_source_t *self, const feed_answer_t *answer, struct timespec sent)
+{
+	if (answer->vouched_ms >= 0 &&
+	    membership_vouched(self->members,
+		timespec_after_ms(sent, -answer->vouched_ms), answer->silent))
+		feed_server_refresh(&self->server);
+}
+
 void
 row_follow_take(
-    row_source_t *self, const feed_answer_t *answer, struct timespec asked)
+    row_source_t *self, const feed_answer_t *answer, struct timespec sent)
 {
+	membership_answered(self->members, self->followed, sent);
 	if (answer_useless(self, answer))
 		return;
-	answer_take(self, answer, asked);
+	answer_take(self, answer, sent);
+	word_take(self, answer, sent);
 	if (tables_old(self, answer)) {
 		followed_old(self, answer);
 		return;
@@ -300,10 +312,12 @@
 		self->followed_source = 0;
 }
 
+/* The answer tells what was known when it was sent: no earlier than the
+ * question was sent, and then held. */
 static void
 on_answer(void *arg, const feed_answer_t *answer, struct timespec asked)
 {
-	row_follow_take(arg, answer, asked);
+	row_follow_take(arg, answer, timespec_after_ms(asked, answer->held_ms));
 }
 
 static void
@@ -318,7 +332,10 @@
 static void
 on_lost(void *arg)
 {
-	followed_shun(arg, SHUN_MS, "no_answer");
+	row_source_t *self = arg;
+
+	membership_no_answer(self->members, self->followed);
+	followed_shun(self, SHUN_MS, "no_answer");
 }
 
 void
@@ -363,6 +380,8 @@
 	}
 	answer->store_now_ms =
 	    self->members->store_offset_ms + timespec_ms(now);
+	answer->vouched_ms = membership_vouch_age_ms(self->members);
+	answer->silent = membership_silent(self->members);
 	answer->path = json_pack("[s]", self->members->settings.name);
 	if (self->following && self->followed_path != NULL)
 		json_array_extend(answer->path, self->followed_path);
--- a/moortack/relay/row_source_priv.h
+++ b/moortack/relay/row_source_priv.h
@@ -27,9 +27,9 @@
 
 /** What this daemon asks whom it follows for. */
 void row_follow_ask(const row_source_t *, feed_point_t *);
-/** Take the answer to a question that was asked at @p asked. */
+/** Take an answer that was sent at @p sent, or later. */
 void
-row_follow_take(row_source_t *, const feed_answer_t *, struct timespec asked);
+row_follow_take(row_source_t *, const feed_answer_t *, struct timespec sent);
 /** Fill an answer with how far and through whom this daemon knows the tables.
  */
 void row_follow_state(const row_source_t *, feed_answer_t *);
