--- a/include/moortack/relay/member_life.h
+++ b/include/moortack/relay/member_life.h
@@ -24,8 +24,8 @@
 	int64_t silent_ms;
 	/** How long its word counts. */
 	int64_t vouch_ms;
-	/** The word that this daemon gives itself when it has just started, or
-	 * the store is back: nobody has had the time to show itself. */
+	/** For how long nobody is judged after this daemon has started, or the
+	 * store is back: nobody has had the time to show itself. */
 	int64_t grant_ms;
 	/** Whom nobody asks speaks for itself after this time. */
 	int64_t lone_ms;
@@ -36,7 +36,9 @@
 	struct timespec heard; /**< its last question to this daemon, or to one
 				  that asks this one; 0: none */
 	struct timespec seen;  /**< its last sign of any kind; 0: none */
-	bool silent;	       /**< as the word goes, or found by this daemon */
+	struct timespec
+	    unanswered; /**< when it last gave no answer; 0: never */
+	bool silent;	/**< as the word goes, or found by this daemon */
 	struct timespec silent_since; /**< when this was learned */
 } member_life_t;
 
@@ -44,6 +46,7 @@
 typedef struct life_view {
 	life_bounds_t bounds;
 	struct timespec vouched; /**< when the word was spoken; 0: never */
+	struct timespec granted; /**< see life_view_grant(); 0: never */
 	bool settled;		 /**< this daemon's word is its own */
 	bool following;		 /**< another daemon tells the rows */
 	bool held; /**< neither the store nor another daemon tells anything:
@@ -55,10 +58,17 @@
 	struct timespec asked_since; /**< first one since it began; 0: none */
 } life_view_t;
 
-/** Move on; called a few times a second. @param held see life_view_t */
-void
-life_view_step(life_view_t *, struct timespec now, bool following, bool held);
-/** The rows of all were read for the first time. */
+/** What a step depends on. */
+typedef struct life_step {
+	bool following; /**< see life_view_t */
+	bool held;
+	bool all_fresh; /**< all that are not known to be silent gave a sign */
+} life_step_t;
+
+/** Move on; called a few times a second. */
+void life_view_step(life_view_t *, struct timespec now, const life_step_t *);
+/** Judge nobody for a time: the rows of all were read for the first time.
+ * Others are told nothing of it, since it says nothing of anybody. */
 void life_view_grant(life_view_t *, struct timespec now);
 /** Another daemon asked this one. */
 void life_view_asked(life_view_t *, struct timespec now);
@@ -76,15 +86,18 @@
 /** It is silent, or not. @return whether this is new */
 bool life_set_silent(member_life_t *, bool silent, struct timespec now);
 
+/** It gave no answer: what it showed before counts for nothing. */
+void life_no_answer(member_life_t *, struct timespec now);
+
 /** Whether it gave a sign within silent_ms. */
 bool
 life_fresh(const life_view_t *, const member_life_t *, struct timespec now);
 /** Whether callers may be sent to it. */
 bool
 life_named(const life_view_t *, const member_life_t *, struct timespec now);
-/** Whether it may be asked: there is no newer word than that it is silent. */
-bool life_worth_asking(
-    const life_view_t *, const member_life_t *, struct timespec now);
+/** Whether it may be followed: it is not known to be silent. */
+bool
+life_answers(const life_view_t *, const member_life_t *, struct timespec now);
 /** Whether it has been silent for so long that nothing of it goes on. */
 bool life_gone(const life_view_t *, const member_life_t *, struct timespec now);
 
--- a/include/moortack/relay/membership.h
+++ b/include/moortack/relay/membership.h
@@ -37,7 +37,8 @@
 	json_t *report;		 /**< what it reports besides; may be NULL */
 	member_life_t life;	 /**< what is known of its being alive */
 	struct timespec shunned; /**< not followed until then */
-	uint32_t shuns;		 /**< in a row */
+	struct timespec shunned_at;
+	uint32_t shuns; /**< in a row */
 	uint64_t version;
 	bool named; /**< to callers, as last logged */
 	UT_hash_handle hh;
@@ -90,6 +91,9 @@
 void membership_row(membership_t *, const row_t *);
 /** Whether two rows of a member say the same, but for their beat. */
 bool membership_same(const char *a, size_t a_len, const char *b, size_t b_len);
+/** The own row is not in the store: write it again. */
+void membership_row_missing(membership_t *);
+
 /** A daemon asked this one for rows. @param report may be NULL */
 void membership_heard(membership_t *, const char *name, json_t *report);
 /** One that asked tells of those that it heard of; see membership_below(). */
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -68,6 +68,7 @@
 	send_notes_t notes;
 	struct timespec store_back; /**< when the store answered again */
 	bool lapses;		    /**< entries may have gone in an outage */
+	bool members_read;	    /**< the rows of the daemons, once */
 	struct event *tick;
 	struct timespec reported;
 	struct timespec leaving_since;
--- a/moortack/relay/member_life.c
+++ b/moortack/relay/member_life.c
@@ -1,9 +1,10 @@
 #include "moortack/relay/member_life.h"
 
-/* Those who follow one daemon find out within this time of each other that it
- * is gone: a question is held for half a second at most. Whoever takes over
- * waits as long for their questions before it speaks for itself. */
-#define SETTLE_MS 600
+/* Whoever takes over waits this long for the questions of all others before it
+ * speaks for itself. Those who follow one daemon find out within half a second
+ * of each other that it is gone, and who reads the store beside one that stands
+ * before it asks that one each second. */
+#define SETTLE_MS 1500
 /* Two steps are this far apart only if the process stood still: what others
  * sent meanwhile is not read yet. */
 #define STALL_MS 1000
@@ -51,28 +52,28 @@
 
 /* Whether all had the time to ask this daemon. */
 static bool
-is_settled(const life_view_t *view, struct timespec now)
+is_settled(const life_view_t *view, struct timespec now, bool all_fresh)
 {
 	if (view->following || view->held)
 		return false;
 	if (is_set(view->asked_since) &&
-	    !within(view->asked_since, now, SETTLE_MS) &&
-	    within(view->asked, now, view->bounds.silent_ms))
+	    within(view->asked, now, view->bounds.silent_ms) &&
+	    (view->settled || all_fresh ||
+		!within(view->asked_since, now, SETTLE_MS)))
 		return true;
 	return !within(view->began, now, view->bounds.lone_ms);
 }
 
 void
-life_view_step(
-    life_view_t *view, struct timespec now, bool following, bool held)
+life_view_step(life_view_t *view, struct timespec now, const life_step_t *step)
 {
 	if (!within(view->stepped, now, STALL_MS) ||
-	    view->following != following)
+	    view->following != step->following)
 		begin(view, now);
 	view->stepped = now;
-	view->following = following;
-	hold(view, now, held);
-	view->settled = is_settled(view, now);
+	view->following = step->following;
+	hold(view, now, step->held);
+	view->settled = is_settled(view, now, step->all_fresh);
 	if (view->settled)
 		view->vouched = now;
 }
@@ -80,9 +81,7 @@
 void
 life_view_grant(life_view_t *view, struct timespec now)
 {
-	int64_t ms = view->bounds.grant_ms - view->bounds.vouch_ms;
-
-	life_view_take(view, timespec_after_ms(now, ms));
+	view->granted = now;
 }
 
 void
@@ -136,6 +135,13 @@
 	return true;
 }
 
+void
+life_no_answer(member_life_t *life, struct timespec now)
+{
+	life->unanswered = now;
+	life_set_silent(life, true, now);
+}
+
 /* While nothing is heard at all, the moment at which that began. */
 static struct timespec
 now_of(const life_view_t *view, struct timespec now)
@@ -147,26 +153,28 @@
 life_fresh(
     const life_view_t *view, const member_life_t *life, struct timespec now)
 {
-	return within(life->seen, now_of(view, now), view->bounds.silent_ms);
+	return later(life->seen, life->unanswered) &&
+	    within(life->seen, now_of(view, now), view->bounds.silent_ms);
 }
 
 bool
 life_named(
     const life_view_t *view, const member_life_t *life, struct timespec now)
 {
+	struct timespec then = now_of(view, now);
+
 	if (life_fresh(view, life, now))
 		return true;
 	return !life->silent &&
-	    within(view->vouched, now_of(view, now), view->bounds.vouch_ms);
+	    (within(view->vouched, then, view->bounds.vouch_ms) ||
+		within(view->granted, then, view->bounds.grant_ms));
 }
 
 bool
-life_worth_asking(
+life_answers(
     const life_view_t *view, const member_life_t *life, struct timespec now)
 {
-	if (!life->silent || life_fresh(view, life, now))
-		return true;
-	return later(life->silent_since, view->vouched);
+	return !life->silent || life_fresh(view, life, now);
 }
 
 bool
--- a/moortack/relay/member_signs.c
+++ b/moortack/relay/member_signs.c
@@ -130,8 +130,7 @@
 
 	HASH_FIND_STR(self->members, name, member);
 	if (member != NULL)
-		life_set_silent(
-		    &member->life, true, clock_elapsed(self->clock));
+		life_no_answer(&member->life, clock_elapsed(self->clock));
 }
 
 static bool
@@ -283,6 +282,18 @@
 	}
 }
 
+static bool
+all_fresh(const membership_t *self, struct timespec now)
+{
+	for (const member_t *member = self->members; member != NULL;
+	     member = member->hh.next) {
+		if (!member->life.silent &&
+		    !life_fresh(&self->view, &member->life, now))
+			return false;
+	}
+	return true;
+}
+
 bool
 membership_step(membership_t *self, bool following)
 {
@@ -290,7 +301,8 @@
 	bool was_settled = self->view.settled;
 	bool news = false;
 
-	life_view_step(&self->view, now, following, self->hold);
+	life_view_step(&self->view, now,
+	    &(life_step_t){following, self->hold, all_fresh(self, now)});
 	alone_step(self, now);
 	if (self->view.settled) {
 		news = silent_judge(self, now) || !was_settled;
--- a/moortack/relay/member_tree.c
+++ b/moortack/relay/member_tree.c
@@ -1,19 +1,25 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "moortack/relay/membership.h"
+#include "membership_priv.h"
 
 /* Followers of one daemon, at least, before the tree gets a second level. */
 #define BREADTH_MIN 8
 
 static bool
-may_follow(const membership_t *self, const member_t *member)
+may_ask(const membership_t *self, const member_t *member)
 {
-	struct timespec now = clock_elapsed(self->clock);
-
 	return member->state != MEMBER_LEAVING && member->peer[0] != '\0' &&
-	    timespec_ms_between(now, member->shunned) <= 0 &&
-	    life_worth_asking(&self->view, &member->life, now);
+	    timespec_ms_between(clock_elapsed(self->clock), member->shunned) <=
+	    0;
+}
+
+static bool
+may_follow(const membership_t *self, const member_t *member)
+{
+	return may_ask(self, member) &&
+	    life_answers(
+		&self->view, &member->life, clock_elapsed(self->clock));
 }
 
 /* Whether the member stands before this daemon; before one that leaves, all do.
@@ -79,13 +85,35 @@
 	return breadth;
 }
 
+bool
+membership_follows_another(membership_t *self)
+{
+	return ordered_fill(self) > 0;
+}
+
+/* The first of those that stand before this daemon and are silent. They ask
+ * nobody who stands after them: only a question tells that one is back. */
+static const member_t *
+silent_first(const membership_t *self)
+{
+	const member_t *first = NULL;
+
+	for (const member_t *member = self->members; member != NULL;
+	     member = member->hh.next) {
+		if (stands_before(self, member) && may_ask(self, member) &&
+		    (first == NULL || member->order < first->order))
+			first = member;
+	}
+	return first;
+}
+
 const member_t *
 membership_parent(membership_t *self)
 {
 	size_t before = ordered_fill(self);
 
 	if (before == 0)
-		return NULL;
+		return silent_first(self);
 	return self->ordered[(before - 1) / breadth_of(membership_count(self))];
 }
 
--- a/moortack/relay/membership.c
+++ b/moortack/relay/membership.c
@@ -12,6 +12,8 @@
 #define RETRY_MOST_MS 2000
 /* How often is looked whether a row may be written again. */
 #define HELD_LOOK_MS 500
+/* How long a member is shunned by a daemon that has nobody else to follow. */
+#define SHUN_FIRST_MS 1000
 /* Times that the time for which a member is shunned is doubled. */
 #define SHUNS_MAX 3
 #define HASH_RANGE 18446744073709551616.0
@@ -198,13 +200,20 @@
 	snprintf(out, size, "%s", text != NULL ? text : "");
 }
 
-static void
-own_row(membership_t *self, const row_t *row)
+void
+membership_row_missing(membership_t *self)
 {
-	if (row->deleted && !self->removed && !self->writing)
+	if (!self->removed && !self->writing)
 		membership_beat_later(self, 0);
 }
 
+static void
+shun_end(member_t *member)
+{
+	member->shuns = 0;
+	member->shunned = (struct timespec){0};
+}
+
 /* The row says when it was written. A row that is only read again, or told by
  * another daemon, is no sign of life of that moment. */
 static void
@@ -212,12 +221,15 @@
 {
 	int64_t at_ms = json_integer_value(json_object_get(value, "at_ms"));
 	int64_t age_ms = store_now_ms(self) - at_ms;
+	struct timespec at = timespec_after_ms(
+	    clock_elapsed(self->clock), age_ms > 0 ? -age_ms : 0);
 
 	if (at_ms == 0 || !self->store_clock_known)
 		return;
-	life_seen(&member->life,
-	    timespec_after_ms(
-		clock_elapsed(self->clock), age_ms > 0 ? -age_ms : 0));
+	life_seen(&member->life, at);
+	/* Whoever wrote it since it was left reaches the store. */
+	if (timespec_ms_between(member->shunned_at, at) > 0)
+		shun_end(member);
 }
 
 void
@@ -228,7 +240,8 @@
 	json_t *value, *report;
 
 	if (strcmp(name, self->settings.name) == 0) {
-		own_row(self, row);
+		if (row->deleted)
+			membership_row_missing(self);
 		return;
 	}
 	if (row->deleted) {
@@ -287,19 +300,23 @@
 	HASH_FIND_STR(self->members, name, member);
 	if (member == NULL)
 		return;
+	member->shunned_at = clock_elapsed(self->clock);
+	member->shunned = timespec_after_ms(member->shunned_at, ms);
 	ms <<= member->shuns < SHUNS_MAX ? member->shuns : SHUNS_MAX;
 	member->shuns++;
-	member->shunned = timespec_after_ms(clock_elapsed(self->clock), ms);
+	/* Nobody else looks whether it is back: others that follow it already
+	 * would not be known here. */
+	if (!membership_follows_another(self))
+		ms = SHUN_FIRST_MS;
+	member->shunned = timespec_after_ms(member->shunned_at, ms);
 }
 
 void
 membership_forgive(membership_t *self)
 {
 	for (member_t *member = self->members; member != NULL;
-	     member = member->hh.next) {
-		member->shuns = 0;
-		member->shunned = (struct timespec){0};
-	}
+	     member = member->hh.next)
+		shun_end(member);
 }
 
 void
--- a/moortack/relay/membership_priv.h
+++ b/moortack/relay/membership_priv.h
@@ -18,6 +18,9 @@
 /** Write the own row after this time. */
 void membership_beat_later(membership_t *, int64_t ms);
 
+/** Whether there is a daemon to follow that is not known to be silent. */
+bool membership_follows_another(membership_t *);
+
 /** A line on what is known of a member. */
 void member_log(const membership_t *, const member_t *, const char *event);
 
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -215,8 +215,9 @@
 	relay_open(&node->relay);
 	if (table != ROW_TABLE_OWN)
 		return;
-	if (membership_vouch_age_ms(&node->members) < 0)
+	if (!node->members_read)
 		membership_rows_read(&node->members);
+	node->members_read = true;
 	daemons = membership_count(&node->members);
 	/* Bounds that daemons share are cut by the most ever seen: too many
 	 * costs little, too few breaks them. */
