relay: rows that become what they were are not missed by who saw them change

A row told by a daemon that knows less brought back what had gone, and was passed on. Change: news of the store beside are asked for in whole from whoever is followed; a row that a whole answer names is there although its end was seen here; a row that is not known here, told by one that knows less, has gone. Ruled out: asking for all rows whenever the store was read beside (24 rows twice a second on each slow daemon).

--- a/include/moortack/relay/row_source.h
+++ b/include/moortack/relay/row_source.h
@@ -86,8 +86,8 @@
 	bool taking; /**< a row that is told now comes from another daemon */
 	bool taking_less; /**< which knows less of what is kept back here */
 	/** Version that this daemon knew when it took rows of one that knew
-	 * less: that one tells nothing of what came back unchanged until then.
-	 * 0: none. */
+	 * less, or of news that the store told beside: whoever is followed
+	 * tells nothing of what came back unchanged until then. 0: none. */
 	uint64_t ahead[ROW_TABLES];
 	/** What is not among the rows went by then, as others told: later than
 	 * the version that is told while they keep ends back. */
--- a/moortack/relay/feed_apply.c
+++ b/moortack/relay/feed_apply.c
@@ -23,6 +23,21 @@
 	}
 }
 
+/* A row that a whole answer names is there as of the answer's version, also if
+ * it is the row of before an end that was seen here: it came back in the same
+ * words, which is no change to those who did not see the end. */
+static void
+named_renew(const feed_answer_t *answer, const row_cache_t *cache,
+    row_table_t table, row_t *row)
+{
+	const cached_row_t *known = row_cache_find(cache, table, row->key);
+
+	if (answer->tables[table].whole && known != NULL &&
+	    known->value == NULL && known->version > row->version &&
+	    known->version <= answer->tables[table].version)
+		row->version = answer->tables[table].version;
+}
+
 void
 feed_apply(
     const feed_answer_t *answer, row_cache_t *cache, feed_row_t told, void *arg)
@@ -36,8 +51,10 @@
 			row_cache_restart(cache, (row_table_t)i);
 	}
 	for (size_t i = 0; i < len; i++) {
-		if (feed_answer_row(answer, i, &table, &row) &&
-		    !row_cache_newer(cache, table, &row))
+		if (!feed_answer_row(answer, i, &table, &row))
+			continue;
+		named_renew(answer, cache, table, &row);
+		if (!row_cache_newer(cache, table, &row))
 			told(arg, table, &row);
 	}
 	unnamed_end(answer, cache, told, arg);
--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -239,11 +239,41 @@
 	return true;
 }
 
+/** An answer that is taken. */
+typedef struct taking {
+	row_source_t *self;
+	const feed_answer_t *answer;
+} taking_t;
+
+/* A row that is not known here, though all rows up to a later version are, and
+ * told by one that knows less, has gone since. */
+static bool
+row_outlived(const taking_t *taking, row_table_t table, const row_t *row)
+{
+	const row_source_t *self = taking->self;
+	uint64_t version = self->watches[table].watch.version;
+
+	return !row->deleted && table != ROW_TABLE_ORDERS &&
+	    row->version <= version &&
+	    taking->answer->tables[table].version < version &&
+	    row_cache_find(&self->cache, table, row->key) == NULL;
+}
+
+static void
+on_told(void *arg, row_table_t table, const row_t *row)
+{
+	const taking_t *taking = arg;
+
+	if (!row_outlived(taking, table, row))
+		taking->self->ops->row(taking->self->arg, table, row);
+}
+
 /* Take the rows, and what is told of how far they go. */
 static void
 answer_take(
     row_source_t *self, const feed_answer_t *answer, struct timespec sent)
 {
+	taking_t taking = {self, answer};
 	bool partial[ROW_TABLES];
 	bool ask_all;
 
@@ -252,8 +282,10 @@
 	self->taking = true;
 	self->taking_less = knows_less(self, answer);
 	ask_all = partial_note(self, answer, partial);
-	feed_apply(answer, &self->cache, self->ops->row, self->arg);
+	feed_apply(answer, &self->cache, on_told, &taking);
 	self->taking = false;
+	if (answer->tables[ROW_TABLE_OWN].whole)
+		row_source_own_look(self);
 	answer_vouch(self, answer, partial, sent);
 	self->followed_source = ask_all ? 0 : answer->source;
 	self->followed_change = answer->change;
--- a/moortack/relay/row_source.c
+++ b/moortack/relay/row_source.c
@@ -1,5 +1,6 @@
 #include "moortack/relay/row_source.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #include "row_source_priv.h"
@@ -118,12 +119,26 @@
 	row_follow_tick(self);
 }
 
+/* A row as the store has it. If that is news here, whoever is followed may not
+ * have seen it, and has nothing to tell of a row that has become what it was
+ * before since. */
+static void
+own_row_take(row_source_t *self, row_table_t table, const row_t *row)
+{
+	uint64_t change = self->cache.change;
+
+	self->ops->row(self->arg, table, row);
+	if (self->followed[0] != '\0' && table != ROW_TABLE_ORDERS &&
+	    self->cache.change != change && row->version > self->ahead[table])
+		self->ahead[table] = row->version;
+}
+
 static void
 on_row(void *arg, const row_t *row)
 {
 	source_watch_t *watch = arg;
 
-	watch->source->ops->row(watch->source->arg, watch->table, row);
+	own_row_take(watch->source, watch->table, row);
 }
 
 static void
@@ -147,11 +162,25 @@
 		    .deleted = true};
 
 		next = row->hh.next;
-		if (row->table == table && !row->seen && row->value != NULL)
-			self->ops->row(self->arg, table, &end);
+		if (row->table != table || row->seen || row->value == NULL)
+			continue;
+		own_row_take(self, table, &end);
 	}
 }
 
+void
+row_source_own_look(row_source_t *self)
+{
+	char key[sizeof(MEMBER_PREFIX) + MEMBER_NAME_SIZE];
+	const cached_row_t *own;
+
+	snprintf(key, sizeof(key), "%s%s", MEMBER_PREFIX,
+	    self->members->settings.name);
+	own = row_cache_find(&self->cache, ROW_TABLE_OWN, key);
+	if (own == NULL || own->value == NULL)
+		membership_row_missing(self->members);
+}
+
 static void
 on_settled(void *arg, bool whole, const row_reply_t *reply)
 {
@@ -161,6 +190,8 @@
 	if (whole) {
 		unread_end(self, watch->table);
 		self->cache.since[watch->table] = watch->watch.read_version;
+		if (watch->table == ROW_TABLE_OWN)
+			row_source_own_look(self);
 	}
 	if (self->old && self->server.flush != NULL)
 		feed_server_refresh(&self->server);
--- a/moortack/relay/row_source_priv.h
+++ b/moortack/relay/row_source_priv.h
@@ -22,6 +22,10 @@
 /** Read one table from the store beside the daemon that is followed. */
 void row_source_beside(row_source_t *, row_table_t);
 
+/** All rows of the daemons were told: look whether the own one is there. One
+ * that goes for the second time may be no news here. */
+void row_source_own_look(row_source_t *);
+
 /** Answer and ask other daemons from now on. */
 void row_follow_start(row_source_t *, const char *secret);
 
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -92,6 +92,9 @@
 	answer.rows = json_array();
 	answer.tables[ROW_TABLE_OWN] = (feed_table_t){17, 18, 250, true};
 	answer.path = json_pack("[s, s]", "parent", "reader");
+	answer.held_ms = 420;
+	answer.vouched_ms = 700;
+	answer.silent = json_pack("[s]", "10.0.0.7:80");
 	feed_answer_add(
 	    &answer, row_cache_find(&cache, ROW_TABLE_ENDPOINTS, row.key));
 	text = feed_answer_text(&answer);
@@ -99,6 +102,9 @@
 	assert_true(copy.lost);
 	assert_true(feed_answer_through(&copy, "reader"));
 	assert_false(feed_answer_through(&copy, "me"));
+	assert_int_equal(copy.held_ms, 420);
+	assert_int_equal(copy.vouched_ms, 700);
+	assert_true(json_equal(copy.silent, answer.silent));
 	assert_int_equal(copy.tables[ROW_TABLE_OWN].version, 17);
 	assert_int_equal(copy.tables[ROW_TABLE_OWN].known, 18);
 	assert_int_equal(copy.tables[ROW_TABLE_OWN].age_ms, 250);
@@ -172,6 +178,43 @@
 	row_cache_finish(&there);
 }
 
+/* An entry went and came back in the same words between two looks of the one
+ * that reads the store: no change to it, nor to who follows it, which goes on
+ * telling the row of before. Here the end was seen. */
+static void
+a_whole_answer_brings_back_what_came_back_unchanged(void **state)
+{
+	manual_clock_t clock = {{&manual_ops}, {100, 0}};
+	row_cache_t here, there;
+	feed_answer_t answer = {.number = 1, .rows = json_array()};
+	row_t row = row_of("back", "x", 5);
+	row_t end = row_of("back", NULL, 50);
+	row_t later = row_of("later", "x", 6);
+	row_t later_end = row_of("later", NULL, 70);
+
+	(void)state;
+	row_cache_init(&there, &clock.source, bytes_same, NULL);
+	row_cache_put(&there, ROW_TABLE_ENDPOINTS, &row);
+	row_cache_put(&there, ROW_TABLE_ENDPOINTS, &later);
+	row_cache_init(&here, &clock.source, bytes_same, NULL);
+	row_cache_put(&here, ROW_TABLE_ENDPOINTS, &row);
+	row_cache_put(&here, ROW_TABLE_ENDPOINTS, &end);
+	row_cache_put(&here, ROW_TABLE_ENDPOINTS, &later_end);
+	answer.tables[ROW_TABLE_ENDPOINTS] =
+	    (feed_table_t){.version = 60, .known = 60, .whole = true};
+	feed_answer_add(
+	    &answer, row_cache_find(&there, ROW_TABLE_ENDPOINTS, "back"));
+	feed_answer_add(
+	    &answer, row_cache_find(&there, ROW_TABLE_ENDPOINTS, "later"));
+	feed_apply(&answer, &here, cache_put, &here);
+	assert_true(has_row(&here, "back"));
+	/* It went after what the answer tells. */
+	assert_false(has_row(&here, "later"));
+	feed_answer_clear(&answer);
+	row_cache_finish(&here);
+	row_cache_finish(&there);
+}
+
 static void
 member_take(membership_t *self, int i, const char *state)
 {
@@ -420,6 +463,8 @@
 	    cmocka_unit_test(a_row_is_news_once_and_never_goes_back),
 	    cmocka_unit_test(rows_come_through_the_wire_as_they_are),
 	    cmocka_unit_test(a_whole_answer_ends_only_what_it_does_not_name),
+	    cmocka_unit_test(
+		a_whole_answer_brings_back_what_came_back_unchanged),
 	    cmocka_unit_test(followers_form_a_tree),
 	    cmocka_unit_test(a_daemon_that_failed_is_not_followed_for_a_time),
 	    cmocka_unit_test(the_first_may_follow_the_second),
