relay: a whole answer tells of ends that are later than the version it tells

Cause, found by fuzz_follow: a daemon goes back to an earlier version while it relies on one that knows less, and keeps an end that it saw itself; a whole answer named its rows only, and an end beyond the version that it tells was no change to who came for it later. That one went on using the endpoint. Change: a whole answer has the ends that are later than what the asker knows. Ruled out: all ends in a whole answer: each newcomer would get those of the last minute, which it has no use for. Before: the input kept as corpus/follow/end_beyond_told fails. After: it and all kept ones pass.

--- a/moortack/relay/feed_apply.c
+++ b/moortack/relay/feed_apply.c
@@ -87,11 +87,14 @@
 		    wants_whole(cache, from, (row_table_t)i, again);
 	for (const cached_row_t *row = cache->rows; row != NULL;
 	     row = row->hh.next) {
-		bool told = again ? row->change > from->change
-				  : row->version > from->versions[row->table];
+		bool newer = row->version > from->versions[row->table];
+		bool told = again ? row->change > from->change : newer;
 
-		if (answer->tables[row->table].whole ? row->value != NULL
-						     : told)
+		/* An end may be later than the version that is told: that goes
+		 * back while this daemon relies on one that knows less. */
+		if (answer->tables[row->table].whole
+			? row->value != NULL || newer
+			: told)
 			feed_answer_add(answer, row);
 	}
 }
