relay: an older end in a whole answer names nothing that is there

Change: an end that is older than what is known changes nothing. Before: corpus/follow/older_end fails. After: it and all kept ones pass.

--- a/moortack/relay/row_cache.c
+++ b/moortack/relay/row_cache.c
@@ -147,7 +147,9 @@
 
 	if (known == NULL || known->version <= row->version)
 		return false;
-	known->seen = true;
+	/* An older end names nothing that is there. */
+	if (!row->deleted)
+		known->seen = true;
 	return true;
 }
 
