relay: a roll-out knows which version it replaces, also when one follows another

Cause: any version but the ordered one counted as old. After a roll-out was taken back, the next order made its version an old one, and requests, those of sessions too, went there until its endpoints had left. The order may also be told up to a second before the end of the roll-out before, since the two tables are looked at apart. Change: the state's row names the version that is ordered and the one that it replaces; the next order replaces what the one before left, and waits for the end of that one up to 1.5 s. Only if no endpoint of the replaced version is known, any other is used, but none that was taken back. Ruled out: a list of versions that failed: a version may be ordered again.

--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -116,6 +116,8 @@
 /** Requests under way at endpoints that a roll-out replaces; the argument is a
  * relay. */
 uint32_t relay_on_old(const void *relay, const rollout_t *);
+/** The version of a service that most of its endpoints had at first. */
+const char *relay_first_version(const void *relay, const char *service);
 
 /** Another daemon has sent a prompt; the argument is a relay. */
 void relay_note_take(void *relay, const send_note_t *);
--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -44,9 +44,16 @@
 typedef struct rollout {
 	rollouts_t *owner;
 	rollout_order_t order;
+	/** An order that came while the one before had not ended: it is taken
+	 * up once it is known how that one ends. Number 0: none. */
+	rollout_order_t next;
+	struct timespec next_seen;
 	struct timespec seen;  /**< the order, by this daemon's clock */
 	rollout_state_t state; /**< as the store has it */
 	uint64_t state_order;  /**< order that the state is of */
+	char state_to[ENDPOINT_NAME_SIZE];   /**< version of that order */
+	char state_base[ENDPOINT_NAME_SIZE]; /**< which it replaces; "": not
+						known */
 	int64_t began_ms; /**< that order, by the store's clock; 0: unknown */
 	uint64_t state_version; /**< of the state's row; 0: none */
 	bool stopped;		/**< found bad here */
@@ -76,6 +83,8 @@
 	/** Requests of this daemon that endpoints without the order's version
 	 * are at work on; the argument is relay. */
 	uint32_t (*on_old)(const void *relay, const rollout_t *);
+	/** The version of a service before any order; "": not known. */
+	const char *(*first_version)(const void *relay, const char *service);
 	const void *relay;
 };
 
@@ -101,6 +110,10 @@
 void rollouts_sessions_row(rollouts_t *, const row_t *);
 /** The value of that row for others, or NULL; to be freed. */
 char *rollouts_sessions(const rollouts_t *);
+/** The version that the order in force replaces; "": not known. */
+const char *rollout_base(const rollout_t *);
+/** Whether the endpoint's version was taken back in the roll-out before. */
+bool rollout_taken_back(const rollout_t *, const endpoint_t *);
 /** Whether the endpoint is of the new version. */
 bool rollout_is_new(const rollout_t *, const endpoint_t *);
 /** Whether it is ordered and has not ended. */
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -74,6 +74,18 @@
 	return count;
 }
 
+const char *
+relay_first_version(const void *arg, const char *service)
+{
+	const relay_t *relay = arg;
+	endpoint_group_t *group = endpoint_set_group(relay->endpoints, service);
+
+	if (group == NULL)
+		return "";
+	endpoint_group_learn(group);
+	return group->base_version;
+}
+
 /* The attempt no longer weighs on its endpoint. */
 static void
 attempt_uncount(relay_request_t *req)
--- a/moortack/relay/relay_candidates.c
+++ b/moortack/relay/relay_candidates.c
@@ -9,8 +9,9 @@
 /** Which versions are asked for. */
 typedef enum version_class {
 	VERSION_ANY,
-	VERSION_OLD,
+	VERSION_OLD, /**< the one that is replaced */
 	VERSION_NEW,
+	VERSION_OTHER, /**< any but the new one, and one that was taken back */
 } version_class_t;
 
 static bool
@@ -41,10 +42,20 @@
 version_fits(const endpoint_group_t *group, const rollout_t *rollout,
     version_class_t wanted, const endpoint_t *endpoint)
 {
-	if (rollout == NULL || rollout->order.number == 0)
-		return strcmp(group->base_version, endpoint->facts.version) ==
-		    0;
-	return rollout_is_new(rollout, endpoint) == (wanted == VERSION_NEW);
+	const char *version = endpoint->facts.version;
+
+	switch (wanted) {
+	case VERSION_ANY:
+		return strcmp(group->base_version, version) == 0;
+	case VERSION_OLD:
+		return strcmp(rollout_base(rollout), version) == 0;
+	case VERSION_NEW:
+		return rollout_is_new(rollout, endpoint);
+	case VERSION_OTHER:
+		break;
+	}
+	return !rollout_is_new(rollout, endpoint) &&
+	    !rollout_taken_back(rollout, endpoint);
 }
 
 static bool
@@ -135,6 +146,30 @@
 	    : VERSION_OLD;
 }
 
+static bool
+group_has(const endpoint_group_t *group, const char *version)
+{
+	for (const endpoint_t *one = group->first; one != NULL;
+	     one = one->next_of_service) {
+		if (strcmp(one->facts.version, version) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Endpoints of the version that is replaced, or, if there is none of it, or it
+ * isn't known, of any that may be it. */
+static void
+candidates_old(const relay_request_t *req, const endpoint_group_t *group,
+    const rollout_t *rollout, candidates_t *out)
+{
+	version_class_t wanted = group_has(group, rollout_base(rollout))
+	    ? VERSION_OLD
+	    : VERSION_OTHER;
+
+	candidates_find(req, group, rollout, wanted, out);
+}
+
 bool
 candidates_of(const relay_request_t *req, candidates_t *out, const char **why)
 {
@@ -153,12 +188,15 @@
 	wanted = class_wanted(req, rollout);
 	if (wanted == VERSION_ANY)
 		endpoint_group_learn(group);
-	candidates_find(req, group, rollout, wanted, out);
+	if (wanted == VERSION_OLD)
+		candidates_old(req, group, rollout, out);
+	else
+		candidates_find(req, group, rollout, wanted, out);
 	if (wanted == VERSION_NEW)
 		candidates_narrow(out, rollout);
 	/* None of the wanted version can take it. */
 	if (out->len == 0 && wanted == VERSION_NEW &&
 	    rollout_old_allowed(rollout))
-		candidates_find(req, group, rollout, VERSION_OLD, out);
+		candidates_old(req, group, rollout, out);
 	return out->len > 0;
 }
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -268,6 +268,7 @@
 	    .served = {.window_ms = node->settings.session_ms},
 	    .heard = {.window_ms = node->settings.session_ms},
 	    .on_old = relay_on_old,
+	    .first_version = relay_first_version,
 	    .relay = &node->relay};
 	node->relay = (relay_t){.base = ports->base,
 	    .clock = ports->clock,
--- a/moortack/relay/rollouts.c
+++ b/moortack/relay/rollouts.c
@@ -15,6 +15,10 @@
  * long questions is up to two of them old. */
 #define UNCERTAIN_MS 3400
 #define MS_PER_SEC 1000
+/* How long the next order waits for the end of the one before. The operator
+ * reads that end before it orders the next one; here the rows come apart, by up
+ * to the pause between two looks at the states (1 s) and the way. */
+#define NEXT_WAIT_MS 1500
 
 static const char *const state_names[] = {
     "none", "in_progress", "completed", "reverted"};
@@ -126,23 +130,91 @@
 	return state_now(rollout) != ROLLOUT_COMPLETED;
 }
 
-void
-rollouts_order(rollouts_t *self, const rollout_order_t *order)
+const char *
+rollout_base(const rollout_t *rollout)
 {
-	rollout_t *rollout = rollout_of(self, order->service);
+	const rollouts_t *self = rollout->owner;
+
+	if (rollout->state_order == 0)
+		return self->first_version != NULL
+		    ? self->first_version(self->relay, rollout->order.service)
+		    : "";
+	if (rollout->state_order < rollout->order.number &&
+	    rollout->state == ROLLOUT_COMPLETED)
+		return rollout->state_to;
+	return rollout->state_base;
+}
+
+bool
+rollout_taken_back(const rollout_t *rollout, const endpoint_t *endpoint)
+{
+	return rollout->state_order < rollout->order.number &&
+	    rollout->state == ROLLOUT_REVERTED &&
+	    strcmp(rollout->state_to, endpoint->facts.version) == 0;
+}
+
+static void
+order_take(rollout_t *rollout, const rollout_order_t *order)
+{
+	rollouts_t *self = rollout->owner;
 
-	if (rollout == NULL || order->number <= rollout->order.number)
-		return;
 	rollout->order.number = order->number;
 	strcpy(rollout->order.to, order->to);
 	rollout->order.duration_ms = order->duration_ms;
+	rollout->next.number = 0;
 	rollout->seen = clock_elapsed(self->clock);
 	rollout->stopped = false;
 	rollout->write_after = (struct timespec){0};
 	version_guard_restart(&rollout->guard);
 	event_line(self->log, "rollout_order",
-	    "service=%s order=%" PRIu64 " to=%s duration_ms=%" PRId64,
-	    order->service, order->number, order->to, order->duration_ms);
+	    "service=%s order=%" PRIu64 " to=%s base=%s duration_ms=%" PRId64,
+	    order->service, order->number, order->to, rollout_base(rollout),
+	    order->duration_ms);
+}
+
+/* Whether it is known how the order in force ended, or that another daemon
+ * took up the next one. */
+static bool
+order_over(const rollout_t *rollout)
+{
+	return !rollout_under_way(rollout) ||
+	    rollout->state_order > rollout->order.number;
+}
+
+/* Take up the next order as soon as that is known, and at the latest after a
+ * time: the operator may replace one that has not ended. */
+static void
+next_take(rollout_t *rollout)
+{
+	rollouts_t *self = rollout->owner;
+	rollout_order_t next = rollout->next;
+	int64_t waited_ms =
+	    timespec_ms_between(rollout->next_seen, clock_elapsed(self->clock));
+
+	if (next.number != 0 &&
+	    (order_over(rollout) || waited_ms >= NEXT_WAIT_MS))
+		order_take(rollout, &next);
+}
+
+void
+rollouts_order(rollouts_t *self, const rollout_order_t *order)
+{
+	rollout_t *rollout = rollout_of(self, order->service);
+
+	if (rollout == NULL || order->number <= rollout->order.number ||
+	    order->number <= rollout->next.number)
+		return;
+	if (order_over(rollout)) {
+		order_take(rollout, order);
+		return;
+	}
+	rollout->next = *order;
+	rollout->next_seen = clock_elapsed(self->clock);
+	event_line(self->log, "rollout_next",
+	    "service=%s order=%" PRIu64 " to=%s before=%" PRIu64,
+	    order->service, order->number, order->to, rollout->order.number);
+	if (!self->states->suspended)
+		row_watch_hurry(self->states);
 }
 
 void
@@ -162,6 +234,14 @@
 	return ROLLOUT_NONE;
 }
 
+static void
+version_read(const json_t *value, const char *field, char *out)
+{
+	const char *version = json_string_value(json_object_get(value, field));
+
+	snprintf(out, ENDPOINT_NAME_SIZE, "%s", version != NULL ? version : "");
+}
+
 void
 rollouts_row(rollouts_t *self, const row_t *row)
 {
@@ -181,6 +261,8 @@
 	value = json_loadb(row->value, row->value_len, 0, NULL);
 	rollout->state_order =
 	    (uint64_t)json_integer_value(json_object_get(value, "order"));
+	version_read(value, "to", rollout->state_to);
+	version_read(value, "base", rollout->state_base);
 	rollout->state =
 	    state_named(json_string_value(json_object_get(value, "state")));
 	rollout->began_ms =
@@ -190,6 +272,7 @@
 	    "service=%s order=%" PRIu64 " state=%s version=%" PRIu64,
 	    rollout->order.service, rollout->state_order,
 	    state_names[rollout->state], row->version);
+	next_take(rollout);
 }
 
 static void
@@ -215,9 +298,9 @@
 state_text(const rollout_t *rollout, rollout_state_t state)
 {
 	const rollouts_t *self = rollout->owner;
-	json_t *value = json_pack("{s:I, s:s, s:I}", "order",
-	    (json_int_t)rollout->order.number, "state", state_names[state],
-	    "began_ms",
+	json_t *value = json_pack("{s:I, s:s, s:s, s:s, s:I}", "order",
+	    (json_int_t)rollout->order.number, "to", rollout->order.to, "base",
+	    rollout_base(rollout), "state", state_names[state], "began_ms",
 	    (json_int_t)(timespec_ms(rollout_began(rollout)) +
 		self->now_offset_ms));
 	char *text = json_dumps(value, JSON_COMPACT);
@@ -331,6 +414,7 @@
 	if (rollouts_active(self))
 		rollouts_sessions_take(self);
 	for (rollout_t *one = self->all; one != NULL; one = one->hh.next) {
+		next_take(one);
 		if (ordered(one))
 			rollout_step(one);
 	}
--- a/test/unit/rollouts_test.c
+++ b/test/unit/rollouts_test.c
@@ -94,12 +94,162 @@
 	assert_int_equal(share_after(NEWS_ORDER, NEWS_STATE, NEWS_CLOCK), 100);
 }
 
+#define NEXT (ORDER + 3)
+#define WAIT_MS 1500
+
+/** A service with a first version v1, and an order for v2 that is under way. */
+typedef struct first_order {
+	manual_clock_t clock;
+	event_log_t log;
+	row_watch_t watch;
+	membership_t members;
+	rollouts_t rollouts;
+	const rollout_t *rollout;
+} first_order_t;
+
+static const char *
+first_version(const void *relay, const char *service)
+{
+	(void)relay;
+	(void)service;
+	return "v1";
+}
+
+static void
+state_told(first_order_t *told, int order, const char *to, const char *base,
+    const char *state, uint64_t version)
+{
+	char text[160];
+	row_t row = {
+	    .key = ROLLOUT_PREFIX "s", .value = text, .version = version};
+
+	row.value_len = (size_t)snprintf(text, sizeof(text),
+	    "{\"order\":%d,\"to\":\"%s\",\"base\":\"%s\",\"state\":\"%s\","
+	    "\"began_ms\":%d}",
+	    order, to, base, state, STORE_NOW_MS);
+	rollouts_row(&told->rollouts, &row);
+}
+
+static void
+order_told(first_order_t *told, uint64_t number, const char *to)
+{
+	rollout_order_t order = {
+	    .service = "s", .duration_ms = DURATION_MS, .number = number};
+
+	strcpy(order.to, to);
+	rollouts_order(&told->rollouts, &order);
+}
+
+static void
+first_order_init(first_order_t *told)
+{
+	memset(told, 0, sizeof(*told));
+	told->clock = (manual_clock_t){{&manual_ops}, {1000, 0}};
+	told->watch =
+	    (row_watch_t){.clock = &told->clock.source, .suspended = true};
+	told->rollouts = (rollouts_t){.clock = &told->clock.source,
+	    .members = &told->members,
+	    .orders = &told->watch,
+	    .states = &told->watch,
+	    .log = &told->log,
+	    .first_version = first_version};
+	event_log_init(&told->log, &told->clock.source, 1);
+	row_watch_vouch(&told->watch, 1, told->clock.now);
+	rollouts_store_clock(&told->rollouts, STORE_NOW_MS);
+	order_told(told, ORDER, "v2");
+	told->rollout = rollouts_find(&told->rollouts, "s");
+	assert_string_equal(rollout_base(told->rollout), "v1");
+	state_told(told, ORDER, "v2", "v1", "in_progress", 9);
+}
+
+static bool
+is_taken_back(const first_order_t *told, const char *version)
+{
+	endpoint_t endpoint = {0};
+
+	strcpy(endpoint.facts.version, version);
+	return rollout_taken_back(told->rollout, &endpoint);
+}
+
+/* What the next order replaces depends on how the one before ended, whichever
+ * of the two is told first. */
+static void
+the_next_order_replaces_what_the_one_before_left(void **state)
+{
+	static const char *const ends[] = {"reverted", "completed"};
+	static const char *const bases[] = {"v1", "v2"};
+
+	(void)state;
+	for (int end = 0; end < 2; end++) {
+		for (int order_first = 0; order_first < 2; order_first++) {
+			first_order_t told;
+
+			first_order_init(&told);
+			if (order_first)
+				order_told(&told, NEXT, "v3");
+			state_told(&told, ORDER, "v2", "v1", ends[end], 12);
+			if (!order_first)
+				order_told(&told, NEXT, "v3");
+			assert_int_equal(told.rollout->order.number, NEXT);
+			assert_string_equal(
+			    rollout_base(told.rollout), bases[end]);
+			assert_int_equal(is_taken_back(&told, "v2"), end == 0);
+			/* Another daemon's word on it is the same. */
+			state_told(
+			    &told, NEXT, "v3", bases[end], "in_progress", 15);
+			assert_string_equal(
+			    rollout_base(told.rollout), bases[end]);
+			free(told.rollouts.all);
+		}
+	}
+}
+
+static void
+the_next_order_waits_for_the_end_of_the_one_before(void **state)
+{
+	first_order_t told;
+
+	(void)state;
+	first_order_init(&told);
+	order_told(&told, NEXT, "v3");
+	assert_int_equal(told.rollout->order.number, ORDER);
+	told.clock.now = timespec_after_ms(told.clock.now, WAIT_MS);
+	order_told(&told, NEXT, "v3");
+	/* The operator replaced it: nothing tells of an end. */
+	state_told(&told, ORDER, "v2", "v1", "in_progress", 13);
+	assert_int_equal(told.rollout->order.number, NEXT);
+	assert_string_equal(rollout_base(told.rollout), "v1");
+	free(told.rollouts.all);
+}
+
+/* A daemon that starts knows the newest order only, and the last state. */
+static void
+who_starts_learns_what_is_replaced(void **state)
+{
+	first_order_t told;
+
+	(void)state;
+	first_order_init(&told);
+	free(told.rollouts.all);
+	told.rollouts.all = NULL;
+	order_told(&told, NEXT, "v3");
+	told.rollout = rollouts_find(&told.rollouts, "s");
+	state_told(&told, ORDER, "v2", "v0", "reverted", 12);
+	assert_string_equal(rollout_base(told.rollout), "v0");
+	assert_true(is_taken_back(&told, "v2"));
+	free(told.rollouts.all);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(
 		the_time_of_an_order_is_known_in_whatever_order_it_is_told),
+	    cmocka_unit_test(the_next_order_replaces_what_the_one_before_left),
+	    cmocka_unit_test(
+		the_next_order_waits_for_the_end_of_the_one_before),
+	    cmocka_unit_test(who_starts_learns_what_is_replaced),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
