relay: a whole answer decides on every row that it tells later

A row beyond an end that was known by a whole read only came back from a daemon that knows less. While entries are kept back, what is told counts, not what is known. Change: what a whole answer names holds as of its version; what this daemon knows to be gone is not taken from one that tells less; who tells less than was known is asked for all rows once it tells as much. Ruled out: telling each unchanged row's new version: each beat of each endpoint would be told to each daemon.

--- a/moortack/relay/feed_apply.c
+++ b/moortack/relay/feed_apply.c
@@ -23,19 +23,19 @@
 	}
 }
 
-/* A row that a whole answer names is there as of the answer's version, also if
- * it is the row of before an end that was seen here: it came back in the same
- * words, which is no change to those who did not see the end. */
+/* A whole answer tells how each row is as of its version, also with the row of
+ * before a change that was seen here and not there: it has become what it was,
+ * which is no change to those who did not see it. */
 static void
 named_renew(const feed_answer_t *answer, const row_cache_t *cache,
     row_table_t table, row_t *row)
 {
 	const cached_row_t *known = row_cache_find(cache, table, row->key);
+	const feed_table_t *told = &answer->tables[table];
 
-	if (answer->tables[table].whole && known != NULL &&
-	    known->value == NULL && known->version > row->version &&
-	    known->version <= answer->tables[table].version)
-		row->version = answer->tables[table].version;
+	if (told->whole && !row->deleted && known != NULL &&
+	    known->version > row->version && known->version <= told->version)
+		row->version = told->version;
 }
 
 void
--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -73,7 +73,7 @@
 }
 
 /* Note which tables the answer does not tell in full: those of which whoever is
- * followed knows less than this daemon did. Once it knows as much, it has to be
+ * followed tells less than this daemon knew. Once it tells as much, it has to be
  * asked for all rows. Orders are told by their versions, and always in full.
  * @return whether it has to be asked now */
 static bool
@@ -89,12 +89,12 @@
 		partial[i] = false;
 		if (i == ROW_TABLE_ORDERS)
 			continue;
-		if (table->known < version && version > self->ahead[i])
+		if (table->version < version && version > self->ahead[i])
 			self->ahead[i] = version;
 		if (self->ahead[i] == 0)
 			continue;
 		partial[i] = !table->whole;
-		if (table->known < self->ahead[i])
+		if (table->version < self->ahead[i])
 			continue;
 		self->ahead[i] = 0;
 		ask_all |= partial[i];
@@ -245,18 +245,20 @@
 	const feed_answer_t *answer;
 } taking_t;
 
-/* A row that is not known here, though all rows up to a later version are, and
- * told by one that knows less, has gone since. */
+/* A row that is not there as far as this daemon knows, which is further than
+ * whoever tells it knows, has gone since. */
 static bool
 row_outlived(const taking_t *taking, row_table_t table, const row_t *row)
 {
 	const row_source_t *self = taking->self;
+	const cached_row_t *known =
+	    row_cache_find(&self->cache, table, row->key);
 	uint64_t version = self->watches[table].watch.version;
 
 	return !row->deleted && table != ROW_TABLE_ORDERS &&
 	    row->version <= version &&
 	    taking->answer->tables[table].version < version &&
-	    row_cache_find(&self->cache, table, row->key) == NULL;
+	    (known == NULL || known->value == NULL);
 }
 
 static void
