--- a/moortack/relay/row_source_priv.h
+++ b/moortack/relay/row_source_priv.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * What the files of a row source share: row_source.c reads the store and keeps
- * the rows, row_follow.c follows other daemons, fleet_key.c has the key that
- * they know each other by.
+ * the rows, row_follow.c follows other daemons, row_answer.c takes what they
+ * tell, fleet_key.c has the key that they know each other by.
  */
 #ifndef MOORTACK_RELAY_ROW_SOURCE_PRIV_H
 #define MOORTACK_RELAY_ROW_SOURCE_PRIV_H
@@ -34,6 +34,9 @@
 /** Take an answer that was sent at @p sent, or later. */
 void
 row_follow_take(row_source_t *, const feed_answer_t *, struct timespec sent);
+/** Take the rows of an answer, and what is told of how far they go. */
+void
+row_answer_take(row_source_t *, const feed_answer_t *, struct timespec sent);
 /** Fill an answer with how far and through whom this daemon knows the tables.
  */
 void row_follow_state(const row_source_t *, feed_answer_t *);
