relay: a read of the store from before what was told since is not taken

Cause, found by fuzz_follow in 600 s: a whole read that is answered late goes back behind what another daemon told meanwhile, and ends rows that it does not name though they are there. Change: such a read is dropped; the watch goes on from what was told. Ruled out: ending only rows with a version before the read's: rows keep an old version while they mean the same. Before: unit_row_watch fails (its row is taken), corpus/follow/late_read too. After: both pass, with all kept inputs.

--- a/moortack/relay/row_watch.c
+++ b/moortack/relay/row_watch.c
@@ -81,6 +81,17 @@
 	watch->ops->settled(watch->arg, whole, reply);
 }
 
+/* Another daemon told what is later than this read while it was under way: what
+ * the read does not name may be there. */
+static bool
+read_is_outdated(const row_watch_t *watch, const row_reply_t *reply)
+{
+	uint64_t version =
+	    watch->page_from == NULL ? reply->version : watch->read_version;
+
+	return version < watch->version;
+}
+
 static void
 read_done(void *arg, const row_reply_t *reply)
 {
@@ -95,6 +106,11 @@
 		return;
 	}
 	reachable_again(watch);
+	if (read_is_outdated(watch, reply)) {
+		watch->in_read = false;
+		watch_later(watch, watch->pace.pause_ms);
+		return;
+	}
 	if (watch->page_from == NULL) {
 		/* A store that went back is not followed down: the rows that
 		 * it has now are taken, and their versions judged by those
--- a/test/fuzz/follow_fuzz.c
+++ b/test/fuzz/follow_fuzz.c
@@ -140,6 +140,10 @@
 {
 	row_watch_t *watch = watch_of(daemon);
 
+	daemon->reading = false;
+	/* As unit_row_watch has it of the real one. */
+	if (daemon->read_version < watch->version)
+		return;
 	watch->read_version = daemon->read_version;
 	watch->ops->restart(watch->arg);
 	for (size_t i = 0; i < ENDPOINTS; i++) {
@@ -147,7 +151,6 @@
 			entry_tell(daemon, i, &daemon->read[i]);
 	}
 	read_settle(daemon, daemon->read_version, daemon->asked, true);
-	daemon->reading = false;
 }
 
 static void
