soak: links to the store, a lost daemon, open connections and the directory

Cause: the soak had few kinds of fault, one store link for all, and looked at no answer of the directory. Change: each daemon reaches the store over a relay that delays, resets, drops one way or falls silent; a daemon is lost for 9 s while other faults go on; settings are reloaded; callers use open connections until they are closed, and nobody undisturbed names one that is off beyond the bound. Ruled out: judging a closed connection by the moment at which the test looks: the end of a process is waited for with the traffic going on.

--- a/soak/soak.lua
+++ b/soak/soak.lua
@@ -15,11 +15,16 @@
 local DAEMONS, REPLICAS, AT_ONCE = 4, 4, 6
 local w = words.world(REPLICAS, 0)
 for i = 1, REPLICAS do w:link(i) end
+for i = 1, DAEMONS do w:store_link(i) end
 for i = 1, DAEMONS do w:daemon(i) end
 for i = 1, DAEMONS do words.wait_ready(w.daemons[i]) end
 local running = {} -- calls under way
 local books = {} -- ended ones
 local stopped = {} -- daemons that stand still, or are gone for now
+local off_since = {} -- daemons that are off, and since when
+local disturbed = {} -- when each daemon was last disturbed
+local store_disturbed = run.now()
+for i = 1, DAEMONS do disturbed[i] = run.now() end
 
 local function any(list)
   return list[math.random(#list)]
@@ -27,6 +32,15 @@
 
 -- Faults, each with its end. ------------------------------------------------
 
+local lost -- the daemon that is off for long
+local step -- lets traffic go on for a moment
+local kept = {} -- by daemon: socket, when a request was sent, text of the answer
+
+local function kept_drop(i)
+  if kept[i] then run.hang_up(kept[i].socket) end
+  kept[i] = nil
+end
+
 local function replica_fault(faults)
   local i = math.random(REPLICAS)
   w:faults(i, faults)
@@ -35,7 +49,37 @@
 
 local function store_fault(faults, back)
   lib.fault(w.store.address, faults)
-  return function() lib.fault(w.store.address, back) end
+  store_disturbed = run.now()
+  return function()
+    store_disturbed = run.now()
+    lib.fault(w.store.address, back)
+  end
+end
+
+-- The link between one daemon and the store.
+local function link_fault(faults, back)
+  local i = math.random(DAEMONS)
+  w:store_fault(i, faults)
+  disturbed[i] = run.now()
+  return back and function()
+    disturbed[i] = run.now()
+    w:store_fault(i, back)
+  end
+end
+
+local function daemon_off(i)
+  stopped[i] = true
+  off_since[i] = run.now()
+  kept_drop(i)
+  w.daemons[i]:kill()
+end
+
+local function daemon_on(i)
+  stopped[i] = nil
+  off_since[i] = nil
+  disturbed[i] = run.now()
+  kept_drop(i)
+  w:daemon(i)
 end
 
 -- Replicas write to the store: an outage ends before one does.
@@ -43,6 +87,7 @@
 
 local function outage_end()
   if outage then lib.fault(w.store.address, {down = false}) end
+  if outage then store_disturbed = run.now() end
   outage = false
 end
 
@@ -50,12 +95,19 @@
   kill = function()
     local i = math.random(DAEMONS)
     if stopped[i] then return end
-    stopped[i] = true
-    w.daemons[i]:kill()
-    return function()
-      stopped[i] = nil
-      w:daemon(i)
-    end
+    daemon_off(i)
+    return function() daemon_on(i) end
+  end,
+  -- Off for longer than others may name it, while other faults go on.
+  lose = function()
+    local i = math.random(DAEMONS)
+    if stopped[i] or lost then return end
+    lost = i
+    daemon_off(i)
+  end,
+  reload = function()
+    local i = math.random(DAEMONS)
+    if not stopped[i] then w.daemons[i]:signal("HUP") end
   end,
   terminate = function()
     local i = math.random(DAEMONS)
@@ -64,9 +116,8 @@
     old:signal("TERM")
     stopped[i] = true
     return function()
-      old:wait()
-      stopped[i] = nil
-      w:daemon(i)
+      while not run.reap(old.pid) do step() end
+      daemon_on(i)
     end
   end,
   freeze = function()
@@ -76,11 +127,13 @@
     w.daemons[i]:stop()
     return function()
       w.daemons[i]:continue()
+      disturbed[i] = run.now()
       stopped[i] = nil
     end
   end,
   store_down = function()
     outage = true
+    store_disturbed = run.now()
     lib.fault(w.store.address, {down = true})
     return outage_end
   end,
@@ -90,6 +143,14 @@
   store_forgets = function()
     return store_fault({forget = true}, {forget = false})
   end,
+  link_slow = function()
+    return link_fault({delay_ms = 300}, {delay_ms = 0})
+  end,
+  link_one_way = function()
+    return link_fault({one_way = true}, {one_way = false})
+  end,
+  link_silent = function() return link_fault({silent = true}) end,
+  link_reset = function() return link_fault({reset = true}) end,
   cut = function() return replica_fault({cut_after = math.random(15)}) end,
   half = function() return replica_fault({half_after = math.random(15)}) end,
   shed = function() return replica_fault({shed = true}) end,
@@ -134,13 +195,94 @@
   end
 end
 
+-- Callers use a connection until it is closed, also while its daemon leaves, and
+-- whatever it has read on it is answered.
+local KEPT_PAUSE_MS, READ_MS, ANSWER_MS = 100, 300, 10000
+local KEPT_REQUEST = "GET /open/1 HTTP/1.1\r\nHost: a.example\r\n" ..
+  "Moortack-Attempt-Id: kept%d\r\nMoortack-Deadline-Ms: 4000\r\n\r\n"
+local kept_number = 0
+
+local function kept_send(one)
+  kept_number = kept_number + 1
+  one.text = ""
+  one.sent = run.now()
+  run.write(one.socket, KEPT_REQUEST:format(kept_number))
+end
+
+local function kept_read(i, one)
+  one.text = one.text .. run.read(one.socket)
+  local length = one.text:match("\r\nContent%-Length: (%d+)")
+  local body = one.text:match("\r\n\r\n(.*)")
+  if body and #body >= tonumber(length or 0) then
+    one.sent = nil
+    one.next = run.now() + KEPT_PAUSE_MS
+    if one.text:match("\r\nConnection: close") then kept_drop(i) end
+    return
+  end
+  local waited = run.now() - one.sent
+  if run.ended(one.socket) then
+    lib.check(waited < READ_MS, "daemon %d closed on a request after %d ms",
+      i, waited)
+    kept_drop(i)
+  else
+    lib.check(stopped[i] or waited < ANSWER_MS,
+      "daemon %d has not answered for %d ms", i, waited)
+  end
+end
+
+local function kept_look()
+  for i = 1, DAEMONS do
+    local one = kept[i]
+    if not one and not stopped[i] then
+      local good, socket = pcall(run.connect, w.daemons[i].callers)
+      if good then kept[i] = {socket = socket, next = run.now()} end
+    elseif one and one.sent then
+      kept_read(i, one)
+    elseif one and run.now() >= one.next then
+      kept_send(one)
+    end
+  end
+end
+
+-- As the users have it: whoever is itself undisturbed, over a store that is, names
+-- nobody that has been off for longer.
+local STABLE_MS, NAMED_MS = 3000, 6000
+local ASK_MS = 200
+local asked_at = 0
+
+local function off_named(daemon)
+  for _, address in ipairs(words.addresses(daemon)) do
+    for j, since in pairs(off_since) do
+      if w.daemons[j].callers == address and run.now() - since > NAMED_MS then
+        return j
+      end
+    end
+  end
+end
+
+local function directory_look()
+  local now = run.now()
+  if now - asked_at < ASK_MS or outage or now - store_disturbed < STABLE_MS then
+    return
+  end
+  asked_at = now
+  local i = math.random(DAEMONS)
+  if stopped[i] or now - disturbed[i] < STABLE_MS then return end
+  local j = off_named(w.daemons[i])
+  lib.check(not j, "daemon %d names %d, which is off", i, j or 0)
+end
+
+function step()
+  if #running < AT_ONCE then call_begin() end
+  calls_look()
+  directory_look()
+  kept_look()
+  run.sleep(5)
+end
+
 local function traffic(ms)
   local finish = run.now() + ms
-  while run.now() < finish do
-    if #running < AT_ONCE then call_begin() end
-    calls_look()
-    run.sleep(5)
-  end
+  while run.now() < finish do step() end
 end
 
 -- The run. ----------------------------------------------------------------------
@@ -156,7 +298,12 @@
   while #ends > 2 or (#ends > 0 and math.random() < 0.5) do
     table.remove(ends, 1)()
   end
+  if lost and run.now() - off_since[lost] > NAMED_MS + STABLE_MS then
+    daemon_on(lost)
+    lost = nil
+  end
 end
+if lost then daemon_on(lost) end
 for _, back in ipairs(ends) do back() end
 for i = 1, DAEMONS do words.wait_ready(w.daemons[i]) end
 lib.wait_until("the last answers", function()
--- a/standin/relay.c
+++ b/standin/relay.c
@@ -4,7 +4,8 @@
  * where it relays to; "cut" lists source IPs whose connections are dropped and
  * refused, "stall" those whose bytes are no longer passed on, either way;
  * "silent" makes the connections that are open now pass on nothing ever again,
- * without a reset, while new ones work.
+ * without a reset, while new ones work; "reset" resets them; "delay_ms" holds
+ * up bytes, and "one_way" drops those that come from the target.
  */
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -21,10 +22,13 @@
 #define SIDES 2
 #define IP_SIZE 46
 #define RELAY_PORT_OFFSET 1
+#define MS_PER_SEC 1000
+#define US_PER_MS 1000
 
 typedef struct pair {
 	struct relay *relay;
 	struct bufferevent *sides[SIDES]; /**< the caller's, the target's */
+	struct event *held[SIDES];	  /**< until its bytes are passed on */
 	char source[IP_SIZE];
 	bool silent; /**< for good */
 	struct pair *next;
@@ -66,22 +70,62 @@
 	for (int i = 0; i < SIDES; i++) {
 		if (pair->sides[i] != NULL)
 			bufferevent_free(pair->sides[i]);
+		if (pair->held[i] != NULL)
+			event_free(pair->held[i]);
 	}
 	free(pair);
 }
 
+/* Whether what comes from the side goes nowhere. */
+static bool
+drops(const pair_t *pair, int from)
+{
+	const json_t *faults = pair->relay->fake.faults.all;
+
+	return pair->silent || listed(pair->relay, "stall", pair->source) ||
+	    (from == 1 && json_is_true(json_object_get(faults, "one_way")));
+}
+
+static void
+pass_on(pair_t *pair, int from)
+{
+	struct evbuffer *bytes = bufferevent_get_input(pair->sides[from]);
+
+	if (drops(pair, from))
+		evbuffer_drain(bytes, evbuffer_get_length(bytes));
+	else
+		bufferevent_write_buffer(pair->sides[1 - from], bytes);
+}
+
+static void
+held_from_caller(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	pass_on(arg, 0);
+}
+
+static void
+held_from_target(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	pass_on(arg, 1);
+}
+
 static void
 readable(struct bufferevent *bev, void *arg)
 {
 	pair_t *pair = arg;
-	struct bufferevent *other =
-	    pair->sides[0] == bev ? pair->sides[1] : pair->sides[0];
+	int from = pair->sides[1] == bev;
+	json_int_t ms = json_integer_value(
+	    json_object_get(pair->relay->fake.faults.all, "delay_ms"));
+	struct timeval delay = {ms / MS_PER_SEC, ms % MS_PER_SEC * US_PER_MS};
 
-	if (pair->silent || listed(pair->relay, "stall", pair->source))
-		evbuffer_drain(bufferevent_get_input(bev),
-		    evbuffer_get_length(bufferevent_get_input(bev)));
-	else
-		bufferevent_write_buffer(other, bufferevent_get_input(bev));
+	if (ms <= 0)
+		pass_on(pair, from);
+	else if (!event_pending(pair->held[from], EV_TIMEOUT, NULL))
+		event_add(pair->held[from], &delay);
 }
 
 static void
@@ -132,6 +176,10 @@
 	    bufferevent_socket_new(relay->fake.base, fd, BEV_OPT_CLOSE_ON_FREE);
 	pair->sides[1] =
 	    bufferevent_socket_new(relay->fake.base, -1, BEV_OPT_CLOSE_ON_FREE);
+	pair->held[0] =
+	    event_new(relay->fake.base, -1, 0, held_from_caller, pair);
+	pair->held[1] =
+	    event_new(relay->fake.base, -1, 0, held_from_target, pair);
 	for (int i = 0; i < SIDES; i++) {
 		bufferevent_setcb(
 		    pair->sides[i], readable, NULL, changed, pair);
@@ -170,6 +218,24 @@
 	}
 }
 
+/* A connection that is closed without waiting for its bytes is reset. */
+static void
+reset_now(relay_t *relay)
+{
+	static const struct linger at_once = {1, 0};
+	pair_t *pair = relay->pairs;
+
+	while (pair != NULL) {
+		pair_t *next = pair->next;
+
+		for (int i = 0; i < SIDES; i++)
+			setsockopt(bufferevent_getfd(pair->sides[i]),
+			    SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+		pair_free(pair);
+		pair = next;
+	}
+}
+
 static void
 sample(fake_t *fake)
 {
@@ -186,6 +252,8 @@
 		http_address_parse(target, &relay->target);
 	for (pair_t *pair = relay->pairs; pair != NULL; pair = pair->next)
 		pair->silent |= json_is_true(json_object_get(body, "silent"));
+	if (json_is_true(json_object_get(body, "reset")))
+		reset_now(relay);
 	if (relay->listener == NULL)
 		relay_listen(relay);
 }
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -93,21 +93,39 @@
   return replica
 end
 
--- Put a relay before the replica: its connections can fall silent for good.
-function World:link(i)
-  local replica = self.replicas[i]
+-- A relay to a process: the link on which it is reached.
+local function relay_to(target, host, log)
   local relay = lib.spawn("standin/standin-relay",
-    {"--listen", address(30 + i, 9100)}, {}, "relay" .. i .. ".log")
-  relay.address = address(30 + i, 9100)
+    {"--listen", address(host, 9100)}, {}, log)
+  relay.address = address(host, 9100)
+  relay.link = address(host, 9101)
   lib.wait_until("the relay listens", function()
     return lib.http("GET", relay.address, "/", {timeout_ms = 500}).status ~= 0
   end)
-  replica.relay = relay
-  replica.link = address(30 + i, 9101)
-  lib.fault(relay.address, {target = replica.address})
+  lib.fault(relay.address, {target = target})
+  return relay
+end
+
+-- Put a relay before the replica: its connections can fall silent for good.
+function World:link(i)
+  local replica = self.replicas[i]
+  replica.relay = relay_to(replica.address, 30 + i, "relay" .. i .. ".log")
+  replica.link = replica.relay.link
   self:replica(i, "v1")
 end
 
+-- Put a relay between the daemon of that number and the store, before it starts.
+function World:store_link(i)
+  self.store_links = self.store_links or {}
+  self.store_links[i] = relay_to(self.store.address, 50 + i,
+    "store-relay" .. i .. ".log")
+end
+
+function World:store_fault(i, faults)
+  faults.target = self.store.address
+  lib.fault(self.store_links[i].address, faults)
+end
+
 -- Whatever is open to the replica now passes on nothing any more.
 function World:silence(i)
   local replica = self.replicas[i]
@@ -170,6 +188,7 @@
   local ip = string.format("%s%d", network, i)
   local path = string.format("%s/scenario-logs/%s/node%d.conf", build,
     network, i)
+  local link = self.store_links and self.store_links[i]
   local file = assert(io.open(path, "w"))
   file:write(string.format("zone=a\nregion=r\nlisten.frontend=%s:8100\n" ..
     "listen.readiness=%s:8101\nlisten.registry=%s:8102\n" ..
@@ -177,7 +196,8 @@
     "bounds.revoke_ms=2500\nbounds.drain_ms=2000\n" ..
     "bounds.retry_budget_ratio=0.9\nbounds.retry_min=60\n" ..
     "bounds.session_s=%s\n",
-    ip, ip, ip, self.store.address, self.session_s or 5))
+    ip, ip, ip, link and link.link or self.store.address,
+    self.session_s or 5))
   file:close()
   local daemon = lib.spawn("platform/moortack-edge", {},
     {"MOORTACK_NODE_FILE=" .. path}, "daemon" .. i .. ".log")
--- a/test/scenario/lib.lua
+++ b/test/scenario/lib.lua
@@ -19,7 +19,7 @@
 local PEER_KEY = "7buN8gk#QjP#N2gOip/+CO%Q9sFLVq}kzM6plT8}"
 local TOKEN_KEYS =
   "1:0a0095df9ca11401ac40fb0ca03c2c7186d69f7e02c192abf87801b3437e4b8f"
-local SIGNALS = {KILL = 9, TERM = 15, CONT = 18, STOP = 19}
+local SIGNALS = {HUP = 1, KILL = 9, TERM = 15, CONT = 18, STOP = 19}
 
 local log_dir = build .. "/scenario-logs/" .. network
 os.execute("mkdir -p '" .. log_dir .. "'")
--- a/test/scenario/runner.c
+++ b/test/scenario/runner.c
@@ -529,6 +529,27 @@
 	return 1;
 }
 
+/* ended(socket): whether the other side has closed it, and all was read. */
+static int
+verb_ended(lua_State *lua)
+{
+	char byte;
+	ssize_t len = recv(
+	    (int)luaL_checkinteger(lua, 1), &byte, sizeof(byte), MSG_PEEK);
+
+	lua_pushboolean(lua,
+	    len == 0 || (len < 0 && errno != EAGAIN && errno != EINTR));
+	return 1;
+}
+
+/* hang_up(socket) */
+static int
+verb_hang_up(lua_State *lua)
+{
+	close((int)luaL_checkinteger(lua, 1));
+	return 0;
+}
+
 /* --- life ---------------------------------------------------------------- */
 
 static const luaL_Reg verbs[] = {
@@ -537,6 +558,8 @@
     {"connect", verb_connect},
     {"decode", verb_decode},
     {"encode", verb_encode},
+    {"ended", verb_ended},
+    {"hang_up", verb_hang_up},
     {"now", verb_now},
     {"peek", verb_peek},
     {"read", verb_read},
