--- a/test/scenario/runner.c
+++ b/test/scenario/runner.c
@@ -534,11 +534,11 @@
 verb_ended(lua_State *lua)
 {
 	char byte;
-	ssize_t len = recv(
-	    (int)luaL_checkinteger(lua, 1), &byte, sizeof(byte), MSG_PEEK);
+	ssize_t len =
+	    recv((int)luaL_checkinteger(lua, 1), &byte, sizeof(byte), MSG_PEEK);
 
-	lua_pushboolean(lua,
-	    len == 0 || (len < 0 && errno != EAGAIN && errno != EINTR));
+	lua_pushboolean(
+	    lua, len == 0 || (len < 0 && errno != EAGAIN && errno != EINTR));
 	return 1;
 }
 
