--- a/soak/soak.lua
+++ b/soak/soak.lua
@@ -198,15 +198,13 @@
 -- Callers use a connection until it is closed, also while its daemon leaves, and
 -- whatever it has read on it is answered.
 local KEPT_PAUSE_MS, READ_MS, ANSWER_MS = 100, 300, 10000
-local KEPT_REQUEST = "GET /open/1 HTTP/1.1\r\nHost: a.example\r\n" ..
-  "Moortack-Attempt-Id: kept%d\r\nMoortack-Deadline-Ms: 4000\r\n\r\n"
 local kept_number = 0
 
 local function kept_send(one)
   kept_number = kept_number + 1
   one.text = ""
   one.sent = run.now()
-  run.write(one.socket, KEPT_REQUEST:format(kept_number))
+  run.write(one.socket, words.bare_request("/open/1", "kept" .. kept_number))
 end
 
 local function kept_read(i, one)
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -244,6 +244,12 @@
     name:gsub("%p", "%%%0") .. " ([%d.e+-]+)"))
 end
 
+-- The bytes of a request without a key, for a bare connection.
+function words.bare_request(path, id)
+  return string.format("GET %s HTTP/1.1\r\nHost: a.example\r\n" ..
+    "Moortack-Attempt-Id: %s\r\nMoortack-Deadline-Ms: 4000\r\n\r\n", path, id)
+end
+
 local number = 0
 -- Begin a request; its id is in the result.
 function words.begin(daemon, path, options)
