--- /dev/null
+++ b/test/support/bytes_same.h
@@ -0,0 +1,22 @@
+/**
+ * @file
+ * Rows that mean the same if their bytes are the same.
+ */
+#ifndef TEST_SUPPORT_BYTES_SAME_H
+#define TEST_SUPPORT_BYTES_SAME_H
+
+#include <string.h>
+
+#include "moortack/relay/row_cache.h"
+
+static inline bool
+bytes_same(const void *arg, row_table_t table, const char *key, const char *a,
+    size_t a_len, const char *b, size_t b_len)
+{
+	(void)arg;
+	(void)table;
+	(void)key;
+	return a_len == b_len && memcmp(a, b, a_len) == 0;
+}
+
+#endif
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -14,6 +14,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../support/bytes_same.h"
 #include "../support/manual_clock.h"
 #include "../support/silent_store.h"
 #include "moortack/relay/feed_apply.h"
@@ -27,16 +28,6 @@
 #define SILENT_MS 4500
 #define STEP_MS 250
 
-static bool
-bytes_same(const void *arg, row_table_t table, const char *key, const char *a,
-    size_t a_len, const char *b, size_t b_len)
-{
-	(void)arg;
-	(void)table;
-	(void)key;
-	return a_len == b_len && memcmp(a, b, a_len) == 0;
-}
-
 static row_t
 row_of(const char *key, const char *value, uint64_t version)
 {
--- a/test/unit/slow_link_test.c
+++ b/test/unit/slow_link_test.c
@@ -25,6 +25,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "../support/bytes_same.h"
 #include "moortack/relay/feed_client.h"
 #include "moortack/relay/feed_server.h"
 
@@ -181,16 +182,6 @@
 static const feed_client_ops_t client_ops = {
     on_ask, on_answer, on_slow, on_lost};
 
-static bool
-bytes_same(const void *arg, row_table_t table, const char *key, const char *a,
-    size_t a_len, const char *b, size_t b_len)
-{
-	(void)arg;
-	(void)table;
-	(void)key;
-	return a_len == b_len && memcmp(a, b, a_len) == 0;
-}
-
 static void
 row_put(row_table_t table, const char *key, const char *value, uint64_t version)
 {
