test: the replica's stand-in does not read ahead of its answers; nobody ends by itself

It read from its callers while it answered, with libevent's read callback in place, which the library does not bear (http_request_watch() is there for this). Change: the stand-in uses http_request_watch(). The soak fails at once when a daemon ends that nothing was done to: that was seen as one that never became ready.

--- a/soak/soak.lua
+++ b/soak/soak.lua
@@ -270,7 +270,16 @@
   lib.check(not j, "daemon %d names %d, which is off", i, j or 0)
 end
 
+-- Nobody ends but by what was done to it.
+local function ended_look()
+  for i = 1, DAEMONS do
+    local status = not stopped[i] and run.reap(w.daemons[i].pid)
+    lib.check(not status, "daemon %d ended by itself: %s", i, status)
+  end
+end
+
 function step()
+  ended_look()
   if #running < AT_ONCE then call_begin() end
   calls_look()
   directory_look()
--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -107,17 +107,6 @@
 	replica.left++;
 }
 
-/* Closes are noticed only while the connection is read. */
-static void
-gone_watch(struct evhttp_request *req,
-    void (*gone)(struct evhttp_connection *, void *), void *arg)
-{
-	struct evhttp_connection *conn = evhttp_request_get_connection(req);
-
-	evhttp_connection_set_closecb(conn, gone, arg);
-	bufferevent_enable(evhttp_connection_get_bufferevent(conn), EV_READ);
-}
-
 static void
 held_gone(struct evhttp_connection *conn, void *arg)
 {
@@ -150,8 +139,7 @@
 		return;
 	}
 	if (stream->cut != 0 && stream->next > stream->cut) {
-		evhttp_connection_set_closecb(
-		    evhttp_request_get_connection(stream->req), NULL, NULL);
+		http_request_unwatch(stream->req);
 		fake_drop(&replica.fake, stream->req);
 		stream_free(stream);
 		return;
@@ -163,8 +151,7 @@
 		stream->last = 0;
 	}
 	if (stream->next > stream->last) {
-		evhttp_connection_set_closecb(
-		    evhttp_request_get_connection(stream->req), NULL, NULL);
+		http_request_unwatch(stream->req);
 		evhttp_send_reply_end(stream->req);
 		stream_free(stream);
 	} else {
@@ -192,7 +179,7 @@
 	stream->cut = fault_int("cut_after", 0);
 	stream->timer =
 	    event_new(replica.fake.base, -1, EV_PERSIST, stream_step, stream);
-	gone_watch(req, stream_gone, stream);
+	http_request_watch(req, stream_gone, stream);
 	http_answer_header(req, "Content-Type", "text/event-stream");
 	evhttp_send_reply_start(req, 200, NULL);
 	event_add(stream->timer, &pause);
@@ -243,7 +230,7 @@
 	}
 	run_note(req);
 	if (is_held(req)) {
-		gone_watch(req, held_gone, NULL);
+		http_request_watch(req, held_gone, NULL);
 		return;
 	}
 	head_set(req, true);
