relay: an outage that ends takes nobody for gone at once

Change: nobody is gone within 2.5 s of the moment from which a daemon can hear again, or takes over. Ruled out: not clearing rows after an outage: newcomers would learn of the dead.

--- a/moortack/relay/member_life.c
+++ b/moortack/relay/member_life.c
@@ -181,6 +181,9 @@
 life_gone(
     const life_view_t *view, const member_life_t *life, struct timespec now)
 {
+	/* Nor is anybody gone at once for who could hear nothing until just
+	 * now: a row that is cleared by mistake makes two that read the store
+	 * miss each other for seconds. */
 	return life->silent && !within(life->silent_since, now, GONE_MS) &&
-	    !life_fresh(view, life, now);
+	    !within(view->began, now, GONE_MS) && !life_fresh(view, life, now);
 }
--- a/test/unit/member_life_test.c
+++ b/test/unit/member_life_test.c
@@ -234,6 +234,30 @@
 	assert_true(life_gone(&judged.view, &judged.other, judged.now));
 }
 
+/* One that gave no answer in an outage is not gone as soon as the store is
+ * back: its row was cleared at once, and it, which reads the store too, was
+ * missed. */
+static void
+an_outage_that_ends_takes_nobody_for_gone(void **state)
+{
+	judged_t judged = reader_lost();
+
+	(void)state;
+	judged.following = false;
+	judged.held = true;
+	life_no_answer(&judged.other, judged.now);
+	pass(&judged, NAMED_MS);
+	judged.held = false;
+	judged.asked = true;
+	judged.all_fresh = true;
+	pass(&judged, 2 * STEP_MS);
+	assert_true(judged.view.settled);
+	assert_false(named(&judged));
+	assert_false(life_gone(&judged.view, &judged.other, judged.now));
+	pass(&judged, 3000);
+	assert_true(life_gone(&judged.view, &judged.other, judged.now));
+}
+
 static void
 a_later_sign_is_not_undone_by_an_earlier_one(void **state)
 {
@@ -261,6 +285,7 @@
 	    cmocka_unit_test(a_grace_is_no_word_for_others),
 	    cmocka_unit_test(whom_nobody_asks_judges_late),
 	    cmocka_unit_test(what_it_reported_counts_longer_than_it_is_named),
+	    cmocka_unit_test(an_outage_that_ends_takes_nobody_for_gone),
 	    cmocka_unit_test(a_later_sign_is_not_undone_by_an_earlier_one),
 	};
 
