test: what is started runs its program before it is told anything; the soak's seed decides its faults

The runner forked, and a signal sent at once met the copy of the runner, with its handlers; connections of callers were passed on to what it started, so that hanging up closed nothing. Change: spawn() returns when the program runs (a pipe that closes then), with the default signals and no connections of the runner's. The stand-ins' fake_drop() frees a connection only if its caller has not closed it meanwhile. The soak draws its plan of faults, whom they hit and how long, before the traffic, whose number of draws depends on time: the same seed gave other faults in each run.

--- a/soak/soak.lua
+++ b/soak/soak.lua
@@ -1,6 +1,7 @@
 -- Random faults under traffic, then quiet, then the books: what may run once ran
 -- at most once, "not run" was true, streams that ended are whole, and everything
--- is served again. The seed decides the faults and their order, not the timing.
+-- is served again. The seed decides the faults, whom they hit, their order and how
+-- long each lasts, but not what the traffic is doing meanwhile.
 --
 --   runner BUILD soak/soak.lua, with SOAK_SEED and SOAK_SECONDS
 package.path = script_dir .. "/../test/platform/?.lua;" .. package.path
@@ -13,6 +14,8 @@
 math.randomseed(seed)
 
 local DAEMONS, REPLICAS, AT_ONCE = 4, 4, 6
+local FAULT_MS = {200, 900} -- from one fault to the next
+local UNDER_WAY = 2 -- faults that may be, when the next one comes
 local w = words.world(REPLICAS, 0)
 for i = 1, REPLICAS do w:link(i) end
 for i = 1, DAEMONS do w:store_link(i) end
@@ -41,8 +44,7 @@
   kept[i] = nil
 end
 
-local function replica_fault(faults)
-  local i = math.random(REPLICAS)
+local function replica_fault(i, faults)
   w:faults(i, faults)
   return function() w:faults(i, {}) end
 end
@@ -57,8 +59,7 @@
 end
 
 -- The link between one daemon and the store.
-local function link_fault(faults, back)
-  local i = math.random(DAEMONS)
+local function link_fault(i, faults, back)
   w:store_fault(i, faults)
   disturbed[i] = run.now()
   return back and function()
@@ -92,25 +93,28 @@
 end
 
 local kinds = {
-  kill = function()
-    local i = math.random(DAEMONS)
+  kill = function(fault)
+    local i = fault.daemon
     if stopped[i] then return end
     daemon_off(i)
     return function() daemon_on(i) end
   end,
   -- Off for longer than others may name it, while other faults go on.
-  lose = function()
-    local i = math.random(DAEMONS)
+  lose = function(fault)
+    local i = fault.daemon
     if stopped[i] or lost then return end
     lost = i
     daemon_off(i)
   end,
-  reload = function()
-    local i = math.random(DAEMONS)
-    if not stopped[i] then w.daemons[i]:signal("HUP") end
+  -- A process that does not run its program yet can't take the signal.
+  reload = function(fault)
+    local i = fault.daemon
+    if not stopped[i] and words.listens(w.daemons[i]) then
+      w.daemons[i]:signal("HUP")
+    end
   end,
-  terminate = function()
-    local i = math.random(DAEMONS)
+  terminate = function(fault)
+    local i = fault.daemon
     if stopped[i] then return end
     local old = w.daemons[i]
     old:signal("TERM")
@@ -120,8 +124,8 @@
       daemon_on(i)
     end
   end,
-  freeze = function()
-    local i = math.random(DAEMONS)
+  freeze = function(fault)
+    local i = fault.daemon
     if stopped[i] then return end
     stopped[i] = true
     w.daemons[i]:stop()
@@ -143,22 +147,30 @@
   store_forgets = function()
     return store_fault({forget = true}, {forget = false})
   end,
-  link_slow = function()
-    return link_fault({delay_ms = 300}, {delay_ms = 0})
+  link_slow = function(fault)
+    return link_fault(fault.daemon, {delay_ms = 300}, {delay_ms = 0})
+  end,
+  link_one_way = function(fault)
+    return link_fault(fault.daemon, {one_way = true}, {one_way = false})
+  end,
+  link_silent = function(fault)
+    return link_fault(fault.daemon, {silent = true})
   end,
-  link_one_way = function()
-    return link_fault({one_way = true}, {one_way = false})
+  link_reset = function(fault)
+    return link_fault(fault.daemon, {reset = true})
   end,
-  link_silent = function() return link_fault({silent = true}) end,
-  link_reset = function() return link_fault({reset = true}) end,
-  cut = function() return replica_fault({cut_after = math.random(15)}) end,
-  half = function() return replica_fault({half_after = math.random(15)}) end,
-  shed = function() return replica_fault({shed = true}) end,
-  fail = function() return replica_fault({fail = true}) end,
-  silent = function() w:silence(math.random(REPLICAS)) end,
-  stray = function() return replica_fault({stray = true}) end,
-  leave = function()
-    local i = math.random(REPLICAS)
+  cut = function(fault)
+    return replica_fault(fault.replica, {cut_after = fault.events})
+  end,
+  half = function(fault)
+    return replica_fault(fault.replica, {half_after = fault.events})
+  end,
+  shed = function(fault) return replica_fault(fault.replica, {shed = true}) end,
+  fail = function(fault) return replica_fault(fault.replica, {fail = true}) end,
+  silent = function(fault) w:silence(fault.replica) end,
+  stray = function(fault) return replica_fault(fault.replica, {stray = true}) end,
+  leave = function(fault)
+    local i = fault.replica
     outage_end()
     w:replica(i, "v1", "draining")
     return function()
@@ -171,6 +183,15 @@
 for name in pairs(kinds) do names[#names + 1] = name end
 table.sort(names)
 
+-- One fault of the plan; so many of those under way end after it.
+local function fault_drawn()
+  local ending = 0
+  while math.random() < 0.5 do ending = ending + 1 end
+  return {name = any(names), daemon = math.random(DAEMONS),
+    replica = math.random(REPLICAS), events = math.random(15),
+    pause_ms = math.random(FAULT_MS[1], FAULT_MS[2]), ending = ending}
+end
+
 -- Traffic. --------------------------------------------------------------------
 
 local function call_begin()
@@ -294,16 +315,19 @@
 
 -- The run. ----------------------------------------------------------------------
 
+-- All is drawn before the traffic, which draws as often as time allows.
+local plan = {}
+for i = 1, seconds * 1000 // FAULT_MS[1] do plan[i] = fault_drawn() end
 local finish = run.now() + seconds * 1000
 local ends, counts = {}, {}
-while run.now() < finish do
-  local name = any(names)
-  local back = kinds[name]()
-  counts[name] = (counts[name] or 0) + 1
+for _, fault in ipairs(plan) do
+  if run.now() >= finish then break end
+  local back = kinds[fault.name](fault)
+  counts[fault.name] = (counts[fault.name] or 0) + 1
   if back then ends[#ends + 1] = back end
-  traffic(math.random(200, 900))
-  while #ends > 2 or (#ends > 0 and math.random() < 0.5) do
-    table.remove(ends, 1)()
+  traffic(fault.pause_ms)
+  for _ = 1, math.max(fault.ending, #ends - UNDER_WAY) do
+    if #ends > 0 then table.remove(ends, 1)() end
   end
   if lost and run.now() - off_since[lost] > NAMED_MS + STABLE_MS then
     daemon_on(lost)
--- a/standin/fake.c
+++ b/standin/fake.c
@@ -30,21 +30,51 @@
 	return json_is_integer(value) ? json_integer_value(value) : fallback;
 }
 
+/** A connection that is about to be broken off. */
+typedef struct drop {
+	struct evhttp_connection *conn;
+	struct event *timer;
+} drop_t;
+
+static void
+drop_finish(drop_t *drop)
+{
+	event_free(drop->timer);
+	free(drop);
+}
+
+/* The caller closed it first: the library frees it by itself. */
+static void
+drop_gone(struct evhttp_connection *conn, void *arg)
+{
+	(void)conn;
+	drop_finish(arg);
+}
+
 static void
 drop_now(evutil_socket_t fd, short what, void *arg)
 {
+	drop_t *drop = arg;
+
 	(void)fd;
 	(void)what;
-	evhttp_connection_free(arg);
+	evhttp_connection_set_closecb(drop->conn, NULL, NULL);
+	evhttp_connection_free(drop->conn);
+	drop_finish(drop);
 }
 
 void
 fake_drop(fake_t *fake, struct evhttp_request *req)
 {
 	static const struct timeval soon = {0, 1000};
+	drop_t *drop = calloc(1, sizeof(*drop));
 
-	event_base_once(fake->base, -1, EV_TIMEOUT, drop_now,
-	    evhttp_request_get_connection(req), &soon);
+	if (drop == NULL)
+		return;
+	drop->conn = evhttp_request_get_connection(req);
+	drop->timer = event_new(fake->base, -1, 0, drop_now, drop);
+	evhttp_connection_set_closecb(drop->conn, drop_gone, drop);
+	event_add(drop->timer, &soon);
 }
 
 static void
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -226,6 +226,13 @@
     {timeout_ms = 1000}).status == 200
 end
 
+-- Whether it runs so far that it takes connections.
+function words.listens(daemon)
+  local good, socket = pcall(run.connect, daemon.readiness)
+  if good then run.hang_up(socket) end
+  return good
+end
+
 function words.wait_ready(daemon)
   lib.wait_until("a daemon is ready", function()
     return words.ready(daemon)
--- a/test/scenario/runner.c
+++ b/test/scenario/runner.c
@@ -194,6 +194,16 @@
 	return n;
 }
 
+/* The runner's ways of ending are not those of what it starts. */
+static void
+child_signals(const sigset_t *before)
+{
+	signal(SIGINT, SIG_DFL);
+	signal(SIGTERM, SIG_DFL);
+	signal(SIGPIPE, SIG_DFL);
+	sigprocmask(SIG_SETMASK, before, NULL);
+}
+
 static void
 child_run(char **words, char **variables, const char *log)
 {
@@ -201,6 +211,8 @@
 
 	dup2(fd, STDOUT_FILENO);
 	dup2(fd, STDERR_FILENO);
+	/* Its callers' connections end when the runner hangs up. */
+	close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
 	for (; *variables != NULL; variables++)
 		putenv(*variables);
 	execv(words[0], words);
@@ -208,6 +220,33 @@
 	_exit(127);
 }
 
+/* Start a process, and wait until it runs its program: what is sent to it from
+ * then on meets the program, not a copy of the runner. */
+static pid_t
+process_start(char **words, char **variables, const char *log)
+{
+	int runs[2]; /* closed at its other end once the program runs */
+	sigset_t all, before;
+	char byte;
+	pid_t pid;
+
+	if (pipe2(runs, O_CLOEXEC) != 0)
+		return -1;
+	sigfillset(&all);
+	sigprocmask(SIG_SETMASK, &all, &before);
+	pid = fork();
+	if (pid == 0) {
+		child_signals(&before);
+		child_run(words, variables, log);
+	}
+	sigprocmask(SIG_SETMASK, &before, NULL);
+	close(runs[1]);
+	while (pid > 0 && read(runs[0], &byte, 1) < 0 && errno == EINTR)
+		continue;
+	close(runs[0]);
+	return pid;
+}
+
 /* spawn({program, flag...}, {"NAME=VALUE"...}, log): a process id. */
 static int
 verb_spawn(lua_State *lua)
@@ -221,9 +260,9 @@
 
 	if (process_count == PROCESSES_MAX)
 		return luaL_error(lua, "too many processes");
-	pid = fork();
-	if (pid == 0)
-		child_run(words, variables, log);
+	pid = process_start(words, variables, log);
+	if (pid < 0)
+		return luaL_error(lua, "cannot start %s", words[0]);
 	processes[process_count++] = pid;
 	for (int i = 0; i < word_count; i++)
 		free(words[i]);
