relay: a daemon that starts is told the rows by another, instead of reading them

Change: only the rows of the daemons are read at first; whoever stands first reads the store, the others follow it as soon as the fleet's key is there. The store is read after all 0.4 s after asking somebody who does not answer, 1.5 s after one that answers but knows nothing yet, and 2 s after the start without a key.

--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -19,6 +19,9 @@
 /* How long the first answer of another daemon is waited for before the store is
  * read meanwhile. */
 #define FIRST_ANSWER_MS 400
+/* The same of one that answers, but knows nothing itself yet, for a daemon that
+ * starts: those that start together read the store once, not each. */
+#define FIRST_ROWS_MS 1500
 /* How long the rows of who is followed may be old before it is shunned. */
 #define OLD_MOST_MS 3000
 /* How long somebody who stands after this daemon is followed before the store
@@ -130,7 +133,7 @@
 		followed_shun(self, SHUN_MS, "behind");
 		return;
 	}
-	for (int i = 0; i < ROW_TABLES; i++) {
+	for (int i = 0; row_source_settled(self) && i < ROW_TABLES; i++) {
 		if (table_old(self, answer, (row_table_t)i))
 			row_source_beside(self, (row_table_t)i);
 	}
@@ -195,6 +198,7 @@
     row_source_t *self, const feed_answer_t *answer, struct timespec sent)
 {
 	membership_answered(self->members, self->followed, sent);
+	self->followed_answers = true;
 	if (answer_useless(self, answer))
 		return;
 	row_answer_take(self, answer, sent);
@@ -235,7 +239,8 @@
 	row_source_t *self = arg;
 
 	event_line(self->log, "slow", "source=%s", self->followed);
-	row_source_beside(self, ROW_TABLE_ENDPOINTS);
+	if (row_source_settled(self))
+		row_source_beside(self, ROW_TABLE_ENDPOINTS);
 }
 
 static void
@@ -347,8 +352,11 @@
 	self->followed_source = 0;
 	self->followed_change = 0;
 	self->followed_since = clock_elapsed(self->clock);
-	if (!feed_client_follow(&self->client, address))
-		self->followed[0] = '\0';
+	self->followed_answers = false;
+	if (feed_client_follow(&self->client, address))
+		return;
+	self->followed[0] = '\0';
+	row_source_suspend(self, false);
 }
 
 /* Whether the store does not answer this daemon, as far as it has asked. */
@@ -379,6 +387,7 @@
 		follow_stop(self, "no_parent");
 		return;
 	}
+	row_source_suspend(self, false);
 	next = membership_next(self->members);
 	if (next == NULL || !row_source_settled(self) || !store_is_lost(self))
 		return;
@@ -386,6 +395,18 @@
 	follow(self, next);
 }
 
+/* Whoever is followed anew has a moment to answer. */
+static bool
+first_wait_over(const row_source_t *self)
+{
+	int64_t ms = self->followed_answers && !row_source_settled(self)
+	    ? FIRST_ROWS_MS
+	    : FIRST_ANSWER_MS;
+
+	return timespec_ms_between(
+		   self->followed_since, clock_elapsed(self->clock)) >= ms;
+}
+
 void
 row_follow_tick(row_source_t *self)
 {
@@ -399,16 +420,13 @@
 		first_step(self);
 		return;
 	}
-	if (self->followed[0] == '\0' && !row_source_settled(self))
+	if (!self->watches[ROW_TABLE_OWN].watch.settled_once)
 		return;
 	if (strcmp(parent->name, self->followed) != 0) {
 		self->down = false;
 		self->following = false;
 		follow(self, parent);
 	}
-	/* Whoever is followed anew has a moment to answer. */
-	if (!self->following &&
-	    timespec_ms_between(self->followed_since,
-		clock_elapsed(self->clock)) >= FIRST_ANSWER_MS)
+	if (!self->following && first_wait_over(self))
 		row_source_suspend(self, false);
 }
--- a/moortack/relay/row_source.c
+++ b/moortack/relay/row_source.c
@@ -8,6 +8,10 @@
 /* Rows that are gone are told of for a minute: who knows less has to be told
  * all. */
 #define VERSIONS_KNOWN_MS 20000
+/* A daemon that starts reads only the rows of the daemons, and is told the
+ * others by the one that it follows; for so long it waits for the key to ask
+ * with. */
+#define KEY_WAIT_MS 2000
 
 static source_watch_t *
 watch_at(row_source_t *self, row_table_t table)
@@ -111,12 +115,13 @@
 	membership_hold(self->members,
 	    !self->watches[ROW_TABLE_PROBE].watch.reachable &&
 		row_source_settled(self) && !self->following);
-	if (!self->keyed) {
-		if (self->context == NULL)
-			fleet_key_look(self);
-		return;
-	}
-	row_follow_tick(self);
+	if (!self->keyed && self->context == NULL)
+		fleet_key_look(self);
+	if (self->keyed)
+		row_follow_tick(self);
+	else if (timespec_ms_between(self->began, clock_elapsed(self->clock)) >=
+	    KEY_WAIT_MS)
+		row_source_suspend(self, false);
 }
 
 /* A row as the store has it. If that is news here, whoever is followed may not
@@ -197,6 +202,8 @@
 		feed_server_refresh(&self->server);
 	self->ops->store_clock(self->arg, reply->now_ms);
 	self->ops->settled(self->arg, watch->table, whole);
+	if (watch->table == ROW_TABLE_OWN && !row_source_settled(self))
+		row_source_tick(self);
 }
 
 static void
@@ -235,7 +242,11 @@
 			self->clock, self->settings.tables[i],
 			&self->settings.paces[i], &watch_ops, watch))
 			return false;
+		self->idle[i] = i != ROW_TABLE_OWN &&
+		    self->settings.peer_address[0] != '\0';
 	}
+	self->began = clock_elapsed(self->clock);
+	watches_apply(self);
 	return true;
 }
 
--- a/test/platform/standin_store.c
+++ b/test/platform/standin_store.c
@@ -3,7 +3,8 @@
  * A small stand-in of the platform's store: rows in tables with versions from
  * one counter, a feed that holds a question, transactions under conditions.
  *
- * Faults: "down"; "forget" drops the history up to now.
+ * GET /calls counts the calls by kind and table. Faults: "down"; "forget" drops
+ * the history up to now.
  */
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -41,6 +42,7 @@
 	uint64_t version;
 	held_t *held;
 	uint64_t forgotten; /**< changes up to this version are not known */
+	json_t *calls;	    /**< by kind and table */
 } store_t;
 
 static store_t store;
@@ -257,6 +259,17 @@
 	held_flush(&store.fake);
 }
 
+static void
+call_count(const char *path, const char *table)
+{
+	char name[KEY_SIZE + KEY_SIZE];
+	json_int_t count;
+
+	snprintf(name, sizeof(name), "%s %s", path, table);
+	count = json_integer_value(json_object_get(store.calls, name));
+	json_object_set_new(store.calls, name, json_integer(count + 1));
+}
+
 static void
 serve(struct fake *fake, struct evhttp_request *req)
 {
@@ -266,6 +279,11 @@
 
 	(void)fake;
 	http_request_query(req, "table", table, sizeof(table));
+	if (strcmp(path, "/calls") == 0) {
+		http_answer_json(req, 200, json_deep_copy(store.calls));
+		return;
+	}
+	call_count(path, table);
 	if (strcmp(path, "/-/rows-tx") == 0)
 		transaction(req);
 	else if (strcmp(path, "/-/rows-get") == 0)
@@ -295,6 +313,7 @@
 main(int argc, const char **argv)
 {
 	store.version = 1;
+	store.calls = json_object();
 	store.fake.request = serve;
 	store.fake.fault = fault;
 	store.fake.sample = held_flush;
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -58,6 +58,12 @@
   return answer.json and answer.json.rows or {}
 end
 
+-- How often the store was asked so far: by kind and table.
+function World:calls(kind, tbl)
+  local calls = lib.http("GET", self.store.address, "/calls").json
+  return calls["/-/" .. kind .. " " .. tbl] or 0
+end
+
 function World:configure(keys, models)
   self.version = (self.version or 0) + 3
   local function route(name, prefix, kind, more)
