relay: who starts waits for its first rows by the size of the fleet

Change: who starts reads the store itself after 5 ms for each daemon that it knows of, at most 0.4 s (no answer) or 1.5 s (an answer without rows): no longer than the store would need if all of them read. The wait has a timer of its own.

--- a/include/moortack/relay/row_source.h
+++ b/include/moortack/relay/row_source.h
@@ -82,8 +82,9 @@
 	uint32_t lost_answers;	    /**< in a row */
 	struct timespec lost_until; /**< nobody is followed before */
 	struct timespec began;
-	bool followed_answers; /**< who is followed has answered */
-	bool old;	       /**< the rows of who is followed are old */
+	struct event *first_wait; /**< for the first rows, by who starts */
+	bool followed_answers;	  /**< who is followed has answered */
+	bool old;		  /**< the rows of who is followed are old */
 	struct timespec old_since;
 	bool taking; /**< a row that is told now comes from another daemon */
 	bool taking_less; /**< which knows less of what is kept back here */
--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -4,6 +4,8 @@
 
 #include "row_source_priv.h"
 
+#define MS_PER_SEC 1000
+#define US_PER_MS 1000
 /* A daemon that failed is not followed again for this long. */
 #define SHUN_MS 3000
 /* The same for one that the store does not answer: longer than it takes to look
@@ -20,8 +22,12 @@
  * read meanwhile. */
 #define FIRST_ANSWER_MS 400
 /* The same of one that answers, but knows nothing itself yet, for a daemon that
- * starts: those that start together read the store once, not each. */
+ * starts. */
 #define FIRST_ROWS_MS 1500
+/* A daemon that starts waits no longer than the store would need for whole
+ * reads of all daemons, if all of them started now: a small fleet starts as
+ * fast as it can read, a large one reads once. */
+#define FIRST_PER_MEMBER_MS 5
 /* How long the rows of who is followed may be old before it is shunned. */
 #define OLD_MOST_MS 3000
 /* How long somebody who stands after this daemon is followed before the store
@@ -318,6 +324,8 @@
 
 static const feed_server_ops_t server_ops = {on_state, on_heard};
 
+static void on_first_wait(evutil_socket_t, short, void *);
+
 void
 row_follow_start(row_source_t *self, const char *secret)
 {
@@ -337,11 +345,50 @@
 		event_line(self->log, "peers_failed", "address=%s", address);
 		return;
 	}
+	self->first_wait = event_new(self->base, -1, 0, on_first_wait, self);
 	self->keyed = true;
 	if (self->ops->secret != NULL)
 		self->ops->secret(self->arg, secret);
 }
 
+/* Whoever is followed anew has a moment to answer. */
+static int64_t
+first_wait_ms(const row_source_t *self)
+{
+	int64_t most = self->followed_answers ? FIRST_ROWS_MS : FIRST_ANSWER_MS;
+	int64_t all =
+	    FIRST_PER_MEMBER_MS * (int64_t)membership_count(self->members);
+
+	if (row_source_settled(self))
+		return FIRST_ANSWER_MS;
+	return all < most ? all : most;
+}
+
+static void
+first_wait_start(row_source_t *self)
+{
+	int64_t ms = first_wait_ms(self);
+	struct timeval time = {ms / MS_PER_SEC, ms % MS_PER_SEC * US_PER_MS};
+
+	if (self->first_wait != NULL)
+		event_add(self->first_wait, &time);
+}
+
+static bool
+first_wait_over(const row_source_t *self)
+{
+	return timespec_ms_between(self->followed_since,
+		   clock_elapsed(self->clock)) >= first_wait_ms(self);
+}
+
+static void
+on_first_wait(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	row_follow_tick(arg);
+}
+
 static void
 follow(row_source_t *self, const member_t *member)
 {
@@ -353,8 +400,10 @@
 	self->followed_change = 0;
 	self->followed_since = clock_elapsed(self->clock);
 	self->followed_answers = false;
-	if (feed_client_follow(&self->client, address))
+	if (feed_client_follow(&self->client, address)) {
+		first_wait_start(self);
 		return;
+	}
 	self->followed[0] = '\0';
 	row_source_suspend(self, false);
 }
@@ -395,18 +444,6 @@
 	follow(self, next);
 }
 
-/* Whoever is followed anew has a moment to answer. */
-static bool
-first_wait_over(const row_source_t *self)
-{
-	int64_t ms = self->followed_answers && !row_source_settled(self)
-	    ? FIRST_ROWS_MS
-	    : FIRST_ANSWER_MS;
-
-	return timespec_ms_between(
-		   self->followed_since, clock_elapsed(self->clock)) >= ms;
-}
-
 void
 row_follow_tick(row_source_t *self)
 {
--- a/moortack/relay/row_source.c
+++ b/moortack/relay/row_source.c
@@ -253,6 +253,8 @@
 void
 row_source_finish(row_source_t *self)
 {
+	if (self->first_wait != NULL)
+		event_free(self->first_wait);
 	feed_client_finish(&self->client);
 	feed_server_finish(&self->server);
 	if (self->context != NULL)
