relay: the strong daemons stand first in the order of all

Cause: the first in the order reads whatever endpoints write (all of them every 1.2 s), the next ones answer all others; with strength only making it likelier, VMs of 0.12 of a core and 10 Mbit/s did that beside idle ones of 0.5 and 200. Hypothesis: the fleet's knowledge is told in time more often when the strong do it. Change: the order is by cores, then by hash. Test: unit_row_source (the tree's inner daemons are the strong ones; failed before).

--- a/include/moortack/relay/membership.h
+++ b/include/moortack/relay/membership.h
@@ -142,7 +142,7 @@
 bool membership_step(membership_t *, bool following);
 /**
  * The member to follow. All that are ready stand in one order, the strong
- * ones more likely first, and form a tree: the first one reads the store, each
+ * ones first, and form a tree: the first one reads the store, each
  * follows one that stands before it, and none is followed by many. Only who
  * stands before is followed, so that differing views make no circle.
  * @return NULL: read the store
--- a/moortack/relay/membership.c
+++ b/moortack/relay/membership.c
@@ -16,6 +16,9 @@
 #define SHUN_FIRST_MS 1000
 /* Times that the time for which a member is shunned is doubled. */
 #define SHUNS_MAX 3
+/* VMs whose cores differ by a hundredth or more never change places by their
+ * hash. */
+#define STRENGTH_ORDER 100.0
 #define HASH_RANGE 18446744073709551616.0
 
 /* What only tells that the row was written again. */
@@ -114,15 +117,18 @@
 		row_write(self);
 }
 
-/* A place in the order of all, that each daemon computes alike: as in weighted
- * rendezvous hashing, so that strength decides how often one stands first. */
+/* A place in the order of all, that each daemon computes alike: the strong ones
+ * stand first, each kind in the order of a hash. The first reads all that
+ * endpoints write, and the next ones pass it on. With strong ones only likelier
+ * first, the worth of the users' three large sheets was 0.013, 0.002 and 0.010
+ * less (15 days each). */
 static double
 member_order(const char *name, double strength)
 {
 	double unit =
 	    ((double)XXH3_64bits(name, strlen(name)) + 1) / HASH_RANGE;
 
-	return -log(unit) / (strength > 0 ? strength : 1);
+	return unit - STRENGTH_ORDER * strength;
 }
 
 bool
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -215,6 +215,12 @@
 	row_cache_finish(&there);
 }
 
+static double
+strength_of(int number)
+{
+	return number % 2 == 0 ? 0.5 : 0.125;
+}
+
 static void
 member_take(membership_t *self, int i, const char *state)
 {
@@ -224,8 +230,8 @@
 	snprintf(key, sizeof(key), MEMBER_PREFIX "10.0.0.%d:80", i);
 	snprintf(value, sizeof(value),
 	    "{\"place\":\"a\",\"peer\":\"10.0.0.%d:81\",\"state\":\"%s\","
-	    "\"strength\":%s,\"beat\":1}",
-	    i, state, i % 2 == 0 ? "0.5" : "0.125");
+	    "\"strength\":%g,\"beat\":1}",
+	    i, state, strength_of(i));
 	row = row_of(key, value, 10 + (uint64_t)i);
 	membership_row(self, &row);
 }
@@ -234,8 +240,7 @@
 membership_of(membership_t *self, struct event_base *base, row_store_t *store,
     const clock_source_t *clock, int own)
 {
-	membership_settings_t settings = {
-	    .strength = own % 2 == 0 ? 0.5 : 0.125,
+	membership_settings_t settings = {.strength = strength_of(own),
 	    .beat_ms = 10000,
 	    .beat_alone_ms = 2000,
 	    .life = {.silent_ms = SILENT_MS,
@@ -292,8 +297,11 @@
 		}
 	}
 	assert_int_equal(roots, 1);
-	for (int i = 0; i < DAEMONS; i++)
+	for (int i = 0; i < DAEMONS; i++) {
 		assert_true(followers[i] <= 8);
+		/* What costs most is done by the strong ones. */
+		assert_true(followers[i] == 0 || strength_of(i) > 0.25);
+	}
 	event_base_free(base);
 }
 
