relay: callers of a large fleet are told of all its daemons, not of the first 64

Cause: an answer of the directory holds 64 addresses; each daemon filled it in the order in which it had learned of the others, nearly the same one everywhere. 27 of 91 VMs got no caller, and of 810 nine in ten would get none. Change: entries.c: where there are more than fit, each daemon tells of those that stand first in an order of its own (weighted rendezvous hashing, by cores): together they tell of all, the strong ones more often, and each tells of the same ones as long as they stay, since callers give up connections to who is told no longer. Weighed: drawing anew for each answer (callers would change connections with each).

--- /dev/null
+++ b/include/moortack/relay/entries.h
@@ -0,0 +1,30 @@
+/**
+ * @file
+ * The daemons that callers are told to use. Where there are more than an answer
+ * holds, each daemon tells of others of them: the strong ones likelier, and the
+ * same ones each time, since callers give up connections to who is told no
+ * longer.
+ */
+#ifndef MOORTACK_RELAY_ENTRIES_H
+#define MOORTACK_RELAY_ENTRIES_H
+
+#include "moortack/relay/membership.h"
+
+/** One daemon; the texts are the membership's. */
+typedef struct entry {
+	const char *address;
+	const char *place;
+	double order; /**< in which this daemon prefers them */
+} entry_t;
+
+/**
+ * @param own whether this daemon takes callers itself
+ * @param entries room for @p most
+ * @return how many were filled in
+ */
+size_t
+entries_fill(const membership_t *, bool own, entry_t *entries, size_t most);
+/** How many there are. */
+size_t entries_count(const membership_t *, bool own);
+
+#endif
--- a/include/moortack/relay/membership.h
+++ b/include/moortack/relay/membership.h
@@ -32,6 +32,7 @@
 	char name[MEMBER_NAME_SIZE]; /**< its address for callers */
 	char place[MEMBER_NAME_SIZE];
 	char peer[MEMBER_NAME_SIZE]; /**< its address for other daemons */
+	double strength;	     /**< of its VM: cores */
 	double order; /**< where it stands among all; see member_order() */
 	member_state_t state;
 	json_t *report;		 /**< what it reports besides; may be NULL */
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -89,8 +89,4 @@
 
 bool relay_node_ready(const relay_node_t *);
 
-/** Name each daemon that callers may use; false from @p each ends it. */
-void relay_node_entries(const relay_node_t *,
-    bool (*each)(void *arg, const char *address, const char *place), void *arg);
-
 #endif
--- a/moortack/relay/membership.c
+++ b/moortack/relay/membership.c
@@ -269,8 +269,9 @@
 	member->state =
 	    state_of(json_string_value(json_object_get(value, "state")));
 	text_take(value, "place", member->place, sizeof(member->place));
-	member->order = member_order(
-	    name, json_number_value(json_object_get(value, "strength")));
+	member->strength =
+	    json_number_value(json_object_get(value, "strength"));
+	member->order = member_order(name, member->strength);
 	text_take(value, "peer", member->peer, sizeof(member->peer));
 	report = json_object_get(value, "report");
 	if (report != NULL) {
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -369,18 +369,3 @@
 {
 	return !node->leaving && relay_ready(&node->relay);
 }
-
-void
-relay_node_entries(const relay_node_t *node,
-    bool (*each)(void *arg, const char *address, const char *place), void *arg)
-{
-	if (relay_node_ready(node) &&
-	    !each(arg, node->settings.name, node->settings.place))
-		return;
-	for (const member_t *one = node->members.members; one != NULL;
-	     one = one->hh.next) {
-		if (membership_named(&node->members, one) &&
-		    !each(arg, one->name, one->place))
-			return;
-	}
-}
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -16,6 +16,7 @@
 
 #include "../support/bytes_same.h"
 #include "../support/manual_clock.h"
+#include "../support/many_members.h"
 #include "../support/silent_store.h"
 #include "moortack/relay/feed_apply.h"
 #include "moortack/relay/feed_wire.h"
@@ -25,7 +26,6 @@
 #include "moortack/relay/row_watch.h"
 
 #define DAEMONS 40
-#define SILENT_MS 4500
 #define STEP_MS 250
 
 static row_t
@@ -215,48 +215,6 @@
 	row_cache_finish(&there);
 }
 
-static double
-strength_of(int number)
-{
-	return number % 2 == 0 ? 0.5 : 0.125;
-}
-
-static void
-member_take(membership_t *self, int i, const char *state)
-{
-	char key[64], value[160];
-	row_t row;
-
-	snprintf(key, sizeof(key), MEMBER_PREFIX "10.0.0.%d:80", i);
-	snprintf(value, sizeof(value),
-	    "{\"place\":\"a\",\"peer\":\"10.0.0.%d:81\",\"state\":\"%s\","
-	    "\"strength\":%g,\"beat\":1}",
-	    i, state, strength_of(i));
-	row = row_of(key, value, 10 + (uint64_t)i);
-	membership_row(self, &row);
-}
-
-static void
-membership_of(membership_t *self, struct event_base *base, row_store_t *store,
-    const clock_source_t *clock, int own)
-{
-	membership_settings_t settings = {.strength = strength_of(own),
-	    .beat_ms = 10000,
-	    .beat_alone_ms = 2000,
-	    .life = {.silent_ms = SILENT_MS,
-		.vouch_ms = 5000,
-		.grant_ms = 2500,
-		.lone_ms = 25000}};
-
-	snprintf(settings.name, sizeof(settings.name), "10.0.0.%d:80", own);
-	assert_true(membership_init(self, base, store, clock, NULL, &settings));
-	self->state = MEMBER_READY;
-	for (int i = 0; i < DAEMONS; i++) {
-		if (i != own)
-			member_take(self, i, "ready");
-	}
-}
-
 static int
 parent_number(membership_t *self)
 {
@@ -281,7 +239,7 @@
 	for (int i = 0; i < DAEMONS; i++) {
 		membership_t self;
 
-		membership_of(&self, base, &store, &clock.source, i);
+		membership_of(&self, base, &store, &clock.source, i, DAEMONS);
 		parents[i] = parent_number(&self);
 		membership_finish(&self);
 	}
@@ -315,7 +273,7 @@
 	const member_t *first, *second;
 
 	(void)state;
-	membership_of(&self, base, &store, &clock.source, 1);
+	membership_of(&self, base, &store, &clock.source, 1, DAEMONS);
 	first = membership_parent(&self);
 	assert_non_null(first);
 	membership_shun(&self, first->name, 3000);
@@ -342,7 +300,7 @@
 		membership_t self;
 		const member_t *next;
 
-		membership_of(&self, base, &store, &clock.source, i);
+		membership_of(&self, base, &store, &clock.source, i, DAEMONS);
 		next = membership_next(&self);
 		if (membership_parent(&self) == NULL) {
 			firsts++;
@@ -377,7 +335,7 @@
 	membership_t self;
 
 	(void)state;
-	membership_of(&self, base, &store, &clock.source, 1);
+	membership_of(&self, base, &store, &clock.source, 1, DAEMONS);
 	assert_int_equal(membership_count(&self), DAEMONS);
 	membership_heard(&self, "10.0.0.3:80", NULL);
 	/* Silent ones are not yet taken for dead. */
@@ -411,7 +369,7 @@
 	    .server = {.lost = true}};
 
 	(void)state;
-	membership_of(&members, base, &store, &clock.source, 1);
+	membership_of(&members, base, &store, &clock.source, 1, DAEMONS);
 	row_cache_init(&source.cache, &clock.source, bytes_same, NULL);
 	strcpy(source.settings.peer_address, "10.0.0.1:81");
 	members.order = -1; /* nobody stands before it */
@@ -437,9 +395,9 @@
 	json_t *below;
 
 	(void)state;
-	membership_of(&leaf_parent, base, &store, &clock.source, 3);
-	membership_of(&between, base, &store, &clock.source, 2);
-	membership_of(&first, base, &store, &clock.source, 1);
+	membership_of(&leaf_parent, base, &store, &clock.source, 3, DAEMONS);
+	membership_of(&between, base, &store, &clock.source, 2, DAEMONS);
+	membership_of(&first, base, &store, &clock.source, 1, DAEMONS);
 	membership_heard(&leaf_parent, "10.0.0.9:80", NULL);
 	clock.now.tv_sec += 2;
 	below = membership_below(&leaf_parent);
