relay: of many endpoints the same ones are weighed everywhere, at a cost that stays

Cause: at most 256 endpoints of a service are weighed for a request: those that a daemon had learned of last, others at each. What prompts share was then read at more endpoints than need be, and which version most endpoints have was counted by comparing each with each: 9 million comparisons for 3,000. Change: a service's endpoints stand in a ring by their hash (endpoint_group.c); the ones weighed are those that follow on the hash of what the prompt shares. Versions are counted once each. caller_targets and their type have names of their own: the product's own API has entries. Test: unit_candidates (two daemons that learn in other orders weigh the same ones; each endpoint is weighed for some prompt; both failed before).

--- a/include/moortack/relay/entries.h
+++ b/include/moortack/relay/caller_targets.h
@@ -5,26 +5,26 @@
  * same ones each time, since callers give up connections to who is told no
  * longer.
  */
-#ifndef MOORTACK_RELAY_ENTRIES_H
-#define MOORTACK_RELAY_ENTRIES_H
+#ifndef MOORTACK_RELAY_CALLER_TARGETS_H
+#define MOORTACK_RELAY_CALLER_TARGETS_H
 
 #include "moortack/relay/membership.h"
 
 /** One daemon; the texts are the membership's. */
-typedef struct entry {
+typedef struct caller_target {
 	const char *address;
 	const char *place;
 	double order; /**< in which this daemon prefers them */
-} entry_t;
+} caller_target_t;
 
 /**
  * @param own whether this daemon takes callers itself
- * @param entries room for @p most
+ * @param targets room for @p most
  * @return how many were filled in
  */
-size_t
-entries_fill(const membership_t *, bool own, entry_t *entries, size_t most);
+size_t caller_targets_fill(
+    const membership_t *, bool own, caller_target_t *targets, size_t most);
 /** How many there are. */
-size_t entries_count(const membership_t *, bool own);
+size_t caller_targets_count(const membership_t *, bool own);
 
 #endif
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -79,12 +79,14 @@
 	uint32_t short_hash;	 /**< the same, as other daemons tell it */
 	UT_hash_handle hh;	 /**< by id */
 	UT_hash_handle hh_short; /**< by short_hash */
-	endpoint_t *next_of_service;
 };
 
+/** The endpoints of a service. */
 typedef struct endpoint_group {
 	char service[ENDPOINT_NAME_SIZE];
-	endpoint_t *first;
+	endpoint_t **ring; /**< by hash: all daemons have the same order */
+	size_t len;
+	size_t cap;
 	char base_version[ENDPOINT_NAME_SIZE]; /**< "": not known yet */
 	UT_hash_handle hh;
 } endpoint_group_t;
@@ -111,6 +113,12 @@
 /** How many said that they leave. */
 uint32_t endpoint_set_leaving(const endpoint_set_t *);
 
+/** @return false: out of memory */
+bool endpoint_group_add(endpoint_group_t *, endpoint_t *);
+void endpoint_group_remove(endpoint_group_t *, const endpoint_t *);
+/** The place in the ring of the first endpoint from this hash on; the ring's
+ * length: there is none. */
+size_t endpoint_group_from(const endpoint_group_t *, uint64_t hash);
 /** Learn, once, which version most endpoints of a service have while none is
  * ordered: others are not used until an order names them. */
 void endpoint_group_learn(endpoint_group_t *);
--- a/moortack/relay/entries.c
+++ b/moortack/relay/caller_targets.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/entries.h"
+#include "moortack/relay/caller_targets.h"
 
 #include <math.h>
 #include <string.h>
@@ -22,44 +22,45 @@
 /* Keep the first in the order.
  * @return how many there are now */
 static size_t
-entry_insert(entry_t *entries, size_t len, size_t most, const entry_t *entry)
+target_insert(caller_target_t *targets, size_t len, size_t most,
+    const caller_target_t *target)
 {
 	size_t at = len;
 
-	while (at > 0 && entries[at - 1].order > entry->order)
+	while (at > 0 && targets[at - 1].order > target->order)
 		at--;
 	if (at == most)
 		return len;
 	if (len < most)
 		len++;
-	memmove(&entries[at + 1], &entries[at],
-	    (len - at - 1) * sizeof(entries[0]));
-	entries[at] = *entry;
+	memmove(&targets[at + 1], &targets[at],
+	    (len - at - 1) * sizeof(targets[0]));
+	targets[at] = *target;
 	return len;
 }
 
 size_t
-entries_fill(
-    const membership_t *members, bool own, entry_t *entries, size_t most)
+caller_targets_fill(const membership_t *members, bool own,
+    caller_target_t *targets, size_t most)
 {
 	const membership_settings_t *self = &members->settings;
-	entry_t entry = {self->name, self->place,
+	caller_target_t target = {self->name, self->place,
 	    own_order(members, self->name, self->strength)};
-	size_t len = own ? entry_insert(entries, 0, most, &entry) : 0;
+	size_t len = own ? target_insert(targets, 0, most, &target) : 0;
 
 	for (const member_t *one = members->members; one != NULL;
 	     one = one->hh.next) {
 		if (!membership_named(members, one))
 			continue;
-		entry = (entry_t){one->name, one->place,
+		target = (caller_target_t){one->name, one->place,
 		    own_order(members, one->name, one->strength)};
-		len = entry_insert(entries, len, most, &entry);
+		len = target_insert(targets, len, most, &target);
 	}
 	return len;
 }
 
 size_t
-entries_count(const membership_t *members, bool own)
+caller_targets_count(const membership_t *members, bool own)
 {
 	size_t count = own;
 
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -34,21 +34,6 @@
 	return group;
 }
 
-static void
-group_remove(endpoint_set_t *set, endpoint_t *endpoint)
-{
-	endpoint_group_t *group =
-	    endpoint_set_group(set, endpoint->facts.service);
-
-	for (endpoint_t **at = &group->first; *at != NULL;
-	     at = &(*at)->next_of_service) {
-		if (*at == endpoint) {
-			*at = endpoint->next_of_service;
-			return;
-		}
-	}
-}
-
 void
 endpoint_drop_links(endpoint_t *endpoint)
 {
@@ -85,7 +70,8 @@
 {
 	HASH_DEL(set->endpoints, endpoint);
 	HASH_DELETE(hh_short, set->by_short, endpoint);
-	group_remove(set, endpoint);
+	endpoint_group_remove(
+	    endpoint_set_group(set, endpoint->facts.service), endpoint);
 	endpoint->present = false;
 	endpoint_drop_links(endpoint);
 	endpoint_release(endpoint);
@@ -102,6 +88,7 @@
 	HASH_ITER(hh, set->groups, group, next_group)
 	{
 		HASH_DEL(set->groups, group);
+		free(group->ring);
 		free(group);
 	}
 }
@@ -144,28 +131,6 @@
 	return group;
 }
 
-void
-endpoint_group_learn(endpoint_group_t *group)
-{
-	uint32_t best = 0;
-
-	if (group->base_version[0] != '\0')
-		return;
-	for (endpoint_t *one = group->first; one != NULL;
-	     one = one->next_of_service) {
-		uint32_t same = 0;
-
-		for (endpoint_t *other = group->first; other != NULL;
-		     other = other->next_of_service)
-			same += strcmp(one->facts.version,
-				    other->facts.version) == 0;
-		if (same > best) {
-			best = same;
-			strcpy(group->base_version, one->facts.version);
-		}
-	}
-}
-
 void
 endpoint_set_learn(endpoint_set_t *set)
 {
@@ -199,14 +164,16 @@
 		free(endpoint);
 		return NULL;
 	}
+	endpoint->hash = XXH3_64bits(facts->id, strlen(facts->id));
+	if (!endpoint_group_add(group, endpoint)) {
+		free(endpoint);
+		return NULL;
+	}
 	endpoint->facts = *facts;
 	endpoint->set = set;
 	endpoint->shared = 1;
 	endpoint->present = true;
 	read_queue_init(&endpoint->unread);
-	endpoint->hash = XXH3_64bits(facts->id, strlen(facts->id));
-	endpoint->next_of_service = group->first;
-	group->first = endpoint;
 	HASH_ADD_KEYPTR(hh, set->endpoints, endpoint->facts.id,
 	    strlen(endpoint->facts.id), endpoint);
 	endpoint->short_hash = (uint32_t)endpoint->hash;
--- a/moortack/relay/relay_candidates.c
+++ b/moortack/relay/relay_candidates.c
@@ -66,17 +66,21 @@
 	    (endpoint->idle != NULL || endpoint->connections < connections);
 }
 
+/* Of more endpoints than are weighed, those that follow in the ring on what the
+ * prompt shares: all daemons weigh the same ones for the same part. */
 static void
 candidates_find(const relay_request_t *req, const endpoint_group_t *group,
     const rollout_t *rollout, version_class_t wanted, candidates_t *out)
 {
 	const relay_t *relay = req->relay;
 	uint32_t connections = connections_share(req);
+	size_t from = endpoint_group_from(
+	    group, req->shared != 0 ? req->shared : req->spread);
 
 	out->len = 0;
-	for (endpoint_t *one = group->first;
-	     one != NULL && out->len < CANDIDATES_MAX;
-	     one = one->next_of_service) {
+	for (size_t i = 0; i < group->len && out->len < CANDIDATES_MAX; i++) {
+		endpoint_t *one = group->ring[(from + i) % group->len];
+
 		if (!endpoint_fits(req, one, connections) ||
 		    !version_fits(group, rollout, wanted, one))
 			continue;
@@ -149,9 +153,8 @@
 static bool
 group_has(const endpoint_group_t *group, const char *version)
 {
-	for (const endpoint_t *one = group->first; one != NULL;
-	     one = one->next_of_service) {
-		if (strcmp(one->facts.version, version) == 0)
+	for (size_t i = 0; i < group->len; i++) {
+		if (strcmp(group->ring[i]->facts.version, version) == 0)
 			return true;
 	}
 	return false;
--- a/test/unit/entries_test.c
+++ b/test/unit/caller_targets_test.c
@@ -16,7 +16,7 @@
 #include "../support/manual_clock.h"
 #include "../support/many_members.h"
 #include "../support/silent_store.h"
-#include "moortack/relay/entries.h"
+#include "moortack/relay/caller_targets.h"
 
 #define DAEMONS 300
 #define MOST 64
@@ -29,11 +29,11 @@
 } world_t;
 
 static int
-number_of(const entry_t *entry)
+number_of(const caller_target_t *target)
 {
 	int number;
 
-	assert_int_equal(sscanf(entry->address, "10.0.0.%d:", &number), 1);
+	assert_int_equal(sscanf(target->address, "10.0.0.%d:", &number), 1);
 	return number;
 }
 
@@ -72,14 +72,14 @@
 told_count(world_t *world, int told[DAEMONS])
 {
 	for (int i = 0; i < ANSWERS; i++) {
-		entry_t entries[MOST];
+		caller_target_t targets[MOST];
 		membership_t self;
 
 		daemon_begin(world, &self, i, DAEMONS);
 		assert_int_equal(
-		    entries_fill(&self, true, entries, MOST), MOST);
+		    caller_targets_fill(&self, true, targets, MOST), MOST);
 		for (int j = 0; j < MOST; j++)
-			told[number_of(&entries[j])]++;
+			told[number_of(&targets[j])]++;
 		membership_finish(&self);
 	}
 }
@@ -104,13 +104,13 @@
 static void
 a_small_fleet_is_told_whole(void **state)
 {
-	entry_t entries[MOST];
+	caller_target_t targets[MOST];
 	membership_t self;
 
 	daemon_begin(*state, &self, 1, 9);
-	assert_int_equal(entries_fill(&self, true, entries, MOST), 9);
-	assert_int_equal(entries_fill(&self, false, entries, MOST), 8);
-	assert_int_equal(entries_count(&self, true), 9);
+	assert_int_equal(caller_targets_fill(&self, true, targets, MOST), 9);
+	assert_int_equal(caller_targets_fill(&self, false, targets, MOST), 8);
+	assert_int_equal(caller_targets_count(&self, true), 9);
 	membership_finish(&self);
 }
 
@@ -118,15 +118,15 @@
 static void
 who_goes_changes_no_other(void **state)
 {
-	entry_t before[MOST], after[MOST];
+	caller_target_t before[MOST], after[MOST];
 	membership_t self;
 	int gone, same = 0;
 
 	daemon_begin(*state, &self, 1, DAEMONS);
-	entries_fill(&self, true, before, MOST);
+	caller_targets_fill(&self, true, before, MOST);
 	gone = number_of(&before[MOST / 2]);
 	member_take(&self, gone, "leaving");
-	assert_int_equal(entries_fill(&self, true, after, MOST), MOST);
+	assert_int_equal(caller_targets_fill(&self, true, after, MOST), MOST);
 	for (int i = 0; i < MOST; i++) {
 		assert_int_not_equal(number_of(&after[i]), gone);
 		for (int j = 0; j < MOST; j++)
--- /dev/null
+++ b/test/unit/candidates_test.c
@@ -0,0 +1,163 @@
+/**
+ * @file
+ * Endpoints that are weighed for a request where there are more than there is
+ * room for: they were the 256 that a daemon had learned of last, others at each
+ * daemon, so that what one prompt shares with others was read anew at more
+ * endpoints than need be, and the endpoints that came first got no request.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "../../moortack/relay/relay_candidates.h"
+#include "../support/manual_clock.h"
+
+#define ENDPOINTS 1000
+#define PROMPTS 60
+
+/** A daemon, as far as it chooses. */
+typedef struct chooser {
+	manual_clock_t clock;
+	endpoint_set_t endpoints;
+	rollouts_t rollouts;
+	relay_t relay;
+	relay_request_t request;
+	candidates_t candidates;
+} chooser_t;
+
+static void
+endpoint_learn(chooser_t *chooser, int number)
+{
+	endpoint_facts_t facts = {.service = "lm",
+	    .version = "v1",
+	    .place = "a",
+	    .slots = 8,
+	    .address = {"10.0.0.1", 80}};
+
+	snprintf(facts.id, sizeof(facts.id), "i-%d", number);
+	endpoint_set_take(&chooser->endpoints, &facts);
+}
+
+/* Two daemons learn of endpoints in orders of their own. */
+static chooser_t *
+chooser_begin(bool backwards, int endpoints)
+{
+	chooser_t *chooser = calloc(1, sizeof(*chooser));
+
+	chooser->clock = (manual_clock_t){{&manual_ops}, {100, 0}};
+	endpoint_set_init(&chooser->endpoints, &chooser->clock.source);
+	for (int i = 0; i < endpoints; i++)
+		endpoint_learn(chooser, backwards ? endpoints - 1 - i : i);
+	chooser->relay = (relay_t){.clock = &chooser->clock.source,
+	    .endpoints = &chooser->endpoints,
+	    .rollouts = &chooser->rollouts,
+	    .daemons_most = 2};
+	chooser->request = (relay_request_t){.relay = &chooser->relay,
+	    .config = relay_config_new(1),
+	    .service = "lm"};
+	return chooser;
+}
+
+static void
+chooser_end(chooser_t *chooser)
+{
+	relay_config_release(chooser->request.config);
+	endpoint_set_finish(&chooser->endpoints);
+	free(chooser);
+}
+
+/* What some prompts share, as the hash of it. */
+static uint64_t
+shared_by(uint64_t prompts)
+{
+	return XXH3_64bits(&prompts, sizeof(prompts));
+}
+
+static size_t
+weighed(chooser_t *chooser, uint64_t shared)
+{
+	const char *why;
+
+	chooser->request.shared = shared;
+	assert_true(
+	    candidates_of(&chooser->request, &chooser->candidates, &why));
+	return chooser->candidates.len;
+}
+
+static bool
+weighs(const chooser_t *chooser, uint64_t hash)
+{
+	for (size_t i = 0; i < chooser->candidates.len; i++) {
+		if (chooser->candidates.seen[i].hash == hash)
+			return true;
+	}
+	return false;
+}
+
+static void
+all_daemons_weigh_the_same_ones_for_what_is_shared(void **state)
+{
+	chooser_t *one = chooser_begin(false, ENDPOINTS);
+	chooser_t *two = chooser_begin(true, ENDPOINTS);
+
+	(void)state;
+	for (uint64_t i = 1; i <= PROMPTS; i++) {
+		size_t len = weighed(one, shared_by(i));
+
+		assert_int_equal(len, CANDIDATES_MAX);
+		assert_int_equal(weighed(two, shared_by(i)), len);
+		for (size_t j = 0; j < len; j++)
+			assert_true(weighs(two, one->candidates.seen[j].hash));
+	}
+	chooser_end(one);
+	chooser_end(two);
+}
+
+static void
+each_endpoint_is_weighed_for_some_prompt(void **state)
+{
+	chooser_t *one = chooser_begin(false, ENDPOINTS);
+	const endpoint_group_t *group =
+	    endpoint_set_group(&one->endpoints, "lm");
+	bool seen[ENDPOINTS] = {false};
+
+	(void)state;
+	for (uint64_t i = 1; i <= PROMPTS; i++) {
+		weighed(one, shared_by(i));
+		for (size_t j = 0; j < group->len; j++)
+			seen[j] |= weighs(one, group->ring[j]->hash);
+	}
+	for (int i = 0; i < ENDPOINTS; i++)
+		assert_true(seen[i]);
+	chooser_end(one);
+}
+
+static void
+a_few_endpoints_are_all_weighed(void **state)
+{
+	chooser_t *one = chooser_begin(false, CANDIDATES_MAX);
+
+	(void)state;
+	assert_int_equal(weighed(one, shared_by(1)), CANDIDATES_MAX);
+	chooser_end(one);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(
+		all_daemons_weigh_the_same_ones_for_what_is_shared),
+	    cmocka_unit_test(each_endpoint_is_weighed_for_some_prompt),
+	    cmocka_unit_test(a_few_endpoints_are_all_weighed),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
