--- a/test/unit/rollouts_test.c
+++ b/test/unit/rollouts_test.c
@@ -14,8 +14,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../../moortack/relay/rollouts_priv.h"
 #include "../support/manual_clock.h"
-#include "moortack/relay/rollouts.h"
 
 #define ORDER 5
 #define DURATION_MS 16000
@@ -162,6 +162,14 @@
 	state_told(told, ORDER, "v2", "v1", "in_progress", 9);
 }
 
+static uint32_t
+none_on_old(const void *relay, const rollout_t *rollout)
+{
+	(void)relay;
+	(void)rollout;
+	return 0;
+}
+
 static bool
 is_taken_back(const first_order_t *told, const char *version)
 {
@@ -299,6 +307,49 @@
 	free(told.rollouts.all);
 }
 
+/* Silent for longer than a daemon that stands still for a moment. */
+#define GONE_MS 5000
+
+/* Another daemon that has counted a bad new version, and sends half of its
+ * requests there. */
+static void
+reporting_daemon(member_t *member, membership_t *members)
+{
+	*member = (member_t){.name = "b", .state = MEMBER_READY};
+	member->report =
+	    json_pack("{s:{s:{s:i, s:f, s:i, s:[[s, i, i, i, i, i, i]]}}}",
+		"rollouts", "s", "order", ORDER, "share", 0.5, "old", 1,
+		"tally", "00000000000000aa", 50, 50, 0, 50, 0, 0);
+	HASH_ADD_STR(members->members, name, member);
+}
+
+/* What a daemon reported counts for as long as it may be at work, and neither
+ * stops a roll-out nor holds it up after that. */
+static void
+the_report_of_a_daemon_ends_when_it_is_gone(void **state)
+{
+	first_order_t told;
+	rollout_t *rollout;
+	member_t member;
+
+	(void)state;
+	first_order_init(&told);
+	rollout = rollouts_find(&told.rollouts, "s");
+	told.rollouts.on_old = none_on_old;
+	told.members.clock = &told.clock.source;
+	reporting_daemon(&member, &told.members);
+	assert_true(rollout_found_bad(rollout));
+	assert_false(rollout_settled(rollout));
+	life_set_silent(&member.life, true, told.clock.now);
+	assert_true(rollout_found_bad(rollout));
+	told.clock.now = timespec_after_ms(told.clock.now, GONE_MS);
+	assert_false(rollout_found_bad(rollout));
+	assert_true(rollout_settled(rollout));
+	HASH_DEL(told.members.members, &member);
+	json_decref(member.report);
+	free(told.rollouts.all);
+}
+
 int
 main(void)
 {
@@ -310,6 +361,7 @@
 		the_next_order_waits_for_the_end_of_the_one_before),
 	    cmocka_unit_test(who_starts_learns_what_is_replaced),
 	    cmocka_unit_test(the_state_of_a_later_order_stays),
+	    cmocka_unit_test(the_report_of_a_daemon_ends_when_it_is_gone),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
