relay: others are taken to have as much at an endpoint as this daemon has on average

Cause: without a report of the last 1.5 s, what an endpoint holds was guessed as this daemon's own requests there times the number of daemons. With 91 daemons one own stream counted as 91, 1.4 s of expected time: a daemon sent no second prompt to where its first was read. Hypothesis: the guess is right on average if others are taken to be alike; little changes where daemons are few. Change: own requests there, and for each other daemon this one's mean over the service's endpoints (endpoint_take_up(), endpoint_let_go() count both). Test: unit_candidates (others_are_taken_to_be_alike; the old guess says 91 and 0 where 10 and 9 are right).

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -45,6 +45,7 @@
 } endpoint_doubt_t;
 
 typedef struct endpoint endpoint_t;
+typedef struct endpoint_group endpoint_group_t;
 typedef struct endpoint_link endpoint_link_t;
 typedef struct endpoint_set endpoint_set_t;
 
@@ -60,11 +61,12 @@
 struct endpoint {
 	endpoint_facts_t facts;
 	endpoint_set_t *set;
-	uint32_t shared;      /**< the set and each request hold one */
-	bool present;	      /**< in the set */
-	bool lapsed;	      /**< its entry is gone since an outage */
-	uint32_t in_flight;   /**< requests of this daemon */
-	uint32_t connections; /**< of this daemon, busy and idle */
+	endpoint_group_t *group; /**< NULL: not in the set */
+	uint32_t shared;	 /**< the set and each request hold one */
+	bool present;		 /**< in the set */
+	bool lapsed;		 /**< its entry is gone since an outage */
+	uint32_t in_flight;	 /**< requests of this daemon */
+	uint32_t connections;	 /**< of this daemon, busy and idle */
 	endpoint_link_t *idle;
 	endpoint_load_t load;
 	struct timespec load_at;
@@ -82,14 +84,15 @@
 };
 
 /** The endpoints of a service. */
-typedef struct endpoint_group {
+struct endpoint_group {
 	char service[ENDPOINT_NAME_SIZE];
 	endpoint_t **ring; /**< by hash: all daemons have the same order */
 	size_t len;
 	size_t cap;
+	uint32_t in_flight; /**< requests of this daemon at all of them */
 	char base_version[ENDPOINT_NAME_SIZE]; /**< "": not known yet */
 	UT_hash_handle hh;
-} endpoint_group_t;
+};
 
 struct endpoint_set {
 	const clock_source_t *clock;
@@ -136,6 +139,10 @@
 /** A kept connection was dead: those that idle likely are, too. */
 void endpoint_drop_links(endpoint_t *);
 
+/** A request of this daemon was sent there. */
+void endpoint_take_up(endpoint_t *);
+/** It holds that request no longer. */
+void endpoint_let_go(endpoint_t *);
 void endpoint_told_load(endpoint_t *, const endpoint_load_t *);
 /** An answer came from it, or none did. */
 void endpoint_worked(endpoint_t *);
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -70,8 +70,9 @@
 {
 	HASH_DEL(set->endpoints, endpoint);
 	HASH_DELETE(hh_short, set->by_short, endpoint);
-	endpoint_group_remove(
-	    endpoint_set_group(set, endpoint->facts.service), endpoint);
+	endpoint_group_remove(endpoint->group, endpoint);
+	endpoint->group->in_flight -= endpoint->in_flight;
+	endpoint->group = NULL;
 	endpoint->present = false;
 	endpoint_drop_links(endpoint);
 	endpoint_release(endpoint);
@@ -171,6 +172,7 @@
 	}
 	endpoint->facts = *facts;
 	endpoint->set = set;
+	endpoint->group = group;
 	endpoint->shared = 1;
 	endpoint->present = true;
 	read_queue_init(&endpoint->unread);
@@ -252,6 +254,22 @@
 	http_outbound_rest(conn, link_ended, link);
 }
 
+void
+endpoint_take_up(endpoint_t *endpoint)
+{
+	endpoint->in_flight++;
+	if (endpoint->group != NULL)
+		endpoint->group->in_flight++;
+}
+
+void
+endpoint_let_go(endpoint_t *endpoint)
+{
+	endpoint->in_flight--;
+	if (endpoint->group != NULL)
+		endpoint->group->in_flight--;
+}
+
 void
 endpoint_told_load(endpoint_t *endpoint, const endpoint_load_t *load)
 {
@@ -292,6 +310,18 @@
 		   endpoint->ejected_until) > 0;
 }
 
+/* What all other callers together likely have there: each of them about as much
+ * as this daemon has at an endpoint on average. */
+static double
+load_of_others(const endpoint_t *endpoint, uint32_t callers)
+{
+	const endpoint_group_t *group = endpoint->group;
+
+	if (group == NULL || group->len == 0 || callers == 0)
+		return 0;
+	return (double)(callers - 1) * group->in_flight / (double)group->len;
+}
+
 double
 endpoint_load_now(const endpoint_t *endpoint, uint32_t callers)
 {
@@ -301,7 +331,7 @@
 	if (!endpoint->load_known ||
 	    timespec_ms_between(endpoint->load_at,
 		clock_elapsed(endpoint->set->clock)) > LOAD_FRESH_MS)
-		return own * callers;
+		return own + load_of_others(endpoint, callers);
 	told = (double)endpoint->load.running + endpoint->load.waiting;
 	told += own - endpoint->load_own;
 	return told > own ? told : own;
--- a/moortack/relay/relay_answer.c
+++ b/moortack/relay/relay_answer.c
@@ -76,7 +76,7 @@
 
 	attempt->sent = true;
 	attempt->sent_at = clock_elapsed(relay->clock);
-	attempt->endpoint->in_flight++;
+	endpoint_take_up(attempt->endpoint);
 	if (req->sends == 0)
 		stats_observe(
 		    &relay->stats.added_ms, (double)request_age_ms(req));
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -97,7 +97,7 @@
 	if (!req->attempt.sent)
 		return;
 	session_note(req);
-	req->attempt.endpoint->in_flight--;
+	endpoint_let_go(req->attempt.endpoint);
 }
 
 static void
--- a/test/unit/candidates_test.c
+++ b/test/unit/candidates_test.c
@@ -149,6 +149,37 @@
 	chooser_end(one);
 }
 
+/* Without a report, others are taken to have as much at an endpoint as this
+ * daemon has on average: one request of its own was counted as one of each of
+ * 91 daemons, so that a daemon sent no second prompt to where the first was
+ * read. */
+static void
+others_are_taken_to_be_alike(void **state)
+{
+	enum { FEW = 10, DAEMONS = 91 };
+	chooser_t *one = chooser_begin(false, FEW);
+	endpoint_group_t *group = endpoint_set_group(&one->endpoints, "lm");
+	endpoint_t *used = group->ring[3];
+
+	(void)state;
+	endpoint_take_up(used);
+	assert_float_equal(
+	    endpoint_load_now(used, DAEMONS), 1 + 90.0 / FEW, 0.01);
+	assert_float_equal(
+	    endpoint_load_now(group->ring[4], DAEMONS), 90.0 / FEW, 0.01);
+	endpoint_let_go(used);
+	assert_float_equal(endpoint_load_now(used, DAEMONS), 0, 0.01);
+	/* What is under way at one that is gone counts no longer. */
+	endpoint_take_up(used);
+	endpoint_hold(used);
+	endpoint_set_remove(&one->endpoints, used);
+	assert_int_equal(group->in_flight, 0);
+	endpoint_let_go(used);
+	assert_int_equal(group->in_flight, 0);
+	endpoint_release(used);
+	chooser_end(one);
+}
+
 int
 main(void)
 {
@@ -157,6 +188,7 @@
 		all_daemons_weigh_the_same_ones_for_what_is_shared),
 	    cmocka_unit_test(each_endpoint_is_weighed_for_some_prompt),
 	    cmocka_unit_test(a_few_endpoints_are_all_weighed),
+	    cmocka_unit_test(others_are_taken_to_be_alike),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
