relay: in a large fleet each endpoint has a keeper, which is told of sends and asked

Cause: a daemon tells eight others of the prompts that it sends. Hypothesis: to know exactly about few endpoints is worth more than little about all: of two or three that stand first for what a prompt shares, the better one is nearly the best. Change: with more than nine daemons, one daemon of an endpoint's place is its keeper (keepers.c, rendezvous hashing). A keeper that gives no answer leaves the choice as it was. Ruled out: docs/PLATFORM.md (subsets of endpoints, reports, placing by another daemon). Fleets of up to nine daemons don't change.

--- a/include/moortack/relay/choose.h
+++ b/include/moortack/relay/choose.h
@@ -38,6 +38,13 @@
 	double place_bonus; /**< of a slot share, for the same place */
 } choose_wish_t;
 
+/** The first ones in the order for what is shared, which all daemons see alike:
+ * of those that are not ejected, if there are any.
+ * @param out room for @p most indexes
+ * @return how many were filled in */
+size_t choose_first(const choose_candidate_t *, size_t len,
+    const choose_wish_t *, size_t *out, size_t most);
+
 /** @return the chosen index, or SIZE_MAX when there is none */
 size_t
 choose_endpoint(const choose_candidate_t *, size_t len, const choose_wish_t *);
--- a/include/moortack/relay/companions.h
+++ b/include/moortack/relay/companions.h
@@ -1,7 +1,7 @@
 /**
  * @file
- * Which other daemons a daemon tells of the prompts that it sends: a bounded
- * number, however many there are. A pure decision.
+ * Which other daemons a daemon tells of the prompts that it sends: all, as long
+ * as they are few. A pure decision.
  */
 #ifndef MOORTACK_RELAY_COMPANIONS_H
 #define MOORTACK_RELAY_COMPANIONS_H
@@ -10,13 +10,15 @@
 
 #include "moortack/relay/membership.h"
 
-/** Others at most: what a daemon sends and takes stays the same as the fleet
- * grows. Fleets of up to nine daemons tell all. */
+/** Others that are told: what a daemon sends and takes stays the same as the
+ * fleet grows. Larger fleets have keepers. */
 #define COMPANIONS_MAX 8
 
-/** Those that are alive, if there are no more than COMPANIONS_MAX; else the
- * next ones of its own place, in an order that all daemons see alike.
- * @return how many */
+/** Whether the member serves, as far as is known, and can be told and asked. */
+bool companion_serves(const membership_t *, const member_t *);
+
+/** Those that serve; no more than COMPANIONS_MAX are filled in.
+ * @return how many there are */
 size_t
 companions_of(const membership_t *, const member_t *companions[COMPANIONS_MAX]);
 
--- /dev/null
+++ b/include/moortack/relay/keepers.h
@@ -0,0 +1,20 @@
+/**
+ * @file
+ * Which daemon keeps the account of what an endpoint was sent, in fleets that
+ * are too large for each daemon to be told of each prompt. A pure decision that
+ * all daemons make alike.
+ */
+#ifndef MOORTACK_RELAY_KEEPERS_H
+#define MOORTACK_RELAY_KEEPERS_H
+
+#include "moortack/relay/companions.h"
+
+/** The daemon that keeps the endpoint's account: one of its place, where there
+ * is any. One that goes or comes moves the accounts that it has, or gets, only.
+ * @param place the endpoint's
+ * @param endpoint hash of its id
+ * @return NULL: this daemon */
+const member_t *
+keeper_of(const membership_t *, const char *place, uint32_t endpoint);
+
+#endif
--- a/include/moortack/relay/prefix_memory.h
+++ b/include/moortack/relay/prefix_memory.h
@@ -41,6 +41,9 @@
 /** An endpoint is sent the prompt. */
 void prefix_memory_note(prefix_memory_t *, const prefix_list_t *,
     uint64_t endpoint, int64_t now_ms);
+/** How many of the beginnings the endpoint has likely kept. */
+size_t prefix_memory_count(const prefix_memory_t *, const prefix_list_t *,
+    uint64_t endpoint, int64_t now_ms);
 /** Tokens of the prompt that the endpoint has likely kept. */
 uint32_t prefix_memory_kept(const prefix_memory_t *, const prefix_list_t *,
     uint64_t endpoint, int64_t now_ms);
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -91,6 +91,7 @@
 	uint32_t daemons_most;	 /**< seen; shares of bounds are cut by it */
 	bool opened;		 /**< new connections are taken */
 	struct timespec started; /**< since when it listens */
+	uint32_t questions;	 /**< number of the last one */
 	bool leaving;		 /**< new streams are sent elsewhere */
 } relay_t;
 
@@ -119,8 +120,8 @@
 /** The version of a service that most of its endpoints had at first. */
 const char *relay_first_version(const void *relay, const char *service);
 
-/** Another daemon has sent a prompt; the argument is a relay. */
-void relay_note_take(void *relay, const send_note_t *);
+/** What other daemons tell and ask of prompts; the argument is a relay. */
+extern const send_notes_ops_t relay_notes_ops;
 
 /** Take no new streams, and close connections behind their answers. */
 void relay_leave(relay_t *);
--- a/include/moortack/relay/send_note.h
+++ b/include/moortack/relay/send_note.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * What daemons tell each other of a prompt that was just sent to an endpoint,
- * and how it is sealed into a datagram with the fleet's key.
+ * or ask before they send one, and how it is sealed into a datagram with the
+ * fleet's key.
  */
 #ifndef MOORTACK_RELAY_SEND_NOTE_H
 #define MOORTACK_RELAY_SEND_NOTE_H
@@ -15,9 +16,21 @@
 /** Bytes of a datagram at most. */
 #define SEND_NOTE_SIZE 96
 
+typedef enum note_kind {
+	NOTE_SENT,     /**< a prompt was sent to the endpoint */
+	NOTE_QUESTION, /**< what the endpoint still has to read, and keeps */
+	NOTE_ANSWER,
+	NOTE_KINDS /* count */
+} note_kind_t;
+
 typedef struct send_note {
+	note_kind_t kind;
 	uint32_t endpoint; /**< hash of its id */
-	uint32_t read_ms;  /**< that reading the prompt ought to take */
+	uint32_t number;   /**< of a question; its answer repeats it */
+	uint32_t read_ms;  /**< sent: that reading the prompt ought to take */
+	uint32_t wait_ms;  /**< answer: until it begins to read one more */
+	uint32_t kept;	   /**< answer: how many of the question's beginnings
+			      it keeps */
 	uint32_t prefixes[SEND_NOTE_PREFIXES_MAX]; /**< hashes of beginnings
 						      that others share, the
 						      shortest first */
--- a/include/moortack/wire/peer.pb-c.h
+++ b/include/moortack/wire/peer.pb-c.h
@@ -435,10 +435,29 @@
    */
   size_t n_prefixes;
   uint32_t *prefixes;
+  /*
+   * the shortest first
+   */
+  /*
+   * 0: sent, 1: question, 2: answer
+   */
+  uint32_t kind;
+  /*
+   * of a question; its answer repeats it
+   */
+  uint32_t number;
+  /*
+   * answer: until the endpoint reads one more
+   */
+  uint32_t wait_ms;
+  /*
+   * answer: how many of the beginnings it keeps
+   */
+  uint32_t kept;
 };
 #define WIRE__SEND_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__send_note__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /* Wire__Standing methods */
--- a/moortack/relay/choose.c
+++ b/moortack/relay/choose.c
@@ -1,5 +1,6 @@
 #include "moortack/relay/choose.h"
 
+#include <string.h>
 #include <xxhash.h>
 
 #define DICE_RANGE 4294967296.0
@@ -37,26 +38,33 @@
 	    DICE_RANGE;
 }
 
-/* The first in the order for what is shared: all daemons see the same one. */
-static size_t
-first_in_order(const choose_candidate_t *candidates, size_t len,
-    const choose_wish_t *wish, bool sound)
+size_t
+choose_first(const choose_candidate_t *candidates, size_t len,
+    const choose_wish_t *wish, size_t *out, size_t most)
 {
-	size_t first = SIZE_MAX;
-	uint64_t most = 0;
+	bool sound = any_sound(candidates, len);
+	size_t count = 0;
 
 	for (size_t i = 0; i < len; i++) {
 		uint64_t weight =
 		    rendezvous(candidates[i].hash, wish->affinity);
+		size_t at = count;
 
 		if (sound && candidates[i].ejected)
 			continue;
-		if (first == SIZE_MAX || weight > most) {
-			first = i;
-			most = weight;
-		}
+		while (at > 0 &&
+		    rendezvous(candidates[out[at - 1]].hash, wish->affinity) <
+			weight)
+			at--;
+		if (at == most)
+			continue;
+		if (count < most)
+			count++;
+		memmove(
+		    &out[at + 1], &out[at], (count - at - 1) * sizeof(out[0]));
+		out[at] = i;
 	}
-	return first;
+	return count;
 }
 
 /* Where the answer likely begins first, for what it costs others. */
@@ -64,12 +72,12 @@
 choose_soonest(const choose_candidate_t *candidates, size_t len,
     const choose_wish_t *wish, bool sound)
 {
-	size_t first = wish->first_keeps > 0
-	    ? first_in_order(candidates, len, wish, sound)
-	    : SIZE_MAX;
+	size_t first = SIZE_MAX;
 	size_t best = SIZE_MAX;
 	double best_ms = 0;
 
+	if (wish->first_keeps > 0)
+		choose_first(candidates, len, wish, &first, 1);
 	for (size_t i = 0; i < len; i++) {
 		const choose_candidate_t *one = &candidates[i];
 		double ms = one->wait_ms + one->own_ms + one->shared_ms +
--- a/moortack/relay/prefix_memory.c
+++ b/moortack/relay/prefix_memory.c
@@ -97,17 +97,24 @@
 		mark_note(memory, mark_hash(list->hashes[i], endpoint), now_ms);
 }
 
+size_t
+prefix_memory_count(const prefix_memory_t *memory, const prefix_list_t *list,
+    uint64_t endpoint, int64_t now_ms)
+{
+	size_t count = 0;
+
+	while (count < list->len &&
+	    mark_fresh(
+		memory, mark_hash(list->hashes[count], endpoint), now_ms))
+		count++;
+	return count;
+}
+
 uint32_t
 prefix_memory_kept(const prefix_memory_t *memory, const prefix_list_t *list,
     uint64_t endpoint, int64_t now_ms)
 {
-	uint32_t tokens = 0;
+	size_t count = prefix_memory_count(memory, list, endpoint, now_ms);
 
-	for (size_t i = 0; i < list->len; i++) {
-		if (!mark_fresh(
-			memory, mark_hash(list->hashes[i], endpoint), now_ms))
-			break;
-		tokens = list->tokens[i];
-	}
-	return tokens;
+	return count > 0 ? list->tokens[count - 1] : 0;
 }
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -137,7 +137,8 @@
 	    "pause_most_ms=%" PRId64 " dropped_ms=%.0f limit_ms=%" PRId64
 	    " config=%" PRIu64 " config_age_ms=%" PRId64
 	    " endpoints_age_ms=%" PRId64
-	    " endpoint=%s load=%.0f of=%zu session=%08" PRIx32,
+	    " endpoint=%s load=%.0f of=%zu told=%zu wait_ms=%.0f"
+	    " session=%08" PRIx32,
 	    req->arrival.id, req->route->name,
 	    req->service != NULL ? req->service : "-",
 	    req->organisation != NULL ? req->organisation->name : "-", outcome,
@@ -149,7 +150,8 @@
 	    req->route->pause_ms, req->dropped_ms, req->limit_ms,
 	    req->config->version, row_watch_age_ms(relay->config_watch),
 	    row_watch_age_ms(relay->endpoint_watch), req->endpoint_id,
-	    req->place.load, req->place.candidates, session_mark(req));
+	    req->place.load, req->place.candidates, req->place.told,
+	    req->place.wait_ms, session_mark(req));
 	request_free(req);
 }
 
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -114,6 +114,7 @@
 {
 	attempt_t *attempt = &req->attempt;
 
+	relay_ask_end(req);
 	if (attempt->endpoint == NULL)
 		return;
 	if (attempt->sent && !attempt->headed)
@@ -305,10 +306,13 @@
 		return;
 	}
 	req->attempt.model = relay_model(req);
+	if (relay_ask(req))
+		return;
 	if (!relay_place(req, req->model_index, &place, &why)) {
 		attempts_end(req, ERR_NO_ENDPOINT, why);
 		return;
 	}
+	relay_ask_end(req);
 	req->place = place;
 	strcpy(req->endpoint_id, place.endpoint->facts.id);
 	if (!connection_get(req, place.endpoint)) {
--- a/moortack/relay/relay_candidates.c
+++ b/moortack/relay/relay_candidates.c
@@ -93,8 +93,7 @@
 	}
 }
 
-/* Drop the candidates that are not to be kept. */
-static void
+void
 candidates_keep(candidates_t *set, const bool *kept)
 {
 	size_t len = 0;
--- a/moortack/relay/relay_candidates.h
+++ b/moortack/relay/relay_candidates.h
@@ -22,4 +22,7 @@
  * @return whether there are any */
 bool candidates_of(const relay_request_t *, candidates_t *, const char **why);
 
+/** Drop the candidates that are not to be kept. */
+void candidates_keep(candidates_t *, const bool *kept);
+
 #endif
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -288,7 +288,7 @@
 	    node->settings.place);
 	if (!relay_init(&node->relay, &node->settings.listen, err) ||
 	    !send_notes_init(&node->notes, ports->base, ports->clock,
-		&node->members, node->settings.peer, relay_note_take,
+		&node->members, node->settings.peer, &relay_notes_ops,
 		&node->relay, err))
 		return false;
 	if (membership_init(&node->members, ports->base, ports->store,
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -10,6 +10,8 @@
 #include "moortack/relay/relay.h"
 
 #define TRIED_MAX 8
+/** Endpoints whose keepers are asked before a prompt is placed. */
+#define ASKED_MAX 3
 #define HEAD_TEXT_MAX 4096
 
 /** How an attempt ended, as far as a further one is concerned. */
@@ -28,6 +30,7 @@
 	double load;	   /**< requests that it was thought to hold */
 	uint32_t unread;   /**< tokens that it has to read */
 	double wait_ms;	   /**< before it begins to */
+	size_t told;	   /**< endpoints of which a keeper told */
 	double read_ms;	   /**< of its time that this takes */
 	double first_ms;   /**< until the answer begins; negative: unknown */
 } placement_t;
@@ -50,6 +53,24 @@
 	bool late_told;	      /**< told to the record of models as late */
 } attempt_t;
 
+/** What the keeper of an endpoint says of it. */
+typedef struct asked_endpoint {
+	uint64_t hash;
+	bool told;	/**< else no answer yet */
+	double wait_ms; /**< until it begins to read one more prompt */
+	uint32_t kept;	/**< beginnings of the prompt that it keeps */
+} asked_endpoint_t;
+
+/** What is asked before an attempt is placed. */
+typedef struct placing_question {
+	uint32_t number; /**< 0: nothing is asked */
+	size_t model;	 /**< index of the route's models */
+	asked_endpoint_t of[ASKED_MAX];
+	size_t len;
+	size_t open;	     /**< without an answer */
+	struct event *limit; /**< until nothing more is waited for */
+} placing_question_t;
+
 struct relay_request {
 	relay_t *relay;
 	http_inbound_t *caller;
@@ -69,7 +90,8 @@
 				  looked for */
 	struct evbuffer *body; /**< kept for a repeat */
 	attempt_t attempt;
-	uint64_t tried[TRIED_MAX]; /**< hashes of endpoints */
+	placing_question_t question; /**< for the next attempt */
+	uint64_t tried[TRIED_MAX];   /**< hashes of endpoints */
 	size_t tried_len;
 	uint32_t sends;	   /**< attempts whose bytes may have left */
 	uint32_t connects; /**< failed ones */
@@ -134,6 +156,20 @@
 /** The attempt's connection is at rest: keep it if it can be used again. */
 void attempt_release(relay_request_t *);
 
+/** Ask the keepers of the endpoints that stand first for the request's prompt.
+ * @return whether an answer has to be waited for: attempt_begin() is called
+ * again then */
+bool relay_ask(relay_request_t *);
+/** Nothing more is asked, and what was told counts no longer. */
+void relay_ask_end(relay_request_t *);
+/** Put the beginnings that others share into a note. */
+void relay_note_prefixes(send_note_t *, const prefix_list_t *);
+/** How long an endpoint takes to read the request's prompt at most, ms. */
+double relay_read_ms(const relay_request_t *);
+/** What the keeper told of the endpoint, or NULL. */
+const asked_endpoint_t *
+relay_ask_told(const relay_request_t *, size_t model, uint64_t endpoint);
+
 /** Choose an endpoint for the request's next attempt.
  * @param model index of the route's models, where the router chooses it
  * @param why set if there is none
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -64,6 +64,35 @@
 	return arrival->tokens_in > kept ? arrival->tokens_in - kept : 0;
 }
 
+/* Tokens that the endpoint keeps, as this daemon and the keeper know. */
+static uint32_t
+told_kept(
+    const prefix_list_t *prefixes, const asked_endpoint_t *told, uint32_t known)
+{
+	size_t count = told->kept < prefixes->len ? told->kept : prefixes->len;
+	uint32_t tokens = count > 0 ? prefixes->tokens[count - 1] : 0;
+
+	return tokens > known ? tokens : known;
+}
+
+/* Of what a keeper told, more is known than of the others: those alone are
+ * weighed.
+ * @return how many there are */
+static size_t
+told_keep(const relay_request_t *req, size_t index, candidates_t *set)
+{
+	static bool kept[CANDIDATES_MAX];
+	size_t count = 0;
+
+	for (size_t i = 0; i < set->len; i++) {
+		kept[i] = relay_ask_told(req, index, set->seen[i].hash) != NULL;
+		count += kept[i];
+	}
+	if (count > 0)
+		candidates_keep(set, kept);
+	return count;
+}
+
 static void
 prompt_see(const relay_request_t *req, const prefix_list_t *prefixes,
     size_t index, candidates_t *set)
@@ -78,12 +107,19 @@
 
 	for (size_t i = 0; i < set->len; i++) {
 		choose_candidate_t *one = &set->seen[i];
+		const asked_endpoint_t *told =
+		    relay_ask_told(req, index, one->hash);
 		uint32_t kept = prefix_memory_kept(
 		    &relay->prefixes, prefixes, one->hash, now_ms);
-		uint32_t shared_unread = shared > kept ? shared - kept : 0;
+		uint32_t shared_unread;
 
 		one->wait_ms = read_queue_wait_ms(
 		    &set->endpoints[i]->unread, (double)now_ms);
+		if (told != NULL) {
+			one->wait_ms = fmax(one->wait_ms, told->wait_ms);
+			kept = told_kept(prefixes, told, kept);
+		}
+		shared_unread = shared > kept ? shared - kept : 0;
 		one->unread = tokens_beyond(&req->arrival, kept);
 		one->own_ms = slope * (one->unread - shared_unread);
 		one->shared_ms = (slope + again) * shared_unread;
@@ -91,6 +127,12 @@
 	}
 }
 
+double
+relay_read_ms(const relay_request_t *req)
+{
+	return slope_of(req, req->model_index) * req->arrival.tokens_in;
+}
+
 bool
 relay_place(const relay_request_t *req, size_t index, placement_t *out,
     const char **why)
@@ -112,6 +154,9 @@
 		return false;
 	if (wish.prompt) {
 		prefix_list_fill(&prefixes, &req->arrival, model_hash);
+		out->told = told_keep(req, index, &candidates);
+		if (out->told > 0)
+			wish.first_keeps = 0;
 		prompt_see(req, &prefixes, index, &candidates);
 	}
 	chosen = choose_endpoint(candidates.seen, candidates.len, &wish);
@@ -136,18 +181,14 @@
 note_tell(
     relay_t *relay, const placement_t *place, const prefix_list_t *prefixes)
 {
-	send_note_t note = {.endpoint = place->endpoint->short_hash,
+	send_note_t note = {.kind = NOTE_SENT,
+	    .endpoint = place->endpoint->short_hash,
 	    .read_ms = (uint32_t)place->read_ms};
 
 	if (!send_notes_worth(relay->notes, place->read_ms))
 		return;
-	while (note.prefixes_len + 1 < prefixes->len &&
-	    note.prefixes_len < SEND_NOTE_PREFIXES_MAX) {
-		note.prefixes[note.prefixes_len] =
-		    prefixes->hashes[note.prefixes_len];
-		note.prefixes_len++;
-	}
-	send_notes_tell(relay->notes, &note);
+	relay_note_prefixes(&note, prefixes);
+	send_notes_tell(relay->notes, place->endpoint->facts.place, &note);
 }
 
 void
@@ -168,20 +209,3 @@
 	    place->read_ms, (double)now_ms);
 	note_tell(relay, place, &prefixes);
 }
-
-void
-relay_note_take(void *arg, const send_note_t *note)
-{
-	relay_t *relay = arg;
-	int64_t now_ms = timespec_ms(clock_elapsed(relay->clock));
-	endpoint_t *endpoint =
-	    endpoint_set_find_short(relay->endpoints, note->endpoint);
-	prefix_list_t prefixes = {.len = note->prefixes_len};
-
-	if (endpoint == NULL)
-		return;
-	memcpy(prefixes.hashes, note->prefixes,
-	    note->prefixes_len * sizeof(note->prefixes[0]));
-	prefix_memory_note(&relay->prefixes, &prefixes, endpoint->hash, now_ms);
-	read_queue_extend(&endpoint->unread, note->read_ms, (double)now_ms);
-}
--- a/moortack/relay/send_note.c
+++ b/moortack/relay/send_note.c
@@ -29,8 +29,12 @@
 	unsigned long long sealed;
 	size_t len;
 
+	message.kind = note->kind;
 	message.endpoint = note->endpoint;
+	message.number = note->number;
 	message.read_ms = note->read_ms;
+	message.wait_ms = note->wait_ms;
+	message.kept = note->kept;
 	message.n_prefixes = note->prefixes_len;
 	message.prefixes = (uint32_t *)(uintptr_t)note->prefixes;
 	len = wire__send_note__pack(&message, plain);
@@ -43,10 +47,15 @@
 static bool
 message_read(send_note_t *note, const Wire__SendNote *message)
 {
-	if (message->n_prefixes > SEND_NOTE_PREFIXES_MAX)
+	if (message->n_prefixes > SEND_NOTE_PREFIXES_MAX ||
+	    message->kind >= NOTE_KINDS)
 		return false;
-	*note = (send_note_t){.endpoint = message->endpoint,
+	*note = (send_note_t){.kind = (note_kind_t)message->kind,
+	    .endpoint = message->endpoint,
+	    .number = message->number,
 	    .read_ms = message->read_ms,
+	    .wait_ms = message->wait_ms,
+	    .kept = message->kept,
 	    .prefixes_len = message->n_prefixes};
 	for (size_t i = 0; i < message->n_prefixes; i++)
 		note->prefixes[i] = message->prefixes[i];
--- a/moortack/relay/send_notes.c
+++ b/moortack/relay/send_notes.c
@@ -19,6 +19,9 @@
 #define DATAGRAM_OVERHEAD 28
 /* Datagrams taken before other events have their turn. */
 #define TAKEN_AT_ONCE 64
+/* Part of what may be sent at once that is left for telling of long prompts:
+ * beyond it, questions are asked for those only. */
+#define ASK_PART 0.5
 
 static bool
 address_read(const char *text, struct sockaddr_in *out)
@@ -36,16 +39,66 @@
 	return inet_pton(AF_INET, host, &out->sin_addr) == 1;
 }
 
+/* What can't be sent at once is of no use later. */
+static void
+bytes_send(send_notes_t *self, const struct sockaddr_in *to,
+    const uint8_t *bytes, size_t len)
+{
+	self->allowance -= (double)(len + DATAGRAM_OVERHEAD);
+	if (sendto(self->fd, bytes, len, MSG_DONTWAIT,
+		(const struct sockaddr *)to, sizeof(*to)) < 0)
+		return;
+	self->sent++;
+	self->sent_bytes += len;
+}
+
+static void
+note_send(
+    send_notes_t *self, const struct sockaddr_in *to, const send_note_t *note)
+{
+	uint8_t bytes[SEND_NOTE_SIZE];
+
+	bytes_send(self, to, bytes, send_note_seal(note, &self->key, bytes));
+}
+
+static void
+note_take(
+    send_notes_t *self, const struct sockaddr_in *from, const send_note_t *note)
+{
+	send_note_t answer = {.kind = NOTE_ANSWER,
+	    .endpoint = note->endpoint,
+	    .number = note->number};
+
+	switch (note->kind) {
+	case NOTE_SENT:
+		self->ops->sent(self->arg, note);
+		break;
+	case NOTE_QUESTION:
+		if (self->ops->asked(self->arg, note, &answer))
+			note_send(self, from, &answer);
+		break;
+	case NOTE_ANSWER:
+		self->answered++;
+		self->ops->answered(self->arg, note);
+		break;
+	case NOTE_KINDS:
+		break;
+	}
+}
+
 static void
 on_readable(evutil_socket_t fd, short what, void *arg)
 {
 	send_notes_t *self = arg;
 	uint8_t bytes[SEND_NOTE_SIZE + 1];
+	struct sockaddr_in from;
 	send_note_t note;
 
 	(void)what;
 	for (int i = 0; i < TAKEN_AT_ONCE; i++) {
-		ssize_t len = recv(fd, bytes, sizeof(bytes), 0);
+		socklen_t from_len = sizeof(from);
+		ssize_t len = recvfrom(fd, bytes, sizeof(bytes), 0,
+		    (struct sockaddr *)&from, &from_len);
 
 		if (len < 0)
 			return;
@@ -55,21 +108,20 @@
 			continue;
 		}
 		self->received++;
-		self->taken(self->arg, &note);
+		note_take(self, &from, &note);
 	}
 }
 
 bool
 send_notes_init(send_notes_t *self, struct event_base *base,
     const clock_source_t *clock, const membership_t *members,
-    const char *address, void (*taken)(void *, const send_note_t *), void *arg,
-    err_t *err)
+    const char *address, const send_notes_ops_t *ops, void *arg, err_t *err)
 {
 	struct sockaddr_in own;
 
 	*self = (send_notes_t){.clock = clock,
 	    .members = members,
-	    .taken = taken,
+	    .ops = ops,
 	    .arg = arg,
 	    .fd = -1,
 	    .allowance = BYTES_AT_ONCE,
@@ -137,10 +189,13 @@
 {
 	const member_t *companions[COMPANIONS_MAX];
 	uint32_t daemons = membership_count(self->members);
-	size_t count = self->fd >= 0 && self->keyed
-	    ? companions_of(self->members, companions)
-	    : 0;
+	bool open = self->fd >= 0 && self->keyed;
+	size_t count;
 
+	count = open ? companions_of(self->members, companions) : 0;
+	self->keepers = count > COMPANIONS_MAX;
+	if (self->keepers)
+		count = 0;
 	self->companions_len = 0;
 	for (size_t i = 0; i < count; i++) {
 		if (address_read(companions[i]->peer,
@@ -151,24 +206,54 @@
 	    daemons > count + 1 ? 1 - ((double)count + 1) / daemons : 0;
 }
 
+/* @return whether another daemon is the endpoint's keeper */
+static bool
+keeper_address(const send_notes_t *self, const char *place, uint32_t endpoint,
+    struct sockaddr_in *out)
+{
+	const member_t *keeper = keeper_of(self->members, place, endpoint);
+
+	return keeper != NULL && address_read(keeper->peer, out);
+}
+
 void
-send_notes_tell(send_notes_t *self, const send_note_t *note)
+send_notes_tell(send_notes_t *self, const char *place, const send_note_t *note)
 {
 	uint8_t bytes[SEND_NOTE_SIZE];
+	struct sockaddr_in keeper;
 	size_t len;
 
+	if (self->keepers) {
+		if (keeper_address(self, place, note->endpoint, &keeper))
+			note_send(self, &keeper, note);
+		return;
+	}
 	if (self->companions_len == 0)
 		return;
 	len = send_note_seal(note, &self->key, bytes);
-	self->allowance -=
-	    (double)(self->companions_len * (len + DATAGRAM_OVERHEAD));
-	for (size_t i = 0; i < self->companions_len; i++) {
-		/* What can't be sent at once is of no use later. */
-		if (sendto(self->fd, bytes, len, MSG_DONTWAIT,
-			(const struct sockaddr *)&self->companions[i],
-			sizeof(self->companions[i])) < 0)
-			continue;
-		self->sent++;
-		self->sent_bytes += len;
-	}
+	for (size_t i = 0; i < self->companions_len; i++)
+		bytes_send(self, &self->companions[i], bytes, len);
+}
+
+bool
+send_notes_may_ask(send_notes_t *self, double read_ms)
+{
+	if (!self->keepers)
+		return false;
+	allowance_grow(self);
+	return self->allowance >= ASK_PART * BYTES_AT_ONCE ||
+	    send_notes_worth(self, read_ms);
+}
+
+bool
+send_notes_ask(
+    send_notes_t *self, const char *place, const send_note_t *question)
+{
+	struct sockaddr_in keeper;
+
+	if (!keeper_address(self, place, question->endpoint, &keeper))
+		return false;
+	note_send(self, &keeper, question);
+	self->asked++;
+	return true;
 }
--- a/moortack/wire/peer.pb-c.c
+++ b/moortack/wire/peer.pb-c.c
@@ -2210,7 +2210,7 @@
   (ProtobufCMessageInit) wire__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__send_note__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__send_note__field_descriptors[7] =
 {
   {
     "endpoint",
@@ -2248,16 +2248,68 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kind",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__SendNote, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__SendNote, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__SendNote, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kept",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__SendNote, kept),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__send_note__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
+  6,   /* field[6] = kept */
+  3,   /* field[3] = kind */
+  4,   /* field[4] = number */
   2,   /* field[2] = prefixes */
   1,   /* field[1] = read_ms */
+  5,   /* field[5] = wait_ms */
 };
 static const ProtobufCIntRange wire__send_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wire__send_note__descriptor =
 {
@@ -2267,7 +2319,7 @@
   "Wire__SendNote",
   "wire",
   sizeof(Wire__SendNote),
-  3,
+  7,
   wire__send_note__field_descriptors,
   wire__send_note__field_indices_by_name,
   1,  wire__send_note__number_ranges,
