relay: the tree by which daemons tell each other rows follows places

Cause: whom a daemon follows was decided by the order of all alone: of 90 daemons in three places 60 followed one in another place, and each change of a row, each answer and each whole table for one that starts crossed between places so often. Hypothesis: bytes between places fall, and nothing else changes. Change: the first ones of each place follow the first of all, all others one of these in their own place; up to nine daemons all follow the first, as before. Still two levels. Ruled out: one daemon of each place that all others of it follow (at 116 daemons a place it would answer 230 questions a second); a third level (an answer may be held for half a second at each, and endpoints' rows would be old at the leaves). Test: unit_row_source (few_links_of_the_tree_cross_between_places: 8 of 90 now, failed with 60). many_members.h gives the daemon itself the place that its rows have.

--- a/moortack/relay/member_tree.c
+++ b/moortack/relay/member_tree.c
@@ -5,6 +5,8 @@
 
 /* Followers of one daemon, at least, before the tree gets a second level. */
 #define BREADTH_MIN 8
+/* Places that are told apart; more count as so many. */
+#define PLACES_MAX 16
 
 static bool
 may_ask(const membership_t *self, const member_t *member)
@@ -107,14 +109,71 @@
 	return first;
 }
 
+static bool
+is_near(const membership_t *self, const member_t *member)
+{
+	return strcmp(member->place, self->settings.place) == 0;
+}
+
+/* Places in which daemons stand. */
+static size_t
+places_count(const membership_t *self)
+{
+	const char *places[PLACES_MAX] = {self->settings.place};
+	size_t len = 1;
+
+	for (const member_t *member = self->members;
+	     member != NULL && len < PLACES_MAX; member = member->hh.next) {
+		size_t at = 0;
+
+		while (at < len && strcmp(places[at], member->place) != 0)
+			at++;
+		if (at == len)
+			places[len++] = member->place;
+	}
+	return len;
+}
+
+/* The near one at this place in the order, but for the first of all. */
+static const member_t *
+near_at(const membership_t *self, size_t before, size_t rank)
+{
+	for (size_t i = 1; i < before; i++) {
+		if (is_near(self, self->ordered[i]) && rank-- == 0)
+			return self->ordered[i];
+	}
+	return self->ordered[0];
+}
+
+static size_t
+near_count(const membership_t *self, size_t before)
+{
+	size_t count = 0;
+
+	for (size_t i = 1; i < before; i++)
+		count += is_near(self, self->ordered[i]);
+	return count;
+}
+
+/* The first ones of each place follow the first of all, and the others one of
+ * these in their own place: what is told all crosses between places a few
+ * times, not once for each daemon. */
 const member_t *
 membership_parent(membership_t *self)
 {
 	size_t before = ordered_fill(self);
+	size_t breadth = breadth_of(membership_count(self));
+	size_t places, near, tellers;
 
 	if (before == 0)
 		return silent_first(self);
-	return self->ordered[(before - 1) / breadth_of(membership_count(self))];
+	if (before <= BREADTH_MIN)
+		return self->ordered[0];
+	places = places_count(self);
+	tellers = (breadth + places - 1) / places;
+	near = near_count(self, before);
+	return near < tellers ? self->ordered[0]
+			      : near_at(self, before, near % tellers);
 }
 
 const member_t *
--- a/test/support/many_members.h
+++ b/test/support/many_members.h
@@ -41,7 +41,8 @@
 membership_of(membership_t *self, struct event_base *base, row_store_t *store,
     const clock_source_t *clock, int own, int daemons)
 {
-	membership_settings_t settings = {.strength = strength_of(own),
+	membership_settings_t settings = {.place = "a",
+	    .strength = strength_of(own),
 	    .beat_ms = 10000,
 	    .beat_alone_ms = 2000,
 	    .life = {.silent_ms = SILENT_MS,
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -215,6 +215,23 @@
 	row_cache_finish(&there);
 }
 
+/* Each third daemon stands in one place. */
+static void
+places_deal(membership_t *self, int own)
+{
+	snprintf(self->settings.place, sizeof(self->settings.place), "place-%d",
+	    own % 3);
+	for (member_t *member = self->members; member != NULL;
+	     member = member->hh.next) {
+		int number;
+
+		assert_int_equal(
+		    sscanf(member->name, "10.0.0.%d:", &number), 1);
+		snprintf(member->place, sizeof(member->place), "place-%d",
+		    number % 3);
+	}
+}
+
 static int
 parent_number(membership_t *self)
 {
@@ -263,6 +280,40 @@
 	event_base_free(base);
 }
 
+/* With daemons in three places, as many links as one level of the tree has
+ * cross between places, however many daemons there are. */
+static void
+few_links_of_the_tree_cross_between_places(void **state)
+{
+	enum { LARGE = 90, FOLLOWERS_MOST = 16, FAR_MOST = 12 };
+	manual_clock_t clock = {{&manual_ops}, {100, 0}};
+	struct event_base *base = event_base_new();
+	row_store_t store = {&silent_ops};
+	int followers[LARGE] = {0}, far = 0;
+
+	(void)state;
+	for (int i = 0; i < LARGE; i++) {
+		membership_t self;
+		const member_t *parent;
+		int number;
+
+		membership_of(&self, base, &store, &clock.source, i, LARGE);
+		places_deal(&self, i);
+		parent = membership_parent(&self);
+		if (parent != NULL) {
+			assert_int_equal(
+			    sscanf(parent->name, "10.0.0.%d:", &number), 1);
+			followers[number]++;
+			far += strcmp(parent->place, self.settings.place) != 0;
+		}
+		membership_finish(&self);
+	}
+	assert_true(far <= FAR_MOST);
+	for (int i = 0; i < LARGE; i++)
+		assert_true(followers[i] <= FOLLOWERS_MOST);
+	event_base_free(base);
+}
+
 static void
 a_daemon_that_failed_is_not_followed_for_a_time(void **state)
 {
@@ -432,6 +483,7 @@
 	    cmocka_unit_test(
 		a_whole_answer_brings_back_what_came_back_unchanged),
 	    cmocka_unit_test(followers_form_a_tree),
+	    cmocka_unit_test(few_links_of_the_tree_cross_between_places),
 	    cmocka_unit_test(a_daemon_that_failed_is_not_followed_for_a_time),
 	    cmocka_unit_test(the_first_may_follow_the_second),
 	    cmocka_unit_test(a_silent_member_counts_as_dead),
