member: connections to other daemons in a file of their own

Behaviour stays; a link that is looked up counts as used, as before. Ruled out: a shared private header: the links need nothing of what waits.

--- /dev/null
+++ b/moortack/member/peer_links.c
@@ -0,0 +1,102 @@
+#include "moortack/member/peer_links.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <zmq.h>
+
+/* A link takes some 90 KB. */
+#define LINKS_MAX 48
+
+static peer_link_t *
+link_new(peer_links_t *links, const member_t *member)
+{
+	char endpoint[2 * MEMBER_ADDRESS_SIZE + 16];
+	peer_link_t *link = calloc(1, sizeof(*link));
+
+	if (link == NULL)
+		return NULL;
+	if (!peer_socket_open(&link->socket, links->base, links->context,
+		ZMQ_DEALER, links->drain, links->owner)) {
+		peer_socket_close(&link->socket);
+		free(link);
+		return NULL;
+	}
+	link->incarnation = member->incarnation;
+	peer_auth_set(links->auth, link->socket.socket, false);
+	/* From the address that it listens on, so that a firewall can tell. */
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s:0;%s", links->host,
+	    member->peer_address);
+	zmq_connect(link->socket.socket, endpoint);
+	HASH_ADD(hh, links->all, incarnation, sizeof(link->incarnation), link);
+	return link;
+}
+
+peer_link_t *
+peer_links_get(peer_links_t *links, uint64_t incarnation)
+{
+	const member_t *member = members_find(links->members, incarnation);
+	peer_link_t *link;
+
+	HASH_FIND(hh, links->all, &incarnation, sizeof(incarnation), link);
+	if (link == NULL && member != NULL)
+		link = link_new(links, member);
+	if (link != NULL)
+		link->used_at = clock_elapsed(links->clock);
+	return link;
+}
+
+static void
+link_close(peer_links_t *links, peer_link_t *link)
+{
+	HASH_DEL(links->all, link);
+	peer_socket_close(&link->socket);
+	free(link);
+}
+
+void
+peer_links_members(peer_links_t *links, members_t *members)
+{
+	peer_link_t *link, *next;
+
+	members_release(links->members);
+	links->members = members_share(members);
+	HASH_ITER(hh, links->all, link, next)
+	{
+		if (members_find(members, link->incarnation) == NULL)
+			link_close(links, link);
+	}
+	for (handle_t h = 0; h < members->rows.len; h++) {
+		const member_t *member = members_at(members, h);
+
+		if (member->partner)
+			peer_links_get(links, member->incarnation);
+	}
+}
+
+void
+peer_links_bound(peer_links_t *links)
+{
+	while (HASH_COUNT(links->all) > LINKS_MAX) {
+		peer_link_t *oldest = links->all;
+
+		for (peer_link_t *link = links->all; link != NULL;
+		     link = link->hh.next) {
+			if (timespec_us_between(
+				link->used_at, oldest->used_at) > 0)
+				oldest = link;
+		}
+		link_close(links, oldest);
+	}
+}
+
+void
+peer_links_finish(peer_links_t *links)
+{
+	peer_link_t *link, *next;
+
+	HASH_ITER(hh, links->all, link, next)
+	{
+		link_close(links, link);
+	}
+	members_release(links->members);
+}
--- a/moortack/member/peers.c
+++ b/moortack/member/peers.c
@@ -6,24 +6,13 @@
 #include <uthash.h>
 #include <zmq.h>
 
-#include "moortack/member/peer_auth.h"
-#include "moortack/member/peer_socket.h"
+#include "moortack/member/peer_links.h"
 
 #define TICK_MS 20
 #define ZAP_ADDRESS "inproc://zeromq.zap.01"
-#define LINKS_MAX 48
 
 enum peers_message { PEERS_ASK, PEERS_ANSWER, PEERS_MEMBERS };
 
-/** An open connection to one member. */
-typedef struct link {
-	uint64_t incarnation;
-	struct timespec used_at;
-	bool was_up; /**< something was sent on it */
-	peer_socket_t socket;
-	UT_hash_handle hh;
-} link_t;
-
 typedef struct outgoing outgoing_t;
 
 /** A question whose answer is awaited. */
@@ -51,11 +40,9 @@
 	void *context;
 	peer_socket_t router;
 	peer_socket_t zap;
-	link_t *links;
+	peer_links_t links;
 	pending_t *pending;
-	members_t *members;
 	struct event *tick;
-	char host[MEMBER_ADDRESS_SIZE]; /**< IP of its own */
 	peer_auth_t auth;
 	struct {
 		task_t *task;
@@ -194,46 +181,6 @@
 	zmq_msg_close(&identity);
 }
 
-static link_t *
-link_open(peers_t *peers, uint64_t incarnation)
-{
-	const member_t *member = members_find(peers->members, incarnation);
-	char endpoint[2 * MEMBER_ADDRESS_SIZE + 16];
-	link_t *link;
-
-	HASH_FIND(hh, peers->links, &incarnation, sizeof(incarnation), link);
-	if (link != NULL)
-		link->used_at = clock_elapsed(peers->process.clock);
-	if (link != NULL || member == NULL)
-		return link;
-	link = calloc(1, sizeof(*link));
-	if (link == NULL)
-		return NULL;
-	if (!peer_socket_open(&link->socket, peers->process.base,
-		peers->context, ZMQ_DEALER, link_drain, peers)) {
-		peer_socket_close(&link->socket);
-		free(link);
-		return NULL;
-	}
-	link->incarnation = incarnation;
-	link->used_at = clock_elapsed(peers->process.clock);
-	peer_auth_set(&peers->auth, link->socket.socket, false);
-	/* From the address that it listens on, so that a firewall can tell. */
-	snprintf(endpoint, sizeof(endpoint), "tcp://%s:0;%s", peers->host,
-	    member->peer_address);
-	zmq_connect(link->socket.socket, endpoint);
-	HASH_ADD(hh, peers->links, incarnation, sizeof(incarnation), link);
-	return link;
-}
-
-static void
-link_close(peers_t *peers, link_t *link)
-{
-	HASH_DEL(peers->links, link);
-	peer_socket_close(&link->socket);
-	free(link);
-}
-
 static bool
 bytes_send(peers_t *peers, peer_socket_t *socket, const outgoing_t *out)
 {
@@ -251,7 +198,7 @@
 }
 
 static bool
-link_send(peers_t *peers, link_t *link, const outgoing_t *out)
+link_send(peers_t *peers, peer_link_t *link, const outgoing_t *out)
 {
 	bool sent = bytes_send(peers, &link->socket, out);
 
@@ -273,7 +220,7 @@
 static void
 waiting_send(peers_t *peers, pending_t *pending)
 {
-	link_t *link = link_open(peers, pending->ask.to);
+	peer_link_t *link = peer_links_get(&peers->links, pending->ask.to);
 
 	if (link == NULL || !link_send(peers, link, pending->waiting))
 		return;
@@ -284,7 +231,7 @@
 static void
 ask_send(peers_t *peers, const outgoing_t *out)
 {
-	link_t *link = link_open(peers, out->ask.to);
+	peer_link_t *link = peer_links_get(&peers->links, out->ask.to);
 	pending_t *pending;
 
 	if (out->ask.task == NULL) {
@@ -317,44 +264,6 @@
 	bytes_send(peers, &peers->router, out);
 }
 
-static void
-members_take(peers_t *peers, members_t *members)
-{
-	link_t *link, *next;
-
-	members_release(peers->members);
-	peers->members = members_share(members);
-	HASH_ITER(hh, peers->links, link, next)
-	{
-		if (members_find(members, link->incarnation) == NULL)
-			link_close(peers, link);
-	}
-	for (handle_t h = 0; h < members->rows.len; h++) {
-		const member_t *member = members_at(members, h);
-
-		if (member->partner)
-			link_open(peers, member->incarnation);
-	}
-}
-
-/* A link takes some 90 KB: those not used for longest are closed. */
-static void
-links_bound(peers_t *peers)
-{
-	while (HASH_COUNT(peers->links) > LINKS_MAX) {
-		link_t *oldest = peers->links;
-		link_t *link, *next;
-
-		HASH_ITER(hh, peers->links, link, next)
-		{
-			if (timespec_us_between(
-				link->used_at, oldest->used_at) > 0)
-				oldest = link;
-		}
-		link_close(peers, oldest);
-	}
-}
-
 static void
 handle(void *state, msg_t *msg)
 {
@@ -368,7 +277,7 @@
 		answer_send(peers, msg->body);
 		break;
 	case PEERS_MEMBERS:
-		members_take(peers, msg->body);
+		peer_links_members(&peers->links, msg->body);
 		break;
 	}
 }
@@ -382,7 +291,7 @@
 
 	(void)fd;
 	(void)what;
-	links_bound(peers);
+	peer_links_bound(&peers->links);
 	HASH_ITER(hh, peers->pending, pending, next)
 	{
 		if (timespec_ms_between(pending->asked_at, now) >=
@@ -496,10 +405,16 @@
 		return NULL;
 	}
 	peers->process = *process;
-	snprintf(peers->host, sizeof(peers->host), "%.*s",
-	    (int)strcspn(address, ":"), address);
-	peers->members = members_new();
 	peers->context = zmq_ctx_new();
+	peers->links = (peer_links_t){.base = process->base,
+	    .clock = process->clock,
+	    .context = peers->context,
+	    .auth = &peers->auth,
+	    .drain = link_drain,
+	    .owner = peers,
+	    .members = members_new()};
+	snprintf(peers->links.host, sizeof(peers->links.host), "%.*s",
+	    (int)strcspn(address, ":"), address);
 	if (!task_init(&peers->task, process->base, handle, peers) ||
 	    !peer_auth_init(&peers->auth, secret, err) ||
 	    !sockets_open(peers, address, err)) {
@@ -515,7 +430,6 @@
 peers_free(peers_t *peers)
 {
 	pending_t *pending, *next_pending;
-	link_t *link, *next_link;
 
 	HASH_ITER(hh, peers->pending, pending, next_pending)
 	{
@@ -523,16 +437,12 @@
 		free(pending->waiting);
 		free(pending);
 	}
-	HASH_ITER(hh, peers->links, link, next_link)
-	{
-		link_close(peers, link);
-	}
+	peer_links_finish(&peers->links);
 	if (peers->tick != NULL)
 		event_free(peers->tick);
 	peer_socket_close(&peers->router);
 	peer_socket_close(&peers->zap);
 	task_finish(&peers->task);
-	members_release(peers->members);
 	zmq_ctx_term(peers->context);
 	free(peers);
 }
