member: loops over connections that the linter can follow

Change: plain loops over the same list. Behaviour stays. Ruled out: a suppression, which would hide real ones.

--- a/moortack/member/peer_links.c
+++ b/moortack/member/peer_links.c
@@ -56,12 +56,12 @@
 void
 peer_links_members(peer_links_t *links, members_t *members)
 {
-	peer_link_t *link, *next;
+	peer_link_t *next;
 
 	members_release(links->members);
 	links->members = members_share(members);
-	HASH_ITER(hh, links->all, link, next)
-	{
+	for (peer_link_t *link = links->all; link != NULL; link = next) {
+		next = link->hh.next;
 		if (members_find(members, link->incarnation) == NULL)
 			link_close(links, link);
 	}
@@ -92,11 +92,7 @@
 void
 peer_links_finish(peer_links_t *links)
 {
-	peer_link_t *link, *next;
-
-	HASH_ITER(hh, links->all, link, next)
-	{
-		link_close(links, link);
-	}
+	while (links->all != NULL)
+		link_close(links, links->all);
 	members_release(links->members);
 }
