relay: a read in pages and an answer of another daemon each mark what they name

Change: a row keeps which of the two has named it (row_reader_t); feed_apply() marks for the answer, all else for the store. Ruled out: taking no answers while a read in pages is under way (a daemon that starts would know nothing for longer, and one that is behind would stay so); ending rows only with a version before the read's beginning (rows keep old versions while they mean the same).

--- a/include/moortack/relay/row_cache.h
+++ b/include/moortack/relay/row_cache.h
@@ -20,6 +20,12 @@
 } row_table_t;
 
 /** One row, or the trace of one that is gone. */
+/** Who names rows, and ends those that it does not name. */
+typedef enum row_reader {
+	ROW_READER_STORE = 1, /**< a whole read of the store, in pages */
+	ROW_READER_TOLD = 2,  /**< a whole answer of another daemon */
+} row_reader_t;
+
 typedef struct cached_row {
 	char *name; /**< the table's number and the key */
 	row_table_t table;
@@ -27,7 +33,7 @@
 	size_t value_len;
 	uint64_t version;
 	uint64_t change; /**< number of its last change */
-	bool seen;	 /**< named in the whole read under way */
+	unsigned seen;	 /**< readers that have named it since they began */
 	struct timespec gone_at;
 	struct cached_row *newer; /**< by change; of the newest: the oldest */
 	struct cached_row *older;
@@ -44,6 +50,7 @@
 	cached_row_t *newest; /**< first in the order of changes */
 	uint64_t change;      /**< number of the newest change */
 	uint64_t renewed;     /**< rows that were taken, changed or not */
+	row_reader_t reader;  /**< that names rows now */
 	struct timespec trimmed;
 	/** All changes after these versions were seen, ends too: who knows less
 	 * has to be told all rows. */
@@ -75,8 +82,12 @@
 /** The row that changed next, or NULL. */
 const cached_row_t *row_cache_next(const row_cache_t *, const cached_row_t *);
 
-/** A whole read of a table begins: forget what was seen. */
-void row_cache_restart(row_cache_t *, row_table_t);
+/** A reader begins to name all rows of a table. An answer may come between two
+ * pages of a read of the store: what each of the two has named is told apart,
+ * or the read would end the rows of its first pages. */
+void row_cache_restart(row_cache_t *, row_table_t, row_reader_t);
+/** Whether the reader has named the row since it began. */
+bool row_cache_named(const cached_row_t *, row_reader_t);
 
 /** Forget rows that went long ago. */
 void row_cache_trim(row_cache_t *);
--- a/moortack/relay/feed_apply.c
+++ b/moortack/relay/feed_apply.c
@@ -15,7 +15,8 @@
 		    .deleted = true};
 
 		next = row->hh.next;
-		if (!answer->tables[row->table].whole || row->seen ||
+		if (!answer->tables[row->table].whole ||
+		    row_cache_named(row, ROW_READER_TOLD) ||
 		    row->value == NULL ||
 		    row->version > answer->tables[row->table].known)
 			continue;
@@ -38,8 +39,8 @@
 		row->version = told->version;
 }
 
-void
-feed_apply(
+static void
+rows_apply(
     const feed_answer_t *answer, row_cache_t *cache, feed_row_t told, void *arg)
 {
 	size_t len = json_array_size(answer->rows);
@@ -48,7 +49,8 @@
 
 	for (int i = 0; i < ROW_TABLES; i++) {
 		if (answer->tables[i].whole)
-			row_cache_restart(cache, (row_table_t)i);
+			row_cache_restart(
+			    cache, (row_table_t)i, ROW_READER_TOLD);
 	}
 	for (size_t i = 0; i < len; i++) {
 		if (!feed_answer_row(answer, i, &table, &row))
@@ -66,6 +68,17 @@
 	}
 }
 
+void
+feed_apply(
+    const feed_answer_t *answer, row_cache_t *cache, feed_row_t told, void *arg)
+{
+	row_reader_t before = cache->reader;
+
+	cache->reader = ROW_READER_TOLD;
+	rows_apply(answer, cache, told, arg);
+	cache->reader = before;
+}
+
 /* Whether the asker is told all rows of the table: it may miss an end, or it
  * comes from another daemon, and rows that went and came back without a change
  * of meaning are told to nobody. Orders are not taken back. */
--- a/moortack/relay/row_cache.c
+++ b/moortack/relay/row_cache.c
@@ -17,7 +17,10 @@
 row_cache_init(row_cache_t *cache, const clock_source_t *clock, row_same_t same,
     const void *arg)
 {
-	*cache = (row_cache_t){.clock = clock, .same = same, .same_arg = arg};
+	*cache = (row_cache_t){.clock = clock,
+	    .same = same,
+	    .same_arg = arg,
+	    .reader = ROW_READER_STORE};
 }
 
 static void
@@ -152,7 +155,7 @@
 	bool same;
 
 	if (row != NULL && now->version < row->version) {
-		row->seen = true;
+		row->seen |= cache->reader;
 		return false;
 	}
 	/* The end of a row that was never known here may be news to others. */
@@ -163,7 +166,7 @@
 	same = !added && now->deleted == (row->value == NULL) &&
 	    (now->version == row->version || means_same(cache, row, now));
 	row->version = now->version;
-	row->seen = true;
+	row->seen |= cache->reader;
 	cache->renewed++;
 	if (!value_set(row, now) || same)
 		return false;
@@ -182,19 +185,25 @@
 		return false;
 	/* An older end names nothing that is there. */
 	if (!row->deleted)
-		known->seen = true;
+		known->seen |= cache->reader;
 	return true;
 }
 
 void
-row_cache_restart(row_cache_t *cache, row_table_t table)
+row_cache_restart(row_cache_t *cache, row_table_t table, row_reader_t reader)
 {
 	for (cached_row_t *row = cache->rows; row != NULL; row = row->hh.next) {
 		if (row->table == table)
-			row->seen = false;
+			row->seen &= ~(unsigned)reader;
 	}
 }
 
+bool
+row_cache_named(const cached_row_t *row, row_reader_t reader)
+{
+	return (row->seen & reader) != 0;
+}
+
 void
 row_cache_trim(row_cache_t *cache)
 {
--- a/moortack/relay/row_source.c
+++ b/moortack/relay/row_source.c
@@ -151,7 +151,8 @@
 {
 	source_watch_t *watch = arg;
 
-	row_cache_restart(&watch->source->cache, watch->table);
+	row_cache_restart(
+	    &watch->source->cache, watch->table, ROW_READER_STORE);
 	watch->source->ops->restart(watch->source->arg, watch->table);
 }
 
@@ -167,7 +168,8 @@
 		    .deleted = true};
 
 		next = row->hh.next;
-		if (row->table != table || row->seen || row->value == NULL)
+		if (row->table != table || row->value == NULL ||
+		    row_cache_named(row, ROW_READER_STORE))
 			continue;
 		own_row_take(self, table, &end);
 	}
--- a/test/unit/paged_read_test.c
+++ b/test/unit/paged_read_test.c
@@ -202,6 +202,23 @@
 	paged_node_finish(&paged);
 }
 
+/* A row that is told again, as of a later version than it was written with, is
+ * there if the store names it with the version that it was written with. */
+static void
+a_row_that_is_known_as_newer_is_named(void **state)
+{
+	static paged_node_t paged;
+	const row_t newer = entry("e1", 50);
+	const row_t only[] = {entry("e1", 30)};
+
+	(void)state;
+	paged_node_init(&paged);
+	relay_rows_ops.row(&paged.node, ROW_TABLE_ENDPOINTS, &newer);
+	page_told(&paged, only, 1, false);
+	assert_true(has_endpoint(&paged, "e1"));
+	paged_node_finish(&paged);
+}
+
 int
 main(void)
 {
@@ -209,6 +226,7 @@
 	    cmocka_unit_test(pages_read_before_are_kept),
 	    cmocka_unit_test(what_the_store_does_not_name_has_gone),
 	    cmocka_unit_test(a_whole_answer_between_pages_still_ends_rows),
+	    cmocka_unit_test(a_row_that_is_known_as_newer_is_named),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
