--- a/test/unit/rollouts_test.c
+++ b/test/unit/rollouts_test.c
@@ -24,6 +24,16 @@
 /* Well into the last steps of a roll-out. */
 #define ELAPSED_MS 11000
 
+/* The one roll-out that a test has. */
+static void
+rollouts_forget(rollouts_t *rollouts)
+{
+	rollout_t *one = rollouts->all;
+
+	HASH_DEL(rollouts->all, one);
+	free(one);
+}
+
 /** What a daemon learns. */
 typedef enum news {
 	NEWS_ORDER,
@@ -80,7 +90,7 @@
 	for (int i = 0; i < 100; i++)
 		share += rollout_prefers_new(rollouts_find(&rollouts, "s"),
 		    UINT64_MAX / 100 * (uint64_t)i, false);
-	free(rollouts.all);
+	rollouts_forget(&rollouts);
 	return share;
 }
 
@@ -207,7 +217,7 @@
 			    &told, NEXT, "v3", bases[end], "in_progress", 15);
 			assert_string_equal(
 			    rollout_base(told.rollout), bases[end]);
-			free(told.rollouts.all);
+			rollouts_forget(&told.rollouts);
 		}
 	}
 }
@@ -231,7 +241,7 @@
 	state_told(&told, ORDER, "v2", "v1", "in_progress", 14);
 	assert_int_equal(told.rollout->order.number, NEXT);
 	assert_string_equal(rollout_base(told.rollout), "v1");
-	free(told.rollouts.all);
+	rollouts_forget(&told.rollouts);
 }
 
 static bool
@@ -297,14 +307,13 @@
 
 	(void)state;
 	first_order_init(&told);
-	free(told.rollouts.all);
-	told.rollouts.all = NULL;
+	rollouts_forget(&told.rollouts);
 	order_told(&told, NEXT, "v3");
 	told.rollout = rollouts_find(&told.rollouts, "s");
 	state_told(&told, ORDER, "v2", "v0", "reverted", 12);
 	assert_string_equal(rollout_base(told.rollout), "v0");
 	assert_true(is_taken_back(&told, "v2"));
-	free(told.rollouts.all);
+	rollouts_forget(&told.rollouts);
 }
 
 /* Silent for longer than a daemon that stands still for a moment. */
@@ -347,7 +356,7 @@
 	assert_true(rollout_settled(rollout));
 	HASH_DEL(told.members.members, &member);
 	json_decref(member.report);
-	free(told.rollouts.all);
+	rollouts_forget(&told.rollouts);
 }
 
 int
