--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -10,10 +10,10 @@
 #include "moortack/relay/relay.h"
 
 #define TRIED_MAX 8
-/** Endpoints whose keepers are asked before a prompt is placed. Of short prompts
- * at 40 requests a second for each twelve endpoints, 98.7 in 100 begin in time
- * with two, 99.9 with three, 100.0 with five (90 daemons in bench/placing.c,
- * three seeds). */
+/** Endpoints whose keepers are asked before a prompt is placed. Of short
+ * prompts at 40 requests a second for each twelve endpoints, 98.7 in 100 begin
+ * in time with two, 99.9 with three, 100.0 with five (90 daemons in
+ * bench/placing.c, three seeds). */
 #define ASKED_MAX 3
 #define HEAD_TEXT_MAX 4096
 
