standin: the engine's streams in a file of their own

Behaviour stays. Ruled out: a private header beside it: stand-ins have theirs under include/standin/.

--- /dev/null
+++ b/include/standin/engine_stream.h
@@ -0,0 +1,72 @@
+/**
+ * @file
+ * The engine's requests: queued, running, answered by events or as one.
+ */
+#ifndef STANDIN_ENGINE_STREAM_H
+#define STANDIN_ENGINE_STREAM_H
+
+#include <uthash.h>
+
+#include "common/http_server.h"
+#include "standin/fake.h"
+
+#define ID_SIZE 80
+#define PROMPT_SIZE 4096
+#define LOAD_SAMPLES 512
+#define PREFIXES 64
+
+typedef struct engine engine_t;
+
+/** One request: queued, running or ended. */
+typedef struct stream {
+	engine_t *engine;
+	char id[ID_SIZE];
+	char version[ID_SIZE];
+	char prompt[PROMPT_SIZE];
+	int64_t tokens; /**< to generate */
+	int64_t made;	/**< generated so far */
+	int64_t sent;	/**< sent on the connection */
+	int64_t prefill;
+	bool running;
+	bool done;
+	bool plain;		    /**< one JSON answer in place of events */
+	struct evhttp_request *req; /**< NULL when nobody listens */
+	struct event *tick;
+	UT_hash_handle hh;
+} stream_t;
+
+struct engine {
+	fake_t fake;
+	stream_t *streams;
+	json_t *runs;	  /**< every run: id, version, organisation */
+	json_t *versions; /**< loaded: version to fence */
+	int64_t fence;	  /**< highest number seen in an order */
+	int64_t running;
+	int64_t queued;
+	int64_t token_ms;
+	int64_t slots;
+	int64_t cut_after;
+	int64_t lag_ms;
+	bool ends_cleanly; /**< a cut looks like an end, without its mark */
+	bool ignore_fence;
+	bool leaving;
+	bool takes_all;			/**< also while it leaves */
+	int64_t loads[LOAD_SAMPLES][2]; /**< ring of running, queued */
+	uint64_t sampled;
+	uint64_t prefixes[PREFIXES]; /**< hashes of cached prompts */
+	uint64_t prefix_count;
+	int64_t prefix_hits;
+};
+
+/** Start what may run now. */
+void engine_queue_next(engine_t *);
+/** The answer goes to this caller from now on. */
+void engine_stream_attach(stream_t *, struct evhttp_request *);
+/** Send what its caller has not had yet. */
+void engine_stream_catch_up(stream_t *);
+/** Answer whole, or end the events. */
+void engine_stream_end(stream_t *);
+/** One token more; the argument is the stream. */
+void engine_stream_tick(evutil_socket_t, short what, void *stream);
+
+#endif
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -11,249 +11,18 @@
  * the next stream after so many tokens), "bad" (a version that fails),
  * "ignore_fence", "leaving", "takes_all" (also while it leaves).
  */
-#include <event2/buffer.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
 
-#include "common/http_server.h"
-#include "standin/fake.h"
+#include "standin/engine_stream.h"
 
-#define ID_SIZE 80
-#define PROMPT_SIZE 4096
 #define DEFAULT_TOKENS 8
 #define MAX_TOKENS 100000
 #define DEFAULT_SLOTS 8
 #define SAMPLE_MS 5
-#define LOAD_SAMPLES 512
-#define PREFIXES 64
 #define PREFILL_TICKS 2 /* before the first token on a cache miss */
 
-typedef struct engine engine_t;
-
-/** One request: queued, running or ended. */
-typedef struct stream {
-	engine_t *engine;
-	char id[ID_SIZE];
-	char version[ID_SIZE];
-	char prompt[PROMPT_SIZE];
-	int64_t tokens; /**< to generate */
-	int64_t made;	/**< generated so far */
-	int64_t sent;	/**< sent on the connection */
-	int64_t prefill;
-	bool running;
-	bool done;
-	bool plain;		    /**< one JSON answer in place of events */
-	struct evhttp_request *req; /**< NULL when nobody listens */
-	struct event *tick;
-	UT_hash_handle hh;
-} stream_t;
-
-struct engine {
-	fake_t fake;
-	stream_t *streams;
-	json_t *runs;	  /**< every run: id, version, organisation */
-	json_t *versions; /**< loaded: version to fence */
-	int64_t fence;	  /**< highest number seen in an order */
-	int64_t running;
-	int64_t queued;
-	int64_t token_ms;
-	int64_t slots;
-	int64_t cut_after;
-	int64_t lag_ms;
-	bool ends_cleanly; /**< a cut looks like an end, without its mark */
-	bool ignore_fence;
-	bool leaving;
-	bool takes_all;			/**< also while it leaves */
-	int64_t loads[LOAD_SAMPLES][2]; /**< ring of running, queued */
-	uint64_t sampled;
-	uint64_t prefixes[PREFIXES]; /**< hashes of cached prompts */
-	uint64_t prefix_count;
-	int64_t prefix_hits;
-};
-
-static void stream_tick(evutil_socket_t, short, void *);
-
-static void
-token_text(const stream_t *stream, int64_t i, char *out, size_t size)
-{
-	if (i == 0)
-		snprintf(out, size, "%s", stream->prompt);
-	else
-		snprintf(out, size, " w%lld", (long long)i);
-}
-
-static json_t *
-usage_json(const stream_t *stream)
-{
-	/* A prompt that begins with "hard" leaves a cheap model unsure. */
-	bool unsure = strncmp(stream->prompt, "hard", 4) == 0;
-
-	return json_pack("{s:i,s:I,s:f}", "prompt_tokens",
-	    (int)strlen(stream->prompt), "completion_tokens",
-	    (json_int_t)stream->made, "confidence", unsure ? 0.05 : 0.95);
-}
-
-static void
-event_send(stream_t *stream, json_t *event)
-{
-	struct evbuffer *out = evbuffer_new();
-	char *text = json_dumps(event, JSON_COMPACT);
-
-	evbuffer_add_printf(out, "data: %s\n\n", text);
-	evhttp_send_reply_chunk(stream->req, out);
-	evbuffer_free(out);
-	free(text);
-	json_decref(event);
-}
-
-static void
-token_send(stream_t *stream, int64_t i)
-{
-	char text[PROMPT_SIZE];
-
-	token_text(stream, i, text, sizeof(text));
-	event_send(stream,
-	    json_pack("{s:s,s:s,s:[{s:i,s:{s:s}}]}", "id", stream->id, "model",
-		stream->version, "choices", "index", 0, "delta", "content",
-		text));
-}
-
-static void
-plain_send(stream_t *stream)
-{
-	char piece[PROMPT_SIZE];
-	char *text = calloc(1, PROMPT_SIZE + (size_t)stream->tokens * 16);
-	size_t len = 0;
-
-	for (int64_t i = 0; i < stream->tokens; i++) {
-		token_text(stream, i, piece, sizeof(piece));
-		len += (size_t)sprintf(text + len, "%s", piece);
-	}
-	http_answer_json(stream->req, 200,
-	    json_pack("{s:s,s:s,s:[{s:i,s:{s:s,s:s}}],s:o}", "id", stream->id,
-		"model", stream->version, "choices", "index", 0, "message",
-		"role", "assistant", "content", text, "usage",
-		usage_json(stream)));
-	free(text);
-	stream->req = NULL;
-}
-
-static void
-stream_detach(struct evhttp_connection *conn, void *arg)
-{
-	stream_t *stream = arg;
-
-	(void)conn;
-	/* libevent leaves a request whose connection failed to its owner. */
-	evhttp_request_free(stream->req);
-	stream->req = NULL;
-}
-
-static void
-stream_end(stream_t *stream)
-{
-	struct evbuffer *out;
-
-	if (stream->req == NULL)
-		return;
-	http_request_unwatch(stream->req);
-	if (stream->plain) {
-		plain_send(stream);
-		return;
-	}
-	event_send(stream,
-	    json_pack("{s:s,s:[],s:o}", "id", stream->id, "choices", "usage",
-		usage_json(stream)));
-	out = evbuffer_new();
-	evbuffer_add_printf(out, "data: [DONE]\n\n");
-	evhttp_send_reply_chunk(stream->req, out);
-	evbuffer_free(out);
-	evhttp_send_reply_end(stream->req);
-	stream->req = NULL;
-}
-
-static void
-tick_after(stream_t *stream)
-{
-	int64_t ms = stream->engine->token_ms;
-	struct timeval wait = {ms / 1000, ms % 1000 * 1000};
-
-	event_add(stream->tick, &wait);
-}
-
-static void
-queue_next(engine_t *engine)
-{
-	stream_t *stream, *next;
-
-	HASH_ITER(hh, engine->streams, stream, next)
-	{
-		if (engine->running >= engine->slots)
-			return;
-		if (stream->running || stream->done)
-			continue;
-		stream->running = true;
-		engine->running++;
-		engine->queued--;
-		tick_after(stream);
-	}
-}
-
-static void
-stream_finish(stream_t *stream)
-{
-	stream->done = true;
-	stream->running = false;
-	stream->engine->running--;
-	stream_end(stream);
-	queue_next(stream->engine);
-}
-
-static bool
-cut_due(stream_t *stream)
-{
-	engine_t *engine = stream->engine;
-
-	if (engine->cut_after <= 0 || stream->made < engine->cut_after ||
-	    stream->req == NULL)
-		return false;
-	engine->cut_after = 0;
-	http_request_unwatch(stream->req);
-	if (engine->ends_cleanly) {
-		evhttp_send_reply_end(stream->req);
-		stream->req = NULL;
-		return true;
-	}
-	fake_drop(&engine->fake, stream->req);
-	stream->req = NULL;
-	return true;
-}
-
-static void
-stream_tick(evutil_socket_t fd, short what, void *arg)
-{
-	stream_t *stream = arg;
-
-	(void)fd;
-	(void)what;
-	if (stream->prefill > 0) {
-		stream->prefill--;
-		tick_after(stream);
-		return;
-	}
-	stream->made++;
-	if (!cut_due(stream) && stream->req != NULL && !stream->plain) {
-		for (; stream->sent < stream->made; stream->sent++)
-			token_send(stream, stream->sent);
-	}
-	if (stream->made >= stream->tokens)
-		stream_finish(stream);
-	else
-		tick_after(stream);
-}
-
 static bool
 prefix_hit(engine_t *engine, const char *prompt)
 {
@@ -281,17 +50,6 @@
 	return json_string_value(json_object_get(last, "content"));
 }
 
-static void
-stream_attach(stream_t *stream, struct evhttp_request *req)
-{
-	stream->req = req;
-	http_request_watch(req, stream_detach, stream);
-	if (stream->plain)
-		return;
-	http_answer_header(req, "Content-Type", "text/event-stream");
-	evhttp_send_reply_start(req, 200, "OK");
-}
-
 static void
 run_note(engine_t *engine, struct evhttp_request *req, const char *id,
     const char *version)
@@ -348,11 +106,12 @@
 		stream->tokens = DEFAULT_TOKENS;
 	stream->plain = !json_is_true(json_object_get(body, "stream"));
 	stream->prefill = prefix_hit(engine, prompt) ? 0 : PREFILL_TICKS;
-	stream->tick = event_new(engine->fake.base, -1, 0, stream_tick, stream);
+	stream->tick =
+	    event_new(engine->fake.base, -1, 0, engine_stream_tick, stream);
 	HASH_ADD_STR(engine->streams, id, stream);
 	engine->queued++;
-	stream_attach(stream, req);
-	queue_next(engine);
+	engine_stream_attach(stream, req);
+	engine_queue_next(engine);
 }
 
 static void
@@ -368,11 +127,10 @@
 	}
 	http_request_query(req, "from", from, sizeof(from));
 	stream->sent = strtoll(from, NULL, 10);
-	stream_attach(stream, req);
-	for (; stream->sent < stream->made; stream->sent++)
-		token_send(stream, stream->sent);
+	engine_stream_attach(stream, req);
+	engine_stream_catch_up(stream);
 	if (stream->done)
-		stream_end(stream);
+		engine_stream_end(stream);
 }
 
 static void
@@ -390,8 +148,8 @@
 		stream->done = true;
 		stream->running = false;
 		if (stream->req != NULL)
-			stream_end(stream);
-		queue_next(engine);
+			engine_stream_end(stream);
+		engine_queue_next(engine);
 	}
 	http_answer_json(req, 200, json_object());
 }
@@ -482,7 +240,7 @@
 	engine->takes_all = json_is_true(json_object_get(body, "takes_all"));
 	if (ignore != NULL)
 		engine->ignore_fence = json_is_true(ignore);
-	queue_next(engine);
+	engine_queue_next(engine);
 }
 
 static void
