test: what is started has its default for SIGHUP, whoever started the runner

Cause: make mutants on the whole list: 65 caught, 1 missed (edge-hangup). It ran under nohup, which ignores SIGHUP, and what ignores a signal hands that on: the daemon without its own handling could not be ended by it, so that the check could not fail. Change: the runner gives SIGHUP its default in what it starts. Ruled out: a race in the scenario (caught 3 of 3 without nohup).

--- a/test/scenario/runner.c
+++ b/test/scenario/runner.c
@@ -194,10 +194,12 @@
 	return n;
 }
 
-/* The runner's ways of ending are not those of what it starts. */
+/* The runner's ways of ending are not those of what it starts, nor what whoever
+ * started the runner has it ignore. */
 static void
 child_signals(const sigset_t *before)
 {
+	signal(SIGHUP, SIG_DFL);
 	signal(SIGINT, SIG_DFL);
 	signal(SIGTERM, SIG_DFL);
 	signal(SIGPIPE, SIG_DFL);
