test: what several tests of the relay start with stands once

Cause: the new tests had copies of two words of the scenarios (a long prompt, who ran a request), of finding the one that reads the store, and of a relay node's settings. Change: words.prompt(), World:endpoint_of(), World:reader(); node_settings.h for units. Assertions stay.

--- a/test/platform/directory.lua
+++ b/test/platform/directory.lua
@@ -41,17 +41,11 @@
   end
 end
 
--- Only one reads the store, and the others follow it.
 local function reader()
-  local found, count
+  local found
   lib.wait_until("one daemon reads the store", function()
-    count = 0
-    for _, daemon in ipairs(w.daemons) do
-      if words.metric(daemon, "following") == 0 then
-        found, count = daemon, count + 1
-      end
-    end
-    return count == 1
+    found = w:reader()
+    return found ~= nil
   end)
   return found
 end
--- a/test/platform/keepers.lua
+++ b/test/platform/keepers.lua
@@ -26,25 +26,11 @@
   return all
 end
 
-local function endpoint_of(id)
-  for i in ipairs(w.replicas) do
-    for _, one in ipairs(w:runs(i)) do
-      if one["Moortack-Attempt-Id"] == id then return i end
-    end
-  end
-end
-
-local function prompt(subject, own)
-  return {["Moortack-Token-Count"] = "9000,10",
-    ["Moortack-Prefix-Hash"] = string.format("a1:100,b%d:8000,c%d:900",
-      subject, own)}
-end
-
 local function send(daemon, subject, own)
   local answer = words.call(daemon, "/stream/a",
-    {headers = prompt(subject, own)})
+    {headers = words.prompt(subject, own)})
   lib.equal(answer.status, 200, "a prompt")
-  return endpoint_of(answer.id)
+  return w:endpoint_of(answer.id)
 end
 
 -- The tick that notices the size of the fleet.
--- a/test/platform/reader_still.lua
+++ b/test/platform/reader_still.lua
@@ -10,16 +10,6 @@
 local BOUND_MS = 2000
 local w = words.world(2, DAEMONS)
 
-local function readers()
-  local found = {}
-  for _, daemon in ipairs(w.daemons) do
-    if words.metric(daemon, "following") == 0 then
-      found[#found + 1] = daemon
-    end
-  end
-  return found
-end
-
 local function others_know(still, leaving)
   for _, daemon in ipairs(w.daemons) do
     if daemon ~= still and
@@ -32,9 +22,9 @@
 
 for round = 1, ROUNDS do
   lib.wait_until("one daemon reads the store", function()
-    return #readers() == 1 and others_know(nil, 0)
+    return w:reader() ~= nil and others_know(nil, 0)
   end)
-  local still = readers()[1]
+  local still = w:reader()
   still:stop()
   -- As the followers' questions are held, and once they are late.
   run.sleep(300 * (round - 1))
--- a/test/platform/sends_told.lua
+++ b/test/platform/sends_told.lua
@@ -13,31 +13,17 @@
   return true
 end)
 
-local function endpoint_of(id)
-  for i in ipairs(w.replicas) do
-    for _, one in ipairs(w:runs(i)) do
-      if one["Moortack-Attempt-Id"] == id then return i end
-    end
-  end
-end
-
-local function prompt(subject, own)
-  return {["Moortack-Token-Count"] = "9000,10",
-    ["Moortack-Prefix-Hash"] = string.format("a1:100,b%d:8000,c%d:900",
-      subject, own)}
-end
-
 for subject = 1, SUBJECTS do
   local heard = words.metric(w.daemons[2], "notes_received")
   local first = words.call(w.daemons[1], "/stream/a",
-    {headers = prompt(subject, 2 * subject)})
+    {headers = words.prompt(subject, 2 * subject)})
   lib.equal(first.status, 200, "the first prompt")
   lib.wait_until("the other daemon hears of it", function()
     return words.metric(w.daemons[2], "notes_received") > heard
   end)
   local second = words.call(w.daemons[2], "/stream/a",
-    {headers = prompt(subject, 2 * subject + 1)})
-  lib.equal(endpoint_of(second.id), endpoint_of(first.id),
+    {headers = words.prompt(subject, 2 * subject + 1)})
+  lib.equal(w:endpoint_of(second.id), w:endpoint_of(first.id),
     "the endpoint of the second prompt")
 end
 lib.equal(words.metric(w.daemons[1], "notes_refused"), 0, "refused notes")
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -190,6 +190,33 @@
   return self:runs_by_id()[id] or 0
 end
 
+-- The number of the replica that ran a request; nil: none.
+function World:endpoint_of(id)
+  for i in ipairs(self.replicas) do
+    for _, one in ipairs(self:runs(i)) do
+      if one["Moortack-Attempt-Id"] == id then return i end
+    end
+  end
+end
+
+-- The headers of a long prompt that shares most of it with others on its subject.
+function words.prompt(subject, own)
+  return {["Moortack-Token-Count"] = "9000,10",
+    ["Moortack-Prefix-Hash"] = string.format("a1:100,b%d:8000,c%d:900",
+      subject, own)}
+end
+
+-- The only daemon that reads the store, or nil: the others follow it.
+function World:reader()
+  local found, count = nil, 0
+  for _, daemon in ipairs(self.daemons) do
+    if words.metric(daemon, "following") == 0 then
+      found, count = daemon, count + 1
+    end
+  end
+  return count == 1 and found or nil
+end
+
 -- The settings of the daemon of that number, and the path where they belong.
 function World:settings(i)
   local ip = string.format("%s%d", network, i)
--- /dev/null
+++ b/test/support/node_settings.h
@@ -0,0 +1,35 @@
+/**
+ * @file
+ * A relay node whose store and dialects are the test's.
+ */
+#ifndef TEST_SUPPORT_NODE_SETTINGS_H
+#define TEST_SUPPORT_NODE_SETTINGS_H
+
+#include "silent_store.h"
+
+static const relay_node_settings_t node_settings = {.listen = {"127.0.0.1", 0},
+    .name = "127.0.0.1:1",
+    .place = "a",
+    .endpoints_pause_ms = 600,
+    .endpoints_old_ms = 1300,
+    .config_wait_ms = 500,
+    .lapse_ms = 2000,
+    .grace_ms = 1000,
+    .log_per_s = 1};
+
+/** Start it. @return false: it did not */
+static inline bool
+node_start(relay_node_t *node, struct event_base *base,
+    const clock_source_t *clock, rng_t *rng, row_store_t *store)
+{
+	static const caller_dialect_t callers;
+	static const endpoint_dialect_t endpoints;
+	static const rollout_dialect_t rollouts;
+	const relay_ports_t ports = {base, clock, rng, store, &told_sources,
+	    &callers, &endpoints, &rollouts};
+	err_t err;
+
+	return relay_node_init(node, &ports, &node_settings, &err);
+}
+
+#endif
--- a/test/unit/lapse_test.c
+++ b/test/unit/lapse_test.c
@@ -16,9 +16,9 @@
 
 #include "../../moortack/relay/relay_node_priv.h"
 #include "../support/manual_clock.h"
-#include "../support/silent_store.h"
+#include "../support/node_settings.h"
 
-#define LAPSE_MS 2000
+#define LAPSE_MS (node_settings.lapse_ms)
 #define OUTAGE_MS 4000
 #define VERSION_ENTRY 40
 #define VERSION_BEFORE 60
@@ -37,28 +37,12 @@
 static void
 told_node_init(told_node_t *told)
 {
-	static const caller_dialect_t callers;
-	static const endpoint_dialect_t endpoints;
-	static const rollout_dialect_t rollouts;
-	const relay_node_settings_t settings = {.listen = {"127.0.0.1", 0},
-	    .name = "127.0.0.1:1",
-	    .place = "a",
-	    .endpoints_pause_ms = 600,
-	    .endpoints_old_ms = 1300,
-	    .config_wait_ms = 500,
-	    .lapse_ms = LAPSE_MS,
-	    .grace_ms = 1000,
-	    .log_per_s = 1};
-	relay_ports_t ports;
-	err_t err;
-
 	told->clock = (manual_clock_t){{&manual_ops}, {1000, 0}};
 	told->store = (row_store_t){&silent_ops};
 	told->base = event_base_new();
 	rng_system_init(&told->rng);
-	ports = (relay_ports_t){told->base, &told->clock.source, &told->rng,
-	    &told->store, &told_sources, &callers, &endpoints, &rollouts};
-	assert_true(relay_node_init(&told->node, &ports, &settings, &err));
+	assert_true(node_start(&told->node, told->base, &told->clock.source,
+	    &told->rng, &told->store));
 }
 
 static void
--- a/test/unit/paged_read_test.c
+++ b/test/unit/paged_read_test.c
@@ -25,7 +25,7 @@
 #include "../../moortack/relay/relay_node_priv.h"
 #include "../../moortack/relay/row_source_priv.h"
 #include "../support/manual_clock.h"
-#include "../support/silent_store.h"
+#include "../support/node_settings.h"
 
 #define VERSION_READ 60
 
@@ -61,29 +61,13 @@
 static void
 paged_node_init(paged_node_t *paged)
 {
-	static const caller_dialect_t callers;
-	static const endpoint_dialect_t endpoints;
-	static const rollout_dialect_t rollouts;
-	const relay_node_settings_t settings = {.listen = {"127.0.0.1", 0},
-	    .name = "127.0.0.1:1",
-	    .place = "a",
-	    .endpoints_pause_ms = 600,
-	    .endpoints_old_ms = 1300,
-	    .config_wait_ms = 500,
-	    .lapse_ms = 2000,
-	    .grace_ms = 1000,
-	    .log_per_s = 1};
-	relay_ports_t ports;
-	err_t err;
-
 	memset(paged, 0, sizeof(*paged));
 	paged->clock = (manual_clock_t){{&manual_ops}, {1000, 0}};
 	paged->store = (row_store_t){&paged_ops};
 	paged->base = event_base_new();
 	rng_system_init(&paged->rng);
-	ports = (relay_ports_t){paged->base, &paged->clock.source, &paged->rng,
-	    &paged->store, &told_sources, &callers, &endpoints, &rollouts};
-	assert_true(relay_node_init(&paged->node, &ports, &settings, &err));
+	assert_true(node_start(&paged->node, paged->base, &paged->clock.source,
+	    &paged->rng, &paged->store));
 	while (paged->done == NULL)
 		event_base_loop(paged->base, EVLOOP_ONCE);
 }
