test: who has read no rows gives no word on who lives, failing

Cause: fuzz_lives, run for 600 s on the last code, found one input (40,233 runs): in a long outage a daemon starts, reads nothing, and is asked by others whose own source is gone before it notices that the store does not answer. It knows nobody, so nobody that it knows is silent; it says that all live, and whoever takes that word names daemons that were off for longer than the users' bound. Conclusion: reproduced by an input and by a unit.

--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -471,6 +471,35 @@
 	event_base_free(base);
 }
 
+/* A daemon that started in an outage of the store had read no rows, and was
+ * asked by others that had lost whom they followed: it knew nobody, so all that
+ * it knew were fresh, and its word that all live named those that were off for
+ * longer than the users' bound. Found by fuzz_lives (corpus/lives/found11). */
+static void
+who_knows_no_rows_speaks_for_nobody(void **state)
+{
+	manual_clock_t clock = {{&manual_ops}, {100, 0}};
+	struct event_base *base = event_base_new();
+	row_store_t store = {&silent_ops};
+	membership_t self;
+
+	(void)state;
+	membership_of(&self, base, &store, &clock.source, 0, 1);
+	for (int i = 0; i < 20; i++) {
+		clock.now = timespec_after_ms(clock.now, 200);
+		membership_heard(&self, "10.0.0.5:80", NULL);
+		membership_step(&self, false);
+	}
+	assert_int_equal(membership_vouch_age_ms(&self), -1);
+	membership_rows_read(&self);
+	clock.now = timespec_after_ms(clock.now, 200);
+	membership_heard(&self, "10.0.0.5:80", NULL);
+	membership_step(&self, false);
+	assert_int_equal(membership_vouch_age_ms(&self), 0);
+	membership_finish(&self);
+	event_base_free(base);
+}
+
 int
 main(void)
 {
@@ -484,6 +513,7 @@
 		a_whole_answer_brings_back_what_came_back_unchanged),
 	    cmocka_unit_test(followers_form_a_tree),
 	    cmocka_unit_test(few_links_of_the_tree_cross_between_places),
+	    cmocka_unit_test(who_knows_no_rows_speaks_for_nobody),
 	    cmocka_unit_test(a_daemon_that_failed_is_not_followed_for_a_time),
 	    cmocka_unit_test(the_first_may_follow_the_second),
 	    cmocka_unit_test(a_silent_member_counts_as_dead),
