relay: who has read no rows gives no word on who lives

Change: a daemon's word is its own only after the rows of all were read or told once. fuzz_lives tells a daemon that follows another one that its rows are known, as the product does (it had left that out, which gave the played daemons less than real ones have). Ruled out: rejecting words by the version of the speaker's rows (a daemon that was told of all and missed the last one that joined would say nothing); taking no word of whom the store does not answer (a cut one may well know from whom it follows). Test: unit_row_source, unit_member_life (new case), corpus/lives/found11 failed; all pass, with all kept inputs; mutant relay-unread-speaks.

--- a/include/moortack/relay/member_life.h
+++ b/include/moortack/relay/member_life.h
@@ -62,6 +62,7 @@
 typedef struct life_step {
 	bool following; /**< see life_view_t */
 	bool held;
+	bool all_known; /**< the rows of all were read or told once */
 	bool all_fresh; /**< all that are not known to be silent gave a sign */
 } life_step_t;
 
--- a/include/moortack/relay/membership.h
+++ b/include/moortack/relay/membership.h
@@ -71,9 +71,10 @@
 	int64_t retry_ms; /**< until the next write after a failed one */
 	bool reachable;	  /**< the last write was answered */
 	bool removed;
-	bool hold;     /**< see membership_hold() */
-	bool alone;    /**< no other daemon hears of this one but by its row */
-	bool clearing; /**< rows of the dead are being taken out */
+	bool rows_read; /**< see membership_rows_read() */
+	bool hold;	/**< see membership_hold() */
+	bool alone;	/**< no other daemon hears of this one but by its row */
+	bool clearing;	/**< rows of the dead are being taken out */
 	struct timespec clear_after;
 	life_view_t view;
 	double order;		  /**< of this daemon */
@@ -121,7 +122,7 @@
 /** The store's clock, as heard just now. */
 void membership_store_clock(membership_t *, int64_t now_ms);
 
-/** The rows of all were read for the first time. */
+/** The rows of all were read, or told, for the first time. */
 void membership_rows_read(membership_t *);
 /**
  * Take the word of another daemon: all gave a sign of life shortly before @p
--- a/moortack/relay/member_life.c
+++ b/moortack/relay/member_life.c
@@ -50,15 +50,17 @@
 	view->held = held;
 }
 
-/* Whether all had the time to ask this daemon. */
+/* Whether all had the time to ask this daemon, and it knows who they are: one
+ * that has read no rows knows of nobody that is silent. */
 static bool
-is_settled(const life_view_t *view, struct timespec now, bool all_fresh)
+is_settled(
+    const life_view_t *view, struct timespec now, const life_step_t *step)
 {
-	if (view->following || view->held)
+	if (view->following || view->held || !step->all_known)
 		return false;
 	if (is_set(view->asked_since) &&
 	    within(view->asked, now, view->bounds.silent_ms) &&
-	    (view->settled || all_fresh ||
+	    (view->settled || step->all_fresh ||
 		!within(view->asked_since, now, SETTLE_MS)))
 		return true;
 	return !within(view->began, now, view->bounds.lone_ms);
@@ -73,7 +75,7 @@
 	view->stepped = now;
 	view->following = step->following;
 	hold(view, now, step->held);
-	view->settled = is_settled(view, now, step->all_fresh);
+	view->settled = is_settled(view, now, step);
 	if (view->settled)
 		view->vouched = now;
 }
--- a/moortack/relay/member_signs.c
+++ b/moortack/relay/member_signs.c
@@ -302,7 +302,8 @@
 	bool news = false;
 
 	life_view_step(&self->view, now,
-	    &(life_step_t){following, self->hold, all_fresh(self, now)});
+	    &(life_step_t){
+		following, self->hold, self->rows_read, all_fresh(self, now)});
 	alone_step(self, now);
 	if (self->view.settled) {
 		news = silent_judge(self, now) || !was_settled;
--- a/moortack/relay/membership.c
+++ b/moortack/relay/membership.c
@@ -353,6 +353,7 @@
 void
 membership_rows_read(membership_t *self)
 {
+	self->rows_read = true;
 	life_view_grant(&self->view, clock_elapsed(self->clock));
 }
 
--- a/test/fuzz/lives_fuzz.c
+++ b/test/fuzz/lives_fuzz.c
@@ -416,6 +416,9 @@
 	} else {
 		membership_store_clock(&child->members, now_ms());
 		rows_pass(parent, child);
+		if (parent->rows_read && !child->rows_read)
+			membership_rows_read(&child->members);
+		child->rows_read |= parent->rows_read;
 		child->following = true;
 		membership_trust(&child->members, name);
 		if (age_ms >= 0)
--- a/test/unit/member_life_test.c
+++ b/test/unit/member_life_test.c
@@ -33,6 +33,7 @@
 	bool asked; /**< others ask this daemon twice a second */
 	bool following;
 	bool held;
+	bool knows_nobody;
 	bool all_fresh;
 } judged_t;
 
@@ -48,8 +49,8 @@
 pass(judged_t *judged, int64_t ms)
 {
 	for (int64_t past = 0; past < ms; past += STEP_MS) {
-		life_step_t step = {
-		    judged->following, judged->held, judged->all_fresh};
+		life_step_t step = {judged->following, judged->held,
+		    !judged->knows_nobody, judged->all_fresh};
 
 		judged->now = timespec_after_ms(judged->now, STEP_MS);
 		if (judged->asked)
@@ -207,6 +208,23 @@
 	assert_false(named(&judged));
 }
 
+static void
+who_knows_nobody_gives_no_word(void **state)
+{
+	judged_t judged = judged_new();
+
+	(void)state;
+	judged.asked = true;
+	judged.all_fresh = true;
+	judged.knows_nobody = true;
+	pass(&judged, 2 * LONE_MS);
+	assert_false(judged.view.settled);
+	assert_int_equal(judged.view.vouched.tv_sec, 0);
+	judged.knows_nobody = false;
+	pass(&judged, STEP_MS);
+	assert_true(judged.view.settled);
+}
+
 static void
 whom_nobody_asks_judges_late(void **state)
 {
@@ -283,6 +301,7 @@
 	    cmocka_unit_test(who_stood_still_judges_nobody_at_once),
 	    cmocka_unit_test(an_outage_judges_nobody_and_excuses_nobody),
 	    cmocka_unit_test(a_grace_is_no_word_for_others),
+	    cmocka_unit_test(who_knows_nobody_gives_no_word),
 	    cmocka_unit_test(whom_nobody_asks_judges_late),
 	    cmocka_unit_test(what_it_reported_counts_longer_than_it_is_named),
 	    cmocka_unit_test(an_outage_that_ends_takes_nobody_for_gone),
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -387,6 +387,7 @@
 
 	(void)state;
 	membership_of(&self, base, &store, &clock.source, 1, DAEMONS);
+	membership_rows_read(&self);
 	assert_int_equal(membership_count(&self), DAEMONS);
 	membership_heard(&self, "10.0.0.3:80", NULL);
 	/* Silent ones are not yet taken for dead. */
