--- a/test/platform/directory.lua
+++ b/test/platform/directory.lua
@@ -41,15 +41,6 @@
   end
 end
 
-local function reader()
-  local found
-  lib.wait_until("one daemon reads the store", function()
-    found = w:reader()
-    return found ~= nil
-  end)
-  return found
-end
-
 -- Nobody names a daemon that has stood still for the bound, nor later, and all
 -- others are named.
 local function goes_off(off, what)
@@ -73,9 +64,9 @@
 end
 
 lib.wait_until("all are named", all_name_all)
-local first = reader()
+local first = w:reader()
 goes_off(first, "the one that reads the store")
-first = reader()
+first = w:reader()
 for _, daemon in ipairs(w.daemons) do
   if daemon ~= first then
     goes_off(daemon, "one that follows")
--- a/test/platform/reader_still.lua
+++ b/test/platform/reader_still.lua
@@ -21,8 +21,8 @@
 end
 
 for round = 1, ROUNDS do
-  lib.wait_until("one daemon reads the store", function()
-    return w:reader() ~= nil and others_know(nil, 0)
+  lib.wait_until("all know of no endpoint that leaves", function()
+    return others_know(nil, 0)
   end)
   local still = w:reader()
   still:stop()
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -206,15 +206,19 @@
       subject, own)}
 end
 
--- The only daemon that reads the store, or nil: the others follow it.
+-- Wait until only one daemon reads the store, and the others follow it.
 function World:reader()
-  local found, count = nil, 0
-  for _, daemon in ipairs(self.daemons) do
-    if words.metric(daemon, "following") == 0 then
-      found, count = daemon, count + 1
+  local found, count
+  lib.wait_until("one daemon reads the store", function()
+    count = 0
+    for _, daemon in ipairs(self.daemons) do
+      if words.metric(daemon, "following") == 0 then
+        found, count = daemon, count + 1
+      end
     end
-  end
-  return count == 1 and found or nil
+    return count == 1
+  end)
+  return found
 end
 
 -- The settings of the daemon of that number, and the path where they belong.
