--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -141,7 +141,7 @@
 
 /** A request of this daemon was sent there. */
 void endpoint_take_up(endpoint_t *);
-/** It holds that request no longer. */
+/** That request has ended there. */
 void endpoint_let_go(endpoint_t *);
 void endpoint_told_load(endpoint_t *, const endpoint_load_t *);
 /** An answer came from it, or none did. */
--- a/include/moortack/relay/row_cache.h
+++ b/include/moortack/relay/row_cache.h
@@ -19,13 +19,13 @@
 	ROW_TABLES	     /* count */
 } row_table_t;
 
-/** One row, or the trace of one that is gone. */
 /** Who names rows, and ends those that it does not name. */
 typedef enum row_reader {
 	ROW_READER_STORE = 1, /**< a whole read of the store, in pages */
 	ROW_READER_TOLD = 2,  /**< a whole answer of another daemon */
 } row_reader_t;
 
+/** One row, or the trace of one that is gone. */
 typedef struct cached_row {
 	char *name; /**< the table's number and the key */
 	row_table_t table;
--- a/include/standin/engine_stream.h
+++ b/include/standin/engine_stream.h
@@ -10,19 +10,19 @@
 #include "common/http_server.h"
 #include "standin/fake.h"
 
-#define ID_SIZE 80
-#define PROMPT_SIZE 4096
-#define LOAD_SAMPLES 512
-#define PREFIXES 64
+#define ENGINE_ID_SIZE 80
+#define ENGINE_PROMPT_SIZE 4096
+#define ENGINE_LOAD_SAMPLES 512
+#define ENGINE_PREFIXES 64
 
 typedef struct engine engine_t;
 
 /** One request: queued, running or ended. */
 typedef struct stream {
 	engine_t *engine;
-	char id[ID_SIZE];
-	char version[ID_SIZE];
-	char prompt[PROMPT_SIZE];
+	char id[ENGINE_ID_SIZE];
+	char version[ENGINE_ID_SIZE];
+	char prompt[ENGINE_PROMPT_SIZE];
 	int64_t tokens; /**< to generate */
 	int64_t made;	/**< generated so far */
 	int64_t sent;	/**< sent on the connection */
@@ -50,10 +50,10 @@
 	bool ends_cleanly; /**< a cut looks like an end, without its mark */
 	bool ignore_fence;
 	bool leaving;
-	bool takes_all;			/**< also while it leaves */
-	int64_t loads[LOAD_SAMPLES][2]; /**< ring of running, queued */
+	bool takes_all;			       /**< also while it leaves */
+	int64_t loads[ENGINE_LOAD_SAMPLES][2]; /**< ring of running, queued */
 	uint64_t sampled;
-	uint64_t prefixes[PREFIXES]; /**< hashes of cached prompts */
+	uint64_t prefixes[ENGINE_PREFIXES]; /**< hashes of cached prompts */
 	uint64_t prefix_count;
 	int64_t prefix_hits;
 };
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -163,7 +163,7 @@
  * @return whether an answer has to be waited for: attempt_begin() is called
  * again then */
 bool relay_ask(relay_request_t *);
-/** Nothing more is asked, and what was told counts no longer. */
+/** Forget the question and what was told. */
 void relay_ask_end(relay_request_t *);
 /** Put the beginnings that others share into a note. */
 void relay_note_prefixes(send_note_t *, const prefix_list_t *);
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -30,13 +30,13 @@
 
 	for (const char *p = prompt; *p != '\0' && *p != '|'; p++)
 		hash = hash * 33 + (unsigned char)*p;
-	for (size_t i = 0; i < PREFIXES; i++) {
+	for (size_t i = 0; i < ENGINE_PREFIXES; i++) {
 		if (engine->prefixes[i] == hash) {
 			engine->prefix_hits++;
 			return true;
 		}
 	}
-	engine->prefixes[engine->prefix_count++ % PREFIXES] = hash;
+	engine->prefixes[engine->prefix_count++ % ENGINE_PREFIXES] = hash;
 	return false;
 }
 
@@ -184,7 +184,7 @@
 {
 	uint64_t back = (uint64_t)(engine->lag_ms / SAMPLE_MS);
 	uint64_t at = engine->sampled > back ? engine->sampled - back : 0;
-	const int64_t *load = engine->loads[at % LOAD_SAMPLES];
+	const int64_t *load = engine->loads[at % ENGINE_LOAD_SAMPLES];
 
 	http_answer_json(req, 200,
 	    json_pack("{s:I,s:I,s:I,s:b,s:O,s:I}", "running",
@@ -247,7 +247,7 @@
 sample(fake_t *fake)
 {
 	engine_t *engine = (engine_t *)fake;
-	int64_t *load = engine->loads[++engine->sampled % LOAD_SAMPLES];
+	int64_t *load = engine->loads[++engine->sampled % ENGINE_LOAD_SAMPLES];
 
 	load[0] = engine->running;
 	load[1] = engine->queued;
--- a/standin/engine_stream.c
+++ b/standin/engine_stream.c
@@ -41,7 +41,7 @@
 static void
 token_send(stream_t *stream, int64_t i)
 {
-	char text[PROMPT_SIZE];
+	char text[ENGINE_PROMPT_SIZE];
 
 	token_text(stream, i, text, sizeof(text));
 	event_send(stream,
@@ -60,8 +60,9 @@
 static void
 plain_send(stream_t *stream)
 {
-	char piece[PROMPT_SIZE];
-	char *text = calloc(1, PROMPT_SIZE + (size_t)stream->tokens * 16);
+	char piece[ENGINE_PROMPT_SIZE];
+	char *text =
+	    calloc(1, ENGINE_PROMPT_SIZE + (size_t)stream->tokens * 16);
 	size_t len = 0;
 
 	for (int64_t i = 0; i < stream->tokens; i++) {
--- a/test/unit/relay_node_test.c
+++ b/test/unit/relay_node_test.c
@@ -14,7 +14,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "../support/silent_store.h"
+#include "../support/node_settings.h"
 
 #define VERSION_FIRST 40
 #define VERSION_GONE 77
@@ -140,19 +140,13 @@
 	    {&played_ops}, event_base_new(), whole_read, refused, 0, 0};
 	const relay_ports_t ports = {store.base, &clock, &rng, &store.store,
 	    &told_sources, &callers, &endpoints, &rollouts};
-	relay_node_settings_t settings = {.listen = {"127.0.0.1", 0},
-	    .name = "127.0.0.1:1",
-	    .place = "a",
-	    .endpoints_pause_ms = 20,
-	    .endpoints_old_ms = 1300,
-	    .config_wait_ms = 20,
-	    .lapse_ms = 2000,
-	    .grace_ms = 1000,
-	    .log_per_s = 1};
+	relay_node_settings_t settings = node_settings;
 	const cached_row_t *row;
 	uint64_t version;
 	err_t err;
 
+	settings.endpoints_pause_ms = 20;
+	settings.config_wait_ms = 20;
 	clock_system_init(&clock);
 	rng_system_init(&rng);
 	assert_true(relay_node_init(&node, &ports, &settings, &err));
