relay: an endpoint that starts again under its id is another one

Cause: the users' replicas may start again under their id and then know nothing of before; `born`, the time of the start, tells the two apart. endpoint_row_decode ignored it, endpoint_row_same took two entries that differ in it for the same, so nobody was told, and unread prompts, kept parts, load reports, ejection, doubts and connections of the process before were believed of the next one.

Change: `born` is decoded (a whole number from 0 to 2^53, else the entry is refused), is part of what an entry means, and of the hash by which daemons remember and name an endpoint: notes, questions and remembered prompts of an earlier start name nobody. A later start replaces the endpoint with all that was believed of it. Attempts at the one that has ended end after 0.1 s without a byte, as unknown: what may be repeated goes on elsewhere, what may run once is told so at once. An entry of an earlier start is kept beside and taken only if nothing contradicts it for 4 s, since a clock may have been set back; if it says that the endpoint leaves, no new request goes there.

Ruled out: keeping the cache from a row of an earlier start (a daemon that starts later would read it, and two caches would differ for good); to believe the lower one never (a replica whose clock was set back would be lost).

Today's platform sends no `born`; all entries are then of one start, as before.

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -28,8 +28,19 @@
 	uint32_t slots; /**< requests that it works on together */
 	bool leaving;
 	int64_t warm_in_ms; /**< how long it is still slow after its start */
+	int64_t born_ms;    /**< Unix time of this incarnation's start; 0: not
+			       said. An endpoint may start again under its id */
 } endpoint_facts_t;
 
+/** How an entry relates to the incarnation that is known under its id. */
+typedef enum entry_order {
+	ENTRY_FIRST,   /**< none is known */
+	ENTRY_SAME,    /**< it is of the known one */
+	ENTRY_LATER,   /**< of one that started after it */
+	ENTRY_EARLIER, /**< of one that started before it, or says nothing of
+			  its start while the known one did */
+} entry_order_t;
+
 /** A load report that came with an answer. */
 typedef struct endpoint_load {
 	uint32_t running;
@@ -61,12 +72,15 @@
 struct endpoint {
 	endpoint_facts_t facts;
 	endpoint_set_t *set;
-	endpoint_group_t *group; /**< NULL: not in the set */
-	uint32_t shared;	 /**< the set and each request hold one */
-	bool present;		 /**< in the set */
-	bool lapsed;		 /**< its entry is gone since an outage */
-	uint32_t in_flight;	 /**< requests of this daemon */
-	uint32_t connections;	 /**< of this daemon, busy and idle */
+	endpoint_group_t *group;    /**< NULL: not in the set */
+	uint32_t shared;	    /**< the set and each request hold one */
+	bool present;		    /**< in the set */
+	bool lapsed;		    /**< its entry is gone since an outage */
+	endpoint_facts_t *earlier;  /**< an entry of an earlier start, which is
+				       not believed yet; NULL: none */
+	struct timespec earlier_at; /**< since when */
+	uint32_t in_flight;	    /**< requests of this daemon */
+	uint32_t connections;	    /**< of this daemon, busy and idle */
 	endpoint_link_t *idle;
 	endpoint_load_t load;
 	struct timespec load_at;
@@ -77,7 +91,7 @@
 	struct timespec ejected_until;
 	endpoint_doubt_t doubts[ENDPOINT_DOUBTS_MAX];
 	size_t doubts_len;
-	uint64_t hash;		 /**< of the id */
+	uint64_t hash;		 /**< of the id and the start */
 	uint32_t short_hash;	 /**< the same, as other daemons tell it */
 	UT_hash_handle hh;	 /**< by id */
 	UT_hash_handle hh_short; /**< by short_hash */
@@ -99,13 +113,26 @@
 	endpoint_t *endpoints;
 	endpoint_t *by_short;
 	endpoint_group_t *groups;
+	size_t earlier_len; /**< endpoints with an entry of an earlier start */
 };
 
 void endpoint_set_init(endpoint_set_t *, const clock_source_t *);
 void endpoint_set_finish(endpoint_set_t *);
 
-/** Take over what an endpoint says. */
+/** How an entry relates to @p known, which may be NULL. */
+entry_order_t
+endpoint_entry_order(const endpoint_t *known, const endpoint_facts_t *);
+/** Take over what an endpoint says. A later incarnation replaces the one that
+ * is known, with all that was believed of it. An entry of an earlier one is
+ * kept beside, and stops new requests if it says that the endpoint leaves.
+ * @return the endpoint under that id, or NULL: out of memory */
 endpoint_t *endpoint_set_take(endpoint_set_t *, const endpoint_facts_t *);
+/** An entry of an earlier incarnation that nothing has contradicted for long
+ * enough: the endpoint's clock was set back before it started again.
+ * @return false: there is none */
+bool endpoint_set_earlier(const endpoint_set_t *, endpoint_facts_t *out);
+/** Its entry went in an outage: it is kept for a while, as it was. */
+void endpoint_lapse(endpoint_t *);
 /** Take an endpoint out; its requests go on. */
 void endpoint_set_remove(endpoint_set_t *, endpoint_t *);
 endpoint_t *endpoint_set_find(const endpoint_set_t *, const char *id);
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -107,6 +107,10 @@
  * refused. Called at each change of what is known, and a few times a second. */
 void relay_open(relay_t *);
 
+/** The endpoint's process has ended, and another one goes by its id: what was
+ * sent to it gets no answer beyond what is on the way already. */
+void relay_endpoint_ended(relay_t *, const endpoint_t *);
+
 /** Whether enough is known to serve. */
 bool relay_ready(const relay_t *);
 
--- /dev/null
+++ b/moortack/relay/attempt_silence.c
@@ -0,0 +1,100 @@
+#include "relay_request.h"
+
+/* Part of the objective after which a kept connection without an answer counts
+ * as silent: the rest is twice what such a request takes on the users' sheets.
+ */
+#define SILENCE_PART 0.6
+/* What an endpoint sent before it ended, and started again, comes at once; its
+ * entry comes from its next start, hundreds of milliseconds later. An attempt
+ * there that has heard nothing for this long gets nothing more. */
+#define ENDED_QUIET_MS 100
+#define MS_PER_SEC 1000
+#define US_PER_MS 1000
+
+/* A silent connection can't be told from a slow endpoint, but by the latter's
+ * being full: only what may be repeated at once is given up for it, while there
+ * is another attempt. */
+static bool
+silence_counts(const relay_request_t *req)
+{
+	const attempt_t *attempt = &req->attempt;
+	const endpoint_load_t *load = &attempt->endpoint->load;
+
+	return attempt->kept && req->route->kind == ROUTE_SAFE &&
+	    req->sends < req->route->attempts && load->waiting == 0 &&
+	    (load->slots == 0 || load->running < load->slots);
+}
+
+static void silence_wait(relay_request_t *, int64_t ms);
+
+/* Nothing more comes of a process that has ended, but for what its slow caller
+ * has not let this daemon read yet. */
+static void
+ended_quiet(relay_request_t *req)
+{
+	if (req->paused)
+		silence_wait(req, ENDED_QUIET_MS);
+	else
+		attempt_over(req, ATTEMPT_UNKNOWN, "endpoint_restarted");
+}
+
+static void
+on_silence(evutil_socket_t fd, short what, void *arg)
+{
+	relay_request_t *req = arg;
+
+	(void)fd;
+	(void)what;
+	if (req->attempt.ended) {
+		ended_quiet(req);
+		return;
+	}
+	/* Without a repeat, an answer that is merely late is all there is. */
+	if (!relay_repeat_plenty(req->relay, req->service))
+		return;
+	endpoint_drop_links(req->attempt.endpoint);
+	req->kept_dead = true;
+	attempt_over(req, ATTEMPT_UNKNOWN, "silent");
+}
+
+static void
+silence_wait(relay_request_t *req, int64_t ms)
+{
+	struct timeval delay = {ms / MS_PER_SEC, ms % MS_PER_SEC * US_PER_MS};
+
+	if (req->silence == NULL)
+		req->silence =
+		    event_new(req->relay->base, -1, 0, on_silence, req);
+	if (req->silence != NULL)
+		event_add(req->silence, &delay);
+}
+
+void
+attempt_watch_silence(relay_request_t *req)
+{
+	int64_t ms = (int64_t)((double)req->route->objective_ms * SILENCE_PART);
+
+	if (ms > 0 && silence_counts(req))
+		silence_wait(req, ms);
+}
+
+void
+attempt_heard(relay_request_t *req)
+{
+	if (req->attempt.ended)
+		silence_wait(req, ENDED_QUIET_MS);
+	else if (req->silence != NULL)
+		event_del(req->silence);
+}
+
+void
+relay_endpoint_ended(relay_t *relay, const endpoint_t *endpoint)
+{
+	for (relay_request_t *req = relay->first; req != NULL;
+	     req = req->next) {
+		if (req->attempt.endpoint != endpoint || !req->attempt.sent)
+			continue;
+		req->attempt.ended = true;
+		silence_wait(req, ENDED_QUIET_MS);
+	}
+}
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -12,6 +12,11 @@
 #define EJECT_FIRST_MS 500
 #define EJECT_MAX_MS 4000
 #define EJECT_SHIFT_MAX 3
+/* An entry of an earlier start is a heartbeat that came late, unless the
+ * endpoint's clock was set back before it started again: then no other entry
+ * follows. Three heartbeats of 1,200 ms, after which a silent endpoint's entry
+ * goes, and the way. */
+#define EARLIER_BELIEVED_MS 4000
 
 void
 endpoint_set_init(endpoint_set_t *set, const clock_source_t *clock)
@@ -65,9 +70,27 @@
 	free(endpoint);
 }
 
+static void
+earlier_drop(endpoint_t *endpoint)
+{
+	if (endpoint->earlier == NULL)
+		return;
+	free(endpoint->earlier);
+	endpoint->earlier = NULL;
+	endpoint->set->earlier_len--;
+}
+
+void
+endpoint_lapse(endpoint_t *endpoint)
+{
+	earlier_drop(endpoint);
+	endpoint->lapsed = true;
+}
+
 void
 endpoint_set_remove(endpoint_set_t *set, endpoint_t *endpoint)
 {
+	earlier_drop(endpoint);
 	HASH_DEL(set->endpoints, endpoint);
 	HASH_DELETE(hh_short, set->by_short, endpoint);
 	endpoint_group_remove(endpoint->group, endpoint);
@@ -140,32 +163,63 @@
 		endpoint_group_learn(group);
 }
 
-endpoint_t *
-endpoint_set_take(endpoint_set_t *set, const endpoint_facts_t *facts)
+entry_order_t
+endpoint_entry_order(const endpoint_t *known, const endpoint_facts_t *facts)
 {
-	endpoint_t *endpoint = endpoint_set_find(set, facts->id);
-	endpoint_group_t *group;
+	if (known == NULL)
+		return ENTRY_FIRST;
+	if (facts->born_ms > known->facts.born_ms)
+		return ENTRY_LATER;
+	return facts->born_ms < known->facts.born_ms ? ENTRY_EARLIER
+						     : ENTRY_SAME;
+}
 
-	if (endpoint != NULL &&
-	    (strcmp(endpoint->facts.service, facts->service) != 0 ||
-		strcmp(endpoint->facts.address.host, facts->address.host) !=
-		    0 ||
-		endpoint->facts.address.port != facts->address.port)) {
-		endpoint_set_remove(set, endpoint);
-		endpoint = NULL;
-	}
-	if (endpoint != NULL) {
-		endpoint->facts = *facts;
-		endpoint->lapsed = false;
-		return endpoint;
+/* A process does not move: another address is another endpoint. */
+static bool
+moved(const endpoint_t *endpoint, const endpoint_facts_t *facts)
+{
+	const endpoint_facts_t *known = &endpoint->facts;
+
+	return strcmp(known->service, facts->service) != 0 ||
+	    strcmp(known->address.host, facts->address.host) != 0 ||
+	    known->address.port != facts->address.port;
+}
+
+static void
+earlier_keep(endpoint_t *endpoint, const endpoint_facts_t *facts)
+{
+	endpoint->facts.leaving |= facts->leaving;
+	endpoint->lapsed = false;
+	if (endpoint->earlier == NULL) {
+		endpoint->earlier = malloc(sizeof(*endpoint->earlier));
+		if (endpoint->earlier == NULL)
+			return;
+		endpoint->earlier_at = clock_elapsed(endpoint->set->clock);
+		endpoint->set->earlier_len++;
 	}
-	group = group_of(set, facts->service);
-	endpoint = calloc(1, sizeof(*endpoint));
+	*endpoint->earlier = *facts;
+}
+
+/* Hashes tell incarnations apart: what other daemons tell of one, and what is
+ * remembered of it, is not taken for another one's. */
+static uint64_t
+incarnation_hash(const endpoint_facts_t *facts)
+{
+	return XXH3_64bits_withSeed(
+	    facts->id, strlen(facts->id), (uint64_t)facts->born_ms);
+}
+
+static endpoint_t *
+endpoint_add(endpoint_set_t *set, const endpoint_facts_t *facts)
+{
+	endpoint_group_t *group = group_of(set, facts->service);
+	endpoint_t *endpoint = calloc(1, sizeof(*endpoint));
+
 	if (group == NULL || endpoint == NULL) {
 		free(endpoint);
 		return NULL;
 	}
-	endpoint->hash = XXH3_64bits(facts->id, strlen(facts->id));
+	endpoint->hash = incarnation_hash(facts);
 	if (!endpoint_group_add(group, endpoint)) {
 		free(endpoint);
 		return NULL;
@@ -184,6 +238,48 @@
 	return endpoint;
 }
 
+endpoint_t *
+endpoint_set_take(endpoint_set_t *set, const endpoint_facts_t *facts)
+{
+	endpoint_t *endpoint = endpoint_set_find(set, facts->id);
+	entry_order_t order = endpoint_entry_order(endpoint, facts);
+
+	if (order == ENTRY_EARLIER) {
+		earlier_keep(endpoint, facts);
+		return endpoint;
+	}
+	if (order == ENTRY_LATER ||
+	    (order == ENTRY_SAME && moved(endpoint, facts))) {
+		endpoint_set_remove(set, endpoint);
+		endpoint = NULL;
+	}
+	if (endpoint == NULL)
+		return endpoint_add(set, facts);
+	earlier_drop(endpoint);
+	endpoint->facts = *facts;
+	endpoint->lapsed = false;
+	return endpoint;
+}
+
+bool
+endpoint_set_earlier(const endpoint_set_t *set, endpoint_facts_t *out)
+{
+	struct timespec now = clock_elapsed(set->clock);
+
+	if (set->earlier_len == 0)
+		return false;
+	for (const endpoint_t *one = set->endpoints; one != NULL;
+	     one = one->hh.next) {
+		if (one->earlier == NULL ||
+		    timespec_ms_between(one->earlier_at, now) <
+			EARLIER_BELIEVED_MS)
+			continue;
+		*out = *one->earlier;
+		return true;
+	}
+	return false;
+}
+
 static void
 link_forget(endpoint_t *endpoint, endpoint_link_t *link)
 {
--- a/moortack/relay/relay_answer.c
+++ b/moortack/relay/relay_answer.c
@@ -104,8 +104,7 @@
 		return;
 	}
 	attempt->headed = true;
-	if (req->silence != NULL)
-		event_del(req->silence);
+	attempt_heard(req);
 	read_queue_begun(&attempt->endpoint->unread, &attempt->ticket,
 	    (double)timespec_ms(clock_elapsed(req->relay->clock)));
 	relay_guard_alive(req);
@@ -194,6 +193,7 @@
 	relay_request_t *req = arg;
 	const endpoint_answer_t *answer = &req->attempt.answer;
 
+	attempt_heard(req);
 	if (answer->not_run || answer->wrong_endpoint)
 		return;
 	if (req->streaming) {
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -17,12 +17,6 @@
  * on one that was used this recently. */
 #define IDLE_UNSAFE_MS 500
 #define RANK_MAX 9
-#define MS_PER_SEC 1000
-#define US_PER_MS 1000
-/* Part of the objective after which a kept connection without an answer counts
- * as silent: the rest is twice what such a request takes on the users' sheets.
- */
-#define SILENCE_PART 0.6
 
 /* Whether the attempt is at an endpoint that a roll-out under way replaces, or
  * that the next one will. */
@@ -245,50 +239,6 @@
 	    req, req->may_have_run ? ERR_UNKNOWN_OUTCOME : not_run, why);
 }
 
-/* A silent connection can't be told from a slow endpoint, but by the latter's
- * being full: only what may be repeated at once is given up for it, while there
- * is another attempt. */
-static bool
-silence_counts(const relay_request_t *req)
-{
-	const attempt_t *attempt = &req->attempt;
-	const endpoint_load_t *load = &attempt->endpoint->load;
-
-	return attempt->kept && req->route->kind == ROUTE_SAFE &&
-	    req->sends < req->route->attempts && load->waiting == 0 &&
-	    (load->slots == 0 || load->running < load->slots);
-}
-
-static void
-on_silence(evutil_socket_t fd, short what, void *arg)
-{
-	relay_request_t *req = arg;
-
-	(void)fd;
-	(void)what;
-	/* Without a repeat, an answer that is merely late is all there is. */
-	if (!relay_repeat_plenty(req->relay, req->service))
-		return;
-	endpoint_drop_links(req->attempt.endpoint);
-	req->kept_dead = true;
-	attempt_over(req, ATTEMPT_UNKNOWN, "silent");
-}
-
-void
-attempt_watch_silence(relay_request_t *req)
-{
-	int64_t ms = (int64_t)((double)req->route->objective_ms * SILENCE_PART);
-	struct timeval delay = {ms / MS_PER_SEC, ms % MS_PER_SEC * US_PER_MS};
-
-	if (ms <= 0 || !silence_counts(req))
-		return;
-	if (req->silence == NULL)
-		req->silence =
-		    event_new(req->relay->base, -1, 0, on_silence, req);
-	if (req->silence != NULL)
-		event_add(req->silence, &delay);
-}
-
 void
 attempt_begin(relay_request_t *req)
 {
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -173,6 +173,7 @@
 	(void)what;
 	relay_open(&node->relay);
 	relay_rows_lapsed_end(node);
+	relay_rows_earlier_take(node);
 	members_step(node);
 	send_notes_tick(&node->notes);
 	sessions_step(node);
--- a/moortack/relay/relay_node_priv.h
+++ b/moortack/relay/relay_node_priv.h
@@ -14,6 +14,9 @@
 /** Entries that did not come back after an outage are gone. */
 void relay_rows_lapsed_end(relay_node_t *);
 
+/** Entries of earlier starts that nothing has contradicted are taken. */
+void relay_rows_earlier_take(relay_node_t *);
+
 /** Another daemon tells from now on which endpoints there are. */
 void relay_rows_lapses_drop(relay_node_t *);
 
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -51,6 +51,7 @@
 	bool kept;	      /**< on a connection that was used before */
 	double first_ms;      /**< from the send to the answer's first byte */
 	bool headed;	      /**< the answer's head came */
+	bool ended;	      /**< the process that it was sent to has ended */
 	bool is_new;	      /**< of a roll-out's new version */
 	bool paced;	      /**< told to the guard */
 	bool late_told;	      /**< told to the record of models as late */
@@ -152,6 +153,8 @@
 bool attempt_ready(relay_request_t *);
 /** Its request has left: look whether its connection is silent. */
 void attempt_watch_silence(relay_request_t *);
+/** Bytes of its answer came. */
+void attempt_heard(relay_request_t *);
 /** Give up the attempt under way, without a word to the caller. */
 void attempt_cancel(relay_request_t *);
 /** The attempt ended without a whole answer: try again, or fail. */
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -94,7 +94,7 @@
 	    "id=%s service=%s lapsed=%d in_flight=%u", endpoint->facts.id,
 	    endpoint->facts.service, keep, endpoint->in_flight);
 	if (keep) {
-		endpoint->lapsed = true;
+		endpoint_lapse(endpoint);
 		lapsed_keep_back(node);
 		return;
 	}
@@ -106,29 +106,44 @@
 		lapsed_keep_back(node);
 }
 
+static void
+entry_log(
+    relay_node_t *node, const endpoint_facts_t *facts, entry_order_t order)
+{
+	static const char *const orders[] = {
+	    [ENTRY_FIRST] = "first",
+	    [ENTRY_SAME] = "same",
+	    [ENTRY_LATER] = "later",
+	    [ENTRY_EARLIER] = "earlier",
+	};
+
+	event_line(&node->log, "endpoint",
+	    "id=%s service=%s address=%s:%u place=%s version=%s leaving=%d "
+	    "born_ms=%" PRId64 " incarnation=%s",
+	    facts->id, facts->service, facts->address.host, facts->address.port,
+	    facts->place, facts->version, facts->leaving, facts->born_ms,
+	    orders[order]);
+}
+
 /* @param news its row is newer than the one that was known */
 static void
 endpoint_taken(relay_node_t *node, const endpoint_facts_t *facts, bool news)
 {
-	const endpoint_t *before =
-	    endpoint_set_find(&node->endpoints, facts->id);
-	bool was_leaving = before != NULL && before->facts.leaving;
+	endpoint_t *before = endpoint_set_find(&node->endpoints, facts->id);
+	entry_order_t order = endpoint_entry_order(before, facts);
 	bool was_lapsed = before != NULL && before->lapsed;
 	endpoint_t *endpoint;
 
-	if (before == NULL || was_leaving != facts->leaving)
-		event_line(&node->log, "endpoint",
-		    "id=%s service=%s address=%s:%u place=%s version=%s "
-		    "leaving=%d",
-		    facts->id, facts->service, facts->address.host,
-		    facts->address.port, facts->place, facts->version,
-		    facts->leaving);
+	if (order != ENTRY_SAME || before->facts.leaving != facts->leaving)
+		entry_log(node, facts, order);
+	if (order == ENTRY_LATER)
+		relay_endpoint_ended(&node->relay, before);
 	endpoint = endpoint_set_take(&node->endpoints, facts);
 	if (!was_lapsed || endpoint == NULL)
 		return;
 	/* A daemon that knows less still has the row that lapsed here. */
-	endpoint->lapsed =
-	    !news && node->source.taking && node->source.taking_less;
+	endpoint->lapsed = order != ENTRY_LATER && !news &&
+	    node->source.taking && node->source.taking_less;
 	lapsed_keep_back(node);
 }
 
@@ -295,6 +310,24 @@
 	}
 }
 
+/* Entries of earlier starts that nothing has contradicted are taken: whoever
+ * started again with its clock set back is not lost. */
+void
+relay_rows_earlier_take(relay_node_t *node)
+{
+	endpoint_facts_t facts;
+
+	while (endpoint_set_earlier(&node->endpoints, &facts)) {
+		endpoint_t *before =
+		    endpoint_set_find(&node->endpoints, facts.id);
+
+		relay_endpoint_ended(&node->relay, before);
+		endpoint_set_remove(&node->endpoints, before);
+		endpoint_taken(node, &facts, true);
+		lapsed_keep_back(node);
+	}
+}
+
 void
 relay_rows_lapses_drop(relay_node_t *node)
 {
--- a/test/fuzz/follow_fuzz.c
+++ b/test/fuzz/follow_fuzz.c
@@ -28,6 +28,8 @@
 typedef struct entry {
 	bool present;
 	bool leaving;
+	unsigned born;	  /**< of the incarnation that wrote it */
+	unsigned started; /**< incarnations so far */
 	uint64_t version; /**< of the row, or of its end */
 } entry_t;
 
@@ -92,11 +94,12 @@
 entry_tell(daemon_t *daemon, size_t number, const entry_t *entry)
 {
 	row_watch_t *watch = watch_of(daemon);
-	const char *text = entry->leaving ? "leaving" : "ready";
-	char key[8];
+	char key[8], text[32];
 	row_t row = {.key = key, .version = entry->version};
 
 	snprintf(key, sizeof(key), "e%zu", number);
+	snprintf(text, sizeof(text), "%s@%u",
+	    entry->leaving ? "leaving" : "ready", entry->born);
 	row.deleted = !entry->present;
 	row.value = entry->present ? text : NULL;
 	row.value_len = entry->present ? strlen(text) : 0;
@@ -231,6 +234,7 @@
 		relay_node_t *node = &world.daemons[i].node;
 
 		relay_rows_lapsed_end(node);
+		relay_rows_earlier_take(node);
 		if (node->source.following)
 			relay_rows_lapses_drop(node);
 	}
@@ -241,7 +245,7 @@
 {
 	entry_t *entry = &world.entries[input_below(input, ENDPOINTS)];
 
-	switch (input_below(input, 3)) {
+	switch (input_below(input, 5)) {
 	case 0:
 		entry->leaving = false;
 		entry->present = true;
@@ -249,6 +253,16 @@
 	case 1:
 		entry->leaving = entry->present;
 		break;
+	case 2:
+		/* It starts again under its id. */
+		entry->born = ++entry->started;
+		entry->leaving = false;
+		entry->present = true;
+		break;
+	case 3:
+		/* A heartbeat of an earlier start comes late. */
+		entry->born -= entry->born > 0;
+		break;
 	default:
 		entry->present = false;
 		entry->leaving = false;
@@ -334,6 +348,8 @@
 		FUZZ_CHECK((known != NULL) == entry->present);
 		FUZZ_CHECK(
 		    known == NULL || known->facts.leaving == entry->leaving);
+		FUZZ_CHECK(
+		    known == NULL || known->facts.born_ms == entry->born);
 		FUZZ_CHECK(known == NULL || !known->lapsed);
 	}
 }
--- a/test/platform/decoders_test.c
+++ b/test/platform/decoders_test.c
@@ -140,6 +140,54 @@
 	    endpoint_row_same(entry, strlen(entry), leaving, strlen(leaving)));
 }
 
+static bool
+born_taken(const char *born, int64_t *born_ms)
+{
+	endpoint_facts_t facts;
+	char text[400];
+	err_t err;
+	bool taken;
+
+	snprintf(text, sizeof(text), "%.*s,\"born\":%s}",
+	    (int)strlen(entry) - 1, entry, born);
+	taken = endpoint_row_decode("i-1", text, strlen(text), &facts, &err);
+	if (!taken && strstr(err.detail, "born") == NULL)
+		fail_msg("\"%s\" does not name born", err.detail);
+	*born_ms = facts.born_ms;
+	return taken;
+}
+
+static void
+an_endpoint_says_when_it_started(void **state)
+{
+	static const char *const bad[] = {"\"1700000000000\"", "1.5", "-1",
+	    "9007199254740993", "1e300", "null", "true", "[1]", "{}"};
+	int64_t born_ms;
+
+	(void)state;
+	assert_true(born_taken("1700000000123", &born_ms));
+	assert_int_equal(born_ms, 1700000000123);
+	assert_true(born_taken("0", &born_ms));
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		assert_false(born_taken(bad[i], &born_ms));
+}
+
+/* An entry whose start alone is another one is news to all. */
+static void
+another_start_is_a_change(void **state)
+{
+	char one[400], two[400];
+
+	(void)state;
+	snprintf(one, sizeof(one), "%.*s,\"born\":5}", (int)strlen(entry) - 1,
+	    entry);
+	snprintf(two, sizeof(two), "%.*s,\"born\":6}", (int)strlen(entry) - 1,
+	    entry);
+	assert_true(endpoint_row_same(one, strlen(one), one, strlen(one)));
+	assert_false(endpoint_row_same(one, strlen(one), two, strlen(two)));
+	assert_false(endpoint_row_same(entry, strlen(entry), two, strlen(two)));
+}
+
 static void
 a_bad_endpoint_is_refused_by_the_field(void **state)
 {
@@ -339,6 +387,8 @@
 	    cmocka_unit_test(a_configuration_is_taken),
 	    cmocka_unit_test(a_bad_configuration_is_refused_by_the_field),
 	    cmocka_unit_test(an_endpoint_is_taken),
+	    cmocka_unit_test(an_endpoint_says_when_it_started),
+	    cmocka_unit_test(another_start_is_a_change),
 	    cmocka_unit_test(a_bad_endpoint_is_refused_by_the_field),
 	    cmocka_unit_test(orders_and_states_of_rollouts),
 	    cmocka_unit_test(a_settings_file_is_checked),
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -95,10 +95,20 @@
   end
   self:put("servers", replica.id, {service = "lm",
     address = replica.link or replica.address, zone = "a", version = version or "v1",
-    batch_slots = 8, state = state or "ready", sequence = 1})
+    batch_slots = 8, state = state or "ready", sequence = 1,
+    born = replica.born})
   return replica
 end
 
+-- The replica has started again under its id; nothing is heard of its earlier
+-- process any more.
+function World:restart(i)
+  local replica = self.replicas[i]
+  replica.born = (replica.born or 1700000000000) + 1000
+  self:silence(i)
+  self:replica(i)
+end
+
 -- A relay to a process: the link on which it is reached.
 local function relay_to(target, host, log)
   local relay = lib.spawn("standin/standin-relay",
--- a/test/support/silent_store.h
+++ b/test/support/silent_store.h
@@ -7,6 +7,7 @@
 #define TEST_SUPPORT_SILENT_STORE_H
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "moortack/relay/relay_node.h"
@@ -48,13 +49,20 @@
 static const row_store_ops_t silent_ops = {
     silent_read, silent_feed, silent_write};
 
-/* An entry's text is "leaving" or the endpoint's version. */
+/* An entry's text is "leaving" or the endpoint's version, and after an @ the
+ * time of its start, where there is one. */
 static inline bool
 told_endpoint(const char *id, const char *text, size_t len,
     endpoint_facts_t *facts, err_t *err)
 {
+	const char *born = memchr(text, '@', len);
+
 	(void)err;
 	*facts = (endpoint_facts_t){.service = "s", .place = "a", .slots = 1};
+	if (born != NULL) {
+		facts->born_ms = strtoll(born + 1, NULL, 10);
+		len = (size_t)(born - text);
+	}
 	snprintf(
 	    facts->version, sizeof(facts->version), "%.*s", (int)len, text);
 	facts->leaving = len == 7 && memcmp(text, "leaving", len) == 0;
--- a/test/unit/lapse_test.c
+++ b/test/unit/lapse_test.c
@@ -172,6 +172,30 @@
 	told_node_finish(&told);
 }
 
+/* Whoever comes back with another start is not the one that lapsed. */
+static void
+an_entry_that_comes_back_as_another_start_is_another_endpoint(void **state)
+{
+	const endpoint_t *before, *now;
+	static told_node_t told;
+
+	(void)state;
+	entry_lapses(&told);
+	before = entry_of(&told, "e1");
+	endpoint_hold((endpoint_t *)(uintptr_t)before);
+	entry_tell(&told, "e1", "ready@7", VERSION_AFTER + 1);
+	store_answers(&told, VERSION_AFTER + 1);
+	now = entry_of(&told, "e1");
+	assert_ptr_not_equal(now, before);
+	assert_false(now->lapsed);
+	assert_false(before->present);
+	assert_int_equal(
+	    row_source_told(&told.node.source, ROW_TABLE_ENDPOINTS),
+	    VERSION_AFTER + 1);
+	endpoint_release((endpoint_t *)(uintptr_t)before);
+	told_node_finish(&told);
+}
+
 /* A moment without the store soon after an outage does not keep for good what
  * the outage left behind. */
 static void
@@ -259,6 +283,8 @@
 	    cmocka_unit_test(
 		nobody_is_told_a_version_beyond_an_entry_that_is_kept),
 	    cmocka_unit_test(an_entry_that_comes_back_is_no_longer_kept_back),
+	    cmocka_unit_test(
+		an_entry_that_comes_back_as_another_start_is_another_endpoint),
 	    cmocka_unit_test(a_second_short_loss_ends_no_time),
 	    cmocka_unit_test(who_begins_to_follow_forgets_no_end),
 	    cmocka_unit_test(an_older_row_brings_back_no_endpoint_that_leaves),
