--- a/common/err.c
+++ b/common/err.c
@@ -20,6 +20,7 @@
     {ERR_INTERNAL, "internal", 500, ERR_UNKNOWN, false},
     {ERR_LIMIT, "limit", 429, ERR_NOT_RUN, true},
     {ERR_MEMORY, "memory", 503, ERR_NOT_RUN, true},
+    {ERR_NAME, "bad_name", 400, ERR_NOT_RUN, false},
     {ERR_NO_ENDPOINT, "no_endpoint", 503, ERR_NOT_RUN, true},
     {ERR_NOT_ALLOWED, "not_allowed", 403, ERR_NOT_RUN, false},
     {ERR_NOT_FOUND, "not_found", 404, ERR_NOT_RUN, false},
@@ -36,6 +37,7 @@
     {ERR_TICKET_USED, "ticket_used", 409, ERR_UNKNOWN, false},
     {ERR_TIMEOUT, "timeout", 504, ERR_UNKNOWN, false},
     {ERR_UNKNOWN_OUTCOME, "unknown_outcome", 502, ERR_UNKNOWN, false},
+    {ERR_UNREADABLE, "unreadable", 400, ERR_NOT_RUN, false},
     {ERR_VERSION_WITHDRAWN, "version_withdrawn", 410, ERR_NOT_RUN, false},
     {ERR_WITNESS, "witness", 503, ERR_NOT_RUN, true},
 };
--- a/common/http_call.c
+++ b/common/http_call.c
@@ -1,5 +1,7 @@
 #include "common/http_call.h"
 
+#include <arpa/inet.h>
+#include <ctype.h>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <stdlib.h>
@@ -24,6 +26,21 @@
 /* All that are under way, so that they can be ended with their loop. */
 static pending_call_t *pending_calls;
 
+static bool
+port_parse(const char *text, uint16_t *port)
+{
+	unsigned long number;
+	char *end;
+
+	if (!isdigit((unsigned char)text[0]))
+		return false;
+	number = strtoul(text, &end, 10);
+	if (*end != '\0' || number == 0 || number > UINT16_MAX)
+		return false;
+	*port = (uint16_t)number;
+	return true;
+}
+
 bool
 http_address_parse(const char *text, http_address_t *address)
 {
@@ -37,8 +54,15 @@
 		return false;
 	memcpy(address->host, text, len);
 	address->host[len] = '\0';
-	address->port = (uint16_t)strtoul(colon + 1, NULL, 10);
-	return address->port != 0;
+	return len > 0 && port_parse(colon + 1, &address->port);
+}
+
+bool
+http_address_is_ip(const http_address_t *address)
+{
+	struct in_addr ip;
+
+	return inet_pton(AF_INET, address->host, &ip) == 1;
 }
 
 static void
--- a/include/common/http_call.h
+++ b/include/common/http_call.h
@@ -48,8 +48,10 @@
 
 typedef void (*http_done_t)(void *arg, const http_reply_t *reply);
 
-/** "IP:PORT" to an address. */
+/** "HOST:PORT" to an address. @return false: it is none */
 bool http_address_parse(const char *text, http_address_t *address);
+/** Whether the host is an IPv4 number: no name has to be looked up. */
+bool http_address_is_ip(const http_address_t *address);
 
 /**
  * Start a call. @p done is called exactly once, from the loop, unless false is
--- a/include/moortack/relay/membership.h
+++ b/include/moortack/relay/membership.h
@@ -45,6 +45,19 @@
 	UT_hash_handle hh;
 } member_t;
 
+/** What a member's row says of it. */
+typedef struct member_facts {
+	char name[MEMBER_NAME_SIZE];
+	char place[MEMBER_NAME_SIZE];
+	char peer[MEMBER_NAME_SIZE]; /**< IP:PORT; "": none */
+	double strength;
+	member_state_t state;
+	int64_t at_ms;	/**< when it was written, by the store's clock; 0: not
+			   known then */
+	json_t *report; /**< belongs to body; may be NULL */
+	json_t *body;	/**< to be given back */
+} member_facts_t;
+
 typedef struct membership_settings {
 	char name[MEMBER_NAME_SIZE]; /**< own address for callers */
 	char place[MEMBER_NAME_SIZE];
@@ -89,7 +102,15 @@
     const clock_source_t *, event_log_t *log, const membership_settings_t *);
 void membership_finish(membership_t *);
 
-/** A row of the system's table whose key begins with MEMBER_PREFIX. */
+/** Read a row whose key begins with MEMBER_PREFIX; false fills the error.
+ * member_facts_finish() ends what it filled. */
+bool member_row_decode(const row_t *, member_facts_t *, err_t *);
+void member_facts_finish(member_facts_t *);
+/** Whether callers and daemons can be sent to its addresses; false fills the
+ * error. */
+bool member_facts_check(const member_facts_t *, err_t *);
+/** A row of the system's table whose key begins with MEMBER_PREFIX, and that
+ * can be read. */
 void membership_row(membership_t *, const row_t *);
 /** Whether two rows of a member say the same, but for their beat. */
 bool membership_same(const char *a, size_t a_len, const char *b, size_t b_len);
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -7,6 +7,7 @@
 #define MOORTACK_RELAY_RELAY_NODE_H
 
 #include "moortack/relay/relay.h"
+#include "moortack/relay/row_refusals.h"
 #include "moortack/relay/row_source.h"
 
 /** Where the operator's and the endpoints' rows stand, and how they read. */
@@ -66,6 +67,7 @@
 	relay_t relay;
 	row_source_t source;
 	send_notes_t notes;
+	row_refusals_t refusals;
 	struct timespec store_back; /**< when the store answered again */
 	bool lapses;		    /**< entries may have gone in an outage */
 	bool members_read;	    /**< the rows of the daemons, once */
--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -56,7 +56,9 @@
 						known */
 	int64_t began_ms; /**< that order, by the store's clock; 0: unknown */
 	uint64_t state_version; /**< of the state's row; 0: none */
-	bool stopped;		/**< found bad here */
+	bool state_spoilt; /**< its row is gone, or is no state: others wrote it
+			    */
+	bool stopped;	   /**< found bad here */
 	bool writing;
 	struct timespec write_after;
 	rollout_state_t wanted;
@@ -93,8 +95,9 @@
 
 /** Take an order. */
 void rollouts_order(rollouts_t *, const rollout_order_t *);
-/** A row of the system's table whose key begins with ROLLOUT_PREFIX. */
-void rollouts_row(rollouts_t *, const row_t *);
+/** A row of the system's table whose key begins with ROLLOUT_PREFIX.
+ * @return false: it tells no state; fills the error */
+bool rollouts_row(rollouts_t *, const row_t *, err_t *);
 /** The store's steady clock, as it came with an answer. */
 void rollouts_store_clock(rollouts_t *, int64_t now_ms);
 
--- /dev/null
+++ b/include/moortack/relay/row_refusals.h
@@ -0,0 +1,53 @@
+/**
+ * @file
+ * Rows that can't be taken, as others write them: counted by what they ought to
+ * be and by what is wrong with them, and told by a bounded number of lines.
+ */
+#ifndef MOORTACK_RELAY_ROW_REFUSALS_H
+#define MOORTACK_RELAY_ROW_REFUSALS_H
+
+#include <event2/buffer.h>
+
+#include "common/err.h"
+#include "moortack/relay/event_log.h"
+#include "moortack/relay/row_store.h"
+
+/** What a row ought to be. */
+typedef enum row_kind {
+	ROW_KIND_CONFIG,
+	ROW_KIND_ORDER,
+	ROW_KIND_ENDPOINT,
+	ROW_KIND_MEMBER,
+	ROW_KIND_STATE, /**< of a roll-out */
+	ROW_KIND_KEY,	/**< of the fleet */
+	ROW_KINDS	/* count */
+} row_kind_t;
+
+/** What is wrong with it. */
+typedef enum row_fault {
+	ROW_FAULT_NAME,	      /**< its key is no name */
+	ROW_FAULT_UNREADABLE, /**< its bytes are no JSON object */
+	ROW_FAULT_FIELD,      /**< a field is missing, or not as it should be */
+	ROW_FAULTS	      /* count */
+} row_fault_t;
+
+typedef struct row_refusal {
+	uint64_t count;
+	uint64_t told;	    /**< of them, in a line */
+	struct timespec at; /**< when the last line was written */
+} row_refusal_t;
+
+typedef struct row_refusals {
+	const clock_source_t *clock;
+	event_log_t *log; /**< NULL: none */
+	row_refusal_t counts[ROW_KINDS][ROW_FAULTS];
+} row_refusals_t;
+
+/** Count a row, and tell of it unless that was done shortly before.
+ * @param why as the decoder says */
+void row_refusals_note(
+    row_refusals_t *, row_kind_t, const row_t *, const err_t *why);
+/** In the Prometheus text format. */
+void row_refusals_write(const row_refusals_t *, struct evbuffer *out);
+
+#endif
--- a/include/moortack/relay/row_source.h
+++ b/include/moortack/relay/row_source.h
@@ -19,6 +19,9 @@
 
 /** Key of the row that holds the fleet's secret key. */
 #define FLEET_KEY_ROW "fleet/key"
+/** Bytes of it, and of its text with the zero at its end. */
+#define FLEET_KEY_BYTES 32
+#define FLEET_KEY_SIZE 41
 
 typedef struct row_source row_source_t;
 
@@ -73,6 +76,7 @@
 	feed_server_t server;
 	feed_client_t client;
 	bool keyed; /**< the fleet's key is known */
+	char secret[FLEET_KEY_SIZE];
 	bool key_writing;
 	struct timespec key_after; /**< no key is made before */
 	bool down; /**< who is followed stands after this daemon, which tells
@@ -113,6 +117,9 @@
 /** Decide anew whom to follow; called a few times a second. */
 void row_source_tick(row_source_t *);
 
+/** Whether the text is a key of a fleet; false fills the error. */
+bool fleet_key_check(const char *text, err_t *);
+
 /** The daemon that reads the store for this one, or NULL: not known. */
 const char *row_source_reader(const row_source_t *);
 
--- a/include/moortack/relay/row_store.h
+++ b/include/moortack/relay/row_store.h
@@ -35,7 +35,8 @@
 	size_t rows_len;
 	uint64_t version; /**< newest of the store */
 	int64_t now_ms;	  /**< the store's steady clock */
-	bool more;	  /**< the range has further rows */
+	const char *next; /**< where a whole read goes on, in the store's own
+			     words; NULL: it is done */
 } row_reply_t;
 
 typedef void (*row_done_t)(void *arg, const row_reply_t *);
@@ -51,8 +52,10 @@
 typedef struct row_store row_store_t;
 
 typedef struct row_store_ops {
-	/** Read a table in order of keys, from @p from on (may be NULL). */
-	bool (*read)(row_store_t *, const char *table, const char *from,
+	/** Read a table, by pages.
+	 * @param page the @c next of the page before; NULL: the first one. A
+	 * page may tell the last row of the one before again */
+	bool (*read)(row_store_t *, const char *table, const char *page,
 	    int64_t timeout_ms, row_done_t, void *arg);
 	/** Wait up to @p wait_ms for changes after version @p after. */
 	bool (*feed)(row_store_t *, const char *table, uint64_t after,
--- a/include/moortack/relay/row_watch.h
+++ b/include/moortack/relay/row_watch.h
@@ -43,7 +43,7 @@
 	struct event *timer;
 	uint64_t version;      /**< followed up to here; 0: read whole */
 	uint64_t read_version; /**< of the first page of a whole read */
-	char *page_from;
+	char *page; /**< of a whole read, after the first; NULL: that one */
 	struct timespec asked;
 	struct timespec known; /**< newest as of this moment */
 	bool settled_once;
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -17,6 +17,7 @@
 	uint64_t calls;	   /**< made */
 	uint64_t failures; /**< of them */
 	uint64_t bytes;	   /**< of answers */
+	uint64_t unnamed;  /**< rows whose key can't be a name */
 } platform_store_t;
 
 void platform_store_init(
--- a/moortack/relay/fleet_key.c
+++ b/moortack/relay/fleet_key.c
@@ -9,7 +9,6 @@
  * and for who else is there, before it does. */
 #define KEY_LOOK_MS 600
 #define KEY_SPREAD_MS 300
-#define KEY_SIZE 41
 
 static void
 key_written(void *arg, const row_reply_t *reply)
@@ -24,39 +23,99 @@
 	row_watch_hurry(&self->watches[ROW_TABLE_OWN].watch);
 }
 
-/* The first daemon of all makes the fleet's key; the others read it. */
-static void
-key_make(row_source_t *self)
+bool
+fleet_key_check(const char *text, err_t *err)
+{
+	uint8_t bytes[FLEET_KEY_BYTES];
+
+	if (strlen(text) != FLEET_KEY_SIZE - 1 ||
+	    zmq_z85_decode(bytes, text) == NULL)
+		return err_set(err, ERR_UNREADABLE, "the key is no key");
+	return true;
+}
+
+static const cached_row_t *
+key_row(const row_source_t *self)
+{
+	return row_cache_find(&self->cache, ROW_TABLE_OWN, FLEET_KEY_ROW);
+}
+
+/* The key that the store has; NULL: none, or what is no key. */
+static const char *
+key_stored(const row_source_t *self)
+{
+	const cached_row_t *row = key_row(self);
+
+	return row != NULL && row->value != NULL &&
+		fleet_key_check(row->value, NULL)
+	    ? row->value
+	    : NULL;
+}
+
+/* Whether it is this daemon's turn to write the key, and it waited for others
+ * to do so. */
+static bool
+key_due(row_source_t *self)
 {
-	char public[KEY_SIZE], secret[KEY_SIZE];
-	row_change_t expected = {.table = self->settings.tables[ROW_TABLE_OWN],
-	    .key = FLEET_KEY_ROW};
-	row_change_t change = expected;
 	struct timespec now = clock_elapsed(self->clock);
 
 	if (self->key_after.tv_sec == 0)
 		self->key_after = timespec_after_ms(now,
 		    KEY_LOOK_MS + (int64_t)rng_below(self->rng, KEY_SPREAD_MS));
-	if (timespec_ms_between(self->key_after, now) < 0)
-		return;
-	if (self->key_writing || membership_rank(self->members) != 0 ||
-	    zmq_curve_keypair(public, secret) != 0)
-		return;
+	return timespec_ms_between(self->key_after, now) >= 0 &&
+	    !self->key_writing && membership_rank(self->members) == 0;
+}
+
+/* Unless somebody else has written it since. */
+static void
+key_write(row_source_t *self, const char *secret)
+{
+	const cached_row_t *row = key_row(self);
+	row_change_t expected = {.table = self->settings.tables[ROW_TABLE_OWN],
+	    .key = FLEET_KEY_ROW};
+	row_change_t change = expected;
+
+	if (row != NULL && row->value != NULL)
+		expected.expected = row->version;
 	change.value = secret;
 	self->key_writing = self->store->ops->write(self->store, &expected, 1,
 	    &change, 1, KEY_TIMEOUT_MS, key_written, self);
 }
 
+/* The first daemon of all makes the fleet's key; the others read it. */
+static void
+key_make(row_source_t *self)
+{
+	char public[FLEET_KEY_SIZE], secret[FLEET_KEY_SIZE];
+
+	if (key_due(self) && zmq_curve_keypair(public, secret) == 0)
+		key_write(self, secret);
+}
+
 void
 fleet_key_look(row_source_t *self)
 {
-	const cached_row_t *row =
-	    row_cache_find(&self->cache, ROW_TABLE_OWN, FLEET_KEY_ROW);
+	const char *secret = key_stored(self);
 
 	if (!self->watches[ROW_TABLE_OWN].watch.settled_once)
 		return;
-	if (row != NULL && row->value != NULL)
-		row_follow_start(self, row->value);
+	if (secret != NULL)
+		row_follow_start(self, secret);
 	else
 		key_make(self);
 }
+
+void
+fleet_key_keep(row_source_t *self)
+{
+	const char *secret = key_stored(self);
+
+	if (secret == NULL) {
+		if (key_due(self))
+			key_write(self, self->secret);
+		return;
+	}
+	self->key_after = (struct timespec){0};
+	if (strcmp(secret, self->secret) != 0)
+		row_follow_end(self);
+}
--- /dev/null
+++ b/moortack/relay/member_row.c
@@ -0,0 +1,107 @@
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "membership_priv.h"
+
+/* More cores than any VM has. */
+#define STRENGTH_MAX 4096
+
+const char *const member_state_names[] = {"starting", "ready", "leaving"};
+
+static bool
+state_named(const char *name, member_state_t *state)
+{
+	for (size_t i = 0; name != NULL && i < 3; i++) {
+		if (strcmp(member_state_names[i], name) != 0)
+			continue;
+		*state = (member_state_t)i;
+		return true;
+	}
+	return false;
+}
+
+/* @param out MEMBER_NAME_SIZE bytes */
+static bool
+text_take(const json_t *body, const char *field, char *out, err_t *err)
+{
+	const char *text = json_string_value(json_object_get(body, field));
+
+	if (text == NULL || strlen(text) >= MEMBER_NAME_SIZE)
+		return err_set(err, ERR_BAD_REQUEST,
+		    "%s is missing, no text or too long", field);
+	strcpy(out, text);
+	return true;
+}
+
+static bool
+facts_take(const json_t *body, member_facts_t *facts, err_t *err)
+{
+	const json_t *strength = json_object_get(body, "strength");
+
+	if (!text_take(body, "place", facts->place, err) ||
+	    !text_take(body, "peer", facts->peer, err))
+		return false;
+	facts->strength = json_number_value(strength);
+	if (!json_is_number(strength) || facts->strength < 0 ||
+	    facts->strength > STRENGTH_MAX)
+		return err_set(err, ERR_BAD_REQUEST,
+		    "strength is missing or out of range");
+	if (!state_named(json_string_value(json_object_get(body, "state")),
+		&facts->state))
+		return err_set(
+		    err, ERR_BAD_REQUEST, "state is missing or unknown");
+	facts->at_ms = json_integer_value(json_object_get(body, "at_ms"));
+	if (facts->at_ms < 0)
+		return err_set(err, ERR_BAD_REQUEST, "at_ms is negative");
+	facts->report = json_object_get(body, "report");
+	return true;
+}
+
+bool
+member_row_decode(const row_t *row, member_facts_t *facts, err_t *err)
+{
+	const char *name = row->key + strlen(MEMBER_PREFIX);
+
+	*facts = (member_facts_t){0};
+	if (name[0] == '\0' || strlen(name) >= sizeof(facts->name))
+		return err_set(err, ERR_NAME, "the name is empty or too long");
+	strcpy(facts->name, name);
+	facts->body = json_loadb(row->value, row->value_len, 0, NULL);
+	if (!json_is_object(facts->body)) {
+		member_facts_finish(facts);
+		return err_set(
+		    err, ERR_UNREADABLE, "the row is no JSON object");
+	}
+	if (facts_take(facts->body, facts, err))
+		return true;
+	member_facts_finish(facts);
+	return false;
+}
+
+static bool
+is_address(const char *text)
+{
+	http_address_t address;
+
+	return http_address_parse(text, &address) &&
+	    http_address_is_ip(&address);
+}
+
+bool
+member_facts_check(const member_facts_t *facts, err_t *err)
+{
+	if (!is_address(facts->name))
+		return err_set(err, ERR_NAME, "the name is no IP:PORT");
+	if (facts->peer[0] != '\0' && !is_address(facts->peer))
+		return err_set(err, ERR_BAD_REQUEST, "peer is no IP:PORT");
+	return true;
+}
+
+void
+member_facts_finish(member_facts_t *facts)
+{
+	json_decref(facts->body);
+	facts->body = NULL;
+	facts->report = NULL;
+}
--- a/moortack/relay/membership.c
+++ b/moortack/relay/membership.c
@@ -23,7 +23,6 @@
 
 /* What only tells that the row was written again. */
 static const char *const own_fields[] = {"beat", "at_ms"};
-const char *const member_state_names[] = {"starting", "ready", "leaving"};
 
 void
 membership_beat_later(membership_t *self, int64_t ms)
@@ -188,24 +187,6 @@
 	return member;
 }
 
-static member_state_t
-state_of(const char *name)
-{
-	for (size_t i = 0; name != NULL && i < 3; i++) {
-		if (strcmp(member_state_names[i], name) == 0)
-			return (member_state_t)i;
-	}
-	return MEMBER_STARTING;
-}
-
-static void
-text_take(const json_t *value, const char *field, char *out, size_t size)
-{
-	const char *text = json_string_value(json_object_get(value, field));
-
-	snprintf(out, size, "%s", text != NULL ? text : "");
-}
-
 void
 membership_row_missing(membership_t *self)
 {
@@ -223,9 +204,8 @@
 /* The row says when it was written. A row that is only read again, or told by
  * another daemon, is no sign of life of that moment. */
 static void
-row_seen(const membership_t *self, member_t *member, const json_t *value)
+row_seen(const membership_t *self, member_t *member, int64_t at_ms)
 {
-	int64_t at_ms = json_integer_value(json_object_get(value, "at_ms"));
 	int64_t age_ms = store_now_ms(self) - at_ms;
 	struct timespec at = timespec_after_ms(
 	    clock_elapsed(self->clock), age_ms > 0 ? -age_ms : 0);
@@ -238,12 +218,38 @@
 		shun_end(member);
 }
 
+static void
+member_take(member_t *member, const member_facts_t *facts)
+{
+	member->state = facts->state;
+	member->strength = facts->strength;
+	member->order = member_order(facts->name, facts->strength);
+	strcpy(member->place, facts->place);
+	strcpy(member->peer, facts->peer);
+	if (facts->report == NULL)
+		return;
+	json_decref(member->report);
+	member->report = json_incref(facts->report);
+}
+
+static void
+member_ended(membership_t *self, const char *name)
+{
+	member_t *member;
+
+	HASH_FIND_STR(self->members, name, member);
+	if (member == NULL)
+		return;
+	member_log(self, member, "member_gone");
+	member_free(self, member);
+}
+
 void
 membership_row(membership_t *self, const row_t *row)
 {
 	const char *name = row->key + strlen(MEMBER_PREFIX);
+	member_facts_t facts;
 	member_t *member;
-	json_t *value, *report;
 
 	if (strcmp(name, self->settings.name) == 0) {
 		if (row->deleted)
@@ -251,34 +257,18 @@
 		return;
 	}
 	if (row->deleted) {
-		HASH_FIND_STR(self->members, name, member);
-		if (member == NULL)
-			return;
-		member_log(self, member, "member_gone");
-		member_free(self, member);
+		member_ended(self, name);
 		return;
 	}
-	value = json_loadb(row->value, row->value_len, 0, NULL);
-	member = json_is_object(value) ? member_of(self, name) : NULL;
-	if (member == NULL) {
-		json_decref(value);
+	if (!member_row_decode(row, &facts, NULL))
 		return;
+	member = member_of(self, name);
+	if (member != NULL) {
+		row_seen(self, member, facts.at_ms);
+		member->version = row->version;
+		member_take(member, &facts);
 	}
-	row_seen(self, member, value);
-	member->version = row->version;
-	member->state =
-	    state_of(json_string_value(json_object_get(value, "state")));
-	text_take(value, "place", member->place, sizeof(member->place));
-	member->strength =
-	    json_number_value(json_object_get(value, "strength"));
-	member->order = member_order(name, member->strength);
-	text_take(value, "peer", member->peer, sizeof(member->peer));
-	report = json_object_get(value, "report");
-	if (report != NULL) {
-		json_decref(member->report);
-		member->report = json_incref(report);
-	}
-	json_decref(value);
+	member_facts_finish(&facts);
 }
 
 bool
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -309,6 +309,8 @@
 	node->ports = *ports;
 	node->settings = *settings;
 	event_log_init(&node->log, ports->clock, settings->log_per_s);
+	node->refusals =
+	    (row_refusals_t){.clock = ports->clock, .log = &node->log};
 	if (!parts_init(node, err))
 		return false;
 	node->tick = event_new(ports->base, -1, EV_PERSIST, on_tick, node);
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -8,6 +8,12 @@
  * itself. */
 #define OUTAGE_MIN_MS 2500
 
+static bool
+has_prefix(const row_t *row, const char *prefix)
+{
+	return strncmp(row->key, prefix, strlen(prefix)) == 0;
+}
+
 static void
 config_row(relay_node_t *node, const row_t *row)
 {
@@ -19,8 +25,7 @@
 	config = node->ports.sources->config(row->value, row->value_len, &err);
 	if (config == NULL) {
 		/* The last good one stays in force. */
-		event_line(&node->log, "config_refused",
-		    "version=%" PRIu64 " why=\"%s\"", row->version, err.detail);
+		row_refusals_note(&node->refusals, ROW_KIND_CONFIG, row, &err);
 		return;
 	}
 	relay_configure(&node->relay, config);
@@ -38,9 +43,7 @@
 		row->value, row->value_len, row->version, &order, &err))
 		rollouts_order(&node->rollouts, &order);
 	else
-		event_line(&node->log, "order_refused",
-		    "key=%s version=%" PRIu64 " why=\"%s\"", row->key,
-		    row->version, err.detail);
+		row_refusals_note(&node->refusals, ROW_KIND_ORDER, row, &err);
 }
 
 static void
@@ -51,8 +54,7 @@
 	row_source_put(&node->source, ROW_TABLE_ORDERS, row);
 	if (strcmp(row->key, sources->config_key) == 0)
 		config_row(node, row);
-	else if (strncmp(row->key, sources->rollout_prefix,
-		     strlen(sources->rollout_prefix)) == 0)
+	else if (has_prefix(row, sources->rollout_prefix))
 		order_row(node, row);
 }
 
@@ -147,6 +149,20 @@
 	lapsed_keep_back(node);
 }
 
+/* What names no endpoint is none, whatever the row was before: others that
+ * follow this daemon are told so, too. */
+static void
+no_endpoint(relay_node_t *node, endpoint_t *known, const row_t *row)
+{
+	const row_t end = {
+	    .key = row->key, .version = row->version, .deleted = true};
+
+	if (known != NULL)
+		endpoint_gone(node, known, row->version);
+	else
+		row_source_put(&node->source, ROW_TABLE_ENDPOINTS, &end);
+}
+
 static void
 on_endpoint_row(relay_node_t *node, const row_t *row)
 {
@@ -157,34 +173,81 @@
 	endpoint_facts_t facts;
 	err_t err;
 
-	if (row->deleted && endpoint != NULL) {
-		endpoint_gone(node, endpoint, row->version);
+	if (row->deleted) {
+		no_endpoint(node, endpoint, row);
 		return;
 	}
-	row_source_put(&node->source, ROW_TABLE_ENDPOINTS, row);
-	if (row->deleted)
-		return;
-	if (node->ports.sources->endpoint(
+	if (!node->ports.sources->endpoint(
 		row->key, row->value, row->value_len, &facts, &err)) {
-		endpoint_taken(node, &facts, news);
+		row_refusals_note(
+		    &node->refusals, ROW_KIND_ENDPOINT, row, &err);
+		no_endpoint(node, endpoint, row);
 		return;
 	}
-	event_line(&node->log, "endpoint_refused",
-	    "id=%s version=%" PRIu64 " why=\"%s\"", row->key, row->version,
-	    err.detail);
+	row_source_put(&node->source, ROW_TABLE_ENDPOINTS, row);
+	endpoint_taken(node, &facts, news);
+}
+
+static bool
+names_member(const row_t *row, err_t *err)
+{
+	member_facts_t facts;
+	bool good = member_row_decode(row, &facts, err) &&
+	    member_facts_check(&facts, err);
+
+	member_facts_finish(&facts);
+	return good;
 }
 
+/* What names no daemon is none. */
 static void
-on_own_row(relay_node_t *node, const row_t *row)
+on_member_row(relay_node_t *node, const row_t *row)
+{
+	row_t taken = *row;
+	err_t err;
+
+	if (!row->deleted && !names_member(row, &err)) {
+		row_refusals_note(&node->refusals, ROW_KIND_MEMBER, row, &err);
+		taken = (row_t){
+		    .key = row->key, .version = row->version, .deleted = true};
+	}
+	row_source_put(&node->source, ROW_TABLE_OWN, &taken);
+	membership_row(&node->members, &taken);
+}
+
+static void
+on_state_row(relay_node_t *node, const row_t *row)
+{
+	err_t err;
+
+	row_source_put(&node->source, ROW_TABLE_OWN, row);
+	if (!rollouts_row(&node->rollouts, row, &err))
+		row_refusals_note(&node->refusals, ROW_KIND_STATE, row, &err);
+}
+
+static void
+on_key_row(relay_node_t *node, const row_t *row)
 {
+	err_t err;
+
 	row_source_put(&node->source, ROW_TABLE_OWN, row);
-	if (strncmp(row->key, MEMBER_PREFIX, strlen(MEMBER_PREFIX)) == 0)
-		membership_row(&node->members, row);
-	else if (strncmp(row->key, ROLLOUT_PREFIX, strlen(ROLLOUT_PREFIX)) == 0)
-		rollouts_row(&node->rollouts, row);
-	else if (strncmp(row->key, ROLLOUT_SESSIONS_PREFIX,
-		     strlen(ROLLOUT_SESSIONS_PREFIX)) == 0)
+	if (!row->deleted && !fleet_key_check(row->value, &err))
+		row_refusals_note(&node->refusals, ROW_KIND_KEY, row, &err);
+}
+
+static void
+on_own_row(relay_node_t *node, const row_t *row)
+{
+	if (has_prefix(row, MEMBER_PREFIX)) {
+		on_member_row(node, row);
+	} else if (has_prefix(row, ROLLOUT_PREFIX)) {
+		on_state_row(node, row);
+	} else if (strcmp(row->key, FLEET_KEY_ROW) == 0) {
+		on_key_row(node, row);
+	} else if (has_prefix(row, ROLLOUT_SESSIONS_PREFIX)) {
+		row_source_put(&node->source, ROW_TABLE_OWN, row);
 		rollouts_sessions_row(&node->rollouts, row);
+	}
 }
 
 static void
--- /dev/null
+++ b/moortack/relay/rollout_state.c
@@ -0,0 +1,84 @@
+#include <string.h>
+
+#include "rollouts_priv.h"
+
+const char *const rollout_state_names[] = {
+    "none", "in_progress", "completed", "reverted"};
+
+static bool
+state_named(const char *name, rollout_state_t *state)
+{
+	for (size_t i = 0; name != NULL && i < 4; i++) {
+		if (strcmp(rollout_state_names[i], name) != 0)
+			continue;
+		*state = (rollout_state_t)i;
+		return true;
+	}
+	return false;
+}
+
+static bool
+version_read(const json_t *value, const char *field, char *out, err_t *err)
+{
+	const char *version = json_string_value(json_object_get(value, field));
+
+	if (version == NULL || strlen(version) >= ENDPOINT_NAME_SIZE)
+		return err_set(err, ERR_BAD_REQUEST,
+		    "%s is missing, no text or too long", field);
+	strcpy(out, version);
+	return true;
+}
+
+static bool
+state_take(const json_t *value, state_facts_t *facts, err_t *err)
+{
+	json_int_t order = json_integer_value(json_object_get(value, "order"));
+
+	if (order <= 0)
+		return err_set(
+		    err, ERR_BAD_REQUEST, "order is missing or out of range");
+	facts->order = (uint64_t)order;
+	facts->began_ms =
+	    json_integer_value(json_object_get(value, "began_ms"));
+	if (!version_read(value, "to", facts->to, err) ||
+	    !version_read(value, "base", facts->base, err))
+		return false;
+	if (!state_named(json_string_value(json_object_get(value, "state")),
+		&facts->state))
+		return err_set(
+		    err, ERR_BAD_REQUEST, "state is missing or unknown");
+	return true;
+}
+
+bool
+rollout_state_decode(const row_t *row, state_facts_t *facts, err_t *err)
+{
+	json_t *value = json_loadb(row->value, row->value_len, 0, NULL);
+	bool taken;
+
+	*facts = (state_facts_t){0};
+	if (!json_is_object(value)) {
+		json_decref(value);
+		return err_set(
+		    err, ERR_UNREADABLE, "the row is no JSON object");
+	}
+	taken = state_take(value, facts, err);
+	json_decref(value);
+	return taken;
+}
+
+char *
+rollout_state_text(const rollout_t *rollout, rollout_state_t state)
+{
+	const rollouts_t *self = rollout->owner;
+	json_t *value = json_pack("{s:I, s:s, s:s, s:s, s:I}", "order",
+	    (json_int_t)rollout->order.number, "to", rollout->order.to, "base",
+	    rollout_base(rollout), "state", rollout_state_names[state],
+	    "began_ms",
+	    (json_int_t)(timespec_ms(rollout_began(rollout)) +
+		self->now_offset_ms));
+	char *text = json_dumps(value, JSON_COMPACT);
+
+	json_decref(value);
+	return text;
+}
--- a/moortack/relay/rollouts.c
+++ b/moortack/relay/rollouts.c
@@ -16,9 +16,6 @@
 #define UNCERTAIN_MS 3400
 #define MS_PER_SEC 1000
 
-static const char *const state_names[] = {
-    "none", "in_progress", "completed", "reverted"};
-
 rollout_t *
 rollouts_find(const rollouts_t *self, const char *service)
 {
@@ -57,7 +54,7 @@
 /* When the order in force began, by this daemon's clock: as the state says, if
  * it is of that order and the store's clock is known, or else when it was first
  * seen here. */
-static struct timespec
+struct timespec
 rollout_began(const rollout_t *rollout)
 {
 	const rollouts_t *self = rollout->owner;
@@ -104,7 +101,7 @@
 		    " to=%s state=%s share=%.2f elapsed_ms=%" PRId64
 		    " stopped=%d uncertain=%d",
 		    rollout->order.service, rollout->order.number,
-		    rollout->order.to, state_names[moment.state], share,
+		    rollout->order.to, rollout_state_names[moment.state], share,
 		    moment.elapsed_ms, moment.stopped, moment.uncertain);
 		rollout->share = share;
 	}
@@ -227,55 +224,46 @@
 	self->now_known = true;
 }
 
-static rollout_state_t
-state_named(const char *name)
-{
-	for (size_t i = 0; name != NULL && i < 4; i++) {
-		if (strcmp(state_names[i], name) == 0)
-			return (rollout_state_t)i;
-	}
-	return ROLLOUT_NONE;
-}
-
 static void
-version_read(const json_t *value, const char *field, char *out)
+state_set(rollout_t *rollout, const state_facts_t *facts)
 {
-	const char *version = json_string_value(json_object_get(value, field));
-
-	snprintf(out, ENDPOINT_NAME_SIZE, "%s", version != NULL ? version : "");
+	rollout->state_order = facts->order;
+	strcpy(rollout->state_to, facts->to);
+	strcpy(rollout->state_base, facts->base);
+	rollout->state = facts->state;
+	rollout->began_ms = facts->began_ms;
+	rollout->state_spoilt = false;
 }
 
-void
-rollouts_row(rollouts_t *self, const row_t *row)
+bool
+rollouts_row(rollouts_t *self, const row_t *row, err_t *err)
 {
 	rollout_t *rollout =
 	    rollout_of(self, row->key + strlen(ROLLOUT_PREFIX));
-	json_t *value;
+	state_facts_t facts;
 
-	if (rollout == NULL || row->version <= rollout->state_version)
-		return;
+	if (rollout == NULL)
+		return err_set(err, ERR_NAME, "the service's name is too long");
+	if (row->version <= rollout->state_version)
+		return true;
 	rollout->state_version = row->version;
 	if (!rollout->stopped)
 		rollout->write_after = (struct timespec){0};
+	/* What is no state leaves the known one, which is written again. */
+	rollout->state_spoilt = true;
 	if (row->deleted) {
 		rollout->state_version = 0;
-		return;
+		return true;
 	}
-	value = json_loadb(row->value, row->value_len, 0, NULL);
-	rollout->state_order =
-	    (uint64_t)json_integer_value(json_object_get(value, "order"));
-	version_read(value, "to", rollout->state_to);
-	version_read(value, "base", rollout->state_base);
-	rollout->state =
-	    state_named(json_string_value(json_object_get(value, "state")));
-	rollout->began_ms =
-	    json_integer_value(json_object_get(value, "began_ms"));
-	json_decref(value);
+	if (!rollout_state_decode(row, &facts, err))
+		return false;
+	state_set(rollout, &facts);
 	event_line(self->log, "rollout_state",
 	    "service=%s order=%" PRIu64 " state=%s version=%" PRIu64,
 	    rollout->order.service, rollout->state_order,
-	    state_names[rollout->state], row->version);
+	    rollout_state_names[rollout->state], row->version);
 	next_take(rollout);
+	return true;
 }
 
 static void
@@ -294,22 +282,7 @@
 	event_line(self->log, "rollout_write",
 	    "service=%s order=%" PRIu64 " state=%s result=%d",
 	    rollout->order.service, rollout->order.number,
-	    state_names[rollout->wanted], (int)reply->result);
-}
-
-static char *
-state_text(const rollout_t *rollout, rollout_state_t state)
-{
-	const rollouts_t *self = rollout->owner;
-	json_t *value = json_pack("{s:I, s:s, s:s, s:s, s:I}", "order",
-	    (json_int_t)rollout->order.number, "to", rollout->order.to, "base",
-	    rollout_base(rollout), "state", state_names[state], "began_ms",
-	    (json_int_t)(timespec_ms(rollout_began(rollout)) +
-		self->now_offset_ms));
-	char *text = json_dumps(value, JSON_COMPACT);
-
-	json_decref(value);
-	return text;
+	    rollout_state_names[rollout->wanted], (int)reply->result);
 }
 
 /* Write the state for the daemons and for the operator in one transaction. */
@@ -319,7 +292,7 @@
 	rollouts_t *self = rollout->owner;
 	char key[sizeof(ROLLOUT_PREFIX) + ENDPOINT_NAME_SIZE];
 	char *told_table = NULL, *told_key = NULL, *told = NULL;
-	char *own = state_text(rollout, state);
+	char *own = rollout_state_text(rollout, state);
 	row_change_t expected = {.table = MEMBER_TABLE,
 	    .key = key,
 	    .expected = rollout->state_version};
@@ -376,7 +349,8 @@
 		rollout->write_after = now;
 	}
 	wanted = state_wanted(rollout, &moment);
-	if (wanted == moment.state || rollout->writing)
+	if (rollout->writing ||
+	    (wanted == moment.state && !rollout->state_spoilt))
 		return;
 	/* Others took up a later order, which is not known here yet: its state
 	 * stays. */
--- a/moortack/relay/rollouts_priv.h
+++ b/moortack/relay/rollouts_priv.h
@@ -1,13 +1,34 @@
 /**
  * @file
  * What the files of roll-outs share: rollouts.c keeps orders and states,
- * rollout_report.c counts what all daemons report.
+ * rollout_state.c reads and writes the rows of states, rollout_report.c counts
+ * what all daemons report.
  */
 #ifndef MOORTACK_RELAY_ROLLOUTS_PRIV_H
 #define MOORTACK_RELAY_ROLLOUTS_PRIV_H
 
 #include "moortack/relay/rollouts.h"
 
+/** By rollout_state_t, as in the rows. */
+extern const char *const rollout_state_names[];
+
+/** What the row of a roll-out's state says. */
+typedef struct state_facts {
+	uint64_t order; /**< that the state is of */
+	char to[ENDPOINT_NAME_SIZE];
+	char base[ENDPOINT_NAME_SIZE]; /**< version that it replaces; "": not
+					  known */
+	rollout_state_t state;
+	int64_t began_ms; /**< by the store's clock; 0: not known */
+} state_facts_t;
+
+/** Read such a row, not a deleted one; false fills the error. */
+bool rollout_state_decode(const row_t *, state_facts_t *, err_t *);
+/** The row's value for a state, to be freed, or NULL. */
+char *rollout_state_text(const rollout_t *, rollout_state_t);
+/** When the order in force began, by this daemon's clock. */
+struct timespec rollout_began(const rollout_t *);
+
 /** What the share depends on, now. */
 rollout_moment_t rollout_moment(const rollout_t *);
 
--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -346,11 +346,35 @@
 		return;
 	}
 	self->first_wait = event_new(self->base, -1, 0, on_first_wait, self);
+	snprintf(self->secret, sizeof(self->secret), "%s", secret);
 	self->keyed = true;
 	if (self->ops->secret != NULL)
 		self->ops->secret(self->arg, secret);
 }
 
+void
+row_follow_stop_peers(row_source_t *self)
+{
+	if (self->first_wait != NULL)
+		event_free(self->first_wait);
+	self->first_wait = NULL;
+	feed_client_finish(&self->client);
+	feed_server_finish(&self->server);
+	if (self->context != NULL)
+		zmq_ctx_term(self->context);
+	self->context = NULL;
+	self->keyed = false;
+}
+
+void
+row_follow_end(row_source_t *self)
+{
+	if (self->followed[0] != '\0')
+		follow_end(self, "key");
+	row_follow_stop_peers(self);
+	row_source_suspend(self, false);
+}
+
 /* Whoever is followed anew has a moment to answer. */
 static int64_t
 first_wait_ms(const row_source_t *self)
--- a/moortack/relay/row_source.c
+++ b/moortack/relay/row_source.c
@@ -117,6 +117,8 @@
 		row_source_settled(self) && !self->following);
 	if (!self->keyed && self->context == NULL)
 		fleet_key_look(self);
+	if (self->keyed)
+		fleet_key_keep(self);
 	if (self->keyed)
 		row_follow_tick(self);
 	else if (timespec_ms_between(self->began, clock_elapsed(self->clock)) >=
@@ -255,12 +257,7 @@
 void
 row_source_finish(row_source_t *self)
 {
-	if (self->first_wait != NULL)
-		event_free(self->first_wait);
-	feed_client_finish(&self->client);
-	feed_server_finish(&self->server);
-	if (self->context != NULL)
-		zmq_ctx_term(self->context);
+	row_follow_stop_peers(self);
 	json_decref(self->followed_path);
 	for (int i = 0; i < ROW_TABLES; i++)
 		row_watch_finish(&self->watches[i].watch);
--- a/moortack/relay/row_source_priv.h
+++ b/moortack/relay/row_source_priv.h
@@ -47,7 +47,16 @@
 /** Tell whoever follows this daemon at once when it is no use to do so. */
 void row_follow_tell_lost(row_source_t *);
 
+/** Close what this daemon asks and answers others through. */
+void row_follow_stop_peers(row_source_t *);
+/** Ask and answer nobody any more, until the fleet's key is looked for again.
+ */
+void row_follow_end(row_source_t *);
+
 /** Find the fleet's key, or make it if nobody else does. */
 void fleet_key_look(row_source_t *);
+/** Write the key again where others have removed or spoiled its row, and go
+ * over to another one that stands there: newcomers know the store's only. */
+void fleet_key_keep(row_source_t *);
 
 #endif
--- a/moortack/relay/row_watch.c
+++ b/moortack/relay/row_watch.c
@@ -63,12 +63,10 @@
 }
 
 static void
-rows_tell(row_watch_t *watch, const row_reply_t *reply, const char *skip)
+rows_tell(row_watch_t *watch, const row_reply_t *reply)
 {
-	for (size_t i = 0; i < reply->rows_len; i++) {
-		if (skip == NULL || strcmp(reply->rows[i].key, skip) != 0)
-			watch->ops->row(watch->arg, &reply->rows[i]);
-	}
+	for (size_t i = 0; i < reply->rows_len; i++)
+		watch->ops->row(watch->arg, &reply->rows[i]);
 }
 
 static void
@@ -87,7 +85,7 @@
 read_is_outdated(const row_watch_t *watch, const row_reply_t *reply)
 {
 	uint64_t version =
-	    watch->page_from == NULL ? reply->version : watch->read_version;
+	    watch->page == NULL ? reply->version : watch->read_version;
 
 	return version < watch->version;
 }
@@ -96,7 +94,6 @@
 read_done(void *arg, const row_reply_t *reply)
 {
 	row_watch_t *watch = arg;
-	char *last = NULL;
 
 	watch->waiting = false;
 	if (watch->stopped)
@@ -111,19 +108,17 @@
 		watch_later(watch, watch->pace.pause_ms);
 		return;
 	}
-	if (watch->page_from == NULL) {
+	if (watch->page == NULL) {
 		/* A store that went back is not followed down: the rows that
 		 * it has now are taken, and their versions judged by those
 		 * who hold them. */
 		watch->read_version = reply->version;
 		watch->ops->restart(watch->arg);
 	}
-	rows_tell(watch, reply, watch->page_from);
-	if (reply->more && reply->rows_len > 0)
-		last = strdup(reply->rows[reply->rows_len - 1].key);
-	free(watch->page_from);
-	watch->page_from = last;
-	if (last != NULL) {
+	rows_tell(watch, reply);
+	free(watch->page);
+	watch->page = reply->next != NULL ? strdup(reply->next) : NULL;
+	if (watch->page != NULL) {
 		watch_ask(watch);
 		return;
 	}
@@ -152,7 +147,7 @@
 		return;
 	}
 	reachable_again(watch);
-	rows_tell(watch, reply, NULL);
+	rows_tell(watch, reply);
 	if (reply->version > watch->version)
 		watch->version = reply->version;
 	watch_settled(watch, false, reply);
@@ -168,12 +163,12 @@
 	if (watch->version == 0) {
 		if (!watch->in_read) {
 			watch->in_read = true;
-			free(watch->page_from);
-			watch->page_from = NULL;
+			free(watch->page);
+			watch->page = NULL;
 			watch->asked = clock_elapsed(watch->clock);
 		}
-		started = ops->read(watch->store, watch->table,
-		    watch->page_from, watch->pace.timeout_ms, read_done, watch);
+		started = ops->read(watch->store, watch->table, watch->page,
+		    watch->pace.timeout_ms, read_done, watch);
 	} else {
 		watch->asked = clock_elapsed(watch->clock);
 		started = ops->feed(watch->store, watch->table, watch->version,
@@ -221,7 +216,7 @@
 {
 	watch->stopped = true;
 	event_free(watch->timer);
-	free(watch->page_from);
+	free(watch->page);
 }
 
 void
--- a/test/fuzz/rollouts_fuzz.c
+++ b/test/fuzz/rollouts_fuzz.c
@@ -243,7 +243,7 @@
 	if (world.state_version == 0)
 		return;
 	daemon->known_state = world.state_version;
-	rollouts_row(&daemon->rollouts, &row);
+	rollouts_row(&daemon->rollouts, &row, NULL);
 }
 
 static void
--- a/test/platform/decoders_test.c
+++ b/test/platform/decoders_test.c
@@ -15,6 +15,7 @@
 #include "platform/dialects.h"
 #include "platform/node_file.h"
 #include "platform/rows.h"
+#include "platform/store_rows.h"
 
 static const char config[] =
     "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"a.example\","
@@ -220,6 +221,69 @@
 	}
 }
 
+/* The store's answer, decoded; @c next of the list is what is asked for. */
+static json_t *
+rows_of(const char *rows, bool more, store_rows_t *list)
+{
+	char text[600];
+	json_t *body;
+
+	snprintf(text, sizeof(text), "{\"rows\":[%s],\"has_more\":%s}", rows,
+	    more ? "true" : "false");
+	body = store_body_read(text, strlen(text));
+	assert_non_null(body);
+	store_rows_read(body, list);
+	return body;
+}
+
+static void
+rows_that_others_wrote_are_read_as_far_as_they_can_be(void **state)
+{
+	store_rows_t list;
+	json_t *body =
+	    rows_of("{\"key\":\"a\",\"row_version\":4,\"value\":\"dGV4dA==\"},"
+		    "{\"key\":\"b\",\"row_version\":5,\"value\":\"?\"},"
+		    "{\"key\":\"c\",\"row_version\":6,\"value\":7},"
+		    "{\"key\":\"d\\u0000x\",\"row_version\":7,\"value\":\"\"},"
+		    "{\"key\":5,\"row_version\":8,\"value\":\"\"},"
+		    "{\"key\":\"e\",\"row_version\":9,\"deleted\":true}",
+		false, &list);
+
+	(void)state;
+	assert_int_equal(list.len, 4);
+	assert_int_equal(list.unnamed, 2);
+	assert_string_equal(list.rows[0].value, "text");
+	assert_string_equal(list.rows[1].value, "");
+	assert_string_equal(list.rows[2].value, "");
+	assert_true(list.rows[3].deleted);
+	assert_null(list.next);
+	store_rows_free(&list);
+	json_decref(body);
+}
+
+/* A read goes on behind a page whatever its last key is, also if that is all
+ * that the page has. */
+static void
+a_read_goes_on_behind_any_key(void **state)
+{
+	store_rows_t list;
+	json_t *body;
+
+	(void)state;
+	body = rows_of("{\"key\":\"a\",\"row_version\":4,\"value\":\"\"},"
+		       "{\"key\":\"b c\\u0000d\",\"row_version\":5,"
+		       "\"value\":\"\"}",
+	    true, &list);
+	assert_string_equal(list.next, "b%20c%00d");
+	store_rows_free(&list);
+	json_decref(body);
+	body = rows_of(
+	    "{\"key\":\"huge\",\"row_version\":4,\"value\":\"\"}", true, &list);
+	assert_string_equal(list.next, "huge%01");
+	store_rows_free(&list);
+	json_decref(body);
+}
+
 static void
 orders_and_states_of_rollouts(void **state)
 {
@@ -390,6 +454,9 @@
 	    cmocka_unit_test(an_endpoint_says_when_it_started),
 	    cmocka_unit_test(another_start_is_a_change),
 	    cmocka_unit_test(a_bad_endpoint_is_refused_by_the_field),
+	    cmocka_unit_test(
+		rows_that_others_wrote_are_read_as_far_as_they_can_be),
+	    cmocka_unit_test(a_read_goes_on_behind_any_key),
 	    cmocka_unit_test(orders_and_states_of_rollouts),
 	    cmocka_unit_test(a_settings_file_is_checked),
 	    cmocka_unit_test(what_a_caller_may_not_say_is_not_passed_on),
--- /dev/null
+++ b/test/platform/other_writers.lua
@@ -0,0 +1,80 @@
+-- Others write into the tables, too: what is no entry names no replica, no daemon
+-- and no roll-out, and what is one holds, however many rows there are and however
+-- few of them fit a page.
+package.path = script_dir .. "/?.lua;" .. package.path
+local words = require("words")
+local lib = words.lib
+local JUNK = 60
+local w = words.world(2, 1)
+
+local good = {service = "lm", address = "127.0.0.1:9", zone = "a",
+  version = "v1", batch_slots = 8, state = "ready", sequence = 1}
+local function entry(changes)
+  local one = {}
+  for k, v in pairs(good) do one[k] = v end
+  for k, v in pairs(changes) do one[k] = v end
+  return one
+end
+local bad = {entry({born = "5"}), entry({born = 1.5}), entry({born = -1}),
+  entry({born = 9007199254740993}), entry({state = "odd"}),
+  entry({state = 5}), entry({address = "nowhere:80"}),
+  entry({address = "127.0.0.1:99999"}), entry({service = ""}), {}, "text"}
+
+lib.fault(w.store.address, {page = 7})
+for i = 1, JUNK do
+  w:put("servers", string.format("a-%03d", i), bad[i % #bad + 1])
+  w:put("servers", string.format("z-%03d", i), bad[i % #bad + 1])
+end
+w:put("servers", ("long"):rep(40), good)
+w:put("servers", "big", {text = ("x"):rep(4000000)})
+for _, key in ipairs({"member/", "member/nobody", "member/10.0.0.1:80",
+    "member/" .. ("9"):rep(150), "rollout/lm", "rollout/" .. ("s"):rep(150),
+    "something"}) do
+  w:put("moortack", key, {state = 5})
+end
+
+-- One daemon knew the tables before, the others read them now.
+for i = 2, 3 do w:daemon(i) end
+for i = 2, 3 do words.wait_ready(w.daemons[i]) end
+lib.wait_until("the rows are counted", function()
+  local count = 0
+  for i = 1, 3 do
+    count = count + words.metric(w.daemons[i],
+      'rows_refused_total{kind="endpoint",fault="field"}')
+  end
+  return count > JUNK
+end)
+for i = 1, 3 do
+  local d = w.daemons[i]
+  lib.equal(words.metric(d, "endpoints"), 2, "endpoints")
+  lib.equal(words.metric(d, "daemons"), 3, "daemons")
+  for n = 1, 6 do
+    lib.equal(words.call(d, "/scan/" .. n, {method = "GET"}).status, 200,
+      "a scan")
+  end
+end
+
+-- A roll-out goes its way, and the fleet's key, which is spoilt, is mended: a
+-- daemon that starts then finds the others.
+w:put("moortack", "fleet/key", "no key")
+local function key_row()
+  for _, row in ipairs(w:rows("moortack")) do
+    if row.key == "fleet/key" then return row.value end
+  end
+end
+lib.wait_until("the key is written again", function()
+  return #(key_row() or "") > 50
+end)
+w:daemon(4)
+words.wait_ready(w.daemons[4])
+w:reader()
+w:replica(3, "v2")
+w:put("op", "rollout/lm", {service = "lm", to = "v2", duration_s = 30})
+lib.wait_until("the roll-out is in progress", function()
+  return words.status(w, "in_progress")
+end)
+for i = 1, 4 do
+  lib.equal(words.call(w.daemons[i], "/scan/x", {method = "GET"}).status, 200,
+    "a scan")
+end
+lib.say("ok")
--- a/test/platform/standin_store.c
+++ b/test/platform/standin_store.c
@@ -4,7 +4,7 @@
  * one counter, a feed that holds a question, transactions under conditions.
  *
  * GET /calls counts the calls by kind and table. Faults: "down"; "forget" drops
- * the history up to now.
+ * the history up to now; "page" is how many rows a reading has at most.
  */
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -18,6 +18,8 @@
 #include "standin/fake.h"
 
 #define KEY_SIZE 256
+/* Rows of a reading, unless a fault says otherwise. */
+#define PAGE 500
 
 /** A row, or the trace of one that was removed. */
 typedef struct row {
@@ -38,6 +40,7 @@
 
 typedef struct store {
 	fake_t fake;
+	size_t page; /**< rows of a reading at most */
 	row_t *rows;
 	uint64_t version;
 	held_t *held;
@@ -91,24 +94,56 @@
 	return strcmp(a->name, b->name);
 }
 
+/** Which rows are asked for. */
+typedef struct range {
+	const char *table;
+	const char *from; /**< key of the first one */
+	uint64_t after;	  /**< version */
+	size_t most;
+	bool deleted;
+} range_t;
+
+static bool
+row_asked_for(const row_t *row, const range_t *range)
+{
+	return row_in(row, range->table) && row->version > range->after &&
+	    strcmp(row->name + strlen(range->table) + 1, range->from) >= 0 &&
+	    (range->deleted || row->value != NULL);
+}
+
 static void
-rows_answer(
-    struct evhttp_request *req, const char *table, uint64_t after, bool deleted)
+rows_answer(struct evhttp_request *req, const range_t *range)
 {
 	json_t *rows = json_array();
+	bool more = false;
 
 	HASH_SORT(store.rows, row_compare);
 	for (const row_t *row = store.rows; row != NULL; row = row->hh.next) {
-		if (row_in(row, table) && row->version > after &&
-		    (deleted || row->value != NULL))
-			json_array_append_new(rows, row_json(row, table));
+		if (!row_asked_for(row, range))
+			continue;
+		more = json_array_size(rows) == range->most;
+		if (more)
+			break;
+		json_array_append_new(rows, row_json(row, range->table));
 	}
 	http_answer_json(req, 200,
-	    json_pack("{s:o, s:b, s:I, s:I}", "rows", rows, "has_more", 0,
+	    json_pack("{s:o, s:b, s:I, s:I}", "rows", rows, "has_more", more,
 		"row_version", (json_int_t)store.version, "now_ms",
 		(json_int_t)timespec_ms(clock_elapsed(&store.fake.clock))));
 }
 
+static void
+changes_answer(struct evhttp_request *req, const char *table, uint64_t after)
+{
+	const range_t range = {.table = table,
+	    .from = "",
+	    .after = after,
+	    .most = SIZE_MAX,
+	    .deleted = true};
+
+	rows_answer(req, &range);
+}
+
 static bool
 changed_since(const char *table, uint64_t after)
 {
@@ -160,7 +195,7 @@
 			at = &held->next;
 			continue;
 		}
-		rows_answer(held_take(at), held->table, held->after, true);
+		changes_answer(held_take(at), held->table, held->after);
 		free(held);
 	}
 }
@@ -270,6 +305,17 @@
 	json_object_set_new(store.calls, name, json_integer(count + 1));
 }
 
+static void
+table_answer(struct evhttp_request *req, const char *table)
+{
+	char from[KEY_SIZE] = "";
+	const range_t range = {
+	    .table = table, .from = from, .most = store.page};
+
+	http_request_query(req, "from", from, sizeof(from));
+	rows_answer(req, &range);
+}
+
 static void
 serve(struct fake *fake, struct evhttp_request *req)
 {
@@ -287,7 +333,7 @@
 	if (strcmp(path, "/-/rows-tx") == 0)
 		transaction(req);
 	else if (strcmp(path, "/-/rows-get") == 0)
-		rows_answer(req, table, 0, false);
+		table_answer(req, table);
 	else if (strcmp(path, "/-/rows-feed") == 0)
 		feed(req, table);
 	else
@@ -298,6 +344,7 @@
 fault(struct fake *fake, const json_t *faults)
 {
 	(void)fake;
+	store.page = (size_t)fake_int(faults, "page", PAGE);
 	if (!json_is_true(json_object_get(faults, "forget")))
 		return;
 	store.forgotten = ++store.version;
@@ -313,6 +360,7 @@
 main(int argc, const char **argv)
 {
 	store.version = 1;
+	store.page = PAGE;
 	store.calls = json_object();
 	store.fake.request = serve;
 	store.fake.fault = fault;
--- a/test/support/silent_store.h
+++ b/test/support/silent_store.h
@@ -50,14 +50,15 @@
     silent_read, silent_feed, silent_write};
 
 /* An entry's text is "leaving" or the endpoint's version, and after an @ the
- * time of its start, where there is one. */
+ * time of its start, where there is one; "?" is no entry. */
 static inline bool
 told_endpoint(const char *id, const char *text, size_t len,
     endpoint_facts_t *facts, err_t *err)
 {
 	const char *born = memchr(text, '@', len);
 
-	(void)err;
+	if (len == 1 && text[0] == '?')
+		return err_set(err, ERR_UNREADABLE, "no entry");
 	*facts = (endpoint_facts_t){.service = "s", .place = "a", .slots = 1};
 	if (born != NULL) {
 		facts->born_ms = strtoll(born + 1, NULL, 10);
--- a/test/unit/lapse_test.c
+++ b/test/unit/lapse_test.c
@@ -254,6 +254,35 @@
 	told_node_finish(&told);
 }
 
+/* What another writer put in an entry's place names no endpoint, to nobody. */
+static void
+an_entry_that_is_spoilt_ends_the_endpoint(void **state)
+{
+	const row_cache_t *cache;
+	static told_node_t told;
+
+	(void)state;
+	told_node_init(&told);
+	cache = &told.node.source.cache;
+	entry_tell(&told, "e1", "ready", VERSION_ENTRY);
+	entry_tell(&told, "e2", "ready", VERSION_ENTRY);
+	entry_tell(&told, "e1", "?", VERSION_BEFORE);
+	entry_tell(&told, "e3", "?", VERSION_BEFORE);
+	assert_null(entry_of(&told, "e1"));
+	assert_null(entry_of(&told, "e3"));
+	assert_non_null(entry_of(&told, "e2"));
+	assert_null(row_cache_find(cache, ROW_TABLE_ENDPOINTS, "e1")->value);
+	assert_null(row_cache_find(cache, ROW_TABLE_ENDPOINTS, "e3")->value);
+	assert_int_equal(
+	    told.node.refusals.counts[ROW_KIND_ENDPOINT][ROW_FAULT_UNREADABLE]
+		.count,
+	    2);
+	/* Its next heartbeat brings it back. */
+	entry_tell(&told, "e1", "ready", VERSION_END);
+	assert_non_null(entry_of(&told, "e1"));
+	told_node_finish(&told);
+}
+
 /* Endpoints of a version that nobody ordered yet do not become the ones to use,
  * however many they are. */
 static void
@@ -279,6 +308,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(
 		the_version_in_use_is_learned_as_soon_as_it_is_known),
+	    cmocka_unit_test(an_entry_that_is_spoilt_ends_the_endpoint),
 	    cmocka_unit_test(an_entry_that_lapsed_is_kept_for_a_time),
 	    cmocka_unit_test(
 		nobody_is_told_a_version_beyond_an_entry_that_is_kept),
--- a/test/unit/paged_read_test.c
+++ b/test/unit/paged_read_test.c
@@ -95,7 +95,7 @@
 	    .rows_len = len,
 	    .version = VERSION_READ,
 	    .now_ms = 1,
-	    .more = more};
+	    .next = more ? "next" : NULL};
 	row_done_t done = paged->done;
 
 	assert_non_null(done);
--- a/test/unit/rollouts_test.c
+++ b/test/unit/rollouts_test.c
@@ -56,10 +56,11 @@
 		break;
 	case NEWS_STATE:
 		snprintf(text, sizeof(text),
-		    "{\"order\":%d,\"state\":\"in_progress\",\"began_ms\":%d}",
+		    "{\"order\":%d,\"to\":\"v2\",\"base\":\"v1\","
+		    "\"state\":\"in_progress\",\"began_ms\":%d}",
 		    ORDER, STORE_NOW_MS - ELAPSED_MS);
 		row.value_len = strlen(text);
-		rollouts_row(rollouts, &row);
+		rollouts_row(rollouts, &row, NULL);
 		break;
 	case NEWS_CLOCK:
 		rollouts_store_clock(rollouts, STORE_NOW_MS);
@@ -137,7 +138,7 @@
 	    "{\"order\":%d,\"to\":\"%s\",\"base\":\"%s\",\"state\":\"%s\","
 	    "\"began_ms\":%d}",
 	    order, to, base, state, STORE_NOW_MS);
-	rollouts_row(&told->rollouts, &row);
+	rollouts_row(&told->rollouts, &row, NULL);
 }
 
 static void
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -228,10 +228,16 @@
 	    .members = &members,
 	    .keyed = true,
 	    .server = {.lost = true}};
+	const row_t key = {.key = FLEET_KEY_ROW,
+	    .value = "0000000000000000000000000000000000000000",
+	    .value_len = FLEET_KEY_SIZE - 1,
+	    .version = 3};
 
 	(void)state;
 	membership_of(&members, base, &store, &clock.source, 1, DAEMONS);
 	row_cache_init(&source.cache, &clock.source, bytes_same, NULL);
+	row_cache_put(&source.cache, ROW_TABLE_OWN, &key);
+	strcpy(source.secret, key.value);
 	strcpy(source.settings.peer_address, "10.0.0.1:81");
 	members.order = -1; /* nobody stands before it */
 	for (int i = 0; i < ROW_TABLES; i++)
