--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -73,6 +73,8 @@
 	bool members_read;	    /**< the rows of the daemons, once */
 	struct event *tick;
 	struct timespec reported;
+	uint64_t calls_told; /**< to the store, in the last line of them */
+	struct timespec calls_told_at;
 	struct timespec leaving_since;
 	bool leaving;
 	void (*gone)(void *arg); /**< told when the node may exit */
--- a/include/moortack/relay/row_store.h
+++ b/include/moortack/relay/row_store.h
@@ -66,9 +66,35 @@
 	    size_t changes_len, int64_t timeout_ms, row_done_t, void *arg);
 } row_store_ops_t;
 
+/** What a call is made for. */
+typedef enum row_purpose {
+	ROW_FOR_READ,	  /**< a whole read of a table, the first one */
+	ROW_FOR_REREAD,	  /**< a further one */
+	ROW_FOR_CHANGES,  /**< by the daemon that others follow */
+	ROW_FOR_BESIDE,	  /**< changes, by one that follows another */
+	ROW_FOR_MEMBER,	  /**< the row of this daemon */
+	ROW_FOR_CLEARING, /**< the rows of daemons that are gone */
+	ROW_FOR_STATE,	  /**< of a roll-out */
+	ROW_FOR_KEY,	  /**< of the fleet */
+	ROW_PURPOSES	  /* count */
+} row_purpose_t;
+
+/** Names of purposes, for metrics and logs. */
+extern const char *const row_purpose_names[ROW_PURPOSES];
+
 /* Each calls done exactly once later, unless it returns false. */
 struct row_store {
 	const row_store_ops_t *ops;
+	uint64_t calls[ROW_PURPOSES]; /**< made */
 };
 
+/* The functions of the store's table, counted by what they are for. */
+bool row_store_read(row_store_t *, row_purpose_t, const char *table,
+    const char *page, int64_t timeout_ms, row_done_t, void *arg);
+bool row_store_feed(row_store_t *, row_purpose_t, const char *table,
+    uint64_t after, int64_t wait_ms, int64_t timeout_ms, row_done_t, void *arg);
+bool row_store_write(row_store_t *, row_purpose_t, const row_change_t *expected,
+    size_t expected_len, const row_change_t *changes, size_t changes_len,
+    int64_t timeout_ms, row_done_t, void *arg);
+
 #endif
--- a/include/moortack/relay/row_watch.h
+++ b/include/moortack/relay/row_watch.h
@@ -51,6 +51,7 @@
 	bool in_read;
 	bool stopped;
 	bool suspended;	   /**< somebody else tells the rows */
+	bool beside;	   /**< read beside somebody else who tells them */
 	uint32_t failures; /**< in a row */
 	bool waiting;
 } row_watch_t;
--- a/moortack/relay/fleet_key.c
+++ b/moortack/relay/fleet_key.c
@@ -78,8 +78,8 @@
 	if (row != NULL && row->value != NULL)
 		expected.expected = row->version;
 	change.value = secret;
-	self->key_writing = self->store->ops->write(self->store, &expected, 1,
-	    &change, 1, KEY_TIMEOUT_MS, key_written, self);
+	self->key_writing = row_store_write(self->store, ROW_FOR_KEY, &expected,
+	    1, &change, 1, KEY_TIMEOUT_MS, key_written, self);
 }
 
 /* The first daemon of all makes the fleet's key; the others read it. */
--- a/moortack/relay/membership.c
+++ b/moortack/relay/membership.c
@@ -94,8 +94,8 @@
 	    .table = MEMBER_TABLE, .key = key, .value = text};
 
 	snprintf(key, sizeof(key), "%s%s", MEMBER_PREFIX, self->settings.name);
-	self->writing = self->store->ops->write(self->store, NULL, 0, &change,
-	    1, MEMBER_WRITE_TIMEOUT_MS, write_done, self);
+	self->writing = row_store_write(self->store, ROW_FOR_MEMBER, NULL, 0,
+	    &change, 1, MEMBER_WRITE_TIMEOUT_MS, write_done, self);
 	free(text);
 	if (!self->writing && !self->removed)
 		membership_beat_later(self, RETRY_MS);
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -16,6 +16,7 @@
 #define STORE_RETRY_MS 250
 #define STORE_RETRY_MOST_MS 1000
 #define CONFIG_PAUSE_MS 20
+#define CALLS_TOLD_MS 2000
 #define SESSIONS_KEY_SIZE (sizeof(ROLLOUT_SESSIONS_PREFIX) + MEMBER_NAME_SIZE)
 /* Rows of the daemons: how often they are read and written. */
 #define OWN_PAUSE_MS 1500
@@ -127,6 +128,31 @@
 		sessions_send(node);
 }
 
+/* What the store was asked for so far, every so often. */
+static void
+calls_tell(relay_node_t *node)
+{
+	const uint64_t *calls = node->ports.store->calls;
+	struct timespec now = clock_elapsed(node->ports.clock);
+	uint64_t all = 0;
+
+	for (int i = 0; i < ROW_PURPOSES; i++)
+		all += calls[i];
+	if (all == node->calls_told ||
+	    timespec_ms_between(node->calls_told_at, now) < CALLS_TOLD_MS)
+		return;
+	node->calls_told = all;
+	node->calls_told_at = now;
+	event_line(&node->log, "store_calls",
+	    "all=%" PRIu64 " read=%" PRIu64 " reread=%" PRIu64
+	    " changes=%" PRIu64 " beside=%" PRIu64 " member=%" PRIu64
+	    " clearing=%" PRIu64 " state=%" PRIu64 " key=%" PRIu64,
+	    all, calls[ROW_FOR_READ], calls[ROW_FOR_REREAD],
+	    calls[ROW_FOR_CHANGES], calls[ROW_FOR_BESIDE],
+	    calls[ROW_FOR_MEMBER], calls[ROW_FOR_CLEARING],
+	    calls[ROW_FOR_STATE], calls[ROW_FOR_KEY]);
+}
+
 static void
 members_step(relay_node_t *node)
 {
@@ -181,6 +207,7 @@
 	if (rollouts_active(&node->rollouts))
 		relay_guard_look(&node->relay);
 	report_send(node);
+	calls_tell(node);
 	if (node->leaving)
 		leave_step(node);
 	else
--- a/moortack/relay/rollouts.c
+++ b/moortack/relay/rollouts.c
@@ -317,8 +317,8 @@
 		    .table = told_table, .key = told_key, .value = told};
 		rollout->wanted = state;
 		rollout->writing =
-		    self->store->ops->write(self->store, &expected, 1, changes,
-			2, WRITE_TIMEOUT_MS, state_written, rollout);
+		    row_store_write(self->store, ROW_FOR_STATE, &expected, 1,
+			changes, 2, WRITE_TIMEOUT_MS, state_written, rollout);
 	}
 	free(told_table);
 	free(told_key);
--- a/moortack/relay/row_source.c
+++ b/moortack/relay/row_source.c
@@ -68,9 +68,11 @@
 	bool lost = !self->watches[ROW_TABLE_PROBE].watch.reachable &&
 	    row_source_settled(self);
 
-	for (int i = 0; i < ROW_TABLES; i++)
+	for (int i = 0; i < ROW_TABLES; i++) {
+		self->watches[i].watch.beside = self->followed[0] != '\0';
 		row_watch_suspend(&self->watches[i].watch,
 		    self->idle[i] || (lost && i != ROW_TABLE_PROBE));
+	}
 }
 
 void
--- a/moortack/relay/row_watch.c
+++ b/moortack/relay/row_watch.c
@@ -157,7 +157,6 @@
 static void
 watch_ask(row_watch_t *watch)
 {
-	const row_store_ops_t *ops = watch->store->ops;
 	bool started;
 
 	if (watch->version == 0) {
@@ -167,12 +166,15 @@
 			watch->page = NULL;
 			watch->asked = clock_elapsed(watch->clock);
 		}
-		started = ops->read(watch->store, watch->table, watch->page,
-		    watch->pace.timeout_ms, read_done, watch);
+		started = row_store_read(watch->store,
+		    watch->settled_once ? ROW_FOR_REREAD : ROW_FOR_READ,
+		    watch->table, watch->page, watch->pace.timeout_ms,
+		    read_done, watch);
 	} else {
 		watch->asked = clock_elapsed(watch->clock);
-		started = ops->feed(watch->store, watch->table, watch->version,
-		    watch->pace.wait_ms,
+		started = row_store_feed(watch->store,
+		    watch->beside ? ROW_FOR_BESIDE : ROW_FOR_CHANGES,
+		    watch->table, watch->version, watch->pace.wait_ms,
 		    watch->pace.wait_ms + watch->pace.timeout_ms, feed_done,
 		    watch);
 	}
--- a/test/fuzz/lives_fuzz.c
+++ b/test/fuzz/lives_fuzz.c
@@ -650,7 +650,7 @@
 	memset(&world, 0, sizeof(world));
 	world.clock = (manual_clock_t){{&manual_ops}, {1000, 0}};
 	world.base = event_base_new();
-	world.store = (row_store_t){&lives_ops};
+	world.store = (row_store_t){.ops = &lives_ops};
 	world.single_ms = -1;
 	for (int i = 0; i < DAEMONS; i++)
 		daemon_start(i);
--- a/test/fuzz/rollouts_fuzz.c
+++ b/test/fuzz/rollouts_fuzz.c
@@ -425,7 +425,7 @@
 	memset(&world, 0, sizeof(world));
 	world.clock = (manual_clock_t){{&manual_ops}, {1000, 0}};
 	world.base = event_base_new();
-	world.store = (row_store_t){&state_ops};
+	world.store = (row_store_t){.ops = &state_ops};
 	world.version = 10;
 	for (size_t i = 0; i < DAEMONS; i++)
 		daemon_start(&world.daemons[i]);
--- a/test/platform/rows_fuzz.c
+++ b/test/platform/rows_fuzz.c
@@ -419,7 +419,7 @@
 	memset(&world, 0, sizeof(world));
 	world.clock = (manual_clock_t){{&manual_ops}, {1000, 0}};
 	world.base = event_base_new();
-	world.store = (row_store_t){&silent_ops};
+	world.store = (row_store_t){.ops = &silent_ops};
 	world.version = 10;
 	rng_system_init(&world.rng);
 	reader_start(&world.clean);
--- a/test/unit/caller_targets_test.c
+++ b/test/unit/caller_targets_test.c
@@ -44,7 +44,7 @@
 
 	world->clock = (manual_clock_t){{&manual_ops}, {100, 0}};
 	world->base = event_base_new();
-	world->store = (row_store_t){&silent_ops};
+	world->store = (row_store_t){.ops = &silent_ops};
 	*state = world;
 	return 0;
 }
--- a/test/unit/lapse_test.c
+++ b/test/unit/lapse_test.c
@@ -38,7 +38,7 @@
 told_node_init(told_node_t *told)
 {
 	told->clock = (manual_clock_t){{&manual_ops}, {1000, 0}};
-	told->store = (row_store_t){&silent_ops};
+	told->store = (row_store_t){.ops = &silent_ops};
 	told->base = event_base_new();
 	rng_system_init(&told->rng);
 	assert_true(node_start(&told->node, told->base, &told->clock.source,
--- a/test/unit/paged_read_test.c
+++ b/test/unit/paged_read_test.c
@@ -63,7 +63,7 @@
 {
 	memset(paged, 0, sizeof(*paged));
 	paged->clock = (manual_clock_t){{&manual_ops}, {1000, 0}};
-	paged->store = (row_store_t){&paged_ops};
+	paged->store = (row_store_t){.ops = &paged_ops};
 	paged->base = event_base_new();
 	rng_system_init(&paged->rng);
 	assert_true(node_start(&paged->node, paged->base, &paged->clock.source,
--- a/test/unit/relay_node_test.c
+++ b/test/unit/relay_node_test.c
@@ -137,7 +137,7 @@
 	clock_source_t clock;
 	rng_t rng;
 	played_store_t store = {
-	    {&played_ops}, event_base_new(), whole_read, refused, 0, 0};
+	    {.ops = &played_ops}, event_base_new(), whole_read, refused, 0, 0};
 	const relay_ports_t ports = {store.base, &clock, &rng, &store.store,
 	    &told_sources, &callers, &endpoints, &rollouts};
 	relay_node_settings_t settings = node_settings;
--- a/test/unit/rollouts_test.c
+++ b/test/unit/rollouts_test.c
@@ -281,7 +281,7 @@
 {
 	static const row_store_ops_t refusing = {NULL, NULL, write_refuse};
 	static const rollout_dialect_t dialect = {tell_nothing};
-	row_store_t store = {&refusing};
+	row_store_t store = {.ops = &refusing};
 	struct event_base *base = event_base_new();
 	first_order_t told;
 
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -221,7 +221,7 @@
 {
 	manual_clock_t clock = {{&manual_ops}, {100, 0}};
 	struct event_base *base = event_base_new();
-	row_store_t store = {&silent_ops};
+	row_store_t store = {.ops = &silent_ops};
 	membership_t members = {0};
 	row_source_t source = {.base = base,
 	    .clock = &clock.source,
