test: the daemons are waited for where rows come in small pages

Cause: platform_other_writers read the metric "daemons" once, right after three daemons were ready. Tables come in pages of seven rows there, so a daemon hears of those that started last some pages later ("daemons: got 1, want 3"). Change: the test waits until each daemon knows the other two, as it waits for the rows refused; the count itself is as strict. Ruled out: a member lost among the junk (the count arrives in every run). Conclusion: a race of the test, mended.

--- a/test/platform/other_writers.lua
+++ b/test/platform/other_writers.lua
@@ -47,7 +47,9 @@
 for i = 1, 3 do
   local d = w.daemons[i]
   lib.equal(words.metric(d, "endpoints"), 2, "endpoints")
-  lib.equal(words.metric(d, "daemons"), 3, "daemons")
+  lib.wait_until("it knows the other daemons", function()
+    return words.metric(d, "daemons") == 3
+  end)
   for n = 1, 6 do
     lib.equal(words.call(d, "/scan/" .. n, {method = "GET"}).status, 200,
       "a scan")
