relay: only those who follow the first daemon ask the store beside it

Cause: a follower whose answer takes 0.7 s asks the store for the endpoints itself. Change: membership_follows_first(): the first and those who follow it ask (as many as the square root of the fleet), and what they read goes on to the others. Ruled out: a later bound for slow (a daemon whose parent stands still learns of leaving endpoints later; platform_reader_still fails). A configuration that travels as a change removes the cause.

--- a/include/moortack/relay/membership.h
+++ b/include/moortack/relay/membership.h
@@ -191,6 +191,9 @@
  * @return NULL: read the store
  */
 const member_t *membership_parent(membership_t *);
+/** Whether this daemon follows the first of all, or reads the store itself:
+ * about as many do as the square root of all. */
+bool membership_follows_first(membership_t *);
 /** The first that stands after this daemon: followed only while the store does
  * not answer this one and nobody stands before it. Or NULL. */
 const member_t *membership_next(const membership_t *);
--- a/moortack/relay/member_tree.c
+++ b/moortack/relay/member_tree.c
@@ -176,6 +176,17 @@
 			      : near_at(self, before, near % tellers);
 }
 
+bool
+membership_follows_first(membership_t *self)
+{
+	const member_t *parent;
+
+	if (ordered_fill(self) <= BREADTH_MIN)
+		return true;
+	parent = membership_parent(self);
+	return parent == self->ordered[0];
+}
+
 const member_t *
 membership_next(const membership_t *self)
 {
--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -78,6 +78,17 @@
 	return false;
 }
 
+/* Ask the store for changes that whoever is followed does not tell. Only those
+ * who follow the first daemon do, and pass on what they read: a whole
+ * configuration that is on its way to 295 daemons made each of them late, and
+ * all but 50 of them asked the store at once, 7 times on one day. */
+static void
+ask_beside(row_source_t *self, row_table_t table)
+{
+	if (row_source_settled(self) && membership_follows_first(self->members))
+		row_source_beside(self, table);
+}
+
 /* Whoever is followed has old rows: it may just have lost whom it followed, and
  * has news as soon as it finds another. The store is asked for these meanwhile.
  */
@@ -95,9 +106,9 @@
 		row_parent_leave(self, "behind");
 		return;
 	}
-	for (int i = 0; row_source_settled(self) && i < ROW_TABLES; i++) {
+	for (int i = 0; i < ROW_TABLES; i++) {
 		if (table_old(self, answer, (row_table_t)i))
-			row_source_beside(self, (row_table_t)i);
+			ask_beside(self, (row_table_t)i);
 	}
 }
 
@@ -194,8 +205,7 @@
 	row_source_t *self = arg;
 
 	event_line(self->log, "slow", "source=%s", self->followed);
-	if (row_source_settled(self))
-		row_source_beside(self, ROW_TABLE_ENDPOINTS);
+	ask_beside(self, ROW_TABLE_ENDPOINTS);
 }
 
 static void
--- a/test/unit/member_tree_test.c
+++ b/test/unit/member_tree_test.c
@@ -57,6 +57,7 @@
 	struct event_base *base = event_base_new();
 	row_store_t store = {.ops = &silent_ops};
 	int parents[DAEMONS], followers[DAEMONS] = {0}, roots = 0;
+	int firsts = 0;
 
 	(void)state;
 	for (int i = 0; i < DAEMONS; i++) {
@@ -64,8 +65,11 @@
 
 		membership_of(&self, &store, &clock.source, i, DAEMONS);
 		parents[i] = parent_number(&self);
+		firsts += membership_follows_first(&self);
 		membership_finish(&self);
 	}
+	/* The first, its followers, and nobody who follows these. */
+	assert_in_range(firsts, 2, 1 + 2 * 8);
 	for (int i = 0; i < DAEMONS; i++) {
 		int at = i, steps = 0;
 
