relay: who starts and stands first is told the rows by one that runs

Change: it is told the rows by one that stands after it, once and within the first wait, and reads the store's changes from there on.

--- a/include/moortack/relay/feed_client.h
+++ b/include/moortack/relay/feed_client.h
@@ -15,7 +15,8 @@
 	/** Fill in what the question says besides its number. */
 	void (*ask)(void *arg, feed_question_t *);
 	/** An answer to a question that was asked at @p asked. */
-	void (*answer)(void *arg, const feed_answer_t *, struct timespec asked);
+	/** The answer may be changed; it is given back by the client. */
+	void (*answer)(void *arg, feed_answer_t *, struct timespec asked);
 	/** The answer takes longer than answers do. */
 	void (*slow)(void *arg);
 	/** No answer came in time. */
--- a/include/moortack/relay/row_cache.h
+++ b/include/moortack/relay/row_cache.h
@@ -25,6 +25,16 @@
 	ROW_READER_TOLD = 2,  /**< a whole answer of another daemon */
 } row_reader_t;
 
+/** What a large row said before its last changes. */
+typedef struct row_prior {
+	char *value;
+	size_t value_len;
+	uint64_t version;
+	uint64_t change; /**< number of the change that brought it */
+	struct timespec replaced_at;
+	struct row_prior *older;
+} row_prior_t;
+
 /** One row, or the trace of one that is gone. */
 typedef struct cached_row {
 	char *name; /**< the table's number and the key */
@@ -35,6 +45,7 @@
 	uint64_t change; /**< number of its last change */
 	unsigned seen;	 /**< readers that have named it since they began */
 	struct timespec gone_at;
+	row_prior_t *priors; /**< newest first */
 	struct cached_row *newer; /**< by change; of the newest: the oldest */
 	struct cached_row *older;
 	UT_hash_handle hh;
@@ -52,6 +63,7 @@
 	uint64_t renewed;     /**< rows that were taken, changed or not */
 	row_reader_t reader;  /**< that names rows now */
 	struct timespec trimmed;
+	size_t prior_min; /**< bytes from which on priors are kept */
 	/** All changes after these versions were seen, ends too: who knows less
 	 * has to be told all rows. */
 	uint64_t since[ROW_TABLES];
@@ -72,6 +84,10 @@
 const cached_row_t *
 row_cache_find(const row_cache_t *, row_table_t, const char *key);
 
+/** What a row said to those who know all changes up to this one and none after:
+ * the newest prior that was there by then. NULL: not kept. */
+const row_prior_t *row_cache_prior(const cached_row_t *, uint64_t change);
+
 /** Whether the cache has a newer row of this key; it counts as named by the
  * whole read under way. */
 bool row_cache_newer(row_cache_t *, row_table_t, const row_t *);
@@ -89,7 +105,7 @@
 /** Whether the reader has named the row since it began. */
 bool row_cache_named(const cached_row_t *, row_reader_t);
 
-/** Forget rows that went long ago. */
+/** Forget rows that went long ago, and priors that nobody builds on any more. */
 void row_cache_trim(row_cache_t *);
 
 #endif
--- a/include/moortack/relay/row_source.h
+++ b/include/moortack/relay/row_source.h
@@ -89,6 +89,9 @@
 	struct timespec lost_until; /**< another one is followed then */
 	uint32_t lost_moves;	    /**< such changes in a row */
 	uint32_t start_tries; /**< daemons that told no rows at the start */
+	bool start_below; /**< one that stands after this daemon tells it the
+			     rows with which it starts */
+	bool start_below_tried;
 	struct timespec began;
 	struct event *first_wait; /**< for the first rows, by who starts */
 	bool followed_answers;	  /**< who is followed has answered */
--- a/moortack/relay/feed_apply.c
+++ b/moortack/relay/feed_apply.c
@@ -1,5 +1,6 @@
 #include "moortack/relay/feed_apply.h"
 
+#include "moortack/relay/feed_delta.h"
 #include "moortack/relay/row_cache.h"
 
 /* Rows that a whole answer does not name are gone, unless they are newer. */
@@ -99,7 +100,7 @@
 	for (const cached_row_t *row = row_cache_after(cache, since);
 	     row != NULL; row = row_cache_next(cache, row)) {
 		if (!answer->tables[row->table].whole)
-			feed_answer_add(answer, row);
+			feed_delta_add(answer, row, since);
 	}
 }
 
--- a/moortack/relay/row_cache.c
+++ b/moortack/relay/row_cache.c
@@ -12,6 +12,13 @@
  * third of the processor time of one that follows 1,500 endpoints without
  * requests. */
 #define TRIM_EVERY_MS 10000
+/* A shorter value is a few packets at most, whole. */
+#define PRIOR_MIN 8192
+/* Who follows asks again as soon as it has an answer, and so builds on the value
+ * before the last one; four cover changes that come faster than a slow link
+ * carries an answer. Of 500 KB each, while a configuration changes. */
+#define PRIORS_MAX 4
+#define PRIOR_KEPT_MS 5000
 
 void
 row_cache_init(row_cache_t *cache, const clock_source_t *clock, row_same_t same,
@@ -20,12 +27,26 @@
 	*cache = (row_cache_t){.clock = clock,
 	    .same = same,
 	    .same_arg = arg,
+	    .prior_min = PRIOR_MIN,
 	    .reader = ROW_READER_STORE};
 }
 
+static void
+priors_free(row_prior_t *prior)
+{
+	while (prior != NULL) {
+		row_prior_t *older = prior->older;
+
+		free(prior->value);
+		free(prior);
+		prior = older;
+	}
+}
+
 static void
 row_free(row_cache_t *cache, cached_row_t *row)
 {
+	priors_free(row->priors);
 	HASH_DEL(cache->rows, row);
 	DL_DELETE2(cache->newest, row, newer, older);
 	free(row->name);
@@ -129,6 +150,50 @@
 	    row->value, row->value_len, now->value, now->value_len);
 }
 
+/* All but the first so many go. */
+static void
+priors_cut(cached_row_t *row, uint32_t kept)
+{
+	row_prior_t **at = &row->priors;
+
+	while (*at != NULL && kept-- > 0)
+		at = &(*at)->older;
+	priors_free(*at);
+	*at = NULL;
+}
+
+/* Keep the value that is about to be replaced; it goes over to the prior. */
+static void
+prior_keep(const row_cache_t *cache, cached_row_t *row)
+{
+	row_prior_t *prior;
+
+	if (row->value == NULL || row->value_len < cache->prior_min)
+		return;
+	prior = calloc(1, sizeof(*prior));
+	if (prior == NULL)
+		return;
+	*prior = (row_prior_t){.value = row->value,
+	    .value_len = row->value_len,
+	    .version = row->version,
+	    .change = row->change,
+	    .replaced_at = clock_elapsed(cache->clock),
+	    .older = row->priors};
+	row->value = NULL;
+	row->priors = prior;
+	priors_cut(row, PRIORS_MAX);
+}
+
+const row_prior_t *
+row_cache_prior(const cached_row_t *row, uint64_t change)
+{
+	const row_prior_t *prior = row->priors;
+
+	while (prior != NULL && prior->change > change)
+		prior = prior->older;
+	return prior;
+}
+
 static bool
 value_set(cached_row_t *row, const row_t *now)
 {
@@ -165,6 +230,8 @@
 		return false;
 	same = !added && now->deleted == (row->value == NULL) &&
 	    (now->version == row->version || means_same(cache, row, now));
+	if (!same)
+		prior_keep(cache, row);
 	row->version = now->version;
 	row->seen |= cache->reader;
 	cache->renewed++;
@@ -204,6 +271,18 @@
 	return (row->seen & reader) != 0;
 }
 
+static void
+priors_trim(cached_row_t *row, struct timespec now)
+{
+	uint32_t kept = 0;
+
+	for (const row_prior_t *prior = row->priors; prior != NULL &&
+	     timespec_ms_between(prior->replaced_at, now) <= PRIOR_KEPT_MS;
+	     prior = prior->older)
+		kept++;
+	priors_cut(row, kept);
+}
+
 void
 row_cache_trim(row_cache_t *cache)
 {
@@ -215,6 +294,7 @@
 	cache->trimmed = now;
 	HASH_ITER(hh, cache->rows, row, next)
 	{
+		priors_trim(row, now);
 		if (row->value == NULL &&
 		    timespec_ms_between(row->gone_at, now) > GONE_KEPT_MS)
 			row_free(cache, row);
--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "moortack/relay/feed_delta.h"
 #include "row_source_priv.h"
 
 /* Rows of who is followed that are old for longer are of no use. */
@@ -156,12 +157,25 @@
 		feed_server_refresh(&self->server);
 }
 
+/* The answer builds on a value that this daemon has not: the next one has to
+ * tell whole rows. */
+static void
+whole_ask(row_source_t *self)
+{
+	self->followed_source = 0;
+	event_line(self->log, "base_missing", "source=%s", self->followed);
+}
+
 void
 row_follow_take(
-    row_source_t *self, const feed_answer_t *answer, struct timespec sent)
+    row_source_t *self, feed_answer_t *answer, struct timespec sent)
 {
 	membership_answered(self->members, self->followed, sent);
 	self->followed_answers = true;
+	if (!feed_delta_resolve(answer, &self->cache)) {
+		whole_ask(self);
+		return;
+	}
 	/* Who has just started learns even from one that learns nothing new
 	 * now. */
 	if (answer->lost && !row_source_settled(self))
@@ -194,7 +208,7 @@
 /* The answer tells what was known when it was sent: no earlier than the
  * question was sent, and then held. */
 static void
-on_answer(void *arg, const feed_answer_t *answer, struct timespec asked)
+on_answer(void *arg, feed_answer_t *answer, struct timespec asked)
 {
 	row_follow_take(arg, answer, timespec_after_ms(asked, answer->held_ms));
 }
--- a/moortack/relay/row_parent.c
+++ b/moortack/relay/row_parent.c
@@ -48,6 +48,7 @@
 	self->followed[0] = '\0';
 	self->following = false;
 	self->down = false;
+	self->start_below = false;
 	self->old = false;
 	self->parent_lost = false;
 	json_decref(self->followed_path);
@@ -204,6 +205,34 @@
 	return false;
 }
 
+/* Whoever starts and stands before all that run is told the rows by one of
+ * them, once, and reads the store from there on: of 6 daemons that start one by
+ * one two or three stand first for a moment, and up to five of them read all
+ * tables. */
+static bool
+start_below_begin(row_source_t *self)
+{
+	const member_t *next = membership_next(self->members);
+
+	if (next == NULL || self->start_below_tried ||
+	    !self->watches[ROW_TABLE_OWN].watch.settled_once ||
+	    row_source_settled(self))
+		return false;
+	self->start_below_tried = true;
+	follow(self, next);
+	self->start_below = self->followed[0] != '\0';
+	return self->start_below;
+}
+
+static void
+start_below_step(row_source_t *self)
+{
+	if (row_source_settled(self))
+		parent_stop(self, "told");
+	else if (first_wait_over(self))
+		parent_stop(self, "no_rows");
+}
+
 /* Nobody stands before this daemon: it reads the store, or, while that does not
  * answer, follows one that stands after it for a time. */
 static void
@@ -211,6 +240,10 @@
 {
 	const member_t *next;
 
+	if (self->start_below) {
+		start_below_step(self);
+		return;
+	}
 	if (self->down) {
 		if (timespec_ms_between(self->followed_since,
 			clock_elapsed(self->clock)) >= DOWN_MS)
@@ -221,6 +254,8 @@
 		parent_stop(self, "no_parent");
 		return;
 	}
+	if (start_below_begin(self))
+		return;
 	row_source_suspend(self, false);
 	next = membership_next(self->members);
 	if (next == NULL || !row_source_settled(self) || !store_is_lost(self))
--- a/test/fuzz/follow_fuzz.c
+++ b/test/fuzz/follow_fuzz.c
@@ -17,6 +17,9 @@
 #include "moortack/relay/feed_apply.h"
 
 #define DAEMONS 3
+/* Rows are long enough to be told as what changed of them. */
+#define TEXT_PAD 400
+#define TEXT_SIZE (TEXT_PAD + 32)
 #define ENDPOINTS 4
 #define STEPS_MAX 120
 #define LAPSE_MS 2000
@@ -78,6 +81,7 @@
 	memset(daemon, 0, sizeof(*daemon));
 	snprintf(settings.name, sizeof(settings.name), "d%zu", number);
 	FUZZ_CHECK(relay_node_init(&daemon->node, &ports, &settings, &err));
+	daemon->node.source.cache.prior_min = TEXT_PAD;
 	for (int i = 0; i < ROW_TABLES; i++)
 		row_watch_vouch(
 		    &daemon->node.source.watches[i].watch, 1, world.clock.now);
@@ -94,12 +98,12 @@
 entry_tell(daemon_t *daemon, size_t number, const entry_t *entry)
 {
 	row_watch_t *watch = watch_of(daemon);
-	char key[8], text[32];
+	char key[8], text[TEXT_SIZE];
 	row_t row = {.key = key, .version = entry->version};
 
 	snprintf(key, sizeof(key), "e%zu", number);
-	snprintf(text, sizeof(text), "%s@%u",
-	    entry->leaving ? "leaving" : "ready", entry->born);
+	snprintf(text, sizeof(text), "%s@%u%*s",
+	    entry->leaving ? "leaving" : "ready", entry->born, TEXT_PAD, "");
 	row.deleted = !entry->present;
 	row.value = entry->present ? text : NULL;
 	row.value_len = entry->present ? strlen(text) : 0;
--- a/test/unit/feed_client_test.c
+++ b/test/unit/feed_client_test.c
@@ -51,7 +51,7 @@
 }
 
 static void
-on_answer(void *arg, const feed_answer_t *answer, struct timespec asked)
+on_answer(void *arg, feed_answer_t *answer, struct timespec asked)
 {
 	(void)arg;
 	(void)answer;
--- a/test/unit/slow_link_test.c
+++ b/test/unit/slow_link_test.c
@@ -151,7 +151,7 @@
 }
 
 static void
-on_answer(void *arg, const feed_answer_t *answer, struct timespec asked)
+on_answer(void *arg, feed_answer_t *answer, struct timespec asked)
 {
 	follower_t *follower = arg;
 	row_table_t table;
