--- a/include/moortack/relay/feed_delta.h
+++ b/include/moortack/relay/feed_delta.h
@@ -1,7 +1,7 @@
 /**
  * @file
- * Rows of an answer that are told as what changed since the asker's last answer,
- * in place of the whole value.
+ * Rows of an answer that are told as what changed since the asker's last
+ * answer, in place of the whole value.
  */
 #ifndef MOORTACK_RELAY_FEED_DELTA_H
 #define MOORTACK_RELAY_FEED_DELTA_H
@@ -10,8 +10,7 @@
 
 /** Append a row that the asker knows as of the change @p since: as a delta if
  * the value of then is still here and the delta is far shorter. */
-void feed_delta_add(
-    feed_answer_t *, const cached_row_t *, uint64_t since);
+void feed_delta_add(feed_answer_t *, const cached_row_t *, uint64_t since);
 
 /** Turn deltas into the values that they stand for.
  * @param cache of the asker
--- a/include/moortack/relay/row_cache.h
+++ b/include/moortack/relay/row_cache.h
@@ -45,7 +45,7 @@
 	uint64_t change; /**< number of its last change */
 	unsigned seen;	 /**< readers that have named it since they began */
 	struct timespec gone_at;
-	row_prior_t *priors; /**< newest first */
+	row_prior_t *priors;	  /**< newest first */
 	struct cached_row *newer; /**< by change; of the newest: the oldest */
 	struct cached_row *older;
 	UT_hash_handle hh;
@@ -105,7 +105,8 @@
 /** Whether the reader has named the row since it began. */
 bool row_cache_named(const cached_row_t *, row_reader_t);
 
-/** Forget rows that went long ago, and priors that nobody builds on any more. */
+/** Forget rows that went long ago, and priors that nobody builds on any more.
+ */
 void row_cache_trim(row_cache_t *);
 
 #endif
--- a/moortack/relay/feed_delta.c
+++ b/moortack/relay/feed_delta.c
@@ -6,11 +6,11 @@
 #include "moortack/relay/value_delta.h"
 
 #define ENCODING sodium_base64_VARIANT_ORIGINAL_NO_PADDING
-/* A delta that is no shorter than this part of the value isn't worth the time of
- * the processor that it costs the asker. */
+/* A delta that is no shorter than this part of the value isn't worth the time
+ * of the processor that it costs the asker. */
 #define WORTH_PART 4
-/* Of a row that is told as a delta: table, key, version, the version that it was
- * made from, and its bytes. Other rows have four elements. */
+/* Of a row that is told as a delta: table, key, version, the version that it
+ * was made from, and its bytes. Other rows have four elements. */
 #define DELTA_ELEMENTS 5
 
 static char *
@@ -52,9 +52,9 @@
 
 	if (text == NULL)
 		return false;
-	told = json_pack("[i, s, I, I, s]", (int)row->table,
-	    cached_row_key(row), (json_int_t)row->version,
-	    (json_int_t)prior->version, text);
+	told =
+	    json_pack("[i, s, I, I, s]", (int)row->table, cached_row_key(row),
+		(json_int_t)row->version, (json_int_t)prior->version, text);
 	free(text);
 	return told != NULL && json_array_append_new(answer->rows, told) == 0;
 }
@@ -116,8 +116,8 @@
 	if (base->value == NULL || base->version != version_at(told, 3) ||
 	    !text_bytes(json_array_get(told, 4), &delta))
 		return NULL;
-	if (value_delta_apply(base->value, base->value_len, delta.data,
-		delta.len, &value)) {
+	if (value_delta_apply(
+		base->value, base->value_len, delta.data, delta.len, &value)) {
 		made = value_json(value.data, value.len);
 		free(value.data);
 	}
--- a/moortack/relay/row_cache.c
+++ b/moortack/relay/row_cache.c
@@ -14,9 +14,9 @@
 #define TRIM_EVERY_MS 10000
 /* A shorter value is a few packets at most, whole. */
 #define PRIOR_MIN 8192
-/* Who follows asks again as soon as it has an answer, and so builds on the value
- * before the last one; four cover changes that come faster than a slow link
- * carries an answer. Of 500 KB each, while a configuration changes. */
+/* Who follows asks again as soon as it has an answer, and so builds on the
+ * value before the last one; four cover changes that come faster than a slow
+ * link carries an answer. Of 500 KB each, while a configuration changes. */
 #define PRIORS_MAX 4
 #define PRIOR_KEPT_MS 5000
 
--- a/moortack/relay/row_follow.c
+++ b/moortack/relay/row_follow.c
@@ -167,8 +167,7 @@
 }
 
 void
-row_follow_take(
-    row_source_t *self, feed_answer_t *answer, struct timespec sent)
+row_follow_take(row_source_t *self, feed_answer_t *answer, struct timespec sent)
 {
 	membership_answered(self->members, self->followed, sent);
 	self->followed_answers = true;
--- a/moortack/relay/row_source_priv.h
+++ b/moortack/relay/row_source_priv.h
@@ -33,8 +33,7 @@
 /** What this daemon asks whom it follows for. */
 void row_follow_ask(const row_source_t *, feed_point_t *);
 /** Take an answer that was sent at @p sent, or later. */
-void
-row_follow_take(row_source_t *, feed_answer_t *, struct timespec sent);
+void row_follow_take(row_source_t *, feed_answer_t *, struct timespec sent);
 /** Take the rows of an answer, and what is told of how far they go. */
 void
 row_answer_take(row_source_t *, const feed_answer_t *, struct timespec sent);
--- a/test/unit/feed_delta_test.c
+++ b/test/unit/feed_delta_test.c
@@ -26,8 +26,8 @@
 /* A change of one route is a packet or two. */
 #define CHANGE_MAX 2048
 
-/* Routes with names that nothing can be told from; the one in the middle and the
- * version at the start differ. */
+/* Routes with names that nothing can be told from; the one in the middle and
+ * the version at the start differ. */
 static char *
 configuration(unsigned version)
 {
@@ -214,17 +214,17 @@
 	static const char *const told[] = {
 	    "[[0, \"config\", 11, 10, \"AAAA\"]]",
 	    "[[0, \"config\", 11, 10, \"not base64!\"]]",
-	    "[[0, \"config\", 11, 10, 5]]", "[[0, \"config\", 11, 9, \"AAAA\"]]",
-	    "[[0, \"other\", 11, 10, \"AAAA\"]]", "[[9, \"config\", 11, 10, \"\"]]",
-	    "[[0, 5, 11, 10, \"\"]]"};
+	    "[[0, \"config\", 11, 10, 5]]",
+	    "[[0, \"config\", 11, 9, \"AAAA\"]]",
+	    "[[0, \"other\", 11, 10, \"AAAA\"]]",
+	    "[[9, \"config\", 11, 10, \"\"]]", "[[0, 5, 11, 10, \"\"]]"};
 	world_t world;
 
 	(void)state;
 	world_init(&world);
 	config_put(&world.asker, 10);
 	for (size_t i = 0; i < sizeof(told) / sizeof(told[0]); i++) {
-		feed_answer_t answer = {
-		    .rows = json_loads(told[i], 0, NULL)};
+		feed_answer_t answer = {.rows = json_loads(told[i], 0, NULL)};
 
 		assert_non_null(answer.rows);
 		assert_false(feed_delta_resolve(&answer, &world.asker));
@@ -242,13 +242,13 @@
 	(void)state;
 	assert_true(
 	    value_delta_make(one, strlen(one), two, strlen(two), &delta));
-	assert_true(value_delta_apply(
-	    one, strlen(one), delta.data, delta.len, &value));
+	assert_true(
+	    value_delta_apply(one, strlen(one), delta.data, delta.len, &value));
 	assert_string_equal(value.data, two);
 	free(value.data);
 	one[strlen(one) / 3] ^= 1;
-	assert_false(value_delta_apply(
-	    one, strlen(one), delta.data, delta.len, &value));
+	assert_false(
+	    value_delta_apply(one, strlen(one), delta.data, delta.len, &value));
 	assert_false(
 	    value_delta_apply(one, strlen(one), delta.data, 9, &value));
 	free(delta.data);
