relay: events that come in crowds write a few lines and a count

Cause: each daemon writes a line for each endpoint and each daemon that it gets to know. Change: of `endpoint`, `endpoint_gone`, `member` and `member_gone` eight lines a second are written, the others counted and told by one line `left_out`. Ruled out: a higher rate (the reader of the output pays); no lines at all (the first ones show what happens). Tests: unit_event_log: a crowd leaves room, the rate holds and what it drops is told, a reader that stands still is not waited for.

--- a/moortack/relay/member_signs.c
+++ b/moortack/relay/member_signs.c
@@ -21,11 +21,12 @@
 }
 
 void
-member_log(const membership_t *self, const member_t *member, const char *event)
+member_log(
+    const membership_t *self, const member_t *member, event_crowd_kind_t event)
 {
 	if (self->log == NULL)
 		return;
-	event_line(self->log, event,
+	event_line_crowd(self->log, event,
 	    "name=%s state=%s named=%d seen_ms=%" PRId64 " silent=%d"
 	    " vouched_ms=%" PRId64 " settled=%d held=%d alone=%d",
 	    member->name, member_state_names[member->state], member->named,
@@ -306,7 +307,7 @@
 		if (member->named == named)
 			continue;
 		member->named = named;
-		member_log(self, member, "member");
+		member_log(self, member, EVENT_CROWD_MEMBER);
 	}
 }
 
--- a/moortack/relay/membership.c
+++ b/moortack/relay/membership.c
@@ -154,7 +154,7 @@
 	HASH_FIND_STR(self->members, name, member);
 	if (member == NULL)
 		return;
-	member_log(self, member, "member_gone");
+	member_log(self, member, EVENT_CROWD_MEMBER_GONE);
 	member_free(self, member);
 }
 
--- a/moortack/relay/membership_priv.h
+++ b/moortack/relay/membership_priv.h
@@ -32,6 +32,7 @@
 bool membership_follows_another(membership_t *);
 
 /** A line on what is known of a member. */
-void member_log(const membership_t *, const member_t *, const char *event);
+void
+member_log(const membership_t *, const member_t *, event_crowd_kind_t event);
 
 #endif
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -203,6 +203,7 @@
 
 	(void)fd;
 	(void)what;
+	event_log_tick(&node->log);
 	relay_open(&node->relay);
 	relay_rows_lapsed_end(node);
 	relay_rows_earlier_take(node);
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -92,7 +92,7 @@
 
 	if (keep && was_lapsed)
 		return;
-	event_line(&node->log, "endpoint_gone",
+	event_line_crowd(&node->log, EVENT_CROWD_ENDPOINT_GONE,
 	    "id=%s service=%s lapsed=%d in_flight=%u", endpoint->facts.id,
 	    endpoint->facts.service, keep, endpoint->in_flight);
 	if (keep) {
@@ -119,7 +119,7 @@
 	    [ENTRY_EARLIER] = "earlier",
 	};
 
-	event_line(&node->log, "endpoint",
+	event_line_crowd(&node->log, EVENT_CROWD_ENDPOINT,
 	    "id=%s service=%s address=%s:%u place=%s version=%s leaving=%d "
 	    "born_ms=%" PRId64 " incarnation=%s",
 	    facts->id, facts->service, facts->address.host, facts->address.port,
