relay: the choice of an endpoint is written when it is made

Cause: a request that is under way when its VM is lost left no line at all; an attempt was logged when it was over. Change: a line `attempt` when an endpoint is chosen and sent to: how many there were, its load, wait and reading time as believed, the predicted first event, the time left, version and age of what was known.

--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -203,6 +203,26 @@
 	evbuffer_free(body);
 }
 
+/* The decision, before anything comes of it: of a request that is under way
+ * when its VM is lost this is all that stays. */
+static void
+attempt_log(const relay_request_t *req)
+{
+	const placement_t *place = &req->attempt.place;
+	const relay_t *relay = req->relay;
+
+	event_line(relay->log, "attempt",
+	    "id=%s endpoint=%s place=%s model=%s attempt=%u kept=%d resume=%d "
+	    "of=%zu told=%zu load=%.0f wait_ms=%.0f read_ms=%.0f first_ms=%.0f "
+	    "left_ms=%" PRId64 " config=%" PRIu64 " endpoints_age_ms=%" PRId64,
+	    req->arrival.id, req->endpoint_id, place->endpoint->facts.place,
+	    req->attempt.model != NULL ? req->attempt.model : "-",
+	    req->sends + req->connects + 1, req->attempt.kept, req->begun,
+	    place->candidates, place->told, place->load, place->wait_ms,
+	    place->read_ms, place->first_ms, request_left_ms(req),
+	    req->config->version, row_watch_age_ms(relay->endpoint_watch));
+}
+
 /* The configuration may have changed since the request was taken: the one in
  * force now decides what may be sent. */
 static err_code_t
@@ -277,6 +297,7 @@
 	req->attempt.place = place;
 	relay_place_note(req, &place, req->model_index);
 	session_note(req);
+	attempt_log(req);
 	attempt_send(req);
 }
 
