relay: keeper is owner, the field's name

Cause: the daemon that holds the account of an endpoint had a word of our own. No change of behaviour.

--- a/bench/placing.c
+++ b/bench/placing.c
@@ -60,7 +60,7 @@
 /** An endpoint as it is. */
 typedef struct reader {
 	prefix_memory_t kept;
-	read_queue_t told; /**< what its keeper was told that it reads */
+	read_queue_t told; /**< what its owner was told that it reads */
 	double free_ms;
 	int waiting;
 	int reported; /**< waiting, as of the last report */
@@ -156,7 +156,7 @@
 	}
 }
 
-/* Of those that stand first, by what their keepers know. */
+/* Of those that stand first, by what their owners know. */
 static int
 endpoint_asked(const sim_t *sim, const attempt_t *attempt,
     const prefix_list_t *prefixes, const choose_candidate_t *seen,
@@ -414,7 +414,7 @@
 row_print(const placing_fleet_t *fleet, placing_policy_t policy, double per_s)
 {
 	static const char *const names[PLACING_POLICIES] = {
-	    "expected time, sends told", "expected time, keepers asked",
+	    "expected time, sends told", "expected time, owners asked",
 	    "expected time, own sends only", "hashing only", "least reported",
 	    "random"};
 	samples_t longs, shorts, p95, tokens;
--- a/bench/placing.h
+++ b/bench/placing.h
@@ -12,7 +12,7 @@
 	PLACING_TOLD,  /**< the product in a small fleet: expected time, sends
 			  told to all */
 	PLACING_ASKED, /**< the product in a large one: expected time at those
-			  that stand first, by what their keepers know */
+			  that stand first, by what their owners know */
 	PLACING_ALONE, /**< expected time by a daemon's own sends */
 	PLACING_HASH,  /**< the first in the order for what is shared */
 	PLACING_LEAST, /**< where the fewest wait, by a report 200 ms old */
--- a/include/moortack/relay/companions.h
+++ b/include/moortack/relay/companions.h
@@ -11,7 +11,7 @@
 #include "moortack/relay/membership.h"
 
 /** Others that are told: what a daemon sends and takes stays the same as the
- * fleet grows. Larger fleets have keepers. */
+ * fleet grows. Larger fleets have owners. */
 #define COMPANIONS_MAX 8
 
 /** Whether the member serves, as far as is known, and can be told and asked. */
--- a/include/moortack/relay/send_notes.h
+++ b/include/moortack/relay/send_notes.h
@@ -2,8 +2,8 @@
  * @file
  * Tells other daemons of the prompts that this one sends, and takes what they
  * tell: so that it is known what an endpoint still has to read, and what it
- * keeps. A small fleet tells all; in a larger one the endpoint's keeper is told
- * (keepers.h), and asked before a prompt is placed. By datagrams, since what
+ * keeps. A small fleet tells all; in a larger one the endpoint's owner is told
+ * (owners.h), and asked before a prompt is placed. By datagrams, since what
  * comes late is false: nothing is sent again, nothing waits, nothing is kept.
  */
 #ifndef MOORTACK_RELAY_SEND_NOTES_H
@@ -14,7 +14,7 @@
 #include <netinet/in.h>
 
 #include "common/err.h"
-#include "moortack/relay/keepers.h"
+#include "moortack/relay/owners.h"
 #include "moortack/relay/send_note.h"
 
 typedef struct send_notes_ops {
@@ -39,7 +39,7 @@
 	bool keyed;
 	struct sockaddr_in companions[COMPANIONS_MAX];
 	size_t companions_len;
-	bool keepers;	  /**< the fleet is too large to tell all */
+	bool owners;	  /**< the fleet is too large to tell all */
 	double unheard;	  /**< part of all daemons' sends that this one does not
 			     hear of, 0 to 1 */
 	double allowance; /**< bytes that may be sent now */
@@ -68,15 +68,15 @@
 /** Whether a prompt that takes this long to be read is worth telling: the less
  * may be sent, the longer ones only. */
 bool send_notes_worth(send_notes_t *, double read_ms);
-/** Tell all, or the endpoint's keeper.
+/** Tell all, or the endpoint's owner.
  * @param place the endpoint's */
 void send_notes_tell(send_notes_t *, const char *place, const send_note_t *);
 
-/** Whether questions may be asked now: the fleet has keepers, and enough may be
+/** Whether questions may be asked now: the fleet has owners, and enough may be
  * sent.
  * @param read_ms as above */
 bool send_notes_may_ask(send_notes_t *, double read_ms);
-/** Ask the endpoint's keeper.
+/** Ask the endpoint's owner.
  * @return false: this daemon keeps that account itself */
 bool send_notes_ask(send_notes_t *, const char *place, const send_note_t *);
 
--- a/moortack/relay/keepers.c
+++ b/moortack/relay/owners.c
@@ -1,25 +1,25 @@
-#include "moortack/relay/keepers.h"
+#include "moortack/relay/owners.h"
 
 #include <string.h>
 #include <xxhash.h>
 
 /** A daemon's place in the order for one endpoint: by rendezvous hashing, those
  * of the endpoint's place first. */
-typedef struct keeper_rank {
+typedef struct owner_rank {
 	bool near;
 	uint64_t weight;
-} keeper_rank_t;
+} owner_rank_t;
 
-static keeper_rank_t
+static owner_rank_t
 rank_of(
     const char *name, const char *place, const char *wanted, uint32_t endpoint)
 {
-	return (keeper_rank_t){strcmp(place, wanted) == 0,
+	return (owner_rank_t){strcmp(place, wanted) == 0,
 	    XXH3_64bits_withSeed(name, strlen(name), endpoint)};
 }
 
 static bool
-before(const keeper_rank_t *a, const keeper_rank_t *b)
+before(const owner_rank_t *a, const owner_rank_t *b)
 {
 	if (a->near != b->near)
 		return a->near;
@@ -27,23 +27,23 @@
 }
 
 const member_t *
-keeper_of(const membership_t *members, const char *place, uint32_t endpoint)
+owner_of(const membership_t *members, const char *place, uint32_t endpoint)
 {
 	const membership_settings_t *self = &members->settings;
-	const member_t *keeper = NULL;
-	keeper_rank_t best = {0};
+	const member_t *owner = NULL;
+	owner_rank_t best = {0};
 
 	if (members->state == MEMBER_READY)
 		best = rank_of(self->name, self->place, place, endpoint);
 	for (const member_t *one = members->members; one != NULL;
 	     one = one->hh.next) {
-		keeper_rank_t rank =
+		owner_rank_t rank =
 		    rank_of(one->name, one->place, place, endpoint);
 
 		if (!before(&rank, &best) || !companion_serves(members, one))
 			continue;
-		keeper = one;
+		owner = one;
 		best = rank;
 	}
-	return keeper;
+	return owner;
 }
--- a/moortack/relay/relay_ask.c
+++ b/moortack/relay/relay_ask.c
@@ -4,7 +4,7 @@
 #include "relay_candidates.h"
 
 /* How long an answer is waited for: the way between places and back, and a VM
- * that is busy for a moment; little against the objectives of streams. A keeper
+ * that is busy for a moment; little against the objectives of streams. An owner
  * that is gone costs as much, and the choice is then made by what this daemon
  * knows itself. */
 #define ANSWER_MS 20
@@ -54,7 +54,7 @@
 	attempt_begin(req);
 }
 
-/* Ask one keeper; what this daemon keeps itself is told at once. */
+/* Ask one owner; what this daemon keeps itself is told at once. */
 static void
 one_ask(relay_request_t *req, const endpoint_t *endpoint,
     const prefix_list_t *prefixes)
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -10,7 +10,7 @@
 #include "moortack/relay/relay.h"
 
 #define TRIED_MAX 8
-/** Endpoints whose keepers are asked before a prompt is placed. Of short
+/** Endpoints whose owners are asked before a prompt is placed. Of short
  * prompts at 40 requests a second for each twelve endpoints, 98.7 in 100 begin
  * in time with two, 99.9 with three, 100.0 with five (90 daemons in
  * bench/placing.c, three seeds). */
@@ -33,7 +33,7 @@
 	double load;	   /**< requests that it was thought to hold */
 	uint32_t unread;   /**< tokens that it has to read */
 	double wait_ms;	   /**< before it begins to */
-	size_t told;	   /**< endpoints of which a keeper told */
+	size_t told;	   /**< endpoints of which an owner told */
 	double read_ms;	   /**< of its time that this takes */
 	double first_ms;   /**< until the answer begins; negative: unknown */
 } placement_t;
@@ -59,7 +59,7 @@
 	bool late_told;	      /**< told to the record of models as late */
 } attempt_t;
 
-/** What the keeper of an endpoint says of it. */
+/** What the owner of an endpoint says of it. */
 typedef struct asked_endpoint {
 	uint64_t hash;
 	bool told;	/**< else no answer yet */
@@ -164,7 +164,7 @@
 /** The attempt's connection is at rest: keep it if it can be used again. */
 void attempt_release(relay_request_t *);
 
-/** Ask the keepers of the endpoints that stand first for the request's prompt.
+/** Ask the owners of the endpoints that stand first for the request's prompt.
  * @return whether an answer has to be waited for: attempt_begin() is called
  * again then */
 bool relay_ask(relay_request_t *);
@@ -174,7 +174,7 @@
 void relay_note_prefixes(send_note_t *, const prefix_list_t *);
 /** How long an endpoint takes to read the request's prompt at most, ms. */
 double relay_read_ms(const relay_request_t *);
-/** What the keeper told of the endpoint, or NULL. */
+/** What the owner told of the endpoint, or NULL. */
 const asked_endpoint_t *
 relay_ask_told(const relay_request_t *, size_t model, uint64_t endpoint);
 
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -64,7 +64,7 @@
 	return arrival->tokens_in > kept ? arrival->tokens_in - kept : 0;
 }
 
-/* Tokens that the endpoint keeps, as this daemon and the keeper know. */
+/* Tokens that the endpoint keeps, as this daemon and the owner know. */
 static uint32_t
 told_kept(
     const prefix_list_t *prefixes, const asked_endpoint_t *told, uint32_t known)
@@ -75,7 +75,7 @@
 	return tokens > known ? tokens : known;
 }
 
-/* Of what a keeper told, more is known than of the others: those alone are
+/* Of what an owner told, more is known than of the others: those alone are
  * weighed.
  * @return how many there are */
 static size_t
--- a/moortack/relay/send_notes.c
+++ b/moortack/relay/send_notes.c
@@ -193,8 +193,8 @@
 	size_t count;
 
 	count = open ? companions_of(self->members, companions) : 0;
-	self->keepers = count > COMPANIONS_MAX;
-	if (self->keepers)
+	self->owners = count > COMPANIONS_MAX;
+	if (self->owners)
 		count = 0;
 	self->companions_len = 0;
 	for (size_t i = 0; i < count; i++) {
@@ -206,26 +206,26 @@
 	    daemons > count + 1 ? 1 - ((double)count + 1) / daemons : 0;
 }
 
-/* @return whether another daemon is the endpoint's keeper */
+/* @return whether another daemon is the endpoint's owner */
 static bool
-keeper_address(const send_notes_t *self, const char *place, uint32_t endpoint,
+owner_address(const send_notes_t *self, const char *place, uint32_t endpoint,
     struct sockaddr_in *out)
 {
-	const member_t *keeper = keeper_of(self->members, place, endpoint);
+	const member_t *owner = owner_of(self->members, place, endpoint);
 
-	return keeper != NULL && address_read(keeper->peer, out);
+	return owner != NULL && address_read(owner->peer, out);
 }
 
 void
 send_notes_tell(send_notes_t *self, const char *place, const send_note_t *note)
 {
 	uint8_t bytes[SEND_NOTE_SIZE];
-	struct sockaddr_in keeper;
+	struct sockaddr_in owner;
 	size_t len;
 
-	if (self->keepers) {
-		if (keeper_address(self, place, note->endpoint, &keeper))
-			note_send(self, &keeper, note);
+	if (self->owners) {
+		if (owner_address(self, place, note->endpoint, &owner))
+			note_send(self, &owner, note);
 		return;
 	}
 	if (self->companions_len == 0)
@@ -238,7 +238,7 @@
 bool
 send_notes_may_ask(send_notes_t *self, double read_ms)
 {
-	if (!self->keepers)
+	if (!self->owners)
 		return false;
 	allowance_grow(self);
 	return self->allowance >= ASK_PART * BYTES_AT_ONCE ||
@@ -249,11 +249,11 @@
 send_notes_ask(
     send_notes_t *self, const char *place, const send_note_t *question)
 {
-	struct sockaddr_in keeper;
+	struct sockaddr_in owner;
 
-	if (!keeper_address(self, place, question->endpoint, &keeper))
+	if (!owner_address(self, place, question->endpoint, &owner))
 		return false;
-	note_send(self, &keeper, question);
+	note_send(self, &owner, question);
 	self->asked++;
 	return true;
 }
--- a/test/platform/keepers.lua
+++ b/test/platform/owners.lua
@@ -1,6 +1,6 @@
 -- In a fleet that is too large for each daemon to be told of each prompt, the
--- keepers of endpoints are told and asked: what one daemon had read at an
--- endpoint, another sends there too. A keeper that stands still holds nobody up.
+-- owners of endpoints are told and asked: what one daemon had read at an
+-- endpoint, another sends there too. An owner that stands still holds nobody up.
 package.path = script_dir .. "/?.lua;" .. package.path
 local words = require("words")
 local lib = words.lib
@@ -43,9 +43,9 @@
     2 * subject + 1)
   lib.equal(second, first, "the endpoint of the second prompt")
 end
-lib.check(sum("keepers_asked") > SUBJECTS, "nobody was asked")
-lib.check(sum("keepers_answered") >= 0.9 * sum("keepers_asked"),
-  "%d answers to %d questions", sum("keepers_answered"), sum("keepers_asked"))
+lib.check(sum("owners_asked") > SUBJECTS, "nobody was asked")
+lib.check(sum("owners_answered") >= 0.9 * sum("owners_asked"),
+  "%d answers to %d questions", sum("owners_answered"), sum("owners_asked"))
 lib.equal(sum("notes_refused"), 0, "refused notes")
 
 -- Not the one that reads the store, nor the one that is asked here: what these
@@ -57,7 +57,7 @@
     still[#still + 1] = w.daemons[i]
   end
 end
-local asked = words.metric(asker, "keepers_asked")
+local asked = words.metric(asker, "owners_asked")
 for _, daemon in ipairs(still) do daemon:stop() end
 for subject = 1, SUBJECTS do
   local since = run.now()
@@ -65,7 +65,7 @@
   lib.check(run.now() - since < SERVED_MS, "a prompt took %d ms",
     run.now() - since)
 end
-lib.check(words.metric(asker, "keepers_asked") > asked,
+lib.check(words.metric(asker, "owners_asked") > asked,
   "nobody is asked while some stand still")
 for _, daemon in ipairs(still) do daemon:continue() end
 lib.say("ok")
--- a/test/unit/placing_load_test.c
+++ b/test/unit/placing_load_test.c
@@ -90,7 +90,7 @@
 	}
 }
 
-/* Where nobody can be told of all, asking the keepers of three endpoints does
+/* Where nobody can be told of all, asking the owners of three endpoints does
  * as well; what a daemon knows by itself does not. */
 static void
 a_large_fleet_is_in_time_by_asking(void **state)
--- a/test/unit/placing_test.c
+++ b/test/unit/placing_test.c
@@ -64,19 +64,19 @@
 {
 	choose_candidate_t candidates[ENDPOINTS];
 	choose_wish_t wish = wish_of(7);
-	size_t first, keeper;
+	size_t first, owner;
 
 	(void)state;
 	candidates_fill(candidates);
 	first = choose_endpoint(candidates, ENDPOINTS, &wish);
-	keeper = (first + 1) % ENDPOINTS;
-	candidates[keeper].shared_ms = 0;
+	owner = (first + 1) % ENDPOINTS;
+	candidates[owner].shared_ms = 0;
 	candidates[first].wait_ms = 50;
-	assert_int_equal(choose_endpoint(candidates, ENDPOINTS, &wish), keeper);
+	assert_int_equal(choose_endpoint(candidates, ENDPOINTS, &wish), owner);
 	/* Alone, nobody else has sent anything there. */
 	wish.first_keeps = 0;
 	candidates[first].wait_ms = 0;
-	assert_int_equal(choose_endpoint(candidates, ENDPOINTS, &wish), keeper);
+	assert_int_equal(choose_endpoint(candidates, ENDPOINTS, &wish), owner);
 }
 
 static void
--- a/test/unit/send_note_test.c
+++ b/test/unit/send_note_test.c
@@ -14,7 +14,7 @@
 #include <string.h>
 
 #include "../support/manual_clock.h"
-#include "moortack/relay/keepers.h"
+#include "moortack/relay/owners.h"
 #include "moortack/relay/send_note.h"
 #include "moortack/relay/send_notes.h"
 
@@ -110,16 +110,16 @@
 /* Who keeps the account of the endpoint, as the daemon of that number sees it.
  */
 static size_t
-keeper_seen(member_t *all, size_t len, size_t self, const char *place,
+owner_seen(member_t *all, size_t len, size_t self, const char *place,
     uint32_t endpoint)
 {
-	const member_t *keeper;
+	const member_t *owner;
 	membership_t members;
 
 	members_fill(&members, all, len, self);
-	keeper = keeper_of(&members, place, endpoint);
+	owner = owner_of(&members, place, endpoint);
 	HASH_CLEAR(hh, members.members);
-	return keeper != NULL ? (size_t)(keeper - all) : self;
+	return owner != NULL ? (size_t)(owner - all) : self;
 }
 
 enum { DAEMONS = 90, ENDPOINTS = 140, KEPT_MAX = 8 };
@@ -127,7 +127,7 @@
 /* All daemons agree on it, it stands in the endpoint's place, and nobody keeps
  * many. */
 static void
-a_large_fleet_has_a_keeper_for_each_endpoint(void **state)
+a_large_fleet_has_an_owner_for_each_endpoint(void **state)
 {
 	static member_t all[DAEMONS];
 	size_t keeps[DAEMONS] = {0};
@@ -135,16 +135,16 @@
 
 	(void)state;
 	for (uint32_t endpoint = 0; endpoint < ENDPOINTS; endpoint++) {
-		size_t keeper;
+		size_t owner;
 
 		snprintf(place, sizeof(place), "place-%u", endpoint % 3);
-		keeper = keeper_seen(all, DAEMONS, 0, place, endpoint);
-		assert_string_equal(all[keeper].place, place);
-		keeps[keeper]++;
+		owner = owner_seen(all, DAEMONS, 0, place, endpoint);
+		assert_string_equal(all[owner].place, place);
+		keeps[owner]++;
 		for (size_t self = 1; self < DAEMONS; self += 7)
 			assert_int_equal(
-			    keeper_seen(all, DAEMONS, self, place, endpoint),
-			    keeper);
+			    owner_seen(all, DAEMONS, self, place, endpoint),
+			    owner);
 	}
 	for (size_t i = 0; i < DAEMONS; i++)
 		assert_true(keeps[i] <= KEPT_MAX);
@@ -153,20 +153,20 @@
 /* Who goes leaves only the accounts that it had; without any daemon in the
  * endpoint's place, one of another keeps them. */
 static void
-accounts_move_only_with_their_keeper(void **state)
+accounts_move_only_with_their_owner(void **state)
 {
 	static member_t all[DAEMONS];
 
 	(void)state;
 	for (uint32_t endpoint = 0; endpoint < ENDPOINTS; endpoint++) {
 		size_t before =
-		    keeper_seen(all, DAEMONS, 0, "place-0", endpoint);
+		    owner_seen(all, DAEMONS, 0, "place-0", endpoint);
 		size_t after =
-		    keeper_seen(all, DAEMONS - 1, 0, "place-0", endpoint);
+		    owner_seen(all, DAEMONS - 1, 0, "place-0", endpoint);
 
 		assert_true(before == after || before == DAEMONS - 1);
-		assert_true(keeper_seen(all, DAEMONS, 0, "elsewhere",
-				endpoint) < DAEMONS);
+		assert_true(owner_seen(all, DAEMONS, 0, "elsewhere", endpoint) <
+		    DAEMONS);
 	}
 }
 
@@ -229,8 +229,8 @@
 	    cmocka_unit_test(what_was_changed_is_refused),
 	    cmocka_unit_test(a_small_fleet_tells_all),
 	    cmocka_unit_test(an_answer_comes_back_as_it_was_told),
-	    cmocka_unit_test(a_large_fleet_has_a_keeper_for_each_endpoint),
-	    cmocka_unit_test(accounts_move_only_with_their_keeper),
+	    cmocka_unit_test(a_large_fleet_has_an_owner_for_each_endpoint),
+	    cmocka_unit_test(accounts_move_only_with_their_owner),
 	    cmocka_unit_test(long_prompts_are_told_first),
 	};
 
