--- a/bench/placing.c
+++ b/bench/placing.c
@@ -6,8 +6,8 @@
 #include <string.h>
 
 #include "moortack/relay/choose.h"
+#include "moortack/relay/prefill_queue.h"
 #include "moortack/relay/prefix_memory.h"
-#include "moortack/relay/read_queue.h"
 
 /* Sizes of two of the users' sheets: long prompts share 13,000 tokens of one of
  * the subjects. */
@@ -60,7 +60,7 @@
 /** An endpoint as it is. */
 typedef struct reader {
 	prefix_memory_t kept;
-	read_queue_t told; /**< what its owner was told that it reads */
+	prefill_queue_t told; /**< what its owner was told that it reads */
 	double free_ms;
 	int waiting;
 	int reported; /**< waiting, as of the last report */
@@ -69,7 +69,7 @@
 /** What a daemon knows. */
 typedef struct daemon {
 	prefix_memory_t kept;
-	read_queue_t queues[ENDPOINTS_MAX];
+	prefill_queue_t queues[ENDPOINTS_MAX];
 } daemon_t;
 
 typedef struct sim {
@@ -148,7 +148,7 @@
 
 	for (int i = 0; i < sim->fleet->endpoints; i++) {
 		knowledge_t known = {
-		    read_queue_wait_ms(&daemon->queues[i], sim->des.now_ms),
+		    prefill_queue_wait_ms(&daemon->queues[i], sim->des.now_ms),
 		    prefix_memory_kept(
 			&daemon->kept, prefixes, endpoint_hash(i), now_ms)};
 
@@ -170,7 +170,7 @@
 	for (size_t i = 0; i < len; i++) {
 		const reader_t *reader = &sim->readers[first[i]];
 		knowledge_t known = {
-		    read_queue_wait_ms(&reader->told, sim->des.now_ms),
+		    prefill_queue_wait_ms(&reader->told, sim->des.now_ms),
 		    prefix_memory_kept(
 			&reader->kept, prefixes, 1, (int64_t)sim->des.now_ms)};
 
@@ -230,17 +230,17 @@
 {
 	int64_t now_ms = (int64_t)sim->des.now_ms;
 
-	read_queue_extend(
+	prefill_queue_extend(
 	    &sim->readers[attempt->endpoint].told, read_ms, sim->des.now_ms);
 	for (int i = 0; i < sim->fleet->daemons; i++) {
 		daemon_t *daemon = &sim->daemons[i];
-		read_queue_t *queue = &daemon->queues[attempt->endpoint];
+		prefill_queue_t *queue = &daemon->queues[attempt->endpoint];
 
 		if (i == attempt->request.daemon)
-			read_queue_add(
+			prefill_queue_add(
 			    queue, &attempt->ticket, read_ms, sim->des.now_ms);
 		else if (sim->policy == PLACING_TOLD)
-			read_queue_extend(queue, read_ms, sim->des.now_ms);
+			prefill_queue_extend(queue, read_ms, sim->des.now_ms);
 		else
 			continue;
 		prefix_memory_note(&daemon->kept, prefixes,
@@ -308,8 +308,8 @@
 	request_t request = attempt->request;
 	daemon_t *daemon = &sim->daemons[request.daemon];
 
-	read_queue_begun(&daemon->queues[attempt->endpoint], &attempt->ticket,
-	    sim->des.now_ms);
+	prefill_queue_begun(&daemon->queues[attempt->endpoint],
+	    &attempt->ticket, sim->des.now_ms);
 	sim->readers[attempt->endpoint].waiting--;
 	attempt->used = false;
 	if (request.wants_large && attempt->model == 0)
@@ -361,13 +361,13 @@
 	for (int i = 0; i < fleet->endpoints; i++) {
 		if (!prefix_memory_init(&sim->readers[i].kept))
 			abort();
-		read_queue_init(&sim->readers[i].told);
+		prefill_queue_init(&sim->readers[i].told);
 	}
 	for (int i = 0; i < fleet->daemons; i++) {
 		if (!prefix_memory_init(&sim->daemons[i].kept))
 			abort();
 		for (int j = 0; j < fleet->endpoints; j++)
-			read_queue_init(&sim->daemons[i].queues[j]);
+			prefill_queue_init(&sim->daemons[i].queues[j]);
 	}
 	*out = (placing_result_t){0};
 	for (int i = 0; i < PLACING_KINDS; i++)
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -12,7 +12,7 @@
 
 #include "common/clock_source.h"
 #include "common/http_outbound.h"
-#include "moortack/relay/read_queue.h"
+#include "moortack/relay/prefill_queue.h"
 #include "moortack/relay/version_guard.h"
 
 #define ENDPOINT_NAME_SIZE 96
@@ -86,8 +86,8 @@
 	struct timespec load_at;
 	uint32_t load_own; /**< in_flight when the load was told */
 	bool load_known;
-	read_queue_t unread; /**< prompts that it has not read yet */
-	uint32_t failures;   /**< in a row */
+	prefill_queue_t unread; /**< prompts that it has not read yet */
+	uint32_t failures;	/**< in a row */
 	struct timespec ejected_until;
 	endpoint_doubt_t doubts[ENDPOINT_DOUBTS_MAX];
 	size_t doubts_len;
--- a/include/moortack/relay/companions.h
+++ b/include/moortack/relay/gossip_peers.h
@@ -3,8 +3,8 @@
  * Which other daemons a daemon tells of the prompts that it sends: all, as long
  * as they are few. A pure decision.
  */
-#ifndef MOORTACK_RELAY_COMPANIONS_H
-#define MOORTACK_RELAY_COMPANIONS_H
+#ifndef MOORTACK_RELAY_GOSSIP_PEERS_H
+#define MOORTACK_RELAY_GOSSIP_PEERS_H
 
 #include <stddef.h>
 
@@ -12,14 +12,14 @@
 
 /** Others that are told: what a daemon sends and takes stays the same as the
  * fleet grows. Larger fleets have owners. */
-#define COMPANIONS_MAX 8
+#define GOSSIP_PEERS_MAX 8
 
 /** Whether the member serves, as far as is known, and can be told and asked. */
-bool companion_serves(const membership_t *, const member_t *);
+bool gossip_peer_serves(const membership_t *, const member_t *);
 
-/** Those that serve; no more than COMPANIONS_MAX are filled in.
+/** Those that serve; no more than GOSSIP_PEERS_MAX are filled in.
  * @return how many there are */
 size_t
-companions_of(const membership_t *, const member_t *companions[COMPANIONS_MAX]);
+gossip_peers_of(const membership_t *, const member_t *peers[GOSSIP_PEERS_MAX]);
 
 #endif
--- a/include/moortack/relay/owners.h
+++ b/include/moortack/relay/owners.h
@@ -7,7 +7,7 @@
 #ifndef MOORTACK_RELAY_OWNERS_H
 #define MOORTACK_RELAY_OWNERS_H
 
-#include "moortack/relay/companions.h"
+#include "moortack/relay/gossip_peers.h"
 
 /** The daemon that keeps the endpoint's account: one of its place, where there
  * is any. One that goes or comes moves the accounts that it has, or gets, only.
--- a/include/moortack/relay/read_queue.h
+++ b/include/moortack/relay/prefill_queue.h
@@ -6,8 +6,8 @@
  * earlier than expected moves all behind it, so that prompts show too of which
  * this daemon did not hear. A pure estimate.
  */
-#ifndef MOORTACK_RELAY_READ_QUEUE_H
-#define MOORTACK_RELAY_READ_QUEUE_H
+#ifndef MOORTACK_RELAY_PREFILL_QUEUE_H
+#define MOORTACK_RELAY_PREFILL_QUEUE_H
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -15,7 +15,7 @@
 /** Milliseconds that reading one prompt is believed to take at most, whatever
  * its caller says of it: twice the longest on the users' sheets, of 58,000
  * tokens. */
-#define READ_QUEUE_PROMPT_MAX_MS 10000.0
+#define PREFILL_QUEUE_PROMPT_MAX_MS 10000.0
 
 /** One prompt that was sent and whose answer has not begun. */
 typedef struct read_ticket {
@@ -27,24 +27,24 @@
 } read_ticket_t;
 
 /** Times are milliseconds of the daemon's steady clock. */
-typedef struct read_queue {
+typedef struct prefill_queue {
 	read_ticket_t *tickets; /**< the oldest first */
 	double free_ms;		/**< when all that is known of is read */
-} read_queue_t;
+} prefill_queue_t;
 
-void read_queue_init(read_queue_t *);
+void prefill_queue_init(prefill_queue_t *);
 
 /** Milliseconds until the endpoint ought to begin reading one more. */
-double read_queue_wait_ms(const read_queue_t *, double now_ms);
+double prefill_queue_wait_ms(const prefill_queue_t *, double now_ms);
 
 /** A prompt is sent; the ticket is the caller's, and is held until it ends. */
-void
-read_queue_add(read_queue_t *, read_ticket_t *, double read_ms, double now_ms);
+void prefill_queue_add(
+    prefill_queue_t *, read_ticket_t *, double read_ms, double now_ms);
 /** More is to be read: another daemon sent a prompt. */
-void read_queue_extend(read_queue_t *, double read_ms, double now_ms);
+void prefill_queue_extend(prefill_queue_t *, double read_ms, double now_ms);
 /** Its answer begins. */
-void read_queue_begun(read_queue_t *, read_ticket_t *, double now_ms);
+void prefill_queue_begun(prefill_queue_t *, read_ticket_t *, double now_ms);
 /** It is taken back, or its attempt has failed. */
-void read_queue_drop(read_queue_t *, read_ticket_t *, double now_ms);
+void prefill_queue_drop(prefill_queue_t *, read_ticket_t *, double now_ms);
 
 #endif
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -15,8 +15,8 @@
 #include "moortack/relay/first_try.h"
 #include "moortack/relay/membership.h"
 #include "moortack/relay/model_record.h"
+#include "moortack/relay/prefill_rate.h"
 #include "moortack/relay/prefix_memory.h"
-#include "moortack/relay/read_pace.h"
 #include "moortack/relay/relay_config.h"
 #include "moortack/relay/relay_stats.h"
 #include "moortack/relay/retry_share.h"
@@ -46,7 +46,7 @@
 typedef struct relay_model {
 	uint64_t name; /**< hash of it */
 	model_record_t record;
-	read_pace_t pace;
+	prefill_rate_t pace;
 } relay_model_t;
 
 /** What is counted for each service. */
--- a/include/moortack/relay/send_notes.h
+++ b/include/moortack/relay/send_notes.h
@@ -37,8 +37,8 @@
 	struct event *readable;
 	send_note_key_t key;
 	bool keyed;
-	struct sockaddr_in companions[COMPANIONS_MAX];
-	size_t companions_len;
+	struct sockaddr_in peers[GOSSIP_PEERS_MAX];
+	size_t peers_len;
 	bool owners;	  /**< the fleet is too large to tell all */
 	double unheard;	  /**< part of all daemons' sends that this one does not
 			     hear of, 0 to 1 */
@@ -62,7 +62,7 @@
 /** The fleet's secret is known: notes may be told. */
 void send_notes_set_secret(send_notes_t *, const char *fleet_secret);
 
-/** Look again who the companions are; called a few times a second. */
+/** Look again who the gossip peers are; called a few times a second. */
 void send_notes_tick(send_notes_t *);
 
 /** Whether a prompt that takes this long to be read is worth telling: the less
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -241,7 +241,7 @@
 	endpoint->group = group;
 	endpoint->shared = 1;
 	endpoint->present = true;
-	read_queue_init(&endpoint->unread);
+	prefill_queue_init(&endpoint->unread);
 	HASH_ADD_KEYPTR(hh, set->endpoints, endpoint->facts.id,
 	    strlen(endpoint->facts.id), endpoint);
 	endpoint->short_hash = (uint32_t)endpoint->hash;
--- /dev/null
+++ b/moortack/relay/gossip_peers.c
@@ -0,0 +1,24 @@
+#include "moortack/relay/gossip_peers.h"
+
+bool
+gossip_peer_serves(const membership_t *members, const member_t *member)
+{
+	return member->peer[0] != '\0' && membership_named(members, member);
+}
+
+size_t
+gossip_peers_of(
+    const membership_t *members, const member_t *peers[GOSSIP_PEERS_MAX])
+{
+	size_t count = 0;
+
+	for (const member_t *one = members->members; one != NULL;
+	     one = one->hh.next) {
+		if (!gossip_peer_serves(members, one))
+			continue;
+		if (count < GOSSIP_PEERS_MAX)
+			peers[count] = one;
+		count++;
+	}
+	return count;
+}
--- a/moortack/relay/owners.c
+++ b/moortack/relay/owners.c
@@ -40,7 +40,7 @@
 		owner_rank_t rank =
 		    rank_of(one->name, one->place, place, endpoint);
 
-		if (!before(&rank, &best) || !companion_serves(members, one))
+		if (!before(&rank, &best) || !gossip_peer_serves(members, one))
 			continue;
 		owner = one;
 		best = rank;
--- a/moortack/relay/read_queue.c
+++ b/moortack/relay/prefill_queue.c
@@ -1,17 +1,17 @@
-#include "moortack/relay/read_queue.h"
+#include "moortack/relay/prefill_queue.h"
 
 #include <stddef.h>
 #include <utlist.h>
 
 void
-read_queue_init(read_queue_t *queue)
+prefill_queue_init(prefill_queue_t *queue)
 {
-	*queue = (read_queue_t){0};
+	*queue = (prefill_queue_t){0};
 }
 
 /* How late the oldest answer is: what stands behind it is at least as late. */
 static double
-overdue_ms(const read_queue_t *queue, double now_ms)
+overdue_ms(const prefill_queue_t *queue, double now_ms)
 {
 	const read_ticket_t *oldest = queue->tickets;
 
@@ -21,7 +21,7 @@
 }
 
 double
-read_queue_wait_ms(const read_queue_t *queue, double now_ms)
+prefill_queue_wait_ms(const prefill_queue_t *queue, double now_ms)
 {
 	double wait_ms = queue->free_ms > now_ms ? queue->free_ms - now_ms : 0;
 
@@ -31,12 +31,13 @@
 static double
 believed_ms(double read_ms)
 {
-	return read_ms < READ_QUEUE_PROMPT_MAX_MS ? read_ms
-						  : READ_QUEUE_PROMPT_MAX_MS;
+	return read_ms < PREFILL_QUEUE_PROMPT_MAX_MS
+	    ? read_ms
+	    : PREFILL_QUEUE_PROMPT_MAX_MS;
 }
 
 void
-read_queue_extend(read_queue_t *queue, double read_ms, double now_ms)
+prefill_queue_extend(prefill_queue_t *queue, double read_ms, double now_ms)
 {
 	if (queue->free_ms < now_ms)
 		queue->free_ms = now_ms;
@@ -44,10 +45,10 @@
 }
 
 void
-read_queue_add(
-    read_queue_t *queue, read_ticket_t *ticket, double read_ms, double now_ms)
+prefill_queue_add(prefill_queue_t *queue, read_ticket_t *ticket, double read_ms,
+    double now_ms)
 {
-	read_queue_extend(queue, read_ms, now_ms);
+	prefill_queue_extend(queue, read_ms, now_ms);
 	ticket->read_ms = believed_ms(read_ms);
 	ticket->expected_ms = queue->free_ms;
 	ticket->queued = true;
@@ -56,7 +57,7 @@
 
 /* Take the ticket out; what is behind it moves by the time given. */
 static void
-ticket_out(read_queue_t *queue, read_ticket_t *ticket, double moved_ms)
+ticket_out(prefill_queue_t *queue, read_ticket_t *ticket, double moved_ms)
 {
 	for (read_ticket_t *after = ticket->next; after != NULL;
 	     after = after->next)
@@ -67,14 +68,15 @@
 }
 
 void
-read_queue_begun(read_queue_t *queue, read_ticket_t *ticket, double now_ms)
+prefill_queue_begun(
+    prefill_queue_t *queue, read_ticket_t *ticket, double now_ms)
 {
 	if (ticket->queued)
 		ticket_out(queue, ticket, now_ms - ticket->expected_ms);
 }
 
 void
-read_queue_drop(read_queue_t *queue, read_ticket_t *ticket, double now_ms)
+prefill_queue_drop(prefill_queue_t *queue, read_ticket_t *ticket, double now_ms)
 {
 	double unread_ms = ticket->expected_ms - now_ms;
 
--- a/moortack/relay/read_pace.c
+++ b/moortack/relay/prefill_rate.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/read_pace.h"
+#include "moortack/relay/prefill_rate.h"
 
 /* Weight that what was measured before keeps at each new answer: some fifty
  * count, so that a change of load or version shows within seconds. */
@@ -9,7 +9,7 @@
 #define VARIANCE_MIN 0.01
 
 void
-read_pace_take(read_pace_t *pace, double tokens, double ms)
+prefill_rate_take(prefill_rate_t *pace, double tokens, double ms)
 {
 	pace->count = FADING * pace->count + 1;
 	pace->x = FADING * pace->x + tokens;
@@ -20,7 +20,7 @@
 }
 
 double
-read_pace_slope(const read_pace_t *pace)
+prefill_rate_slope(const prefill_rate_t *pace)
 {
 	double mean_x, mean_y, variance, slope;
 
@@ -36,9 +36,9 @@
 }
 
 double
-read_pace_ms(const read_pace_t *pace, double tokens)
+prefill_rate_ms(const prefill_rate_t *pace, double tokens)
 {
-	double slope = read_pace_slope(pace);
+	double slope = prefill_rate_slope(pace);
 	double ms;
 
 	if (pace->taken < TAKEN_MIN)
--- a/moortack/relay/relay_answer.c
+++ b/moortack/relay/relay_answer.c
@@ -105,7 +105,7 @@
 	}
 	attempt->headed = true;
 	attempt_heard(req);
-	read_queue_begun(&attempt->endpoint->unread, &attempt->ticket,
+	prefill_queue_begun(&attempt->endpoint->unread, &attempt->ticket,
 	    (double)timespec_ms(clock_elapsed(req->relay->clock)));
 	relay_guard_alive(req);
 	attempt->first_ms = (double)timespec_ms_between(
--- a/moortack/relay/relay_ask.c
+++ b/moortack/relay/relay_ask.c
@@ -139,7 +139,7 @@
 	memcpy(prefixes.hashes, note->prefixes,
 	    note->prefixes_len * sizeof(note->prefixes[0]));
 	prefix_memory_note(&relay->prefixes, &prefixes, endpoint->hash, now_ms);
-	read_queue_extend(&endpoint->unread, note->read_ms, (double)now_ms);
+	prefill_queue_extend(&endpoint->unread, note->read_ms, (double)now_ms);
 }
 
 static bool
@@ -158,7 +158,7 @@
 	answer->kept = (uint32_t)prefix_memory_count(
 	    &relay->prefixes, &prefixes, endpoint->hash, now_ms);
 	answer->wait_ms =
-	    (uint32_t)read_queue_wait_ms(&endpoint->unread, (double)now_ms);
+	    (uint32_t)prefill_queue_wait_ms(&endpoint->unread, (double)now_ms);
 	return true;
 }
 
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -86,7 +86,7 @@
 {
 	attempt_t *attempt = &req->attempt;
 
-	read_queue_drop(&attempt->endpoint->unread, &attempt->ticket,
+	prefill_queue_drop(&attempt->endpoint->unread, &attempt->ticket,
 	    (double)timespec_ms(clock_elapsed(req->relay->clock)));
 	if (!req->attempt.sent)
 		return;
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -23,7 +23,7 @@
 	const relay_route_t *route = req->route;
 	const relay_model_t *known =
 	    relay_model_known(req, relay_model_name(req, index));
-	double slope = known != NULL ? read_pace_slope(&known->pace) : -1;
+	double slope = known != NULL ? prefill_rate_slope(&known->pace) : -1;
 	double most;
 
 	if (slope >= 0)
@@ -113,7 +113,7 @@
 		    &relay->prefixes, prefixes, one->hash, now_ms);
 		uint32_t shared_unread;
 
-		one->wait_ms = read_queue_wait_ms(
+		one->wait_ms = prefill_queue_wait_ms(
 		    &set->endpoints[i]->unread, (double)now_ms);
 		if (told != NULL) {
 			one->wait_ms = fmax(one->wait_ms, told->wait_ms);
@@ -168,10 +168,10 @@
 	out->wait_ms = candidates.seen[chosen].wait_ms;
 	out->read_ms =
 	    fmin(slope_of(req, index) * candidates.seen[chosen].unread,
-		READ_QUEUE_PROMPT_MAX_MS);
+		PREFILL_QUEUE_PROMPT_MAX_MS);
 	out->unread = candidates.seen[chosen].unread;
 	if (known != NULL)
-		out->first_ms = read_pace_ms(&known->pace, out->unread);
+		out->first_ms = prefill_rate_ms(&known->pace, out->unread);
 	if (out->first_ms >= 0)
 		out->first_ms += out->wait_ms;
 	return true;
@@ -205,7 +205,7 @@
 	    &prefixes, &req->arrival, XXH3_64bits(model, strlen(model)));
 	prefix_memory_note(
 	    &relay->prefixes, &prefixes, place->endpoint->hash, now_ms);
-	read_queue_add(&place->endpoint->unread, &req->attempt.ticket,
+	prefill_queue_add(&place->endpoint->unread, &req->attempt.ticket,
 	    place->read_ms, (double)now_ms);
 	note_tell(relay, place, &prefixes);
 }
--- a/moortack/relay/send_notes.c
+++ b/moortack/relay/send_notes.c
@@ -187,20 +187,19 @@
 void
 send_notes_tick(send_notes_t *self)
 {
-	const member_t *companions[COMPANIONS_MAX];
+	const member_t *peers[GOSSIP_PEERS_MAX];
 	uint32_t daemons = membership_count(self->members);
 	bool open = self->fd >= 0 && self->keyed;
 	size_t count;
 
-	count = open ? companions_of(self->members, companions) : 0;
-	self->owners = count > COMPANIONS_MAX;
+	count = open ? gossip_peers_of(self->members, peers) : 0;
+	self->owners = count > GOSSIP_PEERS_MAX;
 	if (self->owners)
 		count = 0;
-	self->companions_len = 0;
+	self->peers_len = 0;
 	for (size_t i = 0; i < count; i++) {
-		if (address_read(companions[i]->peer,
-			&self->companions[self->companions_len]))
-			self->companions_len++;
+		if (address_read(peers[i]->peer, &self->peers[self->peers_len]))
+			self->peers_len++;
 	}
 	self->unheard =
 	    daemons > count + 1 ? 1 - ((double)count + 1) / daemons : 0;
@@ -228,11 +227,11 @@
 			note_send(self, &owner, note);
 		return;
 	}
-	if (self->companions_len == 0)
+	if (self->peers_len == 0)
 		return;
 	len = send_note_seal(note, &self->key, bytes);
-	for (size_t i = 0; i < self->companions_len; i++)
-		bytes_send(self, &self->companions[i], bytes, len);
+	for (size_t i = 0; i < self->peers_len; i++)
+		bytes_send(self, &self->peers[i], bytes, len);
 }
 
 bool
--- a/test/platform/sends_told.lua
+++ b/test/platform/sends_told.lua
@@ -8,7 +8,7 @@
 
 lib.wait_until("the daemons know of each other", function()
   for _, daemon in ipairs(w.daemons) do
-    if words.metric(daemon, "companions") ~= 1 then return false end
+    if words.metric(daemon, "gossip_peers") ~= 1 then return false end
   end
   return true
 end)
--- a/test/unit/endpoint_set_test.c
+++ b/test/unit/endpoint_set_test.c
@@ -73,7 +73,7 @@
 {
 	static const endpoint_load_t load = {.running = 5, .waiting = 2};
 
-	read_queue_extend(&endpoint->unread, 900, 100000);
+	prefill_queue_extend(&endpoint->unread, 900, 100000);
 	endpoint_told_load(endpoint, &load);
 	endpoint_take_up(endpoint);
 	for (int i = 0; i < 8; i++)
@@ -95,7 +95,8 @@
 	assert_ptr_not_equal(next, old);
 	assert_false(old->present);
 	assert_ptr_equal(endpoint_set_find(&started->set, "i-1"), next);
-	assert_float_equal(read_queue_wait_ms(&next->unread, 100000), 0, 0.001);
+	assert_float_equal(
+	    prefill_queue_wait_ms(&next->unread, 100000), 0, 0.001);
 	assert_false(next->load_known);
 	assert_int_equal(next->in_flight, 0);
 	assert_int_equal(next->group->in_flight, 0);
--- a/test/unit/placing_test.c
+++ b/test/unit/placing_test.c
@@ -10,8 +10,8 @@
 #include <cmocka.h>
 
 #include "moortack/relay/choose.h"
+#include "moortack/relay/prefill_queue.h"
 #include "moortack/relay/prefix_memory.h"
-#include "moortack/relay/read_queue.h"
 
 #define ENDPOINTS 8
 #define SHARED 4711
@@ -210,20 +210,20 @@
 prompts_wait_for_those_before(void **state)
 {
 	read_ticket_t first, second;
-	read_queue_t queue;
+	prefill_queue_t queue;
 
 	(void)state;
-	read_queue_init(&queue);
-	assert_true(read_queue_wait_ms(&queue, 1000) == 0);
-	read_queue_add(&queue, &first, 300, 1000);
-	read_queue_add(&queue, &second, 200, 1000);
-	assert_true(read_queue_wait_ms(&queue, 1100) == 400);
-	read_queue_begun(&queue, &first, 1300);
-	assert_true(read_queue_wait_ms(&queue, 1300) == 200);
-	read_queue_begun(&queue, &second, 1500);
-	assert_true(read_queue_wait_ms(&queue, 1500) == 0);
-	read_queue_drop(&queue, &second, 1500);
-	assert_true(read_queue_wait_ms(&queue, 1500) == 0);
+	prefill_queue_init(&queue);
+	assert_true(prefill_queue_wait_ms(&queue, 1000) == 0);
+	prefill_queue_add(&queue, &first, 300, 1000);
+	prefill_queue_add(&queue, &second, 200, 1000);
+	assert_true(prefill_queue_wait_ms(&queue, 1100) == 400);
+	prefill_queue_begun(&queue, &first, 1300);
+	assert_true(prefill_queue_wait_ms(&queue, 1300) == 200);
+	prefill_queue_begun(&queue, &second, 1500);
+	assert_true(prefill_queue_wait_ms(&queue, 1500) == 0);
+	prefill_queue_drop(&queue, &second, 1500);
+	assert_true(prefill_queue_wait_ms(&queue, 1500) == 0);
 }
 
 /* What others sent there shows by answers that begin late. */
@@ -231,18 +231,18 @@
 a_late_answer_moves_what_is_behind(void **state)
 {
 	read_ticket_t first, second;
-	read_queue_t queue;
+	prefill_queue_t queue;
 
 	(void)state;
-	read_queue_init(&queue);
-	read_queue_add(&queue, &first, 300, 1000);
-	read_queue_add(&queue, &second, 200, 1000);
+	prefill_queue_init(&queue);
+	prefill_queue_add(&queue, &first, 300, 1000);
+	prefill_queue_add(&queue, &second, 200, 1000);
 	/* 500 ms over its time: at least as long for the next. */
-	assert_true(read_queue_wait_ms(&queue, 1800) >= 500);
-	read_queue_begun(&queue, &first, 1800);
-	assert_true(read_queue_wait_ms(&queue, 1800) == 200);
-	read_queue_begun(&queue, &second, 1850);
-	assert_true(read_queue_wait_ms(&queue, 1850) == 0);
+	assert_true(prefill_queue_wait_ms(&queue, 1800) >= 500);
+	prefill_queue_begun(&queue, &first, 1800);
+	assert_true(prefill_queue_wait_ms(&queue, 1800) == 200);
+	prefill_queue_begun(&queue, &second, 1850);
+	assert_true(prefill_queue_wait_ms(&queue, 1850) == 0);
 }
 
 /* What another daemon tells is waited for as one's own. */
@@ -250,16 +250,16 @@
 prompts_of_others_are_waited_for(void **state)
 {
 	read_ticket_t own;
-	read_queue_t queue;
+	prefill_queue_t queue;
 
 	(void)state;
-	read_queue_init(&queue);
-	read_queue_extend(&queue, 300, 1000);
-	assert_true(read_queue_wait_ms(&queue, 1100) == 200);
-	read_queue_add(&queue, &own, 100, 1100);
-	assert_true(read_queue_wait_ms(&queue, 1100) == 300);
-	read_queue_begun(&queue, &own, 1400);
-	assert_true(read_queue_wait_ms(&queue, 1400) == 0);
+	prefill_queue_init(&queue);
+	prefill_queue_extend(&queue, 300, 1000);
+	assert_true(prefill_queue_wait_ms(&queue, 1100) == 200);
+	prefill_queue_add(&queue, &own, 100, 1100);
+	assert_true(prefill_queue_wait_ms(&queue, 1100) == 300);
+	prefill_queue_begun(&queue, &own, 1400);
+	assert_true(prefill_queue_wait_ms(&queue, 1400) == 0);
 }
 
 /* A caller may say of its prompt what it likes: that keeps an endpoint out of
@@ -268,32 +268,32 @@
 no_prompt_is_believed_to_take_for_ever(void **state)
 {
 	read_ticket_t own;
-	read_queue_t queue;
+	prefill_queue_t queue;
 
 	(void)state;
-	read_queue_init(&queue);
-	read_queue_extend(&queue, 1e9, 1000);
-	assert_true(read_queue_wait_ms(&queue, 1000) <= 20000);
-	read_queue_add(&queue, &own, 1e12, 1000);
-	assert_true(read_queue_wait_ms(&queue, 1000) <= 40000);
-	read_queue_drop(&queue, &own, 1000);
-	assert_true(read_queue_wait_ms(&queue, 1000) <= 20000);
+	prefill_queue_init(&queue);
+	prefill_queue_extend(&queue, 1e9, 1000);
+	assert_true(prefill_queue_wait_ms(&queue, 1000) <= 20000);
+	prefill_queue_add(&queue, &own, 1e12, 1000);
+	assert_true(prefill_queue_wait_ms(&queue, 1000) <= 40000);
+	prefill_queue_drop(&queue, &own, 1000);
+	assert_true(prefill_queue_wait_ms(&queue, 1000) <= 20000);
 }
 
 static void
 what_is_taken_back_is_not_waited_for(void **state)
 {
 	read_ticket_t first, second;
-	read_queue_t queue;
+	prefill_queue_t queue;
 
 	(void)state;
-	read_queue_init(&queue);
-	read_queue_add(&queue, &first, 300, 1000);
-	read_queue_add(&queue, &second, 200, 1000);
-	read_queue_drop(&queue, &first, 1100);
-	assert_true(read_queue_wait_ms(&queue, 1100) == 200);
-	read_queue_drop(&queue, &second, 1100);
-	assert_true(read_queue_wait_ms(&queue, 1100) == 0);
+	prefill_queue_init(&queue);
+	prefill_queue_add(&queue, &first, 300, 1000);
+	prefill_queue_add(&queue, &second, 200, 1000);
+	prefill_queue_drop(&queue, &first, 1100);
+	assert_true(prefill_queue_wait_ms(&queue, 1100) == 200);
+	prefill_queue_drop(&queue, &second, 1100);
+	assert_true(prefill_queue_wait_ms(&queue, 1100) == 0);
 }
 
 int
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -16,7 +16,7 @@
 #include "moortack/relay/first_try.h"
 #include "moortack/relay/model_choice.h"
 #include "moortack/relay/model_record.h"
-#include "moortack/relay/read_pace.h"
+#include "moortack/relay/prefill_rate.h"
 #include "moortack/relay/retry_share.h"
 #include "moortack/relay/rollout_plan.h"
 #include "moortack/relay/session_memory.h"
@@ -147,31 +147,33 @@
 static void
 the_pace_of_reading_is_learned(void **state)
 {
-	read_pace_t pace = {0};
+	prefill_rate_t pace = {0};
 
 	(void)state;
-	assert_true(read_pace_ms(&pace, 1000) < 0);
+	assert_true(prefill_rate_ms(&pace, 1000) < 0);
 	for (int i = 0; i < 20; i++)
-		read_pace_take(&pace, 1000 * (i % 5 + 1), 50 + 100 * (i % 5));
-	assert_true(read_pace_ms(&pace, 10000) > 900);
-	assert_true(read_pace_ms(&pace, 10000) < 1000);
-	assert_true(read_pace_ms(&pace, 100) >= 0);
+		prefill_rate_take(
+		    &pace, 1000 * (i % 5 + 1), 50 + 100 * (i % 5));
+	assert_true(prefill_rate_ms(&pace, 10000) > 900);
+	assert_true(prefill_rate_ms(&pace, 10000) < 1000);
+	assert_true(prefill_rate_ms(&pace, 100) >= 0);
 	/* What becomes slow shows soon. */
 	for (int i = 0; i < 100; i++)
-		read_pace_take(&pace, 1000 * (i % 5 + 1), 500 + 1000 * (i % 5));
-	assert_true(read_pace_ms(&pace, 10000) > 8000);
+		prefill_rate_take(
+		    &pace, 1000 * (i % 5 + 1), 500 + 1000 * (i % 5));
+	assert_true(prefill_rate_ms(&pace, 10000) > 8000);
 }
 
 static void
 one_size_of_prompts_gives_a_mean(void **state)
 {
-	read_pace_t pace = {0};
+	prefill_rate_t pace = {0};
 
 	(void)state;
 	for (int i = 0; i < 10; i++)
-		read_pace_take(&pace, 800, 40);
-	assert_true(read_pace_ms(&pace, 8000) > 39);
-	assert_true(read_pace_ms(&pace, 8000) < 41);
+		prefill_rate_take(&pace, 800, 40);
+	assert_true(prefill_rate_ms(&pace, 8000) > 39);
+	assert_true(prefill_rate_ms(&pace, 8000) < 41);
 }
 
 static void
--- a/test/unit/send_note_test.c
+++ b/test/unit/send_note_test.c
@@ -94,16 +94,16 @@
 static void
 a_small_fleet_tells_all(void **state)
 {
-	const member_t *companions[COMPANIONS_MAX];
-	member_t all[COMPANIONS_MAX + 1];
+	const member_t *peers[GOSSIP_PEERS_MAX];
+	member_t all[GOSSIP_PEERS_MAX + 1];
 	membership_t members;
 
 	(void)state;
-	members_fill(&members, all, COMPANIONS_MAX + 1, 4);
-	assert_int_equal(companions_of(&members, companions), COMPANIONS_MAX);
+	members_fill(&members, all, GOSSIP_PEERS_MAX + 1, 4);
+	assert_int_equal(gossip_peers_of(&members, peers), GOSSIP_PEERS_MAX);
 	all[2].state = MEMBER_LEAVING;
 	assert_int_equal(
-	    companions_of(&members, companions), COMPANIONS_MAX - 1);
+	    gossip_peers_of(&members, peers), GOSSIP_PEERS_MAX - 1);
 	HASH_CLEAR(hh, members.members);
 }
 
