--- a/moortack/relay/member_wishes.c
+++ b/moortack/relay/member_wishes.c
@@ -4,20 +4,21 @@
 
 #include "membership_priv.h"
 
-/* Rows that one call writes: the store takes a hundred, and some of them are
- * checked as well. A fleet of 295 that starts needs six calls, one by one 295.
- */
+/* Rows in one transaction. The store accepts a hundred changes; the rest is
+ * headroom for expectations. With 50, a fleet of 295 daemons that starts needs
+ * 6 calls instead of 295. */
 #define WISHES_MAX 50
-/* Whose row is not there after this time writes it itself. Those who follow
- * tell who reads the store within 1.1 s, and their rows are back within 2 s. */
+/* A daemon writes its own row if the reader of the store has not done so after
+ * this time. A wish reaches the reader within 1.1 s (two levels of questions
+ * that are held for 0.5 s), and the row is replicated back within 2 s. */
 #define WANTED_MS 4000
-/* Whom nobody has heard for this long, and who serves, tells so by its row:
- * most find another daemon to follow sooner. */
+/* A serving daemon that no other daemon has heard of for this long announces
+ * itself through its own row. Most find a daemon to follow sooner. */
 #define ALONE_MS 500
 #define RETRY_MS 400
 #define RETRY_MOST_MS 2000
 
-/** A transaction's rows. */
+/** The rows of one transaction, and the memory behind them. */
 typedef struct wish_batch {
 	char keys[WISHES_MAX][sizeof(MEMBER_PREFIX) + MEMBER_NAME_SIZE];
 	char *values[WISHES_MAX];
@@ -46,8 +47,7 @@
 	return row;
 }
 
-/* Whether two rows say the same of a daemon, but for when and what it reports
- * besides. */
+/* Whether two rows agree in everything but their time and their report. */
 static bool
 facts_same(const member_facts_t *a, const member_facts_t *b)
 {
@@ -74,8 +74,9 @@
 	return same;
 }
 
-/* A daemon that starts wants no row: the one of before is there, or it is told
- * of once it serves. But whoever knows of nobody else has to be found. */
+/* A starting daemon needs no row: the one of its last run is still stored, or
+ * a new one is written once it serves. The exception is the first daemon of
+ * all, which the others can find only by its row. */
 static bool
 own_row_wanted(const membership_t *self)
 {
@@ -134,7 +135,7 @@
 	return wish;
 }
 
-/* When it was wanted, by this daemon's clock. */
+/* Converts the time of a wish from the store's clock to this daemon's. */
 static struct timespec
 wanted_at(const membership_t *self, int64_t at_ms)
 {
@@ -164,7 +165,7 @@
 	member_facts_finish(&facts);
 }
 
-/* Whether the row is there, as far as this daemon knows. */
+/* Whether the stored row, as last read, is the one that is wanted. */
 static bool
 wish_stored(const membership_t *self, const member_wish_t *wish)
 {
@@ -186,7 +187,7 @@
 	return same;
 }
 
-/* What is there, or is no longer asked for, is forgotten. */
+/* Drop wishes that are fulfilled, and those not repeated for silent_ms. */
 static void
 wishes_trim(membership_t *self, struct timespec now)
 {
@@ -253,7 +254,8 @@
 		free(batch->values[i]);
 }
 
-/* Nobody hears of this daemon, which serves: its row tells that it does. */
+/* Whether the own row is due as a heartbeat, because no daemon asks this
+ * one. */
 static bool
 tells_by_row(const membership_t *self, struct timespec now)
 {
--- a/moortack/relay/row_parent.c
+++ b/moortack/relay/row_parent.c
@@ -5,37 +5,36 @@
 
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
-/* A daemon that failed is not followed again for this long, and longer each
- * time. */
+/* A parent that failed is not chosen again for this long, doubled each time. */
 #define SHUN_MS 3000
-/* The same for one that the store does not answer. */
+/* The same for a parent that the store does not answer. */
 #define SHUN_LOST_MS 2000
-/* The same for one whose rows come through this daemon: it looks for another
- * itself as soon as it is told. */
+/* The same for a parent that follows this daemon, directly or through others:
+ * it chooses another parent itself as soon as it sees the circle. */
 #define SHUN_CIRCLE_MS 500
-/* How long a daemon that says that the store does not answer it is kept to, and
- * a random part of that more, doubled with each further one: it has news as
- * soon as anybody before it has. */
+/* A parent that reports the store as unreachable is kept for this long plus a
+ * random part of it, doubled with each further such parent: it has news as
+ * soon as any daemon before it in the order has. */
 #define LOST_MOVE_MS 1000
 #define LOST_MOVES_MAX 2
-/* While the store does not answer, so many of the first daemons ask it: one of
- * them finds out that it turns away only some (a third in the users' troubles:
- * all sixteen in one of 10^7), and as many calls a second are made in a fleet
- * of any size. With 295 asking, 8 s without the store were 3,600 calls. */
+/* While the store does not answer, only this many daemons, the first in the
+ * order, keep asking it, so that the number of calls does not depend on the
+ * size of the fleet: with all of 295 asking, 8 s without the store cost 3,600
+ * calls. If the store turns away a third of the daemons, all 16 are among them
+ * once in 10^7 cases. */
 #define PROBERS 16
-/* How long the first answer of another daemon is waited for. */
+/* Limit for the first answer of a new parent. */
 #define FIRST_ANSWER_MS 400
-/* The same of one that answers, but knows nothing itself yet, for a daemon that
- * starts. */
+/* The same at the start, for a parent that has answered but has no rows yet. */
 #define FIRST_ROWS_MS 1500
-/* A daemon that starts waits no longer than the store would need for whole
- * reads of all daemons, if all of them started now: a small fleet starts as
- * fast as it can read, a large one reads once. */
+/* Time of the store for the whole reads of one daemon. A starting daemon waits
+ * for a parent no longer than all daemons' reads would take together: a small
+ * fleet reads the store at once, a large one reads it once. */
 #define FIRST_PER_MEMBER_MS 5
-/* Daemons that one which starts waits for before it reads the store itself. */
+/* Parents that a starting daemon tries before it reads the store itself. */
 #define START_TRIES 3
-/* How long somebody who stands after this daemon is followed before the store
- * is tried again. */
+/* How long the first daemon of all follows one after it in the order before it
+ * tries the store again. */
 #define DOWN_MS 4000
 
 void
@@ -56,7 +55,7 @@
 	feed_client_stop(&self->client);
 }
 
-/* Read the store again. */
+/* Stop following, and read the store. */
 static void
 parent_stop(row_source_t *self, const char *why)
 {
@@ -66,7 +65,7 @@
 	row_source_suspend(self, false);
 }
 
-/* Follow another daemon, or read the store if there is none. */
+/* Follow another parent, or read the store if there is none. */
 static void
 parent_change(row_source_t *self, const char *why)
 {
@@ -83,8 +82,8 @@
 	parent_change(self, why);
 }
 
-/* Nobody reads the store in a circle: this daemon does, until it finds somebody
- * else. */
+/* In a circle of followers nobody reads the store: this daemon does, until it
+ * finds another parent. */
 void
 row_parent_circle(row_source_t *self)
 {
@@ -136,7 +135,7 @@
 	    timespec_ms_between(self->followed_since, probe->known) > 0;
 }
 
-/* Whoever is followed anew has a moment to answer. */
+/* Time that a new parent has for its first answer, in milliseconds. */
 static int64_t
 first_wait_ms(const row_source_t *self)
 {
@@ -194,7 +193,8 @@
 	row_source_suspend(self, false);
 }
 
-/* Whether the store does not answer this daemon, as far as it has asked. */
+/* Whether one of the last calls of this daemon to the store was not
+ * answered. */
 static bool
 store_is_lost(const row_source_t *self)
 {
@@ -205,9 +205,9 @@
 	return false;
 }
 
-/* Whoever starts and stands before all that run is told the rows by one of
- * them, once, and reads the store from there on: of 6 daemons that start one by
- * one two or three stand first for a moment, and up to five of them read all
+/* A starting daemon that is the first in the order gets the rows from the next
+ * one, once, and continues with the changes in the store. Daemons that start
+ * one by one are each the first for a moment: of 6, up to five read all
  * tables. */
 static bool
 start_below_begin(row_source_t *self)
@@ -233,8 +233,8 @@
 		parent_stop(self, "no_rows");
 }
 
-/* Nobody stands before this daemon: it reads the store, or, while that does not
- * answer, follows one that stands after it for a time. */
+/* The step of the first daemon in the order: it reads the store, or, while the
+ * store does not answer, follows the next daemon for a time. */
 static void
 first_step(row_source_t *self)
 {
@@ -264,7 +264,8 @@
 	follow(self, next);
 }
 
-/* Whether the store can bear it that all daemons which start read it. */
+/* Whether the fleet is small enough for all daemons to read the store at
+ * once. */
 static bool
 is_small(const row_source_t *self)
 {
@@ -272,8 +273,8 @@
 	    FIRST_ANSWER_MS;
 }
 
-/* Whoever is followed did not tell the rows in time: the store does. A daemon
- * of a large fleet that starts asks others first. */
+/* The parent sent no rows in time: read the store. A starting daemon of a
+ * large fleet tries other parents first. */
 static void
 first_wait_end(row_source_t *self)
 {
