replication: what daemons know of rows and of each other has a room of its own

Cause: moortack/relay/ was 52 files in one folder, requests beside the following of rows. No change of behaviour; moves and include lines. Ruled out for now: a room for placement: dialect.h and endpoint_set.h include each other's types by way of the guard, which has to be parted first.

--- a/moortack/relay/event_log.c
+++ b/common/event_log.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/event_log.h"
+#include "common/event_log.h"
 
 #include <fcntl.h>
 #include <inttypes.h>
--- a/include/moortack/relay/event_log.h
+++ b/include/common/event_log.h
@@ -3,8 +3,8 @@
  * Structured lines on standard output: one a decision, bounded in rate, never
  * blocking. What is dropped is counted, and the count is told.
  */
-#ifndef MOORTACK_RELAY_EVENT_LOG_H
-#define MOORTACK_RELAY_EVENT_LOG_H
+#ifndef COMMON_EVENT_LOG_H
+#define COMMON_EVENT_LOG_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/include/moortack/relay/caller_targets.h
+++ b/include/moortack/relay/caller_targets.h
@@ -8,7 +8,7 @@
 #ifndef MOORTACK_RELAY_CALLER_TARGETS_H
 #define MOORTACK_RELAY_CALLER_TARGETS_H
 
-#include "moortack/relay/membership.h"
+#include "moortack/replication/membership.h"
 
 /** One daemon; the texts are the membership's. */
 typedef struct caller_target {
--- a/include/moortack/relay/gossip_peers.h
+++ b/include/moortack/relay/gossip_peers.h
@@ -8,7 +8,7 @@
 
 #include <stddef.h>
 
-#include "moortack/relay/membership.h"
+#include "moortack/replication/membership.h"
 
 /** Others that are told: what a daemon sends and takes stays the same as the
  * fleet grows. Larger fleets have owners. */
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -8,12 +8,11 @@
 
 #include <event2/event.h>
 
+#include "common/event_log.h"
 #include "common/http_inbound.h"
 #include "common/rng.h"
 #include "moortack/relay/dialect.h"
-#include "moortack/relay/event_log.h"
 #include "moortack/relay/first_try.h"
-#include "moortack/relay/membership.h"
 #include "moortack/relay/model_record.h"
 #include "moortack/relay/prefill_rate.h"
 #include "moortack/relay/prefix_memory.h"
@@ -21,8 +20,9 @@
 #include "moortack/relay/relay_stats.h"
 #include "moortack/relay/retry_share.h"
 #include "moortack/relay/rollouts.h"
-#include "moortack/relay/row_watch.h"
 #include "moortack/relay/send_notes.h"
+#include "moortack/replication/membership.h"
+#include "moortack/replication/row_watch.h"
 
 /** Bounds that the deployment sets. */
 typedef struct relay_bounds {
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -8,7 +8,7 @@
 
 #include "moortack/relay/relay.h"
 #include "moortack/relay/row_refusals.h"
-#include "moortack/relay/row_source.h"
+#include "moortack/replication/row_source.h"
 
 /** Where the operator's and the endpoints' rows stand, and how they read. */
 typedef struct source_dialect {
--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -9,13 +9,13 @@
 #include <event2/event.h>
 #include <uthash.h>
 
+#include "common/event_log.h"
 #include "moortack/relay/endpoint_set.h"
-#include "moortack/relay/event_log.h"
-#include "moortack/relay/membership.h"
 #include "moortack/relay/rollout_plan.h"
-#include "moortack/relay/row_store.h"
 #include "moortack/relay/session_memory.h"
 #include "moortack/relay/version_guard.h"
+#include "moortack/replication/membership.h"
+#include "moortack/replication/row_store.h"
 
 #define ROLLOUT_PREFIX "rollout/"
 /** Keys of rows that pass on which sessions stay, with the name of the daemon
--- a/include/moortack/relay/row_refusals.h
+++ b/include/moortack/relay/row_refusals.h
@@ -9,8 +9,8 @@
 #include <event2/buffer.h>
 
 #include "common/err.h"
-#include "moortack/relay/event_log.h"
-#include "moortack/relay/row_store.h"
+#include "common/event_log.h"
+#include "moortack/replication/row_store.h"
 
 /** What a row ought to be. */
 typedef enum row_kind {
--- a/include/moortack/relay/feed_apply.h
+++ b/include/moortack/replication/feed_apply.h
@@ -2,10 +2,10 @@
  * @file
  * Takes over the rows of another daemon's answer, without a step back.
  */
-#ifndef MOORTACK_RELAY_FEED_APPLY_H
-#define MOORTACK_RELAY_FEED_APPLY_H
+#ifndef MOORTACK_REPLICATION_FEED_APPLY_H
+#define MOORTACK_REPLICATION_FEED_APPLY_H
 
-#include "moortack/relay/feed_wire.h"
+#include "moortack/replication/feed_wire.h"
 
 /** Told of each row that is newer than what the cache has, and of each end; it
  * puts them into the cache. */
--- a/include/moortack/relay/feed_body.h
+++ b/include/moortack/replication/feed_body.h
@@ -4,11 +4,11 @@
  * the same as the others that follow it: what was made for one is kept for the
  * next.
  */
-#ifndef MOORTACK_RELAY_FEED_BODY_H
-#define MOORTACK_RELAY_FEED_BODY_H
+#ifndef MOORTACK_REPLICATION_FEED_BODY_H
+#define MOORTACK_REPLICATION_FEED_BODY_H
 
-#include "moortack/relay/feed_pack.h"
-#include "moortack/relay/feed_wire.h"
+#include "moortack/replication/feed_pack.h"
+#include "moortack/replication/feed_wire.h"
 
 /** Bytes, and for whom they were made. */
 typedef struct feed_body {
--- a/include/moortack/relay/feed_client.h
+++ b/include/moortack/replication/feed_client.h
@@ -2,14 +2,14 @@
  * @file
  * Asks another daemon for the rows that it knows, one question at a time.
  */
-#ifndef MOORTACK_RELAY_FEED_CLIENT_H
-#define MOORTACK_RELAY_FEED_CLIENT_H
+#ifndef MOORTACK_REPLICATION_FEED_CLIENT_H
+#define MOORTACK_REPLICATION_FEED_CLIENT_H
 
 #include <event2/event.h>
 
 #include "moortack/member/peer_auth.h"
 #include "moortack/member/peer_socket.h"
-#include "moortack/relay/feed_wire.h"
+#include "moortack/replication/feed_wire.h"
 
 typedef struct feed_client_ops {
 	/** Fill in what the question says besides its number. */
--- a/include/moortack/relay/feed_delta.h
+++ b/include/moortack/replication/feed_delta.h
@@ -3,10 +3,10 @@
  * Rows of an answer that are told as what changed since the asker's last
  * answer, in place of the whole value.
  */
-#ifndef MOORTACK_RELAY_FEED_DELTA_H
-#define MOORTACK_RELAY_FEED_DELTA_H
+#ifndef MOORTACK_REPLICATION_FEED_DELTA_H
+#define MOORTACK_REPLICATION_FEED_DELTA_H
 
-#include "moortack/relay/feed_wire.h"
+#include "moortack/replication/feed_wire.h"
 
 /** Append a row that the asker knows as of the change @p since: as a delta if
  * the value of then is still here and the delta is far shorter. */
--- a/include/moortack/relay/feed_pack.h
+++ b/include/moortack/replication/feed_pack.h
@@ -3,8 +3,8 @@
  * How a text travels between daemons: as it is, or deflated if it is long. A
  * configuration of 1,400 routes deflates to a seventh.
  */
-#ifndef MOORTACK_RELAY_FEED_PACK_H
-#define MOORTACK_RELAY_FEED_PACK_H
+#ifndef MOORTACK_REPLICATION_FEED_PACK_H
+#define MOORTACK_REPLICATION_FEED_PACK_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/include/moortack/relay/feed_server.h
+++ b/include/moortack/replication/feed_server.h
@@ -3,14 +3,14 @@
  * Serves the rows that this daemon knows to other daemons, over ZeroMQ: a
  * question is held until something changes, or for a short time.
  */
-#ifndef MOORTACK_RELAY_FEED_SERVER_H
-#define MOORTACK_RELAY_FEED_SERVER_H
+#ifndef MOORTACK_REPLICATION_FEED_SERVER_H
+#define MOORTACK_REPLICATION_FEED_SERVER_H
 
 #include <event2/event.h>
 
 #include "moortack/member/peer_auth.h"
 #include "moortack/member/peer_socket.h"
-#include "moortack/relay/feed_body.h"
+#include "moortack/replication/feed_body.h"
 
 typedef struct feed_waiting feed_waiting_t;
 
--- a/include/moortack/relay/feed_wire.h
+++ b/include/moortack/replication/feed_wire.h
@@ -4,14 +4,14 @@
  * ZeroMQ message. An answer's rows stand in a second frame, if there are any:
  * the same bytes go to all who know the same.
  */
-#ifndef MOORTACK_RELAY_FEED_WIRE_H
-#define MOORTACK_RELAY_FEED_WIRE_H
+#ifndef MOORTACK_REPLICATION_FEED_WIRE_H
+#define MOORTACK_REPLICATION_FEED_WIRE_H
 
 #include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "moortack/relay/row_cache.h"
+#include "moortack/replication/row_cache.h"
 
 #define FEED_NAME_SIZE 96
 
--- a/include/moortack/relay/member_life.h
+++ b/include/moortack/replication/member_life.h
@@ -11,8 +11,8 @@
  * counts for vouch_ms. So nobody is named for longer than silent_ms + vouch_ms
  * after its last sign, whoever stops in between.
  */
-#ifndef MOORTACK_RELAY_MEMBER_LIFE_H
-#define MOORTACK_RELAY_MEMBER_LIFE_H
+#ifndef MOORTACK_REPLICATION_MEMBER_LIFE_H
+#define MOORTACK_REPLICATION_MEMBER_LIFE_H
 
 #include <stdbool.h>
 
--- a/include/moortack/relay/membership.h
+++ b/include/moortack/replication/membership.h
@@ -3,17 +3,17 @@
  * The daemons that serve, found through rows of the store: each writes its own
  * row, and reads those of the others.
  */
-#ifndef MOORTACK_RELAY_MEMBERSHIP_H
-#define MOORTACK_RELAY_MEMBERSHIP_H
+#ifndef MOORTACK_REPLICATION_MEMBERSHIP_H
+#define MOORTACK_REPLICATION_MEMBERSHIP_H
 
 #include <jansson.h>
 #include <uthash.h>
 
+#include "common/event_log.h"
 #include "common/http_call.h"
-#include "moortack/relay/event_log.h"
-#include "moortack/relay/member_life.h"
-#include "moortack/relay/row_store.h"
-#include "moortack/relay/row_watch.h"
+#include "moortack/replication/member_life.h"
+#include "moortack/replication/row_store.h"
+#include "moortack/replication/row_watch.h"
 
 #define MEMBER_NAME_SIZE 96
 /** The system's own table, and the keys of members in it. */
--- a/include/moortack/relay/row_cache.h
+++ b/include/moortack/replication/row_cache.h
@@ -3,13 +3,13 @@
  * The rows that a daemon knows, numbered by their changes, so that others can
  * be told what changed since they last asked.
  */
-#ifndef MOORTACK_RELAY_ROW_CACHE_H
-#define MOORTACK_RELAY_ROW_CACHE_H
+#ifndef MOORTACK_REPLICATION_ROW_CACHE_H
+#define MOORTACK_REPLICATION_ROW_CACHE_H
 
 #include <uthash.h>
 
 #include "common/clock_source.h"
-#include "moortack/relay/row_store.h"
+#include "moortack/replication/row_store.h"
 
 /** The tables that are followed. */
 typedef enum row_table {
--- a/include/moortack/relay/row_source.h
+++ b/include/moortack/replication/row_source.h
@@ -7,15 +7,15 @@
  * Nothing is agreed on and nothing is kept: each answer tells how old it is,
  * and two readers do no harm.
  */
-#ifndef MOORTACK_RELAY_ROW_SOURCE_H
-#define MOORTACK_RELAY_ROW_SOURCE_H
+#ifndef MOORTACK_REPLICATION_ROW_SOURCE_H
+#define MOORTACK_REPLICATION_ROW_SOURCE_H
 
+#include "common/event_log.h"
 #include "common/rng.h"
-#include "moortack/relay/event_log.h"
-#include "moortack/relay/feed_client.h"
-#include "moortack/relay/feed_server.h"
-#include "moortack/relay/membership.h"
-#include "moortack/relay/row_watch.h"
+#include "moortack/replication/feed_client.h"
+#include "moortack/replication/feed_server.h"
+#include "moortack/replication/membership.h"
+#include "moortack/replication/row_watch.h"
 
 /** Key of the row that holds the fleet's secret key. */
 #define FLEET_KEY_ROW "fleet/key"
--- a/include/moortack/relay/row_store.h
+++ b/include/moortack/replication/row_store.h
@@ -3,8 +3,8 @@
  * A store of rows in tables, each with a version from one counter, as a table
  * of function pointers.
  */
-#ifndef MOORTACK_RELAY_ROW_STORE_H
-#define MOORTACK_RELAY_ROW_STORE_H
+#ifndef MOORTACK_REPLICATION_ROW_STORE_H
+#define MOORTACK_REPLICATION_ROW_STORE_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/include/moortack/relay/row_watch.h
+++ b/include/moortack/replication/row_watch.h
@@ -5,13 +5,13 @@
  * The age of what is known counts from when the question was asked, on a clock
  * that goes on while the process stands still.
  */
-#ifndef MOORTACK_RELAY_ROW_WATCH_H
-#define MOORTACK_RELAY_ROW_WATCH_H
+#ifndef MOORTACK_REPLICATION_ROW_WATCH_H
+#define MOORTACK_REPLICATION_ROW_WATCH_H
 
 #include <event2/event.h>
 
 #include "common/clock_source.h"
-#include "moortack/relay/row_store.h"
+#include "moortack/replication/row_store.h"
 
 /** How often and how long to ask. */
 typedef struct row_watch_pace {
--- a/include/moortack/relay/value_delta.h
+++ b/include/moortack/replication/value_delta.h
@@ -3,10 +3,10 @@
  * The difference between two values of a row, as bytes: a large value of which
  * little has changed travels as that little.
  */
-#ifndef MOORTACK_RELAY_VALUE_DELTA_H
-#define MOORTACK_RELAY_VALUE_DELTA_H
+#ifndef MOORTACK_REPLICATION_VALUE_DELTA_H
+#define MOORTACK_REPLICATION_VALUE_DELTA_H
 
-#include "moortack/relay/feed_pack.h"
+#include "moortack/replication/feed_pack.h"
 
 /** What leads from the base to the value.
  * @param delta filled; its data is freed by the caller
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -8,7 +8,7 @@
 #include <event2/event.h>
 
 #include "common/http_call.h"
-#include "moortack/relay/row_store.h"
+#include "moortack/replication/row_store.h"
 
 typedef struct platform_store {
 	row_store_t store;
--- a/include/platform/store_rows.h
+++ b/include/platform/store_rows.h
@@ -9,7 +9,7 @@
 
 #include <jansson.h>
 
-#include "moortack/relay/row_store.h"
+#include "moortack/replication/row_store.h"
 
 /** Rows, with the memory behind their values; keys belong to the answer. */
 typedef struct store_rows {
--- a/moortack/relay/feed_apply.c
+++ b/moortack/replication/feed_apply.c
@@ -1,7 +1,7 @@
-#include "moortack/relay/feed_apply.h"
+#include "moortack/replication/feed_apply.h"
 
-#include "moortack/relay/feed_delta.h"
-#include "moortack/relay/row_cache.h"
+#include "moortack/replication/feed_delta.h"
+#include "moortack/replication/row_cache.h"
 
 /* Rows that a whole answer does not name are gone, unless they are newer. */
 static void
--- a/moortack/relay/feed_body.c
+++ b/moortack/replication/feed_body.c
@@ -1,9 +1,9 @@
-#include "moortack/relay/feed_body.h"
+#include "moortack/replication/feed_body.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "moortack/relay/feed_apply.h"
+#include "moortack/replication/feed_apply.h"
 
 static bool
 same_versions(const feed_point_t *a, const feed_point_t *b)
--- a/moortack/relay/feed_client.c
+++ b/moortack/replication/feed_client.c
@@ -1,9 +1,9 @@
-#include "moortack/relay/feed_client.h"
+#include "moortack/replication/feed_client.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "moortack/relay/feed_pack.h"
+#include "moortack/replication/feed_pack.h"
 
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
--- a/moortack/relay/feed_delta.c
+++ b/moortack/replication/feed_delta.c
@@ -1,9 +1,9 @@
-#include "moortack/relay/feed_delta.h"
+#include "moortack/replication/feed_delta.h"
 
 #include <sodium.h>
 #include <stdlib.h>
 
-#include "moortack/relay/value_delta.h"
+#include "moortack/replication/value_delta.h"
 
 #define ENCODING sodium_base64_VARIANT_ORIGINAL_NO_PADDING
 /* A delta that is no shorter than this part of the value isn't worth the time
--- a/moortack/relay/feed_pack.c
+++ b/moortack/replication/feed_pack.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/feed_pack.h"
+#include "moortack/replication/feed_pack.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/moortack/relay/feed_server.c
+++ b/moortack/replication/feed_server.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/feed_server.h"
+#include "moortack/replication/feed_server.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/moortack/relay/feed_wire.c
+++ b/moortack/replication/feed_wire.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/feed_wire.h"
+#include "moortack/replication/feed_wire.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/moortack/relay/member_life.c
+++ b/moortack/replication/member_life.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/member_life.h"
+#include "moortack/replication/member_life.h"
 
 /* Whoever takes over waits this long for the questions of all others before it
  * speaks for itself. Those who follow one daemon find out within half a second
--- a/moortack/relay/membership_priv.h
+++ b/moortack/replication/membership_priv.h
@@ -4,10 +4,10 @@
  * member_row.c reads and writes their rows, member_signs.c has the signs of
  * life that daemons give, member_tree.c whom to follow.
  */
-#ifndef MOORTACK_RELAY_MEMBERSHIP_PRIV_H
-#define MOORTACK_RELAY_MEMBERSHIP_PRIV_H
+#ifndef MOORTACK_REPLICATION_MEMBERSHIP_PRIV_H
+#define MOORTACK_REPLICATION_MEMBERSHIP_PRIV_H
 
-#include "moortack/relay/membership.h"
+#include "moortack/replication/membership.h"
 
 /** For an answer of the store to a write. */
 #define MEMBER_WRITE_TIMEOUT_MS 1200
--- a/moortack/relay/row_answer.c
+++ b/moortack/replication/row_answer.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "moortack/relay/feed_apply.h"
+#include "moortack/replication/feed_apply.h"
 #include "row_source_priv.h"
 
 /* Whether the answer comes from a daemon that knows less of what is kept back
--- a/moortack/relay/row_cache.c
+++ b/moortack/replication/row_cache.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/row_cache.h"
+#include "moortack/replication/row_cache.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/moortack/relay/row_follow.c
+++ b/moortack/replication/row_follow.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "moortack/relay/feed_delta.h"
+#include "moortack/replication/feed_delta.h"
 #include "row_source_priv.h"
 
 /* Rows of who is followed that are old for longer are of no use. */
--- a/moortack/relay/row_source_priv.h
+++ b/moortack/replication/row_source_priv.h
@@ -5,10 +5,10 @@
  * other daemons, row_answer.c takes what they tell, fleet_key.c has the key
  * that they know each other by.
  */
-#ifndef MOORTACK_RELAY_ROW_SOURCE_PRIV_H
-#define MOORTACK_RELAY_ROW_SOURCE_PRIV_H
+#ifndef MOORTACK_REPLICATION_ROW_SOURCE_PRIV_H
+#define MOORTACK_REPLICATION_ROW_SOURCE_PRIV_H
 
-#include "moortack/relay/row_source.h"
+#include "moortack/replication/row_source.h"
 
 /** Whether every table was read once. */
 bool row_source_settled(const row_source_t *);
--- a/moortack/relay/row_store.c
+++ b/moortack/replication/row_store.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/row_store.h"
+#include "moortack/replication/row_store.h"
 
 const char *const row_purpose_names[ROW_PURPOSES] = {"read", "reread",
     "changes", "beside", "member", "clearing", "state", "key"};
--- a/moortack/relay/row_watch.c
+++ b/moortack/replication/row_watch.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/row_watch.h"
+#include "moortack/replication/row_watch.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/moortack/relay/value_delta.c
+++ b/moortack/replication/value_delta.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/value_delta.h"
+#include "moortack/replication/value_delta.h"
 
 #include <stdlib.h>
 #include <zstd.h>
--- a/test/fuzz/follow_fuzz.c
+++ b/test/fuzz/follow_fuzz.c
@@ -10,11 +10,11 @@
 #include <string.h>
 
 #include "../../moortack/relay/relay_node_priv.h"
-#include "../../moortack/relay/row_source_priv.h"
+#include "../../moortack/replication/row_source_priv.h"
 #include "../support/manual_clock.h"
 #include "../support/silent_store.h"
 #include "input.h"
-#include "moortack/relay/feed_apply.h"
+#include "moortack/replication/feed_apply.h"
 
 #define DAEMONS 3
 /* Rows are long enough to be told as what changed of them. */
--- a/test/fuzz/lives_fuzz.c
+++ b/test/fuzz/lives_fuzz.c
@@ -17,7 +17,7 @@
 #include "../support/manual_clock.h"
 #include "../support/silent_store.h"
 #include "input.h"
-#include "moortack/relay/membership.h"
+#include "moortack/replication/membership.h"
 
 #define DAEMONS 6
 #define STEPS_MAX 100
--- a/test/support/bytes_same.h
+++ b/test/support/bytes_same.h
@@ -7,7 +7,7 @@
 
 #include <string.h>
 
-#include "moortack/relay/row_cache.h"
+#include "moortack/replication/row_cache.h"
 
 static inline bool
 bytes_same(const void *arg, row_table_t table, const char *key, const char *a,
--- a/test/support/many_members.h
+++ b/test/support/many_members.h
@@ -9,7 +9,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "moortack/relay/membership.h"
+#include "moortack/replication/membership.h"
 
 #define SILENT_MS 4500
 
--- a/test/unit/event_log_test.c
+++ b/test/unit/event_log_test.c
@@ -14,7 +14,7 @@
 #include <unistd.h>
 
 #include "../support/manual_clock.h"
-#include "moortack/relay/event_log.h"
+#include "common/event_log.h"
 
 #define OUT_SIZE (1 << 16)
 
--- a/test/unit/feed_body_test.c
+++ b/test/unit/feed_body_test.c
@@ -16,7 +16,7 @@
 
 #include "../support/bytes_same.h"
 #include "../support/manual_clock.h"
-#include "moortack/relay/feed_body.h"
+#include "moortack/replication/feed_body.h"
 
 #define INCARNATION 7
 #define ENDPOINTS 200
--- a/test/unit/feed_client_test.c
+++ b/test/unit/feed_client_test.c
@@ -16,7 +16,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "moortack/relay/feed_client.h"
+#include "moortack/replication/feed_client.h"
 
 /* An answer is held for half a second at most: who answers is never slow. */
 #define SLOW_EARLIEST_MS 600
--- a/test/unit/feed_delta_test.c
+++ b/test/unit/feed_delta_test.c
@@ -16,9 +16,9 @@
 
 #include "../support/bytes_same.h"
 #include "../support/manual_clock.h"
-#include "moortack/relay/feed_apply.h"
-#include "moortack/relay/feed_delta.h"
-#include "moortack/relay/value_delta.h"
+#include "moortack/replication/feed_apply.h"
+#include "moortack/replication/feed_delta.h"
+#include "moortack/replication/value_delta.h"
 
 #define ROUTES 1400
 #define ROUTE_SIZE 256
--- a/test/unit/feed_pack_test.c
+++ b/test/unit/feed_pack_test.c
@@ -12,7 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "moortack/relay/feed_pack.h"
+#include "moortack/replication/feed_pack.h"
 
 #define LONG_SIZE 200000
 #define HEAD_SIZE 5
--- a/test/unit/member_life_test.c
+++ b/test/unit/member_life_test.c
@@ -14,7 +14,7 @@
 #include <cmocka.h>
 
 #include "common/clock_source.h"
-#include "moortack/relay/member_life.h"
+#include "moortack/replication/member_life.h"
 
 #define SILENT_MS 2100
 #define VOUCH_MS 3000
--- a/test/unit/member_tree_test.c
+++ b/test/unit/member_tree_test.c
@@ -16,7 +16,7 @@
 #include "../support/manual_clock.h"
 #include "../support/many_members.h"
 #include "../support/silent_store.h"
-#include "moortack/relay/membership.h"
+#include "moortack/replication/membership.h"
 
 #define DAEMONS 40
 #define STEP_MS 250
--- a/test/unit/member_wishes_test.c
+++ b/test/unit/member_wishes_test.c
@@ -15,7 +15,7 @@
 #include "../support/manual_clock.h"
 #include "../support/many_members.h"
 #include "../support/silent_store.h"
-#include "moortack/relay/membership.h"
+#include "moortack/replication/membership.h"
 
 #define STEP_MS 200
 #define ROWS_MAX 512
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -18,12 +18,12 @@
 #include "../support/manual_clock.h"
 #include "../support/many_members.h"
 #include "../support/silent_store.h"
-#include "moortack/relay/feed_apply.h"
-#include "moortack/relay/feed_wire.h"
-#include "moortack/relay/membership.h"
-#include "moortack/relay/row_cache.h"
-#include "moortack/relay/row_source.h"
-#include "moortack/relay/row_watch.h"
+#include "moortack/replication/feed_apply.h"
+#include "moortack/replication/feed_wire.h"
+#include "moortack/replication/membership.h"
+#include "moortack/replication/row_cache.h"
+#include "moortack/replication/row_source.h"
+#include "moortack/replication/row_watch.h"
 
 #define OLD_MS 2400
 #define DAEMONS 40
--- a/test/unit/row_watch_test.c
+++ b/test/unit/row_watch_test.c
@@ -13,7 +13,7 @@
 
 #include "../support/manual_clock.h"
 #include "../support/silent_store.h"
-#include "moortack/relay/row_watch.h"
+#include "moortack/replication/row_watch.h"
 
 #define VERSION_READ 12
 #define VERSION_TOLD 14
--- a/test/unit/slow_link_test.c
+++ b/test/unit/slow_link_test.c
@@ -26,8 +26,8 @@
 #include <xxhash.h>
 
 #include "../support/bytes_same.h"
-#include "moortack/relay/feed_client.h"
-#include "moortack/relay/feed_server.h"
+#include "moortack/replication/feed_client.h"
+#include "moortack/replication/feed_server.h"
 
 #define FOLLOWERS 9
 #define ROUTES 1400
