relay: log which request may have run, and that nothing listens at an endpoint

Change: attempt_over has the digest of a request that may have run (path, caller and body, keyed with the fleet's secret), and why=refused where nothing listens at the endpoint's address. The digest is made only for such ends. Ruled out: the caller's own ids, which are new in each try; counts of tokens, which others share.

--- a/common/http_outbound.c
+++ b/common/http_outbound.c
@@ -1,6 +1,7 @@
 #include "common/http_outbound.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -147,12 +148,16 @@
 }
 
 static void
-on_end(http_outbound_t *conn, bool in_order)
+on_end(http_outbound_t *conn, short what)
 {
+	bool in_order = (what & BEV_EVENT_EOF) != 0;
+	bool refused = (what & BEV_EVENT_ERROR) != 0 &&
+	    EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
 	http_read_result_t result;
 
 	if (conn->ops == NULL || !conn->connected) {
-		request_fail(conn, HTTP_OUTBOUND_NOT_SENT);
+		request_fail(conn,
+		    refused ? HTTP_OUTBOUND_REFUSED : HTTP_OUTBOUND_NOT_SENT);
 		return;
 	}
 	if (in_order && conn->answered) {
@@ -177,7 +182,7 @@
 	if ((what & BEV_EVENT_CONNECTED) != 0)
 		on_connected(conn);
 	else
-		on_end(conn, (what & BEV_EVENT_EOF) != 0);
+		on_end(conn, what);
 }
 
 void
--- a/include/common/http_outbound.h
+++ b/include/common/http_outbound.h
@@ -20,6 +20,7 @@
 /** How a request failed on its connection. */
 typedef enum http_outbound_failure {
 	HTTP_OUTBOUND_NOT_SENT,	 /**< never connected: no byte left */
+	HTTP_OUTBOUND_REFUSED,	 /**< the same: nothing listens there */
 	HTTP_OUTBOUND_NO_ANSWER, /**< sent; no byte of an answer came */
 	HTTP_OUTBOUND_BROKEN,	 /**< the answer broke off, or is none */
 } http_outbound_failure_t;
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -51,6 +51,18 @@
 	    (req->route->kind == ROUTE_STREAM && req->route->resumable);
 }
 
+uint64_t
+relay_digest(relay_request_t *req)
+{
+	const relay_t *relay = req->relay;
+
+	if (req->digest == 0 && relay->keyed)
+		req->digest = request_digest(&relay->digest_key,
+		    req->organisation != NULL ? req->organisation->name : "",
+		    http_inbound_request(req->caller)->target, req->body);
+	return req->digest;
+}
+
 static int64_t
 retry_after_ms(relay_t *relay, err_code_t code)
 {
@@ -435,6 +447,13 @@
 	limits_set(relay);
 }
 
+void
+relay_set_secret(relay_t *relay, const char *fleet_secret)
+{
+	request_digest_key_derive(&relay->digest_key, fleet_secret);
+	relay->keyed = true;
+}
+
 bool
 relay_ready(const relay_t *relay)
 {
--- a/moortack/relay/relay_answer.c
+++ b/moortack/relay/relay_answer.c
@@ -313,12 +313,20 @@
 		endpoint_drop_links(attempt->endpoint);
 		req->kept_dead = true;
 	}
-	if (failure == HTTP_OUTBOUND_NOT_SENT)
+	switch (failure) {
+	case HTTP_OUTBOUND_NOT_SENT:
 		attempt_over(req, ATTEMPT_NOT_SENT, "connect");
-	else
-		attempt_over(req, ATTEMPT_UNKNOWN,
-		    failure == HTTP_OUTBOUND_NO_ANSWER ? "no_answer"
-						       : "broken");
+		break;
+	case HTTP_OUTBOUND_REFUSED:
+		attempt_over(req, ATTEMPT_NOT_SENT, "refused");
+		break;
+	case HTTP_OUTBOUND_NO_ANSWER:
+		attempt_over(req, ATTEMPT_UNKNOWN, "no_answer");
+		break;
+	case HTTP_OUTBOUND_BROKEN:
+		attempt_over(req, ATTEMPT_UNKNOWN, "broken");
+		break;
+	}
 }
 
 const http_outbound_ops_t answer_ops = {
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -384,11 +384,12 @@
 	event_line(req->relay->log, "attempt_over",
 	    "id=%s endpoint=%s why=%s end=%d sends=%u kept=%d begun=%d "
 	    "last_event=%" PRId64 " model=%s confidence=%d running=%u "
-	    "waiting=%u",
+	    "waiting=%u digest=%016" PRIx64,
 	    req->arrival.id, attempt->endpoint->facts.id, why, (int)end,
 	    req->sends, attempt->kept, req->begun, req->last_event,
 	    attempt->model != NULL ? attempt->model : "-", req->confidence,
-	    attempt->endpoint->load.running, attempt->endpoint->load.waiting);
+	    attempt->endpoint->load.running, attempt->endpoint->load.waiting,
+	    end == ATTEMPT_UNKNOWN ? relay_digest(req) : 0);
 	if (req->tried_len < TRIED_MAX && end != ATTEMPT_DROPPED)
 		req->tried[req->tried_len++] = attempt->endpoint->hash;
 	if (end == ATTEMPT_NOT_RUN || end == ATTEMPT_FAILED)
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -87,6 +87,7 @@
 	const char *service;
 	uint64_t spread; /**< hash that places it among pools and versions */
 	uint64_t shared; /**< hash of the prompt parts that others have too */
+	uint64_t digest; /**< see relay_digest(); 0: not made yet */
 	struct timespec taken;
 	double before_ms; /**< from the caller's first try until then */
 	int64_t limit_ms; /**< after taken */
@@ -140,6 +141,10 @@
 /** Milliseconds that are left for the answer. */
 int64_t request_left_ms(const relay_request_t *);
 
+/** The name that the request has whenever it comes again; 0: the fleet's
+ * secret is not known yet. */
+uint64_t relay_digest(relay_request_t *);
+
 /** Whether a repeat does no harm. */
 bool request_idempotent(const relay_request_t *);
 
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -346,6 +346,7 @@
 	relay_node_t *node = arg;
 
 	send_notes_set_secret(&node->notes, secret);
+	relay_set_secret(&node->relay, secret);
 }
 
 const row_source_ops_t relay_rows_ops = {on_row, on_restart, on_settled,
--- /dev/null
+++ b/moortack/relay/request_digest.c
@@ -0,0 +1,55 @@
+#include "moortack/relay/request_digest.h"
+
+#include <string.h>
+
+/* Told apart from other uses of the fleet's secret. */
+#define KEY_CONTEXT "moortack request digests 1"
+
+void
+request_digest_key_derive(request_digest_key_t *key, const char *fleet_secret)
+{
+	crypto_generichash(key->bytes, sizeof(key->bytes),
+	    (const uint8_t *)fleet_secret, strlen(fleet_secret),
+	    (const uint8_t *)KEY_CONTEXT, sizeof(KEY_CONTEXT) - 1);
+}
+
+/* The zero at its end separates it from what follows. */
+static void
+text_add(crypto_generichash_state *state, const char *text)
+{
+	crypto_generichash_update(
+	    state, (const uint8_t *)text, strlen(text) + 1);
+}
+
+static void
+body_add(crypto_generichash_state *state, struct evbuffer *body)
+{
+	struct evbuffer_ptr at;
+	struct evbuffer_iovec part;
+
+	evbuffer_ptr_set(body, &at, 0, EVBUFFER_PTR_SET);
+	while (evbuffer_peek(body, -1, &at, &part, 1) > 0) {
+		crypto_generichash_update(state, part.iov_base, part.iov_len);
+		if (evbuffer_ptr_set(
+			body, &at, part.iov_len, EVBUFFER_PTR_ADD) != 0)
+			return;
+	}
+}
+
+uint64_t
+request_digest(const request_digest_key_t *key, const char *caller,
+    const char *target, struct evbuffer *body)
+{
+	uint8_t out[crypto_generichash_BYTES_MIN];
+	crypto_generichash_state state;
+	uint64_t digest;
+
+	crypto_generichash_init(
+	    &state, key->bytes, sizeof(key->bytes), sizeof(out));
+	text_add(&state, caller);
+	text_add(&state, target);
+	body_add(&state, body);
+	crypto_generichash_final(&state, out, sizeof(out));
+	memcpy(&digest, out, sizeof(digest));
+	return digest != 0 ? digest : 1;
+}
--- a/test/unit/http_outbound_test.c
+++ b/test/unit/http_outbound_test.c
@@ -206,6 +206,34 @@
 	assert_int_equal(owner.failed, 0);
 }
 
+static void
+a_port_without_a_listener_is_told_apart(void **state)
+{
+	struct event_base *base = event_base_new();
+	struct sockaddr_in at = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(at);
+	http_address_t address = {.host = "127.0.0.1"};
+	struct evbuffer *head = evbuffer_new();
+	owner_t owner = {.wanted = true, .base = base};
+	int closed = socket(AF_INET, SOCK_STREAM, 0);
+
+	(void)state;
+	assert_int_equal(bind(closed, (struct sockaddr *)&at, len), 0);
+	getsockname(closed, (struct sockaddr *)&at, &len);
+	address.port = ntohs(at.sin_port);
+	owner.conn = http_outbound_new(base, &address, 1000, 2000);
+	evbuffer_add(head, "GET / HTTP/1.1\r\n\r\n", 18);
+	http_outbound_send(owner.conn, &ops, &owner, head, NULL, false);
+	event_base_dispatch(base);
+	assert_int_equal(owner.failed, 1);
+	assert_int_equal(owner.failure, HTTP_OUTBOUND_REFUSED);
+	http_outbound_free(owner.conn);
+	close(closed);
+	evbuffer_free(head);
+	event_base_free(base);
+}
+
 int
 main(void)
 {
@@ -214,6 +242,7 @@
 	    cmocka_unit_test(one_that_is_given_up_while_connecting_does_not),
 	    cmocka_unit_test(a_silent_connection_is_given_up),
 	    cmocka_unit_test(a_server_that_reads_slowly_is_waited_for),
+	    cmocka_unit_test(a_port_without_a_listener_is_told_apart),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
