test: a request that crashes each endpoint it runs on

Cause: nothing remembers what a request did to the endpoints that ran it. Change: a scenario with real processes: a stand-in endpoint that ends on a body, three daemons, sound requests beside.

--- /dev/null
+++ b/test/platform/request_crashes_endpoints.lua
@@ -0,0 +1,61 @@
+-- A request that crashes each endpoint it runs on, sent again and again at any
+-- daemon, among sound requests that are under way at the same endpoints.
+package.path = script_dir .. "/?.lua;" .. package.path
+local words = require("words")
+local lib = words.lib
+local REPLICAS, DAEMONS = 8, 3
+-- The rule: three endpoints, then three more sends once all know of it.
+local CRASHES, SENDS_MORE = 3, 3
+local ROUNDS = 30
+local FAULTS = {crash_on = "poison", pause_ms = 10, events = 20}
+local w = words.world(REPLICAS, DAEMONS)
+for i = 1, REPLICAS do w:faults(i, FAULTS) end
+
+local ended, back_at = 0, {}
+-- Endpoints that ended start again after a while.
+local function endpoints_look()
+  for i = 1, REPLICAS do
+    if back_at[i] and run.now() >= back_at[i] then
+      w:revive(i, FAULTS)
+      back_at[i] = nil
+    elseif not back_at[i] and run.reap(w.replicas[i].pid) then
+      ended = ended + 1
+      back_at[i] = run.now() + 600
+    end
+  end
+end
+
+local refused, sound = 0, {asked = 0, served = 0}
+for round = 1, ROUNDS do
+  local daemon = w.daemons[round % DAEMONS + 1]
+  local streams = {}
+  for i = 1, 6 do
+    streams[i] = words.begin(w.daemons[i % DAEMONS + 1], "/stream/a",
+      {body = "sound " .. round .. "." .. i})
+  end
+  run.sleep(20)
+  local answer = words.call(daemon, "/stream/a", {body = "poison"})
+  lib.check(answer.status ~= 200 and answer.status < 600 and
+    (answer.status == 0 or answer.status >= 500),
+    "a request that crashes its endpoint: %d", answer.status)
+  if answer.status == 503 then refused = refused + 1 end
+  for _, stream in ipairs(streams) do
+    local body = stream:finish().body
+    sound.asked = sound.asked + 1
+    if words.whole(body, 20) then sound.served = sound.served + 1 end
+  end
+  -- The same path and body of another caller is another request.
+  local other = words.call(daemon, "/open/a", {key = false, body = "other"})
+  sound.asked = sound.asked + 1
+  if other.status == 200 then sound.served = sound.served + 1 end
+  endpoints_look()
+  run.sleep(100)
+end
+lib.say("ended=%d refused=%d sound=%d/%d", ended, refused, sound.served,
+  sound.asked)
+lib.check(ended <= CRASHES + SENDS_MORE,
+  "%d endpoints ended by one request", ended)
+lib.check(refused > ROUNDS / 2, "refused %d times of %d", refused, ROUNDS)
+lib.check(sound.served >= 0.9 * sound.asked, "%d of %d sound ones served",
+  sound.served, sound.asked)
+lib.say("ok")
--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -6,7 +6,8 @@
  * "unnamed" leaves out the request's id, "hold" says nothing, "hold_model" does
  * so for one model, "shed" refuses as not run, "fail" answers 500, "cut_after"
  * breaks a stream off after so many events, "stray" answers with another
- * request's id, "id" is its own, "confidence" of its answers, "events" of a
+ * request's id, "crash_on" ends the process once it runs a body that begins so,
+ * "id" is its own, "confidence" of its answers, "events" of a
  * stream, "pause_ms" between them.
  */
 #include <event2/buffer.h>
@@ -15,6 +16,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "common/http_server.h"
 #include "standin/fake.h"
@@ -206,6 +208,17 @@
 	return expected == NULL || id == NULL || strcmp(expected, id) == 0;
 }
 
+static bool
+crashes(struct evhttp_request *req)
+{
+	const char *text =
+	    json_string_value(json_object_get(replica.faults, "crash_on"));
+	struct evbuffer *body = evhttp_request_get_input_buffer(req);
+
+	return text != NULL && text[0] != '\0' &&
+	    evbuffer_search(body, text, strlen(text), NULL).pos == 0;
+}
+
 static void
 serve(struct fake *fake, struct evhttp_request *req)
 {
@@ -229,6 +242,8 @@
 		return;
 	}
 	run_note(req);
+	if (crashes(req))
+		_exit(EXIT_FAILURE);
 	if (is_held(req)) {
 		http_request_watch(req, held_gone, NULL);
 		return;
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -100,6 +100,19 @@
   return replica
 end
 
+-- Start the replica of that number anew where it ended, as another incarnation.
+function World:revive(i, faults)
+  local ended = self.replicas[i]
+  local replica = standin("replica", ended.address, "replica" .. i .. ".log")
+  ended.starts = (ended.starts or 0) + 1
+  replica.starts = ended.starts
+  replica.id = string.format("i-%d-%d", i, ended.starts)
+  self:put("servers", ended.id, nil)
+  self.replicas[i] = replica
+  self:faults(i, faults or {})
+  self:replica(i)
+end
+
 -- The replica has started again under its id; nothing is heard of its earlier
 -- process any more.
 function World:restart(i)
