--- a/common/err.c
+++ b/common/err.c
@@ -27,6 +27,7 @@
     {ERR_NOT_READY, "not_ready", 503, ERR_NOT_RUN, true},
     {ERR_OVERLOAD, "overload", 503, ERR_NOT_RUN, true},
     {ERR_PEERS, "peers", 503, ERR_NOT_RUN, true},
+    {ERR_QUARANTINED, "quarantined", 503, ERR_NOT_RUN, true},
     {ERR_SESSION_TOKEN, "session_token", 400, ERR_NOT_RUN, false},
     {ERR_SETTING, "setting", 500, ERR_NOT_RUN, false},
     {ERR_STORE, "store", 503, ERR_NOT_RUN, true},
--- a/common/event_log.c
+++ b/common/event_log.c
@@ -89,6 +89,7 @@
     [EVENT_THROTTLED_ENDPOINT_GONE] = "endpoint_gone",
     [EVENT_THROTTLED_MEMBER] = "member",
     [EVENT_THROTTLED_MEMBER_GONE] = "member_gone",
+    [EVENT_THROTTLED_SUSPECT] = "suspect",
 };
 
 /* A second that is over is told of, and the next one begins. */
--- a/include/common/event_log.h
+++ b/include/common/event_log.h
@@ -18,6 +18,7 @@
 	EVENT_THROTTLED_ENDPOINT_GONE,
 	EVENT_THROTTLED_MEMBER,
 	EVENT_THROTTLED_MEMBER_GONE,
+	EVENT_THROTTLED_SUSPECT,
 	EVENT_THROTTLES /* count */
 } event_throttle_kind_t;
 
--- a/include/moortack/relay/request_digest.h
+++ b/include/moortack/quarantine/request_digest.h
@@ -4,8 +4,8 @@
  * at any daemon, has the same name. Keyed with the fleet's secret, so that
  * nobody can make two requests with one name.
  */
-#ifndef MOORTACK_RELAY_REQUEST_DIGEST_H
-#define MOORTACK_RELAY_REQUEST_DIGEST_H
+#ifndef MOORTACK_QUARANTINE_REQUEST_DIGEST_H
+#define MOORTACK_QUARANTINE_REQUEST_DIGEST_H
 
 #include <event2/buffer.h>
 #include <sodium.h>
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -17,8 +17,8 @@
 #include "moortack/relay/prefill_rate.h"
 #include "moortack/relay/prefix_memory.h"
 #include "moortack/relay/relay_config.h"
+#include "moortack/relay/relay_quarantine.h"
 #include "moortack/relay/relay_stats.h"
-#include "moortack/relay/request_digest.h"
 #include "moortack/relay/retry_share.h"
 #include "moortack/relay/rollouts.h"
 #include "moortack/relay/send_notes.h"
@@ -66,7 +66,7 @@
 	UT_hash_handle hh;
 } relay_callers_t;
 
-typedef struct relay {
+struct relay {
 	struct event_base *base;
 	const clock_source_t *clock;
 	rng_t *rng;
@@ -94,9 +94,8 @@
 	struct timespec started; /**< since when it listens */
 	uint32_t questions;	 /**< number of the last one */
 	bool leaving;		 /**< new streams are sent elsewhere */
-	request_digest_key_t digest_key;
-	bool keyed; /**< the fleet's secret is known */
-} relay_t;
+	relay_quarantine_t quarantine;
+};
 
 bool relay_init(relay_t *, const http_address_t *listen, err_t *);
 void relay_finish(relay_t *);
@@ -114,9 +113,6 @@
  * sent to it gets no answer beyond what is on the way already. */
 void relay_endpoint_ended(relay_t *, const endpoint_t *);
 
-/** The fleet's secret is known: requests can be told apart. */
-void relay_set_secret(relay_t *, const char *fleet_secret);
-
 /** Whether enough is known to serve. */
 bool relay_ready(const relay_t *);
 
--- /dev/null
+++ b/include/moortack/relay/relay_quarantine.h
@@ -0,0 +1,63 @@
+/**
+ * @file
+ * Keeps requests that crash endpoints from them: collects the crashes that this
+ * daemon sees, tells and hears of others' by datagrams, and keeps verdicts in
+ * the store, where they outlast all daemons.
+ */
+#ifndef MOORTACK_RELAY_RELAY_QUARANTINE_H
+#define MOORTACK_RELAY_RELAY_QUARANTINE_H
+
+#include <event2/buffer.h>
+
+#include "moortack/quarantine/crash_evidence.h"
+#include "moortack/quarantine/quarantine.h"
+#include "moortack/quarantine/request_digest.h"
+#include "moortack/relay/crash_probe.h"
+#include "moortack/relay/send_notes.h"
+#include "moortack/replication/row_store.h"
+
+/** Prefix of the rows of verdicts in the system's table. */
+#define QUARANTINE_PREFIX "quarantine/"
+#define QUARANTINE_NOTES_MAX 32
+
+typedef struct relay relay_t;
+
+typedef struct relay_quarantine {
+	relay_t *relay;
+	row_store_t *store;
+	request_digest_key_t key;
+	bool keyed; /**< the fleet's secret is known */
+	quarantine_t table;
+	crash_evidence_t evidence;
+	crash_probe_t *probes;
+	struct event *stop; /**< requests under way that are refused now */
+	/** Told again once, since datagrams get lost. */
+	send_note_t again[QUARANTINE_NOTES_MAX];
+	size_t again_len;
+	const char *source; /**< of what is taken now, for the log */
+	bool writing;
+	struct timespec write_after;
+	uint64_t crashes; /**< of endpoints, seen by this daemon */
+	uint64_t cleared; /**< requests that ran after a crash */
+} relay_quarantine_t;
+
+bool relay_quarantine_init(relay_quarantine_t *, relay_t *, row_store_t *);
+void relay_quarantine_finish(relay_quarantine_t *);
+/** Requests can be told apart from now on. */
+void relay_quarantine_set_secret(relay_quarantine_t *, const char *secret);
+/** Tell, write and expire what is due; called a few times a second. */
+void relay_quarantine_tick(relay_quarantine_t *);
+
+/** The endpoint's incarnation has ended without leaving. */
+void relay_quarantine_ended(
+    relay_quarantine_t *, const endpoint_t *, const char *how);
+/** Another daemon tells; the argument is a relay. */
+void relay_quarantine_told(void *relay, const send_note_t *);
+
+/** A row whose key begins with QUARANTINE_PREFIX; false fills the error. */
+bool relay_quarantine_row(relay_quarantine_t *, const row_t *, err_t *);
+
+/** Gauges and counters in the Prometheus text format. */
+void relay_quarantine_write(const relay_quarantine_t *, struct evbuffer *out);
+
+#endif
--- a/include/moortack/relay/relay_stats.h
+++ b/include/moortack/relay/relay_stats.h
@@ -33,6 +33,7 @@
 	STAT_EVENTS,
 	STAT_BAD_MESSAGES,
 	STAT_ESCALATED,
+	STAT_SUSPECTS_STOPPED,
 	STATS /* count */
 } relay_counter_t;
 
--- a/include/moortack/relay/row_refusals.h
+++ b/include/moortack/relay/row_refusals.h
@@ -18,9 +18,10 @@
 	ROW_KIND_ORDER,
 	ROW_KIND_ENDPOINT,
 	ROW_KIND_MEMBER,
-	ROW_KIND_STATE, /**< of a roll-out */
-	ROW_KIND_KEY,	/**< of the fleet */
-	ROW_KINDS	/* count */
+	ROW_KIND_STATE,	  /**< of a roll-out */
+	ROW_KIND_KEY,	  /**< of the fleet */
+	ROW_KIND_VERDICT, /**< on a request that crashes endpoints */
+	ROW_KINDS	  /* count */
 } row_kind_t;
 
 /** What is wrong with it. */
--- a/include/moortack/relay/send_note.h
+++ b/include/moortack/relay/send_note.h
@@ -13,6 +13,8 @@
 #include <stdint.h>
 
 #define SEND_NOTE_PREFIXES_MAX 6
+#define SEND_NOTE_DIGESTS_MAX 5
+#define SEND_NOTE_CRASHES_MAX 3
 /** Bytes of a datagram at most. */
 #define SEND_NOTE_SIZE 96
 
@@ -20,7 +22,10 @@
 	NOTE_SENT,     /**< a prompt was sent to the endpoint */
 	NOTE_QUESTION, /**< what the endpoint still has to read, and keeps */
 	NOTE_ANSWER,
-	NOTE_KINDS /* count */
+	NOTE_CRASH,   /**< the endpoint crashed while these requests ran */
+	NOTE_HELD,    /**< the request is refused */
+	NOTE_CLEARED, /**< the request ran without a crash */
+	NOTE_KINDS    /* count */
 } note_kind_t;
 
 typedef struct send_note {
@@ -35,6 +40,13 @@
 						      that others share, the
 						      shortest first */
 	size_t prefixes_len;
+	uint64_t digests[SEND_NOTE_DIGESTS_MAX]; /**< see request_digest() */
+	size_t digests_len;
+	uint32_t version; /**< crash, held: hash of service and version */
+	uint32_t crashes[SEND_NOTE_CRASHES_MAX]; /**< held: hashes of the
+						    incarnations */
+	size_t crashes_len;
+	uint32_t held_ms; /**< held: for how long already */
 } send_note_t;
 
 /** Both ends derive it from the fleet's secret. */
--- a/include/moortack/relay/send_notes.h
+++ b/include/moortack/relay/send_notes.h
@@ -14,6 +14,7 @@
 #include <netinet/in.h>
 
 #include "common/err.h"
+#include "moortack/relay/gossip_peers.h"
 #include "moortack/relay/owners.h"
 #include "moortack/relay/send_note.h"
 
@@ -26,6 +27,8 @@
 	    void *arg, const send_note_t *question, send_note_t *answer);
 	/** The answer to a question of this daemon. */
 	void (*answered)(void *arg, const send_note_t *);
+	/** What another daemon knows of requests that crash endpoints. */
+	void (*crash)(void *arg, const send_note_t *);
 } send_notes_ops_t;
 
 typedef struct send_notes {
@@ -72,6 +75,13 @@
  * @param place the endpoint's */
 void send_notes_tell(send_notes_t *, const char *place, const send_note_t *);
 
+/** Tell all, or the owners of the accounts of the requests that it names. */
+void send_notes_tell_owners(send_notes_t *, const send_note_t *);
+/** Tell each daemon that serves, whatever the size of the fleet. */
+void send_notes_tell_each(send_notes_t *, const send_note_t *);
+/** Whether this daemon keeps the account of the request. */
+bool send_notes_owns(const send_notes_t *, uint64_t digest);
+
 /** Whether questions may be asked now: the fleet has owners, and enough may be
  * sent.
  * @param read_ms as above */
--- a/include/moortack/replication/row_store.h
+++ b/include/moortack/replication/row_store.h
@@ -68,15 +68,16 @@
 
 /** What a call is made for. */
 typedef enum row_purpose {
-	ROW_FOR_READ,	  /**< a whole read of a table, the first one */
-	ROW_FOR_REREAD,	  /**< a further one */
-	ROW_FOR_CHANGES,  /**< by the daemon that others follow */
-	ROW_FOR_BESIDE,	  /**< changes, by one that follows another */
-	ROW_FOR_MEMBER,	  /**< the row of this daemon */
-	ROW_FOR_CLEARING, /**< the rows of daemons that are gone */
-	ROW_FOR_STATE,	  /**< of a roll-out */
-	ROW_FOR_KEY,	  /**< of the fleet */
-	ROW_PURPOSES	  /* count */
+	ROW_FOR_READ,	    /**< a whole read of a table, the first one */
+	ROW_FOR_REREAD,	    /**< a further one */
+	ROW_FOR_CHANGES,    /**< by the daemon that others follow */
+	ROW_FOR_BESIDE,	    /**< changes, by one that follows another */
+	ROW_FOR_MEMBER,	    /**< the row of this daemon */
+	ROW_FOR_CLEARING,   /**< the rows of daemons that are gone */
+	ROW_FOR_STATE,	    /**< of a roll-out */
+	ROW_FOR_KEY,	    /**< of the fleet */
+	ROW_FOR_QUARANTINE, /**< requests that crash endpoints */
+	ROW_PURPOSES	    /* count */
 } row_purpose_t;
 
 /** Names of purposes, for metrics and logs. */
--- a/include/moortack/wire/peer.pb-c.h
+++ b/include/moortack/wire/peer.pb-c.h
@@ -417,7 +417,7 @@
 
 /*
  * A prompt that was just sent to an endpoint, in a datagram to the daemons that
- * choose among the same endpoints.
+ * choose among the same endpoints; or requests under which one crashed.
  */
 struct  Wire__SendNote
 {
@@ -439,9 +439,12 @@
    * the shortest first
    */
   /*
-   * 0: sent, 1: question, 2: answer
+   * 0: sent, 1: question, 2: answer, 3: crash,
    */
   uint32_t kind;
+  /*
+   * 4: held, 5: cleared
+   */
   /*
    * of a question; its answer repeats it
    */
@@ -454,10 +457,31 @@
    * answer: how many of the beginnings it keeps
    */
   uint32_t kept;
+  /*
+   * of requests that ran as the endpoint crashed,
+   */
+  size_t n_digests;
+  uint64_t *digests;
+  /*
+   * or that are refused, or cleared
+   */
+  /*
+   * crash, held: hash of service and version
+   */
+  uint32_t version;
+  /*
+   * held: hashes of the crashed incarnations
+   */
+  size_t n_crashes;
+  uint32_t *crashes;
+  /*
+   * held: for how long already
+   */
+  uint32_t held_ms;
 };
 #define WIRE__SEND_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__send_note__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0 }
 
 
 /* Wire__Standing methods */
--- a/moortack/relay/request_digest.c
+++ b/moortack/quarantine/request_digest.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/request_digest.h"
+#include "moortack/quarantine/request_digest.h"
 
 #include <string.h>
 
--- /dev/null
+++ b/moortack/relay/quarantine_rows.c
@@ -0,0 +1,195 @@
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "moortack/relay/relay.h"
+#include "relay_quarantine_priv.h"
+
+/* Verdicts that one call writes. */
+#define ROWS_MAX 16
+#define KEY_SIZE (sizeof(QUARANTINE_PREFIX) + 16)
+#define WRITE_TIMEOUT_MS 1500
+#define WRITE_RETRY_MS 2000
+#define HEX_DIGITS 16
+
+static void
+key_write(char *key, uint64_t digest)
+{
+	snprintf(key, KEY_SIZE, "%s%016" PRIx64, QUARANTINE_PREFIX, digest);
+}
+
+static char *
+value_text(const relay_quarantine_t *self, const suspect_t *suspect)
+{
+	int64_t at_ms = timespec_ms(suspect->held_at) +
+	    self->relay->members->store_offset_ms;
+	json_t *crashes = json_array();
+	json_t *body;
+	char *text;
+
+	for (size_t i = 0; i < suspect->crashes_len; i++)
+		json_array_append_new(
+		    crashes, json_integer(suspect->crashes[i]));
+	body = json_pack("{s:o, s:I, s:I}", "crashes", crashes, "version",
+	    (json_int_t)suspect->version, "held_ms", (json_int_t)at_ms);
+	text = json_dumps(body, JSON_COMPACT);
+	json_decref(body);
+	return text;
+}
+
+/* What was written is taken for stored once its row is read; a lost answer is
+ * settled the same way. */
+static void
+on_written(void *arg, const row_reply_t *reply)
+{
+	relay_quarantine_t *self = arg;
+
+	self->writing = false;
+	self->relay->members->written |= reply->result == ROW_OK;
+	self->write_after = timespec_after_ms(
+	    clock_elapsed(self->relay->clock), WRITE_RETRY_MS);
+	event_line(self->relay->log, "quarantine_write", "result=%d",
+	    (int)reply->result);
+}
+
+static void
+rows_send(relay_quarantine_t *self, row_change_t *expected,
+    row_change_t *changes, size_t len)
+{
+	self->writing = row_store_write(self->store, ROW_FOR_QUARANTINE,
+	    expected, len, changes, len, WRITE_TIMEOUT_MS, on_written, self);
+}
+
+static bool
+write_due(const relay_quarantine_t *self)
+{
+	return !self->writing && self->relay->members->store_clock_known &&
+	    timespec_ms_between(
+		self->write_after, clock_elapsed(self->relay->clock)) >= 0;
+}
+
+void
+quarantine_rows_write(relay_quarantine_t *self)
+{
+	row_change_t expected[ROWS_MAX], changes[ROWS_MAX];
+	char keys[ROWS_MAX][KEY_SIZE];
+	char *values[ROWS_MAX];
+	size_t len = 0;
+
+	if (!write_due(self))
+		return;
+	for (suspect_t *one = self->table.suspects;
+	     one != NULL && len < ROWS_MAX; one = one->hh.next) {
+		if (!quarantine_is_held(one) || !quarantine_writes(self, one))
+			continue;
+		values[len] = value_text(self, one);
+		if (values[len] == NULL)
+			break;
+		key_write(keys[len], one->digest);
+		expected[len] = (row_change_t){.table = MEMBER_TABLE,
+		    .key = keys[len],
+		    .expected = one->row_version};
+		changes[len] = expected[len];
+		changes[len].value = values[len];
+		len++;
+	}
+	if (len > 0)
+		rows_send(self, expected, changes, len);
+	for (size_t i = 0; i < len; i++)
+		free(values[i]);
+}
+
+/* A row that stays for a failed write has expired for whoever reads it. */
+void
+quarantine_row_remove(relay_quarantine_t *self, const suspect_t *suspect)
+{
+	char key[KEY_SIZE];
+	row_change_t expected = {.table = MEMBER_TABLE,
+	    .key = key,
+	    .expected = suspect->row_version};
+	row_change_t change = {.table = MEMBER_TABLE, .key = key};
+
+	if (suspect->row_version == 0 || !write_due(self))
+		return;
+	key_write(key, suspect->digest);
+	rows_send(self, &expected, &change, 1);
+}
+
+static bool
+key_read(const char *key, uint64_t *digest)
+{
+	const char *text = key + strlen(QUARANTINE_PREFIX);
+	char *end;
+
+	if (strlen(text) != HEX_DIGITS)
+		return false;
+	*digest = strtoull(text, &end, 16);
+	return *end == '\0' && *digest != 0;
+}
+
+static size_t
+crashes_read(const json_t *body, uint32_t *crashes)
+{
+	size_t len = 0, i;
+	const json_t *one;
+
+	json_array_foreach(json_object_get(body, "crashes"), i, one)
+	{
+		if (json_is_integer(one) && len < QUARANTINE_CRASHES)
+			crashes[len++] = (uint32_t)json_integer_value(one);
+	}
+	return len;
+}
+
+static bool
+value_take(relay_quarantine_t *self, uint64_t digest, const json_t *body)
+{
+	const membership_t *members = self->relay->members;
+	const json_t *at = json_object_get(body, "held_ms");
+	uint32_t crashes[QUARANTINE_CRASHES];
+	size_t len = crashes_read(body, crashes);
+	int64_t held_ms = 0;
+
+	if (!json_is_integer(at) || len == 0)
+		return false;
+	if (members->store_clock_known)
+		held_ms = timespec_ms(clock_elapsed(self->relay->clock)) +
+		    members->store_offset_ms - json_integer_value(at);
+	self->source = "store";
+	quarantine_hold(&self->table, digest, crashes, len,
+	    (uint32_t)json_integer_value(json_object_get(body, "version")),
+	    held_ms > 0 ? held_ms : 0);
+	return true;
+}
+
+bool
+relay_quarantine_row(relay_quarantine_t *self, const row_t *row, err_t *err)
+{
+	suspect_t *suspect;
+	uint64_t digest;
+	json_t *body;
+	bool good = true;
+
+	if (!key_read(row->key, &digest))
+		return err_set(err, ERR_NAME, "the key names no request");
+	if (!row->deleted) {
+		body = json_loadb(row->value, row->value_len, 0, NULL);
+		if (body == NULL)
+			return err_set(
+			    err, ERR_UNREADABLE, "the verdict is no JSON");
+		good = value_take(self, digest, body) ||
+		    err_set(
+			err, ERR_BAD_REQUEST, "held_ms or crashes is missing");
+		json_decref(body);
+	}
+	suspect = quarantine_find(&self->table, digest);
+	if (suspect != NULL) {
+		/* A verdict that was taken out or spoilt is written again. */
+		suspect->row_version = row->deleted ? 0 : row->version;
+		suspect->stored = good && !row->deleted;
+		suspect->told = UINT32_MAX;
+	}
+	return good;
+}
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -54,10 +54,10 @@
 uint64_t
 relay_digest(relay_request_t *req)
 {
-	const relay_t *relay = req->relay;
+	const relay_quarantine_t *quarantine = &req->relay->quarantine;
 
-	if (req->digest == 0 && relay->keyed)
-		req->digest = request_digest(&relay->digest_key,
+	if (req->digest == 0 && quarantine->keyed)
+		req->digest = request_digest(&quarantine->key,
 		    req->organisation != NULL ? req->organisation->name : "",
 		    http_inbound_request(req->caller)->target, req->body);
 	return req->digest;
@@ -73,14 +73,14 @@
 	return ms + rng_below(relay->rng, RETRY_SPREAD_MS);
 }
 
-/* Tell a failure of our own: its type, and when to come back if that helps. */
+/* Tell a failure of our own: its type, and when to come back if that helps.
+ * @param ms until then */
 static void
-caller_tell(relay_t *relay, http_inbound_t *caller, err_code_t code)
+caller_tell(relay_t *relay, http_inbound_t *caller, err_code_t code, int64_t ms)
 {
 	const err_info_t *info = err_info(code);
 	struct evbuffer *body = evbuffer_new();
 	char head[REFUSAL_HEAD_SIZE] = "Content-Type: application/json\r\n";
-	int64_t ms = retry_after_ms(relay, code);
 
 	relay->stats.failures[code]++;
 	if (info->retry)
@@ -172,7 +172,11 @@
 {
 	relay_t *relay = req->relay;
 	http_inbound_t *caller = req->caller;
+	int64_t ms = retry_after_ms(relay, code);
 
+	if (code == ERR_QUARANTINED)
+		ms += quarantine_left_ms(
+		    &relay->quarantine.table, relay_digest(req));
 	attempt_cancel(req);
 	if (req->begun) {
 		stats_add(&relay->stats, STAT_STREAMS_CUT, 1);
@@ -184,7 +188,7 @@
 	stats_add(&relay->stats,
 	    err_info(code)->ran == ERR_NOT_RUN ? STAT_REFUSED : STAT_FAILED, 1);
 	request_end(req, err_info(code)->name, why);
-	caller_tell(relay, caller, code);
+	caller_tell(relay, caller, code, ms);
 }
 
 static void
@@ -297,7 +301,7 @@
 	    id, err_info(code)->name, why,
 	    relay->config != NULL ? relay->config->version : 0,
 	    row_watch_age_ms(relay->config_watch), relay->under_way);
-	caller_tell(relay, caller, code);
+	caller_tell(relay, caller, code, retry_after_ms(relay, code));
 }
 
 static void
@@ -447,13 +451,6 @@
 	limits_set(relay);
 }
 
-void
-relay_set_secret(relay_t *relay, const char *fleet_secret)
-{
-	request_digest_key_derive(&relay->digest_key, fleet_secret);
-	relay->keyed = true;
-}
-
 bool
 relay_ready(const relay_t *relay)
 {
--- a/moortack/relay/relay_answer.c
+++ b/moortack/relay/relay_answer.c
@@ -313,6 +313,9 @@
 		endpoint_drop_links(attempt->endpoint);
 		req->kept_dead = true;
 	}
+	attempt->broke = failure == HTTP_OUTBOUND_NO_ANSWER ||
+	    failure == HTTP_OUTBOUND_BROKEN;
+	attempt->refused = failure == HTTP_OUTBOUND_REFUSED;
 	switch (failure) {
 	case HTTP_OUTBOUND_NOT_SENT:
 		attempt_over(req, ATTEMPT_NOT_SENT, "connect");
--- a/moortack/relay/relay_ask.c
+++ b/moortack/relay/relay_ask.c
@@ -194,4 +194,5 @@
 		attempt_begin(req);
 }
 
-const send_notes_ops_t relay_notes_ops = {on_sent, on_asked, on_answered};
+const send_notes_ops_t relay_notes_ops = {
+    on_sent, on_asked, on_answered, relay_quarantine_told};
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -275,6 +275,10 @@
 		attempts_end(req, ERR_OVERLOAD, "no_time_left");
 		return;
 	}
+	if (relay_quarantine_refuses(req)) {
+		attempts_end(req, ERR_QUARANTINED, "quarantined");
+		return;
+	}
 	req->attempt.model = relay_model(req);
 	if (relay_ask(req))
 		return;
@@ -283,6 +287,11 @@
 		return;
 	}
 	relay_ask_end(req);
+	if (!relay_suspect_fits(req)) {
+		if (!relay_suspect_waits(req))
+			attempts_end(req, ERR_NO_ENDPOINT, "last_endpoint");
+		return;
+	}
 	req->place = place;
 	strcpy(req->endpoint_id, place.endpoint->facts.id);
 	if (!connection_get(req, place.endpoint)) {
@@ -312,7 +321,7 @@
 
 	/* The process may have stood still while it connected. */
 	if (req->config == relay->config && endpoint->present &&
-	    !endpoint->facts.leaving &&
+	    !endpoint->facts.leaving && !relay_quarantine_refuses(req) &&
 	    relay_permit(relay, &req->arrival, msg->target, &route,
 		&organisation) == ERR_NONE)
 		return true;
@@ -337,6 +346,10 @@
 		return false;
 	if (request_left_ms(req) < LEFT_MIN_MS)
 		return false;
+	if (end == ATTEMPT_UNKNOWN && relay_suspect_stops(req)) {
+		stats_add(&relay->stats, STAT_SUSPECTS_STOPPED, 1);
+		return false;
+	}
 	if (!relay_repeat_allowed(relay, req->service)) {
 		stats_add(&relay->stats, STAT_REPEATS_DENIED, 1);
 		return false;
@@ -356,6 +369,8 @@
 		req->connects++;
 		stats_add(stats, STAT_CONNECTS_FAILED, 1);
 		endpoint_failed(endpoint);
+		if (req->attempt.refused)
+			relay_attempt_refused(req);
 		break;
 	case ATTEMPT_NOT_RUN:
 		stats_add(stats, STAT_NOT_RUN, 1);
@@ -364,8 +379,11 @@
 		stats_add(stats, STAT_BROKEN, 1);
 		endpoint_failed(endpoint);
 		relay_guard_suspect(req);
+		if (req->attempt.broke)
+			relay_attempt_broke(req);
 		break;
 	case ATTEMPT_FAILED:
+		relay_attempt_survived(req);
 		relay_guard_failed(req);
 		break;
 	case ATTEMPT_DROPPED:
@@ -411,5 +429,6 @@
 attempt_answered(relay_request_t *req)
 {
 	endpoint_worked(req->attempt.endpoint);
+	relay_attempt_survived(req);
 	relay_guard_answered(req);
 }
--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -139,7 +139,7 @@
 }
 
 static void
-option_fill(const relay_request_t *req, size_t index, model_option_t *option)
+option_fill(relay_request_t *req, size_t index, model_option_t *option)
 {
 	const route_model_t *named = &req->route->models[index];
 	const relay_model_t *model = relay_model_known(req, named->name);
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -151,11 +151,13 @@
 	event_line(&node->log, "store_calls",
 	    "all=%" PRIu64 " read=%" PRIu64 " reread=%" PRIu64
 	    " changes=%" PRIu64 " beside=%" PRIu64 " member=%" PRIu64
-	    " clearing=%" PRIu64 " state=%" PRIu64 " key=%" PRIu64,
+	    " clearing=%" PRIu64 " state=%" PRIu64 " key=%" PRIu64
+	    " quarantine=%" PRIu64,
 	    all, calls[ROW_FOR_READ], calls[ROW_FOR_REREAD],
 	    calls[ROW_FOR_CHANGES], calls[ROW_FOR_BESIDE],
 	    calls[ROW_FOR_MEMBER], calls[ROW_FOR_CLEARING],
-	    calls[ROW_FOR_STATE], calls[ROW_FOR_KEY]);
+	    calls[ROW_FOR_STATE], calls[ROW_FOR_KEY],
+	    calls[ROW_FOR_QUARANTINE]);
 }
 
 static void
@@ -212,6 +214,7 @@
 	members_step(node);
 	send_notes_tick(&node->notes);
 	sessions_step(node);
+	relay_quarantine_tick(&node->relay.quarantine);
 	if (rollouts_active(&node->rollouts))
 		relay_guard_look(&node->relay);
 	report_send(node);
@@ -327,6 +330,8 @@
 	snprintf(node->relay.place, sizeof(node->relay.place), "%s",
 	    node->settings.place);
 	if (!relay_init(&node->relay, &node->settings.listen, err) ||
+	    !relay_quarantine_init(
+		&node->relay.quarantine, &node->relay, ports->store) ||
 	    !send_notes_init(&node->notes, ports->base, ports->clock,
 		&node->members, node->settings.peer, &relay_notes_ops,
 		&node->relay, err))
@@ -365,6 +370,7 @@
 {
 	event_free(node->tick);
 	relay_finish(&node->relay);
+	relay_quarantine_finish(&node->relay.quarantine);
 	row_source_finish(&node->source);
 	send_notes_finish(&node->notes);
 	rollouts_finish(&node->rollouts);
--- /dev/null
+++ b/moortack/relay/relay_quarantine.c
@@ -0,0 +1,462 @@
+#include "moortack/relay/relay_quarantine.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "relay_quarantine_priv.h"
+#include "relay_request.h"
+
+/* An endpoint that crashed and can't be reached is gone from the store within
+ * three of its heartbeats. */
+#define EVIDENCE_MS 8000
+/* Crashes under a request from which on it is not sent again by itself. */
+#define SUSPICION_STOPS 2
+/* Where fewer endpoints are left, a suspect could crash the last one. */
+#define LIVE_MIN 2
+/* How often others are told of a verdict. */
+#define TELLS 2
+/* When a daemon that saw one of the crashes tells in the place of one that did
+ * not, and writes: the way to it, and back through the store. */
+#define OTHERS_TELL_MS 300
+#define OTHERS_WRITE_MS 4000
+
+static uint32_t
+version_of(const endpoint_t *endpoint)
+{
+	const endpoint_facts_t *facts = &endpoint->facts;
+
+	return (uint32_t)XXH3_64bits_withSeed(facts->version,
+	    strlen(facts->version),
+	    XXH3_64bits(facts->service, strlen(facts->service)));
+}
+
+static void
+on_held(void *arg, const suspect_t *suspect)
+{
+	relay_quarantine_t *self = arg;
+
+	event_line(self->relay->log, "quarantine",
+	    "digest=%016" PRIx64 " source=%s crashes=%zu endpoints=%08" PRIx32
+	    ",%08" PRIx32 ",%08" PRIx32 " held_ms=%" PRId64 " witnessed=%d",
+	    suspect->digest, self->source, suspect->crashes_len,
+	    suspect->crashes[0], suspect->crashes[1], suspect->crashes[2],
+	    timespec_ms_between(
+		suspect->held_at, clock_elapsed(self->relay->clock)),
+	    suspect->witnessed);
+	event_active(self->stop, 0, 0);
+}
+
+static void
+on_released(void *arg, const suspect_t *suspect, quarantine_end_t why)
+{
+	static const char *const names[] = {[QUARANTINE_CLEARED] = "cleared",
+	    [QUARANTINE_EXPIRED] = "expired",
+	    [QUARANTINE_EVICTED] = "evicted"};
+	relay_quarantine_t *self = arg;
+
+	event_line(self->relay->log, "quarantine_end",
+	    "digest=%016" PRIx64 " why=%s held_ms=%" PRId64, suspect->digest,
+	    names[why],
+	    timespec_ms_between(
+		suspect->held_at, clock_elapsed(self->relay->clock)));
+	if (send_notes_owns(self->relay->notes, suspect->digest))
+		quarantine_row_remove(self, suspect);
+}
+
+static const quarantine_ops_t table_ops = {on_held, on_released};
+
+/* Told now, and once more with the next tick. */
+static void
+note_tell(relay_quarantine_t *self, const send_note_t *note)
+{
+	send_notes_tell_owners(self->relay->notes, note);
+	if (self->again_len < QUARANTINE_NOTES_MAX)
+		self->again[self->again_len++] = *note;
+}
+
+static void
+suspicion_log(const relay_quarantine_t *self, uint64_t digest,
+    const endpoint_t *endpoint, const char *how)
+{
+	event_line_throttled(self->relay->log, EVENT_THROTTLED_SUSPECT,
+	    "digest=%016" PRIx64 " crashes=%zu endpoint=%s how=%s", digest,
+	    quarantine_crashes(&self->table, digest), endpoint->facts.id, how);
+}
+
+void
+relay_quarantine_ended(
+    relay_quarantine_t *self, const endpoint_t *endpoint, const char *how)
+{
+	send_note_t note = {.kind = NOTE_CRASH,
+	    .endpoint = endpoint->short_hash,
+	    .version = version_of(endpoint)};
+	broken_attempt_t broken;
+
+	if (!crash_evidence_open(&self->evidence, endpoint->short_hash))
+		return;
+	self->crashes++;
+	self->source = how;
+	while (crash_evidence_take(
+	    &self->evidence, endpoint->short_hash, &broken)) {
+		if (!quarantine_crash(&self->table, broken.digest,
+			broken.incarnation, broken.version, true))
+			continue;
+		suspicion_log(self, broken.digest, endpoint, how);
+		note.digests[note.digests_len++] = broken.digest;
+		if (note.digests_len < SEND_NOTE_DIGESTS_MAX)
+			continue;
+		note_tell(self, &note);
+		note.digests_len = 0;
+	}
+	if (note.digests_len > 0)
+		note_tell(self, &note);
+}
+
+/* Requests that wait for what a probe tells go on, or end. */
+static void
+waiting_wake(relay_t *relay)
+{
+	relay_request_t *req, *next;
+
+	for (req = relay->first; req != NULL; req = next) {
+		next = req->next;
+		if (!req->awaits_probe)
+			continue;
+		req->awaits_probe = false;
+		attempt_begin(req);
+	}
+}
+
+/* While a request of this daemon goes on there, the endpoint has not ended. */
+static bool
+on_probed(void *arg, endpoint_t *endpoint, probe_result_t result)
+{
+	relay_quarantine_t *self = arg;
+
+	if (result == PROBE_LISTENS)
+		crash_evidence_drop(&self->evidence, endpoint->short_hash);
+	else if (result == PROBE_REFUSED && endpoint->in_flight == 0)
+		relay_quarantine_ended(self, endpoint, "refused");
+	waiting_wake(self->relay);
+	return crash_evidence_open(&self->evidence, endpoint->short_hash);
+}
+
+void
+relay_attempt_broke(relay_request_t *req)
+{
+	relay_quarantine_t *self = &req->relay->quarantine;
+	endpoint_t *endpoint = req->attempt.endpoint;
+	broken_attempt_t broken = {.digest = relay_digest(req),
+	    .incarnation = endpoint->short_hash,
+	    .version = version_of(endpoint),
+	    .at = clock_elapsed(req->relay->clock)};
+
+	/* One that leaves ends when it is done. */
+	if (broken.digest == 0 || endpoint->facts.leaving)
+		return;
+	crash_evidence_note(&self->evidence, &broken);
+	crash_probe_begin(
+	    &self->probes, req->relay->base, endpoint, on_probed, self);
+}
+
+void
+relay_attempt_refused(const relay_request_t *req)
+{
+	const endpoint_t *endpoint = req->attempt.endpoint;
+
+	if (endpoint->in_flight == 0)
+		relay_quarantine_ended(
+		    &req->relay->quarantine, endpoint, "refused");
+}
+
+static void
+cleared_take(relay_quarantine_t *self, uint64_t digest, const char *source)
+{
+	self->source = source;
+	if (quarantine_clear(&self->table, digest))
+		self->cleared++;
+}
+
+void
+relay_attempt_survived(relay_request_t *req)
+{
+	relay_quarantine_t *self = &req->relay->quarantine;
+	send_note_t note = {.kind = NOTE_CLEARED, .digests_len = 1};
+
+	if (HASH_COUNT(self->table.suspects) == 0 ||
+	    quarantine_crashes(&self->table, relay_digest(req)) == 0)
+		return;
+	note.digests[0] = relay_digest(req);
+	event_line_throttled(self->relay->log, EVENT_THROTTLED_SUSPECT,
+	    "digest=%016" PRIx64 " crashes=0 endpoint=%s how=cleared",
+	    relay_digest(req), req->endpoint_id);
+	if (req->on_trial)
+		send_notes_tell_each(req->relay->notes, &note);
+	note_tell(self, &note);
+	cleared_take(self, relay_digest(req), "run");
+}
+
+void
+relay_quarantine_told(void *arg, const send_note_t *note)
+{
+	relay_quarantine_t *self = &((relay_t *)arg)->quarantine;
+	suspect_t *suspect;
+
+	self->source = "told";
+	for (size_t i = 0; i < note->digests_len; i++) {
+		uint64_t digest = note->digests[i];
+
+		if (note->kind == NOTE_CRASH) {
+			quarantine_crash(&self->table, digest, note->endpoint,
+			    note->version, false);
+		} else if (note->kind == NOTE_CLEARED) {
+			cleared_take(self, digest, "told");
+		} else {
+			quarantine_hold(&self->table, digest, note->crashes,
+			    note->crashes_len, note->version, note->held_ms);
+			suspect = quarantine_find(&self->table, digest);
+			if (suspect != NULL)
+				suspect->told = TELLS;
+		}
+	}
+}
+
+/* Whether this daemon is to act on a verdict: the one that keeps the request's
+ * account, or one that saw a crash while nobody else does. */
+static bool
+acts_after(const relay_quarantine_t *self, const suspect_t *suspect, int64_t ms)
+{
+	struct timespec now = clock_elapsed(self->relay->clock);
+
+	return send_notes_owns(self->relay->notes, suspect->digest) ||
+	    (suspect->witnessed &&
+		timespec_ms_between(suspect->held_at, now) >= ms);
+}
+
+bool
+quarantine_writes(const relay_quarantine_t *self, const suspect_t *suspect)
+{
+	return !suspect->stored && acts_after(self, suspect, OTHERS_WRITE_MS);
+}
+
+static void
+verdict_tell(relay_quarantine_t *self, suspect_t *suspect)
+{
+	send_note_t note = {.kind = NOTE_HELD,
+	    .digests = {suspect->digest},
+	    .digests_len = 1,
+	    .version = suspect->version,
+	    .crashes_len = suspect->crashes_len,
+	    .held_ms = (uint32_t)timespec_ms_between(
+		suspect->held_at, clock_elapsed(self->relay->clock))};
+
+	memcpy(note.crashes, suspect->crashes, sizeof(note.crashes));
+	send_notes_tell_each(self->relay->notes, &note);
+	suspect->told++;
+}
+
+/* Whether the service still has endpoints of the version, or none at all. */
+static bool
+version_used(const endpoint_set_t *set, uint32_t version)
+{
+	bool any = false;
+
+	for (const endpoint_t *one = set->endpoints; one != NULL;
+	     one = one->hh.next) {
+		if (version_of(one) == version)
+			return true;
+		any = true;
+	}
+	return !any;
+}
+
+static void
+held_step(relay_quarantine_t *self, suspect_t *suspect)
+{
+	if (!quarantine_is_held(suspect))
+		return;
+	if (suspect->told < TELLS && acts_after(self, suspect, OTHERS_TELL_MS))
+		verdict_tell(self, suspect);
+	if (!suspect->on_trial &&
+	    !version_used(self->relay->endpoints, suspect->version))
+		quarantine_version_gone(&self->table, suspect->version);
+}
+
+void
+relay_quarantine_tick(relay_quarantine_t *self)
+{
+	suspect_t *one, *next;
+
+	for (size_t i = 0; i < self->again_len; i++)
+		send_notes_tell_owners(self->relay->notes, &self->again[i]);
+	self->again_len = 0;
+	crash_evidence_expire(
+	    &self->evidence, clock_elapsed(self->relay->clock), EVIDENCE_MS);
+	if (HASH_COUNT(self->table.suspects) == 0)
+		return;
+	quarantine_expire(&self->table);
+	if (self->table.held == 0)
+		return;
+	HASH_ITER(hh, self->table.suspects, one, next)
+	held_step(self, one);
+	quarantine_rows_write(self);
+}
+
+bool
+relay_quarantine_refuses(relay_request_t *req)
+{
+	relay_quarantine_t *self = &req->relay->quarantine;
+
+	if (self->table.held == 0 || req->on_trial)
+		return false;
+	if (quarantine_admits(&self->table, relay_digest(req),
+		send_notes_owns(req->relay->notes, relay_digest(req)))) {
+		req->on_trial = quarantine_is_held(
+		    quarantine_find(&self->table, relay_digest(req)));
+		return false;
+	}
+	return true;
+}
+
+/* Crashes that count against the request, and those that may turn out so. */
+static size_t
+suspicion_of(relay_request_t *req)
+{
+	const relay_quarantine_t *self = &req->relay->quarantine;
+
+	if (HASH_COUNT(self->table.suspects) == 0 && self->evidence.len == 0)
+		return 0;
+	return quarantine_crashes(&self->table, relay_digest(req)) +
+	    crash_evidence_of(&self->evidence, relay_digest(req));
+}
+
+bool
+relay_suspected(relay_request_t *req)
+{
+	return suspicion_of(req) > 0;
+}
+
+bool
+relay_suspect_stops(relay_request_t *req)
+{
+	return suspicion_of(req) >= SUSPICION_STOPS;
+}
+
+/* Endpoints of the request's service that answered lately. */
+static size_t
+live_count(const relay_request_t *req)
+{
+	const endpoint_group_t *group =
+	    endpoint_set_group(req->relay->endpoints, req->service);
+	size_t count = 0;
+
+	for (size_t i = 0; group != NULL && i < group->len; i++)
+		count += !group->ring[i]->facts.leaving &&
+		    !endpoint_ejected(group->ring[i]) &&
+		    !crash_evidence_open(&req->relay->quarantine.evidence,
+			group->ring[i]->short_hash);
+	return count;
+}
+
+/* A caller's new try is one of up to a hundred requests that were under way at
+ * an endpoint that crashed: not the one that crashed it, most likely. */
+bool
+relay_suspect_fits(relay_request_t *req)
+{
+	size_t suspicion = suspicion_of(req);
+
+	return suspicion == 0 || (suspicion == 1 && req->sends == 0) ||
+	    live_count(req) >= LIVE_MIN;
+}
+
+bool
+relay_suspect_waits(relay_request_t *req)
+{
+	const relay_quarantine_t *self = &req->relay->quarantine;
+
+	req->awaits_probe = self->probes != NULL &&
+	    crash_evidence_of(&self->evidence, relay_digest(req)) > 0;
+	return req->awaits_probe;
+}
+
+/* Its run may still be kept from crashing one more. */
+static void
+request_stop(relay_request_t *req)
+{
+	stats_add(&req->relay->stats, STAT_SUSPECTS_STOPPED, 1);
+	request_fail(req,
+	    req->may_have_run ? ERR_UNKNOWN_OUTCOME : ERR_QUARANTINED,
+	    "quarantined");
+}
+
+static void
+on_stop(evutil_socket_t fd, short what, void *arg)
+{
+	relay_quarantine_t *self = arg;
+	relay_request_t *req, *next;
+	suspect_t *suspect;
+
+	(void)fd;
+	(void)what;
+	for (req = self->relay->first; req != NULL; req = next) {
+		next = req->next;
+		suspect = quarantine_find(&self->table, relay_digest(req));
+		if (quarantine_is_held(suspect) && !suspect->stopped &&
+		    !req->on_trial)
+			request_stop(req);
+	}
+	for (suspect = self->table.suspects; suspect != NULL;
+	     suspect = suspect->hh.next) {
+		suspect->stopped |= quarantine_is_held(suspect);
+		held_step(self, suspect);
+	}
+	quarantine_rows_write(self);
+}
+
+void
+relay_quarantine_set_secret(relay_quarantine_t *self, const char *secret)
+{
+	request_digest_key_derive(&self->key, secret);
+	self->keyed = true;
+}
+
+bool
+relay_quarantine_init(
+    relay_quarantine_t *self, relay_t *relay, row_store_t *store)
+{
+	*self =
+	    (relay_quarantine_t){.relay = relay, .store = store, .source = "-"};
+	quarantine_init(&self->table, relay->clock, &table_ops, self);
+	self->stop = event_new(relay->base, -1, 0, on_stop, self);
+	return self->stop != NULL;
+}
+
+void
+relay_quarantine_finish(relay_quarantine_t *self)
+{
+	crash_probes_finish(&self->probes);
+	quarantine_finish(&self->table);
+	if (self->stop != NULL)
+		event_free(self->stop);
+}
+
+void
+relay_quarantine_write(const relay_quarantine_t *self, struct evbuffer *out)
+{
+	evbuffer_add_printf(out,
+	    "# TYPE moortack_relay_suspects gauge\n"
+	    "moortack_relay_suspects %u\n"
+	    "# TYPE moortack_relay_quarantined gauge\n"
+	    "moortack_relay_quarantined %zu\n"
+	    "# HELP moortack_relay_crashes_total Endpoints that crashed under "
+	    "requests of this daemon.\n"
+	    "# TYPE moortack_relay_crashes_total counter\n"
+	    "moortack_relay_crashes_total %" PRIu64 "\n"
+	    "# HELP moortack_relay_cleared_total Suspected requests that ran "
+	    "without a crash.\n"
+	    "# TYPE moortack_relay_cleared_total counter\n"
+	    "moortack_relay_cleared_total %" PRIu64 "\n",
+	    HASH_COUNT(self->table.suspects), self->table.held, self->crashes,
+	    self->cleared);
+}
--- /dev/null
+++ b/moortack/relay/relay_quarantine_priv.h
@@ -0,0 +1,18 @@
+/**
+ * @file
+ * What the files of the relay's quarantine share: relay_quarantine.c decides
+ * and tells, quarantine_rows.c keeps verdicts in the store.
+ */
+#ifndef MOORTACK_RELAY_RELAY_QUARANTINE_PRIV_H
+#define MOORTACK_RELAY_RELAY_QUARANTINE_PRIV_H
+
+#include "moortack/relay/relay_quarantine.h"
+
+/** Whether this daemon is to write the verdict into the store. */
+bool quarantine_writes(const relay_quarantine_t *, const suspect_t *);
+/** Write the verdicts that are not in the store, unless a write is out. */
+void quarantine_rows_write(relay_quarantine_t *);
+/** Take the row of a verdict out of the store, if it has one. */
+void quarantine_row_remove(relay_quarantine_t *, const suspect_t *);
+
+#endif
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -57,6 +57,8 @@
 	bool counted;	      /**< by the guard of a roll-out */
 	bool paced;	      /**< the same, the pace of its events */
 	bool late_told;	      /**< told to the record of models as late */
+	bool broke;	      /**< its connection ended before its answer */
+	bool refused;	      /**< nothing listens at its endpoint */
 } attempt_t;
 
 /** What the owner of an endpoint says of it. */
@@ -92,6 +94,8 @@
 	double before_ms; /**< from the caller's first try until then */
 	int64_t limit_ms; /**< after taken */
 	struct event *limit;
+	bool on_trial;	   /**< it was refused, and is tried again */
+	bool awaits_probe; /**< of the endpoint that broke off last */
 	bool kept_dead; /**< a kept connection was silent: others may be, too */
 	struct event *silence; /**< the kept connection may be dead; NULL: not
 				  looked for */
@@ -187,8 +191,8 @@
  * @param model index of the route's models, where the router chooses it
  * @param why set if there is none
  * @return whether there is one */
-bool relay_place(
-    const relay_request_t *, size_t model, placement_t *, const char **why);
+bool
+relay_place(relay_request_t *, size_t model, placement_t *, const char **why);
 /** The request is sent there. */
 void relay_place_note(relay_request_t *, const placement_t *, size_t model);
 /** The model that the router names for the next attempt, or NULL. */
@@ -206,6 +210,25 @@
 /** The attempt's endpoint answers: what broke before was not its death. */
 void relay_guard_alive(relay_request_t *);
 
+/** The attempt's connection ended before its answer: its endpoint may have
+ * crashed. */
+void relay_attempt_broke(relay_request_t *);
+/** Nothing listens at the attempt's endpoint. */
+void relay_attempt_refused(const relay_request_t *);
+/** The attempt ran without a crash. */
+void relay_attempt_survived(relay_request_t *);
+/** Whether it is refused since endpoints crash under it. */
+bool relay_quarantine_refuses(relay_request_t *);
+/** Whether an endpoint crashed under it, or may have. */
+bool relay_suspected(relay_request_t *);
+/** Whether it is not sent again by itself: so many did. */
+bool relay_suspect_stops(relay_request_t *);
+/** Whether an endpoint of its service would be left if it crashed one more. */
+bool relay_suspect_fits(relay_request_t *);
+/** Whether it is known soon if the last one crashed under it: attempt_begin()
+ * is called again then. */
+bool relay_suspect_waits(relay_request_t *);
+
 /** The endpoint has answered in good order. */
 void attempt_answered(relay_request_t *);
 /** Pass on an answer that was kept whole. */
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -101,6 +101,9 @@
 		lapsed_keep_back(node);
 		return;
 	}
+	if (!endpoint->facts.leaving)
+		relay_quarantine_ended(
+		    &node->relay.quarantine, endpoint, "gone");
 	end = (row_t){
 	    .key = endpoint->facts.id, .version = version, .deleted = true};
 	row_source_put(&node->source, ROW_TABLE_ENDPOINTS, &end);
@@ -236,6 +239,16 @@
 		row_refusals_note(&node->refusals, ROW_KIND_KEY, row, &err);
 }
 
+static void
+on_verdict_row(relay_node_t *node, const row_t *row)
+{
+	err_t err;
+
+	row_source_put(&node->source, ROW_TABLE_OWN, row);
+	if (!relay_quarantine_row(&node->relay.quarantine, row, &err))
+		row_refusals_note(&node->refusals, ROW_KIND_VERDICT, row, &err);
+}
+
 static void
 on_own_row(relay_node_t *node, const row_t *row)
 {
@@ -243,6 +256,8 @@
 		on_member_row(node, row);
 	} else if (has_prefix(row, ROLLOUT_PREFIX)) {
 		on_state_row(node, row);
+	} else if (has_prefix(row, QUARANTINE_PREFIX)) {
+		on_verdict_row(node, row);
 	} else if (strcmp(row->key, FLEET_KEY_ROW) == 0) {
 		on_key_row(node, row);
 	} else if (has_prefix(row, ROLLOUT_SESSIONS_PREFIX)) {
@@ -346,7 +361,7 @@
 	relay_node_t *node = arg;
 
 	send_notes_set_secret(&node->notes, secret);
-	relay_set_secret(&node->relay, secret);
+	relay_quarantine_set_secret(&node->relay.quarantine, secret);
 }
 
 const row_source_ops_t relay_rows_ops = {on_row, on_restart, on_settled,
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -134,8 +134,8 @@
 }
 
 bool
-relay_place(const relay_request_t *req, size_t index, placement_t *out,
-    const char **why)
+relay_place(
+    relay_request_t *req, size_t index, placement_t *out, const char **why)
 {
 	static candidates_t candidates;
 	static prefix_list_t prefixes;
@@ -159,6 +159,9 @@
 			wish.first_keeps = 0;
 		prompt_see(req, &prefixes, index, &candidates);
 	}
+	/* What may crash it is kept from where most others run. */
+	if (relay_suspected(req))
+		wish.prompt = false;
 	chosen = choose_endpoint(candidates.seen, candidates.len, &wish);
 	if (chosen == SIZE_MAX)
 		return false;
--- a/moortack/relay/relay_stats.c
+++ b/moortack/relay/relay_stats.c
@@ -29,6 +29,7 @@
     {"events", "Events of streams passed on."},
     {"bad_messages", "Messages of callers that are no proper request."},
     {"escalated", "Answers dropped and asked of a larger model."},
+    {"suspects_stopped", "Requests not sent again since endpoints crashed."},
 };
 
 /* Upper bounds in ms: around the objectives of the users, 100 to 3,000. */
--- a/moortack/relay/send_note.c
+++ b/moortack/relay/send_note.c
@@ -37,6 +37,12 @@
 	message.kept = note->kept;
 	message.n_prefixes = note->prefixes_len;
 	message.prefixes = (uint32_t *)(uintptr_t)note->prefixes;
+	message.n_digests = note->digests_len;
+	message.digests = (uint64_t *)(uintptr_t)note->digests;
+	message.version = note->version;
+	message.n_crashes = note->crashes_len;
+	message.crashes = (uint32_t *)(uintptr_t)note->crashes;
+	message.held_ms = note->held_ms;
 	len = wire__send_note__pack(&message, plain);
 	randombytes_buf(out, NONCE);
 	crypto_aead_chacha20poly1305_ietf_encrypt(
@@ -48,6 +54,8 @@
 message_read(send_note_t *note, const Wire__SendNote *message)
 {
 	if (message->n_prefixes > SEND_NOTE_PREFIXES_MAX ||
+	    message->n_digests > SEND_NOTE_DIGESTS_MAX ||
+	    message->n_crashes > SEND_NOTE_CRASHES_MAX ||
 	    message->kind >= NOTE_KINDS)
 		return false;
 	*note = (send_note_t){.kind = (note_kind_t)message->kind,
@@ -56,9 +64,17 @@
 	    .read_ms = message->read_ms,
 	    .wait_ms = message->wait_ms,
 	    .kept = message->kept,
-	    .prefixes_len = message->n_prefixes};
+	    .prefixes_len = message->n_prefixes,
+	    .digests_len = message->n_digests,
+	    .version = message->version,
+	    .crashes_len = message->n_crashes,
+	    .held_ms = message->held_ms};
 	for (size_t i = 0; i < message->n_prefixes; i++)
 		note->prefixes[i] = message->prefixes[i];
+	for (size_t i = 0; i < message->n_digests; i++)
+		note->digests[i] = message->digests[i];
+	for (size_t i = 0; i < message->n_crashes; i++)
+		note->crashes[i] = message->crashes[i];
 	return true;
 }
 
--- a/moortack/relay/send_notes.c
+++ b/moortack/relay/send_notes.c
@@ -22,6 +22,8 @@
 /* Part of what may be sent at once that is left for telling of long prompts:
  * beyond it, questions are asked for those only. */
 #define ASK_PART 0.5
+/* Accounts of requests belong to no place. */
+#define NO_PLACE ""
 
 static bool
 address_read(const char *text, struct sockaddr_in *out)
@@ -81,6 +83,11 @@
 		self->answered++;
 		self->ops->answered(self->arg, note);
 		break;
+	case NOTE_CRASH:
+	case NOTE_HELD:
+	case NOTE_CLEARED:
+		self->ops->crash(self->arg, note);
+		break;
 	case NOTE_KINDS:
 		break;
 	}
@@ -215,18 +222,12 @@
 	return owner != NULL && address_read(owner->peer, out);
 }
 
-void
-send_notes_tell(send_notes_t *self, const char *place, const send_note_t *note)
+static void
+peers_tell(send_notes_t *self, const send_note_t *note)
 {
 	uint8_t bytes[SEND_NOTE_SIZE];
-	struct sockaddr_in owner;
 	size_t len;
 
-	if (self->owners) {
-		if (owner_address(self, place, note->endpoint, &owner))
-			note_send(self, &owner, note);
-		return;
-	}
 	if (self->peers_len == 0)
 		return;
 	len = send_note_seal(note, &self->key, bytes);
@@ -234,6 +235,60 @@
 		bytes_send(self, &self->peers[i], bytes, len);
 }
 
+void
+send_notes_tell(send_notes_t *self, const char *place, const send_note_t *note)
+{
+	struct sockaddr_in owner;
+
+	if (!self->owners)
+		peers_tell(self, note);
+	else if (owner_address(self, place, note->endpoint, &owner))
+		note_send(self, &owner, note);
+}
+
+bool
+send_notes_owns(const send_notes_t *self, uint64_t digest)
+{
+	return owner_of(self->members, NO_PLACE, (uint32_t)digest) == NULL;
+}
+
+void
+send_notes_tell_owners(send_notes_t *self, const send_note_t *note)
+{
+	send_note_t one = *note;
+	struct sockaddr_in owner;
+
+	if (!self->owners) {
+		peers_tell(self, note);
+		return;
+	}
+	one.digests_len = 1;
+	for (size_t i = 0; i < note->digests_len; i++) {
+		one.digests[0] = note->digests[i];
+		if (owner_address(
+			self, NO_PLACE, (uint32_t)one.digests[0], &owner))
+			note_send(self, &owner, &one);
+	}
+}
+
+void
+send_notes_tell_each(send_notes_t *self, const send_note_t *note)
+{
+	uint8_t bytes[SEND_NOTE_SIZE];
+	struct sockaddr_in to;
+	size_t len;
+
+	if (self->fd < 0 || !self->keyed)
+		return;
+	len = send_note_seal(note, &self->key, bytes);
+	for (const member_t *one = self->members->members; one != NULL;
+	     one = one->hh.next) {
+		if (gossip_peer_serves(self->members, one) &&
+		    address_read(one->peer, &to))
+			bytes_send(self, &to, bytes, len);
+	}
+}
+
 bool
 send_notes_may_ask(send_notes_t *self, double read_ms)
 {
--- a/moortack/replication/row_store.c
+++ b/moortack/replication/row_store.c
@@ -1,7 +1,7 @@
 #include "moortack/replication/row_store.h"
 
 const char *const row_purpose_names[ROW_PURPOSES] = {"read", "reread",
-    "changes", "beside", "member", "clearing", "state", "key"};
+    "changes", "beside", "member", "clearing", "state", "key", "quarantine"};
 
 bool
 row_store_read(row_store_t *store, row_purpose_t purpose, const char *table,
--- a/moortack/wire/peer.pb-c.c
+++ b/moortack/wire/peer.pb-c.c
@@ -2210,7 +2210,7 @@
   (ProtobufCMessageInit) wire__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__send_note__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wire__send_note__field_descriptors[11] =
 {
   {
     "endpoint",
@@ -2296,20 +2296,72 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "digests",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wire__SendNote, n_digests),
+    offsetof(Wire__SendNote, digests),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__SendNote, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Wire__SendNote, n_crashes),
+    offsetof(Wire__SendNote, crashes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__SendNote, held_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__send_note__field_indices_by_name[] = {
+  9,   /* field[9] = crashes */
+  7,   /* field[7] = digests */
   0,   /* field[0] = endpoint */
+  10,   /* field[10] = held_ms */
   6,   /* field[6] = kept */
   3,   /* field[3] = kind */
   4,   /* field[4] = number */
   2,   /* field[2] = prefixes */
   1,   /* field[1] = read_ms */
+  8,   /* field[8] = version */
   5,   /* field[5] = wait_ms */
 };
 static const ProtobufCIntRange wire__send_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__send_note__descriptor =
 {
@@ -2319,7 +2371,7 @@
   "Wire__SendNote",
   "wire",
   sizeof(Wire__SendNote),
-  7,
+  11,
   wire__send_note__field_descriptors,
   wire__send_note__field_indices_by_name,
   1,  wire__send_note__number_ranges,
--- a/test/platform/request_crashes_endpoints.lua
+++ b/test/platform/request_crashes_endpoints.lua
@@ -11,6 +11,15 @@
 local w = words.world(REPLICAS, DAEMONS)
 for i = 1, REPLICAS do w:faults(i, FAULTS) end
 
+lib.wait_until("the daemons know of each other", function()
+  for _, daemon in ipairs(w.daemons) do
+    if words.metric(daemon, "gossip_peers") ~= DAEMONS - 1 then
+      return false
+    end
+  end
+  return true
+end)
+
 local ended, back_at = 0, {}
 -- Endpoints that ended start again after a while.
 local function endpoints_look()
--- a/test/unit/request_digest_test.c
+++ b/test/unit/request_digest_test.c
@@ -12,7 +12,7 @@
 
 #include <string.h>
 
-#include "moortack/relay/request_digest.h"
+#include "moortack/quarantine/request_digest.h"
 
 #define SECRET "secret of this fleet"
 
--- a/test/unit/send_note_test.c
+++ b/test/unit/send_note_test.c
@@ -47,6 +47,37 @@
 	assert_false(send_note_open(&read, &other, bytes, len));
 }
 
+static void
+what_crashes_endpoints_is_told_in_one_datagram(void **state)
+{
+	const send_note_t crash = {.kind = NOTE_CRASH,
+	    .endpoint = UINT32_MAX,
+	    .version = UINT32_MAX,
+	    .digests = {UINT64_MAX, 2, 3, 4, UINT64_MAX},
+	    .digests_len = SEND_NOTE_DIGESTS_MAX};
+	const send_note_t verdict = {.kind = NOTE_HELD,
+	    .digests = {UINT64_MAX},
+	    .digests_len = 1,
+	    .version = UINT32_MAX,
+	    .crashes = {UINT32_MAX, 2, UINT32_MAX},
+	    .crashes_len = SEND_NOTE_CRASHES_MAX,
+	    .held_ms = UINT32_MAX};
+	const send_note_t *const notes[] = {&crash, &verdict};
+	uint8_t bytes[SEND_NOTE_SIZE];
+	send_note_key_t key;
+	send_note_t read;
+
+	(void)state;
+	send_note_key_derive(&key, "secret");
+	for (size_t i = 0; i < 2; i++) {
+		size_t len = send_note_seal(notes[i], &key, bytes);
+
+		assert_true(len <= SEND_NOTE_SIZE);
+		assert_true(send_note_open(&read, &key, bytes, len));
+		assert_memory_equal(&read, notes[i], sizeof(read));
+	}
+}
+
 static void
 what_was_changed_is_refused(void **state)
 {
@@ -226,6 +257,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_note_is_read_by_who_has_the_key),
+	    cmocka_unit_test(what_crashes_endpoints_is_told_in_one_datagram),
 	    cmocka_unit_test(what_was_changed_is_refused),
 	    cmocka_unit_test(a_small_fleet_tells_all),
 	    cmocka_unit_test(an_answer_comes_back_as_it_was_told),
