exchange: a job or chat under which engines crash is not sent to one more

Cause: a deferred job whose engine crashes goes back into the queue up to 50 times, and each time to up to EXCHANGE_ATTEMPTS_MAX engines. Change: an exchange is sent no further once two attempts broke off, a job once three did, over all its tries; it then ends as failed. Ruled out: counting tries (a store or a daemon that fails is no reason to end a job).

--- a/include/moortack/exchange/deferred.h
+++ b/include/moortack/exchange/deferred.h
@@ -20,6 +20,9 @@
 /** Answer GET /v1/deferred/ID. @param id what follows the prefix */
 void deferred_collect(front_t *, struct evhttp_request *, const char *id);
 
+/** Runs of the job that broke off so far. */
+uint32_t deferred_broken(const deferred_job_t *);
+
 /** Look for jobs that nobody holds, now and then. */
 void deferred_tick(front_t *);
 
--- a/include/moortack/exchange/exchange.h
+++ b/include/moortack/exchange/exchange.h
@@ -66,6 +66,8 @@
 
 	/* The attempt under way. */
 	uint32_t attempts;
+	uint32_t broken; /**< of them, those that may have run, without an
+			    answer */
 	handle_t tried[EXCHANGE_ATTEMPTS_MAX];
 	handle_t endpoint; /**< HANDLE_NONE: none is held */
 	char endpoint_address[ENDPOINT_ADDRESS_SIZE];
--- a/moortack/exchange/attempt.c
+++ b/moortack/exchange/attempt.c
@@ -17,6 +17,9 @@
 #define RESUME_WAIT_MS 50
 #define ATTEMPT_NAME_SIZE (EXCHANGE_ID_SIZE + 12)
 #define NOT_RUN_HEADER "X-Not-Run"
+/* Endpoints may have crashed under a request whose attempts broke off: after so
+ * many it is not sent to one more by itself. */
+#define BROKEN_MAX 2
 
 static void
 first_byte_note(exchange_t *exchange)
@@ -398,7 +401,9 @@
 	    exchange->attempts >= EXCHANGE_ATTEMPTS_MAX ||
 	    exchange->front->stopping)
 		return false;
-	if (ran && (!exchange->idempotent || exchange->keyed))
+	if (ran &&
+	    (!exchange->idempotent || exchange->keyed ||
+		exchange->broken >= BROKEN_MAX))
 		return false;
 	return retry_budget_spend(&exchange->front->retries);
 }
@@ -426,6 +431,7 @@
 	}
 	exchange_endpoint_release(exchange);
 	exchange->ran = ran;
+	exchange->broken += ran;
 	if (exchange->answer != NULL)
 		evbuffer_drain(
 		    exchange->answer, evbuffer_get_length(exchange->answer));
--- a/moortack/exchange/begin.c
+++ b/moortack/exchange/begin.c
@@ -369,6 +369,7 @@
 		return false;
 	}
 	exchange->job = job;
+	exchange->broken = deferred_broken(job);
 	exchange->phase = PHASE_WAIT;
 	exchange->waiter.deadline = timespec_after_ms(arrival.now, deadline_ms);
 	exchange_try(exchange);
--- a/moortack/exchange/deferred_run.c
+++ b/moortack/exchange/deferred_run.c
@@ -18,6 +18,9 @@
 #define LOOK_MAX_MS 2000
 #define JOBS_MAX 8
 #define TRIES_MAX 50
+/* Runs that broke off, over all tries: a job that crashes its engines does not
+ * go round until none is left. */
+#define BROKEN_MAX 3
 #define BACK_OFF_MS 500
 #define END_RETRY_MS 300
 
@@ -168,6 +171,13 @@
 	    NULL);
 }
 
+uint32_t
+deferred_broken(const deferred_job_t *job)
+{
+	return (uint32_t)json_integer_value(
+	    json_object_get(job->row, "broken"));
+}
+
 static bool
 final_failure(const deferred_job_t *job, err_code_t code)
 {
@@ -178,7 +188,8 @@
 		return true;
 	default:
 		return json_integer_value(json_object_get(job->row, "tries")) >=
-		    TRIES_MAX;
+		    TRIES_MAX ||
+		    deferred_broken(job) >= BROKEN_MAX;
 	}
 }
 
@@ -197,6 +208,7 @@
 	deferred_job_t *job = exchange->job;
 
 	exchange->job = NULL;
+	json_object_set_new(job->row, "broken", json_integer(exchange->broken));
 	job_failed(job, err);
 }
 
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -9,11 +9,13 @@
  *
  * Faults: "down", "slow_ms", "token_ms", "slots", "lag_ms", "cut_after" (cut
  * the next stream after so many tokens), "bad" (a version that fails),
- * "ignore_fence", "leaving", "takes_all" (also while it leaves).
+ * "ignore_fence", "leaving", "takes_all" (also while it leaves), "crash_on"
+ * (the process ends once it runs a prompt that begins so).
  */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "standin/engine_stream.h"
 
@@ -72,6 +74,15 @@
 	return bad != NULL && strcmp(bad, version) == 0;
 }
 
+static bool
+crashes(const engine_t *engine, const char *prompt)
+{
+	const char *text = json_string_value(
+	    json_object_get(engine->fake.faults.all, "crash_on"));
+
+	return text != NULL && strncmp(prompt, text, strlen(text)) == 0;
+}
+
 static void
 completion(engine_t *engine, struct evhttp_request *req, const json_t *body)
 {
@@ -92,6 +103,8 @@
 		return;
 	}
 	run_note(engine, req, id, version);
+	if (crashes(engine, prompt))
+		_exit(EXIT_FAILURE);
 	if (version_bad(engine, version)) {
 		http_answer_json(req, 500, json_object());
 		return;
