quarantine: suspicions outlast the daemons that know of them, fuzzed with an oracle

Cause: fuzz_quarantine (new) found two ways past the bound: a crash was forgotten after five minutes, so that a request that comes rarely was never refused; and daemons that start one after the other lost counts of one and two. Change: a crash counts for an hour; from two crashes on a suspicion stands in the store; a verdict that expires leaves a suspicion of two, so that one more crash renews it. Rows are written again at once when a further crash is known. Ruled out: telling a daemon that starts all suspicions (its peers may have started just before it).

--- a/include/moortack/quarantine/quarantine.h
+++ b/include/moortack/quarantine/quarantine.h
@@ -40,8 +40,9 @@
 	/* What the owner of the table did about its being refused. */
 	bool stopped;	      /**< ended what was under way */
 	uint32_t told;	      /**< how often others were told */
-	bool stored;	      /**< it stands in the store */
+	size_t stored;	      /**< crashes that its row in the store has */
 	uint64_t row_version; /**< of the row there; 0: none */
+	size_t written;	      /**< crashes in the write that is out; 0: none */
 	UT_hash_handle hh;
 } suspect_t;
 
@@ -57,6 +58,8 @@
 	void (*held)(void *arg, const suspect_t *);
 	/** It is refused no longer. */
 	void (*released)(void *arg, const suspect_t *, quarantine_end_t);
+	/** Nothing is known of it from now on. */
+	void (*forgotten)(void *arg, const suspect_t *);
 } quarantine_ops_t;
 
 typedef struct quarantine {
@@ -85,9 +88,12 @@
  * @return whether it was not known */
 bool quarantine_crash(quarantine_t *, uint64_t digest, uint32_t incarnation,
     uint32_t version, bool witnessed);
-/** Another daemon refuses it, for this long already. */
-void quarantine_hold(quarantine_t *, uint64_t digest, const uint32_t *crashes,
-    size_t crashes_len, uint32_t version, int64_t held_ms);
+/** Crashes that another daemon, or the store, knows of; a verdict if there are
+ * enough of them.
+ * @param age_ms since the last one, or since the verdict
+ * @return false: they are too old to count */
+bool quarantine_merge(quarantine_t *, uint64_t digest, const uint32_t *crashes,
+    size_t crashes_len, uint32_t version, int64_t age_ms);
 /** It ran without a crash, here or elsewhere.
  * @return whether crashes had counted against it */
 bool quarantine_clear(quarantine_t *, uint64_t digest);
--- a/moortack/quarantine/quarantine.c
+++ b/moortack/quarantine/quarantine.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /* How long a crash counts against a request that is not refused yet. */
-#define SUSPECT_MS 300000
+#define SUSPECT_MS 3600000
 /* How long a request is refused before it is tried again, and after its last
  * crash at most. */
 #define HELD_MS 600000
@@ -110,6 +110,7 @@
 			victim = one;
 	}
 	suspect_release(self, victim, QUARANTINE_EVICTED);
+	self->ops->forgotten(self->arg, victim);
 	suspect_free(self, victim);
 }
 
@@ -139,15 +140,20 @@
 	return false;
 }
 
-/* The oldest one makes room. */
+/* The oldest one. */
+static void
+crash_drop(suspect_t *suspect)
+{
+	suspect->crashes_len--;
+	memmove(suspect->crashes, suspect->crashes + 1,
+	    suspect->crashes_len * sizeof(suspect->crashes[0]));
+}
+
 static void
 crash_add(suspect_t *suspect, uint32_t incarnation)
 {
-	if (suspect->crashes_len == QUARANTINE_CRASHES) {
-		memmove(suspect->crashes, suspect->crashes + 1,
-		    sizeof(suspect->crashes) - sizeof(suspect->crashes[0]));
-		suspect->crashes_len--;
-	}
+	if (suspect->crashes_len == QUARANTINE_CRASHES)
+		crash_drop(suspect);
 	suspect->crashes[suspect->crashes_len++] = incarnation;
 }
 
@@ -161,7 +167,7 @@
 	suspect->tried_at = (struct timespec){0};
 	suspect->stopped = false;
 	suspect->told = 0;
-	suspect->stored = false;
+	suspect->stored = 0;
 	self->ops->held(self->arg, suspect);
 }
 
@@ -198,28 +204,44 @@
 	return true;
 }
 
-void
-quarantine_hold(quarantine_t *self, uint64_t digest, const uint32_t *crashes,
-    size_t crashes_len, uint32_t version, int64_t held_ms)
+/* Whether it is the verdict that is known, told on another way. */
+static bool
+held_since(const suspect_t *suspect, struct timespec since)
 {
-	suspect_t *suspect;
+	return quarantine_is_held(suspect) &&
+	    timespec_ms_between(suspect->held_at, since) < RENEWED_MS;
+}
+
+bool
+quarantine_merge(quarantine_t *self, uint64_t digest, const uint32_t *crashes,
+    size_t crashes_len, uint32_t version, int64_t age_ms)
+{
+	bool verdict =
+	    crashes_len >= QUARANTINE_CRASHES && age_ms < HELD_MOST_MS;
 	struct timespec since =
-	    timespec_after_ms(clock_elapsed(self->clock), -held_ms);
+	    timespec_after_ms(clock_elapsed(self->clock), -age_ms);
+	suspect_t *suspect;
 
-	if (held_ms >= HELD_MOST_MS)
-		return;
+	if (age_ms >= SUSPECT_MS)
+		return false;
+	/* A verdict that has expired is a suspicion. */
+	if (crashes_len >= QUARANTINE_CRASHES && !verdict)
+		crashes_len = QUARANTINE_CRASHES - 1;
 	suspect = suspect_of(self, digest);
 	if (suspect == NULL || cleared_lately(self, suspect) ||
-	    (is_set(suspect->held_at) &&
-		timespec_ms_between(suspect->held_at, since) < RENEWED_MS))
-		return;
+	    held_since(suspect, since))
+		return true;
 	for (size_t i = 0; i < crashes_len; i++) {
 		if (!crash_known(suspect, crashes[i]))
 			crash_add(suspect, crashes[i]);
 	}
 	suspect->version = version;
-	suspect->crashed_at = since;
-	suspect_hold(self, suspect, since);
+	if (timespec_ms_between(suspect->crashed_at, since) > 0)
+		suspect->crashed_at = since;
+	if (suspect->crashes_len == QUARANTINE_CRASHES &&
+	    (verdict || !quarantine_is_held(suspect)))
+		suspect_hold(self, suspect, since);
+	return true;
 }
 
 bool
@@ -273,15 +295,24 @@
 }
 
 static bool
-expired(const quarantine_t *self, const suspect_t *suspect)
+forgettable(const quarantine_t *self, const suspect_t *suspect)
 {
-	if (is_set(suspect->held_at))
-		return age_ms(self, suspect->crashed_at) >= HELD_MOST_MS;
 	if (suspect->crashes_len == 0)
 		return !cleared_lately(self, suspect);
 	return age_ms(self, suspect->crashed_at) >= SUSPECT_MS;
 }
 
+/* The verdict ends, and one more crash renews it. */
+static void
+verdict_expire(quarantine_t *self, suspect_t *suspect)
+{
+	if (!quarantine_is_held(suspect) ||
+	    age_ms(self, suspect->crashed_at) < HELD_MOST_MS)
+		return;
+	suspect_release(self, suspect, QUARANTINE_EXPIRED);
+	crash_drop(suspect);
+}
+
 void
 quarantine_expire(quarantine_t *self)
 {
@@ -289,9 +320,10 @@
 
 	HASH_ITER(hh, self->suspects, one, next)
 	{
-		if (!expired(self, one))
+		verdict_expire(self, one);
+		if (!forgettable(self, one))
 			continue;
-		suspect_release(self, one, QUARANTINE_EXPIRED);
+		self->ops->forgotten(self->arg, one);
 		suspect_free(self, one);
 	}
 }
--- a/moortack/relay/quarantine_rows.c
+++ b/moortack/relay/quarantine_rows.c
@@ -7,7 +7,7 @@
 #include "moortack/relay/relay.h"
 #include "relay_quarantine_priv.h"
 
-/* Verdicts that one call writes. */
+/* Rows that one call writes. */
 #define ROWS_MAX 16
 #define KEY_SIZE (sizeof(QUARANTINE_PREFIX) + 16)
 #define WRITE_TIMEOUT_MS 1500
@@ -23,7 +23,7 @@
 static char *
 value_text(const relay_quarantine_t *self, const suspect_t *suspect)
 {
-	int64_t at_ms = timespec_ms(suspect->held_at) +
+	int64_t at_ms = timespec_ms(suspect->crashed_at) +
 	    self->relay->members->store_offset_ms;
 	json_t *crashes = json_array();
 	json_t *body;
@@ -33,23 +33,32 @@
 		json_array_append_new(
 		    crashes, json_integer(suspect->crashes[i]));
 	body = json_pack("{s:o, s:I, s:I}", "crashes", crashes, "version",
-	    (json_int_t)suspect->version, "held_ms", (json_int_t)at_ms);
+	    (json_int_t)suspect->version, "crashed_ms", (json_int_t)at_ms);
 	text = json_dumps(body, JSON_COMPACT);
 	json_decref(body);
 	return text;
 }
 
-/* What was written is taken for stored once its row is read; a lost answer is
- * settled the same way. */
+/* The row is read back in any case; its version may serve a next write before. */
 static void
 on_written(void *arg, const row_reply_t *reply)
 {
 	relay_quarantine_t *self = arg;
+	bool done = reply->result == ROW_OK;
 
 	self->writing = false;
-	self->relay->members->written |= reply->result == ROW_OK;
-	self->write_after = timespec_after_ms(
-	    clock_elapsed(self->relay->clock), WRITE_RETRY_MS);
+	self->relay->members->written |= done;
+	if (!done)
+		self->write_after = timespec_after_ms(
+		    clock_elapsed(self->relay->clock), WRITE_RETRY_MS);
+	for (suspect_t *one = self->table.suspects; one != NULL;
+	     one = one->hh.next) {
+		if (done && one->written > 0) {
+			one->stored = one->written;
+			one->row_version = reply->version;
+		}
+		one->written = 0;
+	}
 	event_line(self->relay->log, "quarantine_write", "result=%d",
 	    (int)reply->result);
 }
@@ -82,7 +91,7 @@
 		return;
 	for (suspect_t *one = self->table.suspects;
 	     one != NULL && len < ROWS_MAX; one = one->hh.next) {
-		if (!quarantine_is_held(one) || !quarantine_writes(self, one))
+		if (!quarantine_writes(self, one))
 			continue;
 		values[len] = value_text(self, one);
 		if (values[len] == NULL)
@@ -93,6 +102,7 @@
 		    .expected = one->row_version};
 		changes[len] = expected[len];
 		changes[len].value = values[len];
+		one->written = one->crashes_len;
 		len++;
 	}
 	if (len > 0)
@@ -143,30 +153,56 @@
 	return len;
 }
 
-static bool
+/* @return how many crashes the row names; 0: it is none, or too old */
+static size_t
 value_take(relay_quarantine_t *self, uint64_t digest, const json_t *body)
 {
 	const membership_t *members = self->relay->members;
-	const json_t *at = json_object_get(body, "held_ms");
+	int64_t age_ms = 0;
 	uint32_t crashes[QUARANTINE_CRASHES];
 	size_t len = crashes_read(body, crashes);
-	int64_t held_ms = 0;
 
-	if (!json_is_integer(at) || len == 0)
-		return false;
 	if (members->store_clock_known)
-		held_ms = timespec_ms(clock_elapsed(self->relay->clock)) +
-		    members->store_offset_ms - json_integer_value(at);
+		age_ms = timespec_ms(clock_elapsed(self->relay->clock)) +
+		    members->store_offset_ms -
+		    json_integer_value(json_object_get(body, "crashed_ms"));
 	self->source = "store";
-	quarantine_hold(&self->table, digest, crashes, len,
-	    (uint32_t)json_integer_value(json_object_get(body, "version")),
-	    held_ms > 0 ? held_ms : 0);
+	return quarantine_merge(&self->table, digest, crashes, len,
+		   (uint32_t)json_integer_value(
+		       json_object_get(body, "version")),
+		   age_ms > 0 ? age_ms : 0)
+	    ? len
+	    : 0;
+}
+
+static bool
+value_check(const json_t *body, err_t *err)
+{
+	uint32_t crashes[QUARANTINE_CRASHES];
+
+	if (body == NULL)
+		return err_set(err, ERR_UNREADABLE, "the row is no JSON");
+	if (!json_is_integer(json_object_get(body, "crashed_ms")) ||
+	    crashes_read(body, crashes) == 0)
+		return err_set(
+		    err, ERR_BAD_REQUEST, "crashed_ms or crashes is missing");
 	return true;
 }
 
+/* What has expired, and nobody took out, the first daemon does. */
+static void
+stale_remove(relay_quarantine_t *self, uint64_t digest, const row_t *row)
+{
+	const suspect_t stale = {.digest = digest, .row_version = row->version};
+
+	if (membership_rank(self->relay->members) == 0)
+		quarantine_row_remove(self, &stale);
+}
+
 bool
 relay_quarantine_row(relay_quarantine_t *self, const row_t *row, err_t *err)
 {
+	size_t crashes = 0;
 	suspect_t *suspect;
 	uint64_t digest;
 	json_t *body;
@@ -176,20 +212,21 @@
 		return err_set(err, ERR_NAME, "the key names no request");
 	if (!row->deleted) {
 		body = json_loadb(row->value, row->value_len, 0, NULL);
-		if (body == NULL)
-			return err_set(
-			    err, ERR_UNREADABLE, "the verdict is no JSON");
-		good = value_take(self, digest, body) ||
-		    err_set(
-			err, ERR_BAD_REQUEST, "held_ms or crashes is missing");
+		good = value_check(body, err);
+		if (good)
+			crashes = value_take(self, digest, body);
 		json_decref(body);
 	}
 	suspect = quarantine_find(&self->table, digest);
-	if (suspect != NULL) {
-		/* A verdict that was taken out or spoilt is written again. */
-		suspect->row_version = row->deleted ? 0 : row->version;
-		suspect->stored = good && !row->deleted;
-		suspect->told = UINT32_MAX;
+	if (suspect == NULL) {
+		if (good && !row->deleted)
+			stale_remove(self, digest, row);
+		return good;
 	}
+	/* A row that was taken out or spoilt is written again. */
+	suspect->row_version = row->deleted ? 0 : row->version;
+	suspect->stored = crashes;
+	if (quarantine_is_held(suspect))
+		suspect->told = UINT32_MAX;
 	return good;
 }
--- a/moortack/relay/relay_quarantine.c
+++ b/moortack/relay/relay_quarantine.c
@@ -12,6 +12,8 @@
 #define EVIDENCE_MS 8000
 /* Crashes under a request from which on it is not sent again by itself. */
 #define SUSPICION_STOPS 2
+/* Crashes from which on a suspicion outlasts the daemons that know of it. */
+#define CRASHES_STORED 2
 /* Where fewer endpoints are left, a suspect could crash the last one. */
 #define LIVE_MIN 2
 /* How often others are told of a verdict. */
@@ -60,11 +62,18 @@
 	    names[why],
 	    timespec_ms_between(
 		suspect->held_at, clock_elapsed(self->relay->clock)));
+}
+
+static void
+on_forgotten(void *arg, const suspect_t *suspect)
+{
+	relay_quarantine_t *self = arg;
+
 	if (send_notes_owns(self->relay->notes, suspect->digest))
 		quarantine_row_remove(self, suspect);
 }
 
-static const quarantine_ops_t table_ops = {on_held, on_released};
+static const quarantine_ops_t table_ops = {on_held, on_released, on_forgotten};
 
 /* Told now, and once more with the next tick. */
 static void
@@ -173,9 +182,14 @@
 static void
 cleared_take(relay_quarantine_t *self, uint64_t digest, const char *source)
 {
+	suspect_t *suspect = quarantine_find(&self->table, digest);
+
 	self->source = source;
-	if (quarantine_clear(&self->table, digest))
-		self->cleared++;
+	if (!quarantine_clear(&self->table, digest))
+		return;
+	self->cleared++;
+	if (send_notes_owns(self->relay->notes, digest))
+		quarantine_row_remove(self, suspect);
 }
 
 void
@@ -213,7 +227,7 @@
 		} else if (note->kind == NOTE_CLEARED) {
 			cleared_take(self, digest, "told");
 		} else {
-			quarantine_hold(&self->table, digest, note->crashes,
+			quarantine_merge(&self->table, digest, note->crashes,
 			    note->crashes_len, note->version, note->held_ms);
 			suspect = quarantine_find(&self->table, digest);
 			if (suspect != NULL)
@@ -231,13 +245,15 @@
 
 	return send_notes_owns(self->relay->notes, suspect->digest) ||
 	    (suspect->witnessed &&
-		timespec_ms_between(suspect->held_at, now) >= ms);
+		timespec_ms_between(suspect->crashed_at, now) >= ms);
 }
 
 bool
 quarantine_writes(const relay_quarantine_t *self, const suspect_t *suspect)
 {
-	return !suspect->stored && acts_after(self, suspect, OTHERS_WRITE_MS);
+	return suspect->crashes_len >= CRASHES_STORED &&
+	    suspect->crashes_len > suspect->stored &&
+	    acts_after(self, suspect, OTHERS_WRITE_MS);
 }
 
 static void
@@ -296,8 +312,6 @@
 	if (HASH_COUNT(self->table.suspects) == 0)
 		return;
 	quarantine_expire(&self->table);
-	if (self->table.held == 0)
-		return;
 	HASH_ITER(hh, self->table.suspects, one, next)
 	held_step(self, one);
 	quarantine_rows_write(self);
