--- a/include/moortack/relay/relay_quarantine.h
+++ b/include/moortack/relay/relay_quarantine.h
@@ -37,8 +37,9 @@
 	const char *source; /**< of what is taken now, for the log */
 	bool writing;
 	struct timespec write_after;
-	uint64_t crashes; /**< of endpoints, seen by this daemon */
-	uint64_t cleared; /**< requests that ran after a crash */
+	struct timespec looked_at; /**< at the versions in use */
+	uint64_t crashes;	   /**< of endpoints, seen by this daemon */
+	uint64_t cleared;	   /**< requests that ran after a crash */
 } relay_quarantine_t;
 
 bool relay_quarantine_init(relay_quarantine_t *, relay_t *, row_store_t *);
--- a/include/moortack/relay/relay_stats.h
+++ b/include/moortack/relay/relay_stats.h
@@ -34,6 +34,7 @@
 	STAT_BAD_MESSAGES,
 	STAT_ESCALATED,
 	STAT_SUSPECTS_STOPPED,
+	STAT_CRASH_PROBES,
 	STATS /* count */
 } relay_counter_t;
 
--- a/moortack/relay/quarantine_rows.c
+++ b/moortack/relay/quarantine_rows.c
@@ -39,7 +39,7 @@
 	return text;
 }
 
-/* The row is read back in any case; its version may serve a next write before. */
+/* The row is read back in any case; its version serves a write before that. */
 static void
 on_written(void *arg, const row_reply_t *reply)
 {
--- a/moortack/relay/relay_quarantine.c
+++ b/moortack/relay/relay_quarantine.c
@@ -22,15 +22,22 @@
  * not, and writes: the way to it, and back through the store. */
 #define OTHERS_TELL_MS 300
 #define OTHERS_WRITE_MS 4000
+/* How often it is looked whether a version that crashed is still in use. */
+#define LOOK_MS 2000
+#define SERVICE_MASK 0xffff0000U
 
+/* The upper half names the service, so that its other versions are told apart
+ * from other services'. */
 static uint32_t
 version_of(const endpoint_t *endpoint)
 {
 	const endpoint_facts_t *facts = &endpoint->facts;
+	uint64_t service = XXH3_64bits(facts->service, strlen(facts->service));
+	uint64_t version = XXH3_64bits_withSeed(
+	    facts->version, strlen(facts->version), service);
 
-	return (uint32_t)XXH3_64bits_withSeed(facts->version,
-	    strlen(facts->version),
-	    XXH3_64bits(facts->service, strlen(facts->service)));
+	return ((uint32_t)service & SERVICE_MASK) |
+	    ((uint32_t)version & ~SERVICE_MASK);
 }
 
 static void
@@ -69,7 +76,8 @@
 {
 	relay_quarantine_t *self = arg;
 
-	if (send_notes_owns(self->relay->notes, suspect->digest))
+	if (suspect->row_version != 0 &&
+	    send_notes_owns(self->relay->notes, suspect->digest))
 		quarantine_row_remove(self, suspect);
 }
 
@@ -143,6 +151,7 @@
 {
 	relay_quarantine_t *self = arg;
 
+	stats_add(&self->relay->stats, STAT_CRASH_PROBES, 1);
 	if (result == PROBE_LISTENS)
 		crash_evidence_drop(&self->evidence, endpoint->short_hash);
 	else if (result == PROBE_REFUSED && endpoint->in_flight == 0)
@@ -272,48 +281,54 @@
 	suspect->told++;
 }
 
-/* Whether the service still has endpoints of the version, or none at all. */
+/* Whether the service has endpoints, and none of the version that crashed. */
 static bool
-version_used(const endpoint_set_t *set, uint32_t version)
+version_gone(const endpoint_set_t *set, uint32_t version)
 {
-	bool any = false;
+	bool others = false;
 
 	for (const endpoint_t *one = set->endpoints; one != NULL;
 	     one = one->hh.next) {
-		if (version_of(one) == version)
-			return true;
-		any = true;
+		uint32_t known = version_of(one);
+
+		if (known == version)
+			return false;
+		others |= (known & SERVICE_MASK) == (version & SERVICE_MASK);
 	}
-	return !any;
+	return others;
 }
 
+/* @param look at the versions in use */
 static void
-held_step(relay_quarantine_t *self, suspect_t *suspect)
+held_step(relay_quarantine_t *self, suspect_t *suspect, bool look)
 {
 	if (!quarantine_is_held(suspect))
 		return;
 	if (suspect->told < TELLS && acts_after(self, suspect, OTHERS_TELL_MS))
 		verdict_tell(self, suspect);
-	if (!suspect->on_trial &&
-	    !version_used(self->relay->endpoints, suspect->version))
+	if (look && !suspect->on_trial &&
+	    version_gone(self->relay->endpoints, suspect->version))
 		quarantine_version_gone(&self->table, suspect->version);
 }
 
 void
 relay_quarantine_tick(relay_quarantine_t *self)
 {
+	struct timespec now = clock_elapsed(self->relay->clock);
+	bool look = timespec_ms_between(self->looked_at, now) >= LOOK_MS;
 	suspect_t *one, *next;
 
 	for (size_t i = 0; i < self->again_len; i++)
 		send_notes_tell_owners(self->relay->notes, &self->again[i]);
 	self->again_len = 0;
-	crash_evidence_expire(
-	    &self->evidence, clock_elapsed(self->relay->clock), EVIDENCE_MS);
+	crash_evidence_expire(&self->evidence, now, EVIDENCE_MS);
+	if (look)
+		self->looked_at = now;
 	if (HASH_COUNT(self->table.suspects) == 0)
 		return;
 	quarantine_expire(&self->table);
 	HASH_ITER(hh, self->table.suspects, one, next)
-	held_step(self, one);
+	held_step(self, one, look);
 	quarantine_rows_write(self);
 }
 
@@ -321,16 +336,16 @@
 relay_quarantine_refuses(relay_request_t *req)
 {
 	relay_quarantine_t *self = &req->relay->quarantine;
+	uint64_t digest;
 
 	if (self->table.held == 0 || req->on_trial)
 		return false;
-	if (quarantine_admits(&self->table, relay_digest(req),
-		send_notes_owns(req->relay->notes, relay_digest(req)))) {
-		req->on_trial = quarantine_is_held(
-		    quarantine_find(&self->table, relay_digest(req)));
+	digest = relay_digest(req);
+	if (!quarantine_is_held(quarantine_find(&self->table, digest)))
 		return false;
-	}
-	return true;
+	req->on_trial = quarantine_admits(
+	    &self->table, digest, send_notes_owns(req->relay->notes, digest));
+	return !req->on_trial;
 }
 
 /* Crashes that count against the request, and those that may turn out so. */
@@ -423,7 +438,7 @@
 	for (suspect = self->table.suspects; suspect != NULL;
 	     suspect = suspect->hh.next) {
 		suspect->stopped |= quarantine_is_held(suspect);
-		held_step(self, suspect);
+		held_step(self, suspect, false);
 	}
 	quarantine_rows_write(self);
 }
--- a/moortack/relay/relay_stats.c
+++ b/moortack/relay/relay_stats.c
@@ -30,6 +30,7 @@
     {"bad_messages", "Messages of callers that are no proper request."},
     {"escalated", "Answers dropped and asked of a larger model."},
     {"suspects_stopped", "Requests not sent again since endpoints crashed."},
+    {"crash_probes", "Looks whether an endpoint that broke off listens."},
 };
 
 /* Upper bounds in ms: around the objectives of the users, 100 to 3,000. */
