replication: rows are ordered by (era, number), and an older copy of the store brings nothing back

Cause: nothing read Store-Era. After a return from an older copy rows were told apart by numbers that are given out again: what the operator and the endpoints wrote since stayed unseen until the numbers had passed the old ones, feeds went on from numbers of the other history, and conditions were met by other rows.

Change: the adapter makes one version of era and number; answers of another era continue nothing, late ones of an earlier era are dropped, conditions of one are met by no row. The configuration in force holds until a document of a later own version comes; who leaves or had gone stays so until its entry is written again; an order with known words is that order, a state never steps back and is written again. A daemon that starts once the era is over 0 asks others before it trusts the store, also one whose rows came through its own last run.

Ruled out: a field for the era beside each version (fourteen comparisons, each to be found); taking a document back because its row is newer.

Three new unit tests of roll-outs, four of the adapter.

--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -74,6 +74,8 @@
 	struct timespec store_back; /**< when the store answered again */
 	bool lapses;		    /**< entries may have gone in an outage */
 	bool members_read;	    /**< the rows of the daemons, once */
+	uint64_t era;		    /**< of the store, as last read */
+	uint64_t rows_kept;	    /**< that an older copy had otherwise */
 	struct event *tick;
 	struct timespec reported;
 	uint64_t calls_told; /**< to the store, in the last line of them */
--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -48,9 +48,10 @@
 	 * up once it is known how that one ends. Number 0: none. */
 	rollout_order_t next;
 	struct timespec next_seen;
-	struct timespec seen;  /**< the order, by this daemon's clock */
-	rollout_state_t state; /**< as the store has it */
-	uint64_t state_order;  /**< order that the state is of */
+	rollout_order_t before; /**< the order that this one took over from */
+	struct timespec seen;	/**< the order, by this daemon's clock */
+	rollout_state_t state;	/**< as the store has it */
+	uint64_t state_order;	/**< order that the state is of */
 	char state_to[ENDPOINT_NAME_SIZE];   /**< version of that order */
 	char state_base[ENDPOINT_NAME_SIZE]; /**< which it replaces; "": not
 						known */
--- a/include/moortack/replication/row_store.h
+++ b/include/moortack/replication/row_store.h
@@ -24,7 +24,7 @@
 	const char *key;
 	const char *value; /**< ended by a zero; NULL when deleted */
 	size_t value_len;  /**< bytes */
-	uint64_t version;
+	uint64_t version;  /**< see era_version.h */
 	bool deleted;
 } row_t;
 
@@ -87,6 +87,7 @@
 struct row_store {
 	const row_store_ops_t *ops;
 	uint64_t calls[ROW_PURPOSES]; /**< made */
+	uint64_t era;		      /**< the latest that it told */
 };
 
 /* The functions of the store's table, counted by what they are for. */
--- a/include/platform/store_rows.h
+++ b/include/platform/store_rows.h
@@ -22,8 +22,9 @@
 /** An answer's body, or NULL: it is no JSON. @param text may be NULL */
 json_t *store_body_read(const char *text, size_t len);
 
-/** Its rows; the body has to outlive them. */
-void store_rows_read(const json_t *body, store_rows_t *);
+/** Its rows; the body has to outlive them. @param era of the store that told it
+ */
+void store_rows_read(const json_t *body, uint64_t era, store_rows_t *);
 void store_rows_free(store_rows_t *);
 
 #endif
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -1,6 +1,8 @@
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "moortack/replication/era_version.h"
 #include "relay_node_priv.h"
 
 /* An endpoint's entry goes after three beats of silence, over three seconds
@@ -14,22 +16,68 @@
 	return strncmp(row->key, prefix, strlen(prefix)) == 0;
 }
 
+/* Whether the store came back from an older copy since the row was known. */
+static bool
+of_later_era(const cached_row_t *known, const row_t *row)
+{
+	return known != NULL &&
+	    era_version_era(row->version) > era_version_era(known->version);
+}
+
+/* What is known holds on, at the place in the order that the older row has. */
 static void
-config_row(relay_node_t *node, const row_t *row)
+known_keep(relay_node_t *node, row_table_t table, const cached_row_t *known,
+    const row_t *row)
 {
-	err_t err;
-	relay_config_t *config;
+	row_t kept = {.key = row->key,
+	    .value_len = known->value_len,
+	    .version = row->version,
+	    .deleted = known->value == NULL};
+	char *value = malloc(known->value_len + 1);
 
-	if (row->deleted)
+	if (value == NULL)
 		return;
-	config = node->ports.sources->config(
-	    row->value, row->value_len, node->relay.config, &err);
-	if (config == NULL) {
+	if (known->value != NULL)
+		memcpy(value, known->value, known->value_len);
+	value[known->value_len] = '\0';
+	kept.value = kept.deleted ? NULL : value;
+	row_source_put(&node->source, table, &kept);
+	free(value);
+	node->rows_kept++;
+}
+
+/* A configuration says by its own version which one is later. */
+static bool
+config_steps_back(const relay_node_t *node, const cached_row_t *known,
+    const row_t *row, const relay_config_t *config)
+{
+	return of_later_era(known, row) && known->value != NULL &&
+	    node->relay.config != NULL &&
+	    (row->deleted ||
+		(config != NULL &&
+		    config->version < node->relay.config->version));
+}
+
+static void
+on_config_row(relay_node_t *node, const row_t *row)
+{
+	const cached_row_t *known =
+	    row_cache_find(&node->source.cache, ROW_TABLE_ORDERS, row->key);
+	relay_config_t *config = NULL;
+	err_t err;
+
+	if (!row->deleted)
+		config = node->ports.sources->config(
+		    row->value, row->value_len, node->relay.config, &err);
+	if (config_steps_back(node, known, row, config))
+		known_keep(node, ROW_TABLE_ORDERS, known, row);
+	else
+		row_source_put(&node->source, ROW_TABLE_ORDERS, row);
+	if (config != NULL)
+		relay_configure(&node->relay, config);
+	else if (!row->deleted)
 		/* The last good one stays in force. */
 		row_refusals_note(&node->refusals, ROW_KIND_CONFIG, row, &err);
-		return;
-	}
-	relay_configure(&node->relay, config);
 }
 
 static void
@@ -52,10 +100,12 @@
 {
 	const source_dialect_t *sources = node->ports.sources;
 
+	if (strcmp(row->key, sources->config_key) == 0) {
+		on_config_row(node, row);
+		return;
+	}
 	row_source_put(&node->source, ROW_TABLE_ORDERS, row);
-	if (strcmp(row->key, sources->config_key) == 0)
-		config_row(node, row);
-	else if (has_prefix(row, sources->rollout_prefix))
+	if (has_prefix(row, sources->rollout_prefix))
 		order_row(node, row);
 }
 
@@ -166,6 +216,25 @@
 		row_source_put(&node->source, ROW_TABLE_ENDPOINTS, &end);
 }
 
+/* An endpoint that had gone is not back because an older copy names it, until
+ * it writes again. Others tell of each of its rows no more than once. */
+static bool
+end_holds(const relay_node_t *node, const cached_row_t *known, const row_t *row)
+{
+	return !node->source.taking && of_later_era(known, row) &&
+	    known->value == NULL;
+}
+
+/* Nor is one in use again that leaves. */
+static bool
+leaving_holds(const cached_row_t *known, const row_t *row,
+    const endpoint_t *endpoint, const endpoint_facts_t *facts)
+{
+	return of_later_era(known, row) && known->value != NULL &&
+	    endpoint != NULL && endpoint->facts.leaving && !facts->leaving &&
+	    endpoint_entry_order(endpoint, facts) == ENTRY_SAME;
+}
+
 static void
 on_endpoint_row(relay_node_t *node, const row_t *row)
 {
@@ -180,6 +249,10 @@
 		no_endpoint(node, endpoint, row);
 		return;
 	}
+	if (end_holds(node, known, row)) {
+		known_keep(node, ROW_TABLE_ENDPOINTS, known, row);
+		return;
+	}
 	if (!node->ports.sources->endpoint(
 		row->key, row->value, row->value_len, &facts, &err)) {
 		row_refusals_note(
@@ -187,6 +260,10 @@
 		no_endpoint(node, endpoint, row);
 		return;
 	}
+	if (leaving_holds(known, row, endpoint, &facts)) {
+		known_keep(node, ROW_TABLE_ENDPOINTS, known, row);
+		return;
+	}
 	row_source_put(&node->source, ROW_TABLE_ENDPOINTS, row);
 	endpoint_taken(node, &facts, news);
 }
@@ -289,11 +366,26 @@
 	}
 }
 
+/* The store came back from an older copy: entries of endpoints that are not in
+ * it may be written again, as after an outage. */
 static void
 on_restart(void *arg, row_table_t table)
 {
-	(void)arg;
+	relay_node_t *node = arg;
+	uint64_t era = node->ports.store->era;
+
 	(void)table;
+	if (era <= node->era)
+		return;
+	if (node->relay.config != NULL) {
+		node->lapses = true;
+		node->store_back = clock_elapsed(node->ports.clock);
+	}
+	event_line(&node->log, "store_era",
+	    "era=%" PRIu64 " before=%" PRIu64 " config=%" PRIu64, era,
+	    node->era,
+	    node->relay.config != NULL ? node->relay.config->version : 0);
+	node->era = era;
 }
 
 static void
--- a/moortack/relay/rollouts.c
+++ b/moortack/relay/rollouts.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "moortack/replication/era_version.h"
+
 #define TICK_US 200000
 #define WRITE_TIMEOUT_MS 1500
 /* The first in the order of members acts at once, each later one waits. */
@@ -159,6 +161,7 @@
 {
 	rollouts_t *self = rollout->owner;
 
+	rollout->before = rollout->order;
 	rollout->order.number = order->number;
 	strcpy(rollout->order.to, order->to);
 	rollout->order.duration_ms = order->duration_ms;
@@ -204,13 +207,42 @@
 		order_take(rollout, &next);
 }
 
+static bool
+same_words(const rollout_order_t *a, const rollout_order_t *b)
+{
+	return a->number != 0 && strcmp(a->to, b->to) == 0 &&
+	    a->duration_ms == b->duration_ms;
+}
+
+/* The store came back from an older copy: the order that is known is not given
+ * again when it is read, or written, anew, nor is the one before it.
+ * @return whether it is one of these */
+static bool
+order_known(rollout_t *rollout, const rollout_order_t *order)
+{
+	if (era_version_era(order->number) <=
+	    era_version_era(rollout->order.number))
+		return false;
+	if (same_words(&rollout->order, order)) {
+		if (rollout->state_order == rollout->order.number)
+			rollout->state_order = order->number;
+		rollout->order.number = order->number;
+		rollout->state_spoilt = rollout->state_order != 0;
+		return true;
+	}
+	return same_words(&rollout->before, order) &&
+	    era_version_number(rollout->before.number) ==
+	    era_version_number(order->number);
+}
+
 void
 rollouts_order(rollouts_t *self, const rollout_order_t *order)
 {
 	rollout_t *rollout = rollout_of(self, order->service);
 
 	if (rollout == NULL || order->number <= rollout->order.number ||
-	    order->number <= rollout->next.number)
+	    order->number <= rollout->next.number ||
+	    order_known(rollout, order))
 		return;
 	if (order_over(rollout)) {
 		order_take(rollout, order);
@@ -232,6 +264,31 @@
 	self->now_known = true;
 }
 
+/* How far a roll-out has come; it never goes back. */
+static int
+progress_of(rollout_state_t state)
+{
+	switch (state) {
+	case ROLLOUT_NONE:
+		return 0;
+	case ROLLOUT_IN_PROGRESS:
+		return 1;
+	case ROLLOUT_COMPLETED:
+	case ROLLOUT_REVERTED:
+		break;
+	}
+	return 2;
+}
+
+/* An older copy of the store tells of a roll-out what was so before. */
+static bool
+state_steps_back(const rollout_t *rollout, const state_facts_t *facts)
+{
+	return rollout->state_order != 0 &&
+	    (strcmp(facts->to, rollout->state_to) != 0 ||
+		progress_of(facts->state) < progress_of(rollout->state));
+}
+
 static void
 state_set(rollout_t *rollout, const state_facts_t *facts)
 {
@@ -248,12 +305,15 @@
 {
 	rollout_t *rollout =
 	    rollout_of(self, row->key + strlen(ROLLOUT_PREFIX));
+	uint64_t era = era_version_era(row->version);
 	state_facts_t facts;
+	bool restored;
 
 	if (rollout == NULL)
 		return err_set(err, ERR_NAME, "the service's name is too long");
 	if (row->version <= rollout->state_version)
 		return true;
+	restored = era > era_version_era(rollout->state_version);
 	rollout->state_version = row->version;
 	if (!rollout->stopped)
 		rollout->write_after = (struct timespec){0};
@@ -265,6 +325,14 @@
 	}
 	if (!rollout_state_decode(row, &facts, err))
 		return false;
+	/* Orders are named by the versions of their rows, which are given out
+	 * again with these. */
+	if (era_version_era(facts.order) < era) {
+		if (restored && state_steps_back(rollout, &facts))
+			return true;
+		facts.order =
+		    era_version_of(era, era_version_number(facts.order));
+	}
 	state_set(rollout, &facts);
 	event_line(self->log, "rollout_state",
 	    "service=%s order=%" PRIu64 " state=%s version=%" PRIu64,
--- a/moortack/replication/row_follow.c
+++ b/moortack/replication/row_follow.c
@@ -166,6 +166,19 @@
 	event_line(self->log, "base_missing", "source=%s", self->followed);
 }
 
+/* Who has just started learns even from one that learns nothing new now, and,
+ * if the store may have an older copy, from one that learned through its last
+ * run. */
+static bool
+starter_learns(const row_source_t *self, const feed_answer_t *answer)
+{
+	if (row_source_settled(self))
+		return false;
+	return answer->lost ||
+	    (self->store->era > 0 &&
+		feed_answer_through(answer, self->members->settings.name));
+}
+
 void
 row_follow_take(row_source_t *self, feed_answer_t *answer, struct timespec sent)
 {
@@ -175,9 +188,7 @@
 		whole_ask(self);
 		return;
 	}
-	/* Who has just started learns even from one that learns nothing new
-	 * now. */
-	if (answer->lost && !row_source_settled(self))
+	if (starter_learns(self, answer))
 		row_answer_take(self, answer, sent);
 	if (answer_useless(self, answer))
 		return;
--- a/moortack/replication/row_parent.c
+++ b/moortack/replication/row_parent.c
@@ -135,6 +135,14 @@
 	    timespec_ms_between(self->followed_since, probe->known) > 0;
 }
 
+/* Whether the store has ever come back from an older copy: other daemons may
+ * know what is later than its rows. */
+static bool
+store_was_restored(const row_source_t *self)
+{
+	return self->store->era > 0;
+}
+
 /* Time that a new parent has for its first answer, in milliseconds. */
 static int64_t
 first_wait_ms(const row_source_t *self)
@@ -145,7 +153,7 @@
 
 	if (row_source_settled(self))
 		return FIRST_ANSWER_MS;
-	return all < most ? all : most;
+	return all < most && !store_was_restored(self) ? all : most;
 }
 
 static void
@@ -269,7 +277,8 @@
 static bool
 is_small(const row_source_t *self)
 {
-	return FIRST_PER_MEMBER_MS * (int64_t)membership_count(self->members) <
+	return !store_was_restored(self) &&
+	    FIRST_PER_MEMBER_MS * (int64_t)membership_count(self->members) <
 	    FIRST_ANSWER_MS;
 }
 
--- a/test/platform/decoders_test.c
+++ b/test/platform/decoders_test.c
@@ -314,7 +314,7 @@
 	    more ? "true" : "false");
 	body = store_body_read(text, strlen(text));
 	assert_non_null(body);
-	store_rows_read(body, list);
+	store_rows_read(body, 0, list);
 	return body;
 }
 
--- a/test/platform/rows_fuzz.c
+++ b/test/platform/rows_fuzz.c
@@ -295,7 +295,7 @@
 	store_rows_t list;
 
 	FUZZ_CHECK(body != NULL);
-	store_rows_read(body, &list);
+	store_rows_read(body, 0, &list);
 	if (whole) {
 		watch->read_version = world.version;
 		watch->ops->restart(watch->arg);
--- a/test/platform/standin_store.c
+++ b/test/platform/standin_store.c
@@ -4,7 +4,9 @@
  * one counter, a feed that holds a question, transactions under conditions.
  *
  * GET /calls counts the calls by kind and table. Faults: "down"; "forget" drops
- * the history up to now; "page" is how many rows a reading has at most.
+ * the history up to now; "page" is how many rows a reading has at most; "save"
+ * keeps a copy, "restore" goes back to it: what came since is gone, its
+ * versions are given out again, and the era in all answers rises by one.
  */
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -46,6 +48,9 @@
 	held_t *held;
 	uint64_t forgotten; /**< changes up to this version are not known */
 	json_t *calls;	    /**< by kind and table */
+	int64_t era;
+	row_t *saved; /**< rows of the copy */
+	uint64_t saved_version;
 } store_t;
 
 static store_t store;
@@ -74,6 +79,17 @@
 	return strncmp(row->name, table, len) == 0 && row->name[len] == ' ';
 }
 
+static void
+era_tell(struct evhttp_request *req)
+{
+	char text[32];
+
+	if (store.era == 0)
+		return;
+	snprintf(text, sizeof(text), "%" PRId64, store.era);
+	http_answer_header(req, "Store-Era", text);
+}
+
 static json_t *
 row_json(const row_t *row, const char *table)
 {
@@ -126,6 +142,7 @@
 			break;
 		json_array_append_new(rows, row_json(row, range->table));
 	}
+	era_tell(req);
 	http_answer_json(req, 200,
 	    json_pack("{s:o, s:b, s:I, s:I}", "rows", rows, "has_more", more,
 		"row_version", (json_int_t)store.version, "now_ms",
@@ -207,7 +224,9 @@
 	held_t *held;
 
 	http_request_query(req, "after", text, sizeof(text));
-	if (strtoull(text, NULL, 10) < store.forgotten) {
+	if (strtoull(text, NULL, 10) < store.forgotten ||
+	    strtoull(text, NULL, 10) > store.version) {
+		era_tell(req);
 		evhttp_send_reply(req, 410, NULL, NULL);
 		return;
 	}
@@ -286,6 +305,7 @@
 		changes_take(json_object_get(body, "write"), false);
 		changes_take(json_object_get(body, "remove"), true);
 	}
+	era_tell(req);
 	http_answer_json(req, holds ? 200 : 412,
 	    json_pack("{s:I, s:I}", "row_version", (json_int_t)store.version,
 		"now_ms",
@@ -341,21 +361,75 @@
 }
 
 static void
-fault(struct fake *fake, const json_t *faults)
+rows_free(row_t **rows)
+{
+	row_t *row, *next;
+
+	HASH_ITER(hh, *rows, row, next)
+	{
+		HASH_DEL(*rows, row);
+		free(row->value);
+		free(row);
+	}
+}
+
+static row_t *
+rows_copy(const row_t *rows)
+{
+	row_t *copies = NULL;
+
+	for (const row_t *row = rows; row != NULL; row = row->hh.next) {
+		row_t *copy = calloc(1, sizeof(*copy));
+
+		strcpy(copy->name, row->name);
+		copy->value = row->value != NULL ? strdup(row->value) : NULL;
+		copy->version = row->version;
+		HASH_ADD_STR(copies, name, copy);
+	}
+	return copies;
+}
+
+static void
+held_end(void)
 {
-	(void)fake;
-	store.page = (size_t)fake_int(faults, "page", PAGE);
-	if (!json_is_true(json_object_get(faults, "forget")))
-		return;
-	store.forgotten = ++store.version;
 	while (store.held != NULL) {
 		held_t *held = store.held;
+		struct evhttp_request *req = held_take(&store.held);
 
-		evhttp_send_reply(held_take(&store.held), 410, NULL, NULL);
+		era_tell(req);
+		evhttp_send_reply(req, 410, NULL, NULL);
 		free(held);
 	}
 }
 
+static void
+restore(void)
+{
+	rows_free(&store.rows);
+	store.rows = rows_copy(store.saved);
+	store.version = store.saved_version;
+	store.era++;
+	held_end();
+}
+
+static void
+fault(struct fake *fake, const json_t *faults)
+{
+	(void)fake;
+	store.page = (size_t)fake_int(faults, "page", PAGE);
+	if (json_is_true(json_object_get(faults, "save"))) {
+		rows_free(&store.saved);
+		store.saved = rows_copy(store.rows);
+		store.saved_version = store.version;
+	}
+	if (json_is_true(json_object_get(faults, "restore")))
+		restore();
+	if (json_is_true(json_object_get(faults, "forget"))) {
+		store.forgotten = ++store.version;
+		held_end();
+	}
+}
+
 int
 main(int argc, const char **argv)
 {
--- /dev/null
+++ b/test/platform/store_eras_test.c
@@ -0,0 +1,206 @@
+/**
+ * @file
+ * A store that came back from an older copy gives out its numbers again: what
+ * is of another era continues nothing, meets no condition, and is never taken
+ * for older or newer by its number.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "moortack/replication/era_version.h"
+#include "platform/store.h"
+
+#define NUMBER 7
+#define TIMEOUT_MS 2000
+
+/** The stand-in of the store, and what was last asked and answered. */
+static struct world {
+	struct event_base *base;
+	struct evhttp *server;
+	platform_store_t store;
+	int era; /**< 0: not told */
+	int number;
+	char body[512];
+	row_result_t result;
+	uint64_t version;
+	uint64_t row;
+} world;
+
+static void
+serve(struct evhttp_request *req, void *arg)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	struct evbuffer *out = evbuffer_new();
+	size_t len = evbuffer_get_length(in);
+	char era[16];
+
+	(void)arg;
+	len = len < sizeof(world.body) ? len : sizeof(world.body) - 1;
+	evbuffer_copyout(in, world.body, len);
+	world.body[len] = '\0';
+	snprintf(era, sizeof(era), "%d", world.era);
+	if (world.era > 0)
+		evhttp_add_header(
+		    evhttp_request_get_output_headers(req), "Store-Era", era);
+	evbuffer_add_printf(out,
+	    "{\"row_version\":%d,\"now_ms\":1,\"rows\":[{\"key\":\"k\","
+	    "\"value\":\"\",\"row_version\":%d}]}",
+	    world.number, world.number);
+	evhttp_send_reply(req, 200, "OK", out);
+	evbuffer_free(out);
+}
+
+static int
+setup(void **state)
+{
+	struct evhttp_bound_socket *socket;
+	struct sockaddr_in at;
+	socklen_t len = sizeof(at);
+	http_address_t address = {.host = "127.0.0.1"};
+
+	(void)state;
+	memset(&world, 0, sizeof(world));
+	world.base = event_base_new();
+	world.server = evhttp_new(world.base);
+	evhttp_set_gencb(world.server, serve, NULL);
+	socket = evhttp_bind_socket_with_handle(world.server, "127.0.0.1", 0);
+	getsockname(
+	    evhttp_bound_socket_get_fd(socket), (struct sockaddr *)&at, &len);
+	address.port = ntohs(at.sin_port);
+	platform_store_init(&world.store, world.base, &address);
+	world.number = NUMBER;
+	return 0;
+}
+
+static int
+teardown(void **state)
+{
+	(void)state;
+	http_calls_end(world.base);
+	evhttp_free(world.server);
+	event_base_free(world.base);
+	return 0;
+}
+
+static void
+on_done(void *arg, const row_reply_t *reply)
+{
+	(void)arg;
+	world.result = reply->result;
+	world.version = reply->version;
+	world.row = reply->rows_len > 0 ? reply->rows[0].version : 0;
+	event_base_loopbreak(world.base);
+}
+
+static row_result_t
+feed(uint64_t after)
+{
+	assert_true(row_store_feed(&world.store.store, ROW_FOR_CHANGES, "t",
+	    after, 0, TIMEOUT_MS, on_done, NULL));
+	event_base_dispatch(world.base);
+	return world.result;
+}
+
+static row_result_t
+read_page(const char *page)
+{
+	assert_true(row_store_read(&world.store.store, ROW_FOR_READ, "t", page,
+	    TIMEOUT_MS, on_done, NULL));
+	event_base_dispatch(world.base);
+	return world.result;
+}
+
+static void
+write_expecting(uint64_t version)
+{
+	const row_change_t expected = {
+	    .table = "t", .key = "k", .expected = version};
+	const row_change_t change = {.table = "t", .key = "k", .value = "v"};
+
+	assert_true(row_store_write(&world.store.store, ROW_FOR_STATE,
+	    &expected, 1, &change, 1, TIMEOUT_MS, on_done, NULL));
+	event_base_dispatch(world.base);
+}
+
+static void
+a_later_era_is_newer_whatever_its_numbers(void **state)
+{
+	(void)state;
+	assert_int_equal(read_page(NULL), ROW_OK);
+	assert_int_equal(world.version, NUMBER);
+	world.era = 1;
+	world.number = NUMBER - 2;
+	assert_int_equal(read_page(NULL), ROW_OK);
+	assert_true(world.version > NUMBER);
+	assert_int_equal(world.row, era_version_of(1, NUMBER - 2));
+	assert_int_equal(world.store.store.era, 1);
+}
+
+static void
+changes_of_another_era_continue_nothing(void **state)
+{
+	(void)state;
+	assert_int_equal(feed(NUMBER), ROW_OK);
+	/* The same number, given out again. */
+	world.era = 1;
+	assert_int_equal(feed(NUMBER), ROW_FORGOTTEN);
+	assert_int_equal(feed(era_version_of(1, NUMBER)), ROW_OK);
+	world.era = 2;
+	assert_int_equal(read_page("k"), ROW_FORGOTTEN);
+}
+
+static void
+a_late_answer_of_an_earlier_era_tells_nothing(void **state)
+{
+	(void)state;
+	world.era = 2;
+	assert_int_equal(read_page(NULL), ROW_OK);
+	world.era = 1;
+	world.number = NUMBER + 100;
+	assert_int_equal(read_page(NULL), ROW_LOST);
+	assert_int_equal(feed(era_version_of(2, NUMBER)), ROW_LOST);
+	assert_int_equal(world.store.store.era, 2);
+}
+
+static void
+a_condition_of_an_earlier_era_is_met_by_no_row(void **state)
+{
+	char text[64];
+
+	(void)state;
+	world.era = 1;
+	assert_int_equal(read_page(NULL), ROW_OK);
+	write_expecting(NUMBER);
+	snprintf(text, sizeof(text), "\"row_version\":%d}", NUMBER);
+	assert_null(strstr(world.body, text));
+	write_expecting(era_version_of(1, NUMBER));
+	assert_non_null(strstr(world.body, text));
+	write_expecting(0);
+	assert_non_null(strstr(world.body, "\"row_version\":0}"));
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		a_later_era_is_newer_whatever_its_numbers, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		changes_of_another_era_continue_nothing, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		a_late_answer_of_an_earlier_era_tells_nothing, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		a_condition_of_an_earlier_era_is_met_by_no_row, setup,
+		teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/unit/rollouts_test.c
+++ b/test/unit/rollouts_test.c
@@ -16,6 +16,7 @@
 
 #include "../../moortack/relay/rollouts_priv.h"
 #include "../support/manual_clock.h"
+#include "moortack/replication/era_version.h"
 
 #define ORDER 5
 #define DURATION_MS 16000
@@ -361,6 +362,79 @@
 	rollouts_forget(&told.rollouts);
 }
 
+/* The rows of the copy, in whatever order they are read. */
+static void
+copy_told(first_order_t *told, bool order_first, const char *state)
+{
+	if (order_first)
+		order_told(told, era_version_of(1, ORDER), "v2");
+	state_told(told, ORDER, "v2", "v1", state, era_version_of(1, 9));
+	if (!order_first)
+		order_told(told, era_version_of(1, ORDER), "v2");
+}
+
+static void
+an_older_copy_of_the_store_begins_no_roll_out_again(void **state)
+{
+	(void)state;
+	for (int order_first = 0; order_first < 2; order_first++) {
+		first_order_t told;
+
+		first_order_init(&told);
+		state_told(&told, ORDER, "v2", "v1", "reverted", 12);
+		copy_told(&told, order_first, "in_progress");
+		assert_int_equal(
+		    told.rollout->order.number, era_version_of(1, ORDER));
+		assert_false(rollout_under_way(told.rollout));
+		assert_int_equal(told.rollout->state, ROLLOUT_REVERTED);
+		/* It is to be written again. */
+		assert_true(told.rollout->state_spoilt);
+		/* The operator gives a new one. */
+		order_told(&told, era_version_of(1, NEXT), "v3");
+		assert_true(rollout_under_way(told.rollout));
+		assert_string_equal(told.rollout->order.to, "v3");
+		assert_string_equal(rollout_base(told.rollout), "v1");
+		rollouts_forget(&told.rollouts);
+	}
+}
+
+static void
+an_order_before_the_copy_stays_replaced(void **state)
+{
+	first_order_t told;
+
+	(void)state;
+	first_order_init(&told);
+	state_told(&told, ORDER, "v2", "v1", "completed", 12);
+	order_told(&told, NEXT, "v3");
+	state_told(&told, NEXT, "v3", "v2", "in_progress", 15);
+	copy_told(&told, true, "completed");
+	assert_string_equal(told.rollout->order.to, "v3");
+	assert_true(rollout_under_way(told.rollout));
+	assert_string_equal(rollout_base(told.rollout), "v2");
+	/* Written again, with a version that v2's order once had. */
+	order_told(&told, era_version_of(1, ORDER + 1), "v3");
+	assert_int_equal(
+	    told.rollout->order.number, era_version_of(1, ORDER + 1));
+	assert_true(rollout_under_way(told.rollout));
+	assert_int_equal(told.rollout->began_ms, STORE_NOW_MS);
+	rollouts_forget(&told.rollouts);
+}
+
+static void
+who_starts_after_it_begins_none_that_is_over(void **state)
+{
+	first_order_t told;
+
+	(void)state;
+	first_order_init(&told);
+	rollouts_forget(&told.rollouts);
+	copy_told(&told, true, "completed");
+	told.rollout = rollouts_find(&told.rollouts, "s");
+	assert_false(rollout_under_way(told.rollout));
+	rollouts_forget(&told.rollouts);
+}
+
 int
 main(void)
 {
@@ -373,6 +447,10 @@
 	    cmocka_unit_test(who_starts_learns_what_is_replaced),
 	    cmocka_unit_test(the_state_of_a_later_order_stays),
 	    cmocka_unit_test(the_report_of_a_daemon_ends_when_it_is_gone),
+	    cmocka_unit_test(
+		an_older_copy_of_the_store_begins_no_roll_out_again),
+	    cmocka_unit_test(an_order_before_the_copy_stays_replaced),
+	    cmocka_unit_test(who_starts_after_it_begins_none_that_is_over),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
