relay: a VM that was suspended sets the time limits of its requests anew

Cause: ages count a suspension (CLOCK_BOOTTIME), timers do not: after waking, a request whose caller's time had passed was kept for as long as the VM had been suspended. Change: each tick compares the two clocks; a suspension is logged and counted, and the limits of all requests under way are set by the time that has passed. Removed: clock_manual_advance(), declared and defined nowhere. Ruled out: a stall of the process as a suspension (both clocks count it). A suspended process is not to be had here; what waits for it in libevent's timers is not played.

--- a/common/clock_source.c
+++ b/common/clock_source.c
@@ -26,7 +26,18 @@
 	return now;
 }
 
-static const clock_ops_t system_ops = {system_elapsed, system_wall};
+static struct timespec
+system_steady(const clock_source_t *clock)
+{
+	struct timespec now;
+
+	(void)clock;
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return now;
+}
+
+static const clock_ops_t system_ops = {
+    system_elapsed, system_wall, system_steady};
 
 void
 clock_system_init(clock_source_t *clock)
@@ -46,6 +57,12 @@
 	return clock->ops->wall(clock);
 }
 
+struct timespec
+clock_steady(const clock_source_t *clock)
+{
+	return clock->ops->steady(clock);
+}
+
 int64_t
 timespec_us_between(struct timespec from, struct timespec to)
 {
--- a/include/common/clock_source.h
+++ b/include/common/clock_source.h
@@ -17,6 +17,8 @@
 	struct timespec (*elapsed)(const clock_source_t *);
 	/** Wall-clock time, UTC. */
 	struct timespec (*wall)(const clock_source_t *);
+	/** The clock by which timers run; stands while the VM is suspended. */
+	struct timespec (*steady)(const clock_source_t *);
 } clock_ops_t;
 
 /** A clock: a table of functions. */
@@ -24,14 +26,12 @@
 	const clock_ops_t *ops;
 };
 
-/** The machine's clock: CLOCK_BOOTTIME and CLOCK_REALTIME. */
+/** The VM's clocks: CLOCK_BOOTTIME, CLOCK_REALTIME and CLOCK_MONOTONIC. */
 void clock_system_init(clock_source_t *);
 
-/** Move a manual clock on by @p ms milliseconds. */
-void clock_manual_advance(clock_source_t *, int64_t ms);
-
 struct timespec clock_elapsed(const clock_source_t *);
 struct timespec clock_wall(const clock_source_t *);
+struct timespec clock_steady(const clock_source_t *);
 
 /** Milliseconds from @p from until @p to; negative if @p to is earlier. */
 int64_t timespec_ms_between(struct timespec from, struct timespec to);
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -113,6 +113,10 @@
  * sent to it gets no answer beyond what is on the way already. */
 void relay_endpoint_ended(relay_t *, const endpoint_t *);
 
+/** The VM was suspended, and timers did not run: the time limits of requests
+ * are those of their callers, who waited. */
+void relay_woken(relay_t *);
+
 /** Whether enough is known to serve. */
 bool relay_ready(const relay_t *);
 
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -6,6 +6,7 @@
 #ifndef MOORTACK_RELAY_RELAY_NODE_H
 #define MOORTACK_RELAY_RELAY_NODE_H
 
+#include "common/suspend_watch.h"
 #include "moortack/relay/relay.h"
 #include "moortack/relay/row_refusals.h"
 #include "moortack/replication/row_source.h"
@@ -77,6 +78,8 @@
 	uint64_t era;		    /**< of the store, as last read */
 	uint64_t rows_kept;	    /**< that an older copy had otherwise */
 	struct event *tick;
+	suspend_watch_t suspended;
+	uint64_t suspensions; /**< of the VM, noticed */
 	struct timespec reported;
 	uint64_t calls_told; /**< to the store, in the last line of them */
 	struct timespec calls_told_at;
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -243,13 +243,29 @@
 }
 
 static bool
-limit_start(relay_request_t *req)
+limit_set(relay_request_t *req, int64_t ms)
 {
-	struct timeval delay = {
-	    req->limit_ms / MS_PER_SEC, req->limit_ms % MS_PER_SEC * US_PER_MS};
+	struct timeval delay = {ms / MS_PER_SEC, ms % MS_PER_SEC * US_PER_MS};
+
+	return event_add(req->limit, &delay) == 0;
+}
 
+static bool
+limit_start(relay_request_t *req)
+{
 	req->limit = event_new(req->relay->base, -1, 0, on_limit, req);
-	return req->limit != NULL && event_add(req->limit, &delay) == 0;
+	return req->limit != NULL && limit_set(req, req->limit_ms);
+}
+
+void
+relay_woken(relay_t *relay)
+{
+	for (relay_request_t *req = relay->first; req != NULL;
+	     req = req->next) {
+		int64_t left = request_left_ms(req);
+
+		limit_set(req, left > 0 ? left : 0);
+	}
 }
 
 static relay_request_t *
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -199,13 +199,27 @@
 	node->gone = NULL;
 }
 
+static void
+woken(relay_node_t *node, int64_t suspended_ms)
+{
+	node->suspensions++;
+	event_line(&node->log, "suspended",
+	    "ms=%" PRId64 " under_way=%u config_age_ms=%" PRId64, suspended_ms,
+	    node->relay.under_way, row_watch_age_ms(node->relay.config_watch));
+	relay_woken(&node->relay);
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	relay_node_t *node = arg;
+	int64_t suspended_ms =
+	    suspend_watch_look(&node->suspended, node->ports.clock);
 
 	(void)fd;
 	(void)what;
+	if (suspended_ms > 0)
+		woken(node, suspended_ms);
 	event_log_tick(&node->log);
 	relay_open(&node->relay);
 	relay_rows_lapsed_end(node);
--- a/test/support/manual_clock.h
+++ b/test/support/manual_clock.h
@@ -18,6 +18,6 @@
 	return ((const manual_clock_t *)clock)->now;
 }
 
-static const clock_ops_t manual_ops = {manual_now, manual_now};
+static const clock_ops_t manual_ops = {manual_now, manual_now, manual_now};
 
 #endif
