test: scenarios with crashing endpoints share their words; owner is the field's name

Cause: three scenarios had the same loops; the digest's owner had two names. Change: watch_crashes() and wait_joined() in words.lua; owner throughout. Comments and tests only.

--- a/include/moortack/relay/send_notes.h
+++ b/include/moortack/relay/send_notes.h
@@ -75,11 +75,13 @@
  * @param place the endpoint's */
 void send_notes_tell(send_notes_t *, const char *place, const send_note_t *);
 
-/** Tell all, or the owners of the accounts of the requests that it names. */
+/** Tell all gossip peers, or, in a larger fleet, the owners of the digests that
+ * it names. */
 void send_notes_tell_owners(send_notes_t *, const send_note_t *);
 /** Tell each daemon that serves, whatever the size of the fleet. */
 void send_notes_tell_each(send_notes_t *, const send_note_t *);
-/** Whether this daemon keeps the account of the request. */
+/** Whether this daemon is the digest's owner: one of all that serve, by
+ * rendezvous hashing. */
 bool send_notes_owns(const send_notes_t *, uint64_t digest);
 
 /** Whether questions may be asked now: the fleet has owners, and enough may be
--- a/moortack/relay/relay_quarantine.c
+++ b/moortack/relay/relay_quarantine.c
@@ -291,8 +291,8 @@
 	}
 }
 
-/* Whether this daemon is to act on a verdict: the one that keeps the request's
- * account, or one that saw a crash while nobody else does. */
+/* Whether this daemon is to act on a verdict: as the owner of the request's
+ * digest, or as one that saw a crash while the owner does not act. */
 static bool
 acts_after(const relay_quarantine_t *self, const suspect_t *suspect, int64_t ms)
 {
--- a/moortack/relay/send_notes.c
+++ b/moortack/relay/send_notes.c
@@ -22,7 +22,7 @@
 /* Part of what may be sent at once that is left for telling of long prompts:
  * beyond it, questions are asked for those only. */
 #define ASK_PART 0.5
-/* Accounts of requests belong to no place. */
+/* Digests of requests have owners in any place. */
 #define NO_PLACE ""
 
 static bool
--- a/test/fuzz/quarantine_fuzz.c
+++ b/test/fuzz/quarantine_fuzz.c
@@ -188,8 +188,8 @@
 		    OTHERS_MS);
 }
 
-/* The daemon that keeps the account tells and writes at once, one that saw a
- * crash a little later. */
+/* The owner tells and writes at once, a daemon that saw a crash a little later.
+ */
 static void
 suspect_step(input_t *input, size_t daemon, size_t request)
 {
--- a/test/platform/crash_after_leaving.lua
+++ b/test/platform/crash_after_leaving.lua
@@ -9,28 +9,8 @@
   pause_ms = 10}
 local w = words.world(REPLICAS, DAEMONS)
 for i = 1, REPLICAS do w:faults(i, FAULTS) end
-lib.wait_until("the daemons know of each other", function()
-  for _, daemon in ipairs(w.daemons) do
-    if words.metric(daemon, "gossip_peers") ~= DAEMONS - 1 then
-      return false
-    end
-  end
-  return true
-end)
-
-local ended, back_at = 0, {}
--- Endpoints that ended start again after a while.
-local function endpoints_look()
-  for i = 1, REPLICAS do
-    if back_at[i] and run.now() >= back_at[i] then
-      w:revive(i, FAULTS)
-      back_at[i] = nil
-    elseif not back_at[i] and run.reap(w.replicas[i].pid) then
-      ended = ended + 1
-      back_at[i] = run.now() + 1500
-    end
-  end
-end
+w:wait_joined()
+local crashes = w:watch_crashes(FAULTS, 1500)
 local served, asked = 0, 0
 for round = 1, ROUNDS do
   local daemon = w.daemons[round % DAEMONS + 1]
@@ -45,10 +25,11 @@
       served = served + 1
     end
   end
-  endpoints_look()
+  crashes.look()
   run.sleep(700)
 end
-lib.say("ended=%d served=%d/%d", ended, served, asked)
-lib.check(ended <= CRASHES + SENDS_MORE, "%d endpoints ended", ended)
+lib.say("ended=%d served=%d/%d", crashes.ended, served, asked)
+lib.check(crashes.ended <= CRASHES + SENDS_MORE, "%d endpoints ended",
+  crashes.ended)
 lib.check(served >= 0.95 * asked, "%d of %d served", served, asked)
 lib.say("ok")
--- a/test/platform/quarantine_mended.lua
+++ b/test/platform/quarantine_mended.lua
@@ -6,14 +6,7 @@
 local DAEMONS = 2
 local w = words.world(5, DAEMONS)
 for i = 1, 5 do w:faults(i, {crash_on = "poison"}) end
-lib.wait_until("the daemons know of each other", function()
-  for _, daemon in ipairs(w.daemons) do
-    if words.metric(daemon, "gossip_peers") ~= DAEMONS - 1 then
-      return false
-    end
-  end
-  return true
-end)
+w:wait_joined()
 
 local function send(daemon)
   return words.call(daemon, "/scan/1", {body = "poison"}).status
--- a/test/platform/request_crashes_endpoints.lua
+++ b/test/platform/request_crashes_endpoints.lua
@@ -10,29 +10,8 @@
 local FAULTS = {crash_on = "poison", pause_ms = 10, events = 20}
 local w = words.world(REPLICAS, DAEMONS)
 for i = 1, REPLICAS do w:faults(i, FAULTS) end
-
-lib.wait_until("the daemons know of each other", function()
-  for _, daemon in ipairs(w.daemons) do
-    if words.metric(daemon, "gossip_peers") ~= DAEMONS - 1 then
-      return false
-    end
-  end
-  return true
-end)
-
-local ended, back_at = 0, {}
--- Endpoints that ended start again after a while.
-local function endpoints_look()
-  for i = 1, REPLICAS do
-    if back_at[i] and run.now() >= back_at[i] then
-      w:revive(i, FAULTS)
-      back_at[i] = nil
-    elseif not back_at[i] and run.reap(w.replicas[i].pid) then
-      ended = ended + 1
-      back_at[i] = run.now() + 600
-    end
-  end
-end
+w:wait_joined()
+local crashes = w:watch_crashes(FAULTS, 600)
 
 local refused, sound = 0, {asked = 0, served = 0}
 for round = 1, ROUNDS do
@@ -53,17 +32,17 @@
     sound.asked = sound.asked + 1
     if words.whole(body, 20) then sound.served = sound.served + 1 end
   end
-  -- The same path and body of another caller is another request.
+  -- A request that runs in no time, at an endpoint like the others.
   local other = words.call(daemon, "/open/a", {key = false, body = "other"})
   sound.asked = sound.asked + 1
   if other.status == 200 then sound.served = sound.served + 1 end
-  endpoints_look()
+  crashes.look()
   run.sleep(100)
 end
-lib.say("ended=%d refused=%d sound=%d/%d", ended, refused, sound.served,
+lib.say("ended=%d refused=%d sound=%d/%d", crashes.ended, refused, sound.served,
   sound.asked)
-lib.check(ended <= CRASHES + SENDS_MORE,
-  "%d endpoints ended by one request", ended)
+lib.check(crashes.ended <= CRASHES + SENDS_MORE,
+  "%d endpoints ended by one request", crashes.ended)
 lib.check(refused > ROUNDS / 2, "refused %d times of %d", refused, ROUNDS)
 lib.check(sound.served >= 0.9 * sound.asked, "%d of %d sound ones served",
   sound.served, sound.asked)
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -113,6 +113,35 @@
   self:replica(i)
 end
 
+-- Counts the replicas that end, and starts each anew after a while.
+function World:watch_crashes(faults, after_ms)
+  local watch = {ended = 0, back_at = {}}
+  function watch.look()
+    for i in ipairs(self.replicas) do
+      if watch.back_at[i] and run.now() >= watch.back_at[i] then
+        self:revive(i, faults)
+        watch.back_at[i] = nil
+      elseif not watch.back_at[i] and run.reap(self.replicas[i].pid) then
+        watch.ended = watch.ended + 1
+        watch.back_at[i] = run.now() + after_ms
+      end
+    end
+  end
+  return watch
+end
+
+-- Wait until each daemon of a small fleet tells all others.
+function World:wait_joined()
+  lib.wait_until("the daemons know of each other", function()
+    for _, daemon in ipairs(self.daemons) do
+      if words.metric(daemon, "gossip_peers") ~= #self.daemons - 1 then
+        return false
+      end
+    end
+    return true
+  end)
+end
+
 -- The replica has started again under its id; nothing is heard of its earlier
 -- process any more.
 function World:restart(i)
