--- a/test/fuzz/quarantine_fuzz.c
+++ b/test/fuzz/quarantine_fuzz.c
@@ -23,8 +23,8 @@
 #define RUNS_MAX 24
 #define MESSAGES_MAX 512
 #define CRASHES_MAX 256
-/* How late a datagram comes, what a daemon that saw a crash waits for the one
- * that keeps the request's account, and how old the rows of the store are. */
+/* How late a datagram comes, what a daemon that saw a crash waits for the
+ * owner, and how old the rows of the store are. */
 #define LATE_MS 150
 #define AGAIN_MS 200
 #define OTHERS_MS 300
