--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -13,6 +13,7 @@
 #include "common/rng.h"
 #include "moortack/relay/dialect.h"
 #include "moortack/relay/first_try.h"
+#include "moortack/relay/gossip.h"
 #include "moortack/relay/model_record.h"
 #include "moortack/relay/prefill_rate.h"
 #include "moortack/relay/prefix_memory.h"
@@ -21,7 +22,6 @@
 #include "moortack/relay/relay_stats.h"
 #include "moortack/relay/retry_share.h"
 #include "moortack/relay/rollouts.h"
-#include "moortack/relay/send_notes.h"
 #include "moortack/replication/membership.h"
 #include "moortack/replication/row_watch.h"
 
@@ -75,7 +75,7 @@
 	const endpoint_dialect_t *endpoint_words;
 	endpoint_set_t *endpoints;
 	membership_t *members;
-	send_notes_t *notes; /**< of other daemons' sends */
+	gossip_t *gossip; /**< of other daemons' sends */
 	rollouts_t *rollouts;
 	const row_watch_t *config_watch; /**< how old the configuration is */
 	const row_watch_t *endpoint_watch;
@@ -135,7 +135,7 @@
 const char *relay_first_version(const void *relay, const char *service);
 
 /** What other daemons tell and ask of prompts; the argument is a relay. */
-extern const send_notes_ops_t relay_notes_ops;
+extern const gossip_ops_t relay_gossip_ops;
 
 /** Take no new streams, and close connections behind their answers. */
 void relay_leave(relay_t *);
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -70,7 +70,7 @@
 	rollouts_t rollouts;
 	relay_t relay;
 	row_source_t source;
-	send_notes_t notes;
+	gossip_t gossip;
 	row_refusals_t refusals;
 	struct timespec store_back; /**< when the store answered again */
 	bool lapses;		    /**< entries may have gone in an outage */
--- a/include/moortack/relay/relay_quarantine.h
+++ b/include/moortack/relay/relay_quarantine.h
@@ -13,12 +13,12 @@
 #include "moortack/quarantine/quarantine.h"
 #include "moortack/quarantine/request_digest.h"
 #include "moortack/relay/crash_probe.h"
-#include "moortack/relay/send_notes.h"
+#include "moortack/relay/gossip.h"
 #include "moortack/replication/row_store.h"
 
 /** Prefix of the rows of verdicts in the system's table. */
 #define QUARANTINE_PREFIX "quarantine/"
-#define QUARANTINE_NOTES_MAX 32
+#define QUARANTINE_MESSAGES_MAX 32
 
 typedef struct relay relay_t;
 
@@ -33,7 +33,7 @@
 	crash_probe_t *probes;
 	struct event *stop; /**< requests under way that are refused now */
 	/** Told again once, since datagrams get lost. */
-	send_note_t again[QUARANTINE_NOTES_MAX];
+	gossip_message_t again[QUARANTINE_MESSAGES_MAX];
 	size_t again_len;
 	const char *source; /**< of what is taken now, for the log */
 	bool writing;
@@ -57,7 +57,7 @@
 /** Its entry has gone. */
 void relay_quarantine_gone(relay_quarantine_t *, const endpoint_t *);
 /** Another daemon tells; the argument is a relay. */
-void relay_quarantine_told(void *relay, const send_note_t *);
+void relay_quarantine_told(void *relay, const gossip_message_t *);
 
 /** A row whose key begins with QUARANTINE_PREFIX; false fills the error. */
 bool relay_quarantine_row(relay_quarantine_t *, const row_t *, err_t *);
--- a/include/moortack/wire/peer.pb-c.h
+++ b/include/moortack/wire/peer.pb-c.h
@@ -32,7 +32,7 @@
 typedef struct Wire__Session Wire__Session;
 typedef struct Wire__Ticket Wire__Ticket;
 typedef struct Wire__Envelope Wire__Envelope;
-typedef struct Wire__SendNote Wire__SendNote;
+typedef struct Wire__GossipMessage Wire__GossipMessage;
 
 
 /* --- enums --- */
@@ -419,7 +419,7 @@
  * A prompt that was just sent to an endpoint, in a datagram to the daemons that
  * choose among the same endpoints; or requests under which one crashed.
  */
-struct  Wire__SendNote
+struct  Wire__GossipMessage
 {
   ProtobufCMessage base;
   /*
@@ -479,8 +479,8 @@
    */
   uint32_t held_ms;
 };
-#define WIRE__SEND_NOTE__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wire__send_note__descriptor) \
+#define WIRE__GOSSIP_MESSAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__gossip_message__descriptor) \
     , 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0 }
 
 
@@ -807,24 +807,24 @@
 void   wire__envelope__free_unpacked
                      (Wire__Envelope *message,
                       ProtobufCAllocator *allocator);
-/* Wire__SendNote methods */
-void   wire__send_note__init
-                     (Wire__SendNote         *message);
-size_t wire__send_note__get_packed_size
-                     (const Wire__SendNote   *message);
-size_t wire__send_note__pack
-                     (const Wire__SendNote   *message,
+/* Wire__GossipMessage methods */
+void   wire__gossip_message__init
+                     (Wire__GossipMessage         *message);
+size_t wire__gossip_message__get_packed_size
+                     (const Wire__GossipMessage   *message);
+size_t wire__gossip_message__pack
+                     (const Wire__GossipMessage   *message,
                       uint8_t             *out);
-size_t wire__send_note__pack_to_buffer
-                     (const Wire__SendNote   *message,
+size_t wire__gossip_message__pack_to_buffer
+                     (const Wire__GossipMessage   *message,
                       ProtobufCBuffer     *buffer);
-Wire__SendNote *
-       wire__send_note__unpack
+Wire__GossipMessage *
+       wire__gossip_message__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   wire__send_note__free_unpacked
-                     (Wire__SendNote *message,
+void   wire__gossip_message__free_unpacked
+                     (Wire__GossipMessage *message,
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
@@ -879,8 +879,8 @@
 typedef void (*Wire__Envelope_Closure)
                  (const Wire__Envelope *message,
                   void *closure_data);
-typedef void (*Wire__SendNote_Closure)
-                 (const Wire__SendNote *message,
+typedef void (*Wire__GossipMessage_Closure)
+                 (const Wire__GossipMessage *message,
                   void *closure_data);
 
 /* --- services --- */
@@ -907,7 +907,7 @@
 extern const ProtobufCMessageDescriptor wire__session__descriptor;
 extern const ProtobufCMessageDescriptor wire__ticket__descriptor;
 extern const ProtobufCMessageDescriptor wire__envelope__descriptor;
-extern const ProtobufCMessageDescriptor wire__send_note__descriptor;
+extern const ProtobufCMessageDescriptor wire__gossip_message__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/moortack/relay/send_notes.c
+++ b/moortack/relay/gossip.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/send_notes.h"
+#include "moortack/relay/gossip.h"
 
 #include <arpa/inet.h>
 #include <stdlib.h>
@@ -6,7 +6,7 @@
 #include <unistd.h>
 
 /* Bytes a second that a daemon may send, and at once: most of the 6 KB a second
- * that it has for control, and enough for all notes of today's fleets. With
+ * that it has for control, and enough for all messages of today's fleets. With
  * 3,000 and 6,000 the worth of two of the users' sheets was 0.008 and 0.011
  * less (20 days each). */
 #define BYTES_PER_S 4000.0
@@ -43,8 +43,8 @@
 
 /* What can't be sent at once is of no use later. */
 static void
-bytes_send(send_notes_t *self, const struct sockaddr_in *to,
-    const uint8_t *bytes, size_t len)
+bytes_send(gossip_t *self, const struct sockaddr_in *to, const uint8_t *bytes,
+    size_t len)
 {
 	self->allowance -= (double)(len + DATAGRAM_OVERHEAD);
 	if (sendto(self->fd, bytes, len, MSG_DONTWAIT,
@@ -55,40 +55,41 @@
 }
 
 static void
-note_send(
-    send_notes_t *self, const struct sockaddr_in *to, const send_note_t *note)
+message_send(gossip_t *self, const struct sockaddr_in *to,
+    const gossip_message_t *message)
 {
-	uint8_t bytes[SEND_NOTE_SIZE];
+	uint8_t bytes[GOSSIP_MESSAGE_SIZE];
 
-	bytes_send(self, to, bytes, send_note_seal(note, &self->key, bytes));
+	bytes_send(
+	    self, to, bytes, gossip_message_seal(message, &self->key, bytes));
 }
 
 static void
-note_take(
-    send_notes_t *self, const struct sockaddr_in *from, const send_note_t *note)
+message_take(gossip_t *self, const struct sockaddr_in *from,
+    const gossip_message_t *message)
 {
-	send_note_t answer = {.kind = NOTE_ANSWER,
-	    .endpoint = note->endpoint,
-	    .number = note->number};
+	gossip_message_t answer = {.kind = GOSSIP_ANSWER,
+	    .endpoint = message->endpoint,
+	    .number = message->number};
 
-	switch (note->kind) {
-	case NOTE_SENT:
-		self->ops->sent(self->arg, note);
+	switch (message->kind) {
+	case GOSSIP_SENT:
+		self->ops->sent(self->arg, message);
 		break;
-	case NOTE_QUESTION:
-		if (self->ops->asked(self->arg, note, &answer))
-			note_send(self, from, &answer);
+	case GOSSIP_QUESTION:
+		if (self->ops->asked(self->arg, message, &answer))
+			message_send(self, from, &answer);
 		break;
-	case NOTE_ANSWER:
+	case GOSSIP_ANSWER:
 		self->answered++;
-		self->ops->answered(self->arg, note);
+		self->ops->answered(self->arg, message);
 		break;
-	case NOTE_CRASH:
-	case NOTE_HELD:
-	case NOTE_CLEARED:
-		self->ops->crash(self->arg, note);
+	case GOSSIP_CRASH:
+	case GOSSIP_HELD:
+	case GOSSIP_CLEARED:
+		self->ops->crash(self->arg, message);
 		break;
-	case NOTE_KINDS:
+	case GOSSIP_KINDS:
 		break;
 	}
 }
@@ -96,10 +97,10 @@
 static void
 on_readable(evutil_socket_t fd, short what, void *arg)
 {
-	send_notes_t *self = arg;
-	uint8_t bytes[SEND_NOTE_SIZE + 1];
+	gossip_t *self = arg;
+	uint8_t bytes[GOSSIP_MESSAGE_SIZE + 1];
 	struct sockaddr_in from;
-	send_note_t note;
+	gossip_message_t message;
 
 	(void)what;
 	for (int i = 0; i < TAKEN_AT_ONCE; i++) {
@@ -110,23 +111,24 @@
 		if (len < 0)
 			return;
 		if (!self->keyed ||
-		    !send_note_open(&note, &self->key, bytes, (size_t)len)) {
+		    !gossip_message_open(
+			&message, &self->key, bytes, (size_t)len)) {
 			self->refused++;
 			continue;
 		}
 		self->received++;
-		note_take(self, &from, &note);
+		message_take(self, &from, &message);
 	}
 }
 
 bool
-send_notes_init(send_notes_t *self, struct event_base *base,
+gossip_init(gossip_t *self, struct event_base *base,
     const clock_source_t *clock, const membership_t *members,
-    const char *address, const send_notes_ops_t *ops, void *arg, err_t *err)
+    const char *address, const gossip_ops_t *ops, void *arg, err_t *err)
 {
 	struct sockaddr_in own;
 
-	*self = (send_notes_t){.clock = clock,
+	*self = (gossip_t){.clock = clock,
 	    .members = members,
 	    .ops = ops,
 	    .arg = arg,
@@ -137,7 +139,7 @@
 		return true;
 	if (!address_read(address, &own))
 		return err_set(
-		    err, ERR_SETTING, "%s is no address for notes", address);
+		    err, ERR_SETTING, "%s is no address for messages", address);
 	self->fd =
 	    socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (self->fd < 0 ||
@@ -152,7 +154,7 @@
 }
 
 void
-send_notes_finish(send_notes_t *self)
+gossip_finish(gossip_t *self)
 {
 	if (self->readable != NULL)
 		event_free(self->readable);
@@ -162,14 +164,14 @@
 }
 
 void
-send_notes_set_secret(send_notes_t *self, const char *fleet_secret)
+gossip_set_secret(gossip_t *self, const char *fleet_secret)
 {
-	send_note_key_derive(&self->key, fleet_secret);
+	gossip_key_derive(&self->key, fleet_secret);
 	self->keyed = true;
 }
 
 static void
-allowance_grow(send_notes_t *self)
+allowance_grow(gossip_t *self)
 {
 	struct timespec now = clock_elapsed(self->clock);
 
@@ -181,7 +183,7 @@
 }
 
 bool
-send_notes_worth(send_notes_t *self, double read_ms)
+gossip_worth(gossip_t *self, double read_ms)
 {
 	allowance_grow(self);
 	if (read_ms * self->allowance >= READ_MIN_MS * BYTES_AT_ONCE)
@@ -192,7 +194,7 @@
 }
 
 void
-send_notes_tick(send_notes_t *self)
+gossip_tick(gossip_t *self)
 {
 	const member_t *peers[GOSSIP_PEERS_MAX];
 	uint32_t daemons = membership_count(self->members);
@@ -214,7 +216,7 @@
 
 /* @return whether another daemon is the endpoint's owner */
 static bool
-owner_address(const send_notes_t *self, const char *place, uint32_t endpoint,
+owner_address(const gossip_t *self, const char *place, uint32_t endpoint,
     struct sockaddr_in *out)
 {
 	const member_t *owner = owner_of(self->members, place, endpoint);
@@ -223,64 +225,64 @@
 }
 
 static void
-peers_tell(send_notes_t *self, const send_note_t *note)
+peers_tell(gossip_t *self, const gossip_message_t *message)
 {
-	uint8_t bytes[SEND_NOTE_SIZE];
+	uint8_t bytes[GOSSIP_MESSAGE_SIZE];
 	size_t len;
 
 	if (self->peers_len == 0)
 		return;
-	len = send_note_seal(note, &self->key, bytes);
+	len = gossip_message_seal(message, &self->key, bytes);
 	for (size_t i = 0; i < self->peers_len; i++)
 		bytes_send(self, &self->peers[i], bytes, len);
 }
 
 void
-send_notes_tell(send_notes_t *self, const char *place, const send_note_t *note)
+gossip_tell(gossip_t *self, const char *place, const gossip_message_t *message)
 {
 	struct sockaddr_in owner;
 
 	if (!self->owners)
-		peers_tell(self, note);
-	else if (owner_address(self, place, note->endpoint, &owner))
-		note_send(self, &owner, note);
+		peers_tell(self, message);
+	else if (owner_address(self, place, message->endpoint, &owner))
+		message_send(self, &owner, message);
 }
 
 bool
-send_notes_owns(const send_notes_t *self, uint64_t digest)
+gossip_owns(const gossip_t *self, uint64_t digest)
 {
 	return owner_of(self->members, NO_PLACE, (uint32_t)digest) == NULL;
 }
 
 void
-send_notes_tell_owners(send_notes_t *self, const send_note_t *note)
+gossip_tell_owners(gossip_t *self, const gossip_message_t *message)
 {
-	send_note_t one = *note;
+	gossip_message_t one = *message;
 	struct sockaddr_in owner;
 
 	if (!self->owners) {
-		peers_tell(self, note);
+		peers_tell(self, message);
 		return;
 	}
 	one.digests_len = 1;
-	for (size_t i = 0; i < note->digests_len; i++) {
-		one.digests[0] = note->digests[i];
+	for (size_t i = 0; i < message->digests_len; i++) {
+		one.digests[0] = message->digests[i];
 		if (owner_address(
 			self, NO_PLACE, (uint32_t)one.digests[0], &owner))
-			note_send(self, &owner, &one);
+			message_send(self, &owner, &one);
 	}
 }
 
 void
-send_notes_tell_each(send_notes_t *self, const send_note_t *note)
+gossip_tell_each(gossip_t *self, const gossip_message_t *message)
 {
-	uint8_t bytes[SEND_NOTE_SIZE];
+	uint8_t bytes[GOSSIP_MESSAGE_SIZE];
 	struct sockaddr_in to;
 	size_t len;
 
 	if (self->fd < 0 || !self->keyed)
 		return;
-	len = send_note_seal(note, &self->key, bytes);
+	len = gossip_message_seal(message, &self->key, bytes);
 	for (const member_t *one = self->members->members; one != NULL;
 	     one = one->hh.next) {
 		if (gossip_peer_serves(self->members, one) &&
@@ -290,24 +292,23 @@
 }
 
 bool
-send_notes_may_ask(send_notes_t *self, double read_ms)
+gossip_may_ask(gossip_t *self, double read_ms)
 {
 	if (!self->owners)
 		return false;
 	allowance_grow(self);
 	return self->allowance >= ASK_PART * BYTES_AT_ONCE ||
-	    send_notes_worth(self, read_ms);
+	    gossip_worth(self, read_ms);
 }
 
 bool
-send_notes_ask(
-    send_notes_t *self, const char *place, const send_note_t *question)
+gossip_ask(gossip_t *self, const char *place, const gossip_message_t *question)
 {
 	struct sockaddr_in owner;
 
 	if (!owner_address(self, place, question->endpoint, &owner))
 		return false;
-	note_send(self, &owner, question);
+	message_send(self, &owner, question);
 	self->asked++;
 	return true;
 }
--- /dev/null
+++ b/moortack/relay/gossip_message.c
@@ -0,0 +1,100 @@
+#include "moortack/relay/gossip_message.h"
+
+#include <string.h>
+
+#include "moortack/wire/peer.pb-c.h"
+
+/* Told apart from other uses of the fleet's secret. */
+#define KEY_CONTEXT "moortack send notes 1"
+/* A random one for each datagram; twelve bytes, since most of a datagram would
+ * else be its envelope. */
+#define NONCE crypto_aead_chacha20poly1305_ietf_NPUBBYTES
+#define TAG crypto_aead_chacha20poly1305_ietf_ABYTES
+#define PLAIN_MAX (GOSSIP_MESSAGE_SIZE - NONCE - TAG)
+
+void
+gossip_key_derive(gossip_key_t *key, const char *fleet_secret)
+{
+	crypto_generichash(key->bytes, sizeof(key->bytes),
+	    (const uint8_t *)fleet_secret, strlen(fleet_secret),
+	    (const uint8_t *)KEY_CONTEXT, sizeof(KEY_CONTEXT) - 1);
+}
+
+size_t
+gossip_message_seal(
+    const gossip_message_t *message, const gossip_key_t *key, uint8_t *out)
+{
+	Wire__GossipMessage wire = WIRE__GOSSIP_MESSAGE__INIT;
+	uint8_t plain[PLAIN_MAX];
+	unsigned long long sealed;
+	size_t len;
+
+	wire.kind = message->kind;
+	wire.endpoint = message->endpoint;
+	wire.number = message->number;
+	wire.read_ms = message->read_ms;
+	wire.wait_ms = message->wait_ms;
+	wire.kept = message->kept;
+	wire.n_prefixes = message->prefixes_len;
+	wire.prefixes = (uint32_t *)(uintptr_t)message->prefixes;
+	wire.n_digests = message->digests_len;
+	wire.digests = (uint64_t *)(uintptr_t)message->digests;
+	wire.version = message->version;
+	wire.n_crashes = message->crashes_len;
+	wire.crashes = (uint32_t *)(uintptr_t)message->crashes;
+	wire.held_ms = message->held_ms;
+	len = wire__gossip_message__pack(&wire, plain);
+	randombytes_buf(out, NONCE);
+	crypto_aead_chacha20poly1305_ietf_encrypt(
+	    out + NONCE, &sealed, plain, len, NULL, 0, NULL, out, key->bytes);
+	return NONCE + (size_t)sealed;
+}
+
+static bool
+message_read(gossip_message_t *message, const Wire__GossipMessage *wire)
+{
+	if (wire->n_prefixes > GOSSIP_MESSAGE_PREFIXES_MAX ||
+	    wire->n_digests > GOSSIP_MESSAGE_DIGESTS_MAX ||
+	    wire->n_crashes > GOSSIP_MESSAGE_CRASHES_MAX ||
+	    wire->kind >= GOSSIP_KINDS)
+		return false;
+	*message = (gossip_message_t){.kind = (gossip_kind_t)wire->kind,
+	    .endpoint = wire->endpoint,
+	    .number = wire->number,
+	    .read_ms = wire->read_ms,
+	    .wait_ms = wire->wait_ms,
+	    .kept = wire->kept,
+	    .prefixes_len = wire->n_prefixes,
+	    .digests_len = wire->n_digests,
+	    .version = wire->version,
+	    .crashes_len = wire->n_crashes,
+	    .held_ms = wire->held_ms};
+	for (size_t i = 0; i < wire->n_prefixes; i++)
+		message->prefixes[i] = wire->prefixes[i];
+	for (size_t i = 0; i < wire->n_digests; i++)
+		message->digests[i] = wire->digests[i];
+	for (size_t i = 0; i < wire->n_crashes; i++)
+		message->crashes[i] = wire->crashes[i];
+	return true;
+}
+
+bool
+gossip_message_open(gossip_message_t *message, const gossip_key_t *key,
+    const uint8_t *bytes, size_t len)
+{
+	uint8_t plain[PLAIN_MAX];
+	unsigned long long plain_len;
+	Wire__GossipMessage *wire;
+	bool read;
+
+	if (len > GOSSIP_MESSAGE_SIZE || len < NONCE + TAG ||
+	    crypto_aead_chacha20poly1305_ietf_decrypt(plain, &plain_len, NULL,
+		bytes + NONCE, len - NONCE, NULL, 0, bytes, key->bytes) != 0)
+		return false;
+	wire = wire__gossip_message__unpack(NULL, (size_t)plain_len, plain);
+	if (wire == NULL)
+		return false;
+	read = message_read(message, wire);
+	wire__gossip_message__free_unpacked(wire, NULL);
+	return read;
+}
--- a/moortack/relay/relay_ask.c
+++ b/moortack/relay/relay_ask.c
@@ -11,13 +11,13 @@
 #define US_PER_MS 1000
 
 void
-relay_note_prefixes(send_note_t *note, const prefix_list_t *prefixes)
+relay_gossip_prefixes(gossip_message_t *message, const prefix_list_t *prefixes)
 {
-	while (note->prefixes_len + 1 < prefixes->len &&
-	    note->prefixes_len < SEND_NOTE_PREFIXES_MAX) {
-		note->prefixes[note->prefixes_len] =
-		    prefixes->hashes[note->prefixes_len];
-		note->prefixes_len++;
+	while (message->prefixes_len + 1 < prefixes->len &&
+	    message->prefixes_len < GOSSIP_MESSAGE_PREFIXES_MAX) {
+		message->prefixes[message->prefixes_len] =
+		    prefixes->hashes[message->prefixes_len];
+		message->prefixes_len++;
 	}
 }
 
@@ -61,13 +61,13 @@
 {
 	placing_question_t *question = &req->question;
 	asked_endpoint_t *asked = &question->of[question->len++];
-	send_note_t note = {.kind = NOTE_QUESTION,
+	gossip_message_t message = {.kind = GOSSIP_QUESTION,
 	    .endpoint = endpoint->short_hash,
 	    .number = question->number};
 
-	relay_note_prefixes(&note, prefixes);
+	relay_gossip_prefixes(&message, prefixes);
 	*asked = (asked_endpoint_t){.hash = endpoint->hash};
-	if (send_notes_ask(req->relay->notes, endpoint->facts.place, &note))
+	if (gossip_ask(req->relay->gossip, endpoint->facts.place, &message))
 		question->open++;
 	else
 		asked->told = true;
@@ -111,7 +111,7 @@
 
 	/* Asked already: the answers came, or are not waited for any longer. */
 	if (req->question.number != 0 || req->arrival.parts_len == 0 ||
-	    !send_notes_may_ask(relay->notes, relay_read_ms(req)) ||
+	    !gossip_may_ask(relay->gossip, relay_read_ms(req)) ||
 	    !candidates_of(req, &candidates, &why))
 		return false;
 	prefix_list_fill(&prefixes, &req->arrival, model_hash);
@@ -126,24 +126,25 @@
 
 /* Another daemon has sent a prompt. */
 static void
-on_sent(void *arg, const send_note_t *note)
+on_sent(void *arg, const gossip_message_t *message)
 {
 	relay_t *relay = arg;
 	int64_t now_ms = timespec_ms(clock_elapsed(relay->clock));
 	endpoint_t *endpoint =
-	    endpoint_set_find_short(relay->endpoints, note->endpoint);
-	prefix_list_t prefixes = {.len = note->prefixes_len};
+	    endpoint_set_find_short(relay->endpoints, message->endpoint);
+	prefix_list_t prefixes = {.len = message->prefixes_len};
 
 	if (endpoint == NULL)
 		return;
-	memcpy(prefixes.hashes, note->prefixes,
-	    note->prefixes_len * sizeof(note->prefixes[0]));
+	memcpy(prefixes.hashes, message->prefixes,
+	    message->prefixes_len * sizeof(message->prefixes[0]));
 	prefix_memory_note(&relay->prefixes, &prefixes, endpoint->hash, now_ms);
-	prefill_queue_extend(&endpoint->unread, note->read_ms, (double)now_ms);
+	prefill_queue_extend(
+	    &endpoint->unread, message->read_ms, (double)now_ms);
 }
 
 static bool
-on_asked(void *arg, const send_note_t *question, send_note_t *answer)
+on_asked(void *arg, const gossip_message_t *question, gossip_message_t *answer)
 {
 	relay_t *relay = arg;
 	int64_t now_ms = timespec_ms(clock_elapsed(relay->clock));
@@ -174,7 +175,7 @@
 }
 
 static void
-on_answered(void *arg, const send_note_t *answer)
+on_answered(void *arg, const gossip_message_t *answer)
 {
 	relay_request_t *req = asking_find(arg, answer->number);
 
@@ -194,5 +195,5 @@
 		attempt_begin(req);
 }
 
-const send_notes_ops_t relay_notes_ops = {
+const gossip_ops_t relay_gossip_ops = {
     on_sent, on_asked, on_answered, relay_quarantine_told};
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -226,7 +226,7 @@
 	relay_rows_earlier_take(node);
 	endpoint_set_observe(&node->endpoints);
 	members_step(node);
-	send_notes_tick(&node->notes);
+	gossip_tick(&node->gossip);
 	sessions_step(node);
 	relay_quarantine_tick(&node->relay.quarantine);
 	if (rollouts_active(&node->rollouts))
@@ -335,7 +335,7 @@
 	    .endpoint_words = ports->endpoints,
 	    .endpoints = &node->endpoints,
 	    .members = &node->members,
-	    .notes = &node->notes,
+	    .gossip = &node->gossip,
 	    .rollouts = &node->rollouts,
 	    .config_watch = orders,
 	    .endpoint_watch =
@@ -346,8 +346,8 @@
 	if (!relay_init(&node->relay, &node->settings.listen, err) ||
 	    !relay_quarantine_init(
 		&node->relay.quarantine, &node->relay, ports->store) ||
-	    !send_notes_init(&node->notes, ports->base, ports->clock,
-		&node->members, node->settings.peer, &relay_notes_ops,
+	    !gossip_init(&node->gossip, ports->base, ports->clock,
+		&node->members, node->settings.peer, &relay_gossip_ops,
 		&node->relay, err))
 		return false;
 	membership_init(
@@ -386,7 +386,7 @@
 	relay_finish(&node->relay);
 	relay_quarantine_finish(&node->relay.quarantine);
 	row_source_finish(&node->source);
-	send_notes_finish(&node->notes);
+	gossip_finish(&node->gossip);
 	rollouts_finish(&node->rollouts);
 	membership_finish(&node->members);
 	endpoint_set_finish(&node->endpoints);
--- a/moortack/relay/relay_quarantine.c
+++ b/moortack/relay/relay_quarantine.c
@@ -84,7 +84,7 @@
 	relay_quarantine_t *self = arg;
 
 	if (suspect->stored_version != 0 &&
-	    send_notes_owns(self->relay->notes, suspect->digest))
+	    gossip_owns(self->relay->gossip, suspect->digest))
 		quarantine_row_remove(self, suspect);
 }
 
@@ -92,11 +92,11 @@
 
 /* Told now, and once more with the next tick. */
 static void
-note_tell(relay_quarantine_t *self, const send_note_t *note)
+message_tell(relay_quarantine_t *self, const gossip_message_t *message)
 {
-	send_notes_tell_owners(self->relay->notes, note);
-	if (self->again_len < QUARANTINE_NOTES_MAX)
-		self->again[self->again_len++] = *note;
+	gossip_tell_owners(self->relay->gossip, message);
+	if (self->again_len < QUARANTINE_MESSAGES_MAX)
+		self->again[self->again_len++] = *message;
 }
 
 static void
@@ -113,7 +113,7 @@
 crashes_take(relay_quarantine_t *self, crash_evidence_t *evidence,
     const endpoint_t *endpoint, const char *how)
 {
-	send_note_t note = {.kind = NOTE_CRASH,
+	gossip_message_t message = {.kind = GOSSIP_CRASH,
 	    .endpoint = endpoint->short_hash,
 	    .version = version_of(endpoint)};
 	broken_attempt_t broken;
@@ -123,14 +123,14 @@
 			broken.incarnation, broken.version, true))
 			continue;
 		suspicion_log(self, broken.digest, endpoint, how);
-		note.digests[note.digests_len++] = broken.digest;
-		if (note.digests_len < SEND_NOTE_DIGESTS_MAX)
+		message.digests[message.digests_len++] = broken.digest;
+		if (message.digests_len < GOSSIP_MESSAGE_DIGESTS_MAX)
 			continue;
-		note_tell(self, &note);
-		note.digests_len = 0;
+		message_tell(self, &message);
+		message.digests_len = 0;
 	}
-	if (note.digests_len > 0)
-		note_tell(self, &note);
+	if (message.digests_len > 0)
+		message_tell(self, &message);
 }
 
 void
@@ -243,7 +243,7 @@
 	if (!quarantine_clear(&self->table, digest))
 		return;
 	self->cleared++;
-	if (send_notes_owns(self->relay->notes, digest))
+	if (gossip_owns(self->relay->gossip, digest))
 		quarantine_row_remove(self, suspect);
 }
 
@@ -251,39 +251,40 @@
 relay_attempt_survived(relay_request_t *req)
 {
 	relay_quarantine_t *self = &req->relay->quarantine;
-	send_note_t note = {.kind = NOTE_CLEARED, .digests_len = 1};
+	gossip_message_t message = {.kind = GOSSIP_CLEARED, .digests_len = 1};
 
 	if (HASH_COUNT(self->table.suspects) == 0 ||
 	    quarantine_crashes(&self->table, relay_digest(req)) == 0)
 		return;
-	note.digests[0] = relay_digest(req);
+	message.digests[0] = relay_digest(req);
 	event_line_throttled(self->relay->log, EVENT_THROTTLED_SUSPECT,
 	    "digest=%016" PRIx64 " crashes=0 endpoint=%s how=cleared",
 	    relay_digest(req), req->endpoint_id);
 	if (req->on_trial)
-		send_notes_tell_each(req->relay->notes, &note);
-	note_tell(self, &note);
+		gossip_tell_each(req->relay->gossip, &message);
+	message_tell(self, &message);
 	cleared_take(self, relay_digest(req), "run");
 }
 
 void
-relay_quarantine_told(void *arg, const send_note_t *note)
+relay_quarantine_told(void *arg, const gossip_message_t *message)
 {
 	relay_quarantine_t *self = &((relay_t *)arg)->quarantine;
 	suspect_t *suspect;
 
 	self->source = "told";
-	for (size_t i = 0; i < note->digests_len; i++) {
-		uint64_t digest = note->digests[i];
+	for (size_t i = 0; i < message->digests_len; i++) {
+		uint64_t digest = message->digests[i];
 
-		if (note->kind == NOTE_CRASH) {
-			quarantine_crash(&self->table, digest, note->endpoint,
-			    note->version, false);
-		} else if (note->kind == NOTE_CLEARED) {
+		if (message->kind == GOSSIP_CRASH) {
+			quarantine_crash(&self->table, digest,
+			    message->endpoint, message->version, false);
+		} else if (message->kind == GOSSIP_CLEARED) {
 			cleared_take(self, digest, "told");
 		} else {
-			quarantine_merge(&self->table, digest, note->crashes,
-			    note->crashes_len, note->version, note->held_ms);
+			quarantine_merge(&self->table, digest, message->crashes,
+			    message->crashes_len, message->version,
+			    message->held_ms);
 			suspect = quarantine_find(&self->table, digest);
 			if (suspect != NULL)
 				suspect->told = TELLS;
@@ -298,7 +299,7 @@
 {
 	struct timespec now = clock_elapsed(self->relay->clock);
 
-	return send_notes_owns(self->relay->notes, suspect->digest) ||
+	return gossip_owns(self->relay->gossip, suspect->digest) ||
 	    (suspect->witnessed &&
 		timespec_ms_between(suspect->crashed_at, now) >= ms);
 }
@@ -314,7 +315,7 @@
 static void
 verdict_tell(relay_quarantine_t *self, suspect_t *suspect)
 {
-	send_note_t note = {.kind = NOTE_HELD,
+	gossip_message_t message = {.kind = GOSSIP_HELD,
 	    .digests = {suspect->digest},
 	    .digests_len = 1,
 	    .version = suspect->version,
@@ -322,8 +323,8 @@
 	    .held_ms = (uint32_t)timespec_ms_between(
 		suspect->held_at, clock_elapsed(self->relay->clock))};
 
-	memcpy(note.crashes, suspect->crashes, sizeof(note.crashes));
-	send_notes_tell_each(self->relay->notes, &note);
+	memcpy(message.crashes, suspect->crashes, sizeof(message.crashes));
+	gossip_tell_each(self->relay->gossip, &message);
 	suspect->told++;
 }
 
@@ -382,7 +383,7 @@
 	suspect_t *one, *next;
 
 	for (size_t i = 0; i < self->again_len; i++)
-		send_notes_tell_owners(self->relay->notes, &self->again[i]);
+		gossip_tell_owners(self->relay->gossip, &self->again[i]);
 	self->again_len = 0;
 	crash_evidence_expire(&self->evidence, now, EVIDENCE_MS);
 	crash_evidence_expire(&self->left, now, LEFT_MS);
@@ -409,7 +410,7 @@
 	if (!quarantine_is_held(quarantine_find(&self->table, digest)))
 		return false;
 	req->on_trial = quarantine_admits(
-	    &self->table, digest, send_notes_owns(req->relay->notes, digest));
+	    &self->table, digest, gossip_owns(req->relay->gossip, digest));
 	return !req->on_trial;
 }
 
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -180,8 +180,8 @@
 bool relay_ask(relay_request_t *);
 /** Forget the question and what was told. */
 void relay_ask_end(relay_request_t *);
-/** Put the beginnings that others share into a note. */
-void relay_note_prefixes(send_note_t *, const prefix_list_t *);
+/** Put the beginnings that others share into a message. */
+void relay_gossip_prefixes(gossip_message_t *, const prefix_list_t *);
 /** How long an endpoint takes to read the request's prompt at most, ms. */
 double relay_read_ms(const relay_request_t *);
 /** What the owner told of the endpoint, or NULL. */
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -451,7 +451,7 @@
 {
 	relay_node_t *node = arg;
 
-	send_notes_set_secret(&node->notes, secret);
+	gossip_set_secret(&node->gossip, secret);
 	relay_quarantine_set_secret(&node->relay.quarantine, secret);
 }
 
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -143,7 +143,7 @@
 	uint64_t model_hash = XXH3_64bits(model, strlen(model));
 	choose_wish_t wish = {.prompt = req->arrival.parts_len > 0,
 	    .affinity = req->shared ^ model_hash,
-	    .first_keeps = req->relay->notes->unheard,
+	    .first_keeps = req->relay->gossip->unheard,
 	    .dice = req->relay->rng->next(req->relay->rng),
 	    .place_bonus = PLACE_BONUS};
 	const relay_model_t *known = relay_model_known(req, model);
@@ -181,17 +181,17 @@
 }
 
 static void
-note_tell(
+message_tell(
     relay_t *relay, const placement_t *place, const prefix_list_t *prefixes)
 {
-	send_note_t note = {.kind = NOTE_SENT,
+	gossip_message_t message = {.kind = GOSSIP_SENT,
 	    .endpoint = place->endpoint->short_hash,
 	    .read_ms = (uint32_t)place->read_ms};
 
-	if (!send_notes_worth(relay->notes, place->read_ms))
+	if (!gossip_worth(relay->gossip, place->read_ms))
 		return;
-	relay_note_prefixes(&note, prefixes);
-	send_notes_tell(relay->notes, place->endpoint->facts.place, &note);
+	relay_gossip_prefixes(&message, prefixes);
+	gossip_tell(relay->gossip, place->endpoint->facts.place, &message);
 }
 
 void
@@ -210,5 +210,5 @@
 	    &relay->prefixes, &prefixes, place->endpoint->hash, now_ms);
 	prefill_queue_add(&place->endpoint->unread, &req->attempt.ticket,
 	    place->read_ms, (double)now_ms);
-	note_tell(relay, place, &prefixes);
+	message_tell(relay, place, &prefixes);
 }
--- a/moortack/wire/peer.pb-c.c
+++ b/moortack/wire/peer.pb-c.c
@@ -772,49 +772,49 @@
   assert(message->base.descriptor == &wire__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   wire__send_note__init
-                     (Wire__SendNote         *message)
+void   wire__gossip_message__init
+                     (Wire__GossipMessage         *message)
 {
-  static const Wire__SendNote init_value = WIRE__SEND_NOTE__INIT;
+  static const Wire__GossipMessage init_value = WIRE__GOSSIP_MESSAGE__INIT;
   *message = init_value;
 }
-size_t wire__send_note__get_packed_size
-                     (const Wire__SendNote *message)
+size_t wire__gossip_message__get_packed_size
+                     (const Wire__GossipMessage *message)
 {
-  assert(message->base.descriptor == &wire__send_note__descriptor);
+  assert(message->base.descriptor == &wire__gossip_message__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t wire__send_note__pack
-                     (const Wire__SendNote *message,
+size_t wire__gossip_message__pack
+                     (const Wire__GossipMessage *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &wire__send_note__descriptor);
+  assert(message->base.descriptor == &wire__gossip_message__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t wire__send_note__pack_to_buffer
-                     (const Wire__SendNote *message,
+size_t wire__gossip_message__pack_to_buffer
+                     (const Wire__GossipMessage *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__send_note__descriptor);
+  assert(message->base.descriptor == &wire__gossip_message__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Wire__SendNote *
-       wire__send_note__unpack
+Wire__GossipMessage *
+       wire__gossip_message__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Wire__SendNote *)
-     protobuf_c_message_unpack (&wire__send_note__descriptor,
+  return (Wire__GossipMessage *)
+     protobuf_c_message_unpack (&wire__gossip_message__descriptor,
                                 allocator, len, data);
 }
-void   wire__send_note__free_unpacked
-                     (Wire__SendNote *message,
+void   wire__gossip_message__free_unpacked
+                     (Wire__GossipMessage *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &wire__send_note__descriptor);
+  assert(message->base.descriptor == &wire__gossip_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 static const ProtobufCFieldDescriptor wire__standing__field_descriptors[8] =
@@ -2210,7 +2210,7 @@
   (ProtobufCMessageInit) wire__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__send_note__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wire__gossip_message__field_descriptors[11] =
 {
   {
     "endpoint",
@@ -2218,7 +2218,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Wire__SendNote, endpoint),
+    offsetof(Wire__GossipMessage, endpoint),
     NULL,
     NULL,
     0,             /* flags */
@@ -2230,7 +2230,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__SendNote, read_ms),
+    offsetof(Wire__GossipMessage, read_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -2241,8 +2241,8 @@
     3,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED32,
-    offsetof(Wire__SendNote, n_prefixes),
-    offsetof(Wire__SendNote, prefixes),
+    offsetof(Wire__GossipMessage, n_prefixes),
+    offsetof(Wire__GossipMessage, prefixes),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -2254,7 +2254,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__SendNote, kind),
+    offsetof(Wire__GossipMessage, kind),
     NULL,
     NULL,
     0,             /* flags */
@@ -2266,7 +2266,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Wire__SendNote, number),
+    offsetof(Wire__GossipMessage, number),
     NULL,
     NULL,
     0,             /* flags */
@@ -2278,7 +2278,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__SendNote, wait_ms),
+    offsetof(Wire__GossipMessage, wait_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -2290,7 +2290,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__SendNote, kept),
+    offsetof(Wire__GossipMessage, kept),
     NULL,
     NULL,
     0,             /* flags */
@@ -2301,8 +2301,8 @@
     8,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Wire__SendNote, n_digests),
-    offsetof(Wire__SendNote, digests),
+    offsetof(Wire__GossipMessage, n_digests),
+    offsetof(Wire__GossipMessage, digests),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -2314,7 +2314,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Wire__SendNote, version),
+    offsetof(Wire__GossipMessage, version),
     NULL,
     NULL,
     0,             /* flags */
@@ -2325,8 +2325,8 @@
     10,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED32,
-    offsetof(Wire__SendNote, n_crashes),
-    offsetof(Wire__SendNote, crashes),
+    offsetof(Wire__GossipMessage, n_crashes),
+    offsetof(Wire__GossipMessage, crashes),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -2338,14 +2338,14 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__SendNote, held_ms),
+    offsetof(Wire__GossipMessage, held_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__send_note__field_indices_by_name[] = {
+static const unsigned wire__gossip_message__field_indices_by_name[] = {
   9,   /* field[9] = crashes */
   7,   /* field[7] = digests */
   0,   /* field[0] = endpoint */
@@ -2358,23 +2358,23 @@
   8,   /* field[8] = version */
   5,   /* field[5] = wait_ms */
 };
-static const ProtobufCIntRange wire__send_note__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__gossip_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 11 }
 };
-const ProtobufCMessageDescriptor wire__send_note__descriptor =
+const ProtobufCMessageDescriptor wire__gossip_message__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.SendNote",
-  "SendNote",
-  "Wire__SendNote",
+  "wire.GossipMessage",
+  "GossipMessage",
+  "Wire__GossipMessage",
   "wire",
-  sizeof(Wire__SendNote),
+  sizeof(Wire__GossipMessage),
   11,
-  wire__send_note__field_descriptors,
-  wire__send_note__field_indices_by_name,
-  1,  wire__send_note__number_ranges,
-  (ProtobufCMessageInit) wire__send_note__init,
+  wire__gossip_message__field_descriptors,
+  wire__gossip_message__field_indices_by_name,
+  1,  wire__gossip_message__number_ranges,
+  (ProtobufCMessageInit) wire__gossip_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/test/platform/owners.lua
+++ b/test/platform/owners.lua
@@ -46,7 +46,7 @@
 lib.check(sum("owners_asked") > SUBJECTS, "nobody was asked")
 lib.check(sum("owners_answered") >= 0.9 * sum("owners_asked"),
   "%d answers to %d questions", sum("owners_answered"), sum("owners_asked"))
-lib.equal(sum("notes_refused"), 0, "refused notes")
+lib.equal(sum("gossip_refused"), 0, "refused gossip")
 
 -- Not the one that reads the store, nor the one that is asked here: what these
 -- know would be missed for another reason.
--- a/test/platform/sends_told.lua
+++ b/test/platform/sends_told.lua
@@ -14,17 +14,17 @@
 end)
 
 for subject = 1, SUBJECTS do
-  local heard = words.metric(w.daemons[2], "notes_received")
+  local heard = words.metric(w.daemons[2], "gossip_received")
   local first = words.call(w.daemons[1], "/stream/a",
     {headers = words.prompt(subject, 2 * subject)})
   lib.equal(first.status, 200, "the first prompt")
   lib.wait_until("the other daemon hears of it", function()
-    return words.metric(w.daemons[2], "notes_received") > heard
+    return words.metric(w.daemons[2], "gossip_received") > heard
   end)
   local second = words.call(w.daemons[2], "/stream/a",
     {headers = words.prompt(subject, 2 * subject + 1)})
   lib.equal(w:endpoint_of(second.id), w:endpoint_of(first.id),
     "the endpoint of the second prompt")
 end
-lib.equal(words.metric(w.daemons[1], "notes_refused"), 0, "refused notes")
+lib.equal(words.metric(w.daemons[1], "gossip_refused"), 0, "refused gossip")
 lib.say("ok")
--- a/test/unit/send_note_test.c
+++ b/test/unit/gossip_test.c
@@ -1,7 +1,7 @@
 /**
  * @file
- * What daemons tell each other of their sends, and ask before they send: notes,
- * their seal, to whom they go, and whom is asked.
+ * What daemons tell each other of their sends, and ask before they send:
+ * messages, their seal, to whom they go, and whom is asked.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -14,89 +14,89 @@
 #include <string.h>
 
 #include "../support/manual_clock.h"
+#include "moortack/relay/gossip.h"
+#include "moortack/relay/gossip_message.h"
 #include "moortack/relay/owners.h"
-#include "moortack/relay/send_note.h"
-#include "moortack/relay/send_notes.h"
 
 static manual_clock_t hand = {{&manual_ops}, {1000, 0}};
 
-static const send_note_t note = {.endpoint = 0xfedcba98,
+static const gossip_message_t message = {.endpoint = 0xfedcba98,
     .read_ms = 1234,
     .prefixes = {1, 0xffffffff, 3, 4, 5, 6},
     .prefixes_len = 6};
 
 static void
-a_note_is_read_by_who_has_the_key(void **state)
+a_message_is_read_by_who_has_the_key(void **state)
 {
-	send_note_key_t key, other;
-	uint8_t bytes[SEND_NOTE_SIZE];
-	send_note_t read;
+	gossip_key_t key, other;
+	uint8_t bytes[GOSSIP_MESSAGE_SIZE];
+	gossip_message_t read;
 	size_t len;
 
 	(void)state;
-	send_note_key_derive(&key, "secret");
-	send_note_key_derive(&other, "another");
-	len = send_note_seal(&note, &key, bytes);
-	assert_true(len <= SEND_NOTE_SIZE);
-	assert_true(send_note_open(&read, &key, bytes, len));
-	assert_int_equal(read.endpoint, note.endpoint);
-	assert_int_equal(read.read_ms, note.read_ms);
-	assert_int_equal(read.prefixes_len, note.prefixes_len);
+	gossip_key_derive(&key, "secret");
+	gossip_key_derive(&other, "another");
+	len = gossip_message_seal(&message, &key, bytes);
+	assert_true(len <= GOSSIP_MESSAGE_SIZE);
+	assert_true(gossip_message_open(&read, &key, bytes, len));
+	assert_int_equal(read.endpoint, message.endpoint);
+	assert_int_equal(read.read_ms, message.read_ms);
+	assert_int_equal(read.prefixes_len, message.prefixes_len);
 	assert_memory_equal(
-	    read.prefixes, note.prefixes, sizeof(note.prefixes));
-	assert_false(send_note_open(&read, &other, bytes, len));
+	    read.prefixes, message.prefixes, sizeof(message.prefixes));
+	assert_false(gossip_message_open(&read, &other, bytes, len));
 }
 
 static void
 what_crashes_endpoints_is_told_in_one_datagram(void **state)
 {
-	const send_note_t crash = {.kind = NOTE_CRASH,
+	const gossip_message_t crash = {.kind = GOSSIP_CRASH,
 	    .endpoint = UINT32_MAX,
 	    .version = UINT32_MAX,
 	    .digests = {UINT64_MAX, 2, 3, 4, UINT64_MAX},
-	    .digests_len = SEND_NOTE_DIGESTS_MAX};
-	const send_note_t verdict = {.kind = NOTE_HELD,
+	    .digests_len = GOSSIP_MESSAGE_DIGESTS_MAX};
+	const gossip_message_t verdict = {.kind = GOSSIP_HELD,
 	    .digests = {UINT64_MAX},
 	    .digests_len = 1,
 	    .version = UINT32_MAX,
 	    .crashes = {UINT32_MAX, 2, UINT32_MAX},
-	    .crashes_len = SEND_NOTE_CRASHES_MAX,
+	    .crashes_len = GOSSIP_MESSAGE_CRASHES_MAX,
 	    .held_ms = UINT32_MAX};
-	const send_note_t *const notes[] = {&crash, &verdict};
-	uint8_t bytes[SEND_NOTE_SIZE];
-	send_note_key_t key;
-	send_note_t read;
+	const gossip_message_t *const messages[] = {&crash, &verdict};
+	uint8_t bytes[GOSSIP_MESSAGE_SIZE];
+	gossip_key_t key;
+	gossip_message_t read;
 
 	(void)state;
-	send_note_key_derive(&key, "secret");
+	gossip_key_derive(&key, "secret");
 	for (size_t i = 0; i < 2; i++) {
-		size_t len = send_note_seal(notes[i], &key, bytes);
+		size_t len = gossip_message_seal(messages[i], &key, bytes);
 
-		assert_true(len <= SEND_NOTE_SIZE);
-		assert_true(send_note_open(&read, &key, bytes, len));
-		assert_memory_equal(&read, notes[i], sizeof(read));
+		assert_true(len <= GOSSIP_MESSAGE_SIZE);
+		assert_true(gossip_message_open(&read, &key, bytes, len));
+		assert_memory_equal(&read, messages[i], sizeof(read));
 	}
 }
 
 static void
 what_was_changed_is_refused(void **state)
 {
-	send_note_key_t key;
-	uint8_t bytes[SEND_NOTE_SIZE + 1] = {0};
-	send_note_t read;
+	gossip_key_t key;
+	uint8_t bytes[GOSSIP_MESSAGE_SIZE + 1] = {0};
+	gossip_message_t read;
 	size_t len;
 
 	(void)state;
-	send_note_key_derive(&key, "secret");
-	len = send_note_seal(&note, &key, bytes);
+	gossip_key_derive(&key, "secret");
+	len = gossip_message_seal(&message, &key, bytes);
 	for (size_t i = 0; i < len; i++) {
 		bytes[i] ^= 1;
-		assert_false(send_note_open(&read, &key, bytes, len));
+		assert_false(gossip_message_open(&read, &key, bytes, len));
 		bytes[i] ^= 1;
 	}
 	for (size_t cut = 0; cut < len; cut++)
-		assert_false(send_note_open(&read, &key, bytes, cut));
-	assert_false(send_note_open(&read, &key, bytes, sizeof(bytes)));
+		assert_false(gossip_message_open(&read, &key, bytes, cut));
+	assert_false(gossip_message_open(&read, &key, bytes, sizeof(bytes)));
 }
 
 static void
@@ -204,20 +204,20 @@
 static void
 an_answer_comes_back_as_it_was_told(void **state)
 {
-	const send_note_t told = {.kind = NOTE_ANSWER,
+	const gossip_message_t told = {.kind = GOSSIP_ANSWER,
 	    .endpoint = 7,
 	    .number = 0xffffffff,
 	    .wait_ms = 4321,
 	    .kept = 3};
-	uint8_t bytes[SEND_NOTE_SIZE];
-	send_note_key_t key;
-	send_note_t read;
+	uint8_t bytes[GOSSIP_MESSAGE_SIZE];
+	gossip_key_t key;
+	gossip_message_t read;
 
 	(void)state;
-	send_note_key_derive(&key, "secret");
-	assert_true(send_note_open(
-	    &read, &key, bytes, send_note_seal(&told, &key, bytes)));
-	assert_int_equal(read.kind, NOTE_ANSWER);
+	gossip_key_derive(&key, "secret");
+	assert_true(gossip_message_open(
+	    &read, &key, bytes, gossip_message_seal(&told, &key, bytes)));
+	assert_int_equal(read.kind, GOSSIP_ANSWER);
 	assert_int_equal(read.endpoint, told.endpoint);
 	assert_int_equal(read.number, told.number);
 	assert_int_equal(read.wait_ms, told.wait_ms);
@@ -229,34 +229,34 @@
 long_prompts_are_told_first(void **state)
 {
 	membership_t members = {.clock = &hand.source};
-	send_notes_t notes;
+	gossip_t gossip;
 	size_t told = 0;
 	err_t err;
 
 	(void)state;
-	assert_true(send_notes_init(
-	    &notes, NULL, &hand.source, &members, "", NULL, NULL, &err));
-	assert_true(send_notes_worth(&notes, 25));
-	assert_false(send_notes_worth(&notes, 5));
-	notes.allowance /= 10;
-	assert_false(send_notes_worth(&notes, 25));
-	assert_true(send_notes_worth(&notes, 500));
-	notes.allowance = 0;
-	while (told < 100 && send_notes_worth(&notes, 5000)) {
-		notes.allowance -= 800;
+	assert_true(gossip_init(
+	    &gossip, NULL, &hand.source, &members, "", NULL, NULL, &err));
+	assert_true(gossip_worth(&gossip, 25));
+	assert_false(gossip_worth(&gossip, 5));
+	gossip.allowance /= 10;
+	assert_false(gossip_worth(&gossip, 25));
+	assert_true(gossip_worth(&gossip, 500));
+	gossip.allowance = 0;
+	while (told < 100 && gossip_worth(&gossip, 5000)) {
+		gossip.allowance -= 800;
 		told++;
 	}
 	assert_int_equal(told, 0);
 	hand.now.tv_sec += 60;
-	assert_true(send_notes_worth(&notes, 25));
-	send_notes_finish(&notes);
+	assert_true(gossip_worth(&gossip, 25));
+	gossip_finish(&gossip);
 }
 
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-	    cmocka_unit_test(a_note_is_read_by_who_has_the_key),
+	    cmocka_unit_test(a_message_is_read_by_who_has_the_key),
 	    cmocka_unit_test(what_crashes_endpoints_is_told_in_one_datagram),
 	    cmocka_unit_test(what_was_changed_is_refused),
 	    cmocka_unit_test(a_small_fleet_tells_all),
