soak: the store comes back from an older copy among the other faults

Change: a fault store_restored; the replicas write again after it. Conclusion: fuzz targets do not play it yet.

--- a/soak/soak.lua
+++ b/soak/soak.lua
@@ -35,6 +35,7 @@
 
 -- Faults, each with its end. ------------------------------------------------
 
+local leaving = {} -- replicas that are
 local lost -- the daemon that is off for long
 local step -- lets traffic go on for a moment
 local kept = {} -- by daemon: socket, when a request was sent, text of the answer
@@ -147,6 +148,20 @@
   store_forgets = function()
     return store_fault({forget = true}, {forget = false})
   end,
+  -- It comes back from a copy that is as old as the fault lasts, and the replicas
+  -- write again.
+  store_restored = function()
+    outage_end()
+    lib.fault(w.store.address, {save = true})
+    return function()
+      outage_end()
+      store_disturbed = run.now()
+      lib.fault(w.store.address, {restore = true})
+      for i = 1, REPLICAS do
+        w:replica(i, "v1", leaving[i] and "draining" or nil)
+      end
+    end
+  end,
   link_slow = function(fault)
     return link_fault(fault.daemon, {delay_ms = 300}, {delay_ms = 0})
   end,
@@ -172,9 +187,11 @@
   leave = function(fault)
     local i = fault.replica
     outage_end()
+    leaving[i] = true
     w:replica(i, "v1", "draining")
     return function()
       outage_end()
+      leaving[i] = nil
       w:replica(i, "v1")
     end
   end,
