relay: no request waits for a probe that is over; crashes and suspects in files of their own

Cause, found by reading: a suspect whose repeat would go to the last endpoint waits for the probe of the one that broke off. A last probe that tells nothing (no answer, or refused while other requests of this daemon go on there) woke it, it waited again since that probe was still listed, and nobody woke it any more: it was held until its time limit. Change: each tick wakes what waits while no probe is under way. relay_quarantine.c (557 lines) is split: relay_crashes.c finds out which endpoints crashed, relay_suspects.c says what a request may do. Ruled out: a time limit of its own for the wait (four tries of 0.3 s bound it). No test plays a probe without an answer: on loopback a port answers or refuses. Conclusion: mended by reading, not shown by a run.

--- a/moortack/relay/relay_quarantine.c
+++ b/moortack/relay/relay_quarantine.c
@@ -7,22 +7,8 @@
 #include "relay_quarantine_priv.h"
 #include "relay_request.h"
 
-/* An endpoint that crashed and can't be reached is gone from the store within
- * three of its heartbeats. */
-#define EVIDENCE_MS 8000
-/* An endpoint goes on for a moment with a run that was given up, and may crash
- * under it still. */
-#define LEFT_MS 1000
-/* All connections of a process that ended are reset within a few ms of each
- * other; a run that was given up is looked after later. */
-#define PROBE_MS 20
-#define PROBE_LEFT_MS 300
-/* Crashes under a request from which on it is not sent again by itself. */
-#define SUSPICION_STOPS 2
 /* Crashes from which on a suspicion outlasts the daemons that know of it. */
 #define CRASHES_STORED 2
-/* Where fewer endpoints are left, a suspect could crash the last one. */
-#define LIVE_MIN 2
 /* How often others are told of a verdict. */
 #define TELLS 2
 /* When a daemon that saw one of the crashes tells in the place of one that did
@@ -35,8 +21,8 @@
 
 /* The upper half names the service, so that its other versions are told apart
  * from other services'. */
-static uint32_t
-version_of(const endpoint_t *endpoint)
+uint32_t
+quarantine_version_of(const endpoint_t *endpoint)
 {
 	const endpoint_facts_t *facts = &endpoint->facts;
 	uint64_t service = XXH3_64bits(facts->service, strlen(facts->service));
@@ -91,149 +77,14 @@
 static const quarantine_ops_t table_ops = {on_held, on_released, on_forgotten};
 
 /* Told now, and once more with the next tick. */
-static void
-message_tell(relay_quarantine_t *self, const gossip_message_t *message)
+void
+quarantine_tell(relay_quarantine_t *self, const gossip_message_t *message)
 {
 	gossip_tell_owners(self->relay->gossip, message);
 	if (self->again_len < QUARANTINE_MESSAGES_MAX)
 		self->again[self->again_len++] = *message;
 }
 
-static void
-suspicion_log(const relay_quarantine_t *self, uint64_t digest,
-    const endpoint_t *endpoint, const char *how)
-{
-	event_line_throttled(self->relay->log, EVENT_THROTTLED_SUSPECT,
-	    "digest=%016" PRIx64 " crashes=%zu endpoint=%s how=%s", digest,
-	    quarantine_crashes(&self->table, digest), endpoint->facts.id, how);
-}
-
-/* Take the attempts that were under way there, and tell of them. */
-static void
-crashes_take(relay_quarantine_t *self, crash_evidence_t *evidence,
-    const endpoint_t *endpoint, const char *how)
-{
-	gossip_message_t message = {.kind = GOSSIP_CRASH,
-	    .endpoint = endpoint->short_hash,
-	    .version = version_of(endpoint)};
-	broken_attempt_t broken;
-
-	while (crash_evidence_take(evidence, endpoint->short_hash, &broken)) {
-		if (!quarantine_crash(&self->table, broken.digest,
-			broken.incarnation, broken.version, true))
-			continue;
-		suspicion_log(self, broken.digest, endpoint, how);
-		message.digests[message.digests_len++] = broken.digest;
-		if (message.digests_len < GOSSIP_MESSAGE_DIGESTS_MAX)
-			continue;
-		message_tell(self, &message);
-		message.digests_len = 0;
-	}
-	if (message.digests_len > 0)
-		message_tell(self, &message);
-}
-
-void
-relay_quarantine_ended(
-    relay_quarantine_t *self, const endpoint_t *endpoint, const char *how)
-{
-	struct timespec now = clock_elapsed(self->relay->clock);
-
-	self->crashes +=
-	    crash_evidence_open(&self->evidence, endpoint->short_hash);
-	self->source = how;
-	crash_evidence_expire(&self->left, now, LEFT_MS);
-	crashes_take(self, &self->evidence, endpoint, how);
-	crashes_take(self, &self->left, endpoint, how);
-}
-
-void
-relay_quarantine_gone(relay_quarantine_t *self, const endpoint_t *endpoint)
-{
-	/* It may have left in good order, without a word. */
-	crash_evidence_drop(&self->left, endpoint->short_hash);
-	relay_quarantine_ended(self, endpoint, "gone");
-}
-
-/* Requests that wait for what a probe tells go on, or end. */
-static void
-waiting_wake(relay_t *relay)
-{
-	relay_request_t *req, *next;
-
-	for (req = relay->first; req != NULL; req = next) {
-		next = req->next;
-		if (!req->awaits_probe)
-			continue;
-		req->awaits_probe = false;
-		attempt_begin(req);
-	}
-}
-
-/* While a request of this daemon goes on there, the endpoint has not ended. */
-static bool
-on_probed(void *arg, endpoint_t *endpoint, probe_result_t result)
-{
-	relay_quarantine_t *self = arg;
-
-	stats_add(&self->relay->stats, STAT_CRASH_PROBES, 1);
-	if (result == PROBE_LISTENS) {
-		crash_evidence_drop(&self->evidence, endpoint->short_hash);
-		crash_evidence_drop(&self->left, endpoint->short_hash);
-	} else if (result == PROBE_REFUSED && endpoint->in_flight == 0) {
-		relay_quarantine_ended(self, endpoint, "refused");
-	}
-	waiting_wake(self->relay);
-	return crash_evidence_open(&self->evidence, endpoint->short_hash);
-}
-
-static bool
-attempt_note(relay_request_t *req, crash_evidence_t *evidence)
-{
-	endpoint_t *endpoint = req->attempt.endpoint;
-	broken_attempt_t attempt = {.digest = relay_digest(req),
-	    .incarnation = endpoint->short_hash,
-	    .version = version_of(endpoint),
-	    .at = clock_elapsed(req->relay->clock)};
-
-	/* One that leaves ends when it is done. */
-	if (attempt.digest == 0 || endpoint->facts.leaving)
-		return false;
-	crash_evidence_note(evidence, &attempt);
-	return true;
-}
-
-void
-relay_attempt_broke(relay_request_t *req)
-{
-	relay_quarantine_t *self = &req->relay->quarantine;
-
-	if (attempt_note(req, &self->evidence))
-		crash_probe_begin(&self->probes, req->relay->base,
-		    req->attempt.endpoint, PROBE_MS, on_probed, self);
-}
-
-void
-relay_attempt_left(relay_request_t *req)
-{
-	relay_quarantine_t *self = &req->relay->quarantine;
-
-	if (attempt_note(req, &self->left) &&
-	    quarantine_crashes(&self->table, relay_digest(req)) > 0)
-		crash_probe_begin(&self->probes, req->relay->base,
-		    req->attempt.endpoint, PROBE_LEFT_MS, on_probed, self);
-}
-
-void
-relay_attempt_refused(const relay_request_t *req)
-{
-	const endpoint_t *endpoint = req->attempt.endpoint;
-
-	if (endpoint->in_flight == 0)
-		relay_quarantine_ended(
-		    &req->relay->quarantine, endpoint, "refused");
-}
-
 static void
 cleared_take(relay_quarantine_t *self, uint64_t digest, const char *source)
 {
@@ -262,7 +113,7 @@
 	    relay_digest(req), req->endpoint_id);
 	if (req->on_trial)
 		gossip_tell_each(req->relay->gossip, &message);
-	message_tell(self, &message);
+	quarantine_tell(self, &message);
 	cleared_take(self, relay_digest(req), "run");
 }
 
@@ -328,23 +179,6 @@
 	suspect->told++;
 }
 
-/* An endpoint that crashes under a run that was given up breaks nothing of this
- * daemon's but connections that idle. */
-static void
-left_look(relay_quarantine_t *self)
-{
-	for (size_t i = 0; i < self->left.len; i++) {
-		const broken_attempt_t *one = &self->left.broken[i];
-		endpoint_t *endpoint = endpoint_set_find_short(
-		    self->relay->endpoints, one->incarnation);
-
-		if (endpoint != NULL &&
-		    timespec_ms_between(one->at, endpoint->link_ended_at) >= 0)
-			crash_probe_begin(&self->probes, self->relay->base,
-			    endpoint, PROBE_MS, on_probed, self);
-	}
-}
-
 /* Whether the service has endpoints, and none of the version that crashed. */
 static bool
 version_gone(const endpoint_set_t *set, uint32_t version)
@@ -353,7 +187,7 @@
 
 	for (const endpoint_t *one = set->endpoints; one != NULL;
 	     one = one->hh.next) {
-		uint32_t known = version_of(one);
+		uint32_t known = quarantine_version_of(one);
 
 		if (known == version)
 			return false;
@@ -385,11 +219,9 @@
 	for (size_t i = 0; i < self->again_len; i++)
 		gossip_tell_owners(self->relay->gossip, &self->again[i]);
 	self->again_len = 0;
-	crash_evidence_expire(&self->evidence, now, EVIDENCE_MS);
-	crash_evidence_expire(&self->left, now, LEFT_MS);
+	quarantine_evidence_step(self);
 	if (look)
 		self->looked_at = now;
-	left_look(self);
 	if (HASH_COUNT(self->table.suspects) == 0)
 		return;
 	quarantine_expire(&self->table);
@@ -398,83 +230,6 @@
 	quarantine_rows_write(self);
 }
 
-bool
-relay_quarantine_refuses(relay_request_t *req)
-{
-	relay_quarantine_t *self = &req->relay->quarantine;
-	uint64_t digest;
-
-	if (self->table.held == 0 || req->on_trial)
-		return false;
-	digest = relay_digest(req);
-	if (!quarantine_is_held(quarantine_find(&self->table, digest)))
-		return false;
-	req->on_trial = quarantine_admits(
-	    &self->table, digest, gossip_owns(req->relay->gossip, digest));
-	return !req->on_trial;
-}
-
-/* Crashes that count against the request, and those that may turn out so. */
-static size_t
-suspicion_of(relay_request_t *req)
-{
-	const relay_quarantine_t *self = &req->relay->quarantine;
-
-	if (HASH_COUNT(self->table.suspects) == 0 && self->evidence.len == 0)
-		return 0;
-	return quarantine_crashes(&self->table, relay_digest(req)) +
-	    crash_evidence_of(&self->evidence, relay_digest(req));
-}
-
-bool
-relay_suspected(relay_request_t *req)
-{
-	return suspicion_of(req) > 0;
-}
-
-bool
-relay_suspect_stops(relay_request_t *req)
-{
-	return suspicion_of(req) >= SUSPICION_STOPS;
-}
-
-/* Endpoints of the request's service that answered lately. */
-static size_t
-live_count(const relay_request_t *req)
-{
-	const endpoint_group_t *group =
-	    endpoint_set_group(req->relay->endpoints, req->service);
-	size_t count = 0;
-
-	for (size_t i = 0; group != NULL && i < group->len; i++)
-		count += !group->ring[i]->facts.leaving &&
-		    !endpoint_ejected(group->ring[i]) &&
-		    !crash_evidence_open(&req->relay->quarantine.evidence,
-			group->ring[i]->short_hash);
-	return count;
-}
-
-/* A caller's new try is one of up to a hundred requests that were under way at
- * an endpoint that crashed: not the one that crashed it, most likely. */
-bool
-relay_suspect_fits(relay_request_t *req)
-{
-	size_t suspicion = suspicion_of(req);
-
-	return suspicion == 0 || (suspicion == 1 && req->sends == 0) ||
-	    live_count(req) >= LIVE_MIN;
-}
-
-bool
-relay_suspect_waits(relay_request_t *req)
-{
-	const relay_quarantine_t *self = &req->relay->quarantine;
-
-	req->awaits_probe = self->probes != NULL &&
-	    crash_evidence_of(&self->evidence, relay_digest(req)) > 0;
-	return req->awaits_probe;
-}
-
 /* Its run may still be kept from crashing one more. */
 static void
 request_stop(relay_request_t *req)
