relay: a line for each refusal of a suspected request

Cause: the line of a refused request does not have its digest; only verdicts and suspicions could be found by it. Change: a line with digest, caller's id, crashes and the time that is left, for each request that is refused or tried again; bounded like the others of its kind. port_closed instead of refused for how a crash is known.

--- a/moortack/relay/relay_crashes.c
+++ b/moortack/relay/relay_crashes.c
@@ -96,7 +96,7 @@
 		crash_evidence_drop(&self->evidence, endpoint->short_hash);
 		crash_evidence_drop(&self->left, endpoint->short_hash);
 	} else if (result == PROBE_REFUSED && endpoint->in_flight == 0) {
-		relay_quarantine_ended(self, endpoint, "refused");
+		relay_quarantine_ended(self, endpoint, "port_closed");
 	}
 	waiting_wake(self->relay);
 	return crash_evidence_open(&self->evidence, endpoint->short_hash);
@@ -146,7 +146,7 @@
 
 	if (endpoint->in_flight == 0)
 		relay_quarantine_ended(
-		    &req->relay->quarantine, endpoint, "refused");
+		    &req->relay->quarantine, endpoint, "port_closed");
 }
 
 /* An endpoint that crashes under a run that was given up breaks nothing of this
--- a/moortack/relay/relay_suspects.c
+++ b/moortack/relay/relay_suspects.c
@@ -1,3 +1,5 @@
+#include <inttypes.h>
+
 #include "relay_request.h"
 
 /* Crashes under a request from which on it is not sent again by itself. */
@@ -5,6 +7,19 @@
 /* Where fewer endpoints are left, a suspect could crash the last one. */
 #define LIVE_MIN 2
 
+static void
+decision_log(const relay_request_t *req, uint64_t digest)
+{
+	const quarantine_t *table = &req->relay->quarantine.table;
+
+	event_line_throttled(req->relay->log, EVENT_THROTTLED_SUSPECT,
+	    "digest=%016" PRIx64 " id=%s crashes=%zu left_ms=%" PRId64
+	    " how=%s",
+	    digest, req->arrival.id, quarantine_crashes(table, digest),
+	    quarantine_left_ms(table, digest),
+	    req->on_trial ? "tried" : "refused");
+}
+
 bool
 relay_quarantine_refuses(relay_request_t *req)
 {
@@ -18,6 +33,7 @@
 		return false;
 	req->on_trial = quarantine_admits(
 	    &self->table, digest, gossip_owns(req->relay->gossip, digest));
+	decision_log(req, digest);
 	return !req->on_trial;
 }
 
