quarantine, replication: two comments in the field's words

Cause: read once more as a newcomer: a comment without a verb, and one in words of our own. Change: comments only; no object code changes.

--- a/include/moortack/replication/feed_wire.h
+++ b/include/moortack/replication/feed_wire.h
@@ -56,8 +56,8 @@
 	json_t *rows;	 /**< of [table, key, version, value or null] */
 	int64_t held_ms; /**< the question was held: the ages in the answer
 			    count from so much later */
-	int64_t vouched_ms; /**< since the word on who lives was spoken;
-			       negative: there is none */
+	int64_t vouched_ms; /**< since the sender judged which daemons are
+			       alive; negative: there is none */
 	json_t *silent;	    /**< names of those that it takes for silent; may be
 			       NULL */
 } feed_answer_t;
--- a/moortack/quarantine/quarantine.c
+++ b/moortack/quarantine/quarantine.c
@@ -140,7 +140,7 @@
 	return false;
 }
 
-/* The oldest one. */
+/* Forget the oldest crash. */
 static void
 crash_drop(suspect_t *suspect)
 {
