relay, replication: an availability zone is a zone in names and logs

Cause: the code called it `place`, which also stands for a position in an order and, in `placement_t`, for where an attempt goes. Change: fields, parameters and log keys `place` that mean an availability zone become `zone` in relay/, replication/, platform/ and their tests. The field of the stored member row keeps its name, since daemons of both builds may read it; `placement_t place` stays. Ruled out: renaming the API of moortackd, whose callers send `place`.

--- a/bench/placing.c
+++ b/bench/placing.c
@@ -131,7 +131,7 @@
 
 	return (choose_candidate_t){.hash = endpoint_hash(endpoint),
 	    .slots = 64,
-	    .same_place = same,
+	    .same_zone = same,
 	    .unread = unread,
 	    .wait_ms = known->wait_ms,
 	    .own_ms = slope * (unread - shared_unread),
--- a/include/moortack/relay/caller_targets.h
+++ b/include/moortack/relay/caller_targets.h
@@ -13,7 +13,7 @@
 /** One daemon; the texts are the membership's. */
 typedef struct caller_target {
 	const char *address;
-	const char *place;
+	const char *zone;
 	double order; /**< in which this daemon prefers them */
 } caller_target_t;
 
--- a/include/moortack/relay/choose.h
+++ b/include/moortack/relay/choose.h
@@ -19,7 +19,7 @@
 	uint64_t hash; /**< of its id */
 	double load;   /**< requests that it likely holds */
 	uint32_t slots;
-	bool same_place;
+	bool same_zone;
 	bool ejected;	  /**< taken only if all are */
 	uint32_t unread;  /**< tokens that it isn't known to keep */
 	double wait_ms;	  /**< until it begins to read one more prompt */
@@ -35,7 +35,7 @@
 	double first_keeps; /**< how likely the first endpoint in the order for
 			       that keeps it, by the sends of others */
 	uint32_t dice;	    /**< random, to break ties */
-	double place_bonus; /**< of a slot share, for the same place */
+	double zone_bonus;  /**< of a slot share, for the same zone */
 } choose_wish_t;
 
 /** The first ones in the order for what is shared, which all daemons see alike:
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -22,7 +22,7 @@
 typedef struct endpoint_facts {
 	char id[ENDPOINT_NAME_SIZE]; /**< of this incarnation */
 	char service[ENDPOINT_NAME_SIZE];
-	char place[ENDPOINT_NAME_SIZE];
+	char zone[ENDPOINT_NAME_SIZE];
 	char version[ENDPOINT_NAME_SIZE]; /**< of its software */
 	http_address_t address;
 	uint32_t slots; /**< requests that it works on together */
--- a/include/moortack/relay/gossip.h
+++ b/include/moortack/relay/gossip.h
@@ -72,8 +72,8 @@
  * may be sent, the longer ones only. */
 bool gossip_worth(gossip_t *, double read_ms);
 /** Tell all, or the endpoint's owner.
- * @param place the endpoint's */
-void gossip_tell(gossip_t *, const char *place, const gossip_message_t *);
+ * @param zone the endpoint's */
+void gossip_tell(gossip_t *, const char *zone, const gossip_message_t *);
 
 /** Tell all gossip peers, or, in a larger fleet, the owners of the digests that
  * it names. */
@@ -90,6 +90,6 @@
 bool gossip_may_ask(gossip_t *, double read_ms);
 /** Ask the endpoint's owner.
  * @return false: this daemon keeps that account itself */
-bool gossip_ask(gossip_t *, const char *place, const gossip_message_t *);
+bool gossip_ask(gossip_t *, const char *zone, const gossip_message_t *);
 
 #endif
--- a/include/moortack/relay/owners.h
+++ b/include/moortack/relay/owners.h
@@ -9,12 +9,12 @@
 
 #include "moortack/relay/gossip_peers.h"
 
-/** The daemon that keeps the endpoint's account: one of its place, where there
+/** The daemon that keeps the endpoint's account: one of its zone, where there
  * is any. One that goes or comes moves the accounts that it has, or gets, only.
- * @param place the endpoint's
+ * @param zone the endpoint's
  * @param endpoint hash of its id
  * @return NULL: this daemon */
 const member_t *
-owner_of(const membership_t *, const char *place, uint32_t endpoint);
+owner_of(const membership_t *, const char *zone, uint32_t endpoint);
 
 #endif
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -79,7 +79,7 @@
 	rollouts_t *rollouts;
 	const row_watch_t *config_watch; /**< how old the configuration is */
 	const row_watch_t *endpoint_watch;
-	char place[ENDPOINT_NAME_SIZE];
+	char zone[ENDPOINT_NAME_SIZE];
 	relay_bounds_t bounds;
 	relay_config_t *config; /**< NULL: none yet */
 	relay_stats_t stats;
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -44,7 +44,7 @@
 typedef struct relay_node_settings {
 	http_address_t listen;
 	char name[MEMBER_NAME_SIZE]; /**< own address as callers use it */
-	char place[MEMBER_NAME_SIZE];
+	char zone[MEMBER_NAME_SIZE];
 	char peer[MEMBER_NAME_SIZE]; /**< own address for other daemons */
 	double strength;	     /**< of the VM: cores */
 	relay_bounds_t bounds;
--- a/include/moortack/replication/membership.h
+++ b/include/moortack/replication/membership.h
@@ -30,7 +30,7 @@
 /** Another daemon, as its row says. */
 typedef struct member {
 	char name[MEMBER_NAME_SIZE]; /**< its address for callers */
-	char place[MEMBER_NAME_SIZE];
+	char zone[MEMBER_NAME_SIZE];
 	char peer[MEMBER_NAME_SIZE]; /**< its address for other daemons */
 	double strength;	     /**< of its VM: cores */
 	double order; /**< where it stands among all; see member_order() */
@@ -48,7 +48,7 @@
 /** What a member's row says of it. */
 typedef struct member_facts {
 	char name[MEMBER_NAME_SIZE];
-	char place[MEMBER_NAME_SIZE];
+	char zone[MEMBER_NAME_SIZE];
 	char peer[MEMBER_NAME_SIZE]; /**< IP:PORT; "": none */
 	double strength;
 	member_state_t state;
@@ -70,7 +70,7 @@
 
 typedef struct membership_settings {
 	char name[MEMBER_NAME_SIZE]; /**< own address for callers */
-	char place[MEMBER_NAME_SIZE];
+	char zone[MEMBER_NAME_SIZE];
 	char peer[MEMBER_NAME_SIZE]; /**< own address for other daemons */
 	double strength;	     /**< of its VM: cores */
 	int64_t beat_alone_ms; /**< between writes of the own row, while nobody
--- a/include/platform/node_file.h
+++ b/include/platform/node_file.h
@@ -12,8 +12,8 @@
 
 /** What the system uses of the file. */
 typedef struct node_file {
-	char place[NODE_TEXT_SIZE]; /**< zone */
-	http_address_t callers;	    /**< listen.frontend */
+	char zone[NODE_TEXT_SIZE];
+	http_address_t callers; /**< listen.frontend */
 	char callers_text[NODE_TEXT_SIZE];
 	http_address_t readiness; /**< listen.readiness */
 	http_address_t directory; /**< listen.registry */
--- a/moortack/relay/caller_targets.c
+++ b/moortack/relay/caller_targets.c
@@ -44,7 +44,7 @@
     caller_target_t *targets, size_t most)
 {
 	const membership_settings_t *self = &members->settings;
-	caller_target_t target = {self->name, self->place,
+	caller_target_t target = {self->name, self->zone,
 	    own_order(members, self->name, self->strength)};
 	size_t len = own ? target_insert(targets, 0, most, &target) : 0;
 
@@ -52,7 +52,7 @@
 	     one = one->hh.next) {
 		if (!membership_named(members, one))
 			continue;
-		target = (caller_target_t){one->name, one->place,
+		target = (caller_target_t){one->name, one->zone,
 		    own_order(members, one->name, one->strength)};
 		len = target_insert(targets, len, most, &target);
 	}
--- a/moortack/relay/choose.c
+++ b/moortack/relay/choose.c
@@ -111,8 +111,8 @@
 			continue;
 		score = (one->load + 1) / (one->slots > 0 ? one->slots : 1);
 		score += TIE_SHARE * dice_of(one, wish);
-		if (!one->same_place)
-			score += wish->place_bonus;
+		if (!one->same_zone)
+			score += wish->zone_bonus;
 		if (best == SIZE_MAX || score < best_score) {
 			best = i;
 			best_score = score;
--- a/moortack/relay/gossip.c
+++ b/moortack/relay/gossip.c
@@ -22,8 +22,8 @@
 /* Part of what may be sent at once that is left for telling of long prompts:
  * beyond it, questions are asked for those only. */
 #define ASK_PART 0.5
-/* Digests of requests have owners in any place. */
-#define NO_PLACE ""
+/* Digests of requests have owners in any zone. */
+#define NO_ZONE ""
 
 static bool
 address_read(const char *text, struct sockaddr_in *out)
@@ -216,10 +216,10 @@
 
 /* @return whether another daemon is the endpoint's owner */
 static bool
-owner_address(const gossip_t *self, const char *place, uint32_t endpoint,
+owner_address(const gossip_t *self, const char *zone, uint32_t endpoint,
     struct sockaddr_in *out)
 {
-	const member_t *owner = owner_of(self->members, place, endpoint);
+	const member_t *owner = owner_of(self->members, zone, endpoint);
 
 	return owner != NULL && address_read(owner->peer, out);
 }
@@ -238,20 +238,20 @@
 }
 
 void
-gossip_tell(gossip_t *self, const char *place, const gossip_message_t *message)
+gossip_tell(gossip_t *self, const char *zone, const gossip_message_t *message)
 {
 	struct sockaddr_in owner;
 
 	if (!self->owners)
 		peers_tell(self, message);
-	else if (owner_address(self, place, message->endpoint, &owner))
+	else if (owner_address(self, zone, message->endpoint, &owner))
 		message_send(self, &owner, message);
 }
 
 bool
 gossip_owns(const gossip_t *self, uint64_t digest)
 {
-	return owner_of(self->members, NO_PLACE, (uint32_t)digest) == NULL;
+	return owner_of(self->members, NO_ZONE, (uint32_t)digest) == NULL;
 }
 
 void
@@ -268,7 +268,7 @@
 	for (size_t i = 0; i < message->digests_len; i++) {
 		one.digests[0] = message->digests[i];
 		if (owner_address(
-			self, NO_PLACE, (uint32_t)one.digests[0], &owner))
+			self, NO_ZONE, (uint32_t)one.digests[0], &owner))
 			message_send(self, &owner, &one);
 	}
 }
@@ -302,11 +302,11 @@
 }
 
 bool
-gossip_ask(gossip_t *self, const char *place, const gossip_message_t *question)
+gossip_ask(gossip_t *self, const char *zone, const gossip_message_t *question)
 {
 	struct sockaddr_in owner;
 
-	if (!owner_address(self, place, question->endpoint, &owner))
+	if (!owner_address(self, zone, question->endpoint, &owner))
 		return false;
 	message_send(self, &owner, question);
 	self->asked++;
--- a/moortack/relay/owners.c
+++ b/moortack/relay/owners.c
@@ -4,7 +4,7 @@
 #include <xxhash.h>
 
 /** A daemon's place in the order for one endpoint: by rendezvous hashing, those
- * of the endpoint's place first. */
+ * of the endpoint's zone first. */
 typedef struct owner_rank {
 	bool near;
 	uint64_t weight;
@@ -12,9 +12,9 @@
 
 static owner_rank_t
 rank_of(
-    const char *name, const char *place, const char *wanted, uint32_t endpoint)
+    const char *name, const char *zone, const char *wanted, uint32_t endpoint)
 {
-	return (owner_rank_t){strcmp(place, wanted) == 0,
+	return (owner_rank_t){strcmp(zone, wanted) == 0,
 	    XXH3_64bits_withSeed(name, strlen(name), endpoint)};
 }
 
@@ -27,18 +27,18 @@
 }
 
 const member_t *
-owner_of(const membership_t *members, const char *place, uint32_t endpoint)
+owner_of(const membership_t *members, const char *zone, uint32_t endpoint)
 {
 	const membership_settings_t *self = &members->settings;
 	const member_t *owner = NULL;
 	owner_rank_t best = {0};
 
 	if (members->state == MEMBER_READY)
-		best = rank_of(self->name, self->place, place, endpoint);
+		best = rank_of(self->name, self->zone, zone, endpoint);
 	for (const member_t *one = members->members; one != NULL;
 	     one = one->hh.next) {
 		owner_rank_t rank =
-		    rank_of(one->name, one->place, place, endpoint);
+		    rank_of(one->name, one->zone, zone, endpoint);
 
 		if (!before(&rank, &best) || !gossip_peer_serves(members, one))
 			continue;
--- a/moortack/relay/relay_ask.c
+++ b/moortack/relay/relay_ask.c
@@ -3,7 +3,7 @@
 
 #include "relay_candidates.h"
 
-/* How long an answer is waited for: the way between places and back, and a VM
+/* How long an answer is waited for: the way between zones and back, and a VM
  * that is busy for a moment; little against the objectives of streams. An owner
  * that is gone costs as much, and the choice is then made by what this daemon
  * knows itself. */
@@ -67,7 +67,7 @@
 
 	relay_gossip_prefixes(&message, prefixes);
 	*asked = (asked_endpoint_t){.hash = endpoint->hash};
-	if (gossip_ask(req->relay->gossip, endpoint->facts.place, &message))
+	if (gossip_ask(req->relay->gossip, endpoint->facts.zone, &message))
 		question->open++;
 	else
 		asked->told = true;
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -215,10 +215,10 @@
 	const relay_t *relay = req->relay;
 
 	event_line(relay->log, "attempt",
-	    "id=%s endpoint=%s place=%s model=%s attempt=%u kept=%d resume=%d "
+	    "id=%s endpoint=%s zone=%s model=%s attempt=%u kept=%d resume=%d "
 	    "of=%zu told=%zu load=%.0f wait_ms=%.0f read_ms=%.0f first_ms=%.0f "
 	    "left_ms=%" PRId64 " config=%" PRIu64 " endpoints_age_ms=%" PRId64,
-	    req->arrival.id, req->endpoint_id, place->endpoint->facts.place,
+	    req->arrival.id, req->endpoint_id, place->endpoint->facts.zone,
 	    req->attempt.model != NULL ? req->attempt.model : "-",
 	    req->sends + req->connects + 1, req->attempt.kept, req->begun,
 	    place->candidates, place->told, place->load, place->wait_ms,
--- a/moortack/relay/relay_candidates.c
+++ b/moortack/relay/relay_candidates.c
@@ -96,7 +96,7 @@
 		out->seen[out->len++] = (choose_candidate_t){.hash = one->hash,
 		    .load = endpoint_load_now(one, relay->daemons_most),
 		    .slots = one->facts.slots,
-		    .same_place = strcmp(one->facts.place, relay->place) == 0,
+		    .same_zone = strcmp(one->facts.zone, relay->zone) == 0,
 		    .ejected = endpoint_ejected(one)};
 	}
 }
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -311,8 +311,7 @@
 	    row_source_watch(&node->source, ROW_TABLE_ORDERS);
 
 	snprintf(member.name, sizeof(member.name), "%s", node->settings.name);
-	snprintf(
-	    member.place, sizeof(member.place), "%s", node->settings.place);
+	snprintf(member.zone, sizeof(member.zone), "%s", node->settings.zone);
 	strcpy(member.peer, node->settings.peer);
 	endpoint_set_init(&node->endpoints, ports->clock);
 	node->rollouts = (rollouts_t){.store = ports->store,
@@ -341,8 +340,8 @@
 	    .endpoint_watch =
 		row_source_watch(&node->source, ROW_TABLE_ENDPOINTS),
 	    .bounds = node->settings.bounds};
-	snprintf(node->relay.place, sizeof(node->relay.place), "%s",
-	    node->settings.place);
+	snprintf(node->relay.zone, sizeof(node->relay.zone), "%s",
+	    node->settings.zone);
 	if (!relay_init(&node->relay, &node->settings.listen, err) ||
 	    !relay_quarantine_init(
 		&node->relay.quarantine, &node->relay, ports->store) ||
@@ -374,8 +373,8 @@
 	node->tick = event_new(ports->base, -1, EV_PERSIST, on_tick, node);
 	if (node->tick == NULL || event_add(node->tick, &tick) != 0)
 		return err_set(err, ERR_MEMORY, "out of memory");
-	event_line(&node->log, "start", "name=%s place=%s", settings->name,
-	    settings->place);
+	event_line(&node->log, "start", "name=%s zone=%s", settings->name,
+	    settings->zone);
 	return true;
 }
 
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -173,10 +173,10 @@
 	};
 
 	event_line_throttled(&node->log, EVENT_THROTTLED_ENDPOINT,
-	    "id=%s service=%s address=%s:%u place=%s version=%s leaving=%d "
+	    "id=%s service=%s address=%s:%u zone=%s version=%s leaving=%d "
 	    "born_ms=%" PRId64 " incarnation=%s",
 	    facts->id, facts->service, facts->address.host, facts->address.port,
-	    facts->place, facts->version, facts->leaving, facts->born_ms,
+	    facts->zone, facts->version, facts->leaving, facts->born_ms,
 	    orders[order]);
 }
 
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -4,10 +4,10 @@
 
 #include "relay_candidates.h"
 
-/* An endpoint in another place costs priced bytes and time: as much as this
+/* An endpoint in another zone costs priced bytes and time: as much as this
  * share of its slots being taken. */
-#define PLACE_BONUS 0.12
-/* What a KB to another place is worth, in milliseconds of an endpoint's time.
+#define ZONE_BONUS 0.12
+/* What a KB to another zone is worth, in milliseconds of an endpoint's time.
  * With 4, the worth of the users' sheet where bytes are dear is 0.006 less;
  * where they are cheap nothing shows (20 days each). */
 #define FAR_MS_PER_KB 8.0
@@ -123,7 +123,7 @@
 		one->unread = tokens_beyond(&req->arrival, kept);
 		one->own_ms = slope * (one->unread - shared_unread);
 		one->shared_ms = (slope + again) * shared_unread;
-		one->far_ms = one->same_place ? 0 : far_ms;
+		one->far_ms = one->same_zone ? 0 : far_ms;
 	}
 }
 
@@ -145,7 +145,7 @@
 	    .affinity = req->shared ^ model_hash,
 	    .first_keeps = req->relay->gossip->unheard,
 	    .dice = req->relay->rng->next(req->relay->rng),
-	    .place_bonus = PLACE_BONUS};
+	    .zone_bonus = ZONE_BONUS};
 	const relay_model_t *known = relay_model_known(req, model);
 	size_t chosen;
 
@@ -191,7 +191,7 @@
 	if (!gossip_worth(relay->gossip, place->read_ms))
 		return;
 	relay_gossip_prefixes(&message, prefixes);
-	gossip_tell(relay->gossip, place->endpoint->facts.place, &message);
+	gossip_tell(relay->gossip, place->endpoint->facts.zone, &message);
 }
 
 void
--- a/moortack/replication/member_row.c
+++ b/moortack/replication/member_row.c
@@ -39,7 +39,7 @@
 {
 	const json_t *strength = json_object_get(body, "strength");
 
-	if (!text_take(body, "place", facts->place, err) ||
+	if (!text_take(body, "place", facts->zone, err) ||
 	    !text_take(body, "peer", facts->peer, err))
 		return false;
 	facts->strength = json_number_value(strength);
--- a/moortack/replication/member_row_requests.c
+++ b/moortack/replication/member_row_requests.c
@@ -37,7 +37,7 @@
 own_row(membership_t *self)
 {
 	json_t *row = json_pack("{s:s, s:s, s:s, s:f, s:I, s:I}", "place",
-	    self->settings.place, "peer", self->settings.peer, "state",
+	    self->settings.zone, "peer", self->settings.peer, "state",
 	    member_state_names[self->state], "strength",
 	    self->settings.strength, "beat", (json_int_t)++self->beat, "at_ms",
 	    (json_int_t)member_store_now_ms(self));
@@ -52,7 +52,7 @@
 facts_same(const member_facts_t *a, const member_facts_t *b)
 {
 	return a->state == b->state && a->strength == b->strength &&
-	    strcmp(a->place, b->place) == 0 && strcmp(a->peer, b->peer) == 0;
+	    strcmp(a->zone, b->zone) == 0 && strcmp(a->peer, b->peer) == 0;
 }
 
 static bool
@@ -61,7 +61,7 @@
 	member_facts_t wanted = {
 	    .state = self->state, .strength = self->settings.strength};
 
-	strcpy(wanted.place, self->settings.place);
+	strcpy(wanted.zone, self->settings.zone);
 	strcpy(wanted.peer, self->settings.peer);
 	return self->stored.body != NULL && facts_same(&wanted, &self->stored);
 }
@@ -173,7 +173,7 @@
 		return false;
 	known = (member_facts_t){
 	    .state = member->state, .strength = member->strength};
-	strcpy(known.place, member->place);
+	strcpy(known.zone, member->zone);
 	strcpy(known.peer, member->peer);
 	same = facts_same(&wanted, &known);
 	member_facts_finish(&wanted);
--- a/moortack/replication/member_tree.c
+++ b/moortack/replication/member_tree.c
@@ -5,8 +5,8 @@
 
 /* Followers of one daemon, at least, before the tree gets a second level. */
 #define BREADTH_MIN 8
-/* Places that are told apart; more count as so many. */
-#define PLACES_MAX 16
+/* Zones that are told apart; more count as so many. */
+#define ZONES_MAX 16
 
 static bool
 may_ask(const membership_t *self, const member_t *member)
@@ -112,24 +112,24 @@
 static bool
 is_near(const membership_t *self, const member_t *member)
 {
-	return strcmp(member->place, self->settings.place) == 0;
+	return strcmp(member->zone, self->settings.zone) == 0;
 }
 
-/* Places in which daemons stand. */
+/* Zones in which daemons stand. */
 static size_t
-places_count(const membership_t *self)
+zones_count(const membership_t *self)
 {
-	const char *places[PLACES_MAX] = {self->settings.place};
+	const char *zones[ZONES_MAX] = {self->settings.zone};
 	size_t len = 1;
 
 	for (const member_t *member = self->members;
-	     member != NULL && len < PLACES_MAX; member = member->hh.next) {
+	     member != NULL && len < ZONES_MAX; member = member->hh.next) {
 		size_t at = 0;
 
-		while (at < len && strcmp(places[at], member->place) != 0)
+		while (at < len && strcmp(zones[at], member->zone) != 0)
 			at++;
 		if (at == len)
-			places[len++] = member->place;
+			zones[len++] = member->zone;
 	}
 	return len;
 }
@@ -155,22 +155,22 @@
 	return count;
 }
 
-/* The first ones of each place follow the first of all, and the others one of
- * these in their own place: what is told all crosses between places a few
+/* The first ones of each zone follow the first of all, and the others one of
+ * these in their own zone: what is told all crosses between zones a few
  * times, not once for each daemon. */
 const member_t *
 membership_parent(membership_t *self)
 {
 	size_t before = ordered_fill(self);
 	size_t breadth = breadth_of(membership_count(self));
-	size_t places, near, tellers;
+	size_t zones, near, tellers;
 
 	if (before == 0)
 		return silent_first(self);
 	if (before <= BREADTH_MIN)
 		return self->ordered[0];
-	places = places_count(self);
-	tellers = (breadth + places - 1) / places;
+	zones = zones_count(self);
+	tellers = (breadth + zones - 1) / zones;
 	near = near_count(self, before);
 	return near < tellers ? self->ordered[0]
 			      : near_at(self, before, near % tellers);
--- a/moortack/replication/membership.c
+++ b/moortack/replication/membership.c
@@ -139,7 +139,7 @@
 	member->state = facts->state;
 	member->strength = facts->strength;
 	member->order = member_order(facts->name, facts->strength);
-	strcpy(member->place, facts->place);
+	strcpy(member->zone, facts->zone);
 	strcpy(member->peer, facts->peer);
 	if (facts->report == NULL)
 		return;
--- a/test/fuzz/follow_fuzz.c
+++ b/test/fuzz/follow_fuzz.c
@@ -66,7 +66,7 @@
 	static const endpoint_dialect_t endpoints;
 	static const rollout_dialect_t rollouts;
 	relay_node_settings_t settings = {.listen = {"127.0.0.1", 0},
-	    .place = "a",
+	    .zone = "a",
 	    .old_ms = 2400,
 	    .endpoints_old_ms = 1300,
 	    .config_wait_ms = 500,
--- a/test/fuzz/lives_fuzz.c
+++ b/test/fuzz/lives_fuzz.c
@@ -234,7 +234,7 @@
 daemon_start(int at)
 {
 	daemon_t *daemon = &world.daemons[at];
-	membership_settings_t settings = {.place = "a",
+	membership_settings_t settings = {.zone = "a",
 	    .strength = 1,
 	    .beat_alone_ms = BEAT_ALONE_MS,
 	    .life = {SILENT_MS, VOUCH_MS, GRANT_MS, LONE_MS}};
--- a/test/platform/rows_fuzz.c
+++ b/test/platform/rows_fuzz.c
@@ -58,7 +58,7 @@
 	static const rollout_dialect_t rollouts;
 	relay_node_settings_t settings = {.listen = {"127.0.0.1", 0},
 	    .name = "10.0.0.99:80",
-	    .place = "a",
+	    .zone = "a",
 	    .endpoints_pause_ms = 600,
 	    .config_wait_ms = 500,
 	    .lapse_ms = 2000,
--- a/test/support/many_members.h
+++ b/test/support/many_members.h
@@ -41,7 +41,7 @@
 membership_of(membership_t *self, row_store_t *store,
     const clock_source_t *clock, int own, int daemons)
 {
-	membership_settings_t settings = {.place = "a",
+	membership_settings_t settings = {.zone = "a",
 	    .strength = strength_of(own),
 	    .beat_alone_ms = 2000,
 	    .life = {.silent_ms = SILENT_MS,
--- a/test/support/node_settings.h
+++ b/test/support/node_settings.h
@@ -9,7 +9,7 @@
 
 static const relay_node_settings_t node_settings = {.listen = {"127.0.0.1", 0},
     .name = "127.0.0.1:1",
-    .place = "a",
+    .zone = "a",
     .endpoints_pause_ms = 600,
     .endpoints_old_ms = 1300,
     .config_wait_ms = 500,
--- a/test/support/silent_store.h
+++ b/test/support/silent_store.h
@@ -59,7 +59,7 @@
 
 	if (len == 1 && text[0] == '?')
 		return err_set(err, ERR_UNREADABLE, "no entry");
-	*facts = (endpoint_facts_t){.service = "s", .place = "a", .slots = 1};
+	*facts = (endpoint_facts_t){.service = "s", .zone = "a", .slots = 1};
 	if (born != NULL) {
 		facts->born_ms = strtoll(born + 1, NULL, 10);
 		len = (size_t)(born - text);
--- a/test/unit/candidates_test.c
+++ b/test/unit/candidates_test.c
@@ -38,7 +38,7 @@
 version_learn(chooser_t *chooser, int number, const char *version)
 {
 	endpoint_facts_t facts = {.service = "lm",
-	    .place = "a",
+	    .zone = "a",
 	    .slots = 8,
 	    .address = {"10.0.0.1", 80}};
 
--- a/test/unit/endpoint_set_test.c
+++ b/test/unit/endpoint_set_test.c
@@ -52,7 +52,7 @@
 {
 	return (endpoint_facts_t){.id = "i-1",
 	    .service = "lm",
-	    .place = "a",
+	    .zone = "a",
 	    .version = "v1",
 	    .slots = 8,
 	    .address = {"10.0.0.1", 80},
--- a/test/unit/gossip_test.c
+++ b/test/unit/gossip_test.c
@@ -111,11 +111,11 @@
 		memset(one, 0, sizeof(*one));
 		snprintf(one->name, sizeof(one->name), "10.0.%zu.1:80", i);
 		snprintf(one->peer, sizeof(one->peer), "10.0.%zu.1:81", i);
-		snprintf(one->place, sizeof(one->place), "place-%zu", i % 3);
+		snprintf(one->zone, sizeof(one->zone), "zone-%zu", i % 3);
 		one->state = MEMBER_READY;
 		if (i == self) {
 			strcpy(members->settings.name, one->name);
-			strcpy(members->settings.place, one->place);
+			strcpy(members->settings.zone, one->zone);
 		} else {
 			HASH_ADD_STR(members->members, name, one);
 		}
@@ -141,40 +141,40 @@
 /* Who keeps the account of the endpoint, as the daemon of that number sees it.
  */
 static size_t
-owner_seen(member_t *all, size_t len, size_t self, const char *place,
-    uint32_t endpoint)
+owner_seen(
+    member_t *all, size_t len, size_t self, const char *zone, uint32_t endpoint)
 {
 	const member_t *owner;
 	membership_t members;
 
 	members_fill(&members, all, len, self);
-	owner = owner_of(&members, place, endpoint);
+	owner = owner_of(&members, zone, endpoint);
 	HASH_CLEAR(hh, members.members);
 	return owner != NULL ? (size_t)(owner - all) : self;
 }
 
 enum { DAEMONS = 90, ENDPOINTS = 140, KEPT_MAX = 8 };
 
-/* All daemons agree on it, it stands in the endpoint's place, and nobody keeps
+/* All daemons agree on it, it stands in the endpoint's zone, and nobody keeps
  * many. */
 static void
 a_large_fleet_has_an_owner_for_each_endpoint(void **state)
 {
 	static member_t all[DAEMONS];
 	size_t keeps[DAEMONS] = {0};
-	char place[16];
+	char zone[16];
 
 	(void)state;
 	for (uint32_t endpoint = 0; endpoint < ENDPOINTS; endpoint++) {
 		size_t owner;
 
-		snprintf(place, sizeof(place), "place-%u", endpoint % 3);
-		owner = owner_seen(all, DAEMONS, 0, place, endpoint);
-		assert_string_equal(all[owner].place, place);
+		snprintf(zone, sizeof(zone), "zone-%u", endpoint % 3);
+		owner = owner_seen(all, DAEMONS, 0, zone, endpoint);
+		assert_string_equal(all[owner].zone, zone);
 		keeps[owner]++;
 		for (size_t self = 1; self < DAEMONS; self += 7)
 			assert_int_equal(
-			    owner_seen(all, DAEMONS, self, place, endpoint),
+			    owner_seen(all, DAEMONS, self, zone, endpoint),
 			    owner);
 	}
 	for (size_t i = 0; i < DAEMONS; i++)
@@ -182,7 +182,7 @@
 }
 
 /* Who goes leaves only the accounts that it had; without any daemon in the
- * endpoint's place, one of another keeps them. */
+ * endpoint's zone, one of another keeps them. */
 static void
 accounts_move_only_with_their_owner(void **state)
 {
@@ -190,10 +190,9 @@
 
 	(void)state;
 	for (uint32_t endpoint = 0; endpoint < ENDPOINTS; endpoint++) {
-		size_t before =
-		    owner_seen(all, DAEMONS, 0, "place-0", endpoint);
+		size_t before = owner_seen(all, DAEMONS, 0, "zone-0", endpoint);
 		size_t after =
-		    owner_seen(all, DAEMONS - 1, 0, "place-0", endpoint);
+		    owner_seen(all, DAEMONS - 1, 0, "zone-0", endpoint);
 
 		assert_true(before == after || before == DAEMONS - 1);
 		assert_true(owner_seen(all, DAEMONS, 0, "elsewhere", endpoint) <
--- a/test/unit/member_tree_test.c
+++ b/test/unit/member_tree_test.c
@@ -21,11 +21,11 @@
 #define DAEMONS 40
 #define STEP_MS 250
 
-/* Each third daemon stands in one place. */
+/* Each third daemon stands in one zone. */
 static void
-places_deal(membership_t *self, int own)
+zones_deal(membership_t *self, int own)
 {
-	snprintf(self->settings.place, sizeof(self->settings.place), "place-%d",
+	snprintf(self->settings.zone, sizeof(self->settings.zone), "zone-%d",
 	    own % 3);
 	for (member_t *member = self->members; member != NULL;
 	     member = member->hh.next) {
@@ -33,8 +33,8 @@
 
 		assert_int_equal(
 		    sscanf(member->name, "10.0.0.%d:", &number), 1);
-		snprintf(member->place, sizeof(member->place), "place-%d",
-		    number % 3);
+		snprintf(
+		    member->zone, sizeof(member->zone), "zone-%d", number % 3);
 	}
 }
 
@@ -90,10 +90,10 @@
 	event_base_free(base);
 }
 
-/* With daemons in three places, as many links as one level of the tree has
- * cross between places, however many daemons there are. */
+/* With daemons in three zones, as many links as one level of the tree has
+ * cross between zones, however many daemons there are. */
 static void
-few_links_of_the_tree_cross_between_places(void **state)
+few_links_of_the_tree_cross_between_zones(void **state)
 {
 	enum { LARGE = 90, FOLLOWERS_MOST = 16, FAR_MOST = 12 };
 	manual_clock_t clock = {{&manual_ops}, {100, 0}};
@@ -108,13 +108,13 @@
 		int number;
 
 		membership_of(&self, &store, &clock.source, i, LARGE);
-		places_deal(&self, i);
+		zones_deal(&self, i);
 		parent = membership_parent(&self);
 		if (parent != NULL) {
 			assert_int_equal(
 			    sscanf(parent->name, "10.0.0.%d:", &number), 1);
 			followers[number]++;
-			far += strcmp(parent->place, self.settings.place) != 0;
+			far += strcmp(parent->zone, self.settings.zone) != 0;
 		}
 		membership_finish(&self);
 	}
@@ -287,7 +287,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(followers_form_a_tree),
-	    cmocka_unit_test(few_links_of_the_tree_cross_between_places),
+	    cmocka_unit_test(few_links_of_the_tree_cross_between_zones),
 	    cmocka_unit_test(a_daemon_that_failed_is_not_followed_for_a_time),
 	    cmocka_unit_test(the_first_may_follow_the_second),
 	    cmocka_unit_test(a_silent_member_counts_as_dead),
--- a/test/unit/placing_test.c
+++ b/test/unit/placing_test.c
@@ -89,7 +89,7 @@
 	(void)state;
 	candidates_fill(candidates);
 	for (size_t i = 0; i < ENDPOINTS; i++) {
-		candidates[i].same_place = i == 5;
+		candidates[i].same_zone = i == 5;
 		candidates[i].far_ms = i == 5 ? 0 : 600;
 	}
 	assert_int_equal(choose_endpoint(candidates, ENDPOINTS, &wish), 5);
@@ -136,7 +136,7 @@
 plain_work_goes_where_least_waits(void **state)
 {
 	choose_candidate_t candidates[ENDPOINTS];
-	choose_wish_t wish = {.place_bonus = 0.1};
+	choose_wish_t wish = {.zone_bonus = 0.1};
 
 	(void)state;
 	candidates_fill(candidates);
@@ -144,7 +144,7 @@
 	for (wish.dice = 0; wish.dice < 20; wish.dice++)
 		assert_int_equal(
 		    choose_endpoint(candidates, ENDPOINTS, &wish), 5);
-	candidates[2].same_place = true;
+	candidates[2].same_zone = true;
 	assert_int_equal(choose_endpoint(candidates, ENDPOINTS, &wish), 2);
 }
 
