relay: evacuated zones, cold endpoints, regions

Cause: rows evacuate/ZONE, an endpoint's warm-up and regions_allowed were read nowhere. Requests went to evacuated zones. An endpoint that is cold for some seconds after its start, or after the end of an evacuation, crashes under many requests, and looks idle to all daemons, which send to it at once. Change: - Zones are a table of the endpoint set, and each endpoint points to its zone. Rows of evacuations are read from the orders' table, passed on to followers like other rows, and enforced at the time of sending: for candidates, repeats, resumed streams, and requests whose connection comes up later. If the store is restored from an older copy that lacks the row, the evacuation stays in force until the row is written again and removed, or for 60 s. Log line `evacuation`, metrics zones_evacuated and evacuated_in_flight. - Time is divided into slots of 1 s by the store's clock. In each slot, a fixed quota of requests for a cold endpoint (half of what any second may hold, less a margin of 2 requests, and no more than the endpoint's own rate) is divided among the daemons by rendezvous hashing. This needs no messages, and daemons that learn of the endpoint late, are silent or are partitioned take nothing from the shares of the others. A daemon whose row is new has no share for 3 s, nor has one that has not read the daemons' rows for 20 s; one that is gone keeps its share for 30 s. The share is checked when a request is placed and again when its connection is up. If all endpoints are cold and no share is left, the request is refused with the time to the next slot (warming_up). An endpoint's entry that becomes cold or warm is passed on to followers. The estimate of the store's clock keeps the answer with the shortest delay. - regions_allowed of routes and of tenants are both a hard filter, like versions. A zone's region comes from the settings zones.ZONE and region. The directory names the daemons in the caller's region or, if there are none, those in the regions of its host's routes. No daemon passes a body to another one. Ruled out: ending an evacuation when a read of an older copy lacks the row (the operator writes it again, and until then requests would go to the zone); keeping it without a time limit (an operator who had removed the row just before the restore would have to write and remove it again); a share of cold endpoints fixed by the number of daemons (less than one request a second with 84); a grant by the endpoint's owner for each request (two owners in a partition, none when it is lost, and a wait for each request); treating an unknown region as allowed.

--- a/common/err.c
+++ b/common/err.c
@@ -40,6 +40,7 @@
     {ERR_UNKNOWN_OUTCOME, "unknown_outcome", 502, ERR_UNKNOWN, false},
     {ERR_UNREADABLE, "unreadable", 400, ERR_NOT_RUN, false},
     {ERR_VERSION_WITHDRAWN, "version_withdrawn", 410, ERR_NOT_RUN, false},
+    {ERR_WARMING_UP, "warming_up", 503, ERR_NOT_RUN, true},
     {ERR_WITNESS, "witness", 503, ERR_NOT_RUN, true},
 };
 
--- a/include/common/err.h
+++ b/include/common/err.h
@@ -51,6 +51,7 @@
 	ERR_UNKNOWN_OUTCOME,
 	ERR_UNREADABLE,
 	ERR_VERSION_WITHDRAWN,
+	ERR_WARMING_UP,
 	ERR_WITNESS,
 	ERR_CODES /* count */
 } err_code_t;
--- a/include/moortack/relay/caller_targets.h
+++ b/include/moortack/relay/caller_targets.h
@@ -8,6 +8,8 @@
 #ifndef MOORTACK_RELAY_CALLER_TARGETS_H
 #define MOORTACK_RELAY_CALLER_TARGETS_H
 
+#include "moortack/relay/region_list.h"
+#include "moortack/relay/zone_table.h"
 #include "moortack/replication/membership.h"
 
 /** One daemon; the texts are the membership's. */
@@ -17,13 +19,21 @@
 	double order; /**< in which this daemon prefers them */
 } caller_target_t;
 
+/** Limits the daemons named to a caller to those in certain regions. */
+typedef struct caller_region_filter {
+	const zone_table_t *zones;
+	const region_list_t *regions;
+} caller_region_filter_t;
+
 /**
+ * @param filter NULL: daemons of all regions
  * @param own whether this daemon takes callers itself
  * @param targets room for @p most
  * @return how many were filled in
  */
-size_t caller_targets_fill(
-    const membership_t *, bool own, caller_target_t *targets, size_t most);
+size_t caller_targets_fill(const membership_t *, bool own,
+    const caller_region_filter_t *filter, caller_target_t *targets,
+    size_t most);
 /** How many there are. */
 size_t caller_targets_count(const membership_t *, bool own);
 
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -14,6 +14,7 @@
 #include "common/http_outbound.h"
 #include "moortack/relay/prefill_queue.h"
 #include "moortack/relay/version_guard.h"
+#include "moortack/relay/zone_table.h"
 
 #define ENDPOINT_NAME_SIZE 96
 #define ENDPOINT_SUSPECTED_MAX 8
@@ -73,6 +74,7 @@
 	endpoint_facts_t facts;
 	endpoint_set_t *set;
 	endpoint_group_t *group;    /**< NULL: not in the set */
+	zone_t *zone;		    /**< where it runs; owned by the set */
 	uint32_t shared;	    /**< the set and each request hold one */
 	bool present;		    /**< in the set */
 	bool lapsed;		    /**< its entry is gone since an outage */
@@ -92,10 +94,15 @@
 	struct timespec ejected_until;
 	suspected_failure_t suspected[ENDPOINT_SUSPECTED_MAX];
 	size_t suspected_len;
-	uint64_t hash;		 /**< of the id and the start */
-	uint32_t short_hash;	 /**< the same, as other daemons tell it */
-	UT_hash_handle hh;	 /**< by id */
-	UT_hash_handle hh_short; /**< by short_hash */
+	struct timespec cold_until; /**< from the warm-up that it reports, and
+				       from failed connections to it */
+	int64_t warmup_slot;	    /**< slot of warmup_share_left */
+	uint32_t warmup_share_left; /**< requests that this daemon may still
+				       send to it in the slot */
+	uint64_t hash;		    /**< of the id and the start */
+	uint32_t short_hash;	    /**< the same, as other daemons tell it */
+	UT_hash_handle hh;	    /**< by id */
+	UT_hash_handle hh_short;    /**< by short_hash */
 };
 
 /** The endpoints of a service. */
@@ -115,6 +122,7 @@
 	endpoint_t *endpoints;
 	endpoint_t *by_short;
 	endpoint_group_t *groups;
+	zone_table_t zones;
 	size_t earlier_len; /**< endpoints with an entry of an earlier start */
 };
 
@@ -133,6 +141,15 @@
  * enough: the endpoint's clock was set back before it started again.
  * @return false: there is none */
 bool endpoint_set_earlier(const endpoint_set_t *, endpoint_facts_t *out);
+/** Whether it may get new requests: it is not leaving, and its zone is not
+ * evacuated. */
+bool endpoint_accepts_requests(const endpoint_t *);
+/** Requests that this daemon has in flight at the endpoints of a zone. */
+uint32_t endpoint_set_zone_in_flight(const endpoint_set_t *, const zone_t *);
+/** The same for all evacuated zones. */
+uint32_t endpoint_set_evacuated_in_flight(const endpoint_set_t *);
+/** Treat the endpoint as cold for at least this long from now. */
+void endpoint_mark_cold(endpoint_t *, int64_t ms);
 /** Its entry went in an outage: it is kept for a while, as it was. */
 void endpoint_lapse(endpoint_t *);
 /** Take an endpoint out; its requests go on. */
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -22,6 +22,7 @@
 #include "moortack/relay/relay_stats.h"
 #include "moortack/relay/retry_share.h"
 #include "moortack/relay/rollouts.h"
+#include "moortack/relay/warmup_share.h"
 #include "moortack/replication/membership.h"
 #include "moortack/replication/row_watch.h"
 
@@ -32,6 +33,7 @@
 	int64_t doubt_ms;     /**< its age at which nothing is denied: what
 				 isn't known may be new */
 	retry_bounds_t retries;
+	warmup_bounds_t warmup;
 	uint32_t body_kept;	  /**< bytes of an answer kept before it is
 				     passed on */
 	uint32_t requests_max;	  /**< under way at the same time */
@@ -95,6 +97,7 @@
 	uint32_t questions;	 /**< number of the last one */
 	bool leaving;		 /**< new streams are sent elsewhere */
 	relay_quarantine_t quarantine;
+	warmup_daemons_t warmup_daemons;
 };
 
 bool relay_init(relay_t *, const http_address_t *listen, err_t *);
@@ -137,6 +140,14 @@
 /** What other daemons tell and ask of prompts; the argument is a relay. */
 extern const gossip_ops_t relay_gossip_ops;
 
+/** Number of endpoints that are cold. */
+uint32_t relay_cold_endpoints(const relay_t *);
+
+/** Update the daemons among which the quotas of cold endpoints are divided;
+ * called a few times a second.
+ * @param first_read the daemons' rows were just read for the first time */
+void relay_warmup_tick(relay_t *, bool first_read);
+
 /** Take no new streams, and close connections behind their answers. */
 void relay_leave(relay_t *);
 
--- a/include/moortack/relay/relay_config.h
+++ b/include/moortack/relay/relay_config.h
@@ -16,6 +16,7 @@
 
 #include "common/err.h"
 #include "moortack/relay/model_choice.h"
+#include "moortack/relay/region_list.h"
 
 #define RELAY_POOLS_MAX 16
 
@@ -61,6 +62,7 @@
 	uint32_t attempts;    /**< endpoints that may be tried */
 	bool anonymous;	      /**< no key is asked for */
 	bool resumable;
+	region_list_t regions; /**< to which its requests are restricted */
 	route_pool_t pools[RELAY_POOLS_MAX];
 	size_t pools_len;
 	route_model_t models[MODELS_MAX]; /**< smallest first */
@@ -77,12 +79,16 @@
 typedef struct relay_service {
 	char *name;
 	uint32_t connections_max; /**< of one endpoint, from all callers */
+	int64_t warmup_ms;	  /**< how long its endpoints stay cold */
+	double warmup_per_s;	  /**< requests a second that a cold endpoint
+				     tolerates; 0: unlimited */
 	UT_hash_handle hh;	  /**< by name */
 } relay_service_t;
 
 typedef struct relay_organisation {
 	char *name;
-	int rank; /**< goes before a route's; negative: none */
+	int rank;	       /**< goes before a route's; negative: none */
+	region_list_t regions; /**< in addition to those of the route */
 } relay_organisation_t;
 
 typedef struct relay_key {
@@ -115,8 +121,10 @@
 
 /** Add a route, whose reference is taken over, also on failure. */
 bool relay_config_add_route(relay_config_t *, relay_route_t *, err_t *);
-bool relay_config_add_service(
-    relay_config_t *, const char *name, uint32_t connections_max, err_t *);
+/** Add a service with default limits, which the caller may change.
+ * @return NULL: out of memory */
+relay_service_t *
+relay_config_add_service(relay_config_t *, const char *name, err_t *);
 relay_organisation_t *
 relay_config_add_organisation(relay_config_t *, const char *name, int rank);
 bool relay_config_add_key(
@@ -136,6 +144,12 @@
 const relay_route_t *relay_config_route(
     const relay_config_t *, const char *host, const char *target);
 
+/** Collect the regions of all routes of a host in an empty list.
+ * @return false, with @p out empty: there is no such route, a route is not
+ * restricted, or there are too many regions */
+bool relay_config_host_regions(
+    const relay_config_t *, const char *host, region_list_t *out);
+
 /** The organisation that holds the key, or NULL. */
 const relay_organisation_t *
 relay_config_key(const relay_config_t *, const char *text);
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -14,8 +14,9 @@
 /** Where the operator's and the endpoints' rows stand, and how they read. */
 typedef struct source_dialect {
 	const char *orders_table;
-	const char *config_key;	    /**< in the orders' table */
-	const char *rollout_prefix; /**< of keys in the orders' table */
+	const char *config_key;	       /**< in the orders' table */
+	const char *rollout_prefix;    /**< of keys in the orders' table */
+	const char *evacuation_prefix; /**< the same; a zone follows */
 	const char *endpoints_table;
 	/** @param before in force until now; may be NULL */
 	relay_config_t *(*config)(const char *text, size_t len,
@@ -24,6 +25,8 @@
 	    endpoint_facts_t *, err_t *);
 	bool (*order)(const char *text, size_t len, uint64_t number,
 	    rollout_order_t *, err_t *);
+	/** Whether the rest of the key of an evacuation is a zone's name. */
+	bool (*evacuation_check)(const char *zone, err_t *);
 	/** Whether two entries of an endpoint differ in nothing of weight. */
 	bool (*endpoint_same)(
 	    const char *a, size_t a_len, const char *b, size_t b_len);
@@ -41,12 +44,19 @@
 	const rollout_dialect_t *rollouts;
 } relay_ports_t;
 
+typedef struct zone_region {
+	const char *zone;
+	const char *region;
+} zone_region_t;
+
 typedef struct relay_node_settings {
 	http_address_t listen;
 	char name[MEMBER_NAME_SIZE]; /**< own address as callers use it */
 	char zone[MEMBER_NAME_SIZE];
 	char peer[MEMBER_NAME_SIZE]; /**< own address for other daemons */
-	double strength;	     /**< of the VM: cores */
+	const zone_region_t *zones;  /**< not kept after the call */
+	size_t zones_len;
+	double strength; /**< of the VM: cores */
 	relay_bounds_t bounds;
 	int64_t config_wait_ms;	    /**< a question may be held this long */
 	int64_t endpoints_pause_ms; /**< between questions */
--- a/include/moortack/relay/relay_stats.h
+++ b/include/moortack/relay/relay_stats.h
@@ -35,6 +35,8 @@
 	STAT_ESCALATED,
 	STAT_SUSPECTS_STOPPED,
 	STAT_CRASH_PROBES,
+	STAT_COLD_SENDS,
+	STAT_COLD_PASSED_OVER,
 	STATS /* count */
 } relay_counter_t;
 
--- a/include/moortack/relay/row_refusals.h
+++ b/include/moortack/relay/row_refusals.h
@@ -17,6 +17,7 @@
 	ROW_KIND_CONFIG,
 	ROW_KIND_ORDER,
 	ROW_KIND_ENDPOINT,
+	ROW_KIND_EVACUATION,
 	ROW_KIND_MEMBER,
 	ROW_KIND_STATE,	  /**< of a roll-out */
 	ROW_KIND_KEY,	  /**< of the fleet */
--- a/include/platform/node_file.h
+++ b/include/platform/node_file.h
@@ -7,12 +7,24 @@
 
 #include "common/err.h"
 #include "common/http_call.h"
+#include "moortack/relay/zone_table.h"
 
 #define NODE_TEXT_SIZE 128
+/** Lines zones.ZONE=REGION in a file. */
+#define NODE_ZONES_MAX 256
+
+/** The region of a zone. */
+typedef struct node_zone {
+	char name[ZONE_NAME_SIZE];
+	char region[ZONE_NAME_SIZE];
+} node_zone_t;
 
 /** What the system uses of the file. */
 typedef struct node_file {
 	char zone[NODE_TEXT_SIZE];
+	char region[NODE_TEXT_SIZE];	   /**< "": not set */
+	node_zone_t zones[NODE_ZONES_MAX]; /**< zones.ZONE=REGION */
+	size_t zones_len;
 	http_address_t callers; /**< listen.frontend */
 	char callers_text[NODE_TEXT_SIZE];
 	http_address_t readiness; /**< listen.readiness */
@@ -32,6 +44,8 @@
 	int64_t retry_window_ms;  /**< bounds.retry_window_s */
 	double retry_min;	  /**< bounds.retry_min */
 	int64_t session_ms;	  /**< bounds.session_s */
+	double warmup_overshoot;  /**< bounds.warmup_overshoot */
+	double warmup_tolerance;  /**< bounds.warmup_tolerance */
 	int64_t ttl_max_ms;	  /**< bounds.ttl_max_s */
 } node_file_t;
 
--- a/include/platform/rows.h
+++ b/include/platform/rows.h
@@ -19,6 +19,7 @@
 /** Keys in the operator's table. */
 #define ROWS_CONFIG_KEY "config"
 #define ROWS_ROLLOUT_PREFIX "rollout/"
+#define ROWS_EVACUATION_PREFIX "evacuate/"
 
 /** A configuration, or NULL and the error. */
 /** @param before in force until now; may be NULL. Routes of the same text are
@@ -30,14 +31,19 @@
 bool endpoint_row_decode(
     const char *id, const char *text, size_t len, endpoint_facts_t *, err_t *);
 
-/** Whether two entries differ only in what changes with each beat. */
-bool
-endpoint_row_same(const char *a, size_t a_len, const char *b, size_t b_len);
+/** Whether an entry differs from the previous one only in what changes with
+ * each heartbeat. */
+bool endpoint_row_same(
+    const char *before, size_t before_len, const char *now, size_t now_len);
 
 /** @param number of the row: grows with each order */
 bool order_row_decode(
     const char *text, size_t len, uint64_t number, rollout_order_t *, err_t *);
 
+/** Whether the rest of the key of an evacuation is a zone's name. The value of
+ * the row is not used. */
+bool evacuation_row_check(const char *zone, err_t *);
+
 /** How a roll-out's state is told to the operator. */
 extern const rollout_dialect_t platform_rollout_dialect;
 
--- a/moortack/relay/caller_targets.c
+++ b/moortack/relay/caller_targets.c
@@ -39,18 +39,29 @@
 	return len;
 }
 
+static bool
+region_matches(const caller_region_filter_t *filter, const char *zone)
+{
+	return filter == NULL ||
+	    region_list_allows(
+		filter->regions, zone_table_region(filter->zones, zone));
+}
+
 size_t
 caller_targets_fill(const membership_t *members, bool own,
-    caller_target_t *targets, size_t most)
+    const caller_region_filter_t *filter, caller_target_t *targets, size_t most)
 {
 	const membership_settings_t *self = &members->settings;
 	caller_target_t target = {self->name, self->zone,
 	    own_order(members, self->name, self->strength)};
-	size_t len = own ? target_insert(targets, 0, most, &target) : 0;
+	size_t len = own && region_matches(filter, self->zone)
+	    ? target_insert(targets, 0, most, &target)
+	    : 0;
 
 	for (const member_t *one = members->members; one != NULL;
 	     one = one->hh.next) {
-		if (!membership_named(members, one))
+		if (!membership_named(members, one) ||
+		    !region_matches(filter, one->zone))
 			continue;
 		target = (caller_target_t){one->name, one->zone,
 		    own_order(members, one->name, one->strength)};
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -25,6 +25,7 @@
 endpoint_set_init(endpoint_set_t *set, const clock_source_t *clock)
 {
 	*set = (endpoint_set_t){.clock = clock};
+	zone_table_init(&set->zones);
 }
 
 static endpoint_group_t *
@@ -127,6 +128,7 @@
 		free(group->ring);
 		free(group);
 	}
+	zone_table_finish(&set->zones);
 }
 
 endpoint_t *
@@ -158,6 +160,44 @@
 	return count;
 }
 
+bool
+endpoint_accepts_requests(const endpoint_t *endpoint)
+{
+	return !endpoint->facts.leaving && !endpoint->zone->evacuated;
+}
+
+void
+endpoint_mark_cold(endpoint_t *endpoint, int64_t ms)
+{
+	struct timespec until =
+	    timespec_after_ms(clock_elapsed(endpoint->set->clock), ms);
+
+	if (ms > 0 && timespec_ms_between(endpoint->cold_until, until) > 0)
+		endpoint->cold_until = until;
+}
+
+uint32_t
+endpoint_set_zone_in_flight(const endpoint_set_t *set, const zone_t *zone)
+{
+	uint32_t count = 0;
+
+	for (const endpoint_t *one = set->endpoints; one != NULL;
+	     one = one->hh.next)
+		count += one->zone == zone ? one->in_flight : 0;
+	return count;
+}
+
+uint32_t
+endpoint_set_evacuated_in_flight(const endpoint_set_t *set)
+{
+	uint32_t count = 0;
+
+	for (const endpoint_t *one = set->endpoints; one != NULL;
+	     one = one->hh.next)
+		count += one->zone->evacuated ? one->in_flight : 0;
+	return count;
+}
+
 endpoint_group_t *
 endpoint_set_group(const endpoint_set_t *set, const char *service)
 {
@@ -186,13 +226,14 @@
 						     : ENTRY_SAME;
 }
 
-/* A process does not move: another address is another endpoint. */
+/* A process does not move: another address, or zone, is another endpoint. */
 static bool
 moved(const endpoint_t *endpoint, const endpoint_facts_t *facts)
 {
 	const endpoint_facts_t *known = &endpoint->facts;
 
 	return strcmp(known->service, facts->service) != 0 ||
+	    strcmp(known->zone, facts->zone) != 0 ||
 	    strcmp(known->address.host, facts->address.host) != 0 ||
 	    known->address.port != facts->address.port;
 }
@@ -225,9 +266,10 @@
 endpoint_add(endpoint_set_t *set, const endpoint_facts_t *facts)
 {
 	endpoint_group_t *group = group_of(set, facts->service);
+	zone_t *zone = zone_table_get(&set->zones, facts->zone);
 	endpoint_t *endpoint = calloc(1, sizeof(*endpoint));
 
-	if (group == NULL || endpoint == NULL) {
+	if (group == NULL || zone == NULL || endpoint == NULL) {
 		free(endpoint);
 		return NULL;
 	}
@@ -239,9 +281,11 @@
 	endpoint->facts = *facts;
 	endpoint->set = set;
 	endpoint->group = group;
+	endpoint->zone = zone;
 	endpoint->shared = 1;
 	endpoint->present = true;
 	prefill_queue_init(&endpoint->unread);
+	endpoint_mark_cold(endpoint, facts->warm_in_ms);
 	HASH_ADD_KEYPTR(hh, set->endpoints, endpoint->facts.id,
 	    strlen(endpoint->facts.id), endpoint);
 	endpoint->short_hash = (uint32_t)endpoint->hash;
@@ -269,6 +313,7 @@
 		return endpoint_add(set, facts);
 	earlier_drop(endpoint);
 	endpoint->facts = *facts;
+	endpoint_mark_cold(endpoint, facts->warm_in_ms);
 	endpoint->lapsed = false;
 	return endpoint;
 }
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "relay_request.h"
+#include "relay_warmup.h"
 
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
@@ -70,6 +70,9 @@
 	    ? RETRY_STORE_MS
 	    : RETRY_SOON_MS;
 
+	if (code == ERR_WARMING_UP)
+		ms = relay_warmup_next_slot_ms(relay);
+
 	return ms + rng_below(relay->rng, RETRY_SPREAD_MS);
 }
 
@@ -448,6 +451,7 @@
 	relay_config_release(relay->config);
 	prefix_memory_finish(&relay->prefixes);
 	relay_counts_finish(relay);
+	warmup_daemons_finish(&relay->warmup_daemons);
 }
 
 void
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -1,4 +1,4 @@
-#include "relay_request.h"
+#include "relay_warmup.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -216,14 +216,16 @@
 
 	event_line(relay->log, "attempt",
 	    "id=%s endpoint=%s zone=%s model=%s attempt=%u kept=%d resume=%d "
-	    "of=%zu told=%zu load=%.0f wait_ms=%.0f read_ms=%.0f first_ms=%.0f "
+	    "of=%zu cold=%zu told=%zu load=%.0f wait_ms=%.0f read_ms=%.0f "
+	    "first_ms=%.0f "
 	    "left_ms=%" PRId64 " config=%" PRIu64 " endpoints_age_ms=%" PRId64,
 	    req->arrival.id, req->endpoint_id, place->endpoint->facts.zone,
 	    req->attempt.model != NULL ? req->attempt.model : "-",
 	    req->sends + req->connects + 1, req->attempt.kept, req->begun,
-	    place->candidates, place->told, place->load, place->wait_ms,
-	    place->read_ms, place->first_ms, request_left_ms(req),
-	    req->config->version, row_watch_age_ms(relay->endpoint_watch));
+	    place->candidates, place->cold, place->told, place->load,
+	    place->wait_ms, place->read_ms, place->first_ms,
+	    request_left_ms(req), req->config->version,
+	    row_watch_age_ms(relay->endpoint_watch));
 }
 
 /* The configuration may have changed since the request was taken: the one in
@@ -286,7 +288,8 @@
 	if (relay_ask(req))
 		return;
 	if (!relay_place(req, req->model_index, &place, &why)) {
-		attempts_end(req, ERR_NO_ENDPOINT, why);
+		attempts_end(req,
+		    place.cold > 0 ? ERR_WARMING_UP : ERR_NO_ENDPOINT, why);
 		return;
 	}
 	relay_ask_end(req);
@@ -306,6 +309,9 @@
 		req->attempt.is_new = rollout_is_new(rollout, place.endpoint);
 		req->attempt.on_trial = rollout_on_trial(rollout);
 	}
+	relay_warmup_acquire(req);
+	if (place.cold > 0)
+		stats_add(&req->relay->stats, STAT_COLD_PASSED_OVER, 1);
 	req->attempt.place = place;
 	relay_place_note(req, &place, req->model_index);
 	session_note(req);
@@ -324,7 +330,8 @@
 
 	/* The process may have stood still while it connected. */
 	if (req->config == relay->config && endpoint->present &&
-	    !endpoint->facts.leaving && !relay_quarantine_refuses(req) &&
+	    endpoint_accepts_requests(endpoint) && relay_warmup_acquire(req) &&
+	    !relay_quarantine_refuses(req) &&
 	    relay_permit(relay, &req->arrival, msg->target, &route,
 		&organisation) == ERR_NONE)
 		return true;
@@ -372,6 +379,7 @@
 		req->connects++;
 		stats_add(stats, STAT_CONNECTS_FAILED, 1);
 		endpoint_failed(endpoint);
+		relay_warmup_connect_failed(req);
 		if (req->attempt.refused)
 			relay_attempt_refused(req);
 		break;
--- a/moortack/relay/relay_candidates.c
+++ b/moortack/relay/relay_candidates.c
@@ -1,4 +1,5 @@
 #include "relay_candidates.h"
+#include "relay_warmup.h"
 
 #include <math.h>
 #include <string.h>
@@ -66,11 +67,24 @@
 	    !rollout_taken_back(rollout, endpoint);
 }
 
+/* Both the route and the organisation may restrict the regions. */
+static bool
+region_fits(const relay_request_t *req, const endpoint_t *endpoint)
+{
+	const char *region = endpoint->zone->region;
+
+	return (req->route == NULL ||
+		   region_list_allows(&req->route->regions, region)) &&
+	    (req->organisation == NULL ||
+		region_list_allows(&req->organisation->regions, region));
+}
+
 static bool
 endpoint_fits(const relay_request_t *req, const endpoint_t *endpoint,
     uint32_t connections)
 {
-	return !endpoint->facts.leaving && !was_tried(req, endpoint) &&
+	return endpoint_accepts_requests(endpoint) &&
+	    region_fits(req, endpoint) && !was_tried(req, endpoint) &&
 	    (endpoint->idle != NULL || endpoint->connections < connections);
 }
 
@@ -82,16 +96,22 @@
 {
 	const relay_t *relay = req->relay;
 	uint32_t connections = connections_share(req);
+	warmup_snapshot_t warmup;
 	size_t from = endpoint_group_from(
 	    group, req->shared != 0 ? req->shared : req->spread);
 
 	out->len = 0;
+	relay_warmup_snapshot(req, &warmup);
 	for (size_t i = 0; i < group->len && out->len < CANDIDATES_MAX; i++) {
 		endpoint_t *one = group->ring[(from + i) % group->len];
 
 		if (!endpoint_fits(req, one, connections) ||
 		    !version_fits(group, rollout, wanted, one))
 			continue;
+		if (!relay_warmup_allows(relay, one, &warmup)) {
+			out->cold++;
+			continue;
+		}
 		out->endpoints[out->len] = one;
 		out->seen[out->len++] = (choose_candidate_t){.hash = one->hash,
 		    .load = endpoint_load_now(one, relay->daemons_most),
@@ -206,6 +226,8 @@
 	rollout_t *rollout;
 	version_class_t wanted;
 
+	out->len = 0;
+	out->cold = 0;
 	*why = "no_pool";
 	if (req->service == NULL)
 		return false;
@@ -227,5 +249,7 @@
 	if (out->len == 0 && wanted == VERSION_NEW &&
 	    rollout_old_allowed(rollout))
 		candidates_old(req, group, rollout, out);
+	if (out->len == 0 && out->cold > 0)
+		*why = "warming_up";
 	return out->len > 0;
 }
--- a/moortack/relay/relay_candidates.h
+++ b/moortack/relay/relay_candidates.h
@@ -16,6 +16,7 @@
 	endpoint_t *endpoints[CANDIDATES_MAX];
 	choose_candidate_t seen[CANDIDATES_MAX];
 	size_t len;
+	size_t cold; /**< cold endpoints left out, with no share left */
 } candidates_t;
 
 /** @param why set if there are none
--- a/moortack/relay/relay_config.c
+++ b/moortack/relay/relay_config.c
@@ -69,6 +69,7 @@
 		free(route->pools[i].service);
 	for (size_t i = 0; i < route->models_len; i++)
 		free(route->models[i].name);
+	region_list_finish(&route->regions);
 	free(route);
 }
 
@@ -100,6 +101,7 @@
 	}
 	for (size_t i = 0; i < config->organisations_len; i++) {
 		free(config->organisations[i]->name);
+		region_list_finish(&config->organisations[i]->regions);
 		free(config->organisations[i]);
 	}
 	free(config->organisations);
@@ -170,21 +172,20 @@
 	return entry->route;
 }
 
-bool
-relay_config_add_service(relay_config_t *config, const char *name,
-    uint32_t connections_max, err_t *err)
+relay_service_t *
+relay_config_add_service(relay_config_t *config, const char *name, err_t *err)
 {
 	relay_service_t *service = calloc(1, sizeof(*service));
 
 	if (service == NULL || (service->name = strdup(name)) == NULL) {
 		free(service);
-		return err_set(err, ERR_MEMORY, "out of memory");
+		err_set(err, ERR_MEMORY, "out of memory");
+		return NULL;
 	}
-	service->connections_max =
-	    connections_max > 0 ? connections_max : CONNECTIONS_MAX_DEFAULT;
+	service->connections_max = CONNECTIONS_MAX_DEFAULT;
 	HASH_ADD_KEYPTR(hh, config->services, service->name,
 	    strlen(service->name), service);
-	return true;
+	return service;
 }
 
 relay_organisation_t *
@@ -260,6 +261,38 @@
 	return NULL;
 }
 
+static bool
+regions_merge(region_list_t *out, const region_list_t *list)
+{
+	for (size_t i = 0; i < list->len; i++) {
+		bool listed =
+		    out->len > 0 && region_list_allows(out, list->names[i]);
+
+		if (!listed && !region_list_add(out, list->names[i], NULL))
+			return false;
+	}
+	return true;
+}
+
+bool
+relay_config_host_regions(
+    const relay_config_t *config, const char *host, region_list_t *out)
+{
+	for (const relay_route_entry_t *entry = config->routes; entry != NULL;
+	     entry = entry->hh.next) {
+		const relay_route_t *route = entry->route;
+
+		if (strcmp(route->host, host) != 0)
+			continue;
+		if (route->regions.len == 0 ||
+		    !regions_merge(out, &route->regions)) {
+			region_list_finish(out);
+			return false;
+		}
+	}
+	return out->len > 0;
+}
+
 const relay_organisation_t *
 relay_config_key(const relay_config_t *config, const char *text)
 {
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -224,6 +224,8 @@
 	relay_open(&node->relay);
 	relay_rows_lapsed_end(node);
 	relay_rows_earlier_take(node);
+	relay_evacuations_expire(node);
+	relay_warmup_tick(&node->relay, false);
 	endpoint_set_observe(&node->endpoints);
 	members_step(node);
 	gossip_tick(&node->gossip);
@@ -300,6 +302,17 @@
 	    .lone_ms = LONE_MS};
 }
 
+static bool
+zone_regions_set(relay_node_t *node, const relay_node_settings_t *settings)
+{
+	for (size_t i = 0; i < settings->zones_len; i++) {
+		if (!zone_table_set_region(&node->endpoints.zones,
+			settings->zones[i].zone, settings->zones[i].region))
+			return false;
+	}
+	return true;
+}
+
 static bool
 parts_init(relay_node_t *node, err_t *err)
 {
@@ -314,6 +327,9 @@
 	snprintf(member.zone, sizeof(member.zone), "%s", node->settings.zone);
 	strcpy(member.peer, node->settings.peer);
 	endpoint_set_init(&node->endpoints, ports->clock);
+	if (!zone_regions_set(node, &node->settings))
+		return err_set(
+		    err, ERR_SETTING, "cannot set the region of a zone");
 	node->rollouts = (rollouts_t){.store = ports->store,
 	    .clock = ports->clock,
 	    .dialect = ports->rollouts,
@@ -340,6 +356,7 @@
 	    .endpoint_watch =
 		row_source_watch(&node->source, ROW_TABLE_ENDPOINTS),
 	    .bounds = node->settings.bounds};
+	warmup_daemons_init(&node->relay.warmup_daemons, node->settings.name);
 	snprintf(node->relay.zone, sizeof(node->relay.zone), "%s",
 	    node->settings.zone);
 	if (!relay_init(&node->relay, &node->settings.listen, err) ||
@@ -370,6 +387,8 @@
 	    (row_refusals_t){.clock = ports->clock, .log = &node->log};
 	if (!parts_init(node, err))
 		return false;
+	node->settings.zones = NULL;
+	node->settings.zones_len = 0;
 	node->tick = event_new(ports->base, -1, EV_PERSIST, on_tick, node);
 	if (node->tick == NULL || event_add(node->tick, &tick) != 0)
 		return err_set(err, ERR_MEMORY, "out of memory");
@@ -403,6 +422,7 @@
 	node->members.settings.life = life_bounds(settings);
 	node->members.view.bounds = node->members.settings.life;
 	node->relay.bounds = settings->bounds;
+	zone_regions_set(node, settings);
 	node->source.watches[ROW_TABLE_ENDPOINTS].watch.pace.pause_ms =
 	    settings->endpoints_pause_ms;
 	event_line(&node->log, "reload",
--- a/moortack/relay/relay_node_priv.h
+++ b/moortack/relay/relay_node_priv.h
@@ -1,7 +1,7 @@
 /**
  * @file
  * What the files of a node share: relay_rows.c takes the rows that a node
- * learns of, relay_node.c does the rest.
+ * learns of, zone_rows.c those of evacuations, relay_node.c does the rest.
  */
 #ifndef MOORTACK_RELAY_RELAY_NODE_PRIV_H
 #define MOORTACK_RELAY_RELAY_NODE_PRIV_H
@@ -11,6 +11,18 @@
 /** How a node takes rows; the argument is the node. */
 extern const row_source_ops_t relay_rows_ops;
 
+/** Whether the store was restored from an older copy after @p known. */
+bool relay_rows_of_later_era(const cached_row_t *known, const row_t *);
+/** Keep the known value under the version of a row that is older. */
+void relay_rows_keep(
+    relay_node_t *, row_table_t, const cached_row_t *known, const row_t *);
+
+/** Apply a row of an evacuation that was written or removed. */
+void relay_evacuation_row(relay_node_t *, const row_t *);
+/** End evacuations that stayed unconfirmed for too long; called a few times a
+ * second. */
+void relay_evacuations_expire(relay_node_t *);
+
 /** Entries that did not come back after an outage are gone. */
 void relay_rows_lapsed_end(relay_node_t *);
 
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -30,6 +30,7 @@
 typedef struct placement {
 	endpoint_t *endpoint;
 	size_t candidates; /**< that it was chosen from */
+	size_t cold;	   /**< cold endpoints left out, with no share left */
 	double load;	   /**< requests that it was thought to hold */
 	uint32_t unread;   /**< tokens that it has to read */
 	double wait_ms;	   /**< before it begins to */
@@ -60,6 +61,8 @@
 	bool broke;	      /**< its connection ended before its answer */
 	bool refused;	      /**< nothing listens at its endpoint */
 	bool whole;	      /**< its answer has come to its end */
+	bool warmup_acquired; /**< counted against its cold endpoint */
+	int64_t warmup_slot;  /**< slot in which it was counted */
 } attempt_t;
 
 /** What the owner of an endpoint says of it. */
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -17,17 +17,17 @@
 }
 
 /* Whether the store came back from an older copy since the row was known. */
-static bool
-of_later_era(const cached_row_t *known, const row_t *row)
+bool
+relay_rows_of_later_era(const cached_row_t *known, const row_t *row)
 {
 	return known != NULL &&
 	    era_version_era(row->version) > era_version_era(known->version);
 }
 
 /* What is known holds on, at the place in the order that the older row has. */
-static void
-known_keep(relay_node_t *node, row_table_t table, const cached_row_t *known,
-    const row_t *row)
+void
+relay_rows_keep(relay_node_t *node, row_table_t table,
+    const cached_row_t *known, const row_t *row)
 {
 	row_t kept = {.key = row->key,
 	    .value_len = known->value_len,
@@ -51,7 +51,7 @@
 config_steps_back(const relay_node_t *node, const cached_row_t *known,
     const row_t *row, const relay_config_t *config)
 {
-	return of_later_era(known, row) && known->value != NULL &&
+	return relay_rows_of_later_era(known, row) && known->value != NULL &&
 	    node->relay.config != NULL &&
 	    (row->deleted ||
 		(config != NULL &&
@@ -70,7 +70,7 @@
 		config = node->ports.sources->config(
 		    row->value, row->value_len, node->relay.config, &err);
 	if (config_steps_back(node, known, row, config))
-		known_keep(node, ROW_TABLE_ORDERS, known, row);
+		relay_rows_keep(node, ROW_TABLE_ORDERS, known, row);
 	else
 		row_source_put(&node->source, ROW_TABLE_ORDERS, row);
 	if (config != NULL)
@@ -104,6 +104,10 @@
 		on_config_row(node, row);
 		return;
 	}
+	if (has_prefix(row, sources->evacuation_prefix)) {
+		relay_evacuation_row(node, row);
+		return;
+	}
 	row_source_put(&node->source, ROW_TABLE_ORDERS, row);
 	if (has_prefix(row, sources->rollout_prefix))
 		order_row(node, row);
@@ -221,7 +225,7 @@
 static bool
 end_holds(const relay_node_t *node, const cached_row_t *known, const row_t *row)
 {
-	return !node->source.taking && of_later_era(known, row) &&
+	return !node->source.taking && relay_rows_of_later_era(known, row) &&
 	    known->value == NULL;
 }
 
@@ -230,7 +234,7 @@
 leaving_holds(const cached_row_t *known, const row_t *row,
     const endpoint_t *endpoint, const endpoint_facts_t *facts)
 {
-	return of_later_era(known, row) && known->value != NULL &&
+	return relay_rows_of_later_era(known, row) && known->value != NULL &&
 	    endpoint != NULL && endpoint->facts.leaving && !facts->leaving &&
 	    endpoint_entry_order(endpoint, facts) == ENTRY_SAME;
 }
@@ -250,7 +254,7 @@
 		return;
 	}
 	if (end_holds(node, known, row)) {
-		known_keep(node, ROW_TABLE_ENDPOINTS, known, row);
+		relay_rows_keep(node, ROW_TABLE_ENDPOINTS, known, row);
 		return;
 	}
 	if (!node->ports.sources->endpoint(
@@ -261,7 +265,7 @@
 		return;
 	}
 	if (leaving_holds(known, row, endpoint, &facts)) {
-		known_keep(node, ROW_TABLE_ENDPOINTS, known, row);
+		relay_rows_keep(node, ROW_TABLE_ENDPOINTS, known, row);
 		return;
 	}
 	row_source_put(&node->source, ROW_TABLE_ENDPOINTS, row);
@@ -402,6 +406,7 @@
 		return;
 	if (!node->members_read)
 		membership_rows_read(&node->members);
+	relay_warmup_tick(&node->relay, !node->members_read);
 	node->members_read = true;
 	daemons = membership_count(&node->members);
 	/* Bounds that daemons share are cut by the most ever seen: too many
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -150,8 +150,10 @@
 	size_t chosen;
 
 	*out = (placement_t){.first_ms = -1};
-	if (!candidates_of(req, &candidates, why))
+	if (!candidates_of(req, &candidates, why)) {
+		out->cold = candidates.cold;
 		return false;
+	}
 	if (wish.prompt) {
 		prefix_list_fill(&prefixes, &req->arrival, model_hash);
 		out->told = told_keep(req, index, &candidates);
@@ -167,6 +169,7 @@
 		return false;
 	out->endpoint = candidates.endpoints[chosen];
 	out->candidates = candidates.len;
+	out->cold = candidates.cold;
 	out->load = candidates.seen[chosen].load;
 	out->wait_ms = candidates.seen[chosen].wait_ms;
 	out->read_ms =
--- a/moortack/relay/relay_stats.c
+++ b/moortack/relay/relay_stats.c
@@ -31,6 +31,8 @@
     {"escalated", "Answers dropped and asked of a larger model."},
     {"suspects_stopped", "Requests not sent again since endpoints crashed."},
     {"crash_probes", "Looks whether an endpoint that broke off listens."},
+    {"cold_sends", "Requests sent to cold endpoints."},
+    {"cold_passed_over", "Attempts for which cold endpoints were left out."},
 };
 
 /* Upper bounds in ms: around the objectives of the users, 100 to 3,000. */
--- a/moortack/relay/row_refusals.c
+++ b/moortack/relay/row_refusals.c
@@ -7,8 +7,8 @@
  * how many there were. */
 #define TOLD_EVERY_MS 10000
 
-static const char *const kinds[ROW_KINDS] = {
-    "config", "order", "endpoint", "member", "state", "key", "verdict"};
+static const char *const kinds[ROW_KINDS] = {"config", "order", "endpoint",
+    "evacuation", "member", "state", "key", "verdict"};
 static const char *const faults[ROW_FAULTS] = {"name", "unreadable", "field"};
 
 static row_fault_t
--- a/moortack/replication/membership.c
+++ b/moortack/replication/membership.c
@@ -13,6 +13,8 @@
 /* VMs whose cores differ by a hundredth or more never change places by their
  * hash. */
 #define STRENGTH_ORDER 100.0
+/* A larger step back is a reset of the store's clock, not a delayed answer. */
+#define STORE_CLOCK_BACK_MS 5000
 #define HASH_RANGE 18446744073709551616.0
 
 /* What only tells that the row was written again. */
@@ -266,8 +268,12 @@
 void
 membership_store_clock(membership_t *self, int64_t now_ms)
 {
-	self->store_offset_ms =
-	    now_ms - timespec_ms(clock_elapsed(self->clock));
+	int64_t offset_ms = now_ms - timespec_ms(clock_elapsed(self->clock));
+
+	/* A delay of the answer lowers the offset: keep the highest one. */
+	if (!self->store_clock_known || offset_ms > self->store_offset_ms ||
+	    offset_ms < self->store_offset_ms - STORE_CLOCK_BACK_MS)
+		self->store_offset_ms = offset_ms;
 	self->store_clock_known = true;
 }
 
--- a/test/platform/rows_fuzz.c
+++ b/test/platform/rows_fuzz.c
@@ -44,6 +44,8 @@
 static const source_dialect_t sources = {.orders_table = ROWS_ORDERS,
     .config_key = ROWS_CONFIG_KEY,
     .rollout_prefix = ROWS_ROLLOUT_PREFIX,
+    .evacuation_prefix = ROWS_EVACUATION_PREFIX,
+    .evacuation_check = evacuation_row_check,
     .endpoints_table = ROWS_ENDPOINTS,
     .config = config_row_decode,
     .endpoint = endpoint_row_decode,
--- a/test/support/silent_store.h
+++ b/test/support/silent_store.h
@@ -77,9 +77,17 @@
 	return a_len == b_len && memcmp(a, b, a_len) == 0;
 }
 
+static inline bool
+told_evacuation_check(const char *zone, err_t *err)
+{
+	return zone[0] != '\0' || err_set(err, ERR_NAME, "no zone");
+}
+
 static const source_dialect_t told_sources = {.orders_table = "orders",
     .config_key = "config",
     .rollout_prefix = "rollout/",
+    .evacuation_prefix = "evacuate/",
+    .evacuation_check = told_evacuation_check,
     .endpoints_table = "endpoints",
     .endpoint = told_endpoint,
     .endpoint_same = told_same};
--- /dev/null
+++ b/test/unit/evacuation_test.c
@@ -0,0 +1,162 @@
+/**
+ * @file
+ * Evacuations of availability zones: no endpoint of a zone accepts requests
+ * while the zone's row exists, whichever of the two became known first.
+ * Restoring the store from an older copy that lacks the row does not end the
+ * evacuation at once.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include <stdio.h>
+#include <string.h>
+
+#include "../support/told_node.h"
+#include "moortack/replication/era_version.h"
+
+#define ZONE "a" /* set by told_endpoint() */
+#define KEY "evacuate/" ZONE
+#define UNCONFIRMED_MS 60000
+
+static void
+endpoint_tell(told_node_t *told, const char *id, uint64_t version)
+{
+	row_tell(told, ROW_TABLE_ENDPOINTS, id, "v1", version);
+}
+
+static bool
+accepts_requests(const told_node_t *told, const char *id)
+{
+	return endpoint_accepts_requests(
+	    endpoint_set_find(&told->node.endpoints, id));
+}
+
+static void
+an_evacuation_applies_to_all_endpoints_of_its_zone(void **state)
+{
+	static told_node_t told;
+
+	(void)state;
+	told_node_init(&told);
+	endpoint_tell(&told, "e1", 10);
+	row_tell(&told, ROW_TABLE_ORDERS, "evacuate/other", "{}", 11);
+	assert_true(accepts_requests(&told, "e1"));
+	row_tell(&told, ROW_TABLE_ORDERS, KEY, "{}", 12);
+	endpoint_tell(&told, "e2", 13);
+	assert_false(accepts_requests(&told, "e1"));
+	assert_false(accepts_requests(&told, "e2"));
+	/* The row is written again, with a value that is not JSON. */
+	row_tell(&told, ROW_TABLE_ORDERS, KEY, "?", 14);
+	assert_false(accepts_requests(&told, "e1"));
+	assert_int_equal(
+	    zone_table_evacuated_count(&told.node.endpoints.zones), 2);
+	row_tell(&told, ROW_TABLE_ORDERS, KEY, NULL, 15);
+	assert_true(accepts_requests(&told, "e1"));
+	assert_true(accepts_requests(&told, "e2"));
+	told_node_finish(&told);
+}
+
+static void
+an_outdated_row_is_ignored(void **state)
+{
+	static told_node_t told;
+
+	(void)state;
+	told_node_init(&told);
+	endpoint_tell(&told, "e1", 10);
+	row_tell(&told, ROW_TABLE_ORDERS, KEY, "{}", 20);
+	row_tell(&told, ROW_TABLE_ORDERS, KEY, NULL, 19);
+	assert_false(accepts_requests(&told, "e1"));
+	row_tell(&told, ROW_TABLE_ORDERS, KEY, NULL, 21);
+	row_tell(&told, ROW_TABLE_ORDERS, KEY, "{}", 20);
+	assert_true(accepts_requests(&told, "e1"));
+	told_node_finish(&told);
+}
+
+/* Evacuate the zone, then restore the store from a copy without the row. */
+static void
+store_restore_without_row(told_node_t *told)
+{
+	told_node_init(told);
+	endpoint_tell(told, "e1", 10);
+	row_tell(told, ROW_TABLE_ORDERS, KEY, "{}", 20);
+	row_tell(told, ROW_TABLE_ORDERS, KEY, NULL, era_version_of(1, 5));
+}
+
+static void
+an_evacuation_outlasts_a_restore_without_its_row(void **state)
+{
+	static told_node_t told;
+	const cached_row_t *row;
+
+	(void)state;
+	store_restore_without_row(&told);
+	assert_false(accepts_requests(&told, "e1"));
+	/* Daemons that follow this one read the row from its cache. */
+	row = row_cache_find(&told.node.source.cache, ROW_TABLE_ORDERS, KEY);
+	assert_non_null(row->value);
+	assert_int_equal(row->version, era_version_of(1, 5));
+	/* A second read of the copy lacks the row as well. */
+	row_tell(&told, ROW_TABLE_ORDERS, KEY, NULL, era_version_of(1, 6));
+	assert_false(accepts_requests(&told, "e1"));
+	pass(&told, UNCONFIRMED_MS - 1);
+	relay_evacuations_expire(&told.node);
+	assert_false(accepts_requests(&told, "e1"));
+	pass(&told, 1);
+	relay_evacuations_expire(&told.node);
+	assert_true(accepts_requests(&told, "e1"));
+	row = row_cache_find(&told.node.source.cache, ROW_TABLE_ORDERS, KEY);
+	assert_null(row->value);
+	told_node_finish(&told);
+}
+
+/* A follower that missed the rows of the restored store hears of the end. */
+static void
+a_removal_that_another_daemon_reports_is_final(void **state)
+{
+	static told_node_t told;
+
+	(void)state;
+	told_node_init(&told);
+	endpoint_tell(&told, "e1", 10);
+	row_tell(&told, ROW_TABLE_ORDERS, KEY, "{}", 20);
+	told.node.source.taking = true;
+	row_tell(&told, ROW_TABLE_ORDERS, KEY, NULL, era_version_of(1, 5));
+	told.node.source.taking = false;
+	assert_true(accepts_requests(&told, "e1"));
+	told_node_finish(&told);
+}
+
+static void
+a_rewritten_row_confirms_the_evacuation(void **state)
+{
+	static told_node_t told;
+
+	(void)state;
+	store_restore_without_row(&told);
+	row_tell(&told, ROW_TABLE_ORDERS, KEY, "{}", era_version_of(1, 8));
+	pass(&told, 2 * UNCONFIRMED_MS);
+	relay_evacuations_expire(&told.node);
+	assert_false(accepts_requests(&told, "e1"));
+	row_tell(&told, ROW_TABLE_ORDERS, KEY, NULL, era_version_of(1, 9));
+	assert_true(accepts_requests(&told, "e1"));
+	told_node_finish(&told);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(
+		an_evacuation_applies_to_all_endpoints_of_its_zone),
+	    cmocka_unit_test(an_outdated_row_is_ignored),
+	    cmocka_unit_test(an_evacuation_outlasts_a_restore_without_its_row),
+	    cmocka_unit_test(a_removal_that_another_daemon_reports_is_final),
+	    cmocka_unit_test(a_rewritten_row_confirms_the_evacuation),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
