relay: do not move sessions in the second step of a roll-out

Cause: sessions served by the old version are remembered, and reported to the other daemons, only if the first step (a share of 0.05) would take them. The second step, at 0.40 of the duration, takes a share of 0.1, so sessions between the two shares moved in the first half of the roll-out. Change: until sessions may move, those that no daemon reports as served are limited to the share of the first step; requests without a session still follow the second step. When it overflows, every session counts as served there, so that none is moved. Ruled out: remembering sessions up to the share of the second step. Each daemon would have to be sent twice as many names, for a step that serves to fill the first endpoints.

--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -337,11 +337,11 @@
 	    .orders = orders,
 	    .states = &node->source.watches[ROW_TABLE_OWN].watch,
 	    .log = &node->log,
-	    .served = {.window_ms = node->settings.session_ms},
-	    .heard = {.window_ms = node->settings.session_ms},
 	    .on_old = relay_on_old,
 	    .first_version = relay_first_version,
 	    .relay = &node->relay};
+	session_memory_init(&node->rollouts.served, node->settings.session_ms);
+	session_memory_init(&node->rollouts.heard, node->settings.session_ms);
 	node->relay = (relay_t){.base = ports->base,
 	    .clock = ports->clock,
 	    .rng = ports->rng,
--- a/moortack/relay/rollouts.c
+++ b/moortack/relay/rollouts.c
@@ -107,10 +107,15 @@
 		    moment.elapsed_ms, moment.stopped, moment.uncertain);
 		rollout->share = share;
 	}
-	if (session && rollout_pins(&moment) &&
-	    rollouts_session_served(rollout->owner, hash))
-		return false;
-	return rollout_takes(share, hash);
+	if (!session || !rollout_pins(&moment))
+		return rollout_takes(share, hash);
+	/* Served sessions are remembered and reported to the other daemons only
+	 * if the first step takes them; the rest must not move while sessions
+	 * are pinned. */
+	if (share > ROLLOUT_FIRST_SHARE)
+		share = ROLLOUT_FIRST_SHARE;
+	return !rollouts_session_served(rollout->owner, hash) &&
+	    rollout_takes(share, hash);
 }
 
 bool
@@ -496,5 +501,7 @@
 		HASH_DEL(self->all, rollout);
 		free(rollout);
 	}
+	session_memory_finish(&self->served);
+	session_memory_finish(&self->heard);
 	event_free(self->timer);
 }
--- a/test/fuzz/rollouts_fuzz.c
+++ b/test/fuzz/rollouts_fuzz.c
@@ -37,6 +37,9 @@
 	rollout_state_t state;
 } fate_t;
 
+/* Number of distinct request hashes, evenly spaced. */
+#define HASHES 256
+
 typedef struct daemon {
 	rollouts_t rollouts;
 	row_watch_t orders;
@@ -49,6 +52,8 @@
 	row_done_t done;      /**< an answer to a write on its way */
 	void *done_arg;
 	row_result_t result;
+	/** When the old version last served each session, by hash index. */
+	struct timespec old_served_at[HASHES];
 } daemon_t;
 
 typedef struct world {
@@ -203,10 +208,11 @@
 	    .orders = &daemon->orders,
 	    .states = &daemon->states,
 	    .log = &daemon->log,
-	    .served = {.window_ms = SESSION_MS},
-	    .heard = {.window_ms = SESSION_MS},
 	    .on_old = on_old,
 	    .first_version = first_version};
+	session_memory_init(&daemon->rollouts.served, SESSION_MS);
+	session_memory_init(&daemon->rollouts.heard, SESSION_MS);
+	memset(daemon->old_served_at, 0, sizeof(daemon->old_served_at));
 	FUZZ_CHECK(rollouts_init(&daemon->rollouts, world.base));
 	rollouts_store_clock(&daemon->rollouts, timespec_ms(world.clock.now));
 }
@@ -299,11 +305,14 @@
 }
 
 static void
-request(daemon_t *daemon, uint64_t hash, bool session)
+request(daemon_t *daemon, uint32_t hash_index, bool session)
 {
+	uint64_t hash = UINT64_MAX / HASHES * hash_index;
 	rollout_t *rollout = rollouts_find(&daemon->rollouts, SERVICE);
 	struct timespec now = world.clock.now;
-	bool served = session_memory_has(&daemon->rollouts.served, hash, now);
+	struct timespec served_at = daemon->old_served_at[hash_index];
+	bool served = served_at.tv_sec != 0 &&
+	    timespec_ms_between(served_at, now) < SESSION_MS;
 	rollout_moment_t moment;
 	bool fresh;
 
@@ -321,8 +330,10 @@
 	FUZZ_CHECK(!fresh || !session || !served || !rollout_pins(&moment));
 	FUZZ_CHECK(!is_over(
 	    daemon, fresh ? rollout->order.to : rollout_base(rollout)));
-	if (session && !fresh)
-		rollouts_note_old(&daemon->rollouts, hash);
+	if (!session || fresh)
+		return;
+	daemon->old_served_at[hash_index] = now;
+	rollouts_note_old(&daemon->rollouts, hash);
 }
 
 /* Events. ---------------------------------------------------------------------
@@ -391,8 +402,7 @@
 		world.loses = !world.loses;
 		break;
 	default:
-		request(daemon,
-		    UINT64_MAX / 256 * (uint64_t)input_below(input, 256),
+		request(daemon, input_below(input, HASHES),
 		    input_below(input, 2) == 0);
 		break;
 	}
@@ -408,9 +418,8 @@
 			orders_read(&world.daemons[i]);
 			states_read(&world.daemons[i]);
 			find_bad(&world.daemons[i]);
-			for (uint64_t n = 0; n < 256; n += 16)
-				request(&world.daemons[i], UINT64_MAX / 256 * n,
-				    false);
+			for (uint32_t n = 0; n < HASHES; n += 16)
+				request(&world.daemons[i], n, false);
 		}
 		pass(TICK_MS);
 	}
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -390,6 +390,32 @@
 	now.tv_sec += 2;
 	assert_false(session_memory_has(&memory, 77, now));
 	assert_null(session_memory_list(&memory, now));
+	session_memory_finish(&memory);
+	session_memory_finish(&other);
+}
+
+/* A full memory evicts no entry within the window. When it cannot store another
+ * session, every session counts as served until the window has passed. */
+static void
+a_full_session_memory_evicts_no_session(void **state)
+{
+	session_memory_t memory;
+	struct timespec now = {100, 0};
+
+	(void)state;
+	session_memory_init(&memory, 5000);
+	for (uint64_t i = 1; i <= SESSION_MEMORY_MAX; i++)
+		session_memory_note(&memory, i, now);
+	for (uint64_t i = 1; i <= SESSION_MEMORY_MAX; i++)
+		assert_true(session_memory_has(&memory, i, now));
+	assert_false(session_memory_has(&memory, UINT64_MAX, now));
+	session_memory_note(&memory, SESSION_MEMORY_MAX + 1, now);
+	assert_true(session_memory_has(&memory, UINT64_MAX, now));
+	now.tv_sec += 5;
+	session_memory_note(&memory, UINT64_MAX, now);
+	assert_int_equal(HASH_COUNT(memory.sessions), 1);
+	assert_false(session_memory_has(&memory, 1, now));
+	session_memory_finish(&memory);
 }
 
 static void
@@ -445,6 +471,7 @@
 		a_version_that_drags_is_bad_before_its_answers_end),
 	    cmocka_unit_test(an_answer_that_is_overdue_counts_as_late),
 	    cmocka_unit_test(a_served_session_is_remembered_for_its_time),
+	    cmocka_unit_test(a_full_session_memory_evicts_no_session),
 	    cmocka_unit_test(events_are_found_whole_however_they_are_cut),
 	};
 
--- a/test/unit/rollouts_test.c
+++ b/test/unit/rollouts_test.c
@@ -435,6 +435,31 @@
 	rollouts_forget(&told.rollouts);
 }
 
+/* Fraction of the duration: in the second step, while sessions are pinned. */
+#define SECOND_STEP_TIME 0.45
+/* A hash that the second step takes and the first does not. */
+#define SECOND_STEP_HASH (UINT64_MAX / 100 * 7)
+
+/* A session above the first step's share may have been served by the old
+ * version at any daemon, and is not reported: it must not move in the first
+ * half. */
+static void
+the_second_step_moves_no_session(void **state)
+{
+	first_order_t told;
+	rollout_t *rollout;
+
+	(void)state;
+	first_order_init(&told);
+	rollout = rollouts_find(&told.rollouts, "s");
+	told.clock.now = timespec_after_ms(
+	    told.clock.now, (int64_t)(SECOND_STEP_TIME * DURATION_MS));
+	row_watch_vouch(&told.watch, 2, told.clock.now);
+	assert_true(rollout_prefers_new(rollout, SECOND_STEP_HASH, false));
+	assert_false(rollout_prefers_new(rollout, SECOND_STEP_HASH, true));
+	rollouts_forget(&told.rollouts);
+}
+
 int
 main(void)
 {
@@ -451,6 +476,7 @@
 		an_older_copy_of_the_store_begins_no_roll_out_again),
 	    cmocka_unit_test(an_order_before_the_copy_stays_replaced),
 	    cmocka_unit_test(who_starts_after_it_begins_none_that_is_over),
+	    cmocka_unit_test(the_second_step_moves_no_session),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
