relay: infer no earlier tries from a route's first requests

Cause: the time since a caller's first try is derived from the time that it still waits, on routes whose callers wait alike. A daemon assumed that they do until it had seen about 19 requests of the route. The answers to such requests were taken for late, and no larger model was asked. Change: callers count as waiting alike only after 14 requests in a row have shown it. Ruled out: sharing the daemons' records among them (the fault was not that there are few records).

--- a/include/moortack/relay/first_try.h
+++ b/include/moortack/relay/first_try.h
@@ -16,7 +16,7 @@
 
 /** A request came whose caller waits this long.
  * @return milliseconds since its first try; 0 where callers of the route wait
- * for times of their own, or say none */
+ * for times of their own, or say none, or few requests have come yet */
 double first_try_take(first_try_t *, int64_t deadline_ms);
 
 #endif
--- a/moortack/relay/first_try.c
+++ b/moortack/relay/first_try.c
@@ -4,7 +4,9 @@
  * try: making a connection takes the rest. */
 #define NEAR_PART 0.97
 /* Part of a route's callers that has to wait alike, so that a shorter time
- * tells of an earlier try. */
+ * tells of an earlier try. The estimate starts at 0 and exceeds this after 14
+ * requests in a row that wait alike, so that a new daemon infers no earlier
+ * try from the first requests of a route. */
 #define ALIKE_MIN 0.5
 /* Weight of the newest request, and by which the longest time fades: a time
  * that no caller has any more is forgotten after some thousand requests. */
@@ -19,8 +21,6 @@
 
 	if (deadline_ms <= 0)
 		return 0;
-	if (self->most_ms == 0)
-		self->near = 1;
 	self->most_ms *= MOST_FADING;
 	if (ms > self->most_ms)
 		self->most_ms = ms;
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -144,6 +144,19 @@
 		assert_true(first_try_take(&tries, 1000 + i * 2000) == 0);
 }
 
+/* Guards against a new daemon that reads differing deadlines as earlier tries:
+ * it would take the answers for late, and ask no larger model. */
+static void
+differing_deadlines_at_start_show_no_earlier_try(void **state)
+{
+	first_try_t tries = {0};
+
+	(void)state;
+	for (int i = 0; i < 200; i++)
+		assert_true(
+		    first_try_take(&tries, 17000 + i * 7919 % 3000) == 0);
+}
+
 static void
 the_pace_of_reading_is_learned(void **state)
 {
@@ -470,6 +483,7 @@
 	    cmocka_unit_test(
 		a_version_that_drags_is_bad_before_its_answers_end),
 	    cmocka_unit_test(an_answer_that_is_overdue_counts_as_late),
+	    cmocka_unit_test(differing_deadlines_at_start_show_no_earlier_try),
 	    cmocka_unit_test(a_served_session_is_remembered_for_its_time),
 	    cmocka_unit_test(a_full_session_memory_evicts_no_session),
 	    cmocka_unit_test(events_are_found_whole_however_they_are_cut),
