relay: eject a crashed or superseded endpoint at the first failure

Cause: an endpoint that has crashed holds no requests, and looks idle to all daemons until its entry is removed 3.6 s later. A refused connection ejected an endpoint only at the third time. Change: an answer of another process at its address ejects an endpoint for 4 s, which is longer than its entry remains. A refused connection ejects it at the first time, for 0.5 s, and for twice as long each further time, up to 4 s. Ruled out: removing the endpoint from the set (if its entry is right after all, that entry would have to bring it back).

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -196,6 +196,11 @@
 /** An answer came from it, or none did. */
 void endpoint_worked(endpoint_t *);
 void endpoint_failed(endpoint_t *);
+/** It refused a connection: ejects it without waiting for further failures. */
+void endpoint_refused_connection(endpoint_t *);
+/** Another incarnation answers at its address: ejects it for longer than its
+ * outdated entry remains. */
+void endpoint_superseded(endpoint_t *);
 bool endpoint_ejected(const endpoint_t *);
 
 /** Requests that it likely holds, of all callers.
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -9,12 +9,6 @@
 /* Weight of one look in the mean of what is under way: with five looks a second
  * some four seconds count. */
 #define MEAN_WEIGHT 0.05
-/* Failures in a row before an endpoint is passed over, and for how long: the
- * first time, and at most. */
-#define EJECT_FAILURES 3
-#define EJECT_FIRST_MS 500
-#define EJECT_MAX_MS 4000
-#define EJECT_SHIFT_MAX 3
 /* An entry of an earlier start is a heartbeat that came late, unless the
  * endpoint's clock was set back before it started again: then no other entry
  * follows. Three heartbeats of 1,200 ms, after which a silent endpoint's entry
@@ -43,21 +37,6 @@
 	return group;
 }
 
-void
-endpoint_drop_links(endpoint_t *endpoint)
-{
-	endpoint_link_t *next;
-
-	for (endpoint_link_t *link = endpoint->idle; link != NULL;
-	     link = next) {
-		next = link->next;
-		http_outbound_free(link->conn);
-		free(link);
-		endpoint->connections--;
-	}
-	endpoint->idle = NULL;
-}
-
 void
 endpoint_set_observe(endpoint_set_t *set)
 {
@@ -337,85 +316,6 @@
 	return false;
 }
 
-static void
-link_forget(endpoint_t *endpoint, endpoint_link_t *link)
-{
-	for (endpoint_link_t **at = &endpoint->idle; *at != NULL;
-	     at = &(*at)->next) {
-		if (*at == link) {
-			*at = link->next;
-			break;
-		}
-	}
-	free(link);
-}
-
-static void
-link_close(endpoint_link_t *link, http_outbound_t *conn)
-{
-	endpoint_t *endpoint = link->endpoint;
-
-	link_forget(endpoint, link);
-	endpoint->connections--;
-	http_outbound_free(conn);
-}
-
-static void
-on_link_ended(void *arg, http_outbound_t *conn)
-{
-	endpoint_link_t *link = arg;
-
-	link->endpoint->link_ended_at =
-	    clock_elapsed(link->endpoint->set->clock);
-	link_close(link, conn);
-}
-
-http_outbound_t *
-endpoint_take_link(endpoint_t *endpoint, int64_t max_ms)
-{
-	struct timespec now = clock_elapsed(endpoint->set->clock);
-	endpoint_link_t *link = endpoint->idle;
-	http_outbound_t *conn;
-	int64_t idle_ms;
-
-	/* The newest stands first. */
-	while (link != NULL) {
-		endpoint_link_t *next = link->next;
-
-		idle_ms = timespec_ms_between(link->idle_since, now);
-		conn = link->conn;
-		if (idle_ms < link->idle_max_ms && idle_ms < max_ms) {
-			link_forget(endpoint, link);
-			return conn;
-		}
-		if (idle_ms >= link->idle_max_ms)
-			link_close(link, conn);
-		link = next;
-	}
-	return NULL;
-}
-
-void
-endpoint_keep_link(
-    endpoint_t *endpoint, http_outbound_t *conn, int64_t idle_max_ms)
-{
-	endpoint_link_t *link =
-	    endpoint->present ? calloc(1, sizeof(*link)) : NULL;
-
-	if (link == NULL) {
-		http_outbound_free(conn);
-		endpoint->connections--;
-		return;
-	}
-	link->endpoint = endpoint;
-	link->conn = conn;
-	link->idle_since = clock_elapsed(endpoint->set->clock);
-	link->idle_max_ms = idle_max_ms;
-	link->next = endpoint->idle;
-	endpoint->idle = link;
-	http_outbound_rest(conn, on_link_ended, link);
-}
-
 void
 endpoint_take_up(endpoint_t *endpoint)
 {
@@ -441,37 +341,6 @@
 	endpoint->load_known = true;
 }
 
-void
-endpoint_worked(endpoint_t *endpoint)
-{
-	endpoint->failures = 0;
-	endpoint->ejected_until = (struct timespec){0};
-}
-
-void
-endpoint_failed(endpoint_t *endpoint)
-{
-	uint32_t over;
-	int64_t ms;
-
-	endpoint->failures++;
-	if (endpoint->failures < EJECT_FAILURES)
-		return;
-	over = endpoint->failures - EJECT_FAILURES;
-	ms = EJECT_FIRST_MS
-	    << (over < EJECT_SHIFT_MAX ? over : EJECT_SHIFT_MAX);
-	endpoint->ejected_until =
-	    timespec_after_ms(clock_elapsed(endpoint->set->clock),
-		ms < EJECT_MAX_MS ? ms : EJECT_MAX_MS);
-}
-
-bool
-endpoint_ejected(const endpoint_t *endpoint)
-{
-	return timespec_ms_between(clock_elapsed(endpoint->set->clock),
-		   endpoint->ejected_until) > 0;
-}
-
 /* What all other callers together likely have there: each of them about as much
  * as this daemon has at an endpoint on average. */
 static double
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -378,13 +378,18 @@
 	case ATTEMPT_NOT_SENT:
 		req->connects++;
 		stats_add(stats, STAT_CONNECTS_FAILED, 1);
-		endpoint_failed(endpoint);
 		relay_warmup_connect_failed(req);
-		if (req->attempt.refused)
-			relay_attempt_refused(req);
+		if (!req->attempt.refused) {
+			endpoint_failed(endpoint);
+			break;
+		}
+		endpoint_refused_connection(endpoint);
+		relay_attempt_refused(req);
 		break;
 	case ATTEMPT_NOT_RUN:
 		stats_add(stats, STAT_NOT_RUN, 1);
+		if (req->attempt.answer.wrong_endpoint)
+			endpoint_superseded(endpoint);
 		break;
 	case ATTEMPT_UNKNOWN:
 		stats_add(stats, STAT_BROKEN, 1);
--- a/moortack/relay/relay_node_priv.h
+++ b/moortack/relay/relay_node_priv.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * What the files of a node share: relay_rows.c takes the rows that a node
- * learns of, zone_rows.c those of evacuations, relay_node.c does the rest.
+ * learns of, endpoint_rows.c those of endpoints, zone_rows.c those of
+ * evacuations, relay_node.c does the rest.
  */
 #ifndef MOORTACK_RELAY_RELAY_NODE_PRIV_H
 #define MOORTACK_RELAY_RELAY_NODE_PRIV_H
@@ -23,6 +24,8 @@
  * second. */
 void relay_evacuations_expire(relay_node_t *);
 
+/** Apply an endpoint's row that was written or removed. */
+void relay_endpoint_row(relay_node_t *, const row_t *);
 /** Entries that did not come back after an outage are gone. */
 void relay_rows_lapsed_end(relay_node_t *);
 
--- a/test/unit/endpoint_set_test.c
+++ b/test/unit/endpoint_set_test.c
@@ -109,6 +109,28 @@
 	endpoint_release(old);
 }
 
+/* A crashed endpoint looks idle until its entry expires: a single refused
+ * connection, or a single answer of another incarnation, ejects it. */
+static void
+a_refusing_or_superseded_endpoint_is_ejected_at_once(void **state)
+{
+	started_t *started = *state;
+	endpoint_t *endpoint = take(started, BORN);
+
+	endpoint_failed(endpoint);
+	assert_false(endpoint_ejected(endpoint));
+	endpoint_refused_connection(endpoint);
+	assert_true(endpoint_ejected(endpoint));
+	started->clock.now = timespec_after_ms(started->clock.now, 500);
+	assert_false(endpoint_ejected(endpoint));
+	endpoint_worked(endpoint);
+	endpoint_superseded(endpoint);
+	started->clock.now = timespec_after_ms(started->clock.now, 3600);
+	assert_true(endpoint_ejected(endpoint));
+	endpoint_worked(endpoint);
+	assert_false(endpoint_ejected(endpoint));
+}
+
 /* Notes of other daemons name an endpoint by its short hash, and what it keeps
  * is remembered by its hash. */
 static void
@@ -205,6 +227,9 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test_setup_teardown(
 		nothing_is_believed_of_the_next_start, begin, end),
+	    cmocka_unit_test_setup_teardown(
+		a_refusing_or_superseded_endpoint_is_ejected_at_once, begin,
+		end),
 	    cmocka_unit_test_setup_teardown(
 		what_is_told_of_the_old_one_names_nobody, begin, end),
 	    cmocka_unit_test_setup_teardown(
