--- a/include/moortack/replication/row_store.h
+++ b/include/moortack/replication/row_store.h
@@ -80,6 +80,7 @@
 	ROW_PURPOSE_ROLLOUT_STATE,  /**< of a roll-out */
 	ROW_PURPOSE_FLEET_KEY,	    /**< of the fleet */
 	ROW_PURPOSE_QUARANTINE,	    /**< of requests that crash endpoints */
+	ROW_PURPOSE_DUTY,	    /**< leases and rows of duties */
 	ROW_PURPOSES		    /* count */
 } row_purpose_t;
 
--- a/moortack/replication/row_store.c
+++ b/moortack/replication/row_store.c
@@ -1,7 +1,8 @@
 #include "moortack/replication/row_store.h"
 
 const char *const row_purpose_names[ROW_PURPOSES] = {"read", "reread",
-    "changes", "beside", "member", "clearing", "state", "key", "quarantine"};
+    "changes", "beside", "member", "clearing", "state", "key", "quarantine",
+    "duty"};
 
 bool
 row_store_read(row_store_t *store, row_purpose_t purpose, const char *table,
