duty, platform: usage reports for each window, by the root of the tree

Change: daemons count a request when an endpoint began to run it, and pass counts up the tree along with their requests for rows, by process, so that a count may come twice. The time of day is the median of all VMs' clocks against the store's. The root writes a window's counts to the store with its lease, then sends them; a successor sends the same. Requests and responses between daemons have room for an uplink and a downlink for this.

A window costs one write to the store and one call.

--- a/common/http_outbound.c
+++ b/common/http_outbound.c
@@ -263,6 +263,16 @@
 		conn_destroy(conn);
 }
 
+void
+http_outbound_reset(http_outbound_t *conn)
+{
+	struct linger discard = {.l_onoff = 1, .l_linger = 0};
+
+	setsockopt(bufferevent_getfd(conn->bev), SOL_SOCKET, SO_LINGER,
+	    &discard, sizeof(discard));
+	http_outbound_free(conn);
+}
+
 void
 http_outbound_send(http_outbound_t *conn, const http_outbound_ops_t *ops,
     void *arg, struct evbuffer *head, struct evbuffer *body, bool no_body)
--- a/include/common/http_outbound.h
+++ b/include/common/http_outbound.h
@@ -59,6 +59,10 @@
 /** Close. A request in flight is abandoned, and no callback is called. */
 void http_outbound_free(http_outbound_t *);
 
+/** The same, with a reset: bytes that are still on their way are not delivered
+ * if the peer does not have them yet. */
+void http_outbound_reset(http_outbound_t *);
+
 /** Send a request.
  * @param head the complete head; drained
  * @param body may be NULL; drained
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -12,6 +12,7 @@
 #include "common/event_log.h"
 #include "common/http_inbound.h"
 #include "common/rng.h"
+#include "moortack/duty/duties.h"
 #include "moortack/relay/dialect.h"
 #include "moortack/relay/first_try.h"
 #include "moortack/relay/gossip.h"
@@ -81,6 +82,7 @@
 	membership_t *members;
 	gossip_t *gossip; /**< prompts that other daemons sent */
 	rollouts_t *rollouts;
+	duties_t *duties;
 	const row_watch_t *config_watch;   /**< for the configuration's age */
 	const row_watch_t *endpoint_watch; /**< and the endpoints' */
 	char zone[ENDPOINT_NAME_SIZE];
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -7,6 +7,7 @@
 #define MOORTACK_RELAY_RELAY_NODE_H
 
 #include "common/suspend_watch.h"
+#include "moortack/duty/duties.h"
 #include "moortack/relay/relay.h"
 #include "moortack/relay/row_refusals.h"
 #include "moortack/replication/row_source.h"
@@ -46,6 +47,7 @@
 	const caller_dialect_t *caller_dialect;
 	const endpoint_dialect_t *endpoint_dialect;
 	const rollout_status_encoder_t *rollout_status_encoder;
+	duty_api_t *duty_api; /**< NULL: there are no duties */
 } relay_ports_t;
 
 /** The region in which a zone is. */
@@ -81,6 +83,7 @@
 			     process */
 	int64_t down_listed_max_ms; /**< callers may be sent to a daemon that is
 				       down for this long */
+	duties_settings_t duties;   /**< vm and process are filled in */
 	double log_lines_per_s;
 	bool bootstrap; /**< no daemon of the fleet has ever run */
 } relay_node_settings_t;
@@ -95,6 +98,7 @@
 	relay_t relay;
 	row_sync_t row_sync;
 	gossip_t gossip;
+	duties_t duties;
 	row_refusals_t refusals;
 	struct timespec store_available_at; /**< end of the last outage, or
 					       restore, of the store */
--- a/include/moortack/replication/feed_wire.h
+++ b/include/moortack/replication/feed_wire.h
@@ -35,6 +35,7 @@
 				membership_subtree(); may be NULL */
 	json_t *row_request; /**< row that the requester wants to have in the
 				store; may be NULL */
+	json_t *uplink;	     /**< see row_sync_ops_t; may be NULL */
 } feed_request_t;
 
 /** State of a table at the sender. */
@@ -66,6 +67,7 @@
 				    are alive; negative: it has not */
 	json_t *silent; /**< names of the daemons that it considers silent; may
 			   be NULL */
+	json_t *downlink; /**< see row_sync_ops_t; may be NULL */
 } feed_response_t;
 
 /** Encodes a request; NULL if out of memory. */
--- a/include/moortack/replication/row_source.h
+++ b/include/moortack/replication/row_source.h
@@ -43,6 +43,21 @@
 	void (*fleet_key)(void *arg, const char *key);
 	/** Returns the report to send to the parent; a reference or NULL. */
 	json_t *(*report)(void *arg);
+	/* Besides rows, daemons tell their parent what is summed up towards the
+	 * root, and their followers what holds for all. Any of these may be
+	 * NULL. */
+	/** Returns what to tell the parent; a new reference or NULL. */
+	json_t *(*uplink)(void *arg);
+	/** What a follower told; may be NULL. */
+	void (*uplink_received)(
+	    void *arg, const char *name, const json_t *uplink);
+	/** Returns what to tell followers; a new reference or NULL. */
+	json_t *(*downlink)(void *arg);
+	/** The parent has received the last uplink, and told this; may be
+	 * NULL. */
+	void (*downlink_received)(void *arg, const json_t *downlink);
+	/** This daemon has another parent, or none. */
+	void (*parent_changed)(void *arg);
 } row_sync_ops_t;
 
 /** The watch of one table. */
--- a/include/platform/node_file.h
+++ b/include/platform/node_file.h
@@ -32,21 +32,29 @@
 	http_address_t metrics;	   /**< first of port_range */
 	http_address_t peers;	   /**< second of port_range */
 	http_address_t store;	   /**< platform.address */
-	int64_t memory_mb;	   /**< limits.memory_mb */
-	double cpu_quota;	   /**< limits.cpu_quota */
-	int64_t drain_ms;	   /**< bounds.drain_ms */
-	int64_t grace_ms;	   /**< bounds.grace_s */
-	int64_t stable_ms;	   /**< bounds.stable_ms */
-	int64_t revoke_ms;	   /**< bounds.revoke_ms */
-	bool bootstrap;		   /**< bootstrap */
-	bool revoke_strict;	   /**< bounds.revoke_strict */
-	double retry_budget_ratio; /**< bounds.retry_budget_ratio */
-	int64_t retry_window_ms;   /**< bounds.retry_window_s */
-	double retry_min;	   /**< bounds.retry_min */
-	int64_t session_ms;	   /**< bounds.session_s */
-	double warmup_overshoot;   /**< bounds.warmup_overshoot */
-	double warmup_tolerance;   /**< bounds.warmup_tolerance */
-	int64_t ttl_max_ms;	   /**< bounds.ttl_max_s */
+	char name[NODE_TEXT_SIZE]; /**< node_name */
+	http_address_t duty_api; /**< cloud_api.address; no host: there is none
+				  */
+	char duties[NODE_TEXT_SIZE]; /**< cloud_api.duties: words with commas
+					between; see node_file_has_duty() */
+	int64_t lease_ms;	     /**< bounds.lease_ms */
+	int64_t usage_window_ms;     /**< bounds.report_window_s */
+	int64_t usage_due_ms;	     /**< bounds.usage_delay_s */
+	int64_t memory_mb;	     /**< limits.memory_mb */
+	double cpu_quota;	     /**< limits.cpu_quota */
+	int64_t drain_ms;	     /**< bounds.drain_ms */
+	int64_t grace_ms;	     /**< bounds.grace_s */
+	int64_t stable_ms;	     /**< bounds.stable_ms */
+	int64_t revoke_ms;	     /**< bounds.revoke_ms */
+	bool bootstrap;		     /**< bootstrap */
+	bool revoke_strict;	     /**< bounds.revoke_strict */
+	double retry_budget_ratio;   /**< bounds.retry_budget_ratio */
+	int64_t retry_window_ms;     /**< bounds.retry_window_s */
+	double retry_min;	     /**< bounds.retry_min */
+	int64_t session_ms;	     /**< bounds.session_s */
+	double warmup_overshoot;     /**< bounds.warmup_overshoot */
+	double warmup_tolerance;     /**< bounds.warmup_tolerance */
+	int64_t ttl_max_ms;	     /**< bounds.ttl_max_s */
 } node_file_t;
 
 /** Read and validate the file. The error names a missing or invalid field. */
@@ -55,4 +63,8 @@
 /** The same, from a text. */
 bool node_file_parse(const char *text, node_file_t *, err_t *);
 
+/** Whether the file lists the duty, which one daemon of the fleet at a time
+ * does at duty_api. */
+bool node_file_has_duty(const node_file_t *, const char *duty);
+
 #endif
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -163,12 +163,12 @@
 	    "all=%" PRIu64 " read=%" PRIu64 " reread=%" PRIu64
 	    " changes=%" PRIu64 " beside=%" PRIu64 " member=%" PRIu64
 	    " clearing=%" PRIu64 " state=%" PRIu64 " key=%" PRIu64
-	    " quarantine=%" PRIu64,
+	    " quarantine=%" PRIu64 " duty=%" PRIu64,
 	    total, calls[ROW_PURPOSE_FIRST_READ], calls[ROW_PURPOSE_REREAD],
 	    calls[ROW_PURPOSE_POLL], calls[ROW_PURPOSE_FOLLOWER_POLL],
 	    calls[ROW_PURPOSE_MEMBER], calls[ROW_PURPOSE_MEMBER_CLEANUP],
 	    calls[ROW_PURPOSE_ROLLOUT_STATE], calls[ROW_PURPOSE_FLEET_KEY],
-	    calls[ROW_PURPOSE_QUARANTINE]);
+	    calls[ROW_PURPOSE_QUARANTINE], calls[ROW_PURPOSE_DUTY]);
 }
 
 static void
@@ -189,6 +189,15 @@
 		relay_endpoints_stop_keeping_lapsed(node);
 }
 
+/* Whether what all daemons report comes to this one. */
+static bool
+is_responsible(const relay_node_t *node)
+{
+	return !node->leaving && !node->row_sync.following &&
+	    node->members.liveness.authoritative && !node->members.frozen &&
+	    relay_node_ready(node);
+}
+
 static void
 shutdown_step(relay_node_t *node)
 {
@@ -202,7 +211,7 @@
 		http_inbound_stop_accepting(node->relay.server);
 	if (part < SHUTDOWN_MAX_PART &&
 	    (part < SHUTDOWN_STOP_ACCEPTING_PART || node->relay.in_flight > 0 ||
-		node->members.write_pending))
+		node->members.write_pending || duties_busy(&node->duties)))
 		return;
 	event_log_write(&node->log, "stop", "under_way=%u part=%.2f",
 	    node->relay.in_flight, part);
@@ -240,6 +249,8 @@
 	relay_warmup_tick(&node->relay, false);
 	endpoint_set_sample_in_flight(&node->endpoints);
 	members_tick(node);
+	duties_tick(&node->duties, is_responsible(node),
+	    node->members.store_clock_offset_ms);
 	gossip_tick(&node->gossip);
 	sessions_sync(node);
 	relay_quarantine_tick(&node->relay.quarantine);
@@ -327,6 +338,17 @@
 	return true;
 }
 
+static void
+node_duties_init(relay_node_t *node)
+{
+	duties_settings_t *settings = &node->settings.duties;
+
+	strcpy(settings->vm, node->settings.name);
+	settings->process = rng_u64(node->ports.rng) >> 1 | 1;
+	duties_init(&node->duties, settings, node->ports.store,
+	    node->ports.duty_api, node->ports.clock, &node->log);
+}
+
 static bool
 components_init(relay_node_t *node, err_t *err)
 {
@@ -368,10 +390,12 @@
 	    .members = &node->members,
 	    .gossip = &node->gossip,
 	    .rollouts = &node->rollouts,
+	    .duties = &node->duties,
 	    .config_watch = orders,
 	    .endpoint_watch =
 		row_sync_watch(&node->row_sync, ROW_TABLE_ENDPOINTS),
 	    .bounds = node->settings.bounds};
+	node_duties_init(node);
 	warmup_daemons_init(&node->relay.warmup_daemons, node->settings.name);
 	snprintf(node->relay.zone, sizeof(node->relay.zone), "%s",
 	    node->settings.zone);
@@ -423,6 +447,7 @@
 	relay_quarantine_finish(&node->relay.quarantine);
 	row_sync_finish(&node->row_sync);
 	gossip_finish(&node->gossip);
+	duties_finish(&node->duties);
 	rollouts_finish(&node->rollouts);
 	membership_finish(&node->members);
 	endpoint_set_finish(&node->endpoints);
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -123,6 +123,7 @@
 	placement_t placement;			   /**< of the last attempt */
 	uint32_t unresolved_sends; /**< sends not reported as not run */
 	bool may_have_run;
+	bool usage_counted;
 	/* The response. */
 	int status;
 	char *response_head;	   /**< header lines for the caller */
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -88,6 +88,17 @@
 	attempt_watch_silence(req);
 }
 
+/* A request counts once, when an endpoint first began to run it, however often
+ * it was repeated or asked of a larger model. */
+static void
+usage_count(relay_request_t *req)
+{
+	if (req->usage_counted || req->organisation == NULL)
+		return;
+	req->usage_counted = true;
+	duties_count_request(req->relay->duties, req->organisation->name);
+}
+
 static void
 on_head(void *arg, const http_msg_t *msg)
 {
@@ -115,6 +126,7 @@
 		endpoint_record_load(attempt->endpoint, &response->load);
 	if (response->not_run || response->wrong_endpoint)
 		return;
+	usage_count(req);
 	if (req->route->kind == ROUTE_STREAM &&
 	    status_is_success(msg->status) && response->has_signature)
 		relay_canary_first_byte(req);
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -309,5 +309,50 @@
 	relay_quarantine_set_secret(&node->relay.quarantine, key);
 }
 
-const row_sync_ops_t relay_rows_ops = {on_row, on_full_read_begin, on_synced,
-    on_reachable, on_store_clock, on_fleet_key, on_report};
+static json_t *
+on_uplink(void *arg)
+{
+	return duties_uplink(&((relay_node_t *)arg)->duties);
+}
+
+static void
+on_uplink_received(void *arg, const char *name, const json_t *uplink)
+{
+	duties_apply_uplink(&((relay_node_t *)arg)->duties, name, uplink);
+}
+
+static json_t *
+on_downlink(void *arg)
+{
+	return duties_downlink(&((relay_node_t *)arg)->duties);
+}
+
+static void
+on_downlink_received(void *arg, const json_t *downlink)
+{
+	relay_node_t *node = arg;
+
+	duties_uplink_received(&node->duties);
+	duties_apply_downlink(&node->duties, downlink);
+}
+
+static void
+on_parent_changed(void *arg)
+{
+	duties_parent_changed(&((relay_node_t *)arg)->duties);
+}
+
+const row_sync_ops_t relay_rows_ops = {
+    .row = on_row,
+    .full_read_begin = on_full_read_begin,
+    .synced = on_synced,
+    .reachable = on_reachable,
+    .store_clock = on_store_clock,
+    .fleet_key = on_fleet_key,
+    .report = on_report,
+    .uplink = on_uplink,
+    .uplink_received = on_uplink_received,
+    .downlink = on_downlink,
+    .downlink_received = on_downlink_received,
+    .parent_changed = on_parent_changed,
+};
--- a/moortack/replication/feed_wire.c
+++ b/moortack/replication/feed_wire.c
@@ -23,6 +23,8 @@
 		json_object_set(body, "below", request->subtree);
 	if (request->row_request != NULL)
 		json_object_set(body, "row", request->row_request);
+	if (request->uplink != NULL)
+		json_object_set(body, "up", request->uplink);
 	text = json_dumps(body, JSON_COMPACT);
 	json_decref(body);
 	return text;
@@ -56,6 +58,8 @@
 		json_object_set(body, "path", response->path);
 	if (body != NULL && response->silent != NULL)
 		json_object_set(body, "silent", response->silent);
+	if (body != NULL && response->downlink != NULL)
+		json_object_set(body, "down", response->downlink);
 	text = body != NULL ? json_dumps(body, JSON_COMPACT) : NULL;
 	json_decref(body);
 	return text;
@@ -93,6 +97,7 @@
 	request->report = json_incref(json_object_get(body, "report"));
 	request->subtree = json_incref(json_object_get(body, "below"));
 	request->row_request = json_incref(json_object_get(body, "row"));
+	request->uplink = json_incref(json_object_get(body, "up"));
 	json_decref(body);
 	return true;
 }
@@ -130,6 +135,7 @@
 	response->liveness_age_ms =
 	    json_integer_value(json_object_get(body, "vouched_ms"));
 	response->silent = json_incref(json_object_get(body, "silent"));
+	response->downlink = json_incref(json_object_get(body, "down"));
 	json_decref(body);
 	if (json_is_array(response->rows) && response->request_id != 0)
 		return true;
@@ -143,9 +149,11 @@
 	json_decref(request->report);
 	json_decref(request->subtree);
 	json_decref(request->row_request);
+	json_decref(request->uplink);
 	request->report = NULL;
 	request->subtree = NULL;
 	request->row_request = NULL;
+	request->uplink = NULL;
 }
 
 void
@@ -154,9 +162,11 @@
 	json_decref(response->rows);
 	json_decref(response->path);
 	json_decref(response->silent);
+	json_decref(response->downlink);
 	response->rows = NULL;
 	response->path = NULL;
 	response->silent = NULL;
+	response->downlink = NULL;
 }
 
 bool
--- a/moortack/replication/row_follow.c
+++ b/moortack/replication/row_follow.c
@@ -195,6 +195,8 @@
 {
 	membership_record_response(self->members, self->parent, sent);
 	self->parent_responded = true;
+	if (self->ops->downlink_received != NULL)
+		self->ops->downlink_received(self->arg, response->downlink);
 	if (!feed_delta_resolve(response, &self->cache)) {
 		full_rows_request(self);
 		return;
@@ -274,6 +276,8 @@
 	request->report = self->ops->report(self->arg);
 	request->subtree = membership_subtree(self->members);
 	request->row_request = membership_own_row_request(self->members);
+	if (self->ops->uplink != NULL)
+		request->uplink = self->ops->uplink(self->arg);
 }
 
 static const feed_client_ops_t client_ops = {
@@ -305,6 +309,8 @@
 	response->path = json_pack("[s]", self->members->settings.name);
 	if (self->following && self->parent_path != NULL)
 		json_array_extend(response->path, self->parent_path);
+	if (self->ops->downlink != NULL)
+		response->downlink = self->ops->downlink(self->arg);
 }
 
 static void
@@ -323,6 +329,9 @@
 	membership_add_row_request(
 	    self->members, request->name, request->row_request);
 	membership_apply_subtree(self->members, request->subtree);
+	if (self->ops->uplink_received != NULL)
+		self->ops->uplink_received(
+		    self->arg, request->name, request->uplink);
 }
 
 static const feed_server_ops_t server_ops = {on_fill_state, on_request};
--- a/moortack/replication/row_parent.c
+++ b/moortack/replication/row_parent.c
@@ -55,6 +55,8 @@
 	json_decref(self->parent_path);
 	self->parent_path = NULL;
 	feed_client_disconnect(&self->client);
+	if (self->ops->parent_changed != NULL)
+		self->ops->parent_changed(self->arg);
 }
 
 /* Stops following, and reads the store. */
@@ -195,6 +197,8 @@
 
 	snprintf(address, sizeof(address), "tcp://%s", member->peer_address);
 	strcpy(self->parent, member->name);
+	if (self->ops->parent_changed != NULL)
+		self->ops->parent_changed(self->arg);
 	self->parent_incarnation = 0;
 	self->parent_change = 0;
 	self->parent_since = clock_boottime(self->clock);
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -290,7 +290,7 @@
   local found, count
   lib.wait_until("one daemon reads the store", function()
     count = 0
-    for _, daemon in ipairs(self.daemons) do
+    for _, daemon in pairs(self.daemons) do
       if words.metric(daemon, "following") == 0 then
         found, count = daemon, count + 1
       end
@@ -317,7 +317,10 @@
     zone, self.zone_regions and self.zone_regions[zone] or "r", ip, ip, ip,
     link and link.link or self.store.address,
     self.session_s or 5, self.first_start and "true" or "false",
-    self.extra_settings or ""), path
+    (self.duties and "cloud_api.duties=metering,autoscale\n" ..
+      "cloud_api.address=" .. self.duties.address .. "\n" ..
+      "node_name=vm-" .. i .. "\n" or "") ..
+    (self.extra_settings or "")), path
 end
 
 -- Starts a daemon with the settings file at the path.
@@ -433,6 +436,9 @@
     session_s = session_s}, World)
   for name, value in pairs(fields or {}) do world[name] = value end
   world.store = standin("store", address(10, 8200), "store.log")
+  if world.with_duties then
+    world.duties = standin("duties", address(11, 8300), "duties.log")
+  end
   world:configure()
   for i = 1, replicas do world:replica(i) end
   world.first_start = true
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -233,9 +233,11 @@
 	struct event_base *base = event_base_new();
 	row_store_t store = {.ops = &silent_store_ops};
 	membership_t members = {0};
+	const row_sync_ops_t no_ops = {0};
 	row_sync_t sync = {.base = base,
 	    .clock = &clock.source,
 	    .members = &members,
+	    .ops = &no_ops,
 	    .settings = {.max_age_ms = {MAX_AGE_MS, MAX_AGE_MS, MAX_AGE_MS}},
 	    .has_key = true,
 	    .server = {.store_unavailable = true}};
