duty: order capacity, most of it preemptible

Change: capacity_plan() keeps as many endpoints as a service was provisioned with, four fifths of them preemptible. Regular ones go one by one as their replacements become warm, and come back only below half of the provision. Nothing is ordered during a roll-out.

Left: fewer endpoints by what the load needs, policies to compare it with.

--- a/include/moortack/duty/duties.h
+++ b/include/moortack/duty/duties.h
@@ -7,12 +7,14 @@
 #ifndef MOORTACK_DUTY_DUTIES_H
 #define MOORTACK_DUTY_DUTIES_H
 
+#include "moortack/duty/capacity_orders.h"
 #include "moortack/duty/usage_reporter.h"
 
 typedef struct duties_settings {
 	bool report_usage;
 	int64_t usage_window_ms;
 	int64_t usage_due_ms; /**< after the end of a window */
+	bool order_capacity;
 	int64_t lease_ms;
 	char vm[DUTY_VM_NAME_SIZE];
 	uint64_t process; /**< random number of this process */
@@ -24,11 +26,14 @@
 	fleet_clock_t fleet_clock;
 	usage_counts_t usage;
 	usage_reporter_t usage_reporter;
+	capacity_orders_t capacity_orders;
 } duties_t;
 
-/** @param api may be NULL: there are no duties */
+/** @param api may be NULL: there are no duties
+ * @param capacity the services for which capacity may be ordered */
 void duties_init(duties_t *, const duties_settings_t *, row_store_t *,
-    duty_api_t *api, const clock_source_t *, event_log_t *);
+    duty_api_t *api, const capacity_source_t *capacity, const clock_source_t *,
+    event_log_t *);
 void duties_finish(duties_t *);
 
 /** An endpoint began to run a request of the organisation. */
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -28,6 +28,7 @@
 	http_address_t address;
 	uint32_t slots; /**< requests that it processes concurrently */
 	bool leaving;
+	bool preemptible; /**< it may be taken back, with all of its zone */
 	int64_t warmup_remaining_ms; /**< how long its warm-up after the start
 					still takes */
 	int64_t started_ms; /**< Unix time of this incarnation's start; 0: not
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -158,6 +158,11 @@
 /** Number of cold endpoints. */
 uint32_t relay_cold_endpoints(const relay_t *);
 
+/** Pass each service for which capacity may be ordered.
+ * @param source a relay_t */
+void
+relay_each_capacity_service(void *source, capacity_view_cb_t pass, void *arg);
+
 /** Update the set of daemons among which the quotas of cold endpoints are
  * divided; called a few times a second.
  * @param first_read the daemons' rows were just read for the first time */
--- a/include/moortack/relay/relay_config.h
+++ b/include/moortack/relay/relay_config.h
@@ -16,6 +16,7 @@
 #include <uthash.h>
 
 #include "common/err.h"
+#include "moortack/duty/capacity_plan.h"
 #include "moortack/relay/model_choice.h"
 #include "moortack/relay/region_list.h"
 
@@ -88,9 +89,10 @@
 	    connections_max; /**< to one endpoint, of all daemons together */
 	int64_t
 	    warmup_ms; /**< how long its endpoints are cold after their start */
-	double warmup_per_s; /**< requests a second that a cold endpoint
-				tolerates; 0: unlimited */
-	UT_hash_handle hh;   /**< by name */
+	double warmup_per_s;	    /**< requests a second that a cold endpoint
+				       tolerates; 0: unlimited */
+	capacity_limits_t capacity; /**< what may be ordered for it */
+	UT_hash_handle hh;	    /**< by name */
 } relay_service_t;
 
 typedef struct relay_organisation {
--- a/moortack/duty/duties.c
+++ b/moortack/duty/duties.c
@@ -27,17 +27,30 @@
 	usage_reporter_init(&self->usage_reporter, store);
 }
 
+static void
+capacity_init(duties_t *self, row_store_t *store, duty_api_t *api,
+    const capacity_source_t *source, event_log_t *log)
+{
+	self->capacity_orders = (capacity_orders_t){
+	    .clock = self->clock, .log = log, .api = api, .source = *source};
+	capacity_orders_init(&self->capacity_orders, store, self->settings.vm,
+	    self->settings.process, self->settings.lease_ms);
+}
+
 void
 duties_init(duties_t *self, const duties_settings_t *settings,
-    row_store_t *store, duty_api_t *api, const clock_source_t *clock,
-    event_log_t *log)
+    row_store_t *store, duty_api_t *api, const capacity_source_t *capacity,
+    const clock_source_t *clock, event_log_t *log)
 {
 	*self = (duties_t){.settings = *settings, .clock = clock};
 	self->settings.report_usage &= api != NULL;
+	self->settings.order_capacity &= api != NULL;
 	fleet_clock_init(&self->fleet_clock, clock);
 	usage_counts_init(&self->usage, settings->process);
 	if (self->settings.report_usage)
 		usage_init(self, store, api, log);
+	if (self->settings.order_capacity)
+		capacity_init(self, store, api, capacity, log);
 }
 
 void
@@ -45,6 +58,8 @@
 {
 	if (self->settings.report_usage)
 		usage_reporter_finish(&self->usage_reporter);
+	if (self->settings.order_capacity)
+		capacity_orders_finish(&self->capacity_orders);
 	usage_counts_finish(&self->usage);
 	fleet_clock_finish(&self->fleet_clock);
 }
@@ -132,6 +147,8 @@
 void
 duties_tick(duties_t *self, bool responsible, int64_t store_offset_ms)
 {
+	if (self->settings.order_capacity)
+		capacity_orders_tick(&self->capacity_orders, responsible);
 	if (!self->settings.report_usage)
 		return;
 	fleet_clock_set_store_offset(&self->fleet_clock, store_offset_ms);
@@ -142,6 +159,8 @@
 bool
 duties_busy(const duties_t *self)
 {
-	return self->settings.report_usage &&
-	    usage_reporter_busy(&self->usage_reporter);
+	return (self->settings.report_usage &&
+		   usage_reporter_busy(&self->usage_reporter)) ||
+	    (self->settings.order_capacity &&
+		capacity_orders_busy(&self->capacity_orders));
 }
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -342,11 +342,13 @@
 node_duties_init(relay_node_t *node)
 {
 	duties_settings_t *settings = &node->settings.duties;
+	const capacity_source_t capacity = {
+	    relay_each_capacity_service, &node->relay};
 
 	strcpy(settings->vm, node->settings.name);
 	settings->process = rng_u64(node->ports.rng) >> 1 | 1;
 	duties_init(&node->duties, settings, node->ports.store,
-	    node->ports.duty_api, node->ports.clock, &node->log);
+	    node->ports.duty_api, &capacity, node->ports.clock, &node->log);
 }
 
 static bool
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -82,7 +82,7 @@
       route("scan", "/scan/", "safe"),
       route("open", "/open/", "safe", {anonymous = true})},
     services = {{name = "lm", max_conns = 400, warmup_s = self.warmup_s,
-      warmup_per_s = self.warmup_per_s}},
+      warmup_per_s = self.warmup_per_s, scaling = self.scaling}},
     limits = {idle_timeout_ms = 15000},
     tenants = {{name = "t1", api_keys = keys or {"k1", "k2"},
       regions_allowed = self.organisation_regions}}})
@@ -101,10 +101,42 @@
     address = replica.link or replica.address, zone = replica.zone or "a",
     version = version or "v1", batch_slots = 8, state = state or "ready",
     sequence = 1, warmup_left_ms = replica.warmup_left_ms,
-    born = replica.born})
+    preemptible = self.preemptible, born = replica.born})
   return replica
 end
 
+local ENTRIES_PER_CALL = 100
+
+local function entry_row(i, zones, version)
+  return {table = "servers", part = "", key = string.format("entry-%05d", i),
+    value = base64(run.encode({service = "lm", zone = "z" .. i % zones,
+      address = string.format("10.200.%d.%d:8000", i // 250, i % 250),
+      version = version or "v1", batch_slots = 8, state = "ready",
+      sequence = 1}))}
+end
+
+local function rows_write(world, rows)
+  local response = lib.http("POST", world.store.address, "/-/rows-tx",
+    {body = {expected = {}, write = rows, remove = {}}})
+  lib.equal(response.status, 200, "write of rows")
+end
+
+-- Writes the entry of a replica that does not run.
+function World:put_entry(i, zones, version)
+  rows_write(self, {entry_row(i, zones, version)})
+end
+
+-- Writes the entries of many such replicas.
+function World:put_entries(count, zones)
+  for first = 1, count, ENTRIES_PER_CALL do
+    local rows = {}
+    for i = first, math.min(first + ENTRIES_PER_CALL - 1, count) do
+      rows[#rows + 1] = entry_row(i, zones)
+    end
+    rows_write(self, rows)
+  end
+end
+
 -- Starts a replica that ended again on its address, as another incarnation.
 function World:revive(i, faults)
   local ended = self.replicas[i]
