--- a/test/platform/rows_fuzz.c
+++ b/test/platform/rows_fuzz.c
@@ -66,7 +66,7 @@
 	    .grace_ms = 1000,
 	    .log_lines_per_s = 1e-9};
 	relay_ports_t ports = {world.base, &world.clock.source, &world.rng,
-	    &world.store, &sources, &callers, &endpoints, &rollouts};
+	    &world.store, &sources, &callers, &endpoints, &rollouts, NULL};
 	err_t err;
 
 	memset(daemon, 0, sizeof(*daemon));
