relay, platform: decode and log the rate limit that an endpoint names

Neither log nor metrics could tell whether a daemon knew of the limit. The header is decoded once, in platform/, checked (absent, odd, negative, huge, repeated), and kept with the endpoint; the line endpoint_rate_limit says when it changes, the gauge endpoints_rate_limited how many endpoints have one. Nothing acts on it yet.

A response to a request that was sent before the limit was last named doesn't end it: responses overtake each other.

--- a/include/moortack/relay/dialect.h
+++ b/include/moortack/relay/dialect.h
@@ -76,6 +76,7 @@
 	int confidence; /**< of the model in its response, 0 to 100; -1: none */
 	int64_t idle_max_ms;	/**< keep-alive time; 0: not given */
 	bool closes_connection; /**< after this response */
+	endpoint_notice_t notice;
 } endpoint_response_t;
 
 /** Decodes the messages of callers. */
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -12,6 +12,7 @@
 
 #include "common/clock_source.h"
 #include "common/http_outbound.h"
+#include "moortack/relay/endpoint_restrictions.h"
 #include "moortack/relay/prefill_queue.h"
 #include "moortack/relay/version_guard.h"
 #include "moortack/relay/zone_table.h"
@@ -107,7 +108,8 @@
 	int64_t warmup_slot;	    /**< slot of warmup_share_left */
 	uint32_t warmup_share_left; /**< requests that this daemon may still
 				       send to it in the slot */
-	uint64_t hash;		    /**< of the id and the start time */
+	endpoint_restrictions_t restrictions;
+	uint64_t hash; /**< of the id and the start time */
 	uint32_t
 	    short_hash;	   /**< lower 32 bits of it, as sent to other daemons */
 	UT_hash_handle hh; /**< by id */
@@ -177,6 +179,8 @@
 
 /** Number of endpoints that report that they are leaving. */
 uint32_t endpoint_set_count_leaving(const endpoint_set_t *);
+/** Number of endpoints with a rate limit in force. */
+uint32_t endpoint_set_count_rate_limited(const endpoint_set_t *);
 
 /** @return false: out of memory */
 bool endpoint_group_add(endpoint_group_t *, endpoint_t *);
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -266,6 +266,10 @@
  * @return false: nothing to wait for */
 bool relay_suspect_await_probe(relay_request_t *);
 
+/** The head of the attempt's response was received: apply what the endpoint
+ * says about the requests that it accepts. */
+void relay_notice_apply(relay_request_t *);
+
 /** The endpoint has sent a complete response. */
 void attempt_succeeded(relay_request_t *);
 /** Forward a response that was buffered completely, and end the request. */
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -122,6 +122,7 @@
 	relay_canary_endpoint_alive(req);
 	attempt->first_byte_ms = (double)timespec_ms_between(
 	    attempt->sent_at, clock_boottime(req->relay->clock));
+	relay_notice_apply(req);
 	if (response->has_load)
 		endpoint_record_load(attempt->endpoint, &response->load);
 	if (response->not_run || response->wrong_endpoint)
--- /dev/null
+++ b/test/platform/notice_headers_test.c
@@ -0,0 +1,95 @@
+/**
+ * @file
+ * Decoding of the headers by which endpoints restrict what they are sent:
+ * absent, odd, huge, negative and repeated ones.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include <stdint.h>
+
+#include "platform/dialects.h"
+
+#define FIELDS_MAX 4
+
+typedef struct head {
+	http_field_t fields[FIELDS_MAX];
+	http_msg_t msg;
+} head_t;
+
+/* @param values of the header, up to a NULL */
+static endpoint_notice_t
+notice_of(int status, char *name, char *const values[])
+{
+	head_t head = {.msg = {.status = status, .keep_alive = true}};
+	arrival_t arrival = {.id = "id1"};
+	endpoint_response_t response;
+
+	for (size_t i = 0; values[i] != NULL; i++)
+		head.fields[head.msg.fields_len++] =
+		    (http_field_t){name, values[i]};
+	head.msg.fields = head.fields;
+	platform_endpoint_dialect.read(&head.msg, &arrival, &response);
+	return response.notice;
+}
+
+static endpoint_notice_t
+rate_of(char *value)
+{
+	return notice_of(200, "Server-Limit", (char *[]){value, NULL});
+}
+
+static void
+rate_limits_are_decoded(void **state)
+{
+	(void)state;
+	assert_int_equal(
+	    notice_of(200, "X", (char *[]){NULL}).rate, RATE_NOT_LIMITED);
+	assert_int_equal(rate_of("1.9").rate, RATE_LIMITED);
+	assert_int_equal(rate_of("1.9").rate_milli, 1900);
+	assert_int_equal(rate_of("12").rate_milli, 12000);
+	assert_int_equal(rate_of("0").rate, RATE_LIMITED);
+	assert_int_equal(rate_of("0").rate_milli, 0);
+	assert_int_equal(rate_of("0.0004").rate_milli, 0);
+	assert_int_equal(rate_of("007.125999").rate_milli, 7125);
+	assert_int_equal(
+	    rate_of("99999999999999999999999.9").rate_milli, 1000000000);
+}
+
+static void
+unreadable_rate_limits_name_none(void **state)
+{
+	static char *const odd[] = {"", "-1", "+1", "1e3", "0x10", "nan", "inf",
+	    "1,9", "1.9/s", "1.", ".5", " 1", "1.9 ", "1.2.3"};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++)
+		assert_int_equal(rate_of(odd[i]).rate, RATE_UNREADABLE);
+}
+
+static void
+the_strictest_of_several_rate_limits_counts(void **state)
+{
+	endpoint_notice_t notice;
+
+	(void)state;
+	notice = notice_of(
+	    200, "server-limit", (char *[]){"7", "x", "1.5", "3", NULL});
+	assert_int_equal(notice.rate, RATE_LIMITED);
+	assert_int_equal(notice.rate_milli, 1500);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(rate_limits_are_decoded),
+	    cmocka_unit_test(unreadable_rate_limits_name_none),
+	    cmocka_unit_test(the_strictest_of_several_rate_limits_counts),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
