test: an endpoint that names a rate limit gets more than it allows

Seven daemons, four endpoints, one of which names 1.9 requests a second: 119 requests in 4 s reach it, 16 are allowed. The daemons know of the limit (gauge endpoints_rate_limited at all seven), so the header is received and nothing acts on it.

--- /dev/null
+++ b/test/platform/rate_limit_exceeded.lua
@@ -0,0 +1,93 @@
+-- Guards against sending an endpoint more than the rate limit that it names in
+-- its responses, all daemons together.
+package.path = script_dir .. "/?.lua;" .. package.path
+local words = require("words")
+local lib = words.lib
+local DAEMONS, REPLICAS = 7, 4
+local PER_S = 1.9
+-- The bound of the rule: one and a half times the limit, and five requests.
+local SPAN_MS = 4000
+local ALLOWED = math.floor(1.5 * PER_S * SPAN_MS / 1000 + 5)
+local w = words.world(REPLICAS, DAEMONS)
+w:wait_joined()
+
+-- Sends requests of all kinds to all daemons for a time, and counts responses.
+local function send_load(ms)
+  local calls, counts = {}, {served = 0, refused = 0, other = 0}
+  local finish, n = run.now() + ms, 0
+  while run.now() < finish do
+    for i = 1, DAEMONS do
+      n = n + 1
+      local path = ({"/stream/a", "/scan/a", "/book/a"})[n % 3 + 1]
+      calls[#calls + 1] = words.begin(w.daemons[i], path,
+        {headers = path == "/stream/a" and words.prompt(1, n) or {}})
+    end
+    run.sleep(60)
+  end
+  for _, call in ipairs(calls) do
+    local answer = call:finish()
+    local back_s = tonumber(answer.headers["Retry-After"])
+    if answer.status == 200 then
+      counts.served = counts.served + 1
+    elseif answer.status == 503 and back_s and back_s > 0 then
+      counts.refused = counts.refused + 1
+    else
+      counts.other = counts.other + 1
+    end
+  end
+  return counts
+end
+
+local function wait_limited(count)
+  lib.wait_until("the daemons know the rate limits", function()
+    send_load(50)
+    for _, daemon in ipairs(w.daemons) do
+      if words.metric(daemon, "endpoints_rate_limited") ~= count then
+        return false
+      end
+    end
+    return true
+  end, 30000)
+  run.sleep(500)
+end
+
+local function check_peak(i, from)
+  local peak = w:arrivals_peak(i, SPAN_MS, from, run.now())
+  lib.say("replica %d: %d requests in %d ms, %d are allowed", i, peak, SPAN_MS,
+    ALLOWED)
+  lib.check(peak <= ALLOWED, "%d requests in %d ms at replica %d, %d allowed",
+    peak, SPAN_MS, i, ALLOWED)
+end
+
+-- One endpoint names a limit: the others serve what it does not. Responses of the
+-- small model are discarded, so larger models are asked as well.
+for i = 1, REPLICAS do w:faults(i, {events = 3, confidence = 20}) end
+send_load(500)
+w:faults(1, {events = 3, confidence = 20, limit = tostring(PER_S)})
+wait_limited(1)
+local from = run.now()
+local counts = send_load(6000)
+lib.equal(counts.refused + counts.other, 0, "not served while one is limited")
+check_peak(1, from)
+lib.check(w:arrivals_peak(1, SPAN_MS, from, run.now()) > 0,
+  "the limited endpoint gets no requests")
+
+-- All name one: the rest is refused, with the time to come back.
+for i = 1, REPLICAS do
+  w:faults(i, {events = 3, limit = tostring(PER_S)})
+end
+wait_limited(REPLICAS)
+from = run.now()
+counts = send_load(6000)
+lib.say("all limited: served %d, refused %d", counts.served, counts.refused)
+lib.equal(counts.other, 0, "neither served nor refused")
+for i = 1, REPLICAS do check_peak(i, from) end
+-- Half of the limits has to be used.
+lib.check(counts.served >= REPLICAS * PER_S * 6 / 2, "%d served", counts.served)
+
+-- The limits are over.
+for i = 1, REPLICAS do w:faults(i, {events = 3}) end
+wait_limited(0)
+counts = send_load(1000)
+lib.equal(counts.refused + counts.other, 0, "not served without limits")
+lib.say("ok")
--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -4,15 +4,17 @@
  *
  * GET /runs returns the requests that ran, how many callers closed their
  * connection before the response was complete, and the most requests that
- * arrived in one second while the replica was cold. Faults: "unnamed" omits the
- * attempt id from responses, "hold" never responds, "hold_model" does so for
- * one model, "shed" refuses requests as not run, "fail" responds 500,
- * "cut_after" closes the connection of a stream after so many events,
- * "half_after" ends a stream with half an event after so many, "stray" responds
- * with the id of another attempt, "crash_on" ends the process on a body that
- * begins with this text, "crash_ms" is the delay before that, "cold_ms" is how
- * long the replica is cold from now on, "cold_most" the requests in a second
- * above which it crashes while cold, "id" its own id, "confidence" that of its
+ * arrived in one second while the replica was cold. GET /arrivals returns the
+ * times of the latest requests, by the monotonic clock, and their ids. Faults:
+ * "unnamed" omits the attempt id from responses, "hold" never responds,
+ * "hold_model" does so for one model, "shed" refuses requests as not run,
+ * "fail" responds 500, "cut_after" closes the connection of a stream after so
+ * many events, "half_after" ends a stream with half an event after so many,
+ * "stray" responds with the id of another attempt, "crash_on" ends the process
+ * on a body that begins with this text, "crash_ms" is the delay before that,
+ * "cold_ms" is how long the replica is cold from now on, "cold_most" the
+ * requests in a second above which it crashes while cold, "limit" the rate
+ * limit that it names (a text), "id" its own id, "confidence" that of its
  * responses, "events" the number in a stream and "pause_ms" the time between
  * them.
  */
@@ -29,6 +31,7 @@
 #include "standin/fake.h"
 
 #define ARRIVALS_MAX 256
+#define ARRIVALS_LISTED_MAX 8192
 
 /** A stream in progress. */
 typedef struct stream {
@@ -49,6 +52,7 @@
 	size_t arrivals_next;
 	int64_t cold_until_ms;
 	int64_t cold_peak; /**< most requests in a second while cold */
+	json_t *listed;	   /**< the latest requests, [time in ms, id] each */
 	json_t *faults;
 } replica_t;
 
@@ -85,6 +89,17 @@
 	json_array_append_new(replica.runs, run);
 }
 
+static void
+header_add_fault(
+    struct evhttp_request *req, const char *name, const char *fault)
+{
+	const char *value =
+	    json_string_value(json_object_get(replica.faults, fault));
+
+	if (value != NULL)
+		http_response_add_header(req, name, value);
+}
+
 static void
 headers_add(struct evhttp_request *req, bool run)
 {
@@ -97,6 +112,7 @@
 		http_response_add_header(req, "Moortack-Attempt-Id", id);
 	http_response_add_header(req, "Moortack-Replica-Load", "1,0,8");
 	http_response_add_header(req, "Keep-Alive", "timeout=5");
+	header_add_fault(req, "Server-Limit", "limit");
 	if (!run) {
 		http_response_add_header(req, "Moortack-Not-Executed", "1");
 		return;
@@ -282,6 +298,17 @@
 		_exit(EXIT_FAILURE);
 }
 
+static void
+arrival_list(struct evhttp_request *req)
+{
+	const char *id = http_request_header(req, "Moortack-Attempt-Id");
+
+	if (json_array_size(replica.listed) == ARRIVALS_LISTED_MAX)
+		json_array_remove(replica.listed, 0);
+	json_array_append_new(replica.listed,
+	    json_pack("[I, s]", (json_int_t)now_ms(), id != NULL ? id : ""));
+}
+
 static void
 serve(struct fake *fake, struct evhttp_request *req)
 {
@@ -295,11 +322,17 @@
 			(json_int_t)replica.cold_peak));
 		return;
 	}
+	if (strcmp(uri, "/arrivals") == 0) {
+		http_respond_json(
+		    req, 200, json_pack("{s:O}", "arrivals", replica.listed));
+		return;
+	}
 	if (!replica_expected(req)) {
 		headers_add(req, false);
 		respond(req, 421, "");
 		return;
 	}
+	arrival_list(req);
 	if (fault_is("shed")) {
 		headers_add(req, false);
 		respond(req, 503, "");
@@ -336,6 +369,7 @@
 main(int argc, const char **argv)
 {
 	replica.runs = json_array();
+	replica.listed = json_array();
 	replica.faults = json_object();
 	replica.fake.handle_request = serve;
 	replica.fake.handle_fault = fault;
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -253,6 +253,23 @@
   lib.fault(self.replicas[i].address, faults)
 end
 
+-- The most requests that reached a replica in any span of this length between two
+-- times.
+function World:arrivals_peak(i, span_ms, from, to)
+  local arrivals = lib.http("GET", self.replicas[i].address,
+    "/arrivals").json.arrivals
+  local peak, first = 0, 1
+  for last = 1, #arrivals do
+    while arrivals[last][1] - arrivals[first][1] > span_ms or
+        arrivals[first][1] < from do
+      first = first + 1
+      if first > last then break end
+    end
+    if arrivals[last][1] <= to then peak = math.max(peak, last - first + 1) end
+  end
+  return peak
+end
+
 function World:runs(i)
   return lib.http("GET", self.replicas[i].address, "/runs").json.runs
 end
