relay: divide an endpoint's rate limit among the daemons, and obey it

Callers saw slow responses of endpoints in need.

Cause: nothing read the header that names the limit (hypothesis 1). With the header decoded and logged, all seven daemons of platform_rate_limit_exceeded know of the limit and 119 requests in 4 s reach the endpoint; so neither a limit that each daemon obeys alone (2) nor one for first attempts only (3). Class: what an endpoint says of itself in a response is dropped at the adapter.

Change: the quota of each second, by the store's clock, goes to daemons by rendezvous hashing, as that of a cold endpoint does, without a message. It is checked where a candidate is chosen and once more at the moment of sending, so for first attempts, retries, resumes, larger models, new and reused connections alike. Five slots overlap four seconds, so five times the limit and one request are the most; the rule allows six times and five. A limit below 0.1 a second counts as that, so that a daemon learns when it ends. A response to a request that was sent before the limit was last named neither ends nor raises it.

A request that no endpoint may get now is refused at once as throttled, with the time until this daemon has a share again. A response of a smaller model is not discarded if only endpoints with a limit could be asked next: their share is for first attempts.

--- a/common/err.c
+++ b/common/err.c
@@ -32,6 +32,7 @@
     {ERR_SETTING, "setting", 500, ERR_NOT_EXECUTED, false},
     {ERR_STORE, "store", 503, ERR_NOT_EXECUTED, true},
     {ERR_STREAM_TRUNCATED, "stream_cut", 502, ERR_MAYBE_EXECUTED, false},
+    {ERR_THROTTLED, "throttled", 503, ERR_NOT_EXECUTED, true},
     {ERR_TICKET_REVOKED, "ticket_dead", 409, ERR_NOT_EXECUTED, false},
     {ERR_TICKET_INVALID, "ticket_invalid", 400, ERR_MAYBE_EXECUTED, false},
     {ERR_TICKET_REQUIRED, "ticket_required", 400, ERR_NOT_EXECUTED, false},
--- a/include/moortack/relay/endpoint_restrictions.h
+++ b/include/moortack/relay/endpoint_restrictions.h
@@ -34,6 +34,17 @@
 	struct timespec rate_limited_at; /**< when it was last named */
 } endpoint_restrictions_t;
 
+/** This daemon's share of a rate limit in one slot. */
+typedef struct rate_share {
+	int64_t slot;
+	int64_t rate_milli; /**< limit that it was computed from */
+	uint32_t requests;  /**< that this daemon may send in the slot */
+	uint32_t used;	    /**< of these */
+	int64_t
+	    next_slot; /**< next one with a share; not after slot: unknown */
+	int64_t next_rate_milli; /**< limit that next_slot was computed from */
+} rate_share_t;
+
 /** Changes that a notice makes, as flags. */
 typedef enum restriction_change {
 	RESTRICTION_RATE_LIMITED = 1 << 0, /**< a new limit, or another one */
@@ -52,4 +63,13 @@
 unsigned int endpoint_restrictions_apply(endpoint_restrictions_t *,
     const endpoint_notice_t *, const notice_context_t *);
 
+/** Requests that all daemons together may send to an endpoint in a slot of one
+ * second. Over consecutive slots they add up to the rate. Below a minimum rate,
+ * the quota is that of the minimum: responses to a few requests tell when the
+ * limit ends.
+ * @param endpoint_hash of its incarnation, so that the quotas of several
+ * endpoints with rates below one fall into different slots */
+uint32_t
+rate_slot_quota(int64_t rate_milli, uint64_t endpoint_hash, int64_t slot);
+
 #endif
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -109,7 +109,8 @@
 	uint32_t warmup_share_left; /**< requests that this daemon may still
 				       send to it in the slot */
 	endpoint_restrictions_t restrictions;
-	uint64_t hash; /**< of the id and the start time */
+	rate_share_t rate_share; /**< if a rate limit is in force */
+	uint64_t hash;		 /**< of the id and the start time */
 	uint32_t
 	    short_hash;	   /**< lower 32 bits of it, as sent to other daemons */
 	UT_hash_handle hh; /**< by id */
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -71,6 +71,12 @@
 	UT_hash_handle hh;
 } route_callers_t;
 
+/** Shares of rate limits that were computed in one slot. */
+typedef struct rate_computations {
+	int64_t slot;
+	uint32_t count;
+} rate_computations_t;
+
 struct relay {
 	struct event_base *base;
 	const clock_source_t *clock;
@@ -104,6 +110,7 @@
 				  to another daemon */
 	relay_quarantine_t quarantine;
 	warmup_daemons_t warmup_daemons;
+	rate_computations_t rate_computations;
 };
 
 /** Listen and initialise what the owner did not fill in.
--- a/include/moortack/relay/relay_stats.h
+++ b/include/moortack/relay/relay_stats.h
@@ -39,6 +39,8 @@
 	STAT_CRASH_PROBES,
 	STAT_COLD_SENDS,
 	STAT_COLD_PASSED_OVER,
+	STAT_RATE_LIMITED_SENDS,
+	STAT_RATE_LIMITED_PASSED_OVER,
 	RELAY_COUNTERS /* number of counters */
 } relay_counter_t;
 
--- a/include/moortack/relay/warmup_share.h
+++ b/include/moortack/relay/warmup_share.h
@@ -1,7 +1,8 @@
 /**
  * @file
- * Limits how many requests this daemon sends to a cold endpoint, which
- * tolerates few requests a second from all daemons together. Time is divided
+ * Limits how many requests this daemon sends to an endpoint that tolerates few
+ * requests a second from all daemons together, since it is cold or has named a
+ * rate limit. Time is divided
  * into slots by the store's clock, and the quota of each slot is divided among
  * the daemons by rendezvous hashing. All daemons compute the same shares
  * without coordination, so the limit also holds while some are unreachable or
--- a/moortack/relay/endpoint_restrictions.c
+++ b/moortack/relay/endpoint_restrictions.c
@@ -2,26 +2,44 @@
 
 #include "common/clock_source.h"
 
+/* One request in ten seconds. */
+#define RATE_MILLI_MIN 100
+
+/* Responses overtake each other. One to a request that was sent before the
+ * limit was last named may be older than it. */
+static bool
+is_newer_than_limit(
+    const endpoint_restrictions_t *self, const notice_context_t *context)
+{
+	return timespec_us_between(self->rate_limited_at, context->sent_at) >=
+	    0;
+}
+
 static unsigned int
-rate_limit_set(
-    endpoint_restrictions_t *self, int64_t rate_milli, struct timespec now)
+rate_limit_set(endpoint_restrictions_t *self, int64_t rate_milli,
+    const notice_context_t *context)
 {
 	bool changed = !self->rate_limited || self->rate_milli != rate_milli;
 
+	/* Of two limits whose order is not known the lower one counts. */
+	if (self->rate_limited && rate_milli > self->rate_milli &&
+	    !is_newer_than_limit(self, context))
+		return 0;
 	self->rate_limited = true;
 	self->rate_milli = rate_milli;
-	self->rate_limited_at = now;
+	self->rate_limited_at = context->now;
 	return changed ? RESTRICTION_RATE_LIMITED : 0;
 }
 
-/* Responses overtake each other. One to a request that was sent before the
- * limit was last named may be older than the limit. */
-static bool
-ends_rate_limit(
-    const endpoint_restrictions_t *self, const notice_context_t *context)
+/* A refusal may have been sent without knowledge of the limit. */
+static unsigned int
+rate_limit_end(endpoint_restrictions_t *self, const notice_context_t *context)
 {
-	return self->rate_limited && context->ran &&
-	    timespec_us_between(self->rate_limited_at, context->sent_at) >= 0;
+	if (!self->rate_limited || !context->ran ||
+	    !is_newer_than_limit(self, context))
+		return 0;
+	self->rate_limited = false;
+	return RESTRICTION_RATE_FREED;
 }
 
 unsigned int
@@ -30,14 +48,25 @@
 {
 	switch (notice->rate) {
 	case RATE_LIMITED:
-		return rate_limit_set(self, notice->rate_milli, context->now);
+		return rate_limit_set(self, notice->rate_milli, context);
 	case RATE_NOT_LIMITED:
-		if (!ends_rate_limit(self, context))
-			return 0;
-		self->rate_limited = false;
-		return RESTRICTION_RATE_FREED;
+		return rate_limit_end(self, context);
 	case RATE_UNREADABLE:
 		break;
 	}
 	return 0;
 }
+
+uint32_t
+rate_slot_quota(int64_t rate_milli, uint64_t endpoint_hash, int64_t slot)
+{
+	/* RATE_MILLI slots have a whole number of requests, so this many are
+	 * counted at most. */
+	int64_t cycle = slot % RATE_MILLI;
+	int64_t phase = (int64_t)(endpoint_hash % RATE_MILLI);
+
+	if (rate_milli < RATE_MILLI_MIN)
+		rate_milli = RATE_MILLI_MIN;
+	return (uint32_t)(((cycle + 1) * rate_milli + phase) / RATE_MILLI -
+	    (cycle * rate_milli + phase) / RATE_MILLI);
+}
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "relay_warmup.h"
+#include "relay_request.h"
 
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
@@ -68,12 +68,18 @@
 	    ? RETRY_AFTER_STORE_MS
 	    : RETRY_AFTER_MS;
 
-	if (code == ERR_WARMING_UP)
-		ms = relay_warmup_next_slot_ms(relay);
-
 	return ms + rng_below(relay->rng, RETRY_AFTER_JITTER_MS);
 }
 
+static int64_t
+request_retry_after_ms(const relay_request_t *req, err_code_t code)
+{
+	if (req->retry_after_ms > RETRY_AFTER_MS)
+		return req->retry_after_ms +
+		    rng_below(req->relay->rng, RETRY_AFTER_JITTER_MS);
+	return retry_after_ms(req->relay, code);
+}
+
 /* Send an error response, with Retry-After if a retry may succeed. */
 static void
 error_send(relay_t *relay, http_inbound_t *caller, err_code_t code, int64_t ms)
@@ -174,7 +180,7 @@
 {
 	relay_t *relay = req->relay;
 	http_inbound_t *caller = req->caller;
-	int64_t ms = retry_after_ms(relay, code);
+	int64_t ms = request_retry_after_ms(req, code);
 
 	if (code == ERR_QUARANTINED)
 		ms += quarantine_remaining_ms(
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -1,3 +1,4 @@
+#include "relay_rate_limit.h"
 #include "relay_warmup.h"
 
 #include <inttypes.h>
@@ -222,7 +223,8 @@
 
 	event_log_write(relay->log, "attempt",
 	    "id=%s endpoint=%s zone=%s model=%s attempt=%u kept=%d resume=%d "
-	    "of=%zu cold=%zu told=%zu load=%.0f wait_ms=%.0f read_ms=%.0f "
+	    "of=%zu cold=%zu limited=%zu told=%zu load=%.0f wait_ms=%.0f "
+	    "read_ms=%.0f "
 	    "first_ms=%.0f "
 	    "left_ms=%" PRId64 " config=%" PRIu64 " endpoints_age_ms=%" PRId64,
 	    req->arrival.id, req->last_endpoint_id,
@@ -230,10 +232,11 @@
 	    req->attempt.model != NULL ? req->attempt.model : "-",
 	    req->sends + req->connects_failed + 1, req->attempt.reused,
 	    req->response_started, placement->candidates,
-	    placement->cold_skipped, placement->owner_reports, placement->load,
-	    placement->queue_wait_ms, placement->prefill_ms,
-	    placement->first_byte_ms, request_remaining_ms(req),
-	    req->config->version, row_watch_age_ms(relay->endpoint_watch));
+	    placement->cold_skipped, placement->limited_skipped,
+	    placement->owner_reports, placement->load, placement->queue_wait_ms,
+	    placement->prefill_ms, placement->first_byte_ms,
+	    request_remaining_ms(req), req->config->version,
+	    row_watch_age_ms(relay->endpoint_watch));
 }
 
 /* The configuration may have changed since the request was received: the
@@ -260,6 +263,13 @@
 	return ERR_NONE;
 }
 
+static bool
+err_is_lack_of_endpoints(err_code_t code)
+{
+	return code == ERR_NO_ENDPOINT || code == ERR_OVERLOAD ||
+	    code == ERR_WARMING_UP || code == ERR_THROTTLED;
+}
+
 /* There is no further attempt: respond with the outcome of those before. */
 static void
 request_conclude(relay_request_t *req, err_code_t not_run_code, const char *why)
@@ -268,8 +278,11 @@
 		response_forward(req);
 		return;
 	}
-	request_fail(
-	    req, req->may_have_run ? ERR_UNKNOWN_OUTCOME : not_run_code, why);
+	if (req->may_have_run)
+		not_run_code = ERR_UNKNOWN_OUTCOME;
+	else if (err_is_lack_of_endpoints(not_run_code))
+		req->retry_after_ms = relay_time_to_endpoint_ms(req);
+	request_fail(req, not_run_code, why);
 }
 
 void
@@ -296,10 +309,7 @@
 	if (relay_query_owners(req))
 		return;
 	if (!relay_choose_endpoint(req, req->model_index, &placement, &why)) {
-		request_conclude(req,
-		    placement.cold_skipped > 0 ? ERR_WARMING_UP
-					       : ERR_NO_ENDPOINT,
-		    why);
+		request_conclude(req, placement.refusal, why);
 		return;
 	}
 	relay_query_end(req);
@@ -322,8 +332,11 @@
 		    rollout_is_saturating(rollout);
 	}
 	relay_warmup_acquire(req);
+	relay_rate_limit_acquire(req);
 	if (placement.cold_skipped > 0)
 		stats_add(&req->relay->stats, STAT_COLD_PASSED_OVER, 1);
+	if (placement.limited_skipped > 0)
+		stats_add(&req->relay->stats, STAT_RATE_LIMITED_PASSED_OVER, 1);
 	req->attempt.placement = placement;
 	relay_placement_record(req, &placement, req->model_index);
 	session_record(req);
@@ -344,7 +357,7 @@
 	 * this may have changed. */
 	if (req->config == relay->config && endpoint->in_set &&
 	    endpoint_accepts_requests(endpoint) && relay_warmup_acquire(req) &&
-	    !relay_quarantine_refuses(req) &&
+	    relay_rate_limit_acquire(req) && !relay_quarantine_refuses(req) &&
 	    relay_authorize(relay, &req->arrival, msg->target, &route,
 		&organisation) == ERR_NONE)
 		return true;
--- a/moortack/relay/relay_candidates.c
+++ b/moortack/relay/relay_candidates.c
@@ -1,4 +1,5 @@
 #include "relay_candidates.h"
+#include "relay_rate_limit.h"
 #include "relay_warmup.h"
 
 #include <math.h>
@@ -91,6 +92,13 @@
 		endpoint->connections < connections);
 }
 
+static void
+hold_back(candidates_t *out, endpoint_t *endpoint)
+{
+	if (out->held_back_len < HELD_BACK_MAX)
+		out->held_back[out->held_back_len++] = endpoint;
+}
+
 /* If there are more endpoints than CANDIDATES_MAX, takes those that follow the
  * hash of the shared prefix in the ring: all daemons consider the same
  * endpoints for the same prefix. */
@@ -101,6 +109,7 @@
 	const relay_t *relay = req->relay;
 	uint32_t connections = connections_share(req);
 	warmup_snapshot_t warmup;
+	int64_t rate_slot = relay_rate_slot(relay);
 	size_t start = endpoint_group_lower_bound(group,
 	    req->shared_prefix_hash != 0 ? req->shared_prefix_hash
 					 : req->split_hash);
@@ -115,6 +124,12 @@
 			continue;
 		if (!relay_warmup_allows(relay, endpoint, &warmup)) {
 			out->cold_skipped++;
+			hold_back(out, endpoint);
+			continue;
+		}
+		if (!relay_rate_limit_allows(req->relay, endpoint, rate_slot)) {
+			out->limited_skipped++;
+			hold_back(out, endpoint);
 			continue;
 		}
 		out->endpoints[out->len] = endpoint;
@@ -239,6 +254,8 @@
 
 	out->len = 0;
 	out->cold_skipped = 0;
+	out->limited_skipped = 0;
+	out->held_back_len = 0;
 	*why = "no_pool";
 	if (req->service == NULL)
 		return false;
@@ -260,7 +277,64 @@
 	if (out->len == 0 && wanted == VERSION_NEW &&
 	    rollout_allows_old_version(rollout))
 		candidates_find_old(req, group, rollout, out);
-	if (out->len == 0 && out->cold_skipped > 0)
+	if (out->len == 0 && out->limited_skipped > 0)
+		*why = "rate_limited";
+	else if (out->len == 0 && out->cold_skipped > 0)
 		*why = "warming_up";
 	return out->len > 0;
 }
+
+err_code_t
+candidates_refusal(const candidates_t *set)
+{
+	if (set->limited_skipped > 0)
+		return ERR_THROTTLED;
+	return set->cold_skipped > 0 ? ERR_WARMING_UP : ERR_NO_ENDPOINT;
+}
+
+static int64_t
+held_back_ms(relay_request_t *req, endpoint_t *endpoint)
+{
+	relay_t *relay = req->relay;
+	warmup_snapshot_t warmup;
+	int64_t wait_ms = relay_rate_limit_wait_ms(relay, endpoint);
+
+	relay_warmup_snapshot(req, &warmup);
+	if (!relay_warmup_allows(relay, endpoint, &warmup) &&
+	    relay_warmup_next_slot_ms(relay) > wait_ms)
+		wait_ms = relay_warmup_next_slot_ms(relay);
+	return wait_ms;
+}
+
+int64_t
+relay_time_to_endpoint_ms(relay_request_t *req)
+{
+	static candidates_t candidates;
+	int64_t earliest_ms = 0;
+	const char *why;
+
+	req->tried_endpoints_len = 0;
+	if (candidates_collect(req, &candidates, &why))
+		return 0;
+	for (size_t i = 0; i < candidates.held_back_len; i++) {
+		int64_t ms = held_back_ms(req, candidates.held_back[i]);
+
+		if (i == 0 || ms < earliest_ms)
+			earliest_ms = ms;
+	}
+	return earliest_ms;
+}
+
+bool
+relay_has_unlimited_endpoint(relay_request_t *req)
+{
+	static candidates_t candidates;
+	const char *why;
+
+	candidates_collect(req, &candidates, &why);
+	for (size_t i = 0; i < candidates.len; i++) {
+		if (!candidates.endpoints[i]->restrictions.rate_limited)
+			return true;
+	}
+	return false;
+}
--- a/moortack/relay/relay_candidates.h
+++ b/moortack/relay/relay_candidates.h
@@ -10,6 +10,8 @@
 #include "relay_request.h"
 
 #define CANDIDATES_MAX 256
+/** Endpoints that are remembered as held back. */
+#define HELD_BACK_MAX 8
 
 /** Endpoints that may serve the request, and the inputs to the choice among
  * them. */
@@ -17,8 +19,11 @@
 	endpoint_t *endpoints[CANDIDATES_MAX];
 	endpoint_candidate_t inputs[CANDIDATES_MAX];
 	size_t len;
-	size_t cold_skipped; /**< cold endpoints left out since they have no
-				warm-up share left */
+	size_t cold_skipped;	/**< cold endpoints left out since they have no
+				   warm-up share left */
+	size_t limited_skipped; /**< the same for endpoints with a rate limit */
+	endpoint_t *held_back[HELD_BACK_MAX]; /**< some of those left out */
+	size_t held_back_len;
 } candidates_t;
 
 /** @param why set if there are none
@@ -26,6 +31,9 @@
 bool
 candidates_collect(const relay_request_t *, candidates_t *, const char **why);
 
+/** Why a request without candidates is refused. */
+err_code_t candidates_refusal(const candidates_t *);
+
 /** Removes the candidates whose @p keep is false. */
 void candidates_filter(candidates_t *, const bool *keep);
 
--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -181,6 +181,10 @@
 	late_responses_record(req->relay);
 	if (model_choice_is_final(req->confidence))
 		return;
+	/* A response is not discarded unless another one can be had without
+	 * taking what a rate limit leaves for first attempts. */
+	if (!relay_has_unlimited_endpoint(req))
+		return;
 	input.retry_allowed = req->sends < route->attempts_max &&
 	    relay_retry_has_spare(req->relay, req->service);
 	for (size_t i = input.model + 1; i < input.models; i++)
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -33,12 +33,14 @@
 	endpoint_t *endpoint;
 	size_t candidates;	  /**< endpoints that it was chosen from */
 	size_t cold_skipped;	  /**< cold, without a share left in the slot */
+	size_t limited_skipped;	  /**< the same for those with a rate limit */
 	double load;		  /**< estimated requests at the endpoint */
 	uint32_t uncached_tokens; /**< of the prompt, to be prefilled */
 	double queue_wait_ms;	  /**< until the prefill starts */
 	size_t owner_reports; /**< candidates with a report of their owner */
 	double prefill_ms;    /**< time that the prefill takes */
 	double first_byte_ms; /**< to the response; negative: unknown */
+	err_code_t refusal;   /**< if there is no endpoint */
 } placement_t;
 
 /** The attempt in progress. */
@@ -67,6 +69,9 @@
 	bool warmup_acquired;	 /**< counted against the quota of its cold
 				    endpoint */
 	int64_t warmup_slot;	 /**< slot in which it was counted */
+	bool rate_acquired;	 /**< counted against the rate limit of its
+				    endpoint */
+	int64_t rate_slot;	 /**< slot in which it was counted */
 } attempt_t;
 
 /** The response of an endpoint's owner to a query. */
@@ -120,7 +125,8 @@
 	uint32_t sends; /**< attempts of which bytes may have been sent */
 	uint32_t connects_failed; /**< attempts that did not get a connection */
 	char last_endpoint_id[ENDPOINT_NAME_SIZE]; /**< the last one chosen */
-	placement_t placement;			   /**< of the last attempt */
+	int64_t retry_after_ms; /**< until an endpoint may get it; 0: unknown */
+	placement_t placement;	/**< of the last attempt */
 	uint32_t unresolved_sends; /**< sends not reported as not run */
 	bool may_have_run;
 	bool usage_counted;
@@ -220,6 +226,11 @@
  * @return whether there is one */
 bool relay_choose_endpoint(
     relay_request_t *, size_t model, placement_t *, const char **why);
+/** Milliseconds until an endpoint may get the request, if it was tried nowhere;
+ * 0: one may at once, or there is none. */
+int64_t relay_time_to_endpoint_ms(relay_request_t *);
+/** Whether an endpoint without a rate limit may get the request. */
+bool relay_has_unlimited_endpoint(relay_request_t *);
 /** Record that the request is sent there, and report it to other daemons. */
 void
 relay_placement_record(relay_request_t *, const placement_t *, size_t model);
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -167,9 +167,11 @@
 	const service_model_t *known_model = relay_model_find(req, model);
 	size_t chosen;
 
-	*out = (placement_t){.first_byte_ms = -1};
+	*out = (placement_t){.first_byte_ms = -1, .refusal = ERR_NO_ENDPOINT};
 	if (!candidates_collect(req, &candidates, why)) {
 		out->cold_skipped = candidates.cold_skipped;
+		out->limited_skipped = candidates.limited_skipped;
+		out->refusal = candidates_refusal(&candidates);
 		return false;
 	}
 	if (criteria.has_prompt) {
@@ -190,6 +192,7 @@
 	out->endpoint = candidates.endpoints[chosen];
 	out->candidates = candidates.len;
 	out->cold_skipped = candidates.cold_skipped;
+	out->limited_skipped = candidates.limited_skipped;
 	out->load = candidates.inputs[chosen].load;
 	out->queue_wait_ms = candidates.inputs[chosen].queue_wait_ms;
 	out->prefill_ms = fmin(prefill_ms_per_token(req, index) *
--- a/moortack/relay/relay_stats.c
+++ b/moortack/relay/relay_stats.c
@@ -33,6 +33,9 @@
     {"crash_probes", "Looks whether an endpoint that broke off listens."},
     {"cold_sends", "Requests sent to cold endpoints."},
     {"cold_passed_over", "Attempts for which cold endpoints were left out."},
+    {"rate_limited_sends", "Requests sent to endpoints with a rate limit."},
+    {"rate_limited_passed_over",
+	"Attempts for which endpoints with a rate limit were left out."},
 };
 
 /* Upper bounds in milliseconds, around the users' objectives of 100 to 3,000.
--- a/moortack/relay/relay_warmup.c
+++ b/moortack/relay/relay_warmup.c
@@ -12,19 +12,25 @@
 	    row_watch_age_ms(relay->rollouts->states_watch) > MEMBERS_STALE_MS;
 }
 
-static int64_t
-store_now_ms(const relay_t *relay)
+int64_t
+relay_store_now_ms(const relay_t *relay)
 {
 	const membership_t *members = relay->members;
 
 	/* No share can be computed before the daemons are known. */
 	if (members == NULL || !members->rows_read ||
-	    !members->store_clock_known || members_stale(relay))
+	    !members->store_clock_known)
 		return -1;
 	return timespec_to_ms(clock_boottime(relay->clock)) +
 	    members->store_clock_offset_ms;
 }
 
+static int64_t
+store_now_ms(const relay_t *relay)
+{
+	return members_stale(relay) ? -1 : relay_store_now_ms(relay);
+}
+
 static void
 snapshot_fill(const relay_t *relay, const relay_config_t *config,
     const char *name, warmup_snapshot_t *snapshot)
--- a/moortack/relay/relay_warmup.h
+++ b/moortack/relay/relay_warmup.h
@@ -9,6 +9,10 @@
 
 #include "relay_request.h"
 
+/** The time by the store's clock; negative: it is unknown, or the daemons are.
+ */
+int64_t relay_store_now_ms(const relay_t *);
+
 /** Warm-up parameters of a service, and the time at which they apply. */
 typedef struct warmup_snapshot {
 	struct timespec now;
--- a/test/platform/rate_limit_exceeded.lua
+++ b/test/platform/rate_limit_exceeded.lua
@@ -11,10 +11,11 @@
 local w = words.world(REPLICAS, DAEMONS)
 w:wait_joined()
 
+local n = 0
 -- Sends requests of all kinds to all daemons for a time, and counts responses.
 local function send_load(ms)
   local calls, counts = {}, {served = 0, refused = 0, other = 0}
-  local finish, n = run.now() + ms, 0
+  local finish = run.now() + ms
   while run.now() < finish do
     for i = 1, DAEMONS do
       n = n + 1
