--- a/include/moortack/relay/endpoint_restrictions.h
+++ b/include/moortack/relay/endpoint_restrictions.h
@@ -22,6 +22,7 @@
 
 /** What an endpoint says in one response. */
 typedef struct endpoint_notice {
+	bool draining; /**< it leaves, and takes no new requests */
 	rate_notice_t rate;
 	int64_t rate_milli; /**< requests in 1,000 s, from all daemons together;
 			       if limited */
@@ -29,6 +30,7 @@
 
 /** What is in force. */
 typedef struct endpoint_restrictions {
+	bool draining; /**< until the endpoint ends */
 	bool rate_limited;
 	int64_t rate_milli;		 /**< as in the notice */
 	struct timespec rate_limited_at; /**< when it was last named */
@@ -49,6 +51,7 @@
 typedef enum restriction_change {
 	RESTRICTION_RATE_LIMITED = 1 << 0, /**< a new limit, or another one */
 	RESTRICTION_RATE_FREED = 1 << 1,   /**< the limit is over */
+	RESTRICTION_DRAINING = 1 << 2,	   /**< it begins to drain */
 } restriction_change_t;
 
 /** A response, as far as it matters for restrictions. */
--- a/moortack/relay/endpoint_restrictions.c
+++ b/moortack/relay/endpoint_restrictions.c
@@ -42,9 +42,9 @@
 	return RESTRICTION_RATE_FREED;
 }
 
-unsigned int
-endpoint_restrictions_apply(endpoint_restrictions_t *self,
-    const endpoint_notice_t *notice, const notice_context_t *context)
+static unsigned int
+rate_apply(endpoint_restrictions_t *self, const endpoint_notice_t *notice,
+    const notice_context_t *context)
 {
 	switch (notice->rate) {
 	case RATE_LIMITED:
@@ -57,6 +57,22 @@
 	return 0;
 }
 
+static unsigned int
+drain_apply(endpoint_restrictions_t *self, const endpoint_notice_t *notice)
+{
+	if (self->draining || !notice->draining)
+		return 0;
+	self->draining = true;
+	return RESTRICTION_DRAINING;
+}
+
+unsigned int
+endpoint_restrictions_apply(endpoint_restrictions_t *self,
+    const endpoint_notice_t *notice, const notice_context_t *context)
+{
+	return rate_apply(self, notice, context) | drain_apply(self, notice);
+}
+
 uint32_t
 rate_slot_quota(int64_t rate_milli, uint64_t endpoint_hash, int64_t slot)
 {
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -140,6 +140,17 @@
 	return count;
 }
 
+uint32_t
+endpoint_set_count_draining(const endpoint_set_t *set)
+{
+	uint32_t count = 0;
+
+	for (const endpoint_t *endpoint = set->endpoints; endpoint != NULL;
+	     endpoint = endpoint->hh.next)
+		count += endpoint->restrictions.draining;
+	return count;
+}
+
 uint32_t
 endpoint_set_count_rate_limited(const endpoint_set_t *set)
 {
--- a/moortack/relay/relay_notice.c
+++ b/moortack/relay/relay_notice.c
@@ -16,6 +16,19 @@
 	    (double)before_milli / RATE_MILLI, req->relay->daemons_max_seen);
 }
 
+static void
+drain_log(const relay_request_t *req)
+{
+	const endpoint_t *endpoint = req->attempt.endpoint;
+
+	event_log_write(req->relay->log, "endpoint_draining",
+	    "endpoint=%s service=%s id=%s in_flight=%u entry_leaving=%d "
+	    "endpoints_age_ms=%" PRId64,
+	    endpoint->info.id, endpoint->info.service, req->arrival.id,
+	    endpoint->in_flight, endpoint->info.leaving,
+	    row_watch_age_ms(req->relay->endpoint_watch));
+}
+
 void
 relay_notice_apply(relay_request_t *req)
 {
@@ -35,4 +48,6 @@
 	if ((changes & (RESTRICTION_RATE_LIMITED | RESTRICTION_RATE_FREED)) !=
 	    0)
 		rate_limit_log(req, before_milli);
+	if ((changes & RESTRICTION_DRAINING) != 0)
+		drain_log(req);
 }
--- a/test/platform/notice_headers_test.c
+++ b/test/platform/notice_headers_test.c
@@ -82,6 +82,23 @@
 	assert_int_equal(notice.rate_milli, 1500);
 }
 
+static void
+drain_notices_are_decoded(void **state)
+{
+	static char *const odd[] = {"", "0", "-1", "2", "11", "yes", "1 1"};
+
+	(void)state;
+	assert_false(notice_of(200, "X", (char *[]){NULL}).draining);
+	assert_true(
+	    notice_of(200, "Server-Leaving", (char *[]){"1", NULL}).draining);
+	assert_true(notice_of(503, "server-leaving", (char *[]){"0", "1", NULL})
+			.draining);
+	for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++)
+		assert_false(
+		    notice_of(200, "Server-Leaving", (char *[]){odd[i], NULL})
+			.draining);
+}
+
 int
 main(void)
 {
@@ -89,6 +106,7 @@
 	    cmocka_unit_test(rate_limits_are_decoded),
 	    cmocka_unit_test(unreadable_rate_limits_name_none),
 	    cmocka_unit_test(the_strictest_of_several_rate_limits_counts),
+	    cmocka_unit_test(drain_notices_are_decoded),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
