--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -14,9 +14,9 @@
  * on a body that begins with this text, "crash_ms" is the delay before that,
  * "cold_ms" is how long the replica is cold from now on, "cold_most" the
  * requests in a second above which it crashes while cold, "limit" the rate
- * limit that it names (a text), "id" its own id, "confidence" that of its
- * responses, "events" the number in a stream and "pause_ms" the time between
- * them.
+ * limit that it names, "leaving" its notice that it leaves (texts of
+ * headers), "id" its own id, "confidence" that of its responses, "events" the
+ * number in a stream and "pause_ms" the time between them.
  */
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -113,6 +113,7 @@
 	http_response_add_header(req, "Moortack-Replica-Load", "1,0,8");
 	http_response_add_header(req, "Keep-Alive", "timeout=5");
 	header_add_fault(req, "Server-Limit", "limit");
+	header_add_fault(req, "Server-Leaving", "leaving");
 	if (!run) {
 		http_response_add_header(req, "Moortack-Not-Executed", "1");
 		return;
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -253,6 +253,17 @@
   lib.fault(self.replicas[i].address, faults)
 end
 
+-- How many requests reached a replica after a time.
+function World:arrivals_after(i, time)
+  local arrivals = lib.http("GET", self.replicas[i].address,
+    "/arrivals").json.arrivals
+  local count = 0
+  for _, arrival in ipairs(arrivals) do
+    if arrival[1] > time then count = count + 1 end
+  end
+  return count
+end
+
 -- The most requests that reached a replica in any span of this length between two
 -- times.
 function World:arrivals_peak(i, span_ms, from, to)
