relay: keep an endpoint's rate limit while its entry is gone

An entry that lapses in an outage of the store, or is removed and read again, made a new endpoint of it, with no rate limit: every daemon that had been told would have sent at its full pace until the next response.

Found by looking for the same cause as that of the rate limit elsewhere: removed_entry_that_comes_back_keeps_its_rate_limit fails without the memory.

--- a/include/moortack/relay/endpoint_restrictions.h
+++ b/include/moortack/relay/endpoint_restrictions.h
@@ -66,6 +66,9 @@
 unsigned int endpoint_restrictions_apply(endpoint_restrictions_t *,
     const endpoint_notice_t *, const notice_context_t *);
 
+/** Whether any is in force. */
+bool endpoint_restrictions_any(const endpoint_restrictions_t *);
+
 /** Requests that all daemons together may send to an endpoint in a slot of one
  * second. Over consecutive slots they add up to the rate. Below a minimum rate,
  * the quota is that of the minimum: responses to a few requests tell when the
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -14,6 +14,7 @@
 #include "common/http_outbound.h"
 #include "moortack/relay/endpoint_restrictions.h"
 #include "moortack/relay/prefill_queue.h"
+#include "moortack/relay/restriction_memory.h"
 #include "moortack/relay/version_guard.h"
 #include "moortack/relay/zone_table.h"
 
@@ -140,6 +141,7 @@
 	zone_table_t zones;
 	size_t earlier_entries; /**< number of endpoints with an entry of an
 				   earlier incarnation */
+	restriction_memory_t removed_restrictions; /**< of removed endpoints */
 };
 
 void endpoint_set_init(endpoint_set_t *, const clock_source_t *);
--- a/moortack/relay/endpoint_restrictions.c
+++ b/moortack/relay/endpoint_restrictions.c
@@ -86,3 +86,9 @@
 	return (uint32_t)(((cycle + 1) * rate_milli + phase) / RATE_MILLI -
 	    (cycle * rate_milli + phase) / RATE_MILLI);
 }
+
+bool
+endpoint_restrictions_any(const endpoint_restrictions_t *self)
+{
+	return self->rate_limited;
+}
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -80,10 +80,22 @@
 	endpoint->lapsed = true;
 }
 
+/* Another process may have the same id at another address. */
+static uint64_t
+restrictions_key(const endpoint_t *endpoint)
+{
+	const http_address_t *address = &endpoint->info.address;
+
+	return XXH3_64bits_withSeed(address->host, strlen(address->host),
+	    endpoint->hash + address->port);
+}
+
 void
 endpoint_set_remove(endpoint_set_t *set, endpoint_t *endpoint)
 {
 	earlier_entry_discard(endpoint);
+	restriction_memory_store(&set->removed_restrictions,
+	    restrictions_key(endpoint), &endpoint->restrictions);
 	HASH_DEL(set->endpoints, endpoint);
 	HASH_DELETE(hh_short, set->by_short_hash, endpoint);
 	endpoint_group_remove(endpoint->group, endpoint);
@@ -108,6 +120,7 @@
 		free(group->ring);
 		free(group);
 	}
+	restriction_memory_finish(&set->removed_restrictions);
 	zone_table_finish(&set->zones);
 }
 
@@ -290,6 +303,8 @@
 	endpoint->zone = zone;
 	endpoint->refs = 1;
 	endpoint->in_set = true;
+	endpoint->restrictions = restriction_memory_take(
+	    &set->removed_restrictions, restrictions_key(endpoint));
 	prefill_queue_init(&endpoint->prefill_queue);
 	endpoint_mark_cold(endpoint, info->warmup_remaining_ms);
 	HASH_ADD_KEYPTR(hh, set->endpoints, endpoint->info.id,
--- a/test/unit/endpoint_set_test.c
+++ b/test/unit/endpoint_set_test.c
@@ -225,6 +225,27 @@
 	assert_int_equal(current->info.started_ms, START_MS);
 }
 
+static void
+removed_entry_that_comes_back_keeps_its_rate_limit(void **state)
+{
+	fixture_t *fixture = *state;
+	endpoint_info_t moved = entry(START_MS);
+	endpoint_t *endpoint = apply_entry(fixture, START_MS);
+
+	endpoint->restrictions.rate_limited = true;
+	endpoint->restrictions.rate_milli = 1900;
+	endpoint_set_remove(&fixture->set, endpoint);
+	moved.address.port++;
+	endpoint = endpoint_set_update(&fixture->set, &moved);
+	assert_false(endpoint->restrictions.rate_limited);
+	endpoint_set_remove(&fixture->set, endpoint);
+	endpoint = apply_entry(fixture, START_MS);
+	assert_true(endpoint->restrictions.rate_limited);
+	assert_int_equal(endpoint->restrictions.rate_milli, 1900);
+	endpoint = apply_entry(fixture, START_MS + 1);
+	assert_false(endpoint->restrictions.rate_limited);
+}
+
 int
 main(void)
 {
@@ -245,6 +266,8 @@
 		leaving_earlier_incarnation_stops_new_requests, begin, end),
 	    cmocka_unit_test_setup_teardown(
 		entry_without_start_time_counts_as_earlier, begin, end),
+	    cmocka_unit_test_setup_teardown(
+		removed_entry_that_comes_back_keeps_its_rate_limit, begin, end),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
