relay: send nothing to an endpoint that said in a response that it leaves

The store was down for 12 s, so the endpoint's entry could not say it. Callers risk a stream that is cut when the endpoint ends.

Class: what an endpoint says of itself in a response is dropped at the adapter.

Change: an endpoint leaves if its entry or one of its responses says so, from that response on and for the rest of its incarnation. An entry that says that it is ready doesn't take it back (hypothesis 2, the fault that a fix in the entry alone would have had), nor one that is removed and comes back. It is checked where candidates are chosen and at the moment of sending, so for retries, resumes, larger models and reused connections alike. Such an endpoint is no longer counted as room for a suspected request, its end is no crash, and its entry doesn't lapse but is removed.

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -160,6 +160,8 @@
  * restarted.
  * @return false: there is none */
 bool endpoint_set_find_earlier(const endpoint_set_t *, endpoint_info_t *out);
+/** Whether it is leaving, by its entry or by one of its responses. */
+bool endpoint_is_leaving(const endpoint_t *);
 /** Whether it may get new requests: it is not leaving, and its zone is not
  * evacuated. */
 bool endpoint_accepts_requests(const endpoint_t *);
@@ -180,7 +182,7 @@
 endpoint_group_t *
 endpoint_set_find_group(const endpoint_set_t *, const char *service);
 
-/** Number of endpoints that report that they are leaving. */
+/** Number of endpoints whose entry says that they are leaving. */
 uint32_t endpoint_set_count_leaving(const endpoint_set_t *);
 /** Number of endpoints that said in a response that they leave. */
 uint32_t endpoint_set_count_draining(const endpoint_set_t *);
--- a/moortack/relay/endpoint_restrictions.c
+++ b/moortack/relay/endpoint_restrictions.c
@@ -90,5 +90,5 @@
 bool
 endpoint_restrictions_any(const endpoint_restrictions_t *self)
 {
-	return self->rate_limited;
+	return self->rate_limited || self->draining;
 }
--- a/moortack/relay/endpoint_rows.c
+++ b/moortack/relay/endpoint_rows.c
@@ -31,7 +31,7 @@
 endpoint_removed(relay_node_t *node, endpoint_t *endpoint, uint64_t version)
 {
 	bool keep = node->keep_lapsed && !node->row_sync.applying &&
-	    !endpoint->info.leaving;
+	    !endpoint_is_leaving(endpoint);
 	bool was_lapsed = endpoint->lapsed;
 	row_t tombstone;
 
@@ -45,7 +45,7 @@
 		lapsed_rows_hold_back(node);
 		return;
 	}
-	if (!endpoint->info.leaving)
+	if (!endpoint_is_leaving(endpoint))
 		relay_quarantine_endpoint_removed(
 		    &node->relay.quarantine, endpoint);
 	tombstone = (row_t){
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -175,10 +175,16 @@
 	return count;
 }
 
+bool
+endpoint_is_leaving(const endpoint_t *endpoint)
+{
+	return endpoint->info.leaving || endpoint->restrictions.draining;
+}
+
 bool
 endpoint_accepts_requests(const endpoint_t *endpoint)
 {
-	return !endpoint->info.leaving && !endpoint->zone->evacuated;
+	return !endpoint_is_leaving(endpoint) && !endpoint->zone->evacuated;
 }
 
 void
--- a/moortack/relay/relay_capacity.c
+++ b/moortack/relay/relay_capacity.c
@@ -19,7 +19,7 @@
 {
 	capacity_zone_t *zone = zone_find(view, endpoint->info.zone);
 
-	if (zone == NULL || endpoint->info.leaving || endpoint->lapsed)
+	if (zone == NULL || endpoint_is_leaving(endpoint) || endpoint->lapsed)
 		return;
 	if (!endpoint->info.preemptible) {
 		zone->regular++;
--- a/moortack/relay/relay_crashes.c
+++ b/moortack/relay/relay_crashes.c
@@ -127,7 +127,7 @@
 
 	/* An endpoint that is leaving ends once its requests are completed;
 	 * that is no crash. */
-	if (attempt.digest == 0 || endpoint->info.leaving)
+	if (attempt.digest == 0 || endpoint_is_leaving(endpoint))
 		return false;
 	unresolved_attempts_add(attempts, &attempt);
 	return true;
--- a/moortack/relay/relay_suspects.c
+++ b/moortack/relay/relay_suspects.c
@@ -74,7 +74,7 @@
 	size_t count = 0;
 
 	for (size_t i = 0; group != NULL && i < group->len; i++)
-		count += !group->ring[i]->info.leaving &&
+		count += !endpoint_is_leaving(group->ring[i]) &&
 		    !endpoint_is_ejected(group->ring[i]) &&
 		    !unresolved_attempts_has(
 			&req->relay->quarantine.interrupted,
