--- a/include/moortack/relay/endpoint_restrictions.h
+++ b/include/moortack/relay/endpoint_restrictions.h
@@ -26,6 +26,8 @@
 	rate_notice_t rate;
 	int64_t rate_milli; /**< requests in 1,000 s, from all daemons together;
 			       if limited */
+	int64_t backoff_ms; /**< for how long it wants no requests of this
+			       daemon; 0: not said */
 } endpoint_notice_t;
 
 /** What is in force. */
@@ -34,6 +36,7 @@
 	bool rate_limited;
 	int64_t rate_milli;		 /**< as in the notice */
 	struct timespec rate_limited_at; /**< when it was last named */
+	struct timespec backoff_until;
 } endpoint_restrictions_t;
 
 /** This daemon's share of a rate limit in one slot. */
@@ -52,6 +55,7 @@
 	RESTRICTION_RATE_LIMITED = 1 << 0, /**< a new limit, or another one */
 	RESTRICTION_RATE_FREED = 1 << 1,   /**< the limit is over */
 	RESTRICTION_DRAINING = 1 << 2,	   /**< it begins to drain */
+	RESTRICTION_BACKOFF = 1 << 3,	   /**< a back-off begins */
 } restriction_change_t;
 
 /** A response, as far as it matters for restrictions. */
@@ -66,6 +70,10 @@
 unsigned int endpoint_restrictions_apply(endpoint_restrictions_t *,
     const endpoint_notice_t *, const notice_context_t *);
 
+/** Milliseconds until the end of a back-off; 0: there is none. */
+int64_t endpoint_restrictions_backoff_ms(
+    const endpoint_restrictions_t *, struct timespec now);
+
 /** Whether any is in force. */
 bool endpoint_restrictions_any(const endpoint_restrictions_t *);
 
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -186,6 +186,8 @@
 uint32_t endpoint_set_count_leaving(const endpoint_set_t *);
 /** Number of endpoints that said in a response that they leave. */
 uint32_t endpoint_set_count_draining(const endpoint_set_t *);
+/** Number of endpoints that want no requests of this daemon for a while. */
+uint32_t endpoint_set_count_backing_off(const endpoint_set_t *);
 /** Number of endpoints with a rate limit in force. */
 uint32_t endpoint_set_count_rate_limited(const endpoint_set_t *);
 
--- a/moortack/relay/endpoint_restrictions.c
+++ b/moortack/relay/endpoint_restrictions.c
@@ -66,11 +66,36 @@
 	return RESTRICTION_DRAINING;
 }
 
+int64_t
+endpoint_restrictions_backoff_ms(
+    const endpoint_restrictions_t *self, struct timespec now)
+{
+	int64_t ms = timespec_ms_between(now, self->backoff_until);
+
+	return ms > 0 ? ms : 0;
+}
+
+/* Each back-off that was asked for holds to its end, also after a shorter one.
+ */
+static unsigned int
+backoff_apply(endpoint_restrictions_t *self, const endpoint_notice_t *notice,
+    const notice_context_t *context)
+{
+	int64_t before_ms =
+	    endpoint_restrictions_backoff_ms(self, context->now);
+
+	if (notice->backoff_ms <= before_ms)
+		return 0;
+	self->backoff_until = timespec_add_ms(context->now, notice->backoff_ms);
+	return before_ms == 0 ? RESTRICTION_BACKOFF : 0;
+}
+
 unsigned int
 endpoint_restrictions_apply(endpoint_restrictions_t *self,
     const endpoint_notice_t *notice, const notice_context_t *context)
 {
-	return rate_apply(self, notice, context) | drain_apply(self, notice);
+	return rate_apply(self, notice, context) | drain_apply(self, notice) |
+	    backoff_apply(self, notice, context);
 }
 
 uint32_t
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -164,6 +164,19 @@
 	return count;
 }
 
+uint32_t
+endpoint_set_count_backing_off(const endpoint_set_t *set)
+{
+	struct timespec now = clock_boottime(set->clock);
+	uint32_t count = 0;
+
+	for (const endpoint_t *endpoint = set->endpoints; endpoint != NULL;
+	     endpoint = endpoint->hh.next)
+		count += endpoint_restrictions_backoff_ms(
+			     &endpoint->restrictions, now) > 0;
+	return count;
+}
+
 uint32_t
 endpoint_set_count_rate_limited(const endpoint_set_t *set)
 {
--- a/moortack/relay/relay_notice.c
+++ b/moortack/relay/relay_notice.c
@@ -29,6 +29,17 @@
 	    row_watch_age_ms(req->relay->endpoint_watch));
 }
 
+static void
+backoff_log(const relay_request_t *req)
+{
+	const endpoint_t *endpoint = req->attempt.endpoint;
+
+	event_log_write(req->relay->log, "endpoint_backoff",
+	    "endpoint=%s service=%s id=%s ms=%" PRId64 " in_flight=%u",
+	    endpoint->info.id, endpoint->info.service, req->arrival.id,
+	    req->attempt.response.notice.backoff_ms, endpoint->in_flight);
+}
+
 void
 relay_notice_apply(relay_request_t *req)
 {
@@ -50,4 +61,6 @@
 		rate_limit_log(req, before_milli);
 	if ((changes & RESTRICTION_DRAINING) != 0)
 		drain_log(req);
+	if ((changes & RESTRICTION_BACKOFF) != 0)
+		backoff_log(req);
 }
--- a/test/platform/notice_headers_test.c
+++ b/test/platform/notice_headers_test.c
@@ -99,6 +99,33 @@
 			.draining);
 }
 
+static int64_t
+backoff_of(int status, char *value)
+{
+	return notice_of(status, "Retry-After", (char *[]){value, NULL})
+	    .backoff_ms;
+}
+
+static void
+back_offs_are_decoded(void **state)
+{
+	static char *const odd[] = {"", "-3", "soon", "3s", "1e2", "0",
+	    "Fri, 31 Dec 1999 23:59:59 GMT"};
+
+	(void)state;
+	assert_int_equal(backoff_of(503, "3"), 3000);
+	assert_int_equal(backoff_of(503, "0.25"), 250);
+	assert_int_equal(backoff_of(503, "123456789012345678"), 86400000);
+	assert_int_equal(backoff_of(429, "3"), 0);
+	assert_int_equal(backoff_of(200, "3"), 0);
+	for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++)
+		assert_int_equal(backoff_of(503, odd[i]), 0);
+	assert_int_equal(
+	    notice_of(503, "retry-after", (char *[]){"1", "x", "4", NULL})
+		.backoff_ms,
+	    4000);
+}
+
 int
 main(void)
 {
@@ -107,6 +134,7 @@
 	    cmocka_unit_test(unreadable_rate_limits_name_none),
 	    cmocka_unit_test(the_strictest_of_several_rate_limits_counts),
 	    cmocka_unit_test(drain_notices_are_decoded),
+	    cmocka_unit_test(back_offs_are_decoded),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
