test: an endpoint that asked for a back-off gets requests in it

Two daemons, four endpoints; the two in the daemons' zone refuse with 503 and Retry-After: 3: 64 requests of one daemon reach one of them within its 3 s, two are allowed from half a second on. The test goes on with all four refusing and with the end of the back-offs.

--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -14,9 +14,10 @@
  * on a body that begins with this text, "crash_ms" is the delay before that,
  * "cold_ms" is how long the replica is cold from now on, "cold_most" the
  * requests in a second above which it crashes while cold, "limit" the rate
- * limit that it names, "leaving" its notice that it leaves (texts of
- * headers), "id" its own id, "confidence" that of its responses, "events" the
- * number in a stream and "pause_ms" the time between them.
+ * limit that it names, "leaving" its notice that it leaves, "retry_after" the
+ * time for which it wants nothing after a refusal (texts of headers), "id" its
+ * own id, "confidence" that of its responses, "events" the number in a stream
+ * and "pause_ms" the time between them.
  */
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -115,6 +116,7 @@
 	header_add_fault(req, "Server-Limit", "limit");
 	header_add_fault(req, "Server-Leaving", "leaving");
 	if (!run) {
+		header_add_fault(req, "Retry-After", "retry_after");
 		http_response_add_header(req, "Moortack-Not-Executed", "1");
 		return;
 	}
