relay: send nothing to an endpoint in the time for which it wants nothing

Three endpoints of its zone had answered 503 with Retry-After: 3; each request still went to these three, one after the other, and had no attempt left for the nine endpoints in other zones, which had room.

Change: such an endpoint is no candidate until its time is over, for this daemon, and is checked again at the moment of sending. Each time asked for holds to its end, also after a shorter one. If no endpoint is left, the request is refused at once as throttled, with the time until the first one may get it.

--- a/include/moortack/relay/endpoint_restrictions.h
+++ b/include/moortack/relay/endpoint_restrictions.h
@@ -74,7 +74,7 @@
 int64_t endpoint_restrictions_backoff_ms(
     const endpoint_restrictions_t *, struct timespec now);
 
-/** Whether any is in force. */
+/** Whether any is in force; a back-off may be over. */
 bool endpoint_restrictions_any(const endpoint_restrictions_t *);
 
 /** Requests that all daemons together may send to an endpoint in a slot of one
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -162,6 +162,8 @@
 bool endpoint_set_find_earlier(const endpoint_set_t *, endpoint_info_t *out);
 /** Whether it is leaving, by its entry or by one of its responses. */
 bool endpoint_is_leaving(const endpoint_t *);
+/** Milliseconds for which it wants no requests of this daemon; 0: none. */
+int64_t endpoint_backoff_ms(const endpoint_t *);
 /** Whether it may get new requests: it is not leaving, and its zone is not
  * evacuated. */
 bool endpoint_accepts_requests(const endpoint_t *);
--- a/include/moortack/relay/relay_stats.h
+++ b/include/moortack/relay/relay_stats.h
@@ -41,6 +41,7 @@
 	STAT_COLD_PASSED_OVER,
 	STAT_RATE_LIMITED_SENDS,
 	STAT_RATE_LIMITED_PASSED_OVER,
+	STAT_BACKOFF_PASSED_OVER,
 	RELAY_COUNTERS /* number of counters */
 } relay_counter_t;
 
--- a/moortack/relay/endpoint_restrictions.c
+++ b/moortack/relay/endpoint_restrictions.c
@@ -115,5 +115,6 @@
 bool
 endpoint_restrictions_any(const endpoint_restrictions_t *self)
 {
-	return self->rate_limited || self->draining;
+	return self->rate_limited || self->draining ||
+	    self->backoff_until.tv_sec != 0;
 }
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -167,13 +167,11 @@
 uint32_t
 endpoint_set_count_backing_off(const endpoint_set_t *set)
 {
-	struct timespec now = clock_boottime(set->clock);
 	uint32_t count = 0;
 
 	for (const endpoint_t *endpoint = set->endpoints; endpoint != NULL;
 	     endpoint = endpoint->hh.next)
-		count += endpoint_restrictions_backoff_ms(
-			     &endpoint->restrictions, now) > 0;
+		count += endpoint_backoff_ms(endpoint) > 0;
 	return count;
 }
 
@@ -194,6 +192,13 @@
 	return endpoint->info.leaving || endpoint->restrictions.draining;
 }
 
+int64_t
+endpoint_backoff_ms(const endpoint_t *endpoint)
+{
+	return endpoint_restrictions_backoff_ms(
+	    &endpoint->restrictions, clock_boottime(endpoint->set->clock));
+}
+
 bool
 endpoint_accepts_requests(const endpoint_t *endpoint)
 {
--- a/moortack/relay/relay_candidates.c
+++ b/moortack/relay/relay_candidates.c
@@ -122,6 +122,11 @@
 		if (!endpoint_eligible(req, endpoint, connections) ||
 		    !version_matches(group, rollout, wanted, endpoint))
 			continue;
+		if (endpoint_backoff_ms(endpoint) > 0) {
+			out->backoff_skipped++;
+			hold_back(out, endpoint);
+			continue;
+		}
 		if (!relay_warmup_allows(relay, endpoint, &warmup)) {
 			out->cold_skipped++;
 			hold_back(out, endpoint);
@@ -244,6 +249,14 @@
 	candidates_find(req, group, rollout, wanted, out);
 }
 
+static const char *
+held_back_why(const candidates_t *set)
+{
+	if (set->limited_skipped > 0)
+		return "rate_limited";
+	return set->backoff_skipped > 0 ? "back_off" : "warming_up";
+}
+
 bool
 candidates_collect(
     const relay_request_t *req, candidates_t *out, const char **why)
@@ -255,6 +268,7 @@
 	out->len = 0;
 	out->cold_skipped = 0;
 	out->limited_skipped = 0;
+	out->backoff_skipped = 0;
 	out->held_back_len = 0;
 	*why = "no_pool";
 	if (req->service == NULL)
@@ -277,17 +291,15 @@
 	if (out->len == 0 && wanted == VERSION_NEW &&
 	    rollout_allows_old_version(rollout))
 		candidates_find_old(req, group, rollout, out);
-	if (out->len == 0 && out->limited_skipped > 0)
-		*why = "rate_limited";
-	else if (out->len == 0 && out->cold_skipped > 0)
-		*why = "warming_up";
+	if (out->len == 0 && out->held_back_len > 0)
+		*why = held_back_why(out);
 	return out->len > 0;
 }
 
 err_code_t
 candidates_refusal(const candidates_t *set)
 {
-	if (set->limited_skipped > 0)
+	if (set->limited_skipped > 0 || set->backoff_skipped > 0)
 		return ERR_THROTTLED;
 	return set->cold_skipped > 0 ? ERR_WARMING_UP : ERR_NO_ENDPOINT;
 }
@@ -299,6 +311,8 @@
 	warmup_snapshot_t warmup;
 	int64_t wait_ms = relay_rate_limit_wait_ms(relay, endpoint);
 
+	if (endpoint_backoff_ms(endpoint) > wait_ms)
+		wait_ms = endpoint_backoff_ms(endpoint);
 	relay_warmup_snapshot(req, &warmup);
 	if (!relay_warmup_allows(relay, endpoint, &warmup) &&
 	    relay_warmup_next_slot_ms(relay) > wait_ms)
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -33,6 +33,7 @@
 	endpoint_t *endpoint;
 	size_t candidates;	  /**< endpoints that it was chosen from */
 	size_t cold_skipped;	  /**< cold, without a share left in the slot */
+	size_t backoff_skipped;	  /**< want no requests for a while */
 	size_t limited_skipped;	  /**< the same for those with a rate limit */
 	double load;		  /**< estimated requests at the endpoint */
 	uint32_t uncached_tokens; /**< of the prompt, to be prefilled */
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -171,6 +171,8 @@
 	if (!candidates_collect(req, &candidates, why)) {
 		out->cold_skipped = candidates.cold_skipped;
 		out->limited_skipped = candidates.limited_skipped;
+		out->backoff_skipped = candidates.backoff_skipped;
+		out->backoff_skipped = candidates.backoff_skipped;
 		out->refusal = candidates_refusal(&candidates);
 		return false;
 	}
--- a/moortack/relay/relay_stats.c
+++ b/moortack/relay/relay_stats.c
@@ -36,6 +36,8 @@
     {"rate_limited_sends", "Requests sent to endpoints with a rate limit."},
     {"rate_limited_passed_over",
 	"Attempts for which endpoints with a rate limit were left out."},
+    {"backoff_passed_over",
+	"Attempts for which endpoints that want nothing were left out."},
 };
 
 /* Upper bounds in milliseconds, around the users' objectives of 100 to 3,000.
--- a/test/unit/endpoint_restrictions_test.c
+++ b/test/unit/endpoint_restrictions_test.c
@@ -133,6 +133,38 @@
 	assert_int_equal(sum, SLOTS / 10);
 }
 
+static unsigned int
+backoff_apply(endpoint_restrictions_t *self, int64_t ms, int64_t now_ms)
+{
+	const endpoint_notice_t notice = {.backoff_ms = ms};
+	const notice_context_t context = context_of(now_ms, now_ms);
+
+	return endpoint_restrictions_apply(self, &notice, &context);
+}
+
+static int64_t
+backoff_at(const endpoint_restrictions_t *self, int64_t now_ms)
+{
+	return endpoint_restrictions_backoff_ms(self, timespec_from_ms(now_ms));
+}
+
+static void
+a_back_off_holds_to_the_end_of_the_longest(void **state)
+{
+	endpoint_restrictions_t self = {0};
+
+	(void)state;
+	assert_int_equal(backoff_apply(&self, 3000, 1000), RESTRICTION_BACKOFF);
+	assert_true(endpoint_restrictions_any(&self));
+	assert_int_equal(backoff_apply(&self, 500, 2000), 0);
+	assert_int_equal(backoff_apply(&self, 0, 2100), 0);
+	assert_int_equal(backoff_at(&self, 2100), 1900);
+	assert_int_equal(backoff_apply(&self, 3000, 2200), 0);
+	assert_int_equal(backoff_at(&self, 5199), 1);
+	assert_int_equal(backoff_at(&self, 5200), 0);
+	assert_int_equal(backoff_apply(&self, 100, 6000), RESTRICTION_BACKOFF);
+}
+
 int
 main(void)
 {
@@ -144,6 +176,7 @@
 	    cmocka_unit_test(an_unreadable_limit_changes_nothing),
 	    cmocka_unit_test(quotas_add_up_to_the_rate),
 	    cmocka_unit_test(a_limit_of_none_leaves_a_few_requests),
+	    cmocka_unit_test(a_back_off_holds_to_the_end_of_the_longest),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
