relay: report an endpoint's rate limit to other daemons

An endpoint that lowers its limit would have got more than the new one: each daemon kept to the old limit until its own next share, which is rare where many daemons divide a low limit (24 daemons and 1.9 a second: 13 s), and so the end of a limit was noticed as late. A cause of the same class: what one daemon was told, the others were not.

A change that a daemon hears of goes to all others in a fleet of up to nine, else to four random ones, each of which passes on what is news to it: four datagrams a daemon and change, whatever the size of the fleet. Reports are ordered by the store's clock; of two that may have crossed the lower limit counts, so no late one ends a limit.

--- a/include/moortack/relay/endpoint_restrictions.h
+++ b/include/moortack/relay/endpoint_restrictions.h
@@ -36,6 +36,8 @@
 	bool rate_limited;
 	int64_t rate_milli;		 /**< as in the notice */
 	struct timespec rate_limited_at; /**< when it was last named */
+	struct timespec rate_freed_at;	 /**< when the request was sent whose
+					    response named none */
 	struct timespec backoff_until;
 } endpoint_restrictions_t;
 
@@ -70,6 +72,20 @@
 unsigned int endpoint_restrictions_apply(endpoint_restrictions_t *,
     const endpoint_notice_t *, const notice_context_t *);
 
+/** What another daemon learned of an endpoint's rate limit. */
+typedef struct rate_report {
+	bool limited;
+	int64_t rate_milli;
+	struct timespec at; /**< when the limit was named, or the request sent
+			       whose response named none; its clock may differ
+			       a little */
+} rate_report_t;
+
+/** Apply it.
+ * @return flags of restriction_change_t */
+unsigned int endpoint_restrictions_apply_report(
+    endpoint_restrictions_t *, const rate_report_t *);
+
 /** Milliseconds until the end of a back-off; 0: there is none. */
 int64_t endpoint_restrictions_backoff_ms(
     const endpoint_restrictions_t *, struct timespec now);
--- a/include/moortack/relay/gossip.h
+++ b/include/moortack/relay/gossip.h
@@ -15,6 +15,7 @@
 #include <netinet/in.h>
 
 #include "common/err.h"
+#include "common/rng.h"
 #include "moortack/relay/endpoint_owner.h"
 #include "moortack/relay/gossip_message.h"
 #include "moortack/relay/gossip_peers.h"
@@ -30,6 +31,9 @@
 	void (*on_response)(void *arg, const gossip_message_t *);
 	/** Another daemon reports on requests that crash endpoints. */
 	void (*on_crash_message)(void *arg, const gossip_message_t *);
+	/** Another daemon reports an endpoint's rate limit.
+	 * @return whether it was news, and has to be passed on */
+	bool (*on_rate_limit)(void *arg, const gossip_message_t *);
 } gossip_ops_t;
 
 typedef struct gossip {
@@ -37,6 +41,8 @@
 	const membership_t *members;
 	const gossip_ops_t *ops;
 	void *arg;
+	rng_t *rng;	    /**< to spread messages; set by the owner after
+			       gossip_init() */
 	evutil_socket_t fd; /**< negative: none */
 	struct event *readable;
 	gossip_key_t key;
@@ -85,6 +91,10 @@
 /** Sends a message to each daemon that serves, whatever the size of the fleet.
  */
 void gossip_broadcast(gossip_t *, const gossip_message_t *);
+/** Sends a message to all gossip peers, or in a larger fleet to a few random
+ * daemons, each of which passes it on if it is news there. Skipped if the send
+ * budget is used up. */
+void gossip_spread(gossip_t *, const gossip_message_t *);
 /** Whether this daemon is the digest's owner: one of all that serve, by
  * rendezvous hashing. */
 bool gossip_owns_digest(const gossip_t *, uint64_t digest);
--- a/include/moortack/relay/gossip_message.h
+++ b/include/moortack/relay/gossip_message.h
@@ -27,6 +27,7 @@
 	GOSSIP_CRASH, /**< the endpoint crashed while these requests ran */
 	GOSSIP_QUARANTINED, /**< the request is quarantined: it is refused */
 	GOSSIP_CLEARED,	    /**< the request ran without a crash */
+	GOSSIP_RATE_LIMIT,  /**< the endpoint has named a rate limit, or none */
 	GOSSIP_KIND_COUNT
 } gossip_kind_t;
 
@@ -54,6 +55,10 @@
 						    incarnations that crashed */
 	size_t crashes_len;
 	uint32_t quarantined_ms; /**< quarantined: for how long already */
+	bool rate_limited;	 /**< rate limit: there is one */
+	uint32_t rate_milli;	 /**< rate limit: requests in 1,000 s */
+	uint64_t noticed_ms; /**< rate limit: see rate_report_t; by the store's
+				clock */
 } gossip_message_t;
 
 /** All daemons derive it from the fleet's secret. */
--- a/include/moortack/wire/peer.pb-c.h
+++ b/include/moortack/wire/peer.pb-c.h
@@ -459,7 +459,7 @@
    */
   uint32_t kind;
   /*
-   * 4: held, 5: cleared
+   * 4: held, 5: cleared, 6: rate limit
    */
   /*
    * of a query; its response repeats it
@@ -494,10 +494,22 @@
    * held: for how long already
    */
   uint32_t held_ms;
+  /*
+   * rate limit: the endpoint has one
+   */
+  protobuf_c_boolean limited;
+  /*
+   * rate limit: requests in 1,000 s
+   */
+  uint32_t rate;
+  /*
+   * rate limit: when it was noticed, by the store's clock
+   */
+  uint64_t noticed_ms;
 };
 #define WIRE__GOSSIP_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__gossip_message__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /* Wire__Standing methods */
--- a/moortack/relay/endpoint_restrictions.c
+++ b/moortack/relay/endpoint_restrictions.c
@@ -4,6 +4,9 @@
 
 /* One request in ten seconds. */
 #define RATE_MILLI_MIN 100
+/* By how much the clocks of two daemons may differ, which both follow the
+ * store's. */
+#define CLOCK_ERROR_MS 200
 
 /* Responses overtake each other. One to a request that was sent before the
  * limit was last named may be older than it. */
@@ -27,7 +30,8 @@
 		return 0;
 	self->rate_limited = true;
 	self->rate_milli = rate_milli;
-	self->rate_limited_at = context->now;
+	if (timespec_us_between(self->rate_limited_at, context->now) > 0)
+		self->rate_limited_at = context->now;
 	return changed ? RESTRICTION_RATE_LIMITED : 0;
 }
 
@@ -39,6 +43,7 @@
 	    !is_newer_than_limit(self, context))
 		return 0;
 	self->rate_limited = false;
+	self->rate_freed_at = context->sent_at;
 	return RESTRICTION_RATE_FREED;
 }
 
@@ -57,6 +62,23 @@
 	return 0;
 }
 
+unsigned int
+endpoint_restrictions_apply_report(
+    endpoint_restrictions_t *self, const rate_report_t *report)
+{
+	const notice_context_t context = {.ran = true,
+	    .sent_at = timespec_add_ms(report->at, -CLOCK_ERROR_MS),
+	    .now = report->at};
+
+	if (!report->limited)
+		return rate_limit_end(self, &context);
+	if (!self->rate_limited &&
+	    timespec_ms_between(report->at, self->rate_freed_at) >
+		CLOCK_ERROR_MS)
+		return 0;
+	return rate_limit_set(self, report->rate_milli, &context);
+}
+
 static unsigned int
 drain_apply(endpoint_restrictions_t *self, const endpoint_notice_t *notice)
 {
--- a/moortack/relay/gossip.c
+++ b/moortack/relay/gossip.c
@@ -24,6 +24,10 @@
 /* Share of the full send budget that is reserved for messages on long prompts:
  * below it, queries are sent for long prompts only. */
 #define QUERY_MIN_SHARE 0.5
+/* Random daemons that a message is spread to. Each passes on what is news to
+ * it, so that of 1,000 daemons 98 in 100 receive it within a few round trips.
+ */
+#define SPREAD_FANOUT 4
 /* Digests of requests have owners in any zone. */
 #define NO_ZONE ""
 
@@ -92,6 +96,11 @@
 	case GOSSIP_CLEARED:
 		self->ops->on_crash_message(self->arg, message);
 		break;
+	case GOSSIP_RATE_LIMIT:
+		if (self->ops->on_rate_limit(self->arg, message) &&
+		    self->uses_owners)
+			gossip_spread(self, message);
+		break;
 	case GOSSIP_KIND_COUNT:
 		break;
 	}
@@ -297,6 +306,54 @@
 	}
 }
 
+/* Picks random members that serve.
+ * @return how many there are, at most SPREAD_FANOUT */
+static size_t
+random_members_pick(const gossip_t *self, const member_t *picked[SPREAD_FANOUT])
+{
+	uint32_t seen = 0;
+
+	for (const member_t *member = self->members->members; member != NULL;
+	     member = member->hh.next) {
+		uint32_t slot;
+
+		if (!gossip_peer_available(self->members, member))
+			continue;
+		slot = seen < SPREAD_FANOUT
+		    ? seen
+		    : (uint32_t)rng_below(self->rng, seen + 1);
+		if (slot < SPREAD_FANOUT)
+			picked[slot] = member;
+		seen++;
+	}
+	return seen < SPREAD_FANOUT ? seen : SPREAD_FANOUT;
+}
+
+void
+gossip_spread(gossip_t *self, const gossip_message_t *message)
+{
+	const member_t *picked[SPREAD_FANOUT];
+	struct sockaddr_in to;
+	size_t count;
+
+	if (self->fd < 0 || !self->has_key)
+		return;
+	send_budget_refill(self);
+	if (self->send_budget <= 0) {
+		self->messages_skipped++;
+		return;
+	}
+	if (!self->uses_owners) {
+		peers_send(self, message);
+		return;
+	}
+	count = random_members_pick(self, picked);
+	for (size_t i = 0; i < count; i++) {
+		if (address_parse(picked[i]->peer_address, &to))
+			message_send(self, &to, message);
+	}
+}
+
 bool
 gossip_may_query(gossip_t *self, double prefill_ms)
 {
--- a/moortack/relay/gossip_message.c
+++ b/moortack/relay/gossip_message.c
@@ -43,6 +43,9 @@
 	wire.n_crashes = message->crashes_len;
 	wire.crashes = (uint32_t *)(uintptr_t)message->crashes;
 	wire.held_ms = message->quarantined_ms;
+	wire.limited = message->rate_limited;
+	wire.rate = message->rate_milli;
+	wire.noticed_ms = message->noticed_ms;
 	len = wire__gossip_message__pack(&wire, plain);
 	randombytes_buf(out, NONCE_SIZE);
 	crypto_aead_chacha20poly1305_ietf_encrypt(out + NONCE_SIZE, &sealed,
@@ -68,7 +71,10 @@
 	    .digests_len = wire->n_digests,
 	    .version_hash = wire->version,
 	    .crashes_len = wire->n_crashes,
-	    .quarantined_ms = wire->held_ms};
+	    .quarantined_ms = wire->held_ms,
+	    .rate_limited = wire->limited,
+	    .rate_milli = wire->rate,
+	    .noticed_ms = wire->noticed_ms};
 	for (size_t i = 0; i < wire->n_prefixes; i++)
 		message->prefixes[i] = wire->prefixes[i];
 	for (size_t i = 0; i < wire->n_digests; i++)
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -408,6 +408,7 @@
 		&node->members, node->settings.peer_address, &relay_gossip_ops,
 		&node->relay, err))
 		return false;
+	node->gossip.rng = ports->rng;
 	membership_init(
 	    &node->members, ports->store, ports->clock, &node->log, &member);
 	if (rollouts_init(&node->rollouts, ports->base) &&
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -281,6 +281,10 @@
 /** The head of the attempt's response was received: apply what the endpoint
  * says about the requests that it accepts. */
 void relay_notice_apply(relay_request_t *);
+/** Another daemon reports an endpoint's rate limit.
+ * @param relay a relay_t
+ * @return whether it was news */
+bool relay_rate_limit_receive(void *relay, const gossip_message_t *);
 
 /** The endpoint has sent a complete response. */
 void attempt_succeeded(relay_request_t *);
--- a/moortack/wire/peer.pb-c.c
+++ b/moortack/wire/peer.pb-c.c
@@ -2210,7 +2210,7 @@
   (ProtobufCMessageInit) wire__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__gossip_message__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wire__gossip_message__field_descriptors[14] =
 {
   {
     "endpoint",
@@ -2344,6 +2344,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limited",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GossipMessage, limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GossipMessage, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "noticed_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GossipMessage, noticed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__gossip_message__field_indices_by_name[] = {
   9,   /* field[9] = crashes */
@@ -2352,8 +2388,11 @@
   10,   /* field[10] = held_ms */
   6,   /* field[6] = kept */
   3,   /* field[3] = kind */
+  11,   /* field[11] = limited */
+  13,   /* field[13] = noticed_ms */
   4,   /* field[4] = number */
   2,   /* field[2] = prefixes */
+  12,   /* field[12] = rate */
   1,   /* field[1] = read_ms */
   8,   /* field[8] = version */
   5,   /* field[5] = wait_ms */
@@ -2361,7 +2400,7 @@
 static const ProtobufCIntRange wire__gossip_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor wire__gossip_message__descriptor =
 {
@@ -2371,7 +2410,7 @@
   "Wire__GossipMessage",
   "wire",
   sizeof(Wire__GossipMessage),
-  11,
+  14,
   wire__gossip_message__field_descriptors,
   wire__gossip_message__field_indices_by_name,
   1,  wire__gossip_message__number_ranges,
--- a/test/unit/endpoint_restrictions_test.c
+++ b/test/unit/endpoint_restrictions_test.c
@@ -133,6 +133,43 @@
 	assert_int_equal(sum, SLOTS / 10);
 }
 
+static unsigned int
+report_apply(endpoint_restrictions_t *self, bool limited, int64_t rate_milli,
+    int64_t at_ms)
+{
+	const rate_report_t report = {.limited = limited,
+	    .rate_milli = rate_milli,
+	    .at = timespec_from_ms(at_ms)};
+
+	return endpoint_restrictions_apply_report(self, &report);
+}
+
+static void
+reports_apply_in_the_order_of_what_they_report(void **state)
+{
+	endpoint_restrictions_t self = {0};
+
+	(void)state;
+	assert_int_equal(
+	    report_apply(&self, true, 1900, 10000), RESTRICTION_RATE_LIMITED);
+	assert_int_equal(report_apply(&self, true, 1900, 10050), 0);
+	/* The clocks may differ by as much. */
+	assert_int_equal(report_apply(&self, false, 0, 10100), 0);
+	assert_int_equal(
+	    report_apply(&self, false, 0, 10500), RESTRICTION_RATE_FREED);
+	/* Delivered late. */
+	assert_int_equal(report_apply(&self, true, 1900, 10050), 0);
+	assert_false(self.rate_limited);
+	assert_int_equal(
+	    report_apply(&self, true, 1200, 10600), RESTRICTION_RATE_LIMITED);
+	assert_int_equal(report_apply(&self, true, 8000, 10650), 0);
+	assert_int_equal(
+	    report_apply(&self, true, 8000, 11000), RESTRICTION_RATE_LIMITED);
+	assert_int_equal(
+	    report_apply(&self, true, 500, 10900), RESTRICTION_RATE_LIMITED);
+	assert_int_equal(self.rate_milli, 500);
+}
+
 static unsigned int
 backoff_apply(endpoint_restrictions_t *self, int64_t ms, int64_t now_ms)
 {
@@ -176,6 +213,7 @@
 	    cmocka_unit_test(an_unreadable_limit_changes_nothing),
 	    cmocka_unit_test(quotas_add_up_to_the_rate),
 	    cmocka_unit_test(a_limit_of_none_leaves_a_few_requests),
+	    cmocka_unit_test(reports_apply_in_the_order_of_what_they_report),
 	    cmocka_unit_test(a_back_off_holds_to_the_end_of_the_longest),
 	};
 
