platform: check the numbers in endpoints' other headers

Looked for beside the headers that were not read: a load of three figures with a sign, a separator or a size that is none was taken as a load, an estimate of the model over 100 was taken modulo 101, and a keep-alive time over some 10^15 s overflowed.

--- a/test/platform/notice_headers_test.c
+++ b/test/platform/notice_headers_test.c
@@ -1,7 +1,7 @@
 /**
  * @file
- * Decoding of the headers by which endpoints restrict what they are sent:
- * absent, odd, huge, negative and repeated ones.
+ * Decoding of the headers of endpoints, above all those by which they restrict
+ * what they are sent: absent, odd, huge, negative and repeated ones.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -21,8 +21,8 @@
 } head_t;
 
 /* @param values of the header, up to a NULL */
-static endpoint_notice_t
-notice_of(int status, char *name, char *const values[])
+static endpoint_response_t
+response_of(int status, char *name, char *const values[])
 {
 	head_t head = {.msg = {.status = status, .keep_alive = true}};
 	arrival_t arrival = {.id = "id1"};
@@ -33,7 +33,19 @@
 		    (http_field_t){name, values[i]};
 	head.msg.fields = head.fields;
 	platform_endpoint_dialect.read(&head.msg, &arrival, &response);
-	return response.notice;
+	return response;
+}
+
+static endpoint_notice_t
+notice_of(int status, char *name, char *const values[])
+{
+	return response_of(status, name, values).notice;
+}
+
+static endpoint_response_t
+response_with(char *name, char *value)
+{
+	return response_of(200, name, (char *[]){value, NULL});
 }
 
 static endpoint_notice_t
@@ -126,6 +138,40 @@
 	    4000);
 }
 
+static void
+odd_numbers_in_other_headers_are_ignored(void **state)
+{
+	static char *const loads[] = {"", "1,2", "1,2,", "-1,2,8", "1,x,8",
+	    "99999999999999999999,0,8", "1;2;8"};
+	static char *const confidences[] = {
+	    "", "-1", "101", "x", "50%", "99999999999999999999"};
+	static char *const keep_alives[] = {"", "0", "-5", "timeout=", "x",
+	    "timeout=-5", "timeout=99999999999999999999"};
+
+	(void)state;
+	assert_true(response_with("Moortack-Replica-Load", "3,1,8").has_load);
+	assert_true(
+	    response_with("Moortack-Replica-Load", "3,1,8,120").has_load);
+	for (size_t i = 0; i < sizeof(loads) / sizeof(loads[0]); i++)
+		assert_false(
+		    response_with("Moortack-Replica-Load", loads[i]).has_load);
+	assert_int_equal(
+	    response_with("Moortack-Estimate-Confidence", "100").confidence,
+	    100);
+	for (size_t i = 0; i < sizeof(confidences) / sizeof(confidences[0]);
+	     i++)
+		assert_int_equal(response_with("Moortack-Estimate-Confidence",
+				     confidences[i])
+				     .confidence,
+		    -1);
+	assert_int_equal(
+	    response_with("Keep-Alive", "timeout=4, max=9").idle_max_ms, 3600);
+	for (size_t i = 0; i < sizeof(keep_alives) / sizeof(keep_alives[0]);
+	     i++)
+		assert_int_equal(
+		    response_with("Keep-Alive", keep_alives[i]).idle_max_ms, 0);
+}
+
 int
 main(void)
 {
@@ -135,6 +181,7 @@
 	    cmocka_unit_test(the_strictest_of_several_rate_limits_counts),
 	    cmocka_unit_test(drain_notices_are_decoded),
 	    cmocka_unit_test(back_offs_are_decoded),
+	    cmocka_unit_test(odd_numbers_in_other_headers_are_ignored),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
