--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -179,6 +179,11 @@
 /** End the request with an error response, or abort a response that has
  * started. */
 void request_fail(relay_request_t *, err_code_t, const char *why);
+/** Refuse a request before it is accepted.
+ * @param id of the caller's try; "-": none
+ * @param why cause for the log, a static text */
+void relay_refuse_arrival(
+    relay_t *, http_inbound_t *, const char *id, err_code_t, const char *why);
 /** Log, count and free the request. The response to its caller is sent or
  * aborted separately. */
 void request_end(relay_request_t *, const char *outcome, const char *why);
