soak: endpoints that name rate limits, leave, and ask for back-offs

Beside kills, freezes, outages of the store, truncated and lost responses. After the run the requests that reached each endpoint are checked by the users' three rules with their bounds; a daemon that started or woke up since is excused.

--- a/soak/soak.lua
+++ b/soak/soak.lua
@@ -9,7 +9,9 @@
 package.path = script_dir .. "/../test/platform/?.lua;" .. package.path
 local root = script_dir
 script_dir = root .. "/../test/platform"
+package.path = root .. "/?.lua;" .. package.path
 local words = require("words")
+local notices = require("notices")
 local lib = words.lib
 local seed = tonumber(os.getenv("SOAK_SEED") or "1")
 local seconds = tonumber(os.getenv("SOAK_SECONDS") or "30")
@@ -47,9 +49,26 @@
   connections[i] = nil
 end
 
+local noticed = {} -- by replica: faults that last while others come and go
+
+local function noticed_with(i, faults)
+  for name, value in pairs(noticed[i] or {}) do faults[name] = value end
+  return faults
+end
+
 local function replica_fault(i, faults)
-  world:faults(i, faults)
-  return function() world:faults(i, {}) end
+  world:faults(i, noticed_with(i, faults))
+  return function() world:faults(i, noticed_with(i, {})) end
+end
+
+-- Begins a notice of a replica, or ends it if there is one.
+-- @return whether it begins
+local function notice_toggle(i, name, value)
+  noticed[i] = noticed[i] or {}
+  if noticed[i][name] then value = nil end
+  noticed[i][name] = value
+  world:faults(i, noticed_with(i, {}))
+  return value ~= nil
 end
 
 local function store_fault(faults, restore)
@@ -80,6 +99,7 @@
 
 local function daemon_start(i)
   stopped[i] = nil
+  notices.excuse(i)
   down_since[i] = nil
   disturbed[i] = run.now()
   connection_close(i)
@@ -135,6 +155,7 @@
     world.daemons[i]:stop()
     return function()
       world.daemons[i]:continue()
+      notices.excuse(i)
       disturbed[i] = run.now()
       stopped[i] = nil
     end
@@ -185,6 +206,24 @@
   end,
   shed = function(fault) return replica_fault(fault.replica, {shed = true}) end,
   fail = function(fault) return replica_fault(fault.replica, {fail = true}) end,
+  -- The limit and the drain notice last until they are drawn again.
+  limit = function(fault)
+    if notice_toggle(fault.replica, "limit", tostring(fault.events / 2)) then
+      notices.limit_begins(fault.replica, fault.events / 2)
+    end
+  end,
+  drain_notice = function(fault)
+    local i = fault.replica
+    outage_end()
+    if notice_toggle(i, "leaving", "1") then return end
+    -- It ends with another incarnation.
+    world.replicas[i].born = (world.replicas[i].born or 1700000000000) + 1000
+    notices.incarnation_begins(i)
+    world:replica(i, "v1", leaving[i] and "draining" or nil)
+  end,
+  back_off = function(fault)
+    return replica_fault(fault.replica, {shed = true, retry_after = "2"})
+  end,
   silent = function(fault) world:silence(fault.replica) end,
   stray = function(fault) return replica_fault(fault.replica, {stray = true}) end,
   leave = function(fault)
@@ -221,6 +260,7 @@
   local path = pick({"/book/1", "/scan/1", "/stream/a"})
   local call = words.begin(world.daemons[i], path)
   call.path = path
+  notices.sent(call.id, i)
   calls[#calls + 1] = call
 end
 
@@ -231,6 +271,7 @@
     if response.done then
       completed[#completed + 1] = {id = call.id, path = call.path,
         status = response.status, body = response.body}
+      notices.completed(call.id, response.status)
       call:leave()
       table.remove(calls, i)
     end
@@ -242,8 +283,9 @@
 local IDLE_MS, CLOSE_MS, RESPONSE_MS = 100, 300, 10000
 local request_number = 0
 
-local function connection_send(connection)
+local function connection_send(i, connection)
   request_number = request_number + 1
+  notices.sent("kept" .. request_number, i)
   connection.text = ""
   connection.sent = run.now()
   run.write(connection.socket,
@@ -280,7 +322,7 @@
     elseif connection and connection.sent then
       connection_receive(i, connection)
     elseif connection and run.now() >= connection.next then
-      connection_send(connection)
+      connection_send(i, connection)
     end
   end
 end
@@ -360,9 +402,26 @@
 end
 if long_down then daemon_start(long_down) end
 for _, restore in ipairs(active_faults) do restore() end
+for i = 1, REPLICAS do
+  if noticed[i] and noticed[i].limit then
+    fault_kinds.limit({replica = i, events = 1})
+  end
+  if noticed[i] and noticed[i].leaving then
+    fault_kinds.drain_notice({replica = i})
+  end
+end
 for i = 1, DAEMONS do words.wait_ready(world.daemons[i]) end
 -- From now on the directory checks apply to every daemon.
 traffic(STABLE_MS)
+lib.wait_until("the ends of rate limits are known", function()
+  traffic(50)
+  for i = 1, DAEMONS do
+    if words.metric(world.daemons[i], "endpoints_rate_limited") > 0 then
+      return false
+    end
+  end
+  return true
+end, 60000)
 lib.wait_until("the last responses", function()
   calls_poll()
   return #calls == 0
@@ -387,6 +446,7 @@
   end
   served = served + (call.status == 200 and 1 or 0)
 end
+notices.check(world)
 for i = 1, DAEMONS do
   for _, path in ipairs({"/book/2", "/scan/2", "/stream/b"}) do
     lib.equal(words.call(world.daemons[i], path).status, 200,
--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -5,7 +5,7 @@
  * GET /runs returns the requests that ran, how many callers closed their
  * connection before the response was complete, and the most requests that
  * arrived in one second while the replica was cold. GET /arrivals returns the
- * times of the latest requests, by the monotonic clock, and their ids. Faults:
+ * latest requests. Faults:
  * "unnamed" omits the attempt id from responses, "hold" never responds,
  * "hold_model" does so for one model, "shed" refuses requests as not run,
  * "fail" responds 500, "cut_after" closes the connection of a stream after so
@@ -53,7 +53,7 @@
 	size_t arrivals_next;
 	int64_t cold_until_ms;
 	int64_t cold_peak; /**< most requests in a second while cold */
-	json_t *listed;	   /**< the latest requests, [time in ms, id] each */
+	json_t *listed; /**< the latest requests, as arrival_list() adds them */
 	json_t *faults;
 } replica_t;
 
@@ -301,6 +301,17 @@
 		_exit(EXIT_FAILURE);
 }
 
+static const char *
+fault_text(const char *name)
+{
+	const char *text =
+	    json_string_value(json_object_get(replica.faults, name));
+
+	return text != NULL ? text : "";
+}
+
+/* Add the request's time and id, and what its response says: a rate limit, that
+ * the replica leaves, for how long it wants nothing; "": nothing. */
 static void
 arrival_list(struct evhttp_request *req)
 {
@@ -309,7 +320,10 @@
 	if (json_array_size(replica.listed) == ARRIVALS_LISTED_MAX)
 		json_array_remove(replica.listed, 0);
 	json_array_append_new(replica.listed,
-	    json_pack("[I, s]", (json_int_t)now_ms(), id != NULL ? id : ""));
+	    json_pack("[I, s, s, s, s]", (json_int_t)now_ms(),
+		id != NULL ? id : "", fault_text("limit"),
+		fault_text("leaving"),
+		fault_is("shed") ? fault_text("retry_after") : ""));
 }
 
 static void
