relay: report only clear changes of a rate limit

An endpoint may name another limit in each response: each would have been a line of the log and four datagrams. Every limit is obeyed at once; it is logged and reported when it differs by over an eighth from the last that was.

--- a/include/moortack/relay/endpoint_restrictions.h
+++ b/include/moortack/relay/endpoint_restrictions.h
@@ -35,6 +35,7 @@
 	bool draining; /**< until the endpoint ends */
 	bool rate_limited;
 	int64_t rate_milli;		 /**< as in the notice */
+	int64_t rate_reported_milli;	 /**< when a change was last reported */
 	struct timespec rate_limited_at; /**< when it was last named */
 	struct timespec rate_freed_at;	 /**< when the request was sent whose
 					    response named none */
@@ -54,7 +55,8 @@
 
 /** Changes that a notice makes, as flags. */
 typedef enum restriction_change {
-	RESTRICTION_RATE_LIMITED = 1 << 0, /**< a new limit, or another one */
+	RESTRICTION_RATE_LIMITED = 1 << 0, /**< a new limit, or one that differs
+					      clearly from the last reported */
 	RESTRICTION_RATE_FREED = 1 << 1,   /**< the limit is over */
 	RESTRICTION_DRAINING = 1 << 2,	   /**< it begins to drain */
 	RESTRICTION_BACKOFF = 1 << 3,	   /**< a back-off begins */
--- a/include/moortack/relay/warmup_share.h
+++ b/include/moortack/relay/warmup_share.h
@@ -2,11 +2,10 @@
  * @file
  * Limits how many requests this daemon sends to an endpoint that tolerates few
  * requests a second from all daemons together, since it is cold or has named a
- * rate limit. Time is divided
- * into slots by the store's clock, and the quota of each slot is divided among
- * the daemons by rendezvous hashing. All daemons compute the same shares
- * without coordination, so the limit also holds while some are unreachable or
- * learn of the endpoint late.
+ * rate limit. Time is divided into slots by the store's clock, and the quota of
+ * each slot is divided among the daemons by rendezvous hashing. All daemons
+ * compute the same shares without coordination, so the limit also holds while
+ * some are unreachable or learn of the endpoint late.
  */
 #ifndef MOORTACK_RELAY_WARMUP_SHARE_H
 #define MOORTACK_RELAY_WARMUP_SHARE_H
--- a/moortack/relay/endpoint_restrictions.c
+++ b/moortack/relay/endpoint_restrictions.c
@@ -1,5 +1,7 @@
 #include "moortack/relay/endpoint_restrictions.h"
 
+#include <stdlib.h>
+
 #include "common/clock_source.h"
 
 /* One request in ten seconds. */
@@ -7,6 +9,9 @@
 /* By how much the clocks of two daemons may differ, which both follow the
  * store's. */
 #define CLOCK_ERROR_MS 200
+/* Changes by less than this part of a limit are not reported: an endpoint may
+ * name another limit in each response. */
+#define REPORTED_CHANGE 8
 
 /* Responses overtake each other. One to a request that was sent before the
  * limit was last named may be older than it. */
@@ -18,11 +23,19 @@
 	    0;
 }
 
+static bool
+differs_clearly(const endpoint_restrictions_t *self)
+{
+	int64_t before = self->rate_reported_milli;
+
+	return llabs(self->rate_milli - before) > before / REPORTED_CHANGE;
+}
+
 static unsigned int
 rate_limit_set(endpoint_restrictions_t *self, int64_t rate_milli,
     const notice_context_t *context)
 {
-	bool changed = !self->rate_limited || self->rate_milli != rate_milli;
+	bool was_limited = self->rate_limited;
 
 	/* Of two limits whose order is not known the lower one counts. */
 	if (self->rate_limited && rate_milli > self->rate_milli &&
@@ -32,7 +45,10 @@
 	self->rate_milli = rate_milli;
 	if (timespec_us_between(self->rate_limited_at, context->now) > 0)
 		self->rate_limited_at = context->now;
-	return changed ? RESTRICTION_RATE_LIMITED : 0;
+	if (was_limited && !differs_clearly(self))
+		return 0;
+	self->rate_reported_milli = rate_milli;
+	return RESTRICTION_RATE_LIMITED;
 }
 
 /* A refusal may have been sent without knowledge of the limit. */
--- a/test/unit/endpoint_restrictions_test.c
+++ b/test/unit/endpoint_restrictions_test.c
@@ -83,6 +83,23 @@
 	assert_int_equal(self.rate_milli, 8000);
 }
 
+static void
+small_changes_of_a_limit_are_not_reported(void **state)
+{
+	endpoint_restrictions_t self = {0};
+
+	(void)state;
+	rate_apply(&self, 8000, 1000, 1200);
+	assert_int_equal(rate_apply(&self, 7500, 1300, 1400), 0);
+	assert_int_equal(self.rate_milli, 7500);
+	assert_int_equal(rate_apply(&self, 7100, 1500, 1600), 0);
+	assert_int_equal(
+	    rate_apply(&self, 6900, 1700, 1800), RESTRICTION_RATE_LIMITED);
+	assert_int_equal(
+	    rate_apply(&self, 0, 1900, 2000), RESTRICTION_RATE_LIMITED);
+	assert_int_equal(rate_apply(&self, 0, 2100, 2200), 0);
+}
+
 static void
 an_unreadable_limit_changes_nothing(void **state)
 {
@@ -210,6 +227,7 @@
 		a_response_to_an_earlier_request_does_not_end_a_limit),
 	    cmocka_unit_test(a_refusal_does_not_end_a_limit),
 	    cmocka_unit_test(the_lower_limit_counts_if_the_order_is_unknown),
+	    cmocka_unit_test(small_changes_of_a_limit_are_not_reported),
 	    cmocka_unit_test(an_unreadable_limit_changes_nothing),
 	    cmocka_unit_test(quotas_add_up_to_the_rate),
 	    cmocka_unit_test(a_limit_of_none_leaves_a_few_requests),
