relay: look for an endpoint without a limit only when a response is discarded

Each response with a low estimate collected the candidates once more, and each candidate read the clock for its back-off. No change of what is decided.

--- a/moortack/relay/relay_candidates.c
+++ b/moortack/relay/relay_candidates.c
@@ -122,7 +122,8 @@
 		if (!endpoint_eligible(req, endpoint, connections) ||
 		    !version_matches(group, rollout, wanted, endpoint))
 			continue;
-		if (endpoint_backoff_ms(endpoint) > 0) {
+		if (endpoint_restrictions_backoff_ms(
+			&endpoint->restrictions, warmup.now) > 0) {
 			out->backoff_skipped++;
 			hold_back(out, endpoint);
 			continue;
--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -181,16 +181,14 @@
 	late_responses_record(req->relay);
 	if (model_choice_is_final(req->confidence))
 		return;
-	/* A response is not discarded unless another one can be had without
-	 * taking what a rate limit leaves for first attempts. */
-	if (!relay_has_unlimited_endpoint(req))
-		return;
 	input.retry_allowed = req->sends < route->attempts_max &&
 	    relay_retry_has_spare(req->relay, req->service);
 	for (size_t i = input.model + 1; i < input.models; i++)
 		option_fill(req, i, &input.options[i]);
 	next = model_choice_next(&input);
-	if (next == req->model_index)
+	/* A response is not discarded unless another one can be had without
+	 * taking what a rate limit leaves for first attempts. */
+	if (next == req->model_index || !relay_has_unlimited_endpoint(req))
 		return;
 	req->model_index = next;
 	req->escalated_ms = (double)request_age_ms(req);
