soak: date a drain notice by the request that it came with

Traced by the daemon's log: it knew of the notice at 2964.85 s and of the endpoint's next incarnation at 2965.11 s, which got the request; the stream whose response was the notice ended after that, so the check took the notice for one of the later incarnation.

--- a/soak/notices.lua
+++ b/soak/notices.lua
@@ -80,19 +80,20 @@
 end
 
 local function check_leaving(i, list)
-  local told = {} -- by daemon
+  local told = {} -- by daemon: the request whose response was the notice
   for _, arrival in ipairs(list) do
-    local since = told[arrival.daemon]
-    if since and not any_between(begun[i], since, arrival.at) and
-        not any_between(excused[arrival.daemon], since, arrival.at) then
-      lib.check(arrival.at <= since + DRAIN_MS,
+    local notice = told[arrival.daemon]
+    -- The whole response may be passed on after the next incarnation has begun.
+    if notice and not any_between(begun[i], notice.at, arrival.at) and
+        not any_between(excused[arrival.daemon], notice.at, arrival.at) then
+      lib.check(arrival.at <= notice.told + DRAIN_MS,
         "replica %d: a request of daemon %s %d ms after a drain notice", i,
-        arrival.daemon, arrival.at - since)
-    elseif since then
+        arrival.daemon, arrival.at - notice.told)
+    elseif notice then
       told[arrival.daemon] = nil
     end
     if arrival.leaving and arrival.told and not told[arrival.daemon] then
-      told[arrival.daemon] = arrival.told
+      told[arrival.daemon] = arrival
     end
   end
 end
