--- a/test/unit/relay_node_test.c
+++ b/test/unit/relay_node_test.c
@@ -20,6 +20,8 @@
 #define VERSION_FIRST 40
 #define VERSION_REMOVED 77
 
+typedef struct pending pending_response_t;
+
 /** A store that has one endpoint, and then its removal. */
 typedef struct scripted_store {
 	row_store_t store;
@@ -29,15 +31,29 @@
 	bool refuse_once; /**< refuses one poll before it */
 	int reads;
 	int polls;
+	pending_response_t *pending;
 } scripted_store_t;
 
 /** A response that is delivered later. */
-typedef struct pending {
+struct pending {
+	scripted_store_t *store;
+	pending_response_t *next;
 	row_done_t done;
 	void *arg;
 	row_t row;
 	row_store_response_t response;
-} pending_response_t;
+};
+
+static void
+pending_free(pending_response_t *pending)
+{
+	pending_response_t **link = &pending->store->pending;
+
+	while (*link != pending)
+		link = &(*link)->next;
+	*link = pending->next;
+	free(pending);
+}
 
 static void
 pending_deliver(evutil_socket_t fd, short what, void *arg)
@@ -48,7 +64,7 @@
 	(void)what;
 	pending->response.rows = &pending->row;
 	pending->done(pending->arg, &pending->response);
-	free(pending);
+	pending_free(pending);
 }
 
 static bool
@@ -58,6 +74,9 @@
 	static const struct timeval soon = {0, 1000};
 	pending_response_t *pending = calloc(1, sizeof(*pending));
 
+	pending->store = store;
+	pending->next = store->pending;
+	store->pending = pending;
 	pending->done = done;
 	pending->arg = arg;
 	if (row != NULL)
@@ -140,7 +159,7 @@
 	clock_source_t clock;
 	rng_t rng;
 	scripted_store_t store = {{.ops = &scripted_ops}, event_base_new(),
-	    compacted, refuse_once, 0, 0};
+	    compacted, refuse_once, 0, 0, NULL};
 	const relay_ports_t ports = {store.base, &clock, &rng, &store.store,
 	    &test_row_dialect, &callers, &endpoints, &rollouts, NULL};
 	relay_node_settings_t settings = test_node_settings;
@@ -161,6 +180,8 @@
 	version = row->version;
 	relay_node_finish(&node);
 	event_base_free(store.base);
+	while (store.pending != NULL)
+		pending_free(store.pending);
 	return version;
 }
 
--- a/test/unit/row_source_test.c
+++ b/test/unit/row_source_test.c
@@ -266,6 +266,7 @@
 		sync.watches[i].watch.synced_at = clock.now;
 	row_sync_tick(&sync);
 	assert_false(sync.server.store_unavailable);
+	row_cache_finish(&sync.cache);
 	membership_finish(&members);
 	event_base_free(base);
 }
