test: no response is discarded if all endpoints have a rate limit

platform_rate_limit_exceeded counts discarded responses while all endpoints name a limit: none. The stand-in can give the small model an estimate of its own, so that larger models stay worth asking.

--- a/test/platform/rate_limit_exceeded.lua
+++ b/test/platform/rate_limit_exceeded.lua
@@ -60,26 +60,40 @@
     peak, SPAN_MS, i, ALLOWED)
 end
 
+local function escalations()
+  local count = 0
+  for _, daemon in ipairs(w.daemons) do
+    count = count + words.metric(daemon, "escalated_total")
+  end
+  return count
+end
+
 -- One endpoint names a limit: the others serve what it does not. Responses of the
 -- small model are discarded, so larger models are asked as well.
-for i = 1, REPLICAS do w:faults(i, {events = 3, confidence = 20}) end
+for i = 1, REPLICAS do w:faults(i, {events = 3, confidence_small = 5}) end
 send_load(500)
-w:faults(1, {events = 3, confidence = 20, limit = tostring(PER_S)})
+w:faults(1, {events = 3, confidence_small = 5, limit = tostring(PER_S)})
 wait_limited(1)
 local from = run.now()
 local counts = send_load(6000)
 lib.equal(counts.refused + counts.other, 0, "not served while one is limited")
 check_peak(1, from)
+lib.check(escalations() > 0, "no response is discarded")
 lib.check(w:arrivals_peak(1, SPAN_MS, from, run.now()) > 0,
   "the limited endpoint gets no requests")
 
--- All name one: the rest is refused, with the time to come back.
+-- All name one: the rest is refused, with the time to come back. No response is
+-- discarded for one of a larger model, which would take a share.
 for i = 1, REPLICAS do
-  w:faults(i, {events = 3, limit = tostring(PER_S)})
+  w:faults(i, {events = 3, confidence_small = 5, limit = tostring(PER_S)})
 end
 wait_limited(REPLICAS)
+-- Until the retry budget, of a window of 10 s, allows larger models again.
+run.sleep(10500)
 from = run.now()
+local escalated = escalations()
 counts = send_load(6000)
+lib.equal(escalations(), escalated, "responses discarded with all limited")
 lib.say("all limited: served %d, refused %d", counts.served, counts.refused)
 lib.equal(counts.other, 0, "neither served nor refused")
 for i = 1, REPLICAS do check_peak(i, from) end
--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -16,8 +16,9 @@
  * requests in a second above which it crashes while cold, "limit" the rate
  * limit that it names, "leaving" its notice that it leaves, "retry_after" the
  * time for which it wants nothing after a refusal (texts of headers), "id" its
- * own id, "confidence" that of its responses, "events" the number in a stream
- * and "pause_ms" the time between them.
+ * own id, "confidence" that of its responses, "confidence_small" the same of
+ * the small model, "events" the number in a stream and "pause_ms" the time
+ * between them.
  */
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -101,6 +102,16 @@
 		http_response_add_header(req, name, value);
 }
 
+static int64_t
+response_confidence(struct evhttp_request *req)
+{
+	const char *model = http_request_header(req, "Moortack-Model-Id");
+	bool small = model != NULL && strcmp(model, "small") == 0;
+
+	return fault_int(small ? "confidence_small" : "confidence",
+	    fault_int("confidence", 100));
+}
+
 static void
 headers_add(struct evhttp_request *req, bool run)
 {
@@ -121,7 +132,7 @@
 		return;
 	}
 	snprintf(confidence, sizeof(confidence), "%" PRId64,
-	    fault_int("confidence", 100));
+	    response_confidence(req));
 	http_response_add_header(
 	    req, "Moortack-Estimate-Confidence", confidence);
 	http_response_add_header(req, "Moortack-Response-Signature", "signed");
