--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -224,9 +224,7 @@
 	event_log_write(relay->log, "attempt",
 	    "id=%s endpoint=%s zone=%s model=%s attempt=%u kept=%d resume=%d "
 	    "of=%zu cold=%zu limited=%zu back_off=%zu told=%zu load=%.0f "
-	    "wait_ms=%.0f "
-	    "read_ms=%.0f "
-	    "first_ms=%.0f "
+	    "wait_ms=%.0f read_ms=%.0f first_ms=%.0f "
 	    "left_ms=%" PRId64 " config=%" PRIu64 " endpoints_age_ms=%" PRId64,
 	    req->arrival.id, req->last_endpoint_id,
 	    placement->endpoint->info.zone,
