relay: a back-off that is over takes no place among remembered restrictions

Found by reading the change again: an endpoint that had ever asked for a back-off was remembered when its entry was removed, also after the back-off. In a fleet with more than 512 such removals they would have displaced drain notices, whose endpoints then get requests again when their entries come back.

Only restrictions in force are remembered now; unit_endpoint_restrictions wants a back-off to be none at its end, which it was not before. unit_endpoint_set and platform_leaving_endpoint_gets_requests pass.

--- a/include/moortack/relay/endpoint_restrictions.h
+++ b/include/moortack/relay/endpoint_restrictions.h
@@ -92,8 +92,9 @@
 int64_t endpoint_restrictions_backoff_ms(
     const endpoint_restrictions_t *, struct timespec now);
 
-/** Whether any is in force; a back-off may be over. */
-bool endpoint_restrictions_any(const endpoint_restrictions_t *);
+/** Whether any is in force. */
+bool
+endpoint_restrictions_any(const endpoint_restrictions_t *, struct timespec now);
 
 /** Requests that all daemons together may send to an endpoint in a slot of one
  * second. Over consecutive slots they add up to the rate. Below a minimum rate,
--- a/include/moortack/relay/restriction_memory.h
+++ b/include/moortack/relay/restriction_memory.h
@@ -28,9 +28,9 @@
 /** Free what was allocated; a zeroed memory is empty. */
 void restriction_memory_finish(restriction_memory_t *);
 
-/** Remember the restrictions of an endpoint, if it has any. */
-void restriction_memory_store(
-    restriction_memory_t *, uint64_t key, const endpoint_restrictions_t *);
+/** Remember the restrictions of an endpoint, if any is in force. */
+void restriction_memory_store(restriction_memory_t *, uint64_t key,
+    const endpoint_restrictions_t *, struct timespec now);
 
 /** Forget an endpoint and return its restrictions; none if it is unknown. */
 endpoint_restrictions_t
--- a/moortack/relay/endpoint_restrictions.c
+++ b/moortack/relay/endpoint_restrictions.c
@@ -151,8 +151,9 @@
 }
 
 bool
-endpoint_restrictions_any(const endpoint_restrictions_t *self)
+endpoint_restrictions_any(
+    const endpoint_restrictions_t *self, struct timespec now)
 {
 	return self->rate_limited || self->draining ||
-	    self->backoff_until.tv_sec != 0;
+	    endpoint_restrictions_backoff_ms(self, now) > 0;
 }
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -95,7 +95,8 @@
 {
 	earlier_entry_discard(endpoint);
 	restriction_memory_store(&set->removed_restrictions,
-	    restrictions_key(endpoint), &endpoint->restrictions);
+	    restrictions_key(endpoint), &endpoint->restrictions,
+	    clock_boottime(set->clock));
 	HASH_DEL(set->endpoints, endpoint);
 	HASH_DELETE(hh_short, set->by_short_hash, endpoint);
 	endpoint_group_remove(endpoint->group, endpoint);
--- a/moortack/relay/restriction_memory.c
+++ b/moortack/relay/restriction_memory.c
@@ -11,9 +11,9 @@
 
 void
 restriction_memory_store(restriction_memory_t *memory, uint64_t key,
-    const endpoint_restrictions_t *restrictions)
+    const endpoint_restrictions_t *restrictions, struct timespec now)
 {
-	if (!endpoint_restrictions_any(restrictions))
+	if (!endpoint_restrictions_any(restrictions, now))
 		return;
 	if (memory->entries == NULL)
 		memory->entries = calloc(
--- a/test/unit/endpoint_restrictions_test.c
+++ b/test/unit/endpoint_restrictions_test.c
@@ -209,7 +209,8 @@
 
 	(void)state;
 	assert_int_equal(backoff_apply(&self, 3000, 1000), RESTRICTION_BACKOFF);
-	assert_true(endpoint_restrictions_any(&self));
+	assert_true(endpoint_restrictions_any(&self, timespec_from_ms(3999)));
+	assert_false(endpoint_restrictions_any(&self, timespec_from_ms(4000)));
 	assert_int_equal(backoff_apply(&self, 500, 2000), 0);
 	assert_int_equal(backoff_apply(&self, 0, 2100), 0);
 	assert_int_equal(backoff_at(&self, 2100), 1900);
