relay: count endpoints by their restrictions in one pass

Four functions walked all endpoints one after the other for four gauges. The gauges and their names are the same; platform_leaving_endpoint_gets_requests and platform_rate_limit_reported read them and pass.

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -144,6 +144,14 @@
 	restriction_memory_t removed_restrictions; /**< of removed endpoints */
 };
 
+/** Endpoints by what is in force for them. */
+typedef struct endpoint_counts {
+	uint32_t leaving;      /**< by their entry */
+	uint32_t draining;     /**< by one of their responses */
+	uint32_t backing_off;  /**< want no requests of this daemon */
+	uint32_t rate_limited; /**< have named a rate limit */
+} endpoint_counts_t;
+
 void endpoint_set_init(endpoint_set_t *, const clock_source_t *);
 void endpoint_set_finish(endpoint_set_t *);
 
@@ -184,14 +192,8 @@
 endpoint_group_t *
 endpoint_set_find_group(const endpoint_set_t *, const char *service);
 
-/** Number of endpoints whose entry says that they are leaving. */
-uint32_t endpoint_set_count_leaving(const endpoint_set_t *);
-/** Number of endpoints that said in a response that they leave. */
-uint32_t endpoint_set_count_draining(const endpoint_set_t *);
-/** Number of endpoints that want no requests of this daemon for a while. */
-uint32_t endpoint_set_count_backing_off(const endpoint_set_t *);
-/** Number of endpoints with a rate limit in force. */
-uint32_t endpoint_set_count_rate_limited(const endpoint_set_t *);
+/** Counts the endpoints by what is in force for them. */
+endpoint_counts_t endpoint_set_count(const endpoint_set_t *);
 
 /** @return false: out of memory */
 bool endpoint_group_add(endpoint_group_t *, endpoint_t *);
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -143,48 +143,19 @@
 	return endpoint;
 }
 
-uint32_t
-endpoint_set_count_leaving(const endpoint_set_t *set)
+endpoint_counts_t
+endpoint_set_count(const endpoint_set_t *set)
 {
-	uint32_t count = 0;
+	endpoint_counts_t counts = {0};
 
 	for (const endpoint_t *endpoint = set->endpoints; endpoint != NULL;
-	     endpoint = endpoint->hh.next)
-		count += endpoint->info.leaving;
-	return count;
-}
-
-uint32_t
-endpoint_set_count_draining(const endpoint_set_t *set)
-{
-	uint32_t count = 0;
-
-	for (const endpoint_t *endpoint = set->endpoints; endpoint != NULL;
-	     endpoint = endpoint->hh.next)
-		count += endpoint->restrictions.draining;
-	return count;
-}
-
-uint32_t
-endpoint_set_count_backing_off(const endpoint_set_t *set)
-{
-	uint32_t count = 0;
-
-	for (const endpoint_t *endpoint = set->endpoints; endpoint != NULL;
-	     endpoint = endpoint->hh.next)
-		count += endpoint_backoff_ms(endpoint) > 0;
-	return count;
-}
-
-uint32_t
-endpoint_set_count_rate_limited(const endpoint_set_t *set)
-{
-	uint32_t count = 0;
-
-	for (const endpoint_t *endpoint = set->endpoints; endpoint != NULL;
-	     endpoint = endpoint->hh.next)
-		count += endpoint->restrictions.rate_limited;
-	return count;
+	     endpoint = endpoint->hh.next) {
+		counts.leaving += endpoint->info.leaving;
+		counts.draining += endpoint->restrictions.draining;
+		counts.backing_off += endpoint_backoff_ms(endpoint) > 0;
+		counts.rate_limited += endpoint->restrictions.rate_limited;
+	}
+	return counts;
 }
 
 bool
