relay: count responses whose notices can't be read

A rate limit, drain notice or time to retry after in another form than a number was ignored in silence: operators could not tell an endpoint that says nothing from one that says it wrongly. unreadable_notices_total counts such responses; they change nothing, as before. unit_notice_headers wants the flag for each of 14 malformed limits, and none for a proper one. Comments of the types say what they are in fewer words.

--- a/include/moortack/relay/dialect.h
+++ b/include/moortack/relay/dialect.h
@@ -76,7 +76,7 @@
 	int confidence; /**< of the model in its response, 0 to 100; -1: none */
 	int64_t idle_max_ms;	  /**< keep-alive time; 0: not given */
 	bool closes_connection;	  /**< after this response */
-	endpoint_notice_t notice; /**< what it asks of its callers */
+	endpoint_notice_t notice; /**< its restrictions */
 } endpoint_response_t;
 
 /** Decodes the messages of callers. */
--- a/include/moortack/relay/endpoint_restrictions.h
+++ b/include/moortack/relay/endpoint_restrictions.h
@@ -1,7 +1,7 @@
 /**
  * @file
- * What an endpoint asks of its callers in the headers of its responses, and
- * what of it is in force. It knows no I/O and no clock.
+ * Rate limits, drain notices and back-offs that an endpoint sends in the
+ * headers of its responses, and which of them are in force. No I/O, no clock.
  */
 #ifndef MOORTACK_RELAY_ENDPOINT_RESTRICTIONS_H
 #define MOORTACK_RELAY_ENDPOINT_RESTRICTIONS_H
@@ -13,14 +13,14 @@
 /** Requests a second are counted in thousandths. */
 #define RATE_MILLI 1000
 
-/** What a response says about the rate of requests. */
+/** The rate limit in a response. */
 typedef enum rate_notice {
 	RATE_NOT_LIMITED,
 	RATE_LIMITED,
 	RATE_UNREADABLE, /**< a limit is named, but not by a number */
 } rate_notice_t;
 
-/** What an endpoint says in one response. */
+/** The restrictions in one response. */
 typedef struct endpoint_notice {
 	bool draining; /**< it leaves, and takes no new requests */
 	rate_notice_t rate;
@@ -28,9 +28,10 @@
 			       if limited */
 	int64_t backoff_ms; /**< for how long it wants no requests of this
 			       daemon; 0: not said */
+	bool unreadable; /**< a header is not in the form that it has to be */
 } endpoint_notice_t;
 
-/** What is in force. */
+/** The restrictions in force. */
 typedef struct endpoint_restrictions {
 	bool draining; /**< until the endpoint ends */
 	bool rate_limited;
@@ -69,12 +70,12 @@
 	struct timespec now;
 } notice_context_t;
 
-/** Apply what a response of the endpoint says.
+/** Apply the restrictions in a response.
  * @return flags of restriction_change_t */
 unsigned int endpoint_restrictions_apply(endpoint_restrictions_t *,
     const endpoint_notice_t *, const notice_context_t *);
 
-/** What another daemon learned of an endpoint's rate limit. */
+/** A change of an endpoint's rate limit, reported by another daemon. */
 typedef struct rate_report {
 	bool limited;
 	int64_t rate_milli;
--- a/include/moortack/relay/relay_stats.h
+++ b/include/moortack/relay/relay_stats.h
@@ -42,6 +42,7 @@
 	STAT_RATE_LIMITED_SENDS,
 	STAT_RATE_LIMITED_PASSED_OVER,
 	STAT_BACKOFF_PASSED_OVER,
+	STAT_UNREADABLE_NOTICES,
 	RELAY_COUNTERS /* number of counters */
 } relay_counter_t;
 
--- a/moortack/relay/relay_notice.c
+++ b/moortack/relay/relay_notice.c
@@ -119,6 +119,8 @@
 	/* Another endpoint has responded at the address. */
 	if (attempt->response.wrong_endpoint)
 		return;
+	if (attempt->response.notice.unreadable)
+		stats_add(&req->relay->stats, STAT_UNREADABLE_NOTICES, 1);
 	changes = endpoint_restrictions_apply(
 	    &endpoint->restrictions, &attempt->response.notice, &context);
 	if ((changes & RATE_CHANGES) != 0) {
--- a/moortack/relay/relay_stats.c
+++ b/moortack/relay/relay_stats.c
@@ -38,6 +38,8 @@
 	"Attempts for which endpoints with a rate limit were left out."},
     {"backoff_passed_over",
 	"Attempts for which endpoints that want nothing were left out."},
+    {"unreadable_notices",
+	"Responses whose rate limit, drain notice or back-off is malformed."},
 };
 
 /* Upper bounds in milliseconds, around the users' objectives of 100 to 3,000.
--- a/test/platform/notice_headers_test.c
+++ b/test/platform/notice_headers_test.c
@@ -78,8 +78,11 @@
 	    "1,9", "1.9/s", "1.", ".5", " 1", "1.9 ", "1.2.3"};
 
 	(void)state;
-	for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++)
+	for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
 		assert_int_equal(rate_of(odd[i]).rate, RATE_UNREADABLE);
+		assert_true(rate_of(odd[i]).unreadable);
+	}
+	assert_false(rate_of("1.9").unreadable);
 }
 
 static void
