--- a/soak/notices.lua
+++ b/soak/notices.lua
@@ -1,6 +1,5 @@
--- What replicas said in their responses, and whether the daemons obeyed: the users'
--- rules on rate limits, leaving endpoints and back-offs, checked after the run on
--- the requests that reached each replica.
+-- Checks after the run that the daemons obeyed rate limits, drain notices and
+-- back-offs in the responses of replicas, on the requests that reached each replica.
 local lib = require("lib")
 local notices = {}
 
--- a/test/fuzz/rate_limit_fuzz.c
+++ b/test/fuzz/rate_limit_fuzz.c
@@ -324,7 +324,7 @@
 	}
 }
 
-/* What the daemon has just learned from a response. */
+/* Reports the change that a response has just made. */
 static void
 change_report(const daemon_t *daemon, size_t number, const endpoint_t *endpoint)
 {
@@ -425,7 +425,7 @@
 		exchange->delivered_ms = NEVER;
 }
 
-/* What exceeds the share has to be stopped once its connection is up. */
+/* Requests beyond the share have to be stopped once their connection is up. */
 static void
 daemon_send(size_t number)
 {
--- a/test/unit/endpoint_restrictions_test.c
+++ b/test/unit/endpoint_restrictions_test.c
@@ -1,7 +1,7 @@
 /**
  * @file
- * What endpoints ask of their callers: which response ends or replaces a rate
- * limit, and how many requests a limit allows in each second.
+ * Restrictions of endpoints: the responses that end or replace a rate limit,
+ * and the number of requests that a limit allows in each second.
  */
 #include <setjmp.h>
 #include <stdarg.h>
