--- a/test/platform/back_off_ignored.lua
+++ b/test/platform/back_off_ignored.lua
@@ -16,7 +16,7 @@
 local n, senders = 0, {}
 -- Sends requests of all kinds to all daemons for a time, and counts responses.
 local function send_load(ms)
-  local calls, counts = {}, {served = 0, refused = 0, other = 0, back_s = {}}
+  local calls = {}
   local finish = run.now() + ms
   while run.now() < finish do
     for i = 1, DAEMONS do
@@ -29,19 +29,7 @@
     end
     run.sleep(30)
   end
-  for _, call in ipairs(calls) do
-    local answer = call:finish()
-    local back_s = tonumber(answer.headers["Retry-After"])
-    if answer.status == 200 then
-      counts.served = counts.served + 1
-    elseif answer.status == 503 and back_s then
-      counts.refused = counts.refused + 1
-      counts.back_s[#counts.back_s + 1] = back_s
-    else
-      counts.other = counts.other + 1
-    end
-  end
-  return counts
+  return words.tally(calls)
 end
 
 -- The most requests of one daemon that reached a replica within a back-off that it
@@ -75,12 +63,7 @@
 local function wait_known(count)
   lib.wait_until("the daemons know the back-offs", function()
     send_load(60)
-    for _, daemon in ipairs(w.daemons) do
-      if words.metric(daemon, "endpoints_backing_off") ~= count then
-        return false
-      end
-    end
-    return true
+    return w:all_show("endpoints_backing_off", count)
   end)
 end
 
--- a/test/platform/cold_endpoints.lua
+++ b/test/platform/cold_endpoints.lua
@@ -12,10 +12,7 @@
 local w = words.world(REPLICAS, DAEMONS, 5,
   {warmup_s = COLD_MS / 1000, warmup_per_s = PER_S})
 lib.wait_until("the daemons know of each other", function()
-  for _, daemon in ipairs(w.daemons) do
-    if words.metric(daemon, "entries") ~= DAEMONS then return false end
-  end
-  return true
+  return w:all_show("entries", DAEMONS)
 end)
 
 local function cold_peak(i)
@@ -25,7 +22,7 @@
 -- Send requests with a shared prompt prefix to all daemons for a time, and count
 -- the responses.
 local function send_load(ms)
-  local calls, counts = {}, {served = 0, refused = 0, other = 0}
+  local calls = {}
   local finish, n = run.now() + ms, 0
   while run.now() < finish do
     for i = 1, DAEMONS do
@@ -35,17 +32,7 @@
     end
     run.sleep(60)
   end
-  for _, call in ipairs(calls) do
-    local answer = call:finish()
-    if answer.status == 200 then
-      counts.served = counts.served + 1
-    elseif answer.status == 503 and answer.headers["Retry-After"] then
-      counts.refused = counts.refused + 1
-    else
-      counts.other = counts.other + 1
-    end
-  end
-  return counts
+  return words.tally(calls)
 end
 
 local function wait_cold_known(count)
--- a/test/platform/leaving_endpoint_gets_requests.lua
+++ b/test/platform/leaving_endpoint_gets_requests.lua
@@ -36,10 +36,7 @@
 local function draining_known(paths)
   lib.wait_until("the daemons know that it leaves", function()
     send_load(40, paths)
-    for _, daemon in ipairs(w.daemons) do
-      if words.metric(daemon, "endpoints_draining") ~= 1 then return false end
-    end
-    return true
+    return w:all_show("endpoints_draining", 1)
   end)
 end
 
@@ -64,17 +61,11 @@
 check_no_requests("whose entry says that it is ready", ALL, 0)
 w:put("servers", w.replicas[1].id, nil)
 lib.wait_until("its entry is removed", function()
-  for _, daemon in ipairs(w.daemons) do
-    if words.metric(daemon, "endpoints") ~= REPLICAS - 1 then return false end
-  end
-  return true
+  return w:all_show("endpoints", REPLICAS - 1)
 end)
 w:replica(1)
 lib.wait_until("its entry is back", function()
-  for _, daemon in ipairs(w.daemons) do
-    if words.metric(daemon, "endpoints") ~= REPLICAS then return false end
-  end
-  return true
+  return w:all_show("endpoints", REPLICAS)
 end)
 check_no_requests("whose entry was removed and came back", ALL, 0)
 
--- a/test/platform/rate_limit_exceeded.lua
+++ b/test/platform/rate_limit_exceeded.lua
@@ -14,7 +14,7 @@
 local n = 0
 -- Sends requests of all kinds to all daemons for a time, and counts responses.
 local function send_load(ms)
-  local calls, counts = {}, {served = 0, refused = 0, other = 0}
+  local calls = {}
   local finish = run.now() + ms
   while run.now() < finish do
     for i = 1, DAEMONS do
@@ -25,29 +25,13 @@
     end
     run.sleep(60)
   end
-  for _, call in ipairs(calls) do
-    local answer = call:finish()
-    local back_s = tonumber(answer.headers["Retry-After"])
-    if answer.status == 200 then
-      counts.served = counts.served + 1
-    elseif answer.status == 503 and back_s and back_s > 0 then
-      counts.refused = counts.refused + 1
-    else
-      counts.other = counts.other + 1
-    end
-  end
-  return counts
+  return words.tally(calls)
 end
 
 local function wait_limited(count)
   lib.wait_until("the daemons know the rate limits", function()
     send_load(50)
-    for _, daemon in ipairs(w.daemons) do
-      if words.metric(daemon, "endpoints_rate_limited") ~= count then
-        return false
-      end
-    end
-    return true
+    return w:all_show("endpoints_rate_limited", count)
   end, 30000)
   run.sleep(500)
 end
--- a/test/platform/rate_limit_reported.lua
+++ b/test/platform/rate_limit_reported.lua
@@ -9,10 +9,7 @@
 local REACHED = 8
 local w = words.world(REPLICAS, DAEMONS)
 lib.wait_until("the daemons know of each other", function()
-  for _, daemon in ipairs(w.daemons) do
-    if words.metric(daemon, "entries") ~= DAEMONS then return false end
-  end
-  return true
+  return w:all_show("entries", DAEMONS)
 end)
 
 local function knowing(count)
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -434,6 +434,33 @@
     name:gsub("%p", "%%%0") .. " ([%d.e+-]+)"))
 end
 
+-- Whether a metric has this value at every daemon.
+function World:all_show(name, value)
+  for _, daemon in ipairs(self.daemons) do
+    if words.metric(daemon, name) ~= value then return false end
+  end
+  return true
+end
+
+-- Waits for the responses to calls, and counts those that were served, refused with
+-- a time to come back (listed in back_s), or neither.
+function words.tally(calls)
+  local counts = {served = 0, refused = 0, other = 0, back_s = {}}
+  for _, call in ipairs(calls) do
+    local answer = call:finish()
+    local back_s = tonumber(answer.headers["Retry-After"])
+    if answer.status == 200 then
+      counts.served = counts.served + 1
+    elseif answer.status == 503 and back_s and back_s > 0 then
+      counts.refused = counts.refused + 1
+      table.insert(counts.back_s, back_s)
+    else
+      counts.other = counts.other + 1
+    end
+  end
+  return counts
+end
+
 -- The text of a request without a key, to be sent over a plain connection.
 function words.bare_request(path, id)
   return string.format("GET %s HTTP/1.1\r\nHost: a.example\r\n" ..
