test: prompts with several prefixes in cold_endpoints

Traced by the attempt lines: all prompts share one prefix, all of them went to the two warm endpoints that had it cached (of=3, told=3), and no rule wants a request at the cold one.

Checks and bounds are the same.

--- a/test/platform/cold_endpoints.lua
+++ b/test/platform/cold_endpoints.lua
@@ -7,6 +7,7 @@
 local lib = words.lib
 local DAEMONS, REPLICAS = 11, 4
 local COLD_MS = 4000
+local SUBJECTS = 16
 -- LIMIT is PER_S with an overshoot of 1.5 and a tolerance of 5.
 local PER_S, LIMIT = 8, 17
 local w = words.world(REPLICAS, DAEMONS, 5,
@@ -19,8 +20,8 @@
   return lib.http("GET", w.replicas[i].address, "/runs").json.cold_peak
 end
 
--- Send requests with a shared prompt prefix to all daemons for a time, and count
--- the responses.
+-- Send requests with shared prompt prefixes to all daemons for a time, and count the
+-- responses. With several prefixes each endpoint is preferred for some.
 local function send_load(ms)
   local calls = {}
   local finish, n = run.now() + ms, 0
@@ -28,7 +29,7 @@
     for i = 1, DAEMONS do
       n = n + 1
       calls[#calls + 1] = words.begin(w.daemons[i], "/stream/a",
-        {headers = words.prompt(1, n)})
+        {headers = words.prompt(n % SUBJECTS, n)})
     end
     run.sleep(60)
   end
