--- a/moortack/relay/rollouts.c
+++ b/moortack/relay/rollouts.c
@@ -114,12 +114,6 @@
 	    rollout_share_includes(share, hash);
 }
 
-bool
-rollout_is_new_version(const rollout_t *rollout, const endpoint_t *endpoint)
-{
-	return strcmp(rollout->order.to_version, endpoint->info.version) == 0;
-}
-
 bool
 rollout_is_saturating(const rollout_t *rollout)
 {
@@ -134,31 +128,6 @@
 	return current_state(rollout) != ROLLOUT_COMPLETED;
 }
 
-const char *
-rollout_base_version(const rollout_t *rollout)
-{
-	const rollouts_t *self = rollout->owner;
-
-	if (rollout->state_order == 0)
-		return self->group_base_version != NULL
-		    ? self->group_base_version(
-			  self->relay, rollout->order.service)
-		    : "";
-	if (rollout->state_order < rollout->order.number &&
-	    rollout->state == ROLLOUT_COMPLETED)
-		return rollout->state_to_version;
-	return rollout->state_base_version;
-}
-
-bool
-rollout_is_reverted_version(
-    const rollout_t *rollout, const endpoint_t *endpoint)
-{
-	return rollout->state_order < rollout->order.number &&
-	    rollout->state == ROLLOUT_REVERTED &&
-	    strcmp(rollout->state_to_version, endpoint->info.version) == 0;
-}
-
 static void
 order_put_in_force(rollout_t *rollout, const rollout_order_t *order)
 {
