reach, relay: log and count services whose endpoints can't be reached

Callers of VMs that were cut off from all endpoints were refused. The log had a line for each endpoint that could not be connected to, but none that tells lost links of the daemon from endpoints that are down.

Added: endpoints_unreachable once no connection could be opened to three endpoints of a service (all, if it has fewer) and none was opened in between, endpoints_reachable when one is, both with the age of the last new connection, of the last response over any connection and of the endpoints' rows, and the gauge services_unreachable. A response over a connection that was open before says nothing about new ones, so it does not end the state. No decision depends on it yet.

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -12,6 +12,7 @@
 
 #include "common/clock_source.h"
 #include "common/http_outbound.h"
+#include "moortack/reach/reach.h"
 #include "moortack/relay/endpoint_restrictions.h"
 #include "moortack/relay/prefill_queue.h"
 #include "moortack/relay/restriction_memory.h"
@@ -130,6 +131,7 @@
 				  seconds */
 	char base_version[ENDPOINT_NAME_SIZE]; /**< version that most endpoints
 						  have; "": not known yet */
+	reach_t reach; /**< this daemon's links to them */
 	UT_hash_handle hh;
 };
 
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -162,6 +162,9 @@
  * argument is a relay_t. */
 extern const gossip_ops_t relay_gossip_ops;
 
+/** Number of services whose endpoints this daemon can't reach. */
+uint32_t relay_unreachable_services(const relay_t *);
+
 /** Number of cold endpoints. */
 uint32_t relay_cold_endpoints(const relay_t *);
 
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -406,6 +406,7 @@
 	case ATTEMPT_NOT_SENT:
 		req->connects_failed++;
 		stats_add(stats, STAT_CONNECTS_FAILED, 1);
+		relay_reach_failure(req);
 		relay_warmup_connect_failed(req);
 		if (!req->attempt.connection_refused) {
 			endpoint_record_failure(endpoint);
@@ -423,8 +424,11 @@
 		stats_add(stats, STAT_BROKEN, 1);
 		endpoint_record_failure(endpoint);
 		relay_canary_defer_failure(req);
-		if (req->attempt.connection_lost)
-			relay_attempt_connection_lost(req);
+		if (!req->attempt.connection_lost)
+			break;
+		if (!req->attempt.reused && !req->attempt.head_received)
+			relay_reach_failure(req);
+		relay_attempt_connection_lost(req);
 		break;
 	case ATTEMPT_FAILED:
 		relay_attempt_completed(req);
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -291,6 +291,12 @@
  * @return whether it was news */
 bool relay_rate_limit_receive(void *relay, const gossip_message_t *);
 
+/** The head of the attempt's response was received. */
+void relay_reach_response(const relay_request_t *);
+/** No connection to the attempt's endpoint could be opened, or a new one was
+ * closed before any byte of a response. */
+void relay_reach_failure(const relay_request_t *);
+
 /** The endpoint has sent a complete response. */
 void attempt_succeeded(relay_request_t *);
 /** Forward a response that was buffered completely, and end the request. */
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -116,6 +116,7 @@
 	}
 	attempt->head_received = true;
 	attempt_bytes_received(req);
+	relay_reach_response(req);
 	prefill_queue_complete(&attempt->endpoint->prefill_queue,
 	    &attempt->prefill_entry,
 	    (double)timespec_to_ms(clock_boottime(req->relay->clock)));
