--- a/common/http_outbound.c
+++ b/common/http_outbound.c
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
@@ -217,24 +218,42 @@
 	http_outbound_set_silence_timeout(conn, silence_timeout_ms);
 }
 
+/* @param source NULL: the system chooses the local address
+ * @return -1: no socket could be created, or bound to the address */
+static evutil_socket_t
+socket_create(const char *source)
+{
+	evutil_socket_t fd =
+	    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	struct sockaddr_in local = {.sin_family = AF_INET};
+
+	if (fd < 0 || source == NULL)
+		return fd;
+	if (inet_pton(AF_INET, source, &local.sin_addr) == 1 &&
+	    bind(fd, (struct sockaddr *)&local, sizeof(local)) == 0)
+		return fd;
+	evutil_closesocket(fd);
+	return -1;
+}
+
 http_outbound_t *
 http_outbound_new(struct event_base *base, const http_address_t *address,
-    int64_t connect_timeout_ms, int64_t silence_timeout_ms)
+    const char *source, int64_t connect_timeout_ms, int64_t silence_timeout_ms)
 {
 	http_outbound_t *conn = calloc(1, sizeof(*conn));
 	struct timeval limit = {connect_timeout_ms / MS_PER_SEC,
 	    connect_timeout_ms % MS_PER_SEC * US_PER_MS};
 	struct sockaddr_in server = {
 	    .sin_family = AF_INET, .sin_port = htons(address->port)};
-
-	if (conn == NULL)
-		return NULL;
-	conn->bev = bufferevent_socket_new(
-	    base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-	if (conn->bev == NULL ||
-	    inet_pton(AF_INET, address->host, &server.sin_addr) != 1) {
-		if (conn->bev != NULL)
-			bufferevent_free(conn->bev);
+	evutil_socket_t fd = socket_create(source);
+
+	if (conn != NULL && fd >= 0 &&
+	    inet_pton(AF_INET, address->host, &server.sin_addr) == 1)
+		conn->bev = bufferevent_socket_new(
+		    base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	if (conn == NULL || conn->bev == NULL) {
+		if (fd >= 0)
+			evutil_closesocket(fd);
 		free(conn);
 		return NULL;
 	}
--- a/include/common/http_outbound.h
+++ b/include/common/http_outbound.h
@@ -46,11 +46,12 @@
 typedef void (*http_outbound_idle_closed_t)(void *arg, http_outbound_t *);
 
 /** Start to connect.
+ * @param source local IP address; NULL: the system chooses it
  * @param silence_timeout_ms how long the peer may be silent, while sent bytes
  * are unacknowledged or the connection is idle, before the connection fails
  * @return NULL if no socket could be created */
 http_outbound_t *http_outbound_new(struct event_base *, const http_address_t *,
-    int64_t connect_timeout_ms, int64_t silence_timeout_ms);
+    const char *source, int64_t connect_timeout_ms, int64_t silence_timeout_ms);
 
 /** Change how long sent bytes may be unacknowledged. */
 void http_outbound_set_silence_timeout(
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -6,6 +6,7 @@
 #ifndef MOORTACK_RELAY_ENDPOINT_SET_H
 #define MOORTACK_RELAY_ENDPOINT_SET_H
 
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <uthash.h>
@@ -144,6 +145,8 @@
 	size_t earlier_entries; /**< number of endpoints with an entry of an
 				   earlier incarnation */
 	restriction_memory_t removed_restrictions; /**< of removed endpoints */
+	char source_address[INET_ADDRSTRLEN]; /**< of connections to endpoints;
+						 "": the system chooses */
 };
 
 /** Endpoints by what is in force for them. */
@@ -216,6 +219,10 @@
 endpoint_t *endpoint_hold(endpoint_t *);
 void endpoint_release(endpoint_t *);
 
+/** Starts to connect to the endpoint; see http_outbound_new(). The caller owns
+ * the connection. */
+http_outbound_t *endpoint_connect(const endpoint_t *, struct event_base *,
+    int64_t connect_timeout_ms, int64_t silence_timeout_ms);
 /** Takes a connection out of the pool that has been idle for less than its
  * limit and @p max_ms, or NULL; the caller owns it. */
 http_outbound_t *endpoint_take_connection(endpoint_t *, int64_t max_ms);
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -84,6 +84,8 @@
 	int64_t down_listed_max_ms; /**< callers may be sent to a daemon that is
 				       down for this long */
 	duties_settings_t duties;   /**< vm and process are filled in */
+	char source_address[INET_ADDRSTRLEN]; /**< of connections to endpoints;
+						 "": the system chooses */
 	double log_lines_per_s;
 	bool bootstrap; /**< no daemon of the fleet has ever run */
 } relay_node_settings_t;
--- a/moortack/relay/crash_probe.c
+++ b/moortack/relay/crash_probe.c
@@ -73,9 +73,8 @@
 	(void)fd;
 	(void)what;
 	probe->attempts++;
-	probe->conn =
-	    http_outbound_new(probe->base, &probe->endpoint->info.address,
-		CONNECT_TIMEOUT_MS, SILENCE_TIMEOUT_MS);
+	probe->conn = endpoint_connect(probe->endpoint, probe->base,
+	    CONNECT_TIMEOUT_MS, SILENCE_TIMEOUT_MS);
 	if (probe->conn == NULL || empty == NULL)
 		probe_end(probe);
 	else
--- a/moortack/relay/endpoint_links.c
+++ b/moortack/relay/endpoint_links.c
@@ -2,6 +2,17 @@
 
 #include "moortack/relay/endpoint_set.h"
 
+http_outbound_t *
+endpoint_connect(const endpoint_t *endpoint, struct event_base *base,
+    int64_t connect_timeout_ms, int64_t silence_timeout_ms)
+{
+	const char *source = endpoint->set->source_address;
+
+	return http_outbound_new(base, &endpoint->info.address,
+	    source[0] != '\0' ? source : NULL, connect_timeout_ms,
+	    silence_timeout_ms);
+}
+
 void
 endpoint_close_idle(endpoint_t *endpoint)
 {
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -162,9 +162,8 @@
 			: relay->bounds.silence_timeout_ms);
 	if (attempt->conn == NULL) {
 		stats_add(&relay->stats, STAT_CONNECTIONS, 1);
-		attempt->conn =
-		    http_outbound_new(relay->base, &endpoint->info.address,
-			CONNECT_TIMEOUT_MS, relay->bounds.silence_timeout_ms);
+		attempt->conn = endpoint_connect(endpoint, relay->base,
+		    CONNECT_TIMEOUT_MS, relay->bounds.silence_timeout_ms);
 		if (attempt->conn == NULL)
 			return false;
 		endpoint->connections++;
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -365,6 +365,7 @@
 	snprintf(member.zone, sizeof(member.zone), "%s", node->settings.zone);
 	strcpy(member.peer_address, node->settings.peer_address);
 	endpoint_set_init(&node->endpoints, ports->clock);
+	strcpy(node->endpoints.source_address, node->settings.source_address);
 	if (!zone_regions_apply(node, &node->settings))
 		return err_set(
 		    err, ERR_SETTING, "cannot set the region of a zone");
--- a/test/unit/http_outbound_test.c
+++ b/test/unit/http_outbound_test.c
@@ -107,7 +107,7 @@
 	getsockname(listener, (struct sockaddr *)&at, &len);
 	address.port = ntohs(at.sin_port);
 	*owner = (owner_t){.wanted = wanted};
-	owner->conn = http_outbound_new(base, &address, 1000, 2000);
+	owner->conn = http_outbound_new(base, &address, NULL, 1000, 2000);
 	evbuffer_add(head, "GET / HTTP/1.1\r\n\r\n", 18);
 	http_outbound_send(owner->conn, &ops, owner, head, NULL, false);
 	event_base_loopexit(base, &limit);
@@ -169,7 +169,7 @@
 	getsockname(listener, (struct sockaddr *)&at, &len);
 	address.port = ntohs(at.sin_port);
 	owner->conn =
-	    http_outbound_new(base, &address, connect_timeout_ms, 60000);
+	    http_outbound_new(base, &address, NULL, connect_timeout_ms, 60000);
 	http_outbound_set_silence_timeout(owner->conn, silence_timeout_ms);
 	evbuffer_add_printf(
 	    head, "PUT / HTTP/1.1\r\nContent-Length: %u\r\n\r\n", BODY_LEN);
@@ -225,7 +225,7 @@
 	assert_int_equal(bind(closed, (struct sockaddr *)&at, len), 0);
 	getsockname(closed, (struct sockaddr *)&at, &len);
 	address.port = ntohs(at.sin_port);
-	owner.conn = http_outbound_new(base, &address, 1000, 2000);
+	owner.conn = http_outbound_new(base, &address, NULL, 1000, 2000);
 	evbuffer_add(head, "GET / HTTP/1.1\r\n\r\n", 18);
 	http_outbound_send(owner.conn, &ops, &owner, head, NULL, false);
 	event_base_dispatch(base);
