test: callers of VMs that have lost their links to all endpoints

The relay before each replica drops the packets of chosen daemons (a socket filter on its listening socket and connections, so that connections hang as they do behind a partition), or resets their new connections while open ones work.

--- a/standin/relay.c
+++ b/standin/relay.c
@@ -6,11 +6,17 @@
  * directions; "silent" makes the connections that are open now discard all
  * further bytes without a reset, while new ones work; "reset" resets the open
  * ones; "delay_ms" delays bytes, and "one_way" discards those from the target.
+ *
+ * "lost" lists source IPs whose packets are dropped, so that new connections
+ * hang, and open ones fall silent in both directions; "lost_one_way" the same
+ * without the other direction; "refused" those whose new connections are reset,
+ * while open ones work.
  */
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <linux/filter.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,6 +27,9 @@
 
 #define SIDES 2
 #define IP_SIZE 46
+/* Offset of the source address in an IPv4 header. */
+#define IP_SOURCE_OFF 12
+#define FILTER_SOURCES_MAX 64
 #define RELAY_PORT_OFFSET 1
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
@@ -84,6 +93,7 @@
 
 	return pair->silent ||
 	    source_listed(pair->relay, "stall", pair->source) ||
+	    source_listed(pair->relay, "lost", pair->source) ||
 	    (from == 1 && json_is_true(json_object_get(faults, "one_way")));
 }
 
@@ -154,6 +164,61 @@
 	bufferevent_setcb(other, NULL, side_flushed, side_event, pair);
 }
 
+/* A filter that drops the packets of the sources in both lists. Connections
+ * inherit that of the listening socket when they are accepted. */
+static void
+packet_filter_set(const json_t *faults, evutil_socket_t fd)
+{
+	static const char *const lists[] = {"lost", "lost_one_way"};
+	struct sock_filter code[FILTER_SOURCES_MAX * 2 + 2];
+	struct sock_fprog program = {.filter = code};
+
+	/* The source address in the IP header. */
+	code[program.len++] = (struct sock_filter)BPF_STMT(
+	    BPF_LD | BPF_W | BPF_ABS, (uint32_t)(SKF_NET_OFF + IP_SOURCE_OFF));
+	for (size_t list = 0; list < 2; list++) {
+		json_t *item;
+		size_t i;
+
+		json_array_foreach(
+		    json_object_get(faults, lists[list]), i, item)
+		{
+			struct in_addr ip;
+
+			if (i >= FILTER_SOURCES_MAX / 2 ||
+			    inet_pton(AF_INET, json_string_value(item), &ip) !=
+				1)
+				continue;
+			code[program.len++] = (struct sock_filter)BPF_JUMP(
+			    BPF_JMP | BPF_JEQ | BPF_K, ntohl(ip.s_addr), 0, 1);
+			code[program.len++] =
+			    (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, 0);
+		}
+	}
+	code[program.len++] =
+	    (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, UINT32_MAX);
+	setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
+static void
+packet_filters_set(const relay_t *relay, const json_t *faults)
+{
+	if (relay->listener != NULL)
+		packet_filter_set(
+		    faults, evconnlistener_get_fd(relay->listener));
+	for (const pair_t *pair = relay->pairs; pair != NULL; pair = pair->next)
+		packet_filter_set(faults, bufferevent_getfd(pair->sides[0]));
+}
+
+static void
+connection_reset(evutil_socket_t fd)
+{
+	static const struct linger at_once = {1, 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+	evutil_closesocket(fd);
+}
+
 static void
 connection_accept(struct evconnlistener *listener, evutil_socket_t fd,
     struct sockaddr *address, int len, void *arg)
@@ -170,6 +235,11 @@
 		evutil_closesocket(fd);
 		return;
 	}
+	if (source_listed(relay, "refused", pair->source)) {
+		free(pair);
+		connection_reset(fd);
+		return;
+	}
 	pair->relay = relay;
 	pair->next = relay->pairs;
 	relay->pairs = pair;
@@ -257,6 +327,7 @@
 		connections_reset(relay);
 	if (relay->listener == NULL)
 		relay_listen(relay);
+	packet_filters_set(relay, body);
 }
 
 static void
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -97,7 +97,7 @@
     self.replicas[i] = replica
     lib.fault(replica.address, {id = replica.id})
   end
-  self:put("servers", replica.id, {service = "lm",
+  self:put("servers", replica.id, {service = replica.service or "lm",
     address = replica.link or replica.address, zone = replica.zone or "a",
     version = version or "v1", batch_slots = 8, state = state or "ready",
     sequence = 1, warmup_left_ms = replica.warmup_left_ms,
@@ -248,6 +248,21 @@
     {target = replica.address, silent = true})
 end
 
+-- Changes the links between some daemons, by number, and all replicas, or those
+-- of one service: "lost", "lost_one_way" or "refused", see standin/relay.c; nil:
+-- they are sound. The world needs own_sources, the replicas a link.
+function World:links(daemons, how, service)
+  local ips = {}
+  for _, i in ipairs(daemons) do ips[#ips + 1] = network .. i end
+  for _, replica in ipairs(self.replicas) do
+    if not service or (replica.service or "lm") == service then
+      local faults = {target = replica.address}
+      if how then faults[how] = ips end
+      lib.fault(replica.relay.address, faults)
+    end
+  end
+end
+
 function World:faults(i, faults)
   faults.id = self.replicas[i].id
   lib.fault(self.replicas[i].address, faults)
@@ -386,8 +401,12 @@
 -- Starts a daemon with the settings file at the path.
 function World:start(i, path)
   local ip = string.format("%s%d", network, i)
-  local daemon = lib.spawn("platform/moortack-edge", {},
-    {"MOORTACK_NODE_FILE=" .. path}, "daemon" .. i .. ".log")
+  local environment = {"MOORTACK_NODE_FILE=" .. path}
+  if self.own_sources then
+    environment[2] = "MOORTACK_SOURCE=" .. ip
+  end
+  local daemon = lib.spawn("platform/moortack-edge", {}, environment,
+    "daemon" .. i .. ".log")
   daemon.callers = ip .. ":8100"
   daemon.readiness = ip .. ":8101"
   daemon.directory = ip .. ":8102"
