--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -13,6 +13,7 @@
 
 #include "common/clock_source.h"
 #include "common/http_outbound.h"
+#include "moortack/reach/helpers.h"
 #include "moortack/reach/reach.h"
 #include "moortack/relay/endpoint_restrictions.h"
 #include "moortack/relay/prefill_queue.h"
@@ -132,7 +133,14 @@
 				  seconds */
 	char base_version[ENDPOINT_NAME_SIZE]; /**< version that most endpoints
 						  have; "": not known yet */
-	reach_t reach; /**< this daemon's links to them */
+	uint32_t service_hash;		/**< as other daemons are sent it */
+	reach_t reach;			/**< this daemon's links to them */
+	helpers_t helpers;		/**< used while the links are lost */
+	struct timespec reach_ask_at;	/**< next queries to other daemons */
+	struct timespec reach_probe_at; /**< next probes of endpoints */
+	int64_t reach_probe_ms;		/**< between two rounds of probes */
+	struct timespec
+	    reach_probed_at; /**< last probe for a query of another daemon */
 	UT_hash_handle hh;
 };
 
--- a/include/moortack/relay/gossip.h
+++ b/include/moortack/relay/gossip.h
@@ -34,6 +34,14 @@
 	/** Another daemon reports an endpoint's rate limit.
 	 * @return whether it was news, and has to be passed on */
 	bool (*on_rate_limit)(void *arg, const gossip_message_t *);
+	/** Another daemon asks whether this one reaches the endpoints of a
+	 * service: fill in the report.
+	 * @return false: it is not known, don't respond */
+	bool (*on_reach_query)(
+	    void *arg, const gossip_message_t *query, gossip_message_t *report);
+	/** The response to such a query of this daemon. */
+	void (*on_reach_report)(void *arg, const struct sockaddr_in *from,
+	    const gossip_message_t *);
 } gossip_ops_t;
 
 typedef struct gossip {
@@ -95,6 +103,12 @@
  * daemons, each of which passes it on if it is news there. Skipped if the send
  * budget is used up. */
 void gossip_spread(gossip_t *, const gossip_message_t *);
+/** Sends a message to one daemon. */
+void gossip_send_to(
+    gossip_t *, const struct sockaddr_in *, const gossip_message_t *);
+/** Sends a message to a few random daemons that serve. Finds them without
+ * looking at all members. */
+void gossip_send_to_some(gossip_t *, size_t count, const gossip_message_t *);
 /** Whether this daemon is the digest's owner: one of all that serve, by
  * rendezvous hashing. */
 bool gossip_owns_digest(const gossip_t *, uint64_t digest);
--- a/include/moortack/relay/gossip_message.h
+++ b/include/moortack/relay/gossip_message.h
@@ -28,6 +28,9 @@
 	GOSSIP_QUARANTINED, /**< the request is quarantined: it is refused */
 	GOSSIP_CLEARED,	    /**< the request ran without a crash */
 	GOSSIP_RATE_LIMIT,  /**< the endpoint has named a rate limit, or none */
+	GOSSIP_REACH_QUERY, /**< asks whether the daemon reaches the endpoints
+			       of a service */
+	GOSSIP_REACH_REPORT, /**< the response */
 	GOSSIP_KIND_COUNT
 } gossip_kind_t;
 
@@ -57,6 +60,11 @@
 	uint32_t quarantined_ms; /**< quarantined: for how long already */
 	bool rate_limited;	 /**< rate limit: there is one */
 	uint32_t rate_milli;	 /**< rate limit: requests in 1,000 s */
+	uint32_t service_hash;	 /**< reach query, report: of the service's name
+				  */
+	bool reaches;		 /**< reach report: see helper_report_t */
+	uint32_t contact_age_ms;
+	uint32_t load;
 	uint64_t noticed_ms; /**< rate limit: see rate_report_t; by the store's
 				clock */
 } gossip_message_t;
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -13,6 +13,7 @@
 #include "common/http_inbound.h"
 #include "common/rng.h"
 #include "moortack/duty/duties.h"
+#include "moortack/reach/forward_head.h"
 #include "moortack/relay/dialect.h"
 #include "moortack/relay/first_try.h"
 #include "moortack/relay/gossip.h"
@@ -47,6 +48,7 @@
 } relay_bounds_t;
 
 typedef struct relay_request relay_request_t;
+typedef struct reach_probe reach_probe_t;
 
 /** Statistics of one model of a service. */
 typedef struct service_model {
@@ -111,11 +113,19 @@
 	relay_quarantine_t quarantine;
 	warmup_daemons_t warmup_daemons;
 	rate_computations_t rate_computations;
+	reach_probe_t *reach_probes; /**< in progress, a linked list */
+	forward_key_t forward_key;
+	bool has_forward_key;
+	uint16_t forward_port; /**< at which daemons accept each other's
+				  requests; 0: none are sent on */
+	http_inbound_server_t *forward_server; /**< NULL: there is none */
 };
 
 /** Listen and initialise what the owner did not fill in.
+ * @param forward_listen where other daemons send requests on; port 0: nowhere
  * @return false with @p err set: cannot listen, or out of memory */
-bool relay_init(relay_t *, const http_address_t *listen, err_t *);
+bool relay_init(relay_t *, const http_address_t *listen,
+    const http_address_t *forward_listen, err_t *);
 /** Abort all requests and free what relay_init() allocated. */
 void relay_finish(relay_t *);
 
@@ -162,6 +172,15 @@
  * argument is a relay_t. */
 extern const gossip_ops_t relay_gossip_ops;
 
+/** The fleet's secret is known: requests may be sent on through other daemons,
+ * and accepted from them. */
+void relay_set_secret(relay_t *, const char *fleet_secret);
+
+/** Probe endpoints that can't be reached, ask other daemons whether they reach
+ * them, and give up what was sent on through a daemon that is silent; called a
+ * few times a second. */
+void relay_reach_tick(relay_t *);
+
 /** Number of services whose endpoints this daemon can't reach. */
 uint32_t relay_unreachable_services(const relay_t *);
 
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -59,7 +59,9 @@
 /** Settings; relay_node_reload() lists those that may change later. */
 typedef struct relay_node_settings {
 	http_address_t listen;
-	char name[MEMBER_NAME_SIZE]; /**< own address for callers */
+	http_address_t forward_listen; /**< where other daemons send requests
+					  on; port 0: nowhere */
+	char name[MEMBER_NAME_SIZE];   /**< own address for callers */
 	char zone[MEMBER_NAME_SIZE];
 	char peer_address[MEMBER_NAME_SIZE]; /**< own address for other daemons
 					      */
--- a/include/moortack/replication/membership.h
+++ b/include/moortack/replication/membership.h
@@ -218,6 +218,11 @@
  * isolated; takes the reference. */
 void membership_set_report(membership_t *, json_t *report);
 
+/** A random member, found without looking at all of them.
+ * @param random 64 random bits
+ * @return NULL: there is none */
+const member_t *membership_pick(const membership_t *, uint64_t random);
+
 /** Whether callers may be sent to the member. */
 bool member_is_available(const membership_t *, const member_t *);
 /** Whether the member may still have something in progress. */
--- a/include/moortack/wire/peer.pb-c.h
+++ b/include/moortack/wire/peer.pb-c.h
@@ -33,6 +33,7 @@
 typedef struct Wire__Ticket Wire__Ticket;
 typedef struct Wire__Envelope Wire__Envelope;
 typedef struct Wire__GossipMessage Wire__GossipMessage;
+typedef struct Wire__Forward Wire__Forward;
 
 
 /* --- enums --- */
@@ -459,7 +460,8 @@
    */
   uint32_t kind;
   /*
-   * 4: held, 5: cleared, 6: rate limit
+   * 4: held, 5: cleared, 6: rate limit,
+   * 7: reach query, 8: reach report
    */
   /*
    * of a query; its response repeats it
@@ -506,10 +508,55 @@
    * rate limit: when it was noticed, by the store's clock
    */
   uint64_t noticed_ms;
+  /*
+   * reach query, report: hash of the service's name
+   */
+  uint32_t service;
+  /*
+   * reach report: it had contact with an endpoint lately
+   */
+  protobuf_c_boolean reaches;
+  /*
+   * reach report: since then
+   */
+  uint32_t contact_ms;
+  /*
+   * reach report: requests in flight for each core
+   */
+  uint32_t busy;
 };
 #define WIRE__GOSSIP_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__gossip_message__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * The terms on which a request is sent on through another daemon; sealed in a
+ * header of the request.
+ */
+struct  Wire__Forward
+{
+  ProtobufCMessage base;
+  /*
+   * time left for the response
+   */
+  uint64_t remaining_ms;
+  /*
+   * since the caller's first try
+   */
+  uint64_t since_first_try_ms;
+  /*
+   * endpoints to which it may be sent
+   */
+  uint32_t sends;
+  /*
+   * in force at the sender
+   */
+  uint64_t config_version;
+};
+#define WIRE__FORWARD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__forward__descriptor) \
+    , 0, 0, 0, 0 }
 
 
 /* Wire__Standing methods */
@@ -854,6 +901,25 @@
 void   wire__gossip_message__free_unpacked
                      (Wire__GossipMessage *message,
                       ProtobufCAllocator *allocator);
+/* Wire__Forward methods */
+void   wire__forward__init
+                     (Wire__Forward         *message);
+size_t wire__forward__get_packed_size
+                     (const Wire__Forward   *message);
+size_t wire__forward__pack
+                     (const Wire__Forward   *message,
+                      uint8_t             *out);
+size_t wire__forward__pack_to_buffer
+                     (const Wire__Forward   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Forward *
+       wire__forward__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__forward__free_unpacked
+                     (Wire__Forward *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wire__Standing_Closure)
@@ -910,6 +976,9 @@
 typedef void (*Wire__GossipMessage_Closure)
                  (const Wire__GossipMessage *message,
                   void *closure_data);
+typedef void (*Wire__Forward_Closure)
+                 (const Wire__Forward *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -936,6 +1005,7 @@
 extern const ProtobufCMessageDescriptor wire__ticket__descriptor;
 extern const ProtobufCMessageDescriptor wire__envelope__descriptor;
 extern const ProtobufCMessageDescriptor wire__gossip_message__descriptor;
+extern const ProtobufCMessageDescriptor wire__forward__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/include/platform/node_file.h
+++ b/include/platform/node_file.h
@@ -31,6 +31,7 @@
 	http_address_t registry;   /**< listen.registry */
 	http_address_t metrics;	   /**< first of port_range */
 	http_address_t peers;	   /**< second of port_range */
+	http_address_t forward;	   /**< third of port_range */
 	http_address_t store;	   /**< platform.address */
 	char name[NODE_TEXT_SIZE]; /**< node_name */
 	http_address_t duty_api; /**< cloud_api.address; no host: there is none
--- a/moortack/relay/attempt_silence.c
+++ b/moortack/relay/attempt_silence.c
@@ -22,7 +22,7 @@
 	const endpoint_load_t *load = &attempt->endpoint->load;
 
 	return attempt->reused && req->route->kind == ROUTE_IDEMPOTENT &&
-	    req->sends < req->route->attempts_max && load->waiting == 0 &&
+	    req->sends < request_sends_max(req) && load->waiting == 0 &&
 	    (load->slots == 0 || load->running < load->slots);
 }
 
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -34,6 +34,7 @@
 	if (group == NULL)
 		return NULL;
 	strcpy(group->service, service);
+	group->service_hash = (uint32_t)XXH3_64bits(service, strlen(service));
 	HASH_ADD_STR(set->groups, service, group);
 	return group;
 }
--- a/moortack/relay/gossip.c
+++ b/moortack/relay/gossip.c
@@ -101,6 +101,15 @@
 		    self->uses_owners)
 			gossip_spread(self, message);
 		break;
+	case GOSSIP_REACH_QUERY:
+		response.kind = GOSSIP_REACH_REPORT;
+		response.service_hash = message->service_hash;
+		if (self->ops->on_reach_query(self->arg, message, &response))
+			message_send(self, from, &response);
+		break;
+	case GOSSIP_REACH_REPORT:
+		self->ops->on_reach_report(self->arg, from, message);
+		break;
 	case GOSSIP_KIND_COUNT:
 		break;
 	}
@@ -354,6 +363,33 @@
 	}
 }
 
+void
+gossip_send_to(gossip_t *self, const struct sockaddr_in *to,
+    const gossip_message_t *message)
+{
+	if (self->fd >= 0 && self->has_key)
+		message_send(self, to, message);
+}
+
+void
+gossip_send_to_some(
+    gossip_t *self, size_t count, const gossip_message_t *message)
+{
+	struct sockaddr_in to;
+
+	if (self->fd < 0 || !self->has_key)
+		return;
+	for (size_t i = 0; i < count; i++) {
+		const member_t *member =
+		    membership_pick(self->members, rng_u64(self->rng));
+
+		if (member != NULL &&
+		    gossip_peer_available(self->members, member) &&
+		    address_parse(member->peer_address, &to))
+			message_send(self, &to, message);
+	}
+}
+
 bool
 gossip_may_query(gossip_t *self, double prefill_ms)
 {
--- a/moortack/relay/gossip_message.c
+++ b/moortack/relay/gossip_message.c
@@ -46,6 +46,10 @@
 	wire.limited = message->rate_limited;
 	wire.rate = message->rate_milli;
 	wire.noticed_ms = message->noticed_ms;
+	wire.service = message->service_hash;
+	wire.reaches = message->reaches;
+	wire.contact_ms = message->contact_age_ms;
+	wire.busy = message->load;
 	len = wire__gossip_message__pack(&wire, plain);
 	randombytes_buf(out, NONCE_SIZE);
 	crypto_aead_chacha20poly1305_ietf_encrypt(out + NONCE_SIZE, &sealed,
@@ -74,7 +78,11 @@
 	    .quarantined_ms = wire->held_ms,
 	    .rate_limited = wire->limited,
 	    .rate_milli = wire->rate,
-	    .noticed_ms = wire->noticed_ms};
+	    .noticed_ms = wire->noticed_ms,
+	    .service_hash = wire->service,
+	    .reaches = wire->reaches,
+	    .contact_age_ms = wire->contact_ms,
+	    .load = wire->busy};
 	for (size_t i = 0; i < wire->n_prefixes; i++)
 		message->prefixes[i] = wire->prefixes[i];
 	for (size_t i = 0; i < wire->n_digests; i++)
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "reach_probe.h"
 #include "relay_request.h"
 
 #define MS_PER_SEC 1000
@@ -16,6 +17,10 @@
 #define SESSION_TAG_SHIFT 32
 /* The users' smallest VMs have 4,100 descriptors; endpoints need some. */
 #define CALLER_CONNECTIONS_MAX 2500
+/* The same for requests that other daemons send on through this one. */
+#define FORWARD_CONNECTIONS_MAX 500
+/* Bytes that sending a request on adds to its head. */
+#define FORWARD_HEAD_EXTRA 512
 
 int64_t
 request_age_ms(const relay_request_t *req)
@@ -43,6 +48,14 @@
 	    (req->route->kind == ROUTE_STREAM && req->route->resumable);
 }
 
+uint32_t
+request_sends_max(const relay_request_t *req)
+{
+	return req->from_daemon && req->sends_max < req->route->attempts_max
+	    ? req->sends_max
+	    : req->route->attempts_max;
+}
+
 uint64_t
 relay_request_digest(relay_request_t *req)
 {
@@ -109,7 +122,7 @@
 	    " dropped_ms=%.0f limit_ms=%" PRId64 " config=%" PRIu64
 	    " config_age_ms=%" PRId64 " endpoints_age_ms=%" PRId64
 	    " endpoint=%s load=%.0f of=%zu told=%zu wait_ms=%.0f"
-	    " session=%08" PRIx32,
+	    " session=%08" PRIx32 " from_daemon=%d helpers=%zu",
 	    req->arrival.id, req->route->name,
 	    req->service != NULL ? req->service : "-",
 	    req->organisation != NULL ? req->organisation->name : "-", outcome,
@@ -125,7 +138,7 @@
 	    row_watch_age_ms(relay->endpoint_watch), req->last_endpoint_id,
 	    req->placement.load, req->placement.candidates,
 	    req->placement.owner_reports, req->placement.queue_wait_ms,
-	    session_tag(req));
+	    session_tag(req), req->from_daemon, req->tried_helpers_len);
 	request_free(req);
 }
 
@@ -207,9 +220,22 @@
 	}
 }
 
+/* Another daemon has taken its own time, and part of the sends. */
+static void
+request_apply_forward(relay_request_t *req, const forward_head_t *head)
+{
+	req->from_daemon = true;
+	req->sends_max = head->sends;
+	req->earlier_tries_ms = (double)head->since_first_try_ms;
+	if (head->remaining_ms < req->time_limit_ms)
+		req->time_limit_ms = head->remaining_ms;
+}
+
+/* @param head NULL: a caller sent it */
 static relay_request_t *
 request_new(relay_t *relay, http_inbound_t *caller, const arrival_t *arrival,
-    const relay_route_t *route, const relay_organisation_t *organisation)
+    const relay_route_t *route, const relay_organisation_t *organisation,
+    const forward_head_t *head)
 {
 	relay_request_t *req = calloc(1, sizeof(*req));
 
@@ -226,8 +252,11 @@
 	req->received_at = clock_boottime(relay->clock);
 	req->time_limit_ms = arrival_time_limit_ms(route, arrival);
 	req->smallest_confidence = -1;
-	req->earlier_tries_ms =
-	    relay_earlier_tries_ms(relay, route, arrival->deadline_ms);
+	if (head != NULL)
+		request_apply_forward(req, head);
+	else
+		req->earlier_tries_ms =
+		    relay_earlier_tries_ms(relay, route, arrival->deadline_ms);
 	req->next = relay->requests;
 	if (relay->requests != NULL)
 		relay->requests->prev = req;
@@ -244,11 +273,14 @@
 	return req;
 }
 
+/* @param head the terms on which another daemon sent it on; NULL: a caller sent
+ * it */
 static void
-on_request(void *arg, http_inbound_t *caller)
+request_accept(
+    relay_t *relay, http_inbound_t *caller, const forward_head_t *head)
 {
-	relay_t *relay = arg;
 	const http_msg_t *msg = http_inbound_request(caller);
+	bool from_daemon = head != NULL;
 	const relay_organisation_t *organisation;
 	const relay_route_t *route;
 	relay_request_t *req;
@@ -256,39 +288,70 @@
 	err_code_t code;
 	err_t err;
 
-	stats_add(&relay->stats, STAT_REQUESTS, 1);
-	http_inbound_set_user_data(caller, NULL);
 	if (!relay->caller_dialect->read(msg, &arrival, &err)) {
 		relay_refuse_arrival(
-		    relay, caller, "-", err.code, "bad_headers");
+		    relay, caller, "-", from_daemon, err.code, "bad_headers");
 		return;
 	}
 	code = relay_authorize(
 	    relay, &arrival, msg->target, &route, &organisation);
 	if (code != ERR_NONE) {
-		relay_refuse_arrival(relay, caller, arrival.id, code, "permit");
+		relay_refuse_arrival(
+		    relay, caller, arrival.id, from_daemon, code, "permit");
 		return;
 	}
 	if (relay->refusing_streams && route->kind == ROUTE_STREAM) {
-		relay_refuse_arrival(
-		    relay, caller, arrival.id, ERR_DRAINING, "leaving");
+		relay_refuse_arrival(relay, caller, arrival.id, from_daemon,
+		    ERR_DRAINING, "leaving");
 		return;
 	}
 	req = relay->in_flight < relay->bounds.requests_max
-	    ? request_new(relay, caller, &arrival, route, organisation)
+	    ? request_new(relay, caller, &arrival, route, organisation, head)
 	    : NULL;
 	if (req == NULL) {
-		relay_refuse_arrival(
-		    relay, caller, arrival.id, ERR_OVERLOAD, "requests_max");
+		relay_refuse_arrival(relay, caller, arrival.id, from_daemon,
+		    ERR_OVERLOAD, "requests_max");
 		return;
 	}
 	http_inbound_set_user_data(caller, req);
 	req->service = relay_route_service(route, req->split_hash);
-	if (req->service != NULL)
+	if (from_daemon && relay_reach_verdict(req) != REACH_OK) {
+		request_fail(req, ERR_NO_ENDPOINT, "unreachable");
+		return;
+	}
+	/* The daemon that the caller connected to has counted it. */
+	if (req->service != NULL && !from_daemon)
 		relay_count_request(relay, req->service, req->received_at);
 	attempt_begin(req);
 }
 
+static void
+on_request(void *arg, http_inbound_t *caller)
+{
+	relay_t *relay = arg;
+
+	stats_add(&relay->stats, STAT_REQUESTS, 1);
+	http_inbound_set_user_data(caller, NULL);
+	request_accept(relay, caller, NULL);
+}
+
+static void
+on_forwarded_request(void *arg, http_inbound_t *caller)
+{
+	relay_t *relay = arg;
+	forward_head_t head;
+	err_code_t code =
+	    relay_forward_check(relay, http_inbound_request(caller), &head);
+
+	stats_add(&relay->stats, STAT_FORWARDS_ACCEPTED, 1);
+	http_inbound_set_user_data(caller, NULL);
+	if (code != ERR_NONE)
+		relay_refuse_arrival(
+		    relay, caller, "-", true, code, "forwarded");
+	else
+		request_accept(relay, caller, &head);
+}
+
 static void
 on_caller_disconnected(void *arg, http_inbound_t *caller)
 {
@@ -327,21 +390,30 @@
 static const http_inbound_ops_t inbound_ops = {
     on_request, on_caller_disconnected, on_drained, on_bad_message};
 
+static const http_inbound_ops_t forward_inbound_ops = {
+    on_forwarded_request, on_caller_disconnected, on_drained, on_bad_message};
+
 static void
 inbound_limits_set(relay_t *relay)
 {
 	const relay_config_t *config = relay->config;
-	const http_inbound_limits_t limits = {.head_max = config->head_max,
+	http_inbound_limits_t limits = {.head_max = config->head_max,
 	    .body_max = config->body_max,
 	    .read_timeout_ms = config->read_timeout_ms,
 	    .idle_timeout_ms = config->idle_timeout_ms,
 	    .connections_max = CALLER_CONNECTIONS_MAX};
 
 	http_inbound_set_limits(relay->server, &limits);
+	if (relay->forward_server == NULL)
+		return;
+	limits.head_max += FORWARD_HEAD_EXTRA;
+	limits.connections_max = FORWARD_CONNECTIONS_MAX;
+	http_inbound_set_limits(relay->forward_server, &limits);
 }
 
 bool
-relay_init(relay_t *relay, const http_address_t *listen, err_t *err)
+relay_init(relay_t *relay, const http_address_t *listen,
+    const http_address_t *forward_listen, err_t *err)
 {
 	relay_config_t *config;
 
@@ -349,6 +421,13 @@
 	    http_inbound_listen(relay->base, listen, &inbound_ops, relay, err);
 	if (relay->server == NULL)
 		return false;
+	relay->forward_port = forward_listen->port;
+	if (relay->forward_port != 0) {
+		relay->forward_server = http_inbound_listen(relay->base,
+		    forward_listen, &forward_inbound_ops, relay, err);
+		if (relay->forward_server == NULL)
+			return false;
+	}
 	/* Default limits until a configuration is received. */
 	config = relay_config_new(0);
 	if (config == NULL)
@@ -370,7 +449,10 @@
 {
 	while (relay->requests != NULL)
 		request_end(relay->requests, "cut", "stopped");
+	reach_probes_finish(relay);
 	http_inbound_server_free(relay->server);
+	if (relay->forward_server != NULL)
+		http_inbound_server_free(relay->forward_server);
 	relay_config_release(relay->config);
 	prefix_index_finish(&relay->prefix_index);
 	relay_service_states_finish(relay);
@@ -421,4 +503,13 @@
 relay_drain(relay_t *relay)
 {
 	http_inbound_drain(relay->server);
+	if (relay->forward_server != NULL)
+		http_inbound_drain(relay->forward_server);
+}
+
+void
+relay_set_secret(relay_t *relay, const char *fleet_secret)
+{
+	forward_key_derive(&relay->forward_key, fleet_secret);
+	relay->has_forward_key = true;
 }
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -9,6 +9,10 @@
 /* An endpoint that is up accepts within a few ms, one that is down never. */
 #define CONNECT_TIMEOUT_MS 300
 #define CONNECTS_FAILED_MAX 4
+/* The same once no endpoint could be reached for a while, so that callers are
+ * not held for nothing. */
+#define CONNECTS_FAILED_MAX_UNREACHABLE 2
+#define UNREACHABLE_MS 1000
 /* With less time left, no endpoint can respond. */
 #define REMAINING_MIN_MS 10
 /* How long an idle connection is used if the endpoint does not announce its
@@ -113,6 +117,10 @@
 	attempt_t *attempt = &req->attempt;
 
 	relay_query_end(req);
+	if (attempt->forwarded) {
+		relay_forward_cancel(req);
+		return;
+	}
 	if (attempt->endpoint == NULL)
 		return;
 	if (attempt->sent && !attempt->head_received)
@@ -134,6 +142,10 @@
 	    : IDLE_DEFAULT_MS;
 
 	attempt->completed = true;
+	if (attempt->forwarded) {
+		relay_forward_cancel(req);
+		return;
+	}
 	if (!http_outbound_reusable(attempt->conn) ||
 	    attempt->response.closes_connection) {
 		attempt_cancel(req);
@@ -278,7 +290,8 @@
 	}
 	if (req->may_have_run)
 		not_run_code = ERR_UNKNOWN_OUTCOME;
-	else if (err_is_lack_of_endpoints(not_run_code))
+	else if (err_is_lack_of_endpoints(not_run_code) &&
+	    req->tried_helpers_len == 0)
 		req->retry_after_ms = relay_time_to_endpoint_ms(req);
 	request_fail(req, not_run_code, why);
 }
@@ -303,6 +316,8 @@
 		request_conclude(req, ERR_QUARANTINED, "quarantined");
 		return;
 	}
+	if (relay_forward_wanted(req) && relay_forward_begin(req))
+		return;
 	req->attempt.model = relay_model_select(req);
 	if (relay_query_owners(req))
 		return;
@@ -367,15 +382,25 @@
 	return false;
 }
 
+static uint32_t
+connects_failed_max(const relay_request_t *req)
+{
+	return relay_reach_failing_ms(req) > UNREACHABLE_MS
+	    ? CONNECTS_FAILED_MAX_UNREACHABLE
+	    : CONNECTS_FAILED_MAX;
+}
+
+/* @param reached_endpoint an endpoint may have received the attempt */
 static bool
-may_retry(relay_request_t *req, attempt_outcome_t outcome)
+may_retry(
+    relay_request_t *req, attempt_outcome_t outcome, bool reached_endpoint)
 {
 	relay_t *relay = req->relay;
 
-	if (outcome == ATTEMPT_NOT_SENT && req->sends == 0)
-		return req->connects_failed < CONNECTS_FAILED_MAX;
-	if (req->sends >= req->route->attempts_max ||
-	    req->connects_failed >= CONNECTS_FAILED_MAX)
+	if (!reached_endpoint && req->sends == 0)
+		return req->connects_failed < connects_failed_max(req);
+	if (req->sends >= request_sends_max(req) ||
+	    req->connects_failed >= connects_failed_max(req))
 		return false;
 	if (req->may_have_run && !request_idempotent(req))
 		return false;
@@ -440,13 +465,12 @@
 	}
 }
 
-void
-attempt_retry_or_fail(
-    relay_request_t *req, attempt_outcome_t outcome, const char *why)
+static void
+over_log(const relay_request_t *req, attempt_outcome_t outcome, const char *why,
+    uint64_t digest)
 {
-	attempt_t *attempt = &req->attempt;
+	const attempt_t *attempt = &req->attempt;
 
-	outcome_record(req, outcome);
 	event_log_write(req->relay->log, "attempt_over",
 	    "id=%s endpoint=%s why=%s end=%d sends=%u kept=%d begun=%d "
 	    "last_event=%" PRId64 " model=%s confidence=%d running=%u "
@@ -455,30 +479,74 @@
 	    req->sends, attempt->reused, req->response_started,
 	    req->last_event_id, attempt->model != NULL ? attempt->model : "-",
 	    req->confidence, attempt->endpoint->load.running,
-	    attempt->endpoint->load.waiting,
-	    outcome == ATTEMPT_UNKNOWN ? relay_request_digest(req) : 0);
-	if (req->tried_endpoints_len < TRIED_ENDPOINTS_MAX &&
-	    outcome != ATTEMPT_ESCALATED)
-		req->tried_endpoints[req->tried_endpoints_len++] =
-		    attempt->endpoint->hash;
+	    attempt->endpoint->load.waiting, digest);
+}
+
+static void
+attempt_end(relay_request_t *req, attempt_outcome_t outcome, const char *why)
+{
+	const attempt_t *attempt = &req->attempt;
+
+	if (attempt->forwarded) {
+		relay_forward_record(req, outcome, why);
+	} else {
+		outcome_record(req, outcome);
+		over_log(req, outcome, why,
+		    outcome == ATTEMPT_UNKNOWN ? relay_request_digest(req) : 0);
+		if (req->tried_endpoints_len < TRIED_ENDPOINTS_MAX &&
+		    outcome != ATTEMPT_ESCALATED)
+			req->tried_endpoints[req->tried_endpoints_len++] =
+			    attempt->endpoint->hash;
+	}
 	if (outcome == ATTEMPT_NOT_RUN || outcome == ATTEMPT_FAILED)
 		attempt_release(req);
 	else
 		attempt_cancel(req);
+}
+
+/* The refusal of the daemon that the request was sent on through is the answer,
+ * unless another one can be asked. */
+static err_code_t
+refusal_of_helper(relay_request_t *req, attempt_outcome_t outcome)
+{
+	const attempt_t *attempt = &req->attempt;
+
+	if (!attempt->forwarded || outcome != ATTEMPT_NOT_RUN)
+		return ERR_OVERLOAD;
+	req->retry_after_ms = attempt->forward_retry_after_ms;
+	return attempt->forward_result.code;
+}
+
+void
+attempt_retry_or_fail(
+    relay_request_t *req, attempt_outcome_t outcome, const char *why)
+{
+	const attempt_t *attempt = &req->attempt;
+	bool reached_endpoint = outcome != ATTEMPT_NOT_SENT &&
+	    !(attempt->forwarded && outcome == ATTEMPT_NOT_RUN &&
+		attempt->forward_result.sends == 0);
+	err_code_t refusal = refusal_of_helper(req, outcome);
+	bool final = refusal != ERR_OVERLOAD && !err_info(refusal)->retryable;
+
+	attempt_end(req, outcome, why);
 	event_scan_reset(&req->scan);
 	req->failure_buffered |= outcome == ATTEMPT_FAILED;
-	if (may_retry(req, outcome)) {
+	if (!final && may_retry(req, outcome, reached_endpoint)) {
 		if (req->response_started)
 			stats_add(&req->relay->stats, STAT_RESUMED, 1);
 		attempt_begin(req);
 		return;
 	}
-	request_conclude(req, ERR_OVERLOAD, why);
+	request_conclude(req, refusal, why);
 }
 
 void
 attempt_succeeded(relay_request_t *req)
 {
+	if (req->attempt.forwarded) {
+		stats_add(&req->relay->stats, STAT_FORWARDS_SERVED, 1);
+		return;
+	}
 	endpoint_record_success(req->attempt.endpoint);
 	relay_attempt_completed(req);
 	relay_canary_completed(req);
--- a/moortack/relay/relay_failure.c
+++ b/moortack/relay/relay_failure.c
@@ -9,7 +9,7 @@
 #define RETRY_AFTER_MS 60
 #define RETRY_AFTER_STORE_MS 600
 #define RETRY_AFTER_JITTER_MS 120
-#define ERROR_HEAD_SIZE 128
+#define ERROR_HEAD_SIZE 256
 
 static int64_t
 retry_after_ms(relay_t *relay, err_code_t code)
@@ -30,18 +30,22 @@
 	return retry_after_ms(req->relay, code);
 }
 
-/* Send an error response, with Retry-After if a retry may succeed. */
+/* Send an error response, with Retry-After if a retry may succeed.
+ * @param result line for the daemon that sent the request on; "": none */
 static void
-error_send(relay_t *relay, http_inbound_t *caller, err_code_t code, int64_t ms)
+error_send(relay_t *relay, http_inbound_t *caller, err_code_t code, int64_t ms,
+    const char *result)
 {
 	const err_info_t *info = err_info(code);
 	struct evbuffer *body = evbuffer_new();
-	char head[ERROR_HEAD_SIZE] = "Content-Type: application/json\r\n";
+	char head[ERROR_HEAD_SIZE];
+	int len;
 
 	relay->stats.failures[code]++;
+	len = snprintf(
+	    head, sizeof(head), "Content-Type: application/json\r\n%s", result);
 	if (info->retryable)
-		snprintf(head, sizeof(head),
-		    "Content-Type: application/json\r\n"
+		snprintf(head + len, sizeof(head) - (size_t)len,
 		    "Retry-After: %" PRId64 ".%03" PRId64 "\r\n",
 		    ms / MS_PER_SEC, ms % MS_PER_SEC);
 	if (body != NULL)
@@ -57,7 +61,9 @@
 	relay_t *relay = req->relay;
 	http_inbound_t *caller = req->caller;
 	int64_t ms = request_retry_after_ms(req, code);
+	char result[FORWARD_LINE_SIZE];
 
+	relay_forward_result_line(req->from_daemon, code, req->sends, result);
 	if (code == ERR_QUARANTINED)
 		ms += quarantine_remaining_ms(
 		    &relay->quarantine.table, relay_request_digest(req));
@@ -74,13 +80,16 @@
 							  : STAT_FAILED,
 	    1);
 	request_end(req, err_info(code)->name, why);
-	error_send(relay, caller, code, ms);
+	error_send(relay, caller, code, ms, result);
 }
 
 void
 relay_refuse_arrival(relay_t *relay, http_inbound_t *caller, const char *id,
-    err_code_t code, const char *why)
+    bool from_daemon, err_code_t code, const char *why)
 {
+	char result[FORWARD_LINE_SIZE];
+
+	relay_forward_result_line(from_daemon, code, 0, result);
 	stats_add(&relay->stats, STAT_REFUSED, 1);
 	stats_count_outcome(&relay->stats, err_info(code)->name, why, false);
 	event_log_write(relay->log, "refuse",
@@ -89,5 +98,5 @@
 	    id, err_info(code)->name, why,
 	    relay->config != NULL ? relay->config->version : 0,
 	    row_watch_age_ms(relay->config_watch), relay->in_flight);
-	error_send(relay, caller, code, retry_after_ms(relay, code));
+	error_send(relay, caller, code, retry_after_ms(relay, code), result);
 }
--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -181,7 +181,7 @@
 	late_responses_record(req->relay);
 	if (model_choice_is_final(req->confidence))
 		return;
-	input.retry_allowed = req->sends < route->attempts_max &&
+	input.retry_allowed = req->sends < request_sends_max(req) &&
 	    relay_retry_has_spare(req->relay, req->service);
 	for (size_t i = input.model + 1; i < input.models; i++)
 		option_fill(req, i, &input.options[i]);
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -252,6 +252,7 @@
 	duties_tick(&node->duties, is_responsible(node),
 	    node->members.store_clock_offset_ms);
 	gossip_tick(&node->gossip);
+	relay_reach_tick(&node->relay);
 	sessions_sync(node);
 	relay_quarantine_tick(&node->relay.quarantine);
 	if (rollouts_any_active(&node->rollouts))
@@ -402,7 +403,8 @@
 	warmup_daemons_init(&node->relay.warmup_daemons, node->settings.name);
 	snprintf(node->relay.zone, sizeof(node->relay.zone), "%s",
 	    node->settings.zone);
-	if (!relay_init(&node->relay, &node->settings.listen, err) ||
+	if (!relay_init(&node->relay, &node->settings.listen,
+		&node->settings.forward_listen, err) ||
 	    !relay_quarantine_init(
 		&node->relay.quarantine, &node->relay, ports->store) ||
 	    !gossip_init(&node->gossip, ports->base, ports->clock,
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -16,6 +16,8 @@
  * responses start in time with two, 99.9 % with three, 100.0 % with five
  * (bench/placing.c with 90 daemons, three seeds). */
 #define OWNERS_QUERIED_MAX 3
+/** Daemons through which a request is sent on at most, one after the other. */
+#define FORWARDS_MAX 3
 /** Bytes of a response's header lines. */
 #define RESPONSE_HEAD_MAX 4096
 
@@ -73,6 +75,13 @@
 	bool rate_acquired;	 /**< counted against the rate limit of its
 				    endpoint */
 	int64_t rate_slot;	 /**< slot in which it was counted */
+	bool forwarded;		 /**< sent on through another daemon; there is
+				    no endpoint */
+	struct sockaddr_in helper; /**< that daemon */
+	uint32_t forward_sends;	   /**< endpoints that it may send it to */
+	bool has_forward_result;
+	forward_result_t forward_result;
+	int64_t forward_retry_after_ms; /**< with the result; 0: none */
 } attempt_t;
 
 /** The response of an endpoint's owner to a query. */
@@ -125,6 +134,11 @@
 	size_t tried_endpoints_len;
 	uint32_t sends; /**< attempts of which bytes may have been sent */
 	uint32_t connects_failed; /**< attempts that did not get a connection */
+	bool from_daemon;   /**< another daemon sent it on through this one */
+	uint32_t sends_max; /**< if so, endpoints that it may be sent to */
+	struct sockaddr_in
+	    tried_helpers[FORWARDS_MAX]; /**< it was sent on through these */
+	size_t tried_helpers_len;
 	char last_endpoint_id[ENDPOINT_NAME_SIZE]; /**< the last one chosen */
 	int64_t retry_after_ms; /**< until an endpoint may get it; 0: unknown */
 	placement_t placement;	/**< of the last attempt */
@@ -181,9 +195,10 @@
 void request_fail(relay_request_t *, err_code_t, const char *why);
 /** Refuse a request before it is accepted.
  * @param id of the caller's try; "-": none
+ * @param from_daemon another daemon sent it on
  * @param why cause for the log, a static text */
-void relay_refuse_arrival(
-    relay_t *, http_inbound_t *, const char *id, err_code_t, const char *why);
+void relay_refuse_arrival(relay_t *, http_inbound_t *, const char *id,
+    bool from_daemon, err_code_t, const char *why);
 /** Log, count and free the request. The response to its caller is sent or
  * aborted separately. */
 void request_end(relay_request_t *, const char *outcome, const char *why);
@@ -291,6 +306,50 @@
  * @return whether it was news */
 bool relay_rate_limit_receive(void *relay, const gossip_message_t *);
 
+/** Endpoints that the request may be sent to at most. */
+uint32_t request_sends_max(const relay_request_t *);
+/** Check a request that another daemon sends on through this one.
+ * @param head filled in
+ * @return ERR_NONE: it is accepted */
+err_code_t
+relay_forward_check(const relay_t *, const http_msg_t *, forward_head_t *head);
+/** Whether the next attempt goes through another daemon, as the links to the
+ * endpoints of the request's service are lost. */
+bool relay_forward_wanted(const relay_request_t *);
+/** Send the request on through another daemon.
+ * @return false: there is none to send it to */
+bool relay_forward_begin(relay_request_t *);
+/** Cancel the attempt through another daemon. */
+void relay_forward_cancel(relay_request_t *);
+/** Log and count the end of an attempt through another daemon. */
+void
+relay_forward_record(relay_request_t *, attempt_outcome_t, const char *why);
+/** Give up the attempts through a daemon that is silent. */
+void relay_forward_fail_helper(
+    relay_t *, const char *service, const struct sockaddr_in *);
+/** The header line by which the daemon that sent the request on learns how it
+ * ended here; "": a caller sent it.
+ * @param code ERR_NONE: an endpoint's response
+ * @param out FORWARD_LINE_SIZE bytes */
+void relay_forward_result_line(
+    bool from_daemon, err_code_t code, uint32_t sends, char *out);
+/** Size of that line. */
+#define FORWARD_LINE_SIZE 96
+
+/** Whether this daemon reaches the endpoints of the request's service, as far
+ * as it knows. */
+reach_verdict_t relay_reach_verdict(const relay_request_t *);
+/** For how many milliseconds no connection to them could be opened; 0: they can
+ * be reached, as far as it knows. */
+int64_t relay_reach_failing_ms(const relay_request_t *);
+/** Whether it has had contact with them since a moment: what it did not hear
+ * since then is no sign against an endpoint otherwise. */
+bool relay_reach_contact_since(const endpoint_t *, struct timespec);
+/** Callbacks of gossip_ops_t. */
+bool relay_reach_query(
+    void *relay, const gossip_message_t *query, gossip_message_t *report);
+void relay_reach_report(
+    void *relay, const struct sockaddr_in *from, const gossip_message_t *);
 /** The head of the attempt's response was received. */
 void relay_reach_response(const relay_request_t *);
 /** No connection to the attempt's endpoint could be opened, or a new one was
@@ -301,6 +360,14 @@
 void attempt_succeeded(relay_request_t *);
 /** Forward a response that was buffered completely, and end the request. */
 void response_forward(relay_request_t *);
+/** Store the head of a response that is passed on, or check that a stream can
+ * be resumed with it. The attempt may have ended afterwards.
+ * @return false: it has */
+bool response_head_accept(relay_request_t *, const http_msg_t *);
+/** Pass on, or buffer, a part of the response's body. */
+void response_body_add(relay_request_t *, const char *bytes, size_t len);
+/** All of the response was received. */
+void response_end(relay_request_t *);
 
 /** Free the states of all services and routes. */
 void relay_service_states_finish(relay_t *);
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 /* An endpoint is not read while this many bytes are pending for its caller. */
 #define CALLER_PENDING_MAX (256U << 10)
@@ -16,21 +17,32 @@
 	return status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES;
 }
 
+/* Whether a field of the response is not passed on. */
+static bool
+field_is_dropped(const relay_request_t *req, const http_msg_t *msg,
+    const http_field_t *field)
+{
+	return http_field_is_hop_by_hop(msg, field->name) ||
+	    ((req->attempt.forwarded || req->from_daemon) &&
+		strcasecmp(field->name, FORWARD_HEADER) == 0);
+}
+
 /* The endpoint's header lines without hop-by-hop headers. */
 static char *
-response_head_format(const http_msg_t *msg)
+response_head_format(const relay_request_t *req, const http_msg_t *msg)
 {
 	char *text = malloc(RESPONSE_HEAD_MAX);
-	size_t len = 0;
+	size_t len;
 
 	if (text == NULL)
 		return NULL;
-	text[0] = '\0';
+	relay_forward_result_line(req->from_daemon, ERR_NONE, req->sends, text);
+	len = strlen(text);
 	for (size_t i = 0; i < msg->fields_len; i++) {
 		const http_field_t *field = &msg->fields[i];
 		int written;
 
-		if (http_field_is_hop_by_hop(msg, field->name))
+		if (field_is_dropped(req, msg, field))
 			continue;
 		written = snprintf(text + len, RESPONSE_HEAD_MAX - len,
 		    "%s: %s\r\n", field->name, field->value);
@@ -99,6 +111,31 @@
 	duties_count_request(req->relay->duties, req->organisation->name);
 }
 
+bool
+response_head_accept(relay_request_t *req, const http_msg_t *msg)
+{
+	const endpoint_response_t *response = &req->attempt.response;
+	bool genuine =
+	    status_is_success(msg->status) && response->has_signature;
+
+	if (req->response_started) {
+		if (!genuine)
+			attempt_retry_or_fail(
+			    req, ATTEMPT_UNKNOWN, "resume_refused");
+		return genuine;
+	}
+	evbuffer_drain(req->buffered, evbuffer_get_length(req->buffered));
+	req->failure_buffered = false;
+	free(req->response_head);
+	req->response_head = response_head_format(req, msg);
+	req->status = msg->status;
+	req->streaming = req->route->kind == ROUTE_STREAM && genuine;
+	req->confidence = response->confidence;
+	if (req->response_head == NULL)
+		attempt_retry_or_fail(req, ATTEMPT_UNKNOWN, "head_too_large");
+	return req->response_head != NULL;
+}
+
 static void
 on_head(void *arg, const http_msg_t *msg)
 {
@@ -132,23 +169,8 @@
 	if (req->route->kind == ROUTE_STREAM &&
 	    status_is_success(msg->status) && response->has_signature)
 		relay_canary_first_byte(req);
-	if (req->response_started) {
-		if (!status_is_success(msg->status) || !response->has_signature)
-			attempt_retry_or_fail(
-			    req, ATTEMPT_UNKNOWN, "resume_refused");
-		return;
-	}
-	evbuffer_drain(req->buffered, evbuffer_get_length(req->buffered));
-	req->failure_buffered = false;
-	free(req->response_head);
-	req->response_head = response_head_format(msg);
-	req->status = msg->status;
-	req->streaming = req->route->kind == ROUTE_STREAM &&
-	    status_is_success(msg->status) && response->has_signature;
-	req->confidence = response->confidence;
-	if (req->response_head == NULL)
-		attempt_retry_or_fail(req, ATTEMPT_UNKNOWN, "head_too_large");
-	else if (req->streaming)
+	if (response_head_accept(req, msg) && req->streaming &&
+	    !req->response_started)
 		relay_model_evaluate(req);
 }
 
@@ -167,7 +189,8 @@
 			req->max_event_gap_ms = pause_ms;
 	}
 	req->last_event_at = now;
-	relay_canary_event(req);
+	if (!req->attempt.forwarded)
+		relay_canary_event(req);
 }
 
 /* Forward the complete events.
@@ -209,15 +232,9 @@
 	http_outbound_pause_reading(req->attempt.conn, true);
 }
 
-static void
-on_body(void *arg, const char *bytes, size_t len)
+void
+response_body_add(relay_request_t *req, const char *bytes, size_t len)
 {
-	relay_request_t *req = arg;
-	const endpoint_response_t *response = &req->attempt.response;
-
-	attempt_bytes_received(req);
-	if (response->not_run || response->wrong_endpoint)
-		return;
 	if (req->streaming) {
 		if (!event_scan_add(&req->scan, bytes, len)) {
 			attempt_retry_or_fail(
@@ -239,6 +256,17 @@
 	endpoint_pause_if_caller_slow(req);
 }
 
+static void
+on_body(void *arg, const char *bytes, size_t len)
+{
+	relay_request_t *req = arg;
+	const endpoint_response_t *response = &req->attempt.response;
+
+	attempt_bytes_received(req);
+	if (!response->not_run && !response->wrong_endpoint)
+		response_body_add(req, bytes, len);
+}
+
 static void
 stream_complete(relay_request_t *req)
 {
@@ -303,6 +331,15 @@
 	response_forward(req);
 }
 
+void
+response_end(relay_request_t *req)
+{
+	if (req->streaming)
+		stream_complete(req);
+	else
+		response_complete(req);
+}
+
 static void
 on_done(void *arg)
 {
@@ -316,10 +353,8 @@
 			stats_add(&req->relay->stats, STAT_WRONG_ENDPOINT, 1);
 		attempt_retry_or_fail(req, ATTEMPT_NOT_RUN,
 		    response->wrong_endpoint ? "wrong_endpoint" : "not_run");
-	} else if (req->streaming) {
-		stream_complete(req);
 	} else {
-		response_complete(req);
+		response_end(req);
 	}
 }
 
@@ -359,7 +394,7 @@
 void
 response_drained(relay_request_t *req)
 {
-	if (!req->paused || req->attempt.endpoint == NULL)
+	if (!req->paused || req->attempt.conn == NULL)
 		return;
 	req->paused = false;
 	http_outbound_pause_reading(req->attempt.conn, false);
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -306,6 +306,7 @@
 	relay_node_t *node = arg;
 
 	gossip_set_secret(&node->gossip, key);
+	relay_set_secret(&node->relay, key);
 	relay_quarantine_set_secret(&node->relay.quarantine, key);
 }
 
--- a/moortack/relay/relay_stats.c
+++ b/moortack/relay/relay_stats.c
@@ -40,6 +40,10 @@
 	"Attempts for which endpoints that want nothing were left out."},
     {"unreadable_notices",
 	"Responses whose rate limit, drain notice or back-off is malformed."},
+    {"forwards", "Requests sent on through other daemons."},
+    {"forwards_served", "Of these, with a complete response."},
+    {"forwards_failed", "Attempts through other daemons that failed."},
+    {"forwards_accepted", "Requests that other daemons sent on to this one."},
 };
 
 /* Upper bounds in milliseconds, around the users' objectives of 100 to 3,000.
--- a/moortack/replication/membership.c
+++ b/moortack/replication/membership.c
@@ -307,6 +307,29 @@
 	self->report = report;
 }
 
+/* Names are hashed, so a random bucket of the table holds random members. */
+const member_t *
+membership_pick(const membership_t *self, uint64_t random)
+{
+	const UT_hash_table *table;
+	UT_hash_handle *handle = NULL;
+	uint32_t bucket = (uint32_t)random;
+	uint32_t steps = (uint32_t)(random >> 32);
+
+	if (self->members == NULL)
+		return NULL;
+	table = self->members->hh.tbl;
+	for (uint32_t i = 0; i < table->num_buckets && handle == NULL; i++)
+		handle =
+		    table->buckets[(bucket + i) % table->num_buckets].hh_head;
+	if (handle == NULL)
+		return NULL;
+	steps %= table->buckets[handle->hashv % table->num_buckets].count;
+	while (steps-- > 0 && handle->hh_next != NULL)
+		handle = handle->hh_next;
+	return ELMT_FROM_HH(table, handle);
+}
+
 uint32_t
 membership_alive_count(const membership_t *self)
 {
--- a/moortack/wire/peer.pb-c.c
+++ b/moortack/wire/peer.pb-c.c
@@ -817,6 +817,51 @@
   assert(message->base.descriptor == &wire__gossip_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__forward__init
+                     (Wire__Forward         *message)
+{
+  static const Wire__Forward init_value = WIRE__FORWARD__INIT;
+  *message = init_value;
+}
+size_t wire__forward__get_packed_size
+                     (const Wire__Forward *message)
+{
+  assert(message->base.descriptor == &wire__forward__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__forward__pack
+                     (const Wire__Forward *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__forward__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__forward__pack_to_buffer
+                     (const Wire__Forward *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__forward__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Forward *
+       wire__forward__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Forward *)
+     protobuf_c_message_unpack (&wire__forward__descriptor,
+                                allocator, len, data);
+}
+void   wire__forward__free_unpacked
+                     (Wire__Forward *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__forward__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor wire__standing__field_descriptors[8] =
 {
   {
@@ -2210,7 +2255,7 @@
   (ProtobufCMessageInit) wire__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__gossip_message__field_descriptors[14] =
+static const ProtobufCFieldDescriptor wire__gossip_message__field_descriptors[18] =
 {
   {
     "endpoint",
@@ -2380,8 +2425,58 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "service",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GossipMessage, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reaches",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GossipMessage, reaches),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "contact_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GossipMessage, contact_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "busy",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GossipMessage, busy),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__gossip_message__field_indices_by_name[] = {
+  17,   /* field[17] = busy */
+  16,   /* field[16] = contact_ms */
   9,   /* field[9] = crashes */
   7,   /* field[7] = digests */
   0,   /* field[0] = endpoint */
@@ -2393,14 +2488,16 @@
   4,   /* field[4] = number */
   2,   /* field[2] = prefixes */
   12,   /* field[12] = rate */
+  15,   /* field[15] = reaches */
   1,   /* field[1] = read_ms */
+  14,   /* field[14] = service */
   8,   /* field[8] = version */
   5,   /* field[5] = wait_ms */
 };
 static const ProtobufCIntRange wire__gossip_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor wire__gossip_message__descriptor =
 {
@@ -2410,10 +2507,87 @@
   "Wire__GossipMessage",
   "wire",
   sizeof(Wire__GossipMessage),
-  14,
+  18,
   wire__gossip_message__field_descriptors,
   wire__gossip_message__field_indices_by_name,
   1,  wire__gossip_message__number_ranges,
   (ProtobufCMessageInit) wire__gossip_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__forward__field_descriptors[4] =
+{
+  {
+    "remaining_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Forward, remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since_first_try_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Forward, since_first_try_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sends",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Forward, sends),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Forward, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__forward__field_indices_by_name[] = {
+  3,   /* field[3] = config_version */
+  0,   /* field[0] = remaining_ms */
+  2,   /* field[2] = sends */
+  1,   /* field[1] = since_first_try_ms */
+};
+static const ProtobufCIntRange wire__forward__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__forward__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Forward",
+  "Forward",
+  "Wire__Forward",
+  "wire",
+  sizeof(Wire__Forward),
+  4,
+  wire__forward__field_descriptors,
+  wire__forward__field_indices_by_name,
+  1,  wire__forward__number_ranges,
+  (ProtobufCMessageInit) wire__forward__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/test/platform/lost_links.lua
+++ b/test/platform/lost_links.lua
@@ -43,11 +43,16 @@
   return call
 end
 
--- Sends first tries to all daemons for a time; keeps them in a list.
-function lost_links.load(w, ms, calls)
+-- Sends first tries for a time; keeps them in a list.
+-- @param daemons by number; nil: all
+function lost_links.load(w, ms, calls, daemons)
   local finish = run.now() + ms
+  if not daemons then
+    daemons = {}
+    for i in ipairs(w.daemons) do daemons[i] = i end
+  end
   while run.now() < finish do
-    for i in ipairs(w.daemons) do
+    for _, i in ipairs(daemons) do
       if not w.daemons[i].lost then
         calls[#calls + 1] = lost_links.try(w, i)
       end
@@ -56,7 +61,8 @@
   end
 end
 
-local function served(calls, chosen)
+-- How many of the calls at chosen daemons were served, and of how many.
+function lost_links.served(calls, chosen)
   local tried, good, failures = 0, 0, {}
   for _, call in ipairs(calls) do
     if chosen(call.daemon) then
@@ -110,8 +116,8 @@
   lost_links.load(w, SPAN_MS, calls)
   lost_links.finish(w, before)
   lost_links.finish(w, calls)
-  local good, tried = served(calls, function(i) return is_cut[i] end)
-  local good_else, tried_else = served(calls,
+  local good, tried = lost_links.served(calls, function(i) return is_cut[i] end)
+  local good_else, tried_else = lost_links.served(calls,
     function(i) return not is_cut[i] end)
   lib.say("%s: served %d of %d, the others %d of %d", what, good, tried,
     good_else, tried_else)
@@ -130,7 +136,7 @@
   lost_links.load(w, 500, calls)
   lost_links.finish(w, ignored)
   lost_links.finish(w, calls)
-  local good, tried = served(calls, function() return true end)
+  local good, tried = lost_links.served(calls, function() return true end)
   lib.equal(good, tried, "served after the cut")
 end
 
