quarantine: connections lost with a VM's own links are no sign of a crash

Cause: of the same class as the refusals: a connection that is lost and can't be opened again was taken for the endpoint's end. The crashes were also reported to the digest's owner, so that a sound request could be quarantined everywhere.

Attempts that were interrupted don't keep a request from a retry while no endpoint of its service can be reached.

--- a/include/moortack/quarantine/crash_evidence.h
+++ b/include/moortack/quarantine/crash_evidence.h
@@ -33,6 +33,10 @@
 /** Whether there are attempts at the incarnation. */
 bool
 unresolved_attempts_has(const unresolved_attempts_t *, uint32_t incarnation);
+/** When the last of the attempts at the incarnation ended.
+ * @return false: there are none */
+bool unresolved_attempts_last_end(
+    const unresolved_attempts_t *, uint32_t incarnation, struct timespec *out);
 /** Number of incarnations at which there are attempts of the request. */
 size_t
 unresolved_attempts_count(const unresolved_attempts_t *, uint64_t digest);
--- a/moortack/quarantine/crash_evidence.c
+++ b/moortack/quarantine/crash_evidence.c
@@ -31,6 +31,19 @@
 	return false;
 }
 
+bool
+unresolved_attempts_last_end(const unresolved_attempts_t *self,
+    uint32_t incarnation, struct timespec *out)
+{
+	for (size_t i = self->len; i > 0; i--) {
+		if (self->attempts[i - 1].incarnation != incarnation)
+			continue;
+		*out = self->attempts[i - 1].ended_at;
+		return true;
+	}
+	return false;
+}
+
 /* Whether the list has an earlier attempt of the same request at the same
  * incarnation. */
 static bool
--- a/moortack/relay/relay_crashes.c
+++ b/moortack/relay/relay_crashes.c
@@ -93,13 +93,54 @@
 	}
 }
 
-/* An endpoint at which a request of this daemon is in flight has not ended,
- * even if it refuses connections.
+static bool
+is_unresolved(const relay_quarantine_t *self, const endpoint_t *endpoint)
+{
+	return unresolved_attempts_has(
+		   &self->interrupted, endpoint->short_hash) ||
+	    unresolved_attempts_has(&self->abandoned, endpoint->short_hash);
+}
+
+/* Whether this daemon's links are sound: it has opened a connection to an
+ * endpoint since the attempts at this one ended. Without that, a refused
+ * connection says nothing about the endpoint. */
+static bool
+links_are_proved(const relay_quarantine_t *self, const endpoint_t *endpoint)
+{
+	struct timespec ended_at;
+
+	if (!unresolved_attempts_last_end(
+		&self->interrupted, endpoint->short_hash, &ended_at) &&
+	    !unresolved_attempts_last_end(
+		&self->abandoned, endpoint->short_hash, &ended_at))
+		return true;
+	return relay_reach_opened_since(self->relay, ended_at);
+}
+
+/* Nothing listens at the endpoint's address.
  * @return whether to probe again: attempts there are still unresolved */
 static bool
+endpoint_refused(relay_quarantine_t *self, const endpoint_t *endpoint)
+{
+	/* An endpoint at which a request of this daemon is in flight has not
+	 * ended, even if it refuses connections. */
+	if (endpoint->in_flight > 0)
+		return is_unresolved(self, endpoint);
+	if (links_are_proved(self, endpoint)) {
+		relay_quarantine_endpoint_crashed(
+		    self, endpoint, "port_closed");
+		return false;
+	}
+	relay_reach_check_links(self->relay, endpoint);
+	return true;
+}
+
+/* @return whether to probe again: attempts there are still unresolved */
+static bool
 on_probe_done(void *arg, endpoint_t *endpoint, probe_result_t result)
 {
 	relay_quarantine_t *self = arg;
+	bool again = is_unresolved(self, endpoint);
 
 	stats_add(&self->relay->stats, STAT_CRASH_PROBES, 1);
 	if (result == PROBE_ACCEPTED) {
@@ -107,13 +148,12 @@
 		    &self->interrupted, endpoint->short_hash);
 		unresolved_attempts_drop(
 		    &self->abandoned, endpoint->short_hash);
-	} else if (result == PROBE_REFUSED && endpoint->in_flight == 0) {
-		relay_quarantine_endpoint_crashed(
-		    self, endpoint, "port_closed");
+		again = false;
+	} else if (result == PROBE_REFUSED) {
+		again = endpoint_refused(self, endpoint);
 	}
 	waiting_requests_resume(self->relay);
-	return unresolved_attempts_has(
-	    &self->interrupted, endpoint->short_hash);
+	return again;
 }
 
 static bool
@@ -158,11 +198,12 @@
 void
 relay_attempt_connection_refused(const relay_request_t *req)
 {
-	const endpoint_t *endpoint = req->attempt.endpoint;
+	relay_quarantine_t *self = &req->relay->quarantine;
+	endpoint_t *endpoint = req->attempt.endpoint;
 
-	if (endpoint->in_flight == 0)
-		relay_quarantine_endpoint_crashed(
-		    &req->relay->quarantine, endpoint, "port_closed");
+	if (endpoint_refused(self, endpoint) && is_unresolved(self, endpoint))
+		crash_probe_schedule(&self->probes, req->relay->base, endpoint,
+		    PROBE_DELAY_MS, on_probe_done, self);
 }
 
 /* An endpoint that crashes on an abandoned request may have no connections of
--- a/moortack/relay/relay_reach.c
+++ b/moortack/relay/relay_reach.c
@@ -94,6 +94,33 @@
 	return group->ring[rng_below(relay->rng, (uint32_t)group->len)];
 }
 
+bool
+relay_reach_opened_since(const relay_t *relay, struct timespec since)
+{
+	const endpoint_group_t *group = relay->endpoints->groups;
+
+	for (; group != NULL; group = group->hh.next) {
+		if (group->reach.opened_at.tv_sec != 0 &&
+		    timespec_ms_between(since, group->reach.opened_at) >= 0)
+			return true;
+	}
+	return false;
+}
+
+void
+relay_reach_check_links(relay_t *relay, const endpoint_t *except)
+{
+	const endpoint_group_t *group = relay->endpoints->groups;
+
+	for (; group != NULL; group = group->hh.next) {
+		endpoint_t *endpoint =
+		    group->len > 0 ? endpoint_pick(relay, group) : NULL;
+
+		if (endpoint != NULL && endpoint != except)
+			reach_probe_begin(relay, endpoint);
+	}
+}
+
 static int64_t
 vary_ms(const relay_t *relay, int64_t ms)
 {
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -345,6 +345,10 @@
 /** Whether it has had contact with them since a moment: what it did not hear
  * since then is no sign against an endpoint otherwise. */
 bool relay_reach_contact_since(const endpoint_t *, struct timespec);
+/** Whether a new connection to any endpoint worked at this moment or later. */
+bool relay_reach_opened_since(const relay_t *, struct timespec);
+/** Find out whether new connections work: probe others than this endpoint. */
+void relay_reach_check_links(relay_t *, const endpoint_t *);
 /** Callbacks of gossip_ops_t. */
 bool relay_reach_query(
     void *relay, const gossip_message_t *query, gossip_message_t *report);
--- a/moortack/relay/relay_suspects.c
+++ b/moortack/relay/relay_suspects.c
@@ -45,11 +45,17 @@
 {
 	const relay_quarantine_t *self = &req->relay->quarantine;
 
+	size_t crashes, interrupted = 0;
+
 	if (HASH_COUNT(self->table.suspects) == 0 && self->interrupted.len == 0)
 		return 0;
-	return quarantine_crash_count(&self->table, relay_request_digest(req)) +
-	    unresolved_attempts_count(
-		&self->interrupted, relay_request_digest(req));
+	crashes =
+	    quarantine_crash_count(&self->table, relay_request_digest(req));
+	/* With the links lost, connections are lost to all endpoints. */
+	if (relay_reach_verdict(req) == REACH_OK)
+		interrupted = unresolved_attempts_count(
+		    &self->interrupted, relay_request_digest(req));
+	return crashes + interrupted;
 }
 
 bool
