relay: a response is not discarded while no other endpoint can be reached

The small model's response, over a connection that lived on, was discarded for a larger model's, for which no connection could be opened.

Change: relay_has_unlimited_endpoint(), which has to hold before a response is discarded, is false while no endpoint of the service can be reached.

--- a/moortack/relay/relay_candidates.c
+++ b/moortack/relay/relay_candidates.c
@@ -346,6 +346,8 @@
 	static candidates_t candidates;
 	const char *why;
 
+	if (relay_reach_verdict(req) != REACH_OK)
+		return false;
 	candidates_collect(req, &candidates, &why);
 	for (size_t i = 0; i < candidates.len; i++) {
 		if (!candidates.endpoints[i]->restrictions.rate_limited)
