relay: lost links neither make endpoints cold nor fill their queues

A connection that fails marks its endpoint as cold, as it may be starting, and each prompt is reported to other daemons when it is sent, before the connection is up.

Change: neither happens once no endpoint of the service can be reached.

Evidence: platform_cold_endpoints and platform_sends_told pass.

--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -431,7 +431,8 @@
 		req->connects_failed++;
 		stats_add(stats, STAT_CONNECTS_FAILED, 1);
 		relay_reach_failure(req);
-		relay_warmup_connect_failed(req);
+		if (relay_reach_verdict(req) == REACH_OK)
+			relay_warmup_connect_failed(req);
 		if (!req->attempt.connection_refused) {
 			endpoint_record_failure(endpoint);
 			break;
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -240,5 +240,8 @@
 	    &relay->prefix_index, &prefixes, placement->endpoint->hash, now_ms);
 	prefill_queue_add(&placement->endpoint->prefill_queue,
 	    &req->attempt.prefill_entry, placement->prefill_ms, (double)now_ms);
+	/* It will not arrive, as far as this daemon knows. */
+	if (relay_reach_verdict(req) != REACH_OK)
+		return;
 	prompt_publish(relay, placement, &prefixes);
 }
