relay: lost links are no sign against a version, and eject no endpoint

- A response that is cut off counts against a version once its endpoint responds again within 2.5 s: at the end of a short cut each of them did.
Now not if the service was out of reach at that time or later.
- A first byte that is overdue counts against a version at once: in a cut that hangs, each did.
Now only if an endpoint of the service had contact with this daemon in the last 1.5 s; if not, one is probed.
- Endpoints stay ejected for up to 4 s after the end of a cut.
Now the ejections end with it.

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -133,9 +133,11 @@
 				  seconds */
 	char base_version[ENDPOINT_NAME_SIZE]; /**< version that most endpoints
 						  have; "": not known yet */
-	uint32_t service_hash;		/**< as other daemons are sent it */
-	reach_t reach;			/**< this daemon's links to them */
-	helpers_t helpers;		/**< used while the links are lost */
+	uint32_t service_hash; /**< as other daemons are sent it */
+	reach_t reach;	       /**< this daemon's links to them */
+	struct timespec
+	    unreachable_at; /**< last failure while none can be reached */
+	helpers_t helpers;  /**< used while the links are lost */
 	struct timespec reach_ask_at;	/**< next queries to other daemons */
 	struct timespec reach_probe_at; /**< next probes of endpoints */
 	int64_t reach_probe_ms;		/**< between two rounds of probes */
--- a/moortack/relay/relay_guard.c
+++ b/moortack/relay/relay_guard.c
@@ -78,6 +78,17 @@
 		req->attempt.guard_counted = true;
 }
 
+/* Whether the service could not be reached at that time or later: the
+ * connection may have been lost with the links. */
+static bool
+was_unreachable_since(const endpoint_t *endpoint, struct timespec at)
+{
+	const endpoint_group_t *group = endpoint->group;
+
+	return group != NULL && group->unreachable_at.tv_sec != 0 &&
+	    timespec_ms_between(at, group->unreachable_at) >= 0;
+}
+
 void
 relay_canary_endpoint_alive(relay_request_t *req)
 {
@@ -94,7 +105,8 @@
 		    &endpoint->suspected_failures[i];
 
 		if (timespec_ms_between(failure->at, now) <
-		    DEFERRED_FAILURE_MAX_MS)
+			DEFERRED_FAILURE_MAX_MS &&
+		    !was_unreachable_since(endpoint, failure->at))
 			canary_analysis_observe(
 			    &rollout->canary, &failure->observation, now);
 	}
@@ -170,7 +182,8 @@
 		const attempt_t *attempt = &req->attempt;
 
 		if (attempt->endpoint != NULL && attempt->sent &&
-		    !attempt->head_received && !attempt->guard_counted)
+		    !attempt->head_received && !attempt->guard_counted &&
+		    relay_reach_has_contact(relay, attempt->endpoint))
 			signal_report(req, CANARY_OVERDUE,
 			    without_queue_wait(req,
 				(double)timespec_ms_between(
--- a/moortack/relay/relay_reach.c
+++ b/moortack/relay/relay_reach.c
@@ -78,20 +78,41 @@
 			     : REACH_OK;
 }
 
-bool
-relay_reach_contact_since(const endpoint_t *endpoint, struct timespec since)
+static endpoint_t *
+endpoint_pick(const relay_t *relay, const endpoint_group_t *group)
 {
-	const endpoint_group_t *group = endpoint->group;
+	return group->ring[rng_below(relay->rng, (uint32_t)group->len)];
+}
 
-	return group == NULL ||
-	    (group->reach.response_at.tv_sec != 0 &&
-		timespec_ms_between(since, group->reach.response_at) >= 0);
+/* Probe an endpoint of a service of which nothing was heard lately, at most one
+ * in PROBE_INTERVAL_MS. */
+static void
+probe_quiet(relay_t *relay, endpoint_group_t *group)
+{
+	struct timespec now = clock_boottime(relay->clock);
+
+	if (group->len == 0 ||
+	    timespec_ms_between(group->reach_probed_at, now) <
+		PROBE_INTERVAL_MS)
+		return;
+	group->reach_probed_at = now;
+	reach_probe_begin(relay, endpoint_pick(relay, group));
 }
 
-static endpoint_t *
-endpoint_pick(const relay_t *relay, const endpoint_group_t *group)
+bool
+relay_reach_has_contact(relay_t *relay, const endpoint_t *endpoint)
 {
-	return group->ring[rng_below(relay->rng, (uint32_t)group->len)];
+	endpoint_group_t *group = endpoint->group;
+	int64_t contact_ms;
+
+	if (group == NULL)
+		return true;
+	contact_ms = reach_contact_age_ms(
+	    &group->reach, group->len, clock_boottime(relay->clock));
+	if (contact_ms >= 0 && contact_ms <= CONTACT_MAX_MS)
+		return true;
+	probe_quiet(relay, group);
+	return false;
 }
 
 bool
@@ -181,6 +202,14 @@
 	endpoints_probe(relay, group);
 }
 
+/* The failures were of the links. */
+static void
+ejections_end(endpoint_group_t *group)
+{
+	for (size_t i = 0; i < group->len; i++)
+		endpoint_record_success(group->ring[i]);
+}
+
 static void
 opened_record(relay_t *relay, endpoint_t *endpoint)
 {
@@ -195,6 +224,7 @@
 		return;
 	group->reach_probe_ms = PROBE_FIRST_MS;
 	verdict_log(relay, group, "endpoints_reachable", failing_since);
+	ejections_end(group);
 }
 
 static void
@@ -205,6 +235,8 @@
 
 	reach_record_failure(
 	    &group->reach, endpoint->hash, clock_boottime(relay->clock));
+	if (reach_verdict(&group->reach, group->len) != REACH_OK)
+		group->unreachable_at = group->reach.failed_at;
 	if (before == REACH_OK &&
 	    reach_verdict(&group->reach, group->len) != REACH_OK) {
 		verdict_log(relay, group, "endpoints_unreachable",
@@ -263,21 +295,6 @@
 	return group;
 }
 
-/* An endpoint is probed at most once in PROBE_INTERVAL_MS, however many daemons
- * ask. */
-static void
-probe_for_others(relay_t *relay, endpoint_group_t *group)
-{
-	struct timespec now = clock_boottime(relay->clock);
-
-	if (group->len == 0 ||
-	    timespec_ms_between(group->reach_probed_at, now) <
-		PROBE_INTERVAL_MS)
-		return;
-	group->reach_probed_at = now;
-	reach_probe_begin(relay, endpoint_pick(relay, group));
-}
-
 /* Requests in flight for each core, by which helpers are compared. */
 static uint32_t
 own_load(const relay_t *relay)
@@ -300,7 +317,7 @@
 	contact_ms = reach_contact_age_ms(
 	    &group->reach, group->len, clock_boottime(relay->clock));
 	if (contact_ms < 0 || contact_ms > CONTACT_FRESH_MS)
-		probe_for_others(relay, group);
+		probe_quiet(relay, group);
 	report->load = own_load(relay);
 	report->reaches = relay_ready(relay) && contact_ms >= 0 &&
 	    contact_ms <= CONTACT_MAX_MS;
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -250,7 +250,8 @@
 /** Milliseconds until an endpoint may get the request, if it was tried nowhere;
  * 0: one may at once, or there is none. */
 int64_t relay_time_to_endpoint_ms(relay_request_t *);
-/** Whether an endpoint without a rate limit may get the request. */
+/** Whether an endpoint without a rate limit can be reached and may get the
+ * request. */
 bool relay_has_unlimited_endpoint(relay_request_t *);
 /** Record that the request is sent there, and report it to other daemons. */
 void
@@ -342,9 +343,9 @@
 /** For how many milliseconds no connection to them could be opened; 0: they can
  * be reached, as far as it knows. */
 int64_t relay_reach_failing_ms(const relay_request_t *);
-/** Whether it has had contact with them since a moment: what it did not hear
- * since then is no sign against an endpoint otherwise. */
-bool relay_reach_contact_since(const endpoint_t *, struct timespec);
+/** Whether it has had contact with an endpoint of the same service lately: if
+ * not, one is probed, and silence is no sign against this endpoint. */
+bool relay_reach_has_contact(relay_t *, const endpoint_t *);
 /** Whether a new connection to any endpoint worked at this moment or later. */
 bool relay_reach_opened_since(const relay_t *, struct timespec);
 /** Find out whether new connections work: probe others than this endpoint. */
--- a/test/unit/lost_links_test.c
+++ b/test/unit/lost_links_test.c
@@ -44,6 +44,7 @@
 		self->endpoints[i] =
 		    endpoint_set_update(&self->node.node.endpoints, &info);
 	}
+	self->route.name = "r";
 	self->req = (relay_request_t){.relay = &self->node.node.relay,
 	    .route = &self->route,
 	    .service = SERVICE,
@@ -138,6 +139,147 @@
 	node_fixture_finish(&self.node);
 }
 
+static rollout_t *
+rollout_begin(fixture_t *self)
+{
+	const rollout_order_t order = {.number = 1,
+	    .service = SERVICE,
+	    .to_version = "v2",
+	    .duration_ms = 60000};
+	rollout_t *rollout;
+
+	rollouts_apply_order(&self->node.node.rollouts, &order);
+	rollout = rollouts_find(&self->node.node.rollouts, SERVICE);
+	rollout->order = order;
+	return rollout;
+}
+
+/* Of the new version, as this daemon has counted them. */
+static uint32_t
+responses_counted(const rollout_t *rollout)
+{
+	const canary_route_t *route = &rollout->canary.routes[0];
+	uint32_t count = 0;
+
+	for (size_t i = 0; i < CANARY_SLICES; i++)
+		count +=
+		    route->new_slices[i].failed + route->new_slices[i].late;
+	return count;
+}
+
+/* A failure that was deferred until the endpoint responds again. */
+static void
+fail_and_respond(fixture_t *self, int64_t after_ms)
+{
+	self->req.attempt.endpoint = self->endpoints[0];
+	self->req.attempt.sent = true;
+	self->req.attempt.new_version = true;
+	relay_canary_defer_failure(&self->req);
+	node_fixture_advance(&self->node, after_ms);
+	relay_canary_endpoint_alive(&self->req);
+}
+
+static void
+failures_of_lost_links_are_none_of_the_version(void **state)
+{
+	fixture_t self;
+	rollout_t *rollout;
+
+	(void)state;
+	fixture_init(&self);
+	rollout = rollout_begin(&self);
+	fail_and_respond(&self, 10);
+	assert_int_equal(responses_counted(rollout), 1);
+	self.req.attempt.guard_counted = false;
+	relay_canary_defer_failure(&self.req);
+	for (int i = 0; i < REACH_FAILED_MIN; i++)
+		refuse(&self, i);
+	respond(&self, 1);
+	respond(&self, 2);
+	node_fixture_advance(&self.node, 10);
+	fail_and_respond(&self, 10);
+	assert_int_equal(responses_counted(rollout), 2);
+	node_fixture_finish(&self.node);
+}
+
+/* An attempt that waits for its first byte much longer than others did. */
+static void
+wait_for_first_byte(fixture_t *self)
+{
+	relay_t *relay = &self->node.node.relay;
+
+	self->req.attempt.endpoint = self->endpoints[0];
+	self->req.attempt.sent = true;
+	self->req.attempt.new_version = true;
+	self->req.attempt.sent_at = self->node.clock.now;
+	self->req.attempt.guard_counted = false;
+	relay->requests = &self->req;
+	node_fixture_advance(&self->node, 60000);
+}
+
+static void
+silence_of_lost_links_is_no_late_response(void **state)
+{
+	fixture_t self;
+	rollout_t *rollout;
+	relay_t *relay;
+
+	(void)state;
+	fixture_init(&self);
+	relay = &self.node.node.relay;
+	rollout = rollout_begin(&self);
+	for (int i = 0; i < 40; i++) {
+		self.req.attempt.endpoint = self.endpoints[0];
+		self.req.attempt.sent = true;
+		self.req.attempt.first_byte_ms = 100;
+		self.req.attempt.guard_counted = false;
+		relay_canary_first_byte(&self.req);
+	}
+	wait_for_first_byte(&self);
+	relay_canary_check_overdue(relay);
+	assert_int_equal(responses_counted(rollout), 0);
+	respond(&self, 1);
+	self.req.attempt.endpoint = self.endpoints[0];
+	relay_canary_check_overdue(relay);
+	assert_int_equal(responses_counted(rollout), 1);
+	relay->requests = NULL;
+	node_fixture_finish(&self.node);
+}
+
+static void
+a_response_is_kept_while_no_other_endpoint_can_be_reached(void **state)
+{
+	fixture_t self;
+
+	(void)state;
+	fixture_init(&self);
+	self.req.config = relay_config_new(1);
+	assert_true(relay_has_unlimited_endpoint(&self.req));
+	for (int i = 0; i < REACH_FAILED_MIN; i++)
+		refuse(&self, i);
+	assert_false(relay_has_unlimited_endpoint(&self.req));
+	relay_config_release(self.req.config);
+	node_fixture_finish(&self.node);
+}
+
+static void
+endpoints_are_not_ejected_once_the_links_are_restored(void **state)
+{
+	fixture_t self;
+
+	(void)state;
+	fixture_init(&self);
+	for (int i = 0; i < ENDPOINTS; i++) {
+		refuse(&self, i);
+		endpoint_record_refused(self.endpoints[i]);
+	}
+	assert_true(endpoint_is_ejected(self.endpoints[3]));
+	respond(&self, 1);
+	for (int i = 0; i < ENDPOINTS; i++)
+		assert_false(endpoint_is_ejected(self.endpoints[i]));
+	node_fixture_finish(&self.node);
+}
+
 int
 main(void)
 {
@@ -146,6 +288,12 @@
 	    cmocka_unit_test(
 		a_refused_connection_is_a_crash_if_other_endpoints_accept),
 	    cmocka_unit_test(attempts_lost_with_the_links_are_no_suspicion),
+	    cmocka_unit_test(failures_of_lost_links_are_none_of_the_version),
+	    cmocka_unit_test(silence_of_lost_links_is_no_late_response),
+	    cmocka_unit_test(
+		a_response_is_kept_while_no_other_endpoint_can_be_reached),
+	    cmocka_unit_test(
+		endpoints_are_not_ejected_once_the_links_are_restored),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
