--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -18,7 +18,9 @@
  * time for which it wants nothing after a refusal (texts of headers), "id" its
  * own id, "confidence" that of its responses, "confidence_small" the same of
  * the small model, "events" the number in a stream and "pause_ms" the time
- * between them.
+ * between them, "slots" the number that it says it processes, "room" the most
+ * streams that it holds, beyond which it refuses requests, "brittle" how many
+ * it may refuse in a second before it falls (text of a header).
  */
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -54,6 +56,10 @@
 	size_t arrivals_next;
 	int64_t cold_until_ms;
 	int64_t cold_peak; /**< most requests in a second while cold */
+	int64_t streams;   /**< in progress */
+	int64_t refusals[ARRIVALS_MAX]; /**< times of the latest, ms */
+	size_t refusals_next;
+	int64_t refusals_peak; /**< most in a second while brittle */
 	json_t *listed; /**< the latest requests, as arrival_list() adds them */
 	json_t *faults;
 } replica_t;
@@ -116,16 +122,19 @@
 headers_add(struct evhttp_request *req, bool run)
 {
 	const char *id = http_request_header(req, "Moortack-Attempt-Id");
-	char confidence[16];
+	char confidence[16], load[64];
 
 	if (fault_is("stray"))
 		id = "another";
 	if (id != NULL && !fault_is("unnamed"))
 		http_response_add_header(req, "Moortack-Attempt-Id", id);
-	http_response_add_header(req, "Moortack-Replica-Load", "1,0,8");
+	snprintf(load, sizeof(load), "%" PRId64 ",0,%" PRId64, replica.streams,
+	    fault_int("slots", 8));
+	http_response_add_header(req, "Moortack-Replica-Load", load);
 	http_response_add_header(req, "Keep-Alive", "timeout=5");
 	header_add_fault(req, "Server-Limit", "limit");
 	header_add_fault(req, "Server-Leaving", "leaving");
+	header_add_fault(req, "Server-Brittle", "brittle");
 	if (!run) {
 		header_add_fault(req, "Retry-After", "retry_after");
 		http_response_add_header(req, "Moortack-Not-Executed", "1");
@@ -141,6 +150,7 @@
 static void
 stream_free(stream_t *stream)
 {
+	replica.streams--;
 	event_free(stream->timer);
 	free(stream);
 }
@@ -229,6 +239,7 @@
 	http_response_add_header(req, "Content-Type", "text/event-stream");
 	evhttp_send_reply_start(req, 200, NULL);
 	event_add(stream->timer, &pause);
+	replica.streams++;
 }
 
 static void
@@ -312,6 +323,27 @@
 		_exit(EXIT_FAILURE);
 }
 
+/* Refuse a request for want of room; more than it may refuse in a second end
+ * the process. */
+static void
+room_refuse(struct evhttp_request *req)
+{
+	const char *brittle =
+	    json_string_value(json_object_get(replica.faults, "brittle"));
+	int64_t now = now_ms();
+	int64_t count = 0;
+
+	replica.refusals[replica.refusals_next++ % ARRIVALS_MAX] = now;
+	for (size_t i = 0; i < ARRIVALS_MAX; i++)
+		count += replica.refusals[i] > now - 1000;
+	if (brittle != NULL && count > replica.refusals_peak)
+		replica.refusals_peak = count;
+	if (brittle != NULL && count > strtol(brittle, NULL, 10))
+		_exit(EXIT_FAILURE);
+	headers_add(req, false);
+	respond(req, 503, "");
+}
+
 static const char *
 fault_text(const char *name)
 {
@@ -345,9 +377,10 @@
 	(void)fake;
 	if (strcmp(uri, "/runs") == 0) {
 		http_respond_json(req, 200,
-		    json_pack("{s:O, s:I, s:I}", "runs", replica.runs, "left",
-			(json_int_t)replica.left, "cold_peak",
-			(json_int_t)replica.cold_peak));
+		    json_pack("{s:O, s:I, s:I, s:I}", "runs", replica.runs,
+			"left", (json_int_t)replica.left, "cold_peak",
+			(json_int_t)replica.cold_peak, "refusals_peak",
+			(json_int_t)replica.refusals_peak));
 		return;
 	}
 	if (strcmp(uri, "/arrivals") == 0) {
@@ -366,6 +399,10 @@
 		respond(req, 503, "");
 		return;
 	}
+	if (replica.streams >= fault_int("room", INT64_MAX)) {
+		room_refuse(req);
+		return;
+	}
 	arrival_record();
 	run_record(req);
 	if (crashes(req))
