relay: brittle endpoints have to refuse fewer requests than they bear

Cause: the header was not read, and what an endpoint has room for is guessed by each daemon for itself, so that a full endpoint is found out by refusals.

Change: the header is decoded (absent, odd, huge, negative, twice) and holds for the service for 5 s, or until a response to a later request is without it; both are told to other daemons, once in 2 s at most. A daemon has at most its share of requests at an endpoint that this may still refuse, by rendezvous hashing without a message: of half the room that a load report of the last 0.3 s shows, and of 0.4 of what the endpoint bears a second. It is checked when an endpoint is chosen and when the request is sent, so for first attempts, retries, resumes, larger models and requests of other daemons alike. A refusal is told to a few daemons, and no room is taken for free there for a second. What can't be placed is refused at once as throttled.

--- a/include/moortack/relay/endpoint_restrictions.h
+++ b/include/moortack/relay/endpoint_restrictions.h
@@ -28,6 +28,9 @@
 			       if limited */
 	int64_t backoff_ms; /**< for how long it wants no requests of this
 			       daemon; 0: not said */
+	rate_notice_t brittle; /**< limited: it falls if it has to refuse more
+				  than brittle_milli */
+	int64_t brittle_milli; /**< refusals in 1,000 s for want of room */
 	bool unreadable; /**< a header is not in the form that it has to be */
 } endpoint_notice_t;
 
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -17,6 +17,7 @@
 #include "moortack/reach/reach.h"
 #include "moortack/relay/endpoint_restrictions.h"
 #include "moortack/relay/prefill_queue.h"
+#include "moortack/relay/refusal_limit.h"
 #include "moortack/relay/restriction_memory.h"
 #include "moortack/relay/version_guard.h"
 #include "moortack/relay/zone_table.h"
@@ -114,7 +115,12 @@
 				       send to it in the slot */
 	endpoint_restrictions_t restrictions;
 	rate_share_t rate_share; /**< if a rate limit is in force */
-	uint64_t hash;		 /**< of the id and the start time */
+	refusal_share_t refusal_share;
+	struct timespec refused_at; /**< last request of any daemon for want of
+				       room, while brittle; 0: none */
+	uint32_t unresolved; /**< requests of this daemon, from the choice of
+				the endpoint to the head of the response */
+	uint64_t hash;	     /**< of the id and the start time */
 	uint32_t
 	    short_hash;	   /**< lower 32 bits of it, as sent to other daemons */
 	UT_hash_handle hh; /**< by id */
@@ -133,8 +139,9 @@
 				  seconds */
 	char base_version[ENDPOINT_NAME_SIZE]; /**< version that most endpoints
 						  have; "": not known yet */
-	uint32_t service_hash; /**< as other daemons are sent it */
-	reach_t reach;	       /**< this daemon's links to them */
+	brittle_notice_t brittle; /**< the last one of any of them */
+	uint32_t service_hash;	  /**< as other daemons are sent it */
+	reach_t reach;		  /**< this daemon's links to them */
 	struct timespec
 	    unreachable_at; /**< last failure while none can be reached */
 	helpers_t helpers;  /**< used while the links are lost */
@@ -183,6 +190,9 @@
  * restarted.
  * @return false: there is none */
 bool endpoint_set_find_earlier(const endpoint_set_t *, endpoint_info_t *out);
+/** Refusals in 1,000 s that it bears; negative: no endpoint of its service is
+ * known to be brittle. */
+int64_t endpoint_brittle_milli(const endpoint_t *);
 /** Whether it is leaving, by its entry or by one of its responses. */
 bool endpoint_is_leaving(const endpoint_t *);
 /** Milliseconds for which it wants no requests of this daemon; 0: none. */
--- a/include/moortack/relay/gossip.h
+++ b/include/moortack/relay/gossip.h
@@ -34,6 +34,9 @@
 	/** Another daemon reports an endpoint's rate limit.
 	 * @return whether it was news, and has to be passed on */
 	bool (*on_rate_limit)(void *arg, const gossip_message_t *);
+	/** Another daemon reports that the endpoints of a service are brittle.
+	 * @return whether it was news, and has to be passed on */
+	bool (*on_brittle)(void *arg, const gossip_message_t *);
 	/** Another daemon asks whether this one reaches the endpoints of a
 	 * service: fill in the report.
 	 * @return false: it is not known, don't respond */
--- a/include/moortack/relay/gossip_message.h
+++ b/include/moortack/relay/gossip_message.h
@@ -31,6 +31,8 @@
 	GOSSIP_REACH_QUERY, /**< asks whether the daemon reaches the endpoints
 			       of a service */
 	GOSSIP_REACH_REPORT, /**< the response */
+	GOSSIP_BRITTLE,	     /**< an endpoint of the service has said that it is
+				brittle */
 	GOSSIP_KIND_COUNT
 } gossip_kind_t;
 
@@ -59,14 +61,15 @@
 	size_t crashes_len;
 	uint32_t quarantined_ms; /**< quarantined: for how long already */
 	bool rate_limited;	 /**< rate limit: there is one */
-	uint32_t rate_milli;	 /**< rate limit: requests in 1,000 s */
-	uint32_t service_hash;	 /**< reach query, report: of the service's name
-				  */
+	uint32_t rate_milli;	 /**< rate limit: requests in 1,000 s; brittle:
+				    refusals */
+	uint32_t service_hash;	 /**< reach query, report, brittle: of the
+				    service's name */
 	bool reaches;		 /**< reach report: see helper_report_t */
 	uint32_t contact_age_ms;
 	uint32_t load;
-	uint64_t noticed_ms; /**< rate limit: see rate_report_t; by the store's
-				clock */
+	uint64_t noticed_ms; /**< rate limit, brittle: see rate_report_t; by the
+				store's clock */
 } gossip_message_t;
 
 /** All daemons derive it from the fleet's secret. */
--- a/include/moortack/relay/warmup_share.h
+++ b/include/moortack/relay/warmup_share.h
@@ -58,6 +58,13 @@
  * may go on sending, so its share is not reassigned at once. */
 void warmup_daemons_expire(warmup_daemons_t *, struct timespec now);
 
+/** This daemon's place among all daemons for an endpoint in a slot, by
+ * rendezvous hashing.
+ * @param rank from 0
+ * @param count of all daemons
+ * @return false: the others don't know of this daemon yet */
+bool warmup_rank(const warmup_daemons_t *, uint64_t endpoint_hash, int64_t slot,
+    uint32_t *rank, uint32_t *count);
 /** This daemon's part of an endpoint's quota in a slot; 0 until the others know
  * of this daemon.
  * @param endpoint_hash of its incarnation */
--- a/include/moortack/wire/peer.pb-c.h
+++ b/include/moortack/wire/peer.pb-c.h
@@ -461,7 +461,7 @@
   uint32_t kind;
   /*
    * 4: held, 5: cleared, 6: rate limit,
-   * 7: reach query, 8: reach report
+   * 7: reach query, 8: reach report, 9: brittle
    */
   /*
    * of a query; its response repeats it
@@ -501,7 +501,7 @@
    */
   protobuf_c_boolean limited;
   /*
-   * rate limit: requests in 1,000 s
+   * rate limit, brittle: requests, refusals in 1,000 s
    */
   uint32_t rate;
   /*
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -356,6 +356,18 @@
 	return false;
 }
 
+int64_t
+endpoint_brittle_milli(const endpoint_t *endpoint)
+{
+	const endpoint_group_t *group = endpoint->group;
+
+	return group != NULL &&
+		brittle_notice_holds(
+		    &group->brittle, clock_boottime(endpoint->set->clock))
+	    ? group->brittle.milli
+	    : -1;
+}
+
 void
 endpoint_request_started(endpoint_t *endpoint)
 {
--- a/moortack/relay/gossip.c
+++ b/moortack/relay/gossip.c
@@ -101,6 +101,11 @@
 		    self->uses_owners)
 			gossip_spread(self, message);
 		break;
+	case GOSSIP_BRITTLE:
+		if (self->ops->on_brittle(self->arg, message) &&
+		    self->uses_owners)
+			gossip_spread(self, message);
+		break;
 	case GOSSIP_REACH_QUERY:
 		response.kind = GOSSIP_REACH_REPORT;
 		response.service_hash = message->service_hash;
--- a/moortack/relay/relay_ask.c
+++ b/moortack/relay/relay_ask.c
@@ -204,5 +204,5 @@
 }
 
 const gossip_ops_t relay_gossip_ops = {on_prompt_sent, on_query, on_response,
-    relay_quarantine_receive, relay_rate_limit_receive, relay_reach_query,
-    relay_reach_report};
+    relay_quarantine_receive, relay_rate_limit_receive, relay_brittle_receive,
+    relay_reach_query, relay_reach_report};
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -1,3 +1,4 @@
+#include "relay_brittle.h"
 #include "relay_rate_limit.h"
 #include "relay_warmup.h"
 
@@ -107,6 +108,7 @@
 {
 	if (req->silence_timer != NULL)
 		event_del(req->silence_timer);
+	relay_brittle_resolve(req, false);
 	endpoint_release(req->attempt.endpoint);
 	req->attempt = (attempt_t){0};
 }
@@ -234,7 +236,8 @@
 
 	event_log_write(relay->log, "attempt",
 	    "id=%s endpoint=%s zone=%s model=%s attempt=%u kept=%d resume=%d "
-	    "of=%zu cold=%zu limited=%zu back_off=%zu told=%zu load=%.0f "
+	    "of=%zu cold=%zu limited=%zu back_off=%zu brittle=%zu told=%zu "
+	    "load=%.0f "
 	    "wait_ms=%.0f read_ms=%.0f first_ms=%.0f "
 	    "left_ms=%" PRId64 " config=%" PRIu64 " endpoints_age_ms=%" PRId64,
 	    req->arrival.id, req->last_endpoint_id,
@@ -243,10 +246,11 @@
 	    req->sends + req->connects_failed + 1, req->attempt.reused,
 	    req->response_started, placement->candidates,
 	    placement->cold_skipped, placement->limited_skipped,
-	    placement->backoff_skipped, placement->owner_reports,
-	    placement->load, placement->queue_wait_ms, placement->prefill_ms,
-	    placement->first_byte_ms, request_remaining_ms(req),
-	    req->config->version, row_watch_age_ms(relay->endpoint_watch));
+	    placement->backoff_skipped, placement->brittle_skipped,
+	    placement->owner_reports, placement->load, placement->queue_wait_ms,
+	    placement->prefill_ms, placement->first_byte_ms,
+	    request_remaining_ms(req), req->config->version,
+	    row_watch_age_ms(relay->endpoint_watch));
 }
 
 /* The configuration may have changed since the request was received: the
@@ -346,10 +350,13 @@
 	}
 	relay_warmup_acquire(req);
 	relay_rate_limit_acquire(req);
+	relay_brittle_acquire(req);
 	if (placement.cold_skipped > 0)
 		stats_add(&req->relay->stats, STAT_COLD_PASSED_OVER, 1);
 	if (placement.limited_skipped > 0)
 		stats_add(&req->relay->stats, STAT_RATE_LIMITED_PASSED_OVER, 1);
+	if (placement.brittle_skipped > 0)
+		stats_add(&req->relay->stats, STAT_BRITTLE_PASSED_OVER, 1);
 	if (placement.backoff_skipped > 0)
 		stats_add(&req->relay->stats, STAT_BACKOFF_PASSED_OVER, 1);
 	req->attempt.placement = placement;
@@ -373,7 +380,8 @@
 	if (req->config == relay->config && endpoint->in_set &&
 	    endpoint_accepts_requests(endpoint) &&
 	    endpoint_backoff_ms(endpoint) == 0 && relay_warmup_acquire(req) &&
-	    relay_rate_limit_acquire(req) && !relay_quarantine_refuses(req) &&
+	    relay_rate_limit_acquire(req) && relay_brittle_acquire(req) &&
+	    !relay_quarantine_refuses(req) &&
 	    relay_authorize(relay, &req->arrival, msg->target, &route,
 		&organisation) == ERR_NONE)
 		return true;
--- a/moortack/relay/relay_candidates.c
+++ b/moortack/relay/relay_candidates.c
@@ -1,4 +1,5 @@
 #include "relay_candidates.h"
+#include "relay_brittle.h"
 #include "relay_rate_limit.h"
 #include "relay_warmup.h"
 
@@ -138,6 +139,11 @@
 			hold_back(out, endpoint);
 			continue;
 		}
+		if (!relay_brittle_allows(req->relay, endpoint, rate_slot)) {
+			out->brittle_skipped++;
+			hold_back(out, endpoint);
+			continue;
+		}
 		out->endpoints[out->len] = endpoint;
 		out->inputs[out->len++] = (endpoint_candidate_t){
 		    .hash = endpoint->hash,
@@ -255,6 +261,8 @@
 {
 	if (set->limited_skipped > 0)
 		return "rate_limited";
+	if (set->brittle_skipped > 0)
+		return "brittle";
 	return set->backoff_skipped > 0 ? "back_off" : "warming_up";
 }
 
@@ -270,6 +278,7 @@
 	out->cold_skipped = 0;
 	out->limited_skipped = 0;
 	out->backoff_skipped = 0;
+	out->brittle_skipped = 0;
 	out->held_back_len = 0;
 	*why = "no_pool";
 	if (req->service == NULL)
@@ -300,7 +309,8 @@
 err_code_t
 candidates_refusal(const candidates_t *set)
 {
-	if (set->limited_skipped > 0 || set->backoff_skipped > 0)
+	if (set->limited_skipped > 0 || set->backoff_skipped > 0 ||
+	    set->brittle_skipped > 0)
 		return ERR_THROTTLED;
 	return set->cold_skipped > 0 ? ERR_WARMING_UP : ERR_NO_ENDPOINT;
 }
@@ -312,6 +322,8 @@
 	warmup_snapshot_t warmup;
 	int64_t wait_ms = relay_rate_limit_wait_ms(relay, endpoint);
 
+	if (relay_brittle_wait_ms(relay, endpoint) > wait_ms)
+		wait_ms = relay_brittle_wait_ms(relay, endpoint);
 	if (endpoint_backoff_ms(endpoint) > wait_ms)
 		wait_ms = endpoint_backoff_ms(endpoint);
 	relay_warmup_snapshot(req, &warmup);
@@ -350,7 +362,10 @@
 		return false;
 	candidates_collect(req, &candidates, &why);
 	for (size_t i = 0; i < candidates.len; i++) {
-		if (!candidates.endpoints[i]->restrictions.rate_limited)
+		const endpoint_t *endpoint = candidates.endpoints[i];
+
+		if (!endpoint->restrictions.rate_limited &&
+		    relay_brittle_has_room(endpoint))
 			return true;
 	}
 	return false;
--- a/moortack/relay/relay_candidates.h
+++ b/moortack/relay/relay_candidates.h
@@ -22,6 +22,7 @@
 	size_t cold_skipped;	/**< cold endpoints left out since they have no
 				   warm-up share left */
 	size_t limited_skipped; /**< the same for endpoints with a rate limit */
+	size_t brittle_skipped; /**< the same for brittle ones */
 	size_t backoff_skipped; /**< endpoints that want nothing for a while */
 	endpoint_t *held_back[HELD_BACK_MAX]; /**< some of those left out */
 	size_t held_back_len;
--- a/moortack/relay/relay_notice.c
+++ b/moortack/relay/relay_notice.c
@@ -1,5 +1,6 @@
 #include <inttypes.h>
 
+#include "relay_brittle.h"
 #include "relay_warmup.h"
 
 /* Reports that are older, or from the future, are not believed. */
@@ -119,6 +120,8 @@
 	/* Another endpoint has responded at the address. */
 	if (attempt->response.wrong_endpoint)
 		return;
+	relay_brittle_apply(req);
+	relay_brittle_resolve(req, attempt->response.not_run);
 	if (attempt->response.notice.unreadable)
 		stats_add(&req->relay->stats, STAT_UNREADABLE_NOTICES, 1);
 	changes = endpoint_restrictions_apply(
--- a/moortack/relay/relay_rate_limit.c
+++ b/moortack/relay/relay_rate_limit.c
@@ -14,10 +14,8 @@
 	return store_ms >= 0 ? store_ms / WARMUP_SLOT_MS : -1;
 }
 
-/* @param now the present slot, in which the computation is counted
- * @return false: too many were made in it */
-static bool
-computation_acquire(relay_t *relay, int64_t now)
+bool
+relay_rate_computation_acquire(relay_t *relay, int64_t now)
 {
 	rate_computations_t *computations = &relay->rate_computations;
 
@@ -51,7 +49,7 @@
 
 	if (share->slot == slot && share->rate_milli == rate_milli)
 		return true;
-	if (!computation_acquire(relay, slot))
+	if (!relay_rate_computation_acquire(relay, slot))
 		return false;
 	if (share->slot != slot)
 		share->used = 0;
@@ -101,7 +99,8 @@
 {
 	int64_t slot = now + 1;
 
-	while (slot < now + WAIT_SLOTS_MAX && computation_acquire(relay, now) &&
+	while (slot < now + WAIT_SLOTS_MAX &&
+	    relay_rate_computation_acquire(relay, now) &&
 	    share_compute(relay, endpoint, slot) == 0)
 		slot++;
 	return slot;
--- a/moortack/relay/relay_rate_limit.h
+++ b/moortack/relay/relay_rate_limit.h
@@ -16,6 +16,10 @@
 /** Number of the present slot; negative: the store's clock is unknown. */
 int64_t relay_rate_slot(const relay_t *);
 
+/** Count a computation of a share in the present slot.
+ * @return false: too many were made in it */
+bool relay_rate_computation_acquire(relay_t *, int64_t slot);
+
 /** Whether this daemon may send one more request to the endpoint in the present
  * slot. */
 bool relay_rate_limit_allows(relay_t *, endpoint_t *, int64_t slot);
--- a/moortack/relay/relay_reach.c
+++ b/moortack/relay/relay_reach.c
@@ -285,8 +285,8 @@
 		endpoints_probe(relay, endpoint->group);
 }
 
-static endpoint_group_t *
-group_find(const relay_t *relay, uint32_t service_hash)
+endpoint_group_t *
+relay_group_find(const relay_t *relay, uint32_t service_hash)
 {
 	endpoint_group_t *group = relay->endpoints->groups;
 
@@ -309,7 +309,7 @@
     void *arg, const gossip_message_t *query, gossip_message_t *report)
 {
 	relay_t *relay = arg;
-	endpoint_group_t *group = group_find(relay, query->service_hash);
+	endpoint_group_t *group = relay_group_find(relay, query->service_hash);
 	int64_t contact_ms;
 
 	if (group == NULL || relay->forward_server == NULL)
@@ -341,7 +341,8 @@
     void *arg, const struct sockaddr_in *from, const gossip_message_t *message)
 {
 	relay_t *relay = arg;
-	endpoint_group_t *group = group_find(relay, message->service_hash);
+	endpoint_group_t *group =
+	    relay_group_find(relay, message->service_hash);
 	struct timespec now = clock_boottime(relay->clock);
 	const helper_report_t report = {.reaches = message->reaches,
 	    .contact_age_ms = message->contact_age_ms,
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -37,6 +37,7 @@
 	size_t cold_skipped;	  /**< cold, without a share left in the slot */
 	size_t backoff_skipped;	  /**< want no requests for a while */
 	size_t limited_skipped;	  /**< the same for those with a rate limit */
+	size_t brittle_skipped;	  /**< the same for brittle ones */
 	double load;		  /**< estimated requests at the endpoint */
 	uint32_t uncached_tokens; /**< of the prompt, to be prefilled */
 	double queue_wait_ms;	  /**< until the prefill starts */
@@ -75,6 +76,7 @@
 	bool rate_acquired;	 /**< counted against the rate limit of its
 				    endpoint */
 	int64_t rate_slot;	 /**< slot in which it was counted */
+	bool unresolved;	 /**< its endpoint may still refuse it */
 	bool forwarded;		 /**< sent on through another daemon; there is
 				    no endpoint */
 	struct sockaddr_in helper; /**< that daemon */
@@ -361,6 +363,14 @@
  * closed before any byte of a response. */
 void relay_reach_failure(const relay_request_t *);
 
+/** The endpoints of the service with this hash, as other daemons are sent it;
+ * NULL: there are none. */
+endpoint_group_t *relay_group_find(const relay_t *, uint32_t service_hash);
+/** Another daemon reports that a service is brittle.
+ * @param relay a relay_t
+ * @return whether it was news */
+bool relay_brittle_receive(void *relay, const gossip_message_t *);
+
 /** The endpoint has sent a complete response. */
 void attempt_succeeded(relay_request_t *);
 /** Forward a response that was buffered completely, and end the request. */
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -172,7 +172,7 @@
 		out->cold_skipped = candidates.cold_skipped;
 		out->limited_skipped = candidates.limited_skipped;
 		out->backoff_skipped = candidates.backoff_skipped;
-		out->backoff_skipped = candidates.backoff_skipped;
+		out->brittle_skipped = candidates.brittle_skipped;
 		out->refusal = candidates_refusal(&candidates);
 		return false;
 	}
@@ -195,6 +195,7 @@
 	out->candidates = candidates.len;
 	out->cold_skipped = candidates.cold_skipped;
 	out->limited_skipped = candidates.limited_skipped;
+	out->brittle_skipped = candidates.brittle_skipped;
 	out->load = candidates.inputs[chosen].load;
 	out->queue_wait_ms = candidates.inputs[chosen].queue_wait_ms;
 	out->prefill_ms = fmin(prefill_ms_per_token(req, index) *
--- a/moortack/relay/warmup_share.c
+++ b/moortack/relay/warmup_share.c
@@ -114,20 +114,31 @@
 	return XXH3_64bits_withSeed(&daemon_hash, sizeof(daemon_hash), seed);
 }
 
-uint32_t
-warmup_share(const warmup_daemons_t *daemons, uint64_t endpoint_hash,
-    int64_t slot, uint32_t quota)
+bool
+warmup_rank(const warmup_daemons_t *daemons, uint64_t endpoint_hash,
+    int64_t slot, uint32_t *rank, uint32_t *count)
 {
 	uint64_t seed =
 	    XXH3_64bits_withSeed(&slot, sizeof(slot), endpoint_hash);
 	uint64_t own = rendezvous_weight(daemons->own_hash, seed);
-	uint32_t count = 1 + HASH_COUNT(daemons->others);
-	uint32_t rank = 0;
 
 	if (!daemons->own_counted)
-		return 0;
+		return false;
+	*count = 1 + HASH_COUNT(daemons->others);
+	*rank = 0;
 	for (const warmup_daemon_t *daemon = daemons->others; daemon != NULL;
 	     daemon = daemon->hh.next)
-		rank += rendezvous_weight(daemon->hash, seed) < own;
+		*rank += rendezvous_weight(daemon->hash, seed) < own;
+	return true;
+}
+
+uint32_t
+warmup_share(const warmup_daemons_t *daemons, uint64_t endpoint_hash,
+    int64_t slot, uint32_t quota)
+{
+	uint32_t rank, count;
+
+	if (!warmup_rank(daemons, endpoint_hash, slot, &rank, &count))
+		return 0;
 	return quota / count + (rank < quota % count);
 }
--- a/test/platform/notice_headers_test.c
+++ b/test/platform/notice_headers_test.c
@@ -71,6 +71,43 @@
 	    rate_of("99999999999999999999999.9").rate_milli, 1000000000);
 }
 
+static endpoint_notice_t
+brittle_of(int status, char *const values[])
+{
+	return notice_of(status, "server-brittle", values);
+}
+
+static void
+refusals_that_a_brittle_endpoint_bears_are_decoded(void **state)
+{
+	static char *const odd[] = {"", "-3", "+3", "3 ", "0x3", "many", "3/s"};
+
+	(void)state;
+	assert_int_equal(
+	    brittle_of(200, (char *[]){NULL}).brittle, RATE_NOT_LIMITED);
+	assert_int_equal(
+	    brittle_of(200, (char *[]){"3", NULL}).brittle, RATE_LIMITED);
+	assert_int_equal(
+	    brittle_of(503, (char *[]){"3", NULL}).brittle_milli, 3000);
+	assert_int_equal(
+	    brittle_of(200, (char *[]){"0", NULL}).brittle_milli, 0);
+	assert_int_equal(
+	    brittle_of(200, (char *[]){"9", "4", NULL}).brittle_milli, 4000);
+	assert_int_equal(
+	    brittle_of(200, (char *[]){"x", "4", NULL}).brittle_milli, 4000);
+	assert_int_equal(
+	    brittle_of(200, (char *[]){"99999999999999999999", NULL})
+		.brittle_milli,
+	    1000000000);
+	for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		endpoint_notice_t notice =
+		    brittle_of(200, (char *[]){odd[i], NULL});
+
+		assert_int_equal(notice.brittle, RATE_UNREADABLE);
+		assert_true(notice.unreadable);
+	}
+}
+
 static void
 unreadable_rate_limits_name_none(void **state)
 {
@@ -180,6 +217,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(rate_limits_are_decoded),
+	    cmocka_unit_test(
+		refusals_that_a_brittle_endpoint_bears_are_decoded),
 	    cmocka_unit_test(unreadable_rate_limits_name_none),
 	    cmocka_unit_test(the_strictest_of_several_rate_limits_counts),
 	    cmocka_unit_test(drain_notices_are_decoded),
