relay: a brittle endpoint that falls is no sign of a crash or a bad version

An endpoint that is brittle ends under requests that it had to refuse. That counted as a crash under each request that ran there, which after three of them is refused everywhere, and as a failure of its version, which a roll-out would be reverted for.

Change: neither is recorded while the endpoint's service is known to be brittle. A request that does crash endpoints is not found out by crashes in that time.

--- a/moortack/relay/relay_crashes.c
+++ b/moortack/relay/relay_crashes.c
@@ -165,9 +165,10 @@
 	    .version = endpoint_version_hash(endpoint),
 	    .ended_at = clock_boottime(req->relay->clock)};
 
-	/* An endpoint that is leaving ends once its requests are completed;
-	 * that is no crash. */
-	if (attempt.digest == 0 || endpoint_is_leaving(endpoint))
+	/* An endpoint that is leaving ends once its requests are completed, and
+	 * a brittle one under requests that it refused; that is no crash. */
+	if (attempt.digest == 0 || endpoint_is_leaving(endpoint) ||
+	    endpoint_brittle_milli(endpoint) >= 0)
 		return false;
 	unresolved_attempts_add(attempts, &attempt);
 	return true;
--- a/moortack/relay/relay_guard.c
+++ b/moortack/relay/relay_guard.c
@@ -163,7 +163,9 @@
 {
 	endpoint_t *endpoint = req->attempt.endpoint;
 
+	/* A brittle endpoint falls whatever its version. */
 	if (rollout_of_attempt(req) == NULL ||
+	    endpoint_brittle_milli(endpoint) >= 0 ||
 	    endpoint->suspected_failures_len == ENDPOINT_SUSPECTED_FAILURES_MAX)
 		return;
 	endpoint->suspected_failures[endpoint->suspected_failures_len++] =
--- a/test/unit/lost_links_test.c
+++ b/test/unit/lost_links_test.c
@@ -1,7 +1,8 @@
 /**
  * @file
  * What a daemon whose links to the endpoints are lost must not conclude: that
- * endpoints crashed under its requests, or that their version is bad.
+ * endpoints crashed under its requests, or that their version is bad. The same
+ * of endpoints that are brittle.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -11,6 +12,7 @@
 
 #include <stdio.h>
 
+#include "../../moortack/relay/relay_brittle.h"
 #include "../../moortack/relay/relay_quarantine_priv.h"
 #include "../../moortack/relay/relay_request.h"
 #include "../support/node_fixture.h"
@@ -202,6 +204,36 @@
 	node_fixture_finish(&self.node);
 }
 
+/* An endpoint of the service has said that it is brittle. */
+static void
+say_brittle(fixture_t *self)
+{
+	self->req.attempt.endpoint = self->endpoints[1];
+	self->req.attempt.response.notice =
+	    (endpoint_notice_t){.brittle = RATE_LIMITED, .brittle_milli = 4000};
+	relay_brittle_apply(&self->req);
+}
+
+static void
+a_brittle_endpoint_that_falls_is_no_sign_of_a_crash_or_a_bad_version(
+    void **state)
+{
+	fixture_t self;
+	rollout_t *rollout;
+
+	(void)state;
+	fixture_init(&self);
+	rollout = rollout_begin(&self);
+	say_brittle(&self);
+	lose_attempt(&self, 0);
+	fail_and_respond(&self, 10);
+	respond(&self, 1);
+	refuse(&self, 0);
+	assert_int_equal(crashes(&self), 0);
+	assert_int_equal(responses_counted(rollout), 0);
+	node_fixture_finish(&self.node);
+}
+
 /* An attempt that waits for its first byte much longer than others did. */
 static void
 wait_for_first_byte(fixture_t *self)
@@ -289,6 +321,8 @@
 		a_refused_connection_is_a_crash_if_other_endpoints_accept),
 	    cmocka_unit_test(attempts_lost_with_the_links_are_no_suspicion),
 	    cmocka_unit_test(failures_of_lost_links_are_none_of_the_version),
+	    cmocka_unit_test(
+		a_brittle_endpoint_that_falls_is_no_sign_of_a_crash_or_a_bad_version),
 	    cmocka_unit_test(silence_of_lost_links_is_no_late_response),
 	    cmocka_unit_test(
 		a_response_is_kept_while_no_other_endpoint_can_be_reached),
