soak: daemons lose their links to all replicas

Added: its packets to the replicas' relays are dropped, in one direction or both, or its new connections are reset while open ones live on; several daemons at once, beside the other faults. Requests that were sent on reach replicas from daemons that were told of other rate limits and back-offs, so these checks don't count them for the daemon that the caller used.

--- a/soak/notices.lua
+++ b/soak/notices.lua
@@ -20,6 +20,18 @@
 
 function notices.sent(id, daemon) senders[id] = daemon end
 
+-- A request that a daemon sent on reached replicas from others, which were told of
+-- other notices.
+function notices.sent_on(i)
+  local log = io.open(string.format("%s/scenario-logs/%s/daemon%d.log", build,
+    network, i))
+  for line in log:lines() do
+    local id = line:match("event=forward id=(%S+)")
+    if id then senders[id] = "sent on " .. id end
+  end
+  log:close()
+end
+
 function notices.completed(id, status)
   if status == 200 then told_at[id] = run.now() end
 end
--- a/soak/soak.lua
+++ b/soak/soak.lua
@@ -20,7 +20,7 @@
 local DAEMONS, REPLICAS, CALLS_MAX = 4, 4, 6
 local FAULT_INTERVAL_MS = {200, 900} -- bounds of the time between faults
 local ACTIVE_FAULTS_MAX = 2 -- when the next one starts
-local world = words.world(REPLICAS, 0)
+local world = words.world(REPLICAS, 0, nil, {own_sources = true})
 for i = 1, REPLICAS do world:link(i) end
 for i = 1, DAEMONS do world:store_link(i) end
 for i = 1, DAEMONS do world:daemon(i) end
@@ -115,6 +115,29 @@
   outage = false
 end
 
+-- Links between a daemon and all replicas, by daemon: how they are cut.
+local cut_links = {}
+
+local function links_apply()
+  for _, replica in ipairs(world.replicas) do
+    local faults = {target = replica.address, lost = {}, lost_one_way = {},
+      refused = {}}
+    for i, how in pairs(cut_links) do
+      table.insert(faults[how], network .. i)
+    end
+    lib.fault(replica.relay.address, faults)
+  end
+end
+
+local function links_cut(i, how)
+  cut_links[i] = how
+  links_apply()
+  return function()
+    cut_links[i] = nil
+    links_apply()
+  end
+end
+
 local fault_kinds = {
   kill = function(fault)
     local i = fault.daemon
@@ -224,7 +247,15 @@
   back_off = function(fault)
     return replica_fault(fault.replica, {shed = true, retry_after = "2"})
   end,
-  silent = function(fault) world:silence(fault.replica) end,
+  links_lost = function(fault) return links_cut(fault.daemon, "lost") end,
+  links_lost_one_way = function(fault)
+    return links_cut(fault.daemon, "lost_one_way")
+  end,
+  links_refused = function(fault) return links_cut(fault.daemon, "refused") end,
+  silent = function(fault)
+    world:silence(fault.replica)
+    links_apply()
+  end,
   stray = function(fault) return replica_fault(fault.replica, {stray = true}) end,
   leave = function(fault)
     local i = fault.replica
@@ -446,6 +477,7 @@
   end
   served = served + (call.status == 200 and 1 or 0)
 end
+for i = 1, DAEMONS do notices.sent_on(i) end
 notices.check(world)
 for i = 1, DAEMONS do
   for _, path in ipairs({"/book/2", "/scan/2", "/stream/b"}) do
