relay: split files that have grown; stop accepting other daemons' requests at a shutdown

How an attempt ends and whether it is repeated is in relay_retry.c now, what a request has left in relay_request.c, and the log of store calls in relay_rows.c; no behaviour changes by that.

A daemon that leaves closed its listener for callers, but went on accepting requests that other daemons send on, until its process ended: such a request would have ended as unknown. Found by reading; both are closed at the same time now.

Evidence: lint; unit tests; scenario graceful and platform_leaving_first.

--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -197,6 +197,10 @@
  * @param first_read the daemons' rows were just read for the first time */
 void relay_warmup_tick(relay_t *, bool first_read);
 
+/** Accept no new connections, of callers or of other daemons that send requests
+ * on. */
+void relay_stop_accepting(relay_t *);
+
 /** Close each caller's connection after its next response. */
 void relay_drain(relay_t *);
 
--- a/moortack/relay/relay_forward.c
+++ b/moortack/relay/relay_forward.c
@@ -8,7 +8,6 @@
 
 /* A daemon that is up accepts within a few ms. */
 #define CONNECT_TIMEOUT_MS 300
-#define REMAINING_MIN_MS 10
 #define MS_PER_SEC 1000
 #define LAST_EVENT_ID_HEADER "Last-Event-Id"
 
@@ -93,7 +92,7 @@
 
 	/* This daemon may have been suspended while it connected. */
 	if (req->config == req->relay->config &&
-	    request_remaining_ms(req) >= REMAINING_MIN_MS &&
+	    request_remaining_ms(req) >= REQUEST_REMAINING_MIN_MS &&
 	    relay_authorize(req->relay, &req->arrival, msg->target, &route,
 		&organisation) == ERR_NONE)
 		return true;
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -23,7 +23,6 @@
  */
 #define BOOTSTRAP_JITTER_MS 1500
 #define OPERATOR_PAUSE_MS 20
-#define CALLS_LOG_INTERVAL_MS 2000
 #define SESSIONS_KEY_SIZE (sizeof(ROLLOUT_SESSIONS_PREFIX) + MEMBER_NAME_SIZE)
 /* The system's table: the pause between polls, and the age at which its rows
  * are outdated. */
@@ -142,35 +141,6 @@
 		sessions_publish(node);
 }
 
-/* Logs the numbers of calls to the store so far, at intervals, if there were
- * new ones. */
-static void
-calls_log(relay_node_t *node)
-{
-	const uint64_t *calls = node->ports.store->calls;
-	struct timespec now = clock_boottime(node->ports.clock);
-	uint64_t total = 0;
-
-	for (int i = 0; i < ROW_PURPOSES; i++)
-		total += calls[i];
-	if (total == node->calls_logged ||
-	    timespec_ms_between(node->calls_logged_at, now) <
-		CALLS_LOG_INTERVAL_MS)
-		return;
-	node->calls_logged = total;
-	node->calls_logged_at = now;
-	event_log_write(&node->log, "store_calls",
-	    "all=%" PRIu64 " read=%" PRIu64 " reread=%" PRIu64
-	    " changes=%" PRIu64 " beside=%" PRIu64 " member=%" PRIu64
-	    " clearing=%" PRIu64 " state=%" PRIu64 " key=%" PRIu64
-	    " quarantine=%" PRIu64 " duty=%" PRIu64,
-	    total, calls[ROW_PURPOSE_FIRST_READ], calls[ROW_PURPOSE_REREAD],
-	    calls[ROW_PURPOSE_POLL], calls[ROW_PURPOSE_FOLLOWER_POLL],
-	    calls[ROW_PURPOSE_MEMBER], calls[ROW_PURPOSE_MEMBER_CLEANUP],
-	    calls[ROW_PURPOSE_ROLLOUT_STATE], calls[ROW_PURPOSE_FLEET_KEY],
-	    calls[ROW_PURPOSE_QUARANTINE], calls[ROW_PURPOSE_DUTY]);
-}
-
 static void
 members_tick(relay_node_t *node)
 {
@@ -208,7 +178,7 @@
 	if (part >= SHUTDOWN_REFUSE_STREAMS_PART)
 		node->relay.refusing_streams = true;
 	if (part >= SHUTDOWN_STOP_ACCEPTING_PART)
-		http_inbound_stop_accepting(node->relay.server);
+		relay_stop_accepting(&node->relay);
 	if (part < SHUTDOWN_MAX_PART &&
 	    (part < SHUTDOWN_STOP_ACCEPTING_PART || node->relay.in_flight > 0 ||
 		node->members.write_pending || duties_busy(&node->duties)))
@@ -258,7 +228,7 @@
 	if (rollouts_any_active(&node->rollouts))
 		relay_canary_check_overdue(&node->relay);
 	report_send(node);
-	calls_log(node);
+	relay_store_calls_log(node);
 	if (node->leaving)
 		shutdown_step(node);
 	else
--- a/moortack/relay/relay_node_priv.h
+++ b/moortack/relay/relay_node_priv.h
@@ -22,6 +22,10 @@
 void relay_row_keep_known(
     relay_node_t *, row_table_t, const cached_row_t *known, const row_t *);
 
+/** Log the numbers of calls to the store so far, at intervals, if there were
+ * new ones; called a few times a second. */
+void relay_store_calls_log(relay_node_t *);
+
 /** Apply the row of an evacuation, or its removal. */
 void relay_evacuation_apply_row(relay_node_t *, const row_t *);
 /** End evacuations that have been unconfirmed for too long; called a few times
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * State of one request, shared by the relay's files: accepted (relay.c),
- * placed, sent (relay_attempt.c), responded to (relay_response.c).
+ * placed, sent (relay_attempt.c), responded to (relay_response.c), retried
+ * (relay_retry.c).
  */
 #ifndef MOORTACK_RELAY_RELAY_REQUEST_H
 #define MOORTACK_RELAY_RELAY_REQUEST_H
@@ -18,6 +19,8 @@
 #define OWNERS_QUERIED_MAX 3
 /** Daemons through which a request is sent on at most, one after the other. */
 #define FORWARDS_MAX 3
+/** With less time left, no endpoint can respond. */
+#define REQUEST_REMAINING_MIN_MS 10
 /** Bytes of a response's header lines. */
 #define RESPONSE_HEAD_MAX 4096
 
@@ -364,8 +367,11 @@
 bool relay_reach_wait(relay_request_t *, err_code_t refusal, const char *why);
 /** The links are lost: send on the requests that wait. */
 void relay_reach_waits_resume(relay_t *, const char *service);
-/** There is no further attempt: respond with the outcome of those before. */
+/** There is no further attempt: respond with the outcome of those before, or
+ * with this refusal if the request has not run. */
 void attempt_conclude(relay_request_t *, err_code_t, const char *why);
+/** The same, unless other daemons' reports may bring a further attempt. */
+void attempt_refuse(relay_request_t *, err_code_t, const char *why);
 /** Callbacks of gossip_ops_t. */
 bool relay_reach_query(
     void *relay, const gossip_message_t *query, gossip_message_t *report);
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -5,6 +5,7 @@
 #include "moortack/replication/era_version.h"
 #include "relay_node_priv.h"
 
+#define CALLS_LOG_INTERVAL_MS 2000
 /* An endpoint's entry is removed after three missed heartbeats, which takes
  * over three seconds with the heartbeats of the deployments: a shorter outage
  * of the store removes none. */
@@ -343,6 +344,33 @@
 	duties_parent_changed(&((relay_node_t *)arg)->duties);
 }
 
+void
+relay_store_calls_log(relay_node_t *node)
+{
+	const uint64_t *calls = node->ports.store->calls;
+	struct timespec now = clock_boottime(node->ports.clock);
+	uint64_t total = 0;
+
+	for (int i = 0; i < ROW_PURPOSES; i++)
+		total += calls[i];
+	if (total == node->calls_logged ||
+	    timespec_ms_between(node->calls_logged_at, now) <
+		CALLS_LOG_INTERVAL_MS)
+		return;
+	node->calls_logged = total;
+	node->calls_logged_at = now;
+	event_log_write(&node->log, "store_calls",
+	    "all=%" PRIu64 " read=%" PRIu64 " reread=%" PRIu64
+	    " changes=%" PRIu64 " beside=%" PRIu64 " member=%" PRIu64
+	    " clearing=%" PRIu64 " state=%" PRIu64 " key=%" PRIu64
+	    " quarantine=%" PRIu64 " duty=%" PRIu64,
+	    total, calls[ROW_PURPOSE_FIRST_READ], calls[ROW_PURPOSE_REREAD],
+	    calls[ROW_PURPOSE_POLL], calls[ROW_PURPOSE_FOLLOWER_POLL],
+	    calls[ROW_PURPOSE_MEMBER], calls[ROW_PURPOSE_MEMBER_CLEANUP],
+	    calls[ROW_PURPOSE_ROLLOUT_STATE], calls[ROW_PURPOSE_FLEET_KEY],
+	    calls[ROW_PURPOSE_QUARANTINE], calls[ROW_PURPOSE_DUTY]);
+}
+
 const row_sync_ops_t relay_rows_ops = {
     .row = on_row,
     .full_read_begin = on_full_read_begin,
