soak: a back-off ends with the incarnation that asked for it

By the log of daemon 4 the back-off was asked for at 3413.908; at 3414.898 an entry of a later incarnation of the replica came (the end of a drain notice in the soak), and requests went there from 3414.977 on. What an earlier incarnation asked for does not bind its successor, and the check of drain notices has that exception; the check of back-offs lacked it. Checked as before within an incarnation.

--- a/soak/notices.lua
+++ b/soak/notices.lua
@@ -80,7 +80,8 @@
       local later = list[m]
       if later.at > first.at + REST_MS then break end
       if later.daemon == first.daemon and later.at > first.at + GRACE_MS and
-          not any_between(excused[later.daemon], first.at, later.at) then
+          not any_between(excused[later.daemon], first.at, later.at) and
+          not any_between(begun[i], first.at, later.at) then
         count = count + 1
       end
     end
