--- a/include/moortack/reach/helpers.h
+++ b/include/moortack/reach/helpers.h
@@ -21,7 +21,7 @@
  * through it fails: it may be down, frozen, or cut off itself. */
 #define HELPER_SILENCE_MS 1400
 
-/** What another daemon says of its links to the endpoints of a service. */
+/** A report of another daemon on its links to the endpoints of a service. */
 typedef struct helper_report {
 	bool reaches;		/**< it had contact with an endpoint lately */
 	int64_t contact_age_ms; /**< since then */
--- a/include/moortack/reach/reach.h
+++ b/include/moortack/reach/reach.h
@@ -29,7 +29,7 @@
 	REACH_LOST,    /**< another daemon reaches endpoints of the service */
 } reach_verdict_t;
 
-/** What is known of the links to the endpoints of one service. */
+/** State of the links to the endpoints of one service. */
 typedef struct reach {
 	uint64_t failed[REACH_FAILED_MAX]; /**< hashes of distinct endpoints
 					      that could not be reached */
--- a/include/moortack/relay/refusal_limit.h
+++ b/include/moortack/relay/refusal_limit.h
@@ -14,7 +14,7 @@
 #include <stdint.h>
 #include <time.h>
 
-/** What endpoints say of themselves. */
+/** The latest notice of a service whose endpoints are brittle. */
 typedef struct brittle_notice {
 	int64_t milli;		  /**< refusals in 1,000 s that one bears */
 	struct timespec at;	  /**< when it was last named; 0: never */
--- a/test/fuzz/brittle_fuzz.c
+++ b/test/fuzz/brittle_fuzz.c
@@ -418,7 +418,7 @@
 	if (!daemon->running)
 		return;
 	daemon_update(number);
-	/* What it does not learn in time is no fault of it. */
+	/* A frozen daemon does not receive notices. */
 	if (world.now_ms < daemon->frozen_until_ms)
 		daemon->told_ms = NEVER;
 	else if (random_below(100) < world.rate)
--- a/test/unit/lost_links_test.c
+++ b/test/unit/lost_links_test.c
@@ -1,8 +1,8 @@
 /**
  * @file
- * What a daemon whose links to the endpoints are lost must not conclude: that
+ * A daemon whose links to the endpoints are lost must not conclude that
  * endpoints crashed under its requests, or that their version is bad. The same
- * of endpoints that are brittle.
+ * holds for endpoints that are brittle.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -124,7 +124,7 @@
 	node_fixture_finish(&self.node);
 }
 
-/* What the attempts lost together does not keep the request from a retry. */
+/* Attempts that were lost together do not keep the request from a retry. */
 static void
 attempts_lost_with_the_links_are_no_suspicion(void **state)
 {
