--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -412,7 +412,8 @@
 		return;
 	}
 	headers_add(req, true);
-	if (fault_is("fail"))
+	if (fault_is("fail") ||
+	    replica.streams >= fault_int("fail_from", INT64_MAX))
 		respond(req, 500, "failed\n");
 	else if (strncmp(uri, "/stream/", 8) == 0)
 		stream_start(req);
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -99,8 +99,8 @@
   end
   self:put("servers", replica.id, {service = replica.service or "lm",
     address = replica.link or replica.address, zone = replica.zone or "a",
-    version = version or "v1", batch_slots = 8, state = state or "ready",
-    sequence = 1, warmup_left_ms = replica.warmup_left_ms,
+    version = version or "v1", batch_slots = self.slots or 8,
+    state = state or "ready", sequence = 1, warmup_left_ms = replica.warmup_left_ms,
     preemptible = self.preemptible, born = replica.born})
   return replica
 end
