--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -75,6 +75,10 @@
 	canary_analysis_t canary;
 	double share; /**< of the requests, for the new version, as of the last
 			 rollout_prefers_new() */
+	/** Highest part of the slots that was in use at an endpoint of the new
+	 * version when it responded, in percent, since the share changed last;
+	 * may be over 100. */
+	uint32_t load_max_percent;
 	UT_hash_handle hh;
 } rollout_t;
 
@@ -122,6 +126,9 @@
 /** Whether a request with this hash should go to the new version.
  * @param session the hash is that of a session */
 bool rollout_prefers_new(rollout_t *, uint64_t hash, bool session);
+/** Record how many requests an endpoint of the new version ran or queued when
+ * it responded, for the log. */
+void rollout_record_load(rollout_t *, uint32_t held, uint32_t slots);
 /** Record that a session's request goes to an old version, or to a version that
  * no roll-out replaces yet: the next roll-out leaves the session there.
  * Sessions outside the share of the first step are not recorded; they don't
--- a/moortack/relay/relay_guard.c
+++ b/moortack/relay/relay_guard.c
@@ -66,12 +66,25 @@
 	    !req->attempt.rollout_saturating;
 }
 
+/* How full the endpoints were at which the new version was observed. */
+static void
+load_record(const relay_request_t *req, rollout_t *rollout)
+{
+	const endpoint_t *endpoint = req->attempt.endpoint;
+	uint32_t held = endpoint->load.running + endpoint->load.waiting;
+
+	if (req->attempt.new_version && endpoint->load_reported)
+		rollout_record_load(rollout, held, endpoint->info.slots);
+}
+
 static void
 signal_report(relay_request_t *req, canary_signal_t signal, double ms)
 {
 	rollout_t *rollout = rollout_of_attempt(req);
 	canary_observation_t observation = observation_make(req, signal, ms);
 
+	if (rollout != NULL)
+		load_record(req, rollout);
 	if (rollout != NULL && signal_counts(req, signal) &&
 	    canary_analysis_observe(&rollout->canary, &observation,
 		clock_boottime(req->relay->clock)))
--- a/moortack/relay/rollouts.c
+++ b/moortack/relay/rollouts.c
@@ -15,6 +15,7 @@
 /* Orders and states older than this are stale, and no share grows then. With
  * long polling they are up to two polls old. */
 #define STALE_MS 3400
+#define PERCENT 100
 
 rollout_t *
 rollouts_find(const rollouts_t *self, const char *service)
@@ -97,12 +98,14 @@
 		event_log_write(rollout->owner->log, "rollout_share",
 		    "service=%s order=%" PRIu64
 		    " to=%s state=%s share=%.2f elapsed_ms=%" PRId64
-		    " stopped=%d uncertain=%d",
+		    " stopped=%d uncertain=%d load_max_percent=%u",
 		    rollout->order.service, rollout->order.number,
 		    rollout->order.to_version,
 		    rollout_state_names[snapshot.state], share,
-		    snapshot.elapsed_ms, snapshot.stopped, snapshot.stale);
+		    snapshot.elapsed_ms, snapshot.stopped, snapshot.stale,
+		    rollout->load_max_percent);
 		rollout->share = share;
+		rollout->load_max_percent = 0;
 	}
 	if (!session || !rollout_plan_pins_sessions(&snapshot))
 		return rollout_share_includes(share, hash);
@@ -114,6 +117,15 @@
 	    rollout_share_includes(share, hash);
 }
 
+void
+rollout_record_load(rollout_t *rollout, uint32_t held, uint32_t slots)
+{
+	uint32_t percent = slots > 0 ? held * PERCENT / slots : 0;
+
+	if (percent > rollout->load_max_percent)
+		rollout->load_max_percent = percent;
+}
+
 bool
 rollout_is_saturating(const rollout_t *rollout)
 {
