--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -38,6 +38,8 @@
 				    ERR_CONFIG_STALE: it may be new */
 	retry_bounds_t retries;
 	warmup_bounds_t warmup;
+	double exposure_max;	    /**< part of the requests in the time of a
+				       roll-out that a bad version may get */
 	uint32_t body_buffer_max;   /**< bytes of a response that are buffered
 				       before it is forwarded */
 	uint32_t requests_max;	    /**< in flight at the same time */
@@ -161,8 +163,13 @@
 void relay_canary_check_overdue(relay_t *);
 
 /** Number of requests in flight at endpoints that a roll-out replaces.
+ * @param relay a relay_t
+ * @param route hash of a route's name; 0: of all routes */
+uint32_t relay_old_version_in_flight(
+    const void *relay, const rollout_t *, uint64_t route);
+/** Slots of an endpoint of a roll-out's new version; 0: none is known.
  * @param relay a relay_t */
-uint32_t relay_old_version_in_flight(const void *relay, const rollout_t *);
+uint32_t relay_new_version_slots(const void *relay, const rollout_t *);
 
 /** The version that most endpoints of a service had at first; "": not known.
  * @param relay a relay_t */
--- a/include/moortack/relay/rollout_plan.h
+++ b/include/moortack/relay/rollout_plan.h
@@ -7,6 +7,7 @@
 #define MOORTACK_RELAY_ROLLOUT_PLAN_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /** The state of a roll-out. */
@@ -17,11 +18,34 @@
 	ROLLOUT_REVERTED,
 } rollout_state_t;
 
+/** Routes by whose requests a new version is put under load. */
+#define ROLLOUT_LOAD_ROUTES_MAX 12
+
+/** How the new version is put under load: requests of some routes are sent to
+ * so few of its endpoints that most of the slots of these are in use. */
+typedef struct rollout_load {
+	double share;	    /**< of these routes' requests, for the new
+			       version; 0: not known */
+	double fill_share;  /**< the share that fills the endpoints, which may
+			       be larger, also over 1 */
+	uint32_t endpoints; /**< that receive them; 0: not known */
+	uint64_t routes[ROLLOUT_LOAD_ROUTES_MAX]; /**< hashes of their names */
+	size_t routes_len;
+} rollout_load_t;
+
+/** A request, as far as the choice of its version depends on it. */
+typedef struct rollout_request {
+	uint64_t hash;	/**< of its session, or of its id if it has none */
+	uint64_t route; /**< hash of the route's name */
+	bool session;
+} rollout_request_t;
+
 /** What the schedule depends on at one moment. */
 typedef struct rollout_snapshot {
 	rollout_state_t state;
 	int64_t elapsed_ms; /**< since the order */
 	int64_t duration_ms;
+	rollout_load_t load;
 	bool stopped; /**< this daemon found the new version to be bad */
 	bool stale;   /**< the order and the state may be outdated */
 } rollout_snapshot_t;
@@ -29,15 +53,39 @@
 /** Share of the requests that the first step sends to the new version. */
 #define ROLLOUT_FIRST_SHARE 0.05
 
+/** What the load of the new version depends on. */
+typedef struct rollout_load_input {
+	uint32_t in_flight;  /**< requests of the load's routes in flight, of
+				all daemons */
+	double route_part;   /**< part of all requests that is of these routes,
+				0 to 1 */
+	uint32_t slots;	     /**< of an endpoint */
+	double exposure_max; /**< part of all requests that a version which
+				turns out to be bad may get, 0 to 1 */
+} rollout_load_input_t;
+
+/** Determine how to put the new version under load.
+ * @param load its routes are set; share and endpoints are filled in */
+void rollout_plan_load(rollout_load_t *load, const rollout_load_input_t *);
+/** Whether it is time to determine that, ahead of its use. */
+bool rollout_plan_load_due(const rollout_snapshot_t *);
+
 /** Whether the new version's requests are concentrated on few endpoints, so
  * that a fault that shows only under load is found while the share is small. */
 bool rollout_plan_is_saturating(const rollout_snapshot_t *);
+/** Whether requests of the route put the new version under load. */
+bool rollout_plan_loads(const rollout_snapshot_t *, uint64_t route);
+/** Endpoints of the new version that are put under load; 0: not known. */
+uint32_t rollout_plan_endpoints(const rollout_snapshot_t *);
 
 /** Whether sessions that the old version served recently stay there. */
 bool rollout_plan_pins_sessions(const rollout_snapshot_t *);
 
-/** Share of the requests for the new version, 0 to 1. */
+/** Share of the requests for the new version, 0 to 1, apart from those that put
+ * it under load. */
 double rollout_plan_share(const rollout_snapshot_t *);
+/** Share of the route's requests for the new version, 0 to 1. */
+double rollout_plan_route_share(const rollout_snapshot_t *, uint64_t route);
 
 /** Whether a request with this hash is in the share of the new version.
  * @param share 0 to 1 */
--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -62,11 +62,14 @@
 	char state_to_version[ENDPOINT_NAME_SIZE];   /**< of that order */
 	char state_base_version[ENDPOINT_NAME_SIZE]; /**< that it replaces; "":
 							not known */
-	int64_t started_ms; /**< start of that order by the store's clock; 0:
-			       not known */
-	uint64_t stored_version;   /**< of the state's row; 0: none */
-	bool state_rewrite_needed; /**< the row in the store was deleted, or
-				      holds no valid or no current state */
+	int64_t started_ms;  /**< start of that order by the store's clock; 0:
+				not known */
+	rollout_load_t load; /**< of that order, the same at all daemons */
+	rollout_load_t load_proposed; /**< of the order in force, by this
+					 daemon; in use once it is stored */
+	uint64_t stored_version;      /**< of the state's row; 0: none */
+	bool state_rewrite_needed;    /**< the row in the store was deleted, or
+					 holds no valid or no current state */
 	bool stopped; /**< this daemon found the new version to be bad */
 	bool writing; /**< a write of the state is in flight */
 	struct timespec write_after; /**< no write before; 0: not set */
@@ -99,8 +102,14 @@
 	/** The same at other daemons, as they report. */
 	recent_sessions_t peer_sessions;
 	/** Requests of this daemon that are in flight at endpoints of other
-	 * versions than the order's. The argument is @p relay. */
-	uint32_t (*old_in_flight)(const void *relay, const rollout_t *);
+	 * versions than the order's. The argument is @p relay. @param route
+	 * hash of a route's name; 0: of all routes */
+	uint32_t (*old_in_flight)(
+	    const void *relay, const rollout_t *, uint64_t route);
+	/** Slots of an endpoint of the new version; 0: none is known. */
+	uint32_t (*new_version_slots)(const void *relay, const rollout_t *);
+	/** Part of the requests that a bad version may get, 0 to 1. */
+	double exposure_max;
 	/** The version of a service before any order; "": not known. */
 	const char *(*group_base_version)(
 	    const void *relay, const char *service);
@@ -123,9 +132,8 @@
 /** @return NULL: nothing is known of a roll-out of the service */
 rollout_t *rollouts_find(const rollouts_t *, const char *service);
 
-/** Whether a request with this hash should go to the new version.
- * @param session the hash is that of a session */
-bool rollout_prefers_new(rollout_t *, uint64_t hash, bool session);
+/** Whether a request should go to the new version. */
+bool rollout_prefers_new(rollout_t *, const rollout_request_t *);
 /** Record how many requests an endpoint of the new version ran or queued when
  * it responded, for the log. */
 void rollout_record_load(rollout_t *, uint32_t held, uint32_t slots);
@@ -151,6 +159,10 @@
 /** Whether the new version's requests are concentrated on few endpoints; see
  * rollout_plan_is_saturating(). */
 bool rollout_is_saturating(const rollout_t *);
+/** Whether requests of the route put the new version under load now. */
+bool rollout_loads(const rollout_t *, uint64_t route);
+/** Endpoints of the new version that are put under load now; 0: none. */
+uint32_t rollout_endpoints(const rollout_t *);
 /** Whether requests may go to the old version. */
 bool rollout_allows_old_version(const rollout_t *);
 
--- a/include/moortack/relay/version_guard.h
+++ b/include/moortack/relay/version_guard.h
@@ -36,6 +36,7 @@
 	uint64_t route;		    /**< hash of its name */
 	canary_counts_t new_counts; /**< of the new version */
 	canary_counts_t old_counts; /**< of the old one */
+	uint32_t old_in_flight;	    /**< requests at the old one */
 } canary_tally_t;
 
 /** The usual latency of one route and model, until the first byte or between
@@ -52,6 +53,10 @@
 	canary_counts_t new_slices[CANARY_SLICES];
 	canary_counts_t old_slices[CANARY_SLICES];
 	int64_t last_slice; /**< number of the newest slice */
+	bool repeatable;    /**< its requests may be sent again */
+	/** Mean of the logarithms of tokens in per token out. */
+	double log_token_ratio;
+	uint32_t token_ratio_samples;
 } canary_route_t;
 
 typedef struct canary_analysis {
@@ -72,12 +77,15 @@
 /** One observation of a response. */
 typedef struct canary_observation {
 	canary_signal_t signal;
-	uint64_t route; /**< hash of its name */
-	uint64_t model; /**< hash of the model's name; 0: none */
-	bool is_new;	/**< the response is of the new version */
-	bool stream;	/**< it is a stream of events */
-	bool counted;	/**< an earlier signal of it was counted */
-	double ms;	/**< until its first byte, or mean between its events */
+	uint64_t route;	 /**< hash of its name */
+	uint64_t model;	 /**< hash of the model's name; 0: none */
+	bool is_new;	 /**< the response is of the new version */
+	bool stream;	 /**< it is a stream of events */
+	bool repeatable; /**< the request may be sent again */
+	bool counted;	 /**< an earlier signal of it was counted */
+	double ms; /**< until its first byte, or mean between its events */
+	double token_ratio; /**< tokens in per token out expected; 0: not known
+			     */
 } canary_observation_t;
 
 /** Discard the counts of the new version, for another order. */
@@ -94,6 +102,15 @@
 size_t canary_analysis_tally(
     canary_analysis_t *, struct timespec now, canary_tally_t *out, size_t cap);
 
+/** Routes whose responses take long compared with their prompts, so that many
+ * of them run at an endpoint at a time before its prefill is the limit; the
+ * best one in any case. Requests without a prompt need no prefill. Routes whose
+ * requests can't be sent again are left out.
+ * @param out hashes of their names
+ * @return how many */
+size_t canary_analysis_long_routes(
+    const canary_analysis_t *, uint64_t *out, size_t cap);
+
 /** Whether the counts show that the new version is worse than the old one. */
 bool canary_tally_is_bad(const canary_tally_t *);
 
--- a/include/platform/node_file.h
+++ b/include/platform/node_file.h
@@ -52,6 +52,7 @@
 	double retry_budget_ratio;   /**< bounds.retry_budget_ratio */
 	int64_t retry_window_ms;     /**< bounds.retry_window_s */
 	double retry_min;	     /**< bounds.retry_min */
+	double canary_share;	     /**< bounds.canary_share */
 	int64_t session_ms;	     /**< bounds.session_s */
 	double warmup_overshoot;     /**< bounds.warmup_overshoot */
 	double warmup_tolerance;     /**< bounds.warmup_tolerance */
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -50,7 +50,8 @@
 }
 
 uint32_t
-relay_old_version_in_flight(const void *arg, const rollout_t *rollout)
+relay_old_version_in_flight(
+    const void *arg, const rollout_t *rollout, uint64_t route)
 {
 	const relay_t *relay = arg;
 	uint32_t count = 0;
@@ -62,12 +63,27 @@
 		if (endpoint != NULL &&
 		    strcmp(endpoint->info.service, rollout->order.service) ==
 			0 &&
-		    !rollout_is_new_version(rollout, endpoint))
+		    !rollout_is_new_version(rollout, endpoint) &&
+		    (route == 0 || relay_route_hash(req->route) == route))
 			count++;
 	}
 	return count;
 }
 
+uint32_t
+relay_new_version_slots(const void *arg, const rollout_t *rollout)
+{
+	const relay_t *relay = arg;
+	const endpoint_group_t *group =
+	    endpoint_set_find_group(relay->endpoints, rollout->order.service);
+
+	for (size_t i = 0; group != NULL && i < group->len; i++) {
+		if (rollout_is_new_version(rollout, group->ring[i]))
+			return group->ring[i]->info.slots;
+	}
+	return 0;
+}
+
 const char *
 relay_group_base_version(const void *arg, const char *service)
 {
@@ -316,7 +332,7 @@
 		req->attempt.new_version =
 		    rollout_is_new_version(rollout, placement.endpoint);
 		req->attempt.rollout_saturating =
-		    rollout_is_saturating(rollout);
+		    rollout_loads(rollout, relay_route_hash(req->route));
 	}
 	relay_warmup_acquire(req);
 	relay_rate_limit_acquire(req);
--- a/moortack/relay/relay_authorize.c
+++ b/moortack/relay/relay_authorize.c
@@ -1,5 +1,8 @@
 #include "relay_request.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 const char *
 relay_route_service(const relay_route_t *route, uint64_t split_hash)
 {
@@ -19,6 +22,12 @@
 	return NULL;
 }
 
+uint64_t
+relay_route_hash(const relay_route_t *route)
+{
+	return XXH3_64bits(route->name, strlen(route->name));
+}
+
 err_code_t
 relay_authorize(const relay_t *relay, const arrival_t *arrival,
     const char *target, const relay_route_t **route,
--- a/moortack/relay/relay_candidates.c
+++ b/moortack/relay/relay_candidates.c
@@ -8,15 +8,12 @@
 #include <xxhash.h>
 
 #define CONNECTIONS_MIN 2
-/* Share of their slots that the first endpoints of a roll-out should have in
- * use during its trial. In the users' deployments a version that is bad under
- * load only fails from half of the slots on. If the new version gets as large a
- * share of the endpoints as of the requests, 4 to 8 of 16 to 64 slots are in
- * use on days of low load, and such a version got 0.4 of all requests
- * unnoticed. With this share it is stopped in deployments with 16 and 24 slots
- * (two seeds each; with 0.6 one of four was not); with 48 and 64 slots their
- * traffic does not fill half of an endpoint. */
-#define TRIAL_FILL 0.75
+/* Part of the slots of an endpoint that is put under load that may be in use.
+ * Faults under load show from half of them on, as far as they are known. */
+#define LOAD_MAX 0.8
+/* Part of a request's latency objective that it may spend in the queue of an
+ * endpoint that is put under load. */
+#define LOAD_WAIT_PART 0.5
 
 /** Which versions a request may go to. */
 typedef enum version_class {
@@ -178,58 +175,93 @@
 	    &candidate->hash, sizeof(candidate->hash), rollout->order.number);
 }
 
-/* Number of endpoints of which a share of the requests fills TRIAL_FILL of the
- * slots, at which faults under load show. */
-static size_t
-trial_size(const relay_request_t *req, const endpoint_group_t *group,
-    const candidates_t *set, double share)
+static uint64_t
+request_route_hash(const relay_request_t *req)
+{
+	return req->route != NULL ? relay_route_hash(req->route) : 0;
+}
+
+/* Whether the request may be sent there to put the endpoint under load. It may
+ * not once that is under load, or if most of the request's latency objective
+ * would pass in its queue. */
+static bool
+load_allowed(const relay_request_t *req, const endpoint_t *endpoint,
+    const endpoint_candidate_t *candidate)
 {
-	double in_flight = group->in_flight_mean * req->relay->daemons_max_seen;
-	double per_endpoint = TRIAL_FILL * set->inputs[0].slots;
+	int64_t now_ms = timespec_to_ms(clock_boottime(req->relay->clock));
 
-	return per_endpoint > 0 ? (size_t)ceil(in_flight * share / per_endpoint)
-				: set->len;
+	return candidate->load < LOAD_MAX * candidate->slots &&
+	    prefill_queue_wait_ms(&endpoint->prefill_queue, (double)now_ms) <=
+	    LOAD_WAIT_PART * (double)req->route->latency_objective_ms;
 }
 
-/* Restricts a small share of the requests to as small a share of the endpoints,
- * so that these are as busy as they will be later; during the trial to fewer.
- */
-static void
-candidates_narrow(const relay_request_t *req, const endpoint_group_t *group,
-    const rollout_t *rollout, candidates_t *set)
+/* Select candidates in the order of the roll-out.
+ * @param skip how many are left out first
+ * @param count how many follow
+ * @param allowed those that may be selected
+ * @return whether any is selected */
+static bool
+candidates_select(const rollout_t *rollout, candidates_t *set, size_t skip,
+    size_t count, const bool *allowed)
 {
+	static uint64_t weights[CANDIDATES_MAX];
 	static bool selected[CANDIDATES_MAX];
-	size_t count = (size_t)ceil((double)set->len * rollout->share);
-	size_t filled;
+	bool any = false;
 
-	if (rollout->share >= 1.0 || count == 0)
-		return;
-	if (rollout_is_saturating(rollout)) {
-		filled = trial_size(req, group, set, rollout->share);
-		if (filled < count)
-			count = filled > 0 ? filled : 1;
-	}
+	for (size_t i = 0; i < set->len; i++)
+		weights[i] = rollout_weight(&set->inputs[i], rollout);
 	for (size_t i = 0; i < set->len; i++) {
-		uint64_t weight = rollout_weight(&set->inputs[i], rollout);
 		size_t ahead = 0;
 
 		for (size_t j = 0; j < set->len; j++)
-			ahead +=
-			    rollout_weight(&set->inputs[j], rollout) > weight;
-		selected[i] = ahead < count;
+			ahead += allowed[j] && weights[j] > weights[i];
+		selected[i] =
+		    allowed[i] && ahead >= skip && ahead - skip < count;
+		any |= selected[i];
+	}
+	if (any)
+		candidates_filter(set, selected);
+	return any;
+}
+
+/* Restricts a small share of the requests to as small a share of the endpoints,
+ * so that these are as busy as they will be later. Those that put the new
+ * version under load go to the first ones, the others to those that follow. */
+static void
+candidates_narrow(
+    const relay_request_t *req, const rollout_t *rollout, candidates_t *set)
+{
+	static bool allowed[CANDIDATES_MAX];
+	size_t count = (size_t)ceil((double)set->len * rollout->share);
+	size_t loaded = rollout_endpoints(rollout);
+
+	if (loaded > 0 && rollout_loads(rollout, request_route_hash(req))) {
+		for (size_t i = 0; i < set->len; i++)
+			allowed[i] = load_allowed(
+			    req, set->endpoints[i], &set->inputs[i]);
+		if (candidates_select(rollout, set, 0, loaded, allowed))
+			return;
 	}
-	candidates_filter(set, selected);
+	if (count == 0 || (rollout->share >= 1.0 && loaded == 0))
+		return;
+	for (size_t i = 0; i < set->len; i++)
+		allowed[i] = true;
+	candidates_select(rollout, set,
+	    loaded < set->len ? loaded : set->len - 1, count, allowed);
 }
 
 static version_class_t
 version_class_for(const relay_request_t *req, rollout_t *rollout)
 {
+	rollout_request_t request;
+
 	if (rollout == NULL || rollout->order.number == 0)
 		return VERSION_ANY;
-	return rollout_prefers_new(
-		   rollout, req->split_hash, req->arrival.session != NULL)
-	    ? VERSION_NEW
-	    : VERSION_OLD;
+	request = (rollout_request_t){.hash = req->split_hash,
+	    .route = request_route_hash(req),
+	    .session = req->arrival.session != NULL};
+	return rollout_prefers_new(rollout, &request) ? VERSION_NEW
+						      : VERSION_OLD;
 }
 
 static bool
@@ -296,7 +328,7 @@
 	else
 		candidates_find(req, group, rollout, wanted, out);
 	if (wanted == VERSION_NEW)
-		candidates_narrow(req, group, rollout, out);
+		candidates_narrow(req, rollout, out);
 	/* No endpoint of the preferred version can accept the request. */
 	if (out->len == 0 && wanted == VERSION_NEW &&
 	    rollout_allows_old_version(rollout))
--- a/moortack/relay/relay_guard.c
+++ b/moortack/relay/relay_guard.c
@@ -39,20 +39,31 @@
 	    : NULL;
 }
 
+/* 0: the caller does not say. */
+static double
+token_ratio(const arrival_t *arrival)
+{
+	return arrival->tokens_out_estimate > 0
+	    ? (double)arrival->tokens_in / arrival->tokens_out_estimate
+	    : 0;
+}
+
 static canary_observation_t
 observation_make(const relay_request_t *req, canary_signal_t signal, double ms)
 {
 	const attempt_t *attempt = &req->attempt;
 
 	return (canary_observation_t){.signal = signal,
-	    .route = XXH3_64bits(req->route->name, strlen(req->route->name)),
+	    .route = relay_route_hash(req->route),
 	    .model = attempt->model != NULL
 		? XXH3_64bits(attempt->model, strlen(attempt->model))
 		: 0,
 	    .is_new = attempt->new_version,
 	    .stream = req->route->kind == ROUTE_STREAM,
+	    .repeatable = request_idempotent(req),
 	    .counted = attempt->guard_counted,
-	    .ms = ms};
+	    .ms = ms,
+	    .token_ratio = token_ratio(&req->arrival)};
 }
 
 /* While the new version's requests are concentrated on few endpoints, responses
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -348,6 +348,8 @@
 	    .states_watch = &node->row_sync.watches[ROW_TABLE_SYSTEM].watch,
 	    .log = &node->log,
 	    .old_in_flight = relay_old_version_in_flight,
+	    .new_version_slots = relay_new_version_slots,
+	    .exposure_max = node->settings.bounds.exposure_max,
 	    .group_base_version = relay_group_base_version,
 	    .relay = &node->relay};
 	recent_sessions_init(
@@ -442,6 +444,7 @@
 	node->members.settings.liveness = liveness_settings(settings);
 	node->members.liveness.timeouts = node->members.settings.liveness;
 	node->relay.bounds = settings->bounds;
+	node->rollouts.exposure_max = settings->bounds.exposure_max;
 	zone_regions_apply(node, settings);
 	node->row_sync.watches[ROW_TABLE_ENDPOINTS].watch.timing.pause_ms =
 	    settings->endpoints_poll_pause_ms;
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -440,6 +440,8 @@
 /** The service that receives a request with this hash, by the weights of the
  * route's pools; NULL: all weights are 0. */
 const char *relay_route_service(const relay_route_t *, uint64_t split_hash);
+/** Hash of the route's name. */
+uint64_t relay_route_hash(const relay_route_t *);
 /** Find the route of a request, and the organisation by its key, under the
  * current configuration.
  * @return ERR_NONE, or why the request is refused */
--- /dev/null
+++ b/moortack/relay/rollout_load.c
@@ -0,0 +1,76 @@
+#include <inttypes.h>
+
+#include "rollouts_priv.h"
+
+#define PERCENT 100
+
+void
+rollout_record_load(rollout_t *rollout, uint32_t held, uint32_t slots)
+{
+	uint32_t percent = slots > 0 ? held * PERCENT / slots : 0;
+
+	if (percent > rollout->load_max_percent)
+		rollout->load_max_percent = percent;
+}
+
+rollout_load_t
+rollout_current_load(const rollout_t *rollout)
+{
+	return rollout->state_order == rollout->order.number
+	    ? rollout->load
+	    : (rollout_load_t){0};
+}
+
+bool
+rollout_is_saturating(const rollout_t *rollout)
+{
+	rollout_snapshot_t snapshot = rollout_take_snapshot(rollout);
+
+	return rollout->order.number != 0 &&
+	    rollout_plan_is_saturating(&snapshot);
+}
+
+bool
+rollout_loads(const rollout_t *rollout, uint64_t route)
+{
+	rollout_snapshot_t snapshot = rollout_take_snapshot(rollout);
+
+	return rollout_plan_loads(&snapshot, route);
+}
+
+uint32_t
+rollout_endpoints(const rollout_t *rollout)
+{
+	rollout_snapshot_t snapshot = rollout_take_snapshot(rollout);
+
+	return rollout_plan_is_saturating(&snapshot)
+	    ? rollout_plan_endpoints(&snapshot)
+	    : 0;
+}
+
+bool
+rollout_load_propose(rollout_t *rollout)
+{
+	const rollouts_t *self = rollout->owner;
+	rollout_load_input_t input = {.exposure_max = self->exposure_max,
+	    .slots = self->new_version_slots(self->relay, rollout)};
+	rollout_load_t load = {0};
+
+	if (rollout->load_proposed.endpoints > 0)
+		return true;
+	load.routes_len = canary_analysis_long_routes(
+	    &rollout->canary, load.routes, ROLLOUT_LOAD_ROUTES_MAX);
+	if (input.slots == 0 || load.routes_len == 0 ||
+	    !rollout_load_input(rollout, &load, &input))
+		return false;
+	rollout_plan_load(&load, &input);
+	rollout->load_proposed = load;
+	event_log_write(self->log, "rollout_load",
+	    "service=%s order=%" PRIu64
+	    " share=%.3f endpoints=%u routes=%zu in_flight=%u part=%.2f"
+	    " slots=%u",
+	    rollout->order.service, rollout->order.number, load.share,
+	    load.endpoints, load.routes_len, input.in_flight, input.route_part,
+	    input.slots);
+	return true;
+}
--- a/moortack/relay/rollout_report.c
+++ b/moortack/relay/rollout_report.c
@@ -8,6 +8,9 @@
 #define COUNTS_FIELDS 5
 /* Routes of all daemons together. */
 #define SUM_ROUTES_MAX 32
+/* Part of the daemons whose reports have to be known to estimate the requests
+ * of all. Only the daemon that all others follow has them. */
+#define REPORTED_MIN 0.8
 
 /* The member's report on the roll-out of a service, or NULL if it has none on
  * this order. */
@@ -48,7 +51,8 @@
 	*tally = (canary_tally_t){
 	    .route = route != NULL ? strtoull(route, NULL, 16) : 0,
 	    .new_counts = counts_decode(row, 1),
-	    .old_counts = counts_decode(row, 1 + COUNTS_FIELDS)};
+	    .old_counts = counts_decode(row, 1 + COUNTS_FIELDS),
+	    .old_in_flight = array_u32(row, 1 + 2 * COUNTS_FIELDS)};
 }
 
 static void
@@ -125,12 +129,82 @@
 	return tallies_are_bad(rollout, sums, len);
 }
 
+/* The counts of this daemon. */
+static size_t
+own_tallies(rollout_t *rollout, canary_tally_t *out, size_t cap)
+{
+	const rollouts_t *self = rollout->owner;
+	size_t len = canary_analysis_tally(
+	    &rollout->canary, clock_boottime(self->clock), out, cap);
+
+	for (size_t i = 0; i < len; i++)
+		out[i].old_in_flight =
+		    self->old_in_flight(self->relay, rollout, out[i].route);
+	return len;
+}
+
+/* Part of the other daemons whose report is known. */
+static double
+reported_part(const rollout_t *rollout)
+{
+	const membership_t *members = rollout->owner->members;
+	uint32_t daemons = 0, reported = 0;
+
+	for (const member_t *member = members->members; member != NULL;
+	     member = member->hh.next) {
+		if (!member_is_alive(members, member))
+			continue;
+		daemons++;
+		reported +=
+		    member_rollout_report(member, rollout->order.service,
+			rollout->order.number) != NULL;
+	}
+	return daemons > 0 ? (double)reported / daemons : 1;
+}
+
+static bool
+load_has_route(const rollout_load_t *load, uint64_t route)
+{
+	for (size_t i = 0; i < load->routes_len; i++) {
+		if (load->routes[i] == route)
+			return true;
+	}
+	return false;
+}
+
+bool
+rollout_load_input(
+    rollout_t *rollout, const rollout_load_t *load, rollout_load_input_t *input)
+{
+	canary_tally_t sums[SUM_ROUTES_MAX];
+	double reported = reported_part(rollout);
+	uint32_t in_flight = 0, responses = 0, responses_all = 0;
+	size_t len;
+
+	if (reported < REPORTED_MIN)
+		return false;
+	len = own_tallies(rollout, sums, SUM_ROUTES_MAX);
+	member_tallies_add(rollout, sums, &len);
+	for (size_t i = 0; i < len; i++) {
+		responses_all += sums[i].old_counts.responses;
+		if (!load_has_route(load, sums[i].route))
+			continue;
+		responses += sums[i].old_counts.responses;
+		in_flight += sums[i].old_in_flight;
+	}
+	input->in_flight = (uint32_t)(in_flight / reported);
+	input->route_part =
+	    responses_all > 0 ? (double)responses / responses_all : 1;
+	return true;
+}
+
 bool
 rollout_is_drained(const rollout_t *rollout)
 {
 	const membership_t *members = rollout->owner->members;
 
-	if (rollout->owner->old_in_flight(rollout->owner->relay, rollout) > 0)
+	if (rollout->owner->old_in_flight(rollout->owner->relay, rollout, 0) >
+	    0)
 		return false;
 	for (const member_t *member = members->members; member != NULL;
 	     member = member->hh.next) {
@@ -167,6 +241,7 @@
 	row = json_pack("[s]", route);
 	counts_encode(row, &tally->new_counts);
 	counts_encode(row, &tally->old_counts);
+	json_array_append_new(row, json_integer(tally->old_in_flight));
 	return row;
 }
 
@@ -174,8 +249,7 @@
 rollout_report_encode(rollout_t *rollout)
 {
 	canary_tally_t tallies[CANARY_ROUTES_MAX];
-	size_t len = canary_analysis_tally(&rollout->canary,
-	    clock_boottime(rollout->owner->clock), tallies, CANARY_ROUTES_MAX);
+	size_t len = own_tallies(rollout, tallies, CANARY_ROUTES_MAX);
 	rollout_snapshot_t snapshot = rollout_take_snapshot(rollout);
 	json_t *rows = json_array();
 
@@ -184,7 +258,8 @@
 	return json_pack("{s:I, s:f, s:i, s:o}", "order",
 	    (json_int_t)rollout->order.number, "share",
 	    rollout_plan_share(&snapshot), "old",
-	    (int)rollout->owner->old_in_flight(rollout->owner->relay, rollout),
+	    (int)rollout->owner->old_in_flight(
+		rollout->owner->relay, rollout, 0),
 	    "tally", rows);
 }
 
--- a/moortack/relay/rollout_state.c
+++ b/moortack/relay/rollout_state.c
@@ -1,3 +1,6 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "rollouts_priv.h"
@@ -29,6 +32,58 @@
 	return true;
 }
 
+#define ROUTE_TEXT_SIZE 17
+#define ROUTE_BASE 16
+
+static void
+load_routes_decode(const json_t *routes, rollout_load_t *load)
+{
+	size_t i;
+	json_t *route;
+
+	json_array_foreach(routes, i, route)
+	{
+		const char *text = json_string_value(route);
+
+		if (text != NULL && load->routes_len < ROLLOUT_LOAD_ROUTES_MAX)
+			load->routes[load->routes_len++] =
+			    strtoull(text, NULL, ROUTE_BASE);
+	}
+}
+
+static json_t *
+load_routes_encode(const rollout_load_t *load)
+{
+	json_t *routes = json_array();
+	char text[ROUTE_TEXT_SIZE];
+
+	for (size_t i = 0; i < load->routes_len; i++) {
+		snprintf(text, sizeof(text), "%016" PRIx64, load->routes[i]);
+		json_array_append_new(routes, json_string(text));
+	}
+	return routes;
+}
+
+/* Rows without a load are of the time before it was determined. */
+static rollout_load_t
+load_decode(const json_t *value)
+{
+	rollout_load_t load;
+	double share = json_number_value(json_object_get(value, "load_share"));
+	double fill = json_number_value(json_object_get(value, "load_fill"));
+	json_int_t endpoints =
+	    json_integer_value(json_object_get(value, "load_endpoints"));
+
+	if (!(share > 0 && share <= 1) || !(fill >= share) || endpoints <= 0 ||
+	    endpoints > UINT32_MAX)
+		return (rollout_load_t){0};
+	load = (rollout_load_t){.share = share,
+	    .fill_share = fill,
+	    .endpoints = (uint32_t)endpoints};
+	load_routes_decode(json_object_get(value, "load_routes"), &load);
+	return load;
+}
+
 static bool
 content_decode(const json_t *value, rollout_state_row_t *content, err_t *err)
 {
@@ -40,6 +95,7 @@
 	content->order = (uint64_t)order;
 	content->started_ms =
 	    json_integer_value(json_object_get(value, "began_ms"));
+	content->load = load_decode(value);
 	if (!version_decode(value, "to", content->to_version, err) ||
 	    !version_decode(value, "base", content->base_version, err))
 		return false;
@@ -77,8 +133,21 @@
 	    rollout_state_names[state], "began_ms",
 	    (json_int_t)(timespec_to_ms(rollout_started_at(rollout)) +
 		self->store_clock_offset_ms));
-	char *text = json_dumps(value, JSON_COMPACT);
+	rollout_load_t load = rollout_current_load(rollout);
+	char *text;
 
+	if (load.endpoints == 0)
+		load = rollout->load_proposed;
+	if (load.endpoints > 0) {
+		json_object_set_new(value, "load_share", json_real(load.share));
+		json_object_set_new(
+		    value, "load_fill", json_real(load.fill_share));
+		json_object_set_new(
+		    value, "load_endpoints", json_integer(load.endpoints));
+		json_object_set_new(
+		    value, "load_routes", load_routes_encode(&load));
+	}
+	text = json_dumps(value, JSON_COMPACT);
 	json_decref(value);
 	return text;
 }
--- a/moortack/relay/rollouts.c
+++ b/moortack/relay/rollouts.c
@@ -15,7 +15,6 @@
 /* Orders and states older than this are stale, and no share grows then. With
  * long polling they are up to two polls old. */
 #define STALE_MS 3400
-#define PERCENT 100
 
 rollout_t *
 rollouts_find(const rollouts_t *self, const char *service)
@@ -73,6 +72,7 @@
 	    .elapsed_ms = timespec_ms_between(
 		rollout_started_at(rollout), clock_boottime(self->clock)),
 	    .duration_ms = rollout->order.duration_ms,
+	    .load = rollout_current_load(rollout),
 	    .stopped = rollout->stopped,
 	    .stale = row_watch_age_ms(self->orders_watch) > STALE_MS ||
 		row_watch_age_ms(self->states_watch) > STALE_MS};
@@ -84,8 +84,21 @@
 	return rollout != NULL && rollout->order.number != 0;
 }
 
+static void
+share_log(rollout_t *rollout, const rollout_snapshot_t *snapshot, double share)
+{
+	event_log_write(rollout->owner->log, "rollout_share",
+	    "service=%s order=%" PRIu64
+	    " to=%s state=%s share=%.2f elapsed_ms=%" PRId64
+	    " stopped=%d uncertain=%d load_max_percent=%u",
+	    rollout->order.service, rollout->order.number,
+	    rollout->order.to_version, rollout_state_names[snapshot->state],
+	    share, snapshot->elapsed_ms, snapshot->stopped, snapshot->stale,
+	    rollout->load_max_percent);
+}
+
 bool
-rollout_prefers_new(rollout_t *rollout, uint64_t hash, bool session)
+rollout_prefers_new(rollout_t *rollout, const rollout_request_t *request)
 {
 	rollout_snapshot_t snapshot;
 	double share;
@@ -95,43 +108,19 @@
 	snapshot = rollout_take_snapshot(rollout);
 	share = rollout_plan_share(&snapshot);
 	if (share != rollout->share) {
-		event_log_write(rollout->owner->log, "rollout_share",
-		    "service=%s order=%" PRIu64
-		    " to=%s state=%s share=%.2f elapsed_ms=%" PRId64
-		    " stopped=%d uncertain=%d load_max_percent=%u",
-		    rollout->order.service, rollout->order.number,
-		    rollout->order.to_version,
-		    rollout_state_names[snapshot.state], share,
-		    snapshot.elapsed_ms, snapshot.stopped, snapshot.stale,
-		    rollout->load_max_percent);
+		share_log(rollout, &snapshot, share);
 		rollout->share = share;
 		rollout->load_max_percent = 0;
 	}
-	if (!session || !rollout_plan_pins_sessions(&snapshot))
-		return rollout_share_includes(share, hash);
+	share = rollout_plan_route_share(&snapshot, request->route);
+	if (!request->session || !rollout_plan_pins_sessions(&snapshot))
+		return rollout_share_includes(share, request->hash);
 	/* Only sessions in the first step's share are recorded and reported to
 	 * others, so the rest must not move while sessions are pinned. */
 	if (share > ROLLOUT_FIRST_SHARE)
 		share = ROLLOUT_FIRST_SHARE;
-	return !rollouts_session_on_old(rollout->owner, hash) &&
-	    rollout_share_includes(share, hash);
-}
-
-void
-rollout_record_load(rollout_t *rollout, uint32_t held, uint32_t slots)
-{
-	uint32_t percent = slots > 0 ? held * PERCENT / slots : 0;
-
-	if (percent > rollout->load_max_percent)
-		rollout->load_max_percent = percent;
-}
-
-bool
-rollout_is_saturating(const rollout_t *rollout)
-{
-	rollout_snapshot_t snapshot = rollout_take_snapshot(rollout);
-
-	return has_order(rollout) && rollout_plan_is_saturating(&snapshot);
+	return !rollouts_session_on_old(rollout->owner, request->hash) &&
+	    rollout_share_includes(share, request->hash);
 }
 
 bool
@@ -152,6 +141,7 @@
 	rollout->next_order.number = 0;
 	rollout->order_seen_at = clock_boottime(self->clock);
 	rollout->stopped = false;
+	rollout->load_proposed = (rollout_load_t){0};
 	rollout->write_after = (struct timespec){0};
 	canary_analysis_reset(&rollout->canary);
 	event_log_write(self->log, "rollout_order",
@@ -284,6 +274,7 @@
 	strcpy(rollout->state_base_version, row->base_version);
 	rollout->state = row->state;
 	rollout->started_ms = row->started_ms;
+	rollout->load = row->load;
 	rollout->state_rewrite_needed = false;
 }
 
@@ -322,9 +313,11 @@
 	}
 	state_set(rollout, &content);
 	event_log_write(self->log, "rollout_state",
-	    "service=%s order=%" PRIu64 " state=%s version=%" PRIu64,
+	    "service=%s order=%" PRIu64 " state=%s version=%" PRIu64
+	    " load_share=%.3f load_endpoints=%u",
 	    rollout->order.service, rollout->state_order,
-	    rollout_state_names[rollout->state], row->version);
+	    rollout_state_names[rollout->state], row->version,
+	    rollout->load.share, rollout->load.endpoints);
 	next_order_apply(rollout);
 	return true;
 }
@@ -413,7 +406,9 @@
 	}
 	target = target_state(rollout, &snapshot);
 	if (rollout->writing ||
-	    (target == snapshot.state && !rollout->state_rewrite_needed))
+	    (target == snapshot.state && !rollout->state_rewrite_needed &&
+		!(rollout_plan_load_due(&snapshot) &&
+		    rollout_load_propose(rollout))))
 		return;
 	/* Other daemons have put a later order in force that isn't known here
 	 * yet: its state must not be overwritten. */
--- a/moortack/relay/rollouts_priv.h
+++ b/moortack/relay/rollouts_priv.h
@@ -3,7 +3,8 @@
  * Internals of the roll-outs: rollouts.c keeps orders and states,
  * rollout_state.c encodes and decodes the rows of states, rollout_report.c
  * evaluates the reports of all daemons, rollout_sessions.c keeps the sessions
- * that stay on an old version.
+ * that stay on an old version, rollout_load.c determines how the new version is
+ * put under load.
  */
 #ifndef MOORTACK_RELAY_ROLLOUTS_PRIV_H
 #define MOORTACK_RELAY_ROLLOUTS_PRIV_H
@@ -20,7 +21,8 @@
 	char base_version[ENDPOINT_NAME_SIZE]; /**< that it replaces; "": not
 						  known */
 	rollout_state_t state;
-	int64_t started_ms; /**< by the store's clock; 0: not known */
+	int64_t started_ms;  /**< by the store's clock; 0: not known */
+	rollout_load_t load; /**< share 0: not determined yet */
 } rollout_state_row_t;
 
 /** Decode such a row, which isn't deleted.
@@ -41,6 +43,20 @@
  * bad. */
 bool rollout_new_version_is_bad(rollout_t *);
 
+/** Requests of the load's routes at the old version, as all daemons reported.
+ * @param input requests in flight and the part of these routes are filled in
+ * @return false: too few reports are known */
+bool rollout_load_input(
+    rollout_t *, const rollout_load_t *, rollout_load_input_t *input);
+
+/** The load of the order in force, as stored; share 0: none is. */
+rollout_load_t rollout_current_load(const rollout_t *);
+
+/** Determine how to put the new version under load, once for an order.
+ * @return false: not known yet: its endpoints, or the requests of all daemons
+ */
+bool rollout_load_propose(rollout_t *);
+
 /** Whether every daemon sends all requests to the new version and has none in
  * flight on the old one. */
 bool rollout_is_drained(const rollout_t *);
--- a/moortack/relay/version_guard.c
+++ b/moortack/relay/version_guard.c
@@ -48,6 +48,11 @@
 #define STEP_FACTOR 3.0
 #define RATE_MAX 0.95
 
+/* Up to this many tokens in per token out, half of an endpoint's slots are in
+ * use before its prefill is the limit. An engine takes 200 to 300 times as long
+ * for a token out as for one in, and has 16 to 64 slots. */
+#define LONG_TOKEN_RATIO_MAX 12.0
+
 void
 canary_analysis_reset(canary_analysis_t *analysis)
 {
@@ -205,6 +210,46 @@
 	latency_learn(&measurement, observation->is_new);
 }
 
+static void
+token_ratio_learn(canary_route_t *entry, double ratio)
+{
+	double weight;
+
+	if (ratio <= 0)
+		return;
+	weight = entry->token_ratio_samples < 1 / LATENCY_WEIGHT
+	    ? 1.0 / (entry->token_ratio_samples + 1)
+	    : LATENCY_WEIGHT;
+	entry->log_token_ratio +=
+	    weight * (log(ratio) - entry->log_token_ratio);
+	entry->token_ratio_samples++;
+}
+
+size_t
+canary_analysis_long_routes(
+    const canary_analysis_t *analysis, uint64_t *out, size_t cap)
+{
+	const canary_route_t *best = NULL;
+	size_t len = 0;
+
+	for (size_t i = 0; i < analysis->routes_len; i++) {
+		const canary_route_t *entry = &analysis->routes[i];
+
+		if (!entry->repeatable)
+			continue;
+		if (best == NULL ||
+		    entry->log_token_ratio < best->log_token_ratio)
+			best = entry;
+		if ((entry->token_ratio_samples == 0 ||
+			entry->log_token_ratio <= log(LONG_TOKEN_RATIO_MAX)) &&
+		    len < cap)
+			out[len++] = entry->route;
+	}
+	if (len == 0 && best != NULL && cap > 0)
+		out[len++] = best->route;
+	return len;
+}
+
 bool
 canary_analysis_observe(canary_analysis_t *analysis,
     const canary_observation_t *observation, struct timespec now)
@@ -214,6 +259,7 @@
 
 	if (entry == NULL)
 		return false;
+	entry->repeatable = observation->repeatable;
 	route_advance(entry, now);
 	counts = observation->is_new
 	    ? &entry->new_slices[entry->last_slice % CANARY_SLICES]
@@ -221,6 +267,7 @@
 	switch (observation->signal) {
 	case CANARY_FIRST_BYTE:
 		first_byte_count(analysis, observation, counts);
+		token_ratio_learn(entry, observation->token_ratio);
 		break;
 	case CANARY_OVERDUE:
 		return overdue_count(analysis, observation, counts);
@@ -322,4 +369,5 @@
 	}
 	canary_counts_add(&sum->new_counts, &tally->new_counts);
 	canary_counts_add(&sum->old_counts, &tally->old_counts);
+	sum->old_in_flight += tally->old_in_flight;
 }
--- a/test/fuzz/rollouts_fuzz.c
+++ b/test/fuzz/rollouts_fuzz.c
@@ -11,6 +11,7 @@
  * - a session of the old version stays there while sessions are pinned;
  * - no good version is reverted;
  * - an order that has ended doesn't change its state any more;
+ * - daemons that have read the same state put the same requests under load;
  * - once no more faults are injected, the last order ends.
  */
 #include <event2/event.h>
@@ -31,6 +32,10 @@
 #define TIME_STEP_MS 250
 #define SETTLE_MS 40000
 #define SERVICE "s"
+#define SLOTS 8
+#define EXPOSURE_MAX 0.15
+/* Of all requests. */
+#define ROUTE 7
 
 /** The state of an order in the store. */
 typedef struct order_record {
@@ -70,7 +75,7 @@
 	size_t orders_len;
 	uint64_t state_version;
 	uint64_t state_order;
-	char state_text[256];
+	char state_text[512];
 	daemon_t daemons[DAEMONS];
 } world_t;
 
@@ -187,13 +192,22 @@
 }
 
 static uint32_t
-on_old(const void *relay, const rollout_t *rollout)
+on_old(const void *relay, const rollout_t *rollout, uint64_t route)
 {
 	(void)relay;
 	(void)rollout;
+	(void)route;
 	return 0;
 }
 
+static uint32_t
+new_version_slots(const void *relay, const rollout_t *rollout)
+{
+	(void)relay;
+	(void)rollout;
+	return SLOTS;
+}
+
 static void
 daemon_start(daemon_t *daemon)
 {
@@ -211,6 +225,8 @@
 	    .states_watch = &daemon->states,
 	    .log = &daemon->log,
 	    .old_in_flight = on_old,
+	    .new_version_slots = new_version_slots,
+	    .exposure_max = EXPOSURE_MAX,
 	    .group_base_version = first_version};
 	recent_sessions_init(&daemon->rollouts.local_sessions, SESSION_MS);
 	recent_sessions_init(&daemon->rollouts.peer_sessions, SESSION_MS);
@@ -316,6 +332,14 @@
 	struct timespec served_at = daemon->old_served_at[hash_index];
 	bool served = served_at.tv_sec != 0 &&
 	    timespec_ms_between(served_at, now) < SESSION_MS;
+	const rollout_request_t arrived = {
+	    .hash = hash, .route = ROUTE, .session = session};
+	const canary_observation_t observation = {.signal = CANARY_FIRST_BYTE,
+	    .route = ROUTE,
+	    .stream = true,
+	    .repeatable = true,
+	    .ms = 50,
+	    .token_ratio = 3};
 	rollout_snapshot_t snapshot;
 	bool prefers_new;
 
@@ -330,7 +354,9 @@
 	    .elapsed_ms =
 		timespec_ms_between(rollout->order_seen_at, world.clock.now),
 	    .duration_ms = DURATION_MS};
-	prefers_new = rollout_prefers_new(rollout, hash, session);
+	prefers_new = rollout_prefers_new(rollout, &arrived);
+	canary_analysis_observe(
+	    &rollout->canary, &observation, world.clock.now);
 	FUZZ_CHECK(!prefers_new || !session || !served ||
 	    !rollout_plan_pins_sessions(&snapshot));
 	FUZZ_CHECK(!is_forbidden(daemon,
@@ -342,6 +368,30 @@
 	rollouts_record_old_session(&daemon->rollouts, hash);
 }
 
+/* Daemons that have read the same state put the same requests under load. */
+static void
+loads_check(void)
+{
+	const rollout_t *first = NULL;
+
+	for (size_t i = 0; i < DAEMONS; i++) {
+		const daemon_t *daemon = &world.daemons[i];
+		const rollout_t *rollout = rollouts_find(
+		    (rollouts_t *)(uintptr_t)&daemon->rollouts, SERVICE);
+
+		if (rollout == NULL ||
+		    daemon->known_state != world.state_version ||
+		    rollout->state_order == 0)
+			continue;
+		if (first == NULL)
+			first = rollout;
+		FUZZ_CHECK(rollout->load.share == first->load.share);
+		FUZZ_CHECK(rollout->load.fill_share == first->load.fill_share);
+		FUZZ_CHECK(rollout->load.endpoints == first->load.endpoints);
+		FUZZ_CHECK(rollout->load.routes_len == first->load.routes_len);
+	}
+}
+
 /* Events. ---------------------------------------------------------------------
  */
 
@@ -412,6 +462,7 @@
 		    input_below(input, 2) == 0);
 		break;
 	}
+	loads_check();
 }
 
 static void
--- a/test/platform/version_bad_under_load.lua
+++ b/test/platform/version_bad_under_load.lua
@@ -9,7 +9,8 @@
 -- many more.
 local SHARE_MAX, TOLERANCE = 0.15, 30
 local PAUSE_MS = 100
-local w = words.world(REPLICAS, DAEMONS)
+local w = words.world(REPLICAS, DAEMONS, nil,
+  {extra_settings = "bounds.canary_share=" .. SHARE_MAX .. "\n"})
 w:wait_joined()
 w.slots = SLOTS
 for i = 1, REPLICAS do w:replica(i) end
--- a/test/unit/candidates_test.c
+++ b/test/unit/candidates_test.c
@@ -221,40 +221,110 @@
 	return &rollout;
 }
 
-static size_t
-new_candidates_count(double part, double in_flight)
+/* Requests of the first put a new version under load. */
+static const relay_route_t long_route = {
+    .name = "long", .latency_objective_ms = 1000};
+static const relay_route_t other_route = {
+    .name = "other", .latency_objective_ms = 1000};
+
+#define LOADED 4 /* endpoints under load */
+
+static daemon_t *
+daemon_in_rollout(double part, bool load_known, row_watch_t *watch)
 {
 	daemon_t *daemon = daemon_new(false, 0);
-	row_watch_t watch;
-	endpoint_group_t *group;
-	size_t len;
+	rollout_t *rollout;
 
 	for (int i = 0; i < NEW; i++)
 		version_learn(daemon, i, "v2");
-	rollout_add(daemon, &watch, part);
-	group = endpoint_set_find_group(&daemon->endpoints, "lm");
-	group->in_flight_mean = in_flight;
+	rollout = rollout_add(daemon, watch, part);
+	if (load_known)
+		rollout->load = (rollout_load_t){.share = 0.2,
+		    .fill_share = 0.2,
+		    .endpoints = LOADED,
+		    .routes = {relay_route_hash(&long_route)},
+		    .routes_len = 1};
 	daemon->relay.daemons_max_seen = 1;
-	len = candidates_count(daemon, 0);
+	return daemon;
+}
+
+static void
+daemon_in_rollout_free(daemon_t *daemon)
+{
 	HASH_CLEAR(hh, daemon->rollouts.by_service);
 	daemon_free(daemon);
+}
+
+static size_t
+new_candidates_count(double part, const relay_route_t *route, bool load_known)
+{
+	row_watch_t watch;
+	daemon_t *daemon = daemon_in_rollout(part, load_known, &watch);
+	size_t len;
+
+	daemon->request.route = route;
+	len = candidates_count(daemon, 0);
+	daemon_in_rollout_free(daemon);
 	return len;
 }
 
-/* A new version that fails once half of the slots are in use, while a sixth
- * are. A twentieth of the requests goes to a twentieth of its endpoints; then
- * for a time a tenth goes to so few endpoints that 0.75 of their slots are in
- * use. */
+/* A twentieth of the requests goes to a twentieth of the new version's
+ * endpoints. Then for a time requests of some routes go to so few that most of
+ * their slots are in use, and then all to all. */
+static void
+new_version_is_put_under_load_at_few_endpoints(void **state)
+{
+	(void)state;
+	assert_int_equal(
+	    new_candidates_count(0.2, &long_route, true), NEW / 20);
+	assert_int_equal(
+	    new_candidates_count(0.45, &long_route, true), NEW / 20);
+	assert_int_equal(new_candidates_count(0.55, &long_route, true), LOADED);
+	assert_int_equal(
+	    new_candidates_count(0.55, &other_route, true), NEW / 10);
+	assert_int_equal(
+	    new_candidates_count(0.55, &long_route, false), NEW / 10);
+	assert_int_equal(new_candidates_count(0.8, &long_route, true), NEW);
+}
+
+/* Prompts of other requests would take the time of the endpoints under load. */
 static void
-new_version_fills_its_first_endpoints_during_the_trial(void **state)
+other_requests_avoid_the_endpoints_under_load(void **state)
 {
-	const double in_flight = NEW * 8 / 6.0;
+	row_watch_t watch;
+	daemon_t *daemon = daemon_in_rollout(0.55, true, &watch);
+	uint64_t loaded[LOADED];
+
+	(void)state;
+	daemon->request.route = &long_route;
+	assert_int_equal(candidates_count(daemon, 0), LOADED);
+	for (size_t i = 0; i < LOADED; i++)
+		loaded[i] = daemon->candidates.inputs[i].hash;
+	daemon->request.route = &other_route;
+	candidates_count(daemon, 0);
+	for (size_t i = 0; i < LOADED; i++)
+		assert_false(is_candidate(daemon, loaded[i]));
+	daemon_in_rollout_free(daemon);
+}
+
+/* An endpoint whose slots are nearly all in use is under load already, and more
+ * requests would wait there. */
+static void
+full_endpoint_is_not_loaded_further(void **state)
+{
+	row_watch_t watch;
+	daemon_t *daemon = daemon_in_rollout(0.55, true, &watch);
+	endpoint_t *full;
 
 	(void)state;
-	assert_int_equal(new_candidates_count(0.2, in_flight), NEW / 20);
-	assert_int_equal(new_candidates_count(0.45, in_flight), 4);
-	assert_int_equal(new_candidates_count(0.45, 0), 1);
-	assert_int_equal(new_candidates_count(0.45, NEW * 8), NEW / 10);
+	daemon->request.route = &long_route;
+	candidates_count(daemon, 0);
+	full = daemon->candidates.endpoints[0];
+	for (uint32_t i = 0; i + 1 < full->info.slots; i++)
+		endpoint_request_started(full);
+	assert_int_equal(candidates_count(daemon, 0), LOADED);
+	assert_false(is_candidate(daemon, full->hash));
+	daemon_in_rollout_free(daemon);
 }
 
 int
@@ -265,8 +335,9 @@
 	    cmocka_unit_test(each_endpoint_is_a_candidate_for_some_prompt),
 	    cmocka_unit_test(few_endpoints_are_all_candidates),
 	    cmocka_unit_test(other_daemons_are_assumed_to_have_equal_load),
-	    cmocka_unit_test(
-		new_version_fills_its_first_endpoints_during_the_trial),
+	    cmocka_unit_test(new_version_is_put_under_load_at_few_endpoints),
+	    cmocka_unit_test(other_requests_avoid_the_endpoints_under_load),
+	    cmocka_unit_test(full_endpoint_is_not_loaded_further),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -273,6 +273,148 @@
 	assert_true(exposed < 0.08);
 }
 
+/* The part of all requests that the new version gets before its share grows to
+ * one half. */
+static double
+exposure_under_load(const rollout_load_input_t *input)
+{
+	rollout_snapshot_t snapshot = {
+	    .state = ROLLOUT_IN_PROGRESS, .duration_ms = 10000};
+	double exposed = 0;
+
+	snapshot.load.routes[0] = 1;
+	snapshot.load.routes_len = 1;
+	rollout_plan_load(&snapshot.load, input);
+	for (snapshot.elapsed_ms = 0; rollout_plan_share(&snapshot) < 0.4;
+	     snapshot.elapsed_ms += 10)
+		exposed += 10.0 / 10000 *
+		    (input->route_part *
+			    rollout_plan_route_share(&snapshot, 1) +
+			(1 - input->route_part) *
+			    rollout_plan_route_share(&snapshot, 2));
+	return exposed;
+}
+
+/* Whatever the load, the new version gets less than the users allow a bad one,
+ * which leaves some requests for the time until its failures are known. */
+static void
+new_version_under_load_is_exposed_within_the_bound(void **state)
+{
+	static const double bounds[] = {0.08, 0.0975, 0.15, 0.3};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bounds) / sizeof(bounds[0]); i++) {
+		for (int part = 5; part <= 100; part += 5) {
+			for (uint32_t in_flight = 0; in_flight < 2000;
+			     in_flight += 13) {
+				const rollout_load_input_t input = {
+				    .in_flight = in_flight,
+				    .route_part = part / 100.0,
+				    .slots = 48,
+				    .exposure_max = bounds[i]};
+
+				assert_true(exposure_under_load(&input) <=
+				    bounds[i] * 0.8);
+			}
+		}
+	}
+}
+
+/* With enough requests, the share fills most of the endpoints' slots. */
+static void
+load_fills_most_of_the_slots(void **state)
+{
+	rollout_load_t load = {0};
+	rollout_load_input_t input = {.in_flight = 72,
+	    .route_part = 0.5,
+	    .slots = 64,
+	    .exposure_max = 0.15};
+
+	(void)state;
+	rollout_plan_load(&load, &input);
+	assert_int_equal(load.endpoints, 1);
+	assert_float_equal(load.share, 0.8, 0.001);
+	input.in_flight = 1000;
+	rollout_plan_load(&load, &input);
+	assert_int_equal(load.endpoints, 2);
+	assert_float_equal(load.share, 0.115, 0.001);
+	input.in_flight = 20;
+	input.exposure_max = 0.3;
+	rollout_plan_load(&load, &input);
+	assert_float_equal(load.share, 1, 0.001);
+}
+
+static void
+load_ends_with_the_rollout_and_while_stale(void **state)
+{
+	rollout_snapshot_t snapshot = {.state = ROLLOUT_IN_PROGRESS,
+	    .elapsed_ms = 5500,
+	    .duration_ms = 10000,
+	    .load = {.share = 0.4,
+		.fill_share = 0.8,
+		.endpoints = 2,
+		.routes = {7},
+		.routes_len = 1}};
+
+	(void)state;
+	assert_float_equal(rollout_plan_route_share(&snapshot, 7), 0.4, 0.001);
+	assert_float_equal(rollout_plan_route_share(&snapshot, 8), 0.1, 0.001);
+	assert_int_equal(rollout_plan_endpoints(&snapshot), 2);
+	snapshot.stale = true;
+	assert_true(
+	    rollout_plan_route_share(&snapshot, 7) == ROLLOUT_FIRST_SHARE);
+	snapshot.stale = false;
+	snapshot.stopped = true;
+	assert_true(rollout_plan_route_share(&snapshot, 7) == 0);
+	snapshot.stopped = false;
+	snapshot.elapsed_ms = 4500;
+	assert_true(
+	    rollout_plan_route_share(&snapshot, 7) == ROLLOUT_FIRST_SHARE);
+	snapshot.elapsed_ms = 7100;
+	assert_true(rollout_plan_route_share(&snapshot, 7) == 1);
+	assert_int_equal(rollout_plan_endpoints(&snapshot), 2);
+	snapshot.elapsed_ms = 9000;
+	assert_false(rollout_plan_loads(&snapshot, 7));
+}
+
+/* Long prompts with short responses occupy an endpoint's prefill before its
+ * slots, so they are left out unless there is nothing else. */
+static void
+routes_with_short_prompts_load_the_new_version(void **state)
+{
+	canary_analysis_t analysis = {0};
+	canary_observation_t observation = {.signal = CANARY_FIRST_BYTE,
+	    .stream = true,
+	    .repeatable = true,
+	    .ms = 60};
+	const struct timespec now = {100, 0};
+	uint64_t routes[2];
+
+	(void)state;
+	assert_int_equal(canary_analysis_long_routes(&analysis, routes, 2), 0);
+	observation.route = 9;
+	observation.repeatable = false;
+	canary_analysis_observe(&analysis, &observation, now);
+	assert_int_equal(canary_analysis_long_routes(&analysis, routes, 2), 0);
+	observation.repeatable = true;
+	observation.route = 1;
+	observation.token_ratio = 120;
+	canary_analysis_observe(&analysis, &observation, now);
+	observation.route = 2;
+	observation.token_ratio = 30;
+	canary_analysis_observe(&analysis, &observation, now);
+	assert_int_equal(canary_analysis_long_routes(&analysis, routes, 2), 1);
+	assert_int_equal(routes[0], 2);
+	for (uint64_t i = 3; i < 6; i++) {
+		observation.route = i;
+		observation.token_ratio = 4;
+		canary_analysis_observe(&analysis, &observation, now);
+	}
+	assert_int_equal(canary_analysis_long_routes(&analysis, routes, 2), 2);
+	assert_int_equal(routes[0], 3);
+	assert_int_equal(routes[1], 4);
+}
+
 static void
 observe(canary_analysis_t *analysis, bool is_new, bool failed, int count)
 {
@@ -483,6 +625,11 @@
 	    cmocka_unit_test(retries_stay_within_their_share),
 	    cmocka_unit_test(rollout_share_grows_late_and_only_while_not_stale),
 	    cmocka_unit_test(a_rollout_exposes_little_before_its_last_step),
+	    cmocka_unit_test(
+		new_version_under_load_is_exposed_within_the_bound),
+	    cmocka_unit_test(load_fills_most_of_the_slots),
+	    cmocka_unit_test(load_ends_with_the_rollout_and_while_stale),
+	    cmocka_unit_test(routes_with_short_prompts_load_the_new_version),
 	    cmocka_unit_test(analysis_distinguishes_worse_from_equally_bad),
 	    cmocka_unit_test(
 		slow_version_is_bad_but_few_late_responses_are_not),
--- a/test/unit/rollouts_test.c
+++ b/test/unit/rollouts_test.c
@@ -23,7 +23,7 @@
 /* Time by the store's clock. */
 #define STORE_NOW_MS 900000
 /* In the last step of a roll-out. */
-#define ELAPSED_MS 11000
+#define ELAPSED_MS 12000
 
 /* Frees the only roll-out of a test. */
 static void
@@ -90,9 +90,13 @@
 	input_apply(&rollouts, first);
 	input_apply(&rollouts, second);
 	input_apply(&rollouts, third);
-	for (int i = 0; i < 100; i++)
-		share += rollout_prefers_new(rollouts_find(&rollouts, "s"),
-		    UINT64_MAX / 100 * (uint64_t)i, false);
+	for (int i = 0; i < 100; i++) {
+		const rollout_request_t request = {
+		    .hash = UINT64_MAX / 100 * (uint64_t)i};
+
+		share += rollout_prefers_new(
+		    rollouts_find(&rollouts, "s"), &request);
+	}
 	rollouts_clear(&rollouts);
 	return share;
 }
@@ -181,10 +185,11 @@
 }
 
 static uint32_t
-none_on_old(const void *relay, const rollout_t *rollout)
+none_on_old(const void *relay, const rollout_t *rollout, uint64_t route)
 {
 	(void)relay;
 	(void)rollout;
+	(void)route;
 	return 0;
 }
 
@@ -444,28 +449,188 @@
 	rollouts_clear(&fixture.rollouts);
 }
 
-/* Fraction of the duration: in the second step, while sessions are pinned. */
-#define SECOND_STEP_TIME 0.45
 /* A hash in the share of the second step but not of the first. */
 #define SECOND_STEP_HASH (UINT64_MAX / 100 * 7)
+/* In the share of the load only. */
+#define LOAD_HASH (UINT64_MAX / 100 * 42)
+#define LOAD_ROUTE 0xaa
+
+static void
+time_pass_to(fixture_t *fixture, double part)
+{
+	fixture->clock.now = (struct timespec){1000, 0};
+	fixture->clock.now =
+	    timespec_add_ms(fixture->clock.now, (int64_t)(part * DURATION_MS));
+	row_watch_advance(&fixture->watch, 2, fixture->clock.now);
+}
+
+static void
+load_apply(fixture_t *fixture, const char *load, uint64_t version)
+{
+	char text[256];
+	row_t row = {
+	    .key = ROLLOUT_PREFIX "s", .value = text, .version = version};
+
+	row.value_len = (size_t)snprintf(text, sizeof(text),
+	    "{\"order\":%d,\"to\":\"v2\",\"base\":\"v1\",\"state\":"
+	    "\"in_progress\",\"began_ms\":%d,%s}",
+	    ORDER, STORE_NOW_MS, load);
+	assert_true(rollouts_apply_state_row(&fixture->rollouts, &row, NULL));
+}
 
 /* A session outside the first step's share may have been served by the old
  * version at any daemon without being reported, so it must not move while
- * sessions are pinned. */
+ * sessions are pinned, also if the new version's load is known by then. */
+static void
+no_session_moves_while_sessions_are_pinned(void **state)
+{
+	const rollout_request_t without_session = {
+	    .hash = SECOND_STEP_HASH, .route = LOAD_ROUTE};
+	const rollout_request_t of_session = {
+	    .hash = SECOND_STEP_HASH, .route = LOAD_ROUTE, .session = true};
+	fixture_t fixture;
+	rollout_t *rollout;
+
+	(void)state;
+	fixture_init(&fixture);
+	rollout = rollouts_find(&fixture.rollouts, "s");
+	load_apply(&fixture,
+	    "\"load_share\":0.6,\"load_fill\":0.9,\"load_endpoints\":1,"
+	    "\"load_routes\":[\"00000000000000aa\"]",
+	    10);
+	for (double part = 0.2; part < 0.52; part += 0.02) {
+		time_pass_to(&fixture, part);
+		assert_true(rollout_plan_pins_sessions(
+		    &(rollout_snapshot_t){.state = ROLLOUT_IN_PROGRESS,
+			.elapsed_ms = (int64_t)(part * DURATION_MS),
+			.duration_ms = DURATION_MS}));
+		assert_false(rollout_prefers_new(rollout, &of_session));
+	}
+	time_pass_to(&fixture, 0.53);
+	assert_true(rollout_prefers_new(rollout, &without_session));
+	assert_true(rollout_prefers_new(rollout, &of_session));
+	rollouts_clear(&fixture.rollouts);
+}
+
+/* The load is in the state's row, so that all daemons put the same requests to
+ * the same endpoints. What can't be one is left out. */
+static void
+load_is_taken_from_the_stored_state(void **state)
+{
+	const rollout_request_t loading = {
+	    .hash = LOAD_HASH, .route = LOAD_ROUTE, .session = true};
+	const rollout_request_t other = {
+	    .hash = LOAD_HASH, .route = LOAD_ROUTE + 1, .session = true};
+	fixture_t fixture;
+	rollout_t *rollout;
+
+	(void)state;
+	fixture_init(&fixture);
+	rollout = rollouts_find(&fixture.rollouts, "s");
+	time_pass_to(&fixture, 0.6);
+	assert_false(rollout_prefers_new(rollout, &loading));
+	load_apply(&fixture,
+	    "\"load_share\":7,\"load_fill\":7,\"load_endpoints\":1,"
+	    "\"load_routes\":[\"00000000000000aa\"]",
+	    10);
+	assert_false(rollout_prefers_new(rollout, &loading));
+	load_apply(&fixture,
+	    "\"load_share\":0.6,\"load_fill\":0.9,\"load_endpoints\":2,"
+	    "\"load_routes\":[\"00000000000000aa\",3]",
+	    11);
+	assert_true(rollout_prefers_new(rollout, &loading));
+	assert_false(rollout_prefers_new(rollout, &other));
+	assert_int_equal(rollout_endpoints(rollout), 2);
+	rollouts_clear(&fixture.rollouts);
+}
+
+/* The next order's version may have other endpoints and other requests. */
 static void
-second_step_moves_no_session(void **state)
+load_of_an_earlier_order_is_not_stored_for_the_next(void **state)
 {
 	fixture_t fixture;
 	rollout_t *rollout;
+	char *text;
 
 	(void)state;
 	fixture_init(&fixture);
 	rollout = rollouts_find(&fixture.rollouts, "s");
-	fixture.clock.now = timespec_add_ms(
-	    fixture.clock.now, (int64_t)(SECOND_STEP_TIME * DURATION_MS));
-	row_watch_advance(&fixture.watch, 2, fixture.clock.now);
-	assert_true(rollout_prefers_new(rollout, SECOND_STEP_HASH, false));
-	assert_false(rollout_prefers_new(rollout, SECOND_STEP_HASH, true));
+	load_apply(&fixture,
+	    "\"load_share\":0.6,\"load_fill\":0.9,\"load_endpoints\":2,"
+	    "\"load_routes\":[\"00000000000000aa\"]",
+	    10);
+	text = rollout_state_encode(rollout, ROLLOUT_COMPLETED);
+	assert_non_null(strstr(text, "load_share"));
+	free(text);
+	state_apply(&fixture, ORDER, "v2", "v1", "completed", 11);
+	order_apply(&fixture, ORDER + 20, "v3");
+	rollout->load = (rollout_load_t){.share = 0.6, .endpoints = 2};
+	text = rollout_state_encode(rollout, ROLLOUT_IN_PROGRESS);
+	assert_null(strstr(text, "load_share"));
+	free(text);
+	rollouts_clear(&fixture.rollouts);
+}
+
+static uint32_t
+eight_slots(const void *relay, const rollout_t *rollout)
+{
+	(void)relay;
+	(void)rollout;
+	return 8;
+}
+
+static uint32_t
+ten_on_old(const void *relay, const rollout_t *rollout, uint64_t route)
+{
+	(void)relay;
+	(void)rollout;
+	(void)route;
+	return 10;
+}
+
+/* A daemon that does not know the others' requests would take its own for all
+ * and choose a share that is far too large. */
+static void
+load_is_determined_only_with_reports_of_the_others(void **state)
+{
+	const canary_observation_t observation = {.signal = CANARY_FIRST_BYTE,
+	    .route = LOAD_ROUTE,
+	    .stream = true,
+	    .repeatable = true,
+	    .ms = 50,
+	    .token_ratio = 3};
+	fixture_t fixture;
+	rollout_t *rollout;
+	member_t member;
+
+	(void)state;
+	fixture_init(&fixture);
+	fixture.rollouts.old_in_flight = ten_on_old;
+	fixture.rollouts.new_version_slots = eight_slots;
+	fixture.rollouts.exposure_max = 0.15;
+	fixture.members.clock = &fixture.clock.source;
+	rollout = rollouts_find(&fixture.rollouts, "s");
+	canary_analysis_observe(
+	    &rollout->canary, &observation, fixture.clock.now);
+	reporting_daemon(&member, &fixture.members);
+	json_object_clear(member.report);
+	assert_false(rollout_load_propose(rollout));
+	json_decref(member.report);
+	HASH_DEL(fixture.members.members, &member);
+	reporting_daemon(&member, &fixture.members);
+	json_array_append_new(
+	    json_array_get(
+		json_object_get(
+		    json_object_get(
+			json_object_get(member.report, "rollouts"), "s"),
+		    "tally"),
+		0),
+	    json_integer(62));
+	assert_true(rollout_load_propose(rollout));
+	assert_int_equal(rollout->load_proposed.endpoints, 1);
+	assert_float_equal(rollout->load_proposed.share, 0.9 * 8 / 72, 0.001);
+	HASH_DEL(fixture.members.members, &member);
+	json_decref(member.report);
 	rollouts_clear(&fixture.rollouts);
 }
 
@@ -483,7 +648,12 @@
 	    cmocka_unit_test(restored_order_stays_replaced),
 	    cmocka_unit_test(
 		daemon_started_after_restore_starts_no_ended_rollout),
-	    cmocka_unit_test(second_step_moves_no_session),
+	    cmocka_unit_test(
+		load_of_an_earlier_order_is_not_stored_for_the_next),
+	    cmocka_unit_test(load_is_taken_from_the_stored_state),
+	    cmocka_unit_test(
+		load_is_determined_only_with_reports_of_the_others),
+	    cmocka_unit_test(no_session_moves_while_sessions_are_pinned),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
