test: brittle endpoints before a fleet that does not share all news

Brittle endpoints had been played before seven daemons only, which are notified of each other's requests; in larger fleets four are.

--- a/test/platform/brittle_endpoints.lua
+++ b/test/platform/brittle_endpoints.lua
@@ -3,11 +3,13 @@
 package.path = script_dir .. "/?.lua;" .. package.path
 local words = require("words")
 local lib = words.lib
-local DAEMONS, REPLICAS, SLOTS = 7, 4, 6
+local DAEMONS, REPLICAS, SLOTS = brittle_daemons or 7, 4, 6
 local BRITTLE = 4
 local STABLE_MS = 3000
 local w = words.world(REPLICAS, DAEMONS)
-w:wait_joined()
+lib.wait_until("the daemons know of each other", function()
+  return w:all_show("entries", DAEMONS)
+end)
 
 local function faults(room, brittle)
   for i = 1, REPLICAS do
