relay: lost links are helped with while the store is unavailable

Callers without a key saw: at a VM that had lost its links to all endpoints while the store was away, 0 of 74 requests were served, at the other VMs 185 of 185 (platform_cut_off_store_away on the code before).

But it serves its own callers that need no key.

Change: a daemon helps if it can serve requests at all; whether one with a key may run is decided for each request, at both daemons, as before. One with an outdated configuration reports a large load, so that others are chosen first. A key that was taken away is refused over the hop with 401, and nothing runs.

--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -150,6 +150,9 @@
  * requests with what is left for their callers, who kept waiting. */
 void relay_vm_resumed(relay_t *);
 
+/** Whether requests can be served that need no key: all that is known of
+ * routes, endpoints and roll-outs is there, but may be outdated. */
+bool relay_can_serve(const relay_t *);
 /** Whether the configuration, endpoints and states of roll-outs are known and
  * recent enough to serve requests. */
 bool relay_ready(const relay_t *);
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -433,12 +433,18 @@
 }
 
 bool
-relay_ready(const relay_t *relay)
+relay_can_serve(const relay_t *relay)
 {
 	/* Without a roll-out's state, the version it replaces is unknown. */
 	return relay->config != NULL && !relay->refusing_streams &&
 	    relay->endpoints->endpoints != NULL &&
-	    relay->rollouts->states_watch->synced_once &&
+	    relay->rollouts->states_watch->synced_once;
+}
+
+bool
+relay_ready(const relay_t *relay)
+{
+	return relay_can_serve(relay) &&
 	    row_watch_age_ms(relay->config_watch) <=
 	    relay->bounds.key_max_age_ms;
 }
--- a/moortack/relay/relay_forward_accept.c
+++ b/moortack/relay/relay_forward_accept.c
@@ -19,7 +19,7 @@
 	if (text == NULL || http_msg_field_count(msg, FORWARD_HEADER) != 1 ||
 	    !forward_head_open(head, &relay->forward_key, arrival.id, text))
 		return ERR_PEERS_UNAVAILABLE;
-	if (!relay_ready(relay))
+	if (!relay_can_serve(relay))
 		return ERR_NOT_READY;
 	/* A request that the sender's configuration allows may be denied by an
 	 * older one. */
--- a/moortack/relay/relay_reach.c
+++ b/moortack/relay/relay_reach.c
@@ -19,6 +19,9 @@
 #define PROBES_PER_ROUND 2
 /* From this many endpoints out of reach on, others are probed. */
 #define PROBE_FAILED_MIN 2
+/* Added to the load of a daemon whose configuration is outdated: as it refuses
+ * requests with keys, others are chosen before it. */
+#define OUTDATED_LOAD 1000000
 /* Contact within this time is reported to other daemons. With less of it,
  * an endpoint is probed for the next query. */
 #define CONTACT_MAX_MS 1500
@@ -319,7 +322,9 @@
 	if (contact_ms < 0 || contact_ms > CONTACT_FRESH_MS)
 		probe_quiet(relay, group);
 	report->load = own_load(relay);
-	report->reaches = relay_ready(relay) && contact_ms >= 0 &&
+	if (!relay_ready(relay))
+		report->load += OUTDATED_LOAD;
+	report->reaches = relay_can_serve(relay) && contact_ms >= 0 &&
 	    contact_ms <= CONTACT_MAX_MS;
 	if (report->reaches)
 		report->contact_age_ms = (uint32_t)contact_ms;
