--- a/moortack/relay/relay_forward.c
+++ b/moortack/relay/relay_forward.c
@@ -11,14 +11,6 @@
 #define MS_PER_SEC 1000
 #define LAST_EVENT_ID_HEADER "Last-Event-Id"
 
-static endpoint_group_t *
-request_group(const relay_request_t *req)
-{
-	return req->service != NULL
-	    ? endpoint_set_find_group(req->relay->endpoints, req->service)
-	    : NULL;
-}
-
 bool
 relay_forward_wanted(const relay_request_t *req)
 {
@@ -243,7 +235,7 @@
 relay_forward_begin(relay_request_t *req)
 {
 	relay_t *relay = req->relay;
-	endpoint_group_t *group = request_group(req);
+	endpoint_group_t *group = relay_request_group(req);
 	helper_t *helper = helpers_choose(&group->helpers, req->tried_helpers,
 	    req->tried_helpers_len, relay->rng->next(relay->rng));
 	const http_msg_t *msg = http_inbound_request(req->caller);
@@ -276,7 +268,7 @@
 void
 relay_forward_cancel(relay_request_t *req)
 {
-	endpoint_group_t *group = request_group(req);
+	endpoint_group_t *group = relay_request_group(req);
 	helper_t *helper = group != NULL
 	    ? helpers_find(&group->helpers, &req->attempt.helper)
 	    : NULL;
@@ -292,7 +284,7 @@
     relay_request_t *req, attempt_outcome_t outcome, const char *why)
 {
 	const attempt_t *attempt = &req->attempt;
-	endpoint_group_t *group = request_group(req);
+	endpoint_group_t *group = relay_request_group(req);
 	char host[INET_ADDRSTRLEN];
 
 	inet_ntop(AF_INET, &attempt->helper.sin_addr, host, sizeof(host));
--- a/moortack/relay/relay_reach.c
+++ b/moortack/relay/relay_reach.c
@@ -52,8 +52,8 @@
 	    row_watch_age_ms(relay->endpoint_watch));
 }
 
-static const endpoint_group_t *
-request_group(const relay_request_t *req)
+endpoint_group_t *
+relay_request_group(const relay_request_t *req)
 {
 	return req->service != NULL
 	    ? endpoint_set_find_group(req->relay->endpoints, req->service)
@@ -63,7 +63,7 @@
 int64_t
 relay_reach_failing_ms(const relay_request_t *req)
 {
-	const endpoint_group_t *group = request_group(req);
+	const endpoint_group_t *group = relay_request_group(req);
 
 	if (group == NULL ||
 	    reach_verdict(&group->reach, group->len) == REACH_OK)
@@ -75,7 +75,7 @@
 reach_verdict_t
 relay_reach_verdict(const relay_request_t *req)
 {
-	const endpoint_group_t *group = request_group(req);
+	const endpoint_group_t *group = relay_request_group(req);
 
 	return group != NULL ? reach_verdict(&group->reach, group->len)
 			     : REACH_OK;
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -347,6 +347,8 @@
 /** Size of that line. */
 #define FORWARD_LINE_SIZE 96
 
+/** The endpoints of the request's service; NULL: none is known. */
+endpoint_group_t *relay_request_group(const relay_request_t *);
 /** Whether this daemon reaches the endpoints of the request's service, as far
  * as it knows. */
 reach_verdict_t relay_reach_verdict(const relay_request_t *);
--- a/test/fuzz/brittle_fuzz.c
+++ b/test/fuzz/brittle_fuzz.c
@@ -18,6 +18,7 @@
 #include "../../moortack/relay/relay_rate_limit.h"
 #include "../../moortack/relay/relay_warmup.h"
 #include "../support/manual_clock.h"
+#include "../support/random.h"
 #include "input.h"
 
 #define DAEMONS 12
@@ -103,14 +104,6 @@
 	uint64_t random;
 } world;
 
-static uint32_t
-random_below(uint32_t bound)
-{
-	world.random = world.random * UINT64_C(6364136223846793005) +
-	    UINT64_C(1442695040888963407);
-	return (uint32_t)(world.random >> 33) % bound;
-}
-
 static void
 daemon_start(size_t number, uint32_t clock_error_ms)
 {
@@ -197,8 +190,9 @@
 	    .endpoint = endpoint,
 	    .req = {.relay = &daemon->relay},
 	    .next_ms = world.now_ms};
-	if (random_below(4) == 0)
-		exchange->next_ms += random_below(CONNECT_MAX_MS);
+	if (random_below(&world.random, 4) == 0)
+		exchange->next_ms +=
+		    random_below(&world.random, CONNECT_MAX_MS);
 	exchange->req.attempt.endpoint = endpoint_of(daemon, endpoint);
 	relay_brittle_acquire(&exchange->req);
 }
@@ -219,7 +213,8 @@
 	exchange->told = daemon->told_ms != NEVER &&
 	    world.now_ms >= daemon->told_ms + SPAN_MS;
 	exchange->stage = STAGE_SENT;
-	exchange->next_ms = world.now_ms + random_below(TRANSIT_MAX_MS);
+	exchange->next_ms =
+	    world.now_ms + random_below(&world.random, TRANSIT_MAX_MS);
 }
 
 static void
@@ -246,11 +241,13 @@
 	exchange->stage = exchange->refused ? STAGE_RESPONDED : STAGE_HELD;
 	if (exchange->refused) {
 		refusal_check(exchange);
-		exchange->next_ms = world.now_ms + random_below(TRANSIT_MAX_MS);
+		exchange->next_ms =
+		    world.now_ms + random_below(&world.random, TRANSIT_MAX_MS);
 		return;
 	}
 	server->held++;
-	exchange->next_ms = world.now_ms + 10 + random_below(WORK_MAX_MS);
+	exchange->next_ms =
+	    world.now_ms + 10 + random_below(&world.random, WORK_MAX_MS);
 }
 
 /* @param endpoint that has refused a request; NULL: it is the service's notice
@@ -261,12 +258,13 @@
 	const endpoint_group_t *group = daemon->endpoints.groups;
 
 	for (size_t i = 0; i < DAEMONS; i++) {
-		if (random_below(10) == 0)
+		if (random_below(&world.random, 10) == 0)
 			continue;
 		world.messages[world.messages_next++ % MESSAGES_MAX] =
 		    (message_t){.used = true,
 			.to = i,
-			.at_ms = world.now_ms + random_below(MESSAGE_MAX_MS),
+			.at_ms = world.now_ms +
+			    random_below(&world.random, MESSAGE_MAX_MS),
 			.text = {.kind = GOSSIP_BRITTLE,
 			    .service_hash = group->service_hash,
 			    .endpoint_hash =
@@ -333,7 +331,8 @@
 	case STAGE_HELD:
 		world.servers[exchange->endpoint].held--;
 		exchange->stage = STAGE_RESPONDED;
-		exchange->next_ms = world.now_ms + random_below(TRANSIT_MAX_MS);
+		exchange->next_ms =
+		    world.now_ms + random_below(&world.random, TRANSIT_MAX_MS);
 		break;
 	case STAGE_RESPONDED:
 		if (!frozen)
@@ -421,8 +420,8 @@
 	/* A frozen daemon does not receive notices. */
 	if (world.now_ms < daemon->frozen_until_ms)
 		daemon->told_ms = NEVER;
-	else if (random_below(100) < world.rate)
-		exchange_begin(number, random_below(ENDPOINTS));
+	else if (random_below(&world.random, 100) < world.rate)
+		exchange_begin(number, random_below(&world.random, ENDPOINTS));
 }
 
 int
--- a/test/fuzz/rate_limit_fuzz.c
+++ b/test/fuzz/rate_limit_fuzz.c
@@ -18,6 +18,7 @@
 
 #include "../../moortack/relay/relay_rate_limit.h"
 #include "../support/manual_clock.h"
+#include "../support/random.h"
 #include "input.h"
 
 #define DAEMONS 24
@@ -231,15 +232,6 @@
 	return (int64_t)input_below(input, 256) * max_ms / 255;
 }
 
-/* From 0 to @p bound - 1. */
-static uint32_t
-random_below(uint32_t bound)
-{
-	world.random = world.random * UINT64_C(6364136223846793005) +
-	    UINT64_C(1442695040888963407);
-	return (uint32_t)(world.random >> 33) % bound;
-}
-
 static void
 arrival_check(const exchange_t *exchange)
 {
@@ -316,11 +308,13 @@
 		message_t *message =
 		    &world.messages[world.messages_next++ % MESSAGES_MAX];
 
-		*message = (message_t){.used = random_below(10) > 0,
-		    .to = random_below(DAEMONS),
-		    .endpoint = endpoint,
-		    .at_ms = world.now_ms + random_below(MESSAGE_MAX_MS),
-		    .report = report};
+		*message =
+		    (message_t){.used = random_below(&world.random, 10) > 0,
+			.to = random_below(&world.random, DAEMONS),
+			.endpoint = endpoint,
+			.at_ms = world.now_ms +
+			    random_below(&world.random, MESSAGE_MAX_MS),
+			.report = report};
 	}
 }
 
@@ -412,16 +406,18 @@
 	    .daemon = number,
 	    .run = world.daemons[number].run,
 	    .endpoint = endpoint,
-	    .ran = random_below(8) > 0,
+	    .ran = random_below(&world.random, 8) > 0,
 	    .connected_ms = world.now_ms};
-	if (random_below(4) == 0)
-		exchange->connected_ms += random_below(CONNECT_MAX_MS);
-	exchange->made_ms =
-	    exchange->connected_ms + random_below(RESPONSE_MAX_MS);
+	if (random_below(&world.random, 4) == 0)
+		exchange->connected_ms +=
+		    random_below(&world.random, CONNECT_MAX_MS);
+	exchange->made_ms = exchange->connected_ms +
+	    random_below(&world.random, RESPONSE_MAX_MS);
 	exchange->delivered_ms = exchange->made_ms +
-	    random_below(
-		random_below(8) == 0 ? TRANSIT_LATE_MAX_MS : TRANSIT_MAX_MS);
-	if (random_below(16) == 0)
+	    random_below(&world.random,
+		random_below(&world.random, 8) == 0 ? TRANSIT_LATE_MAX_MS
+						    : TRANSIT_MAX_MS);
+	if (random_below(&world.random, 16) == 0)
 		exchange->delivered_ms = NEVER;
 }
 
@@ -437,7 +433,7 @@
 		int64_t slot = relay_rate_slot(&daemon->relay);
 
 		for (size_t n = 0; n < SENDS_PER_STEP; n++) {
-			if (random_below(SENDS_PART) > 0)
+			if (random_below(&world.random, SENDS_PART) > 0)
 				continue;
 			if (!relay_rate_limit_allows(
 				&daemon->relay, endpoint, slot))
--- a/test/fuzz/reach_fuzz.c
+++ b/test/fuzz/reach_fuzz.c
@@ -13,6 +13,7 @@
  */
 #include <string.h>
 
+#include "../support/random.h"
 #include "common/clock_source.h"
 #include "input.h"
 #include "moortack/reach/helpers.h"
@@ -68,14 +69,6 @@
 	uint64_t random;
 } world;
 
-static uint32_t
-random_below(uint32_t bound)
-{
-	world.random = world.random * UINT64_C(6364136223846793005) +
-	    UINT64_C(1442695040888963407);
-	return (uint32_t)(world.random >> 33) % bound;
-}
-
 static struct timespec
 now(void)
 {
@@ -118,7 +111,8 @@
 {
 	for (size_t i = 0; i < OTHERS; i++) {
 		other_t *other = &world.others[i];
-		size_t endpoint = random_below((uint32_t)world.endpoints);
+		size_t endpoint =
+		    random_below(&world.random, (uint32_t)world.endpoints);
 
 		if (!other->cut && !world.down[endpoint])
 			other->contact_ms = world.now_ms;
@@ -132,18 +126,19 @@
 others_ask(void)
 {
 	for (int i = 0; i < 3; i++) {
-		size_t from = random_below(OTHERS);
+		size_t from = random_below(&world.random, OTHERS);
 		const other_t *other = &world.others[from];
 		int64_t age_ms = other->contact_ms == NEVER
 		    ? CONTACT_MAX_MS + 1
 		    : world.now_ms - other->contact_ms;
 
-		if (random_below(8) == 0)
+		if (random_below(&world.random, 8) == 0)
 			continue;
 		world.messages[world.messages_next++ % MESSAGES_MAX] =
 		    (message_t){.used = true,
 			.from = from,
-			.at_ms = world.now_ms + random_below(MESSAGE_MAX_MS),
+			.at_ms = world.now_ms +
+			    random_below(&world.random, MESSAGE_MAX_MS),
 			.reaches = age_ms <= CONTACT_MAX_MS,
 			.contact_age_ms = age_ms};
 	}
@@ -260,10 +255,13 @@
 	others_step();
 	before = reach_verdict(&world.reach, world.endpoints);
 	if (world.traffic)
-		connect_to(random_below((uint32_t)world.endpoints));
+		connect_to(
+		    random_below(&world.random, (uint32_t)world.endpoints));
 	if (before != REACH_OK && world.now_ms >= world.probe_ms) {
-		connect_to(random_below((uint32_t)world.endpoints));
-		connect_to(random_below((uint32_t)world.endpoints));
+		connect_to(
+		    random_below(&world.random, (uint32_t)world.endpoints));
+		connect_to(
+		    random_below(&world.random, (uint32_t)world.endpoints));
 		world.probe_ms = world.now_ms + PROBE_MS;
 	}
 	if (world.reach.failed_len > 0 && world.now_ms >= world.ask_ms) {
