relay: look for the reports of a roll-out's load once a second at most

Nothing was seen by callers. From 0.40 of an order's time on, a daemon that has no reports of the others, which are all but one, looked at all members five times a second to find that out.

--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -65,11 +65,12 @@
 	int64_t started_ms;  /**< start of that order by the store's clock; 0:
 				not known */
 	rollout_load_t load; /**< of that order, the same at all daemons */
-	rollout_load_t load_proposed; /**< of the order in force, by this
-					 daemon; in use once it is stored */
-	uint64_t stored_version;      /**< of the state's row; 0: none */
-	bool state_rewrite_needed;    /**< the row in the store was deleted, or
-					 holds no valid or no current state */
+	rollout_load_t load_proposed;  /**< of the order in force, by this
+					  daemon; in use once it is stored */
+	struct timespec load_tried_at; /**< last attempt to determine it */
+	uint64_t stored_version;       /**< of the state's row; 0: none */
+	bool state_rewrite_needed;     /**< the row in the store was deleted, or
+					  holds no valid or no current state */
 	bool stopped; /**< this daemon found the new version to be bad */
 	bool writing; /**< a write of the state is in flight */
 	struct timespec write_after; /**< no write before; 0: not set */
--- a/moortack/relay/rollout_load.c
+++ b/moortack/relay/rollout_load.c
@@ -3,6 +3,9 @@
 #include "rollouts_priv.h"
 
 #define PERCENT 100
+/* Time between two attempts to determine the load. Each looks at the reports of
+ * all members, which most daemons don't have. */
+#define PROPOSE_INTERVAL_MS 1000
 
 void
 rollout_record_load(rollout_t *rollout, uint32_t held, uint32_t slots)
@@ -45,10 +48,15 @@
 	const rollouts_t *self = rollout->owner;
 	rollout_load_input_t input = {.exposure_max = self->exposure_max,
 	    .slots = self->new_version_slots(self->relay, rollout)};
+	struct timespec now = clock_boottime(self->clock);
 	rollout_load_t load = {0};
 
 	if (rollout->load_proposed.endpoints > 0)
 		return true;
+	if (timespec_ms_between(rollout->load_tried_at, now) <
+	    PROPOSE_INTERVAL_MS)
+		return false;
+	rollout->load_tried_at = now;
 	load.routes_len = canary_analysis_long_routes(
 	    &rollout->canary, load.routes, ROLLOUT_LOAD_ROUTES_MAX);
 	if (input.slots == 0 || load.routes_len == 0 ||
--- a/test/unit/rollout_load_test.c
+++ b/test/unit/rollout_load_test.c
@@ -158,6 +158,8 @@
 /* In the share of the load only. */
 #define LOAD_HASH (UINT64_MAX / 100 * 42)
 #define LOAD_ROUTE 0xaa
+/* After this the load may be determined again. */
+#define RETRY_MS 1500
 
 static void
 time_pass_to(fixture_t *fixture, double part)
@@ -319,6 +321,7 @@
 	reporting_daemon(&member, &fixture.members);
 	json_object_clear(member.report);
 	assert_false(rollout_load_propose(rollout));
+	fixture.clock.now = timespec_add_ms(fixture.clock.now, RETRY_MS);
 	json_decref(member.report);
 	HASH_DEL(fixture.members.members, &member);
 	reporting_daemon(&member, &fixture.members);
