test: the quarantine's fuzz target lets a suspicion end after an hour

Trace: the last crash of the request was 3,723 s ago. By then nothing is left of it (docs/PLATFORM.md: a suspicion of two crashes for an hour), so each daemon begins anew, may repeat the request, and it is refused after three crashes, as at first. The oracle still expected the renewal of a quarantine. Two faults of it, both mine: it did not forget after an hour, and then counted the sends until all daemons knew of the new quarantine as those of a renewal. Sends after that are counted as before.

--- a/test/fuzz/quarantine_fuzz.c
+++ b/test/fuzz/quarantine_fuzz.c
@@ -350,17 +350,23 @@
 send_check(size_t request, bool trial)
 {
 	oracle_t *oracle = &world.oracles[request];
+	int64_t since_crash_ms;
 
 	if (request >= CRASHING_REQUESTS || oracle->len == 0)
 		return;
+	since_crash_ms = now_ms() - oracle->crashes[oracle->len - 1].at_ms;
 	/* An expired quarantine is renewed by the next crash. Until all daemons
-	 * know of that crash, each may send the request once. */
-	if (now_ms() - oracle->crashes[oracle->len - 1].at_ms >=
-	    QUARANTINE_EXPIRY_MS) {
+	 * know of that crash, each may send the request once. Nothing is left
+	 * of a suspicion that has expired as well. */
+	if (since_crash_ms >= QUARANTINE_EXPIRY_MS) {
 		oracle->sends_after = 0;
 		oracle->renewal_sends = 0;
 		oracle->renewed_ms = now_ms();
 	}
+	if (since_crash_ms >= SUSPECT_EXPIRY_MS) {
+		oracle->third_crash_ms = 0;
+		oracle->renewed_ms = 0;
+	}
 	if (trial) {
 		FUZZ_CHECK(oracle->trial_ms == 0 ||
 		    now_ms() - oracle->trial_ms >= TRIAL_TIMEOUT_MS);
