relay: no response is discarded for a part of a retry

Cause: whether a response may be discarded for a larger model's is asked of the part of the retry budget that is left, which has to be over 0.05. Of a small budget that can be less than one retry: the response is discarded, and then the retry is refused. The daemons of a large fleet have such budgets; eleven with retry_min 60 have five. Ruled out: no room at brittle endpoints, as relay_brittle_allows() is asked before and after alike.

Change: less than one retry counts as nothing left. The unit test failed before (a retry could not be spent although some of the budget remained).

--- a/include/moortack/relay/retry_share.h
+++ b/include/moortack/relay/retry_share.h
@@ -39,8 +39,8 @@
 bool retry_share_spend(retry_share_t *, const retry_bounds_t *,
     uint32_t daemons, struct timespec now);
 
-/** Part of this daemon's budget that is left, at most 1; negative after the
- * budget has shrunk. */
+/** Part of this daemon's budget that is left, at most 1; 0: less than one retry
+ * is left. */
 double retry_share_remaining(retry_share_t *, const retry_bounds_t *,
     uint32_t daemons, struct timespec now);
 
--- a/moortack/relay/retry_share.c
+++ b/moortack/relay/retry_share.c
@@ -76,9 +76,11 @@
 retry_share_remaining(retry_share_t *share, const retry_bounds_t *bounds,
     uint32_t daemons, struct timespec now)
 {
-	double limit;
+	double limit, used;
 
 	share_advance(share, bounds, now);
 	limit = retries_allowed(share, bounds, daemons);
-	return limit > 0 ? 1 - counts_sum(share->retries) / limit : 0;
+	used = counts_sum(share->retries);
+	/* Less than one retry can't be used. */
+	return used + 1 <= limit ? 1 - used / limit : 0;
 }
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -230,6 +230,24 @@
 	assert_false(retry_share_spend(&share, &bounds, 9, now));
 }
 
+/* A response was discarded for a retry that the budget did not allow, if less
+ * than one was left. */
+static void
+part_of_a_retry_does_not_count_as_remaining(void **state)
+{
+	const retry_bounds_t bounds = {0, 10000, 11};
+	const struct timespec now = {100, 0};
+	retry_share_t share = {0};
+	int spent = 0;
+
+	(void)state;
+	while (retry_share_remaining(&share, &bounds, 2, now) > 0) {
+		assert_true(retry_share_spend(&share, &bounds, 2, now));
+		spent++;
+	}
+	assert_true(spent > 0);
+}
+
 static void
 rollout_share_grows_late_and_only_while_not_stale(void **state)
 {
@@ -481,6 +499,7 @@
 	    cmocka_unit_test(prompts_of_one_size_give_a_mean),
 	    cmocka_unit_test(late_responses_lower_the_on_time_rate),
 	    cmocka_unit_test(retries_stay_within_their_share),
+	    cmocka_unit_test(part_of_a_retry_does_not_count_as_remaining),
 	    cmocka_unit_test(rollout_share_grows_late_and_only_while_not_stale),
 	    cmocka_unit_test(a_rollout_exposes_little_before_its_last_step),
 	    cmocka_unit_test(analysis_distinguishes_worse_from_equally_bad),
