quarantine: a crash is known before its address is used again

Cause: since a refused connection shows a crash only once another endpoint accepted one. Until then the crashed endpoint is probed again after 100 ms; if its next process listens there by then, the connection is accepted, and the evidence was dropped.

Change: a probe of another endpoint that was begun at the time of the refusal and succeeds shows that the links were sound then; the crash is recorded at once. One begun later shows nothing: a cut may have ended. Such probes go to endpoints at which no attempt was interrupted.

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -116,6 +116,8 @@
 	endpoint_restrictions_t restrictions;
 	rate_share_t rate_share; /**< if a rate limit is in force */
 	refusal_share_t refusal_share;
+	struct timespec port_closed_at; /**< when a connection was refused after
+					   others had been lost; 0: never */
 	struct timespec refused_at; /**< last request of any daemon for want of
 				       room, while brittle; 0: none */
 	uint32_t unresolved; /**< requests of this daemon, from the choice of
--- a/include/moortack/relay/relay_quarantine.h
+++ b/include/moortack/relay/relay_quarantine.h
@@ -54,6 +54,11 @@
  * @param how how the daemon knows, for the log */
 void relay_quarantine_endpoint_crashed(
     relay_quarantine_t *, const endpoint_t *, const char *how);
+/** A connection to an endpoint that was begun at this time was accepted: the
+ * links were sound then. Endpoints that refused one at that time have crashed,
+ * whatever listens at their addresses by now. */
+void
+relay_quarantine_links_proved(relay_quarantine_t *, struct timespec sound_at);
 /** The endpoint's row was removed, though it had not announced that it leaves.
  */
 void
--- a/moortack/relay/reach_probe.c
+++ b/moortack/relay/reach_probe.c
@@ -15,6 +15,7 @@
 	endpoint_t *endpoint;
 	http_outbound_t *conn;
 	struct event *settle_timer; /**< runs once it is connected */
+	struct timespec begun_at;
 	reach_probe_t *next;
 };
 
@@ -37,8 +38,11 @@
 {
 	relay_t *relay = probe->relay;
 	endpoint_t *endpoint = endpoint_hold(probe->endpoint);
+	struct timespec begun_at = probe->begun_at;
 
 	probe_free(probe);
+	if (reached)
+		relay_quarantine_links_proved(&relay->quarantine, begun_at);
 	relay_reach_probed(relay, endpoint, reached);
 	endpoint_release(endpoint);
 }
@@ -115,6 +119,7 @@
 		goto out;
 	}
 	probe->relay = relay;
+	probe->begun_at = clock_boottime(relay->clock);
 	probe->endpoint = endpoint_hold(endpoint);
 	probe->next = relay->reach_probes;
 	relay->reach_probes = probe;
--- a/moortack/relay/relay_crashes.c
+++ b/moortack/relay/relay_crashes.c
@@ -15,6 +15,10 @@
 /* The same after an abandoned attempt, whose request still runs for a moment.
  */
 #define ABANDONED_PROBE_DELAY_MS 300
+/* Time between a refused connection and the start of a probe of another
+ * endpoint that shows that the links were sound then, and not only after a cut
+ * that ended later. */
+#define LINK_CHECK_DELAY_MS 10
 
 static void
 crash_log(const relay_quarantine_t *self, uint64_t digest,
@@ -117,10 +121,42 @@
 	return relay_reach_opened_since(self->relay, ended_at);
 }
 
+/* Whether the endpoint refused a connection while the links were sound. */
+static bool
+refused_with_sound_links(const endpoint_t *endpoint, struct timespec sound_at)
+{
+	int64_t ms = timespec_ms_between(endpoint->port_closed_at, sound_at);
+
+	return endpoint->port_closed_at.tv_sec != 0 &&
+	    endpoint->in_flight == 0 && ms >= -LINK_CHECK_DELAY_MS &&
+	    ms <= LINK_CHECK_DELAY_MS;
+}
+
+void
+relay_quarantine_links_proved(
+    relay_quarantine_t *self, struct timespec sound_at)
+{
+	size_t i = 0;
+
+	/* All attempts at an endpoint that crashed are removed. */
+	while (i < self->interrupted.len) {
+		const endpoint_t *endpoint =
+		    endpoint_set_find_by_short_hash(self->relay->endpoints,
+			self->interrupted.attempts[i].incarnation);
+
+		if (endpoint != NULL &&
+		    refused_with_sound_links(endpoint, sound_at))
+			relay_quarantine_endpoint_crashed(
+			    self, endpoint, "port_closed");
+		else
+			i++;
+	}
+}
+
 /* Nothing listens at the endpoint's address.
  * @return whether to probe again: attempts there are still unresolved */
 static bool
-endpoint_refused(relay_quarantine_t *self, const endpoint_t *endpoint)
+endpoint_refused(relay_quarantine_t *self, endpoint_t *endpoint)
 {
 	/* An endpoint at which a request of this daemon is in flight has not
 	 * ended, even if it refuses connections. */
@@ -131,7 +167,8 @@
 		    self, endpoint, "port_closed");
 		return false;
 	}
-	relay_reach_check_links(self->relay, endpoint);
+	endpoint->port_closed_at = clock_boottime(self->relay->clock);
+	relay_reach_check_links(self->relay);
 	return true;
 }
 
--- a/moortack/relay/relay_reach.c
+++ b/moortack/relay/relay_reach.c
@@ -17,6 +17,9 @@
 /* Random daemons asked in a round while fewer than HELPERS_MAX are known. */
 #define ASKED_PER_ROUND 3
 #define PROBES_PER_ROUND 2
+/* Random endpoints of a service that are considered for a probe of the links.
+ */
+#define PICKS_MAX 4
 /* From this many endpoints out of reach on, others are probed. */
 #define PROBE_FAILED_MIN 2
 /* Added to the load of a daemon whose configuration is outdated: as it refuses
@@ -131,16 +134,29 @@
 	return false;
 }
 
+/* An endpoint at which no attempt was interrupted; NULL: none was found. */
+static endpoint_t *
+sound_endpoint_pick(const relay_t *relay, const endpoint_group_t *group)
+{
+	for (int i = 0; i < PICKS_MAX && group->len > 0; i++) {
+		endpoint_t *endpoint = endpoint_pick(relay, group);
+
+		if (!unresolved_attempts_has(
+			&relay->quarantine.interrupted, endpoint->short_hash))
+			return endpoint;
+	}
+	return NULL;
+}
+
 void
-relay_reach_check_links(relay_t *relay, const endpoint_t *except)
+relay_reach_check_links(relay_t *relay)
 {
 	const endpoint_group_t *group = relay->endpoints->groups;
 
 	for (; group != NULL; group = group->hh.next) {
-		endpoint_t *endpoint =
-		    group->len > 0 ? endpoint_pick(relay, group) : NULL;
+		endpoint_t *endpoint = sound_endpoint_pick(relay, group);
 
-		if (endpoint != NULL && endpoint != except)
+		if (endpoint != NULL)
 			reach_probe_begin(relay, endpoint);
 	}
 }
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -360,8 +360,9 @@
 bool relay_reach_has_contact(relay_t *, const endpoint_t *);
 /** Whether a new connection to any endpoint worked at this moment or later. */
 bool relay_reach_opened_since(const relay_t *, struct timespec);
-/** Find out whether new connections work: probe others than this endpoint. */
-void relay_reach_check_links(relay_t *, const endpoint_t *);
+/** Find out whether new connections work: probe endpoints at which no attempt
+ * was interrupted. */
+void relay_reach_check_links(relay_t *);
 /** Wait for other daemons' reports before a request is refused, if it is not
  * known yet whether the links to the endpoints are lost: it is sent on then, or
  * ends with this refusal.
--- a/test/unit/lost_links_test.c
+++ b/test/unit/lost_links_test.c
@@ -124,6 +124,35 @@
 	node_fixture_finish(&self.node);
 }
 
+/* The next process listens at the crashed one's address soon after: a
+ * connection that is accepted there must not take the evidence away, if the
+ * links were sound as one was refused. A cut that ended after that proves
+ * nothing. */
+static void
+crash_is_known_before_the_address_is_used_again(void **state)
+{
+	relay_quarantine_t *quarantine;
+	fixture_t self;
+
+	(void)state;
+	fixture_init(&self);
+	quarantine = &self.node.node.relay.quarantine;
+	lose_attempt(&self, 0);
+	lose_attempt(&self, 1);
+	node_fixture_advance(&self.node, 20);
+	refuse(&self, 0);
+	node_fixture_advance(&self.node, 30);
+	relay_quarantine_links_proved(
+	    quarantine, clock_boottime(self.node.node.relay.clock));
+	assert_int_equal(crashes(&self), 0);
+	refuse(&self, 0);
+	relay_quarantine_links_proved(
+	    quarantine, clock_boottime(self.node.node.relay.clock));
+	assert_int_equal(crashes(&self), 1);
+	assert_int_equal(quarantine->interrupted.len, 1);
+	node_fixture_finish(&self.node);
+}
+
 /* Attempts that were lost together do not keep the request from a retry. */
 static void
 attempts_lost_with_the_links_are_no_suspicion(void **state)
@@ -319,6 +348,7 @@
 	    cmocka_unit_test(refused_connections_of_lost_links_are_no_crashes),
 	    cmocka_unit_test(
 		a_refused_connection_is_a_crash_if_other_endpoints_accept),
+	    cmocka_unit_test(crash_is_known_before_the_address_is_used_again),
 	    cmocka_unit_test(attempts_lost_with_the_links_are_no_suspicion),
 	    cmocka_unit_test(failures_of_lost_links_are_none_of_the_version),
 	    cmocka_unit_test(
