relay: one look-up of a load's routes

Two files of the roll-outs had the same loop. rollout_load_has_route() is what is left, and a comment names the figures instead of asking for them; nothing else changes. unit_rollout_load, unit_rollouts, unit_candidates and fuzz_rollouts pass.

--- a/include/moortack/relay/rollout_plan.h
+++ b/include/moortack/relay/rollout_plan.h
@@ -53,7 +53,7 @@
 /** Share of the requests that the first step sends to the new version. */
 #define ROLLOUT_FIRST_SHARE 0.05
 
-/** What the load of the new version depends on. */
+/** Figures from which the load of the new version is determined. */
 typedef struct rollout_load_input {
 	uint32_t in_flight;  /**< requests of the load's routes in flight, of
 				all daemons */
@@ -73,7 +73,9 @@
 /** Whether the new version's requests are concentrated on few endpoints, so
  * that a fault that shows only under load is found while the share is small. */
 bool rollout_plan_is_saturating(const rollout_snapshot_t *);
-/** Whether requests of the route put the new version under load. */
+/** Whether requests of the route are among those of the load. */
+bool rollout_load_has_route(const rollout_load_t *, uint64_t route);
+/** Whether requests of the route put the new version under load now. */
 bool rollout_plan_loads(const rollout_snapshot_t *, uint64_t route);
 /** Endpoints of the new version that are put under load; 0: not known. */
 uint32_t rollout_plan_endpoints(const rollout_snapshot_t *);
--- a/moortack/relay/rollout_plan.c
+++ b/moortack/relay/rollout_plan.c
@@ -141,19 +141,23 @@
 }
 
 bool
-rollout_plan_loads(const rollout_snapshot_t *snapshot, uint64_t route)
+rollout_load_has_route(const rollout_load_t *load, uint64_t route)
 {
-	const rollout_load_t *load = &snapshot->load;
-
-	if (!rollout_plan_is_saturating(snapshot) || snapshot->stale)
-		return false;
 	for (size_t i = 0; i < load->routes_len; i++) {
 		if (load->routes[i] == route)
-			return load->endpoints > 0;
+			return true;
 	}
 	return false;
 }
 
+bool
+rollout_plan_loads(const rollout_snapshot_t *snapshot, uint64_t route)
+{
+	return rollout_plan_is_saturating(snapshot) && !snapshot->stale &&
+	    snapshot->load.endpoints > 0 &&
+	    rollout_load_has_route(&snapshot->load, route);
+}
+
 double
 rollout_plan_route_share(const rollout_snapshot_t *snapshot, uint64_t route)
 {
--- a/moortack/relay/rollout_report.c
+++ b/moortack/relay/rollout_report.c
@@ -162,16 +162,6 @@
 	return daemons > 0 ? (double)reported / daemons : 1;
 }
 
-static bool
-load_has_route(const rollout_load_t *load, uint64_t route)
-{
-	for (size_t i = 0; i < load->routes_len; i++) {
-		if (load->routes[i] == route)
-			return true;
-	}
-	return false;
-}
-
 bool
 rollout_load_input(
     rollout_t *rollout, const rollout_load_t *load, rollout_load_input_t *input)
@@ -187,7 +177,7 @@
 	member_tallies_add(rollout, sums, &len);
 	for (size_t i = 0; i < len; i++) {
 		responses_all += sums[i].old_counts.responses;
-		if (!load_has_route(load, sums[i].route))
+		if (!rollout_load_has_route(load, sums[i].route))
 			continue;
 		responses += sums[i].old_counts.responses;
 		in_flight += sums[i].old_in_flight;
