relay: attempt_over names the shared parts of a lost attempt's prompt

What callers saw: endpoints of one service ended one after the other under requests that all differed (docs/incidents/prompt-part-that-crashes-endpoints.md). Whether the requests under way at several crashes had a part of their prompts in common could not be told from the logs: a line names an attempt's digest, by which two different requests share nothing.

Change: a part of a prompt gets a keyed digest of its own (SipHash with a key derived from the fleet's secret), and attempt_over lists those of the parts that other requests may share, all but the last. They are decoded again from the header, since an arrival keeps the first 32 parts only. Request digests lose their highest bit to tell the two kinds apart.

Evidence: unit_request_digest and platform_decoders have a test each; no decision depends on it yet.

--- a/include/moortack/relay/dialect.h
+++ b/include/moortack/relay/dialect.h
@@ -84,6 +84,11 @@
 	/** Decode the headers of a request.
 	 * @return false with the error set: they are malformed */
 	bool (*read)(const http_msg_t *, arrival_t *, err_t *);
+	/** Decode the ids of the parts of the prompt that other requests may
+	 * share: all but the last one.
+	 * @param max capacity of ids; further parts are left out
+	 * @return how many there are; 0 also if they are malformed */
+	size_t (*shared_parts)(const http_msg_t *, uint64_t *ids, size_t max);
 } caller_dialect_t;
 
 /** Encodes and decodes the messages of endpoints. */
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -46,6 +46,7 @@
 	if (req->buffered != NULL)
 		evbuffer_free(req->buffered);
 	event_scan_finish(&req->scan);
+	free(req->part_digests);
 	relay_config_release(req->config);
 	free(req->response_head);
 	free(req);
--- a/moortack/relay/relay_request.c
+++ b/moortack/relay/relay_request.c
@@ -1,5 +1,10 @@
 #include "relay_request.h"
 
+#include <stdlib.h>
+
+/* Further parts of a prompt are left out. */
+#define SHARED_PARTS_MAX 1024
+
 int64_t
 request_age_ms(const relay_request_t *req)
 {
@@ -45,3 +50,32 @@
 		    http_inbound_request(req->caller)->target, req->body);
 	return req->digest;
 }
+
+static void
+parts_decode(relay_request_t *req)
+{
+	static uint64_t ids[SHARED_PARTS_MAX];
+	const relay_t *relay = req->relay;
+	size_t len = relay->caller_dialect->shared_parts(
+	    http_inbound_request(req->caller), ids, SHARED_PARTS_MAX);
+
+	req->parts_decoded = true;
+	if (len == 0)
+		return;
+	req->part_digests = malloc(len * sizeof(ids[0]));
+	if (req->part_digests == NULL)
+		return;
+	for (size_t i = 0; i < len; i++)
+		req->part_digests[i] =
+		    part_digest(&relay->quarantine.key, ids[i]);
+	req->part_digests_len = len;
+}
+
+const uint64_t *
+relay_request_parts(relay_request_t *req, size_t *len)
+{
+	if (!req->parts_decoded && req->relay->quarantine.key_known)
+		parts_decode(req);
+	*len = req->part_digests_len;
+	return req->part_digests;
+}
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -120,6 +120,10 @@
 	uint64_t split_hash;	     /**< picks the service and version */
 	uint64_t shared_prefix_hash; /**< of the prompt's parts but the last */
 	uint64_t digest; /**< see relay_request_digest(); 0: not known yet */
+	uint64_t *part_digests; /**< see relay_request_parts(); NULL: not known
+				   yet, or none */
+	size_t part_digests_len;
+	bool parts_decoded;
 	struct timespec received_at;
 	double earlier_tries_ms; /**< from the caller's first try to
 				    received_at, estimated */
@@ -197,6 +201,12 @@
  * known yet. */
 uint64_t relay_request_digest(relay_request_t *);
 
+/** Digests of the prompt's parts that other requests may share; none until the
+ * fleet's secret is known.
+ * @param len set to how many there are
+ * @return the request's; NULL: none */
+const uint64_t *relay_request_parts(relay_request_t *, size_t *len);
+
 /** Whether the request may safely run more than once. */
 bool request_idempotent(const relay_request_t *);
 
--- a/moortack/relay/relay_retry.c
+++ b/moortack/relay/relay_retry.c
@@ -1,4 +1,6 @@
 #include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
 
 #include "relay_request.h"
 #include "relay_warmup.h"
@@ -9,6 +11,9 @@
  * not held for nothing. */
 #define CONNECTS_FAILED_MAX_UNREACHABLE 2
 #define UNREACHABLE_MS 1000
+/* Parts of a prompt in a log line. */
+#define PARTS_LOGGED_MAX 8
+#define PARTS_LOGGED_SIZE (PARTS_LOGGED_MAX * 17 + 1)
 
 static bool
 err_is_lack_of_endpoints(err_code_t code)
@@ -123,21 +128,38 @@
 	}
 }
 
+/* Write the digests of the prompt's shared parts as a list. */
+static const char *
+parts_format(relay_request_t *req, char text[PARTS_LOGGED_SIZE])
+{
+	size_t parts_len, len = 0;
+	const uint64_t *parts = relay_request_parts(req, &parts_len);
+
+	strcpy(text, "-");
+	for (size_t i = 0; i < parts_len && i < PARTS_LOGGED_MAX; i++)
+		len += (size_t)snprintf(text + len, PARTS_LOGGED_SIZE - len,
+		    "%s%016" PRIx64, i > 0 ? "," : "", parts[i]);
+	return text;
+}
+
 static void
-over_log(const relay_request_t *req, attempt_outcome_t outcome, const char *why,
-    uint64_t digest)
+over_log(relay_request_t *req, attempt_outcome_t outcome, const char *why)
 {
 	const attempt_t *attempt = &req->attempt;
+	bool unknown = outcome == ATTEMPT_UNKNOWN;
+	char parts[PARTS_LOGGED_SIZE];
 
 	event_log_write(req->relay->log, "attempt_over",
 	    "id=%s endpoint=%s why=%s end=%d sends=%u kept=%d begun=%d "
 	    "last_event=%" PRId64 " model=%s confidence=%d running=%u "
-	    "waiting=%u digest=%016" PRIx64,
+	    "waiting=%u digest=%016" PRIx64 " parts=%s",
 	    req->arrival.id, attempt->endpoint->info.id, why, (int)outcome,
 	    req->sends, attempt->reused, req->response_started,
 	    req->last_event_id, attempt->model != NULL ? attempt->model : "-",
 	    req->confidence, attempt->endpoint->load.running,
-	    attempt->endpoint->load.waiting, digest);
+	    attempt->endpoint->load.waiting,
+	    unknown ? relay_request_digest(req) : 0,
+	    unknown ? parts_format(req, parts) : "-");
 }
 
 static void
@@ -149,8 +171,7 @@
 		relay_forward_record(req, outcome, why);
 	} else {
 		outcome_record(req, outcome);
-		over_log(req, outcome, why,
-		    outcome == ATTEMPT_UNKNOWN ? relay_request_digest(req) : 0);
+		over_log(req, outcome, why);
 		if (req->tried_endpoints_len < TRIED_ENDPOINTS_MAX &&
 		    outcome != ATTEMPT_ESCALATED)
 			req->tried_endpoints[req->tried_endpoints_len++] =
--- a/test/platform/decoders_test.c
+++ b/test/platform/decoders_test.c
@@ -568,6 +568,37 @@
 	assert_false(response.id_mismatch);
 }
 
+static void
+shared_parts_are_all_but_the_last_one(void **state)
+{
+	headers_t headers = {0}, single = {0}, odd = {0}, long_list = {0};
+	char text[40 * 8] = "";
+	uint64_t ids[64];
+
+	(void)state;
+	header_add(&headers, "Moortack-Prefix-Hash", "ab:60, cd:10,ef:1");
+	assert_int_equal(
+	    platform_caller_dialect.shared_parts(&headers.msg, ids, 64), 2);
+	assert_int_equal(ids[0], 0xab);
+	assert_int_equal(ids[1], 0xcd);
+	assert_int_equal(
+	    platform_caller_dialect.shared_parts(&headers.msg, ids, 1), 1);
+	header_add(&single, "Moortack-Prefix-Hash", "ab:60");
+	assert_int_equal(
+	    platform_caller_dialect.shared_parts(&single.msg, ids, 64), 0);
+	header_add(&odd, "Moortack-Prefix-Hash", "ab:60,cd");
+	assert_int_equal(
+	    platform_caller_dialect.shared_parts(&odd.msg, ids, 64), 0);
+	/* More than are kept for placing. */
+	for (int i = 0; i < 40; i++)
+		snprintf(text + strlen(text), sizeof(text) - strlen(text),
+		    "%s%x:1", i > 0 ? "," : "", i + 1);
+	header_add(&long_list, "Moortack-Prefix-Hash", text);
+	assert_int_equal(
+	    platform_caller_dialect.shared_parts(&long_list.msg, ids, 64), 39);
+	assert_int_equal(ids[38], 39);
+}
+
 int
 main(void)
 {
@@ -588,6 +619,7 @@
 	    cmocka_unit_test(a_settings_file_is_checked),
 	    cmocka_unit_test(router_headers_from_callers_are_dropped),
 	    cmocka_unit_test(response_heads_are_decoded),
+	    cmocka_unit_test(shared_parts_are_all_but_the_last_one),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/unit/request_digest_test.c
+++ b/test/unit/request_digest_test.c
@@ -64,12 +64,28 @@
 	assert_int_not_equal(digest_of(SECRET, "", "", ""), 0);
 }
 
+static void
+parts_have_digests_of_their_own(void **state)
+{
+	request_digest_key_t key, other;
+
+	(void)state;
+	request_digest_key_derive(&key, SECRET);
+	request_digest_key_derive(&other, "other");
+	assert_int_equal(part_digest(&key, 7), part_digest(&key, 7));
+	assert_int_not_equal(part_digest(&key, 7), part_digest(&key, 8));
+	assert_int_not_equal(part_digest(&key, 7), part_digest(&other, 7));
+	assert_true(digest_is_part(part_digest(&key, 0)));
+	assert_false(digest_is_part(digest_of(SECRET, "org", "/a", "body")));
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(the_digest_is_independent_of_the_body_chunks),
 	    cmocka_unit_test(different_requests_have_different_digests),
+	    cmocka_unit_test(parts_have_digests_of_their_own),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
