test: a part of a prompt that crashes endpoints

Seven daemons, ten endpoints, each of which ends when it begins to answer a prompt with a certain part and is back 1.5 s later under another id. Requests with the part, no two alike, come at all daemons beside sound ones with the same caller and the same other parts; some sound parts are new. In turn the part is in the middle, the first, and both the 37th of a long prompt and another one in the middle at the same time.

--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -11,7 +11,9 @@
  * "fail" responds 500, "cut_after" closes the connection of a stream after so
  * many events, "half_after" ends a stream with half an event after so many,
  * "stray" responds with the id of another attempt, "crash_on" ends the process
- * on a body that begins with this text, "crash_ms" is the delay before that,
+ * on a body that begins with this text, "crash_parts" on a prompt that shares
+ * one of these parts (a text of ids between spaces), "crash_ms" is the delay
+ * before that, "crash_events" the events that such a prompt gets first,
  * "cold_ms" is how long the replica is cold from now on, "cold_most" the
  * requests in a second above which it crashes while cold, "limit" the rate
  * limit that it names, "leaving" its notice that it leaves, "retry_after" the
@@ -43,9 +45,10 @@
 	struct event *timer;
 	int64_t next; /**< id of the next event */
 	int64_t last;
-	int64_t half; /**< half an event ends it after this id; 0: none */
-	int64_t cut;  /**< its connection closes after this id; 0: none */
-	bool closed;  /**< by the caller */
+	int64_t half;  /**< half an event ends it after this id; 0: none */
+	int64_t cut;   /**< its connection closes after this id; 0: none */
+	int64_t crash; /**< the process ends after this id; 0: it does not */
+	bool closed;   /**< by the caller */
 } stream_t;
 
 typedef struct replica {
@@ -194,6 +197,8 @@
 		stream_free(stream);
 		return;
 	}
+	if (stream->crash != 0 && stream->next > stream->crash)
+		_exit(EXIT_FAILURE);
 	if (stream->cut != 0 && stream->next > stream->cut) {
 		http_request_unwatch_close(stream->req);
 		fake_connection_drop(&replica.fake, stream->req);
@@ -220,6 +225,26 @@
 	evbuffer_free(out);
 }
 
+/* Whether the prompt shares a part that the process ends on: any but its last
+ * one. */
+static bool
+shares_crash_part(struct evhttp_request *req)
+{
+	const char *ids =
+	    json_string_value(json_object_get(replica.faults, "crash_parts"));
+	const char *parts = http_request_header(req, "Moortack-Prefix-Hash");
+	char id[64];
+
+	while (ids != NULL && parts != NULL && strchr(parts, ',') != NULL) {
+		snprintf(
+		    id, sizeof(id), " %.*s ", (int)strcspn(parts, ":"), parts);
+		if (strstr(ids, id) != NULL)
+			return true;
+		parts = strchr(parts, ',') + 1;
+	}
+	return false;
+}
+
 static void
 stream_start(struct evhttp_request *req)
 {
@@ -233,6 +258,8 @@
 	stream->last = fault_int("events", 20);
 	stream->half = fault_int("half_after", 0);
 	stream->cut = fault_int("cut_after", 0);
+	if (shares_crash_part(req))
+		stream->crash = stream->next - 1 + fault_int("crash_events", 0);
 	stream->timer =
 	    event_new(replica.fake.base, -1, EV_PERSIST, stream_step, stream);
 	http_request_watch_close(req, stream_closed, stream);
@@ -270,6 +297,8 @@
 	    json_string_value(json_object_get(replica.faults, "crash_on"));
 	struct evbuffer *body = evhttp_request_get_input_buffer(req);
 
+	if (shares_crash_part(req) && fault_int("crash_events", 0) == 0)
+		return true;
 	return text != NULL && text[0] != '\0' &&
 	    evbuffer_search(body, text, strlen(text), NULL).pos == 0;
 }
