quarantine: a part of a prompt that crashes endpoints is refused

Cause: a crash was held against requests, by a digest of caller, path and body. What the requests had in common, a part, was no suspect, so that none of them had three crashes by its own doing.

Change: the parts of a prompt but the last are suspects of a crash as well, with keyed digests in the same table, messages and rows as requests. Since up to a hundred requests are under way at a crash, a part has to be told from those it came with: - A daemon that saw a part answered, by a whole response or by a stream that went on for half a second, holds no crash against it, up to two since the last such answer, and tells who does. - A stream that had gone on for so long is no evidence against its parts. - Crashes within 400 ms count as one against a part, and its three crashes span the time in which a sound one is answered; a zone that loses power does not convict what was under way there. - A convicted part's crashes are no evidence against others any more. - In a fleet where only owners hear of crashes, the owner spreads a suspicion of two crashes, so that whoever saw the part answered can refute it before. Evidence is now also taken at brittle endpoints, against parts only. Eviction looks at 32 suspects rather than at all 2,048.

--- a/include/moortack/quarantine/crash_evidence.h
+++ b/include/moortack/quarantine/crash_evidence.h
@@ -12,13 +12,18 @@
 #include <time.h>
 
 #define UNRESOLVED_ATTEMPTS_MAX 512
+/** Parts of its prompt that an unresolved attempt keeps. */
+#define UNRESOLVED_PARTS_MAX 12
 
 /** An attempt that ended before its response was complete. */
 typedef struct unresolved_attempt {
-	uint64_t digest;      /**< of its request */
+	uint64_t digest;      /**< of its request; 0: not suspected */
 	uint32_t incarnation; /**< hash of the endpoint's id and start */
 	uint32_t version;     /**< hash of its service and version */
 	struct timespec ended_at;
+	uint64_t parts[UNRESOLVED_PARTS_MAX]; /**< digests of parts of its
+						 prompt that may be the cause */
+	size_t parts_len;
 } unresolved_attempt_t;
 
 typedef struct unresolved_attempts {
@@ -40,6 +45,9 @@
 /** Number of incarnations at which there are attempts of the request. */
 size_t
 unresolved_attempts_count(const unresolved_attempts_t *, uint64_t digest);
+/** Number of incarnations at which there are attempts with the part. */
+size_t
+unresolved_attempts_count_part(const unresolved_attempts_t *, uint64_t part);
 /** Remove the attempts at an incarnation, which did not crash, or of which it
  * cannot be determined. */
 void unresolved_attempts_drop(unresolved_attempts_t *, uint32_t incarnation);
--- a/include/moortack/quarantine/quarantine.h
+++ b/include/moortack/quarantine/quarantine.h
@@ -1,13 +1,19 @@
 /**
  * @file
- * Table of requests that endpoints crash on (queries of death), and that are
- * refused for that reason. Bounded, without I/O; the clock is passed in.
+ * Table of requests, and of parts of prompts, that endpoints crash on (queries
+ * of death), and that are refused for that reason. Bounded, without I/O; the
+ * clock is passed in.
  *
  * A request becomes a suspect when an endpoint incarnation crashes while the
  * request runs there, and is quarantined, which means refused, from the third
  * crashed incarnation on. Any run that ends without a crash clears it. After a
  * while, one daemon at a time may run a quarantined request as a trial; the
  * first crash renews the quarantine.
+ *
+ * The same holds for the parts of its prompt, each of which stands for all
+ * requests that share it. Since a part may be under way at many endpoints at
+ * once, crashes of the same moment count as one, and once a part is
+ * quarantined, its crashes are no evidence against others any more.
  */
 #ifndef MOORTACK_QUARANTINE_QUARANTINE_H
 #define MOORTACK_QUARANTINE_QUARANTINE_H
@@ -18,15 +24,21 @@
 #include <uthash.h>
 
 #include "common/clock_source.h"
+#include "moortack/quarantine/request_digest.h"
 
 /** Number of crashes from which on a request is quarantined. */
 #define QUARANTINE_CRASH_THRESHOLD 3
 /** Maximum number of suspects. */
 #define QUARANTINE_MAX 2048
 
-/** A request that was running at an endpoint when the endpoint crashed. */
+/** Crashes under a part within this time of the last one that counted do not
+ * count: one failure may take many endpoints at once. */
+#define PART_CRASH_SPACING_MS 400
+
+/** A request, or a part of a prompt, that was running at an endpoint when the
+ * endpoint crashed. */
 typedef struct suspect {
-	uint64_t digest; /**< see request_digest() */
+	uint64_t digest; /**< see request_digest() and part_digest() */
 	/** Hashes of the crashed incarnations, the latest last. */
 	uint32_t crashes[QUARANTINE_CRASH_THRESHOLD];
 	size_t crashes_len;
@@ -39,7 +51,8 @@
 	struct timespec trial_started_at; /**< of the last trial; 0: none */
 	bool observed_locally; /**< this daemon detected one of the crashes */
 	/* How far the owner of the table has processed the quarantine. */
-	bool requests_stopped;	 /**< requests in flight were ended */
+	bool explained; /**< its crashes are no evidence against others */
+	bool spread;	/**< sent to all daemons before it is quarantined */
 	uint32_t announcements;	 /**< sent to other daemons */
 	size_t stored_crashes;	 /**< number of crashes in its stored row */
 	uint64_t stored_version; /**< of its row; 0: there is none */
@@ -113,6 +126,10 @@
  * is no longer in use. */
 void quarantine_allow_trials(quarantine_t *, uint32_t version);
 
+/** Remove the crashes of newly quarantined parts from suspects that are not
+ * quarantined. */
+void quarantine_explain_crashes(quarantine_t *);
+
 /** End expired quarantines and remove expired suspects; called at least every
  * few seconds. */
 void quarantine_expire(quarantine_t *);
--- a/include/moortack/relay/gossip.h
+++ b/include/moortack/relay/gossip.h
@@ -30,7 +30,8 @@
 	/** The response to a query of this daemon. */
 	void (*on_response)(void *arg, const gossip_message_t *);
 	/** Another daemon reports on requests that crash endpoints. */
-	void (*on_crash_message)(void *arg, const gossip_message_t *);
+	void (*on_crash_message)(void *arg, const struct sockaddr_in *from,
+	    const gossip_message_t *);
 	/** Another daemon reports an endpoint's rate limit.
 	 * @return whether it was news, and has to be passed on */
 	bool (*on_rate_limit)(void *arg, const gossip_message_t *);
--- a/include/moortack/relay/relay_quarantine.h
+++ b/include/moortack/relay/relay_quarantine.h
@@ -1,8 +1,8 @@
 /**
  * @file
- * Refuses requests that crash endpoints. Collects the crashes that this daemon
- * detects, exchanges them with other daemons by datagrams, and keeps suspects
- * in the store, where they outlast all daemons.
+ * Refuses requests, and parts of prompts, that crash endpoints. Collects the
+ * crashes that this daemon detects, exchanges them with other daemons by
+ * datagrams, and keeps suspects in the store, where they outlast all daemons.
  */
 #ifndef MOORTACK_RELAY_RELAY_QUARANTINE_H
 #define MOORTACK_RELAY_RELAY_QUARANTINE_H
@@ -10,6 +10,7 @@
 #include <event2/buffer.h>
 
 #include "moortack/quarantine/crash_evidence.h"
+#include "moortack/quarantine/proven_parts.h"
 #include "moortack/quarantine/quarantine.h"
 #include "moortack/quarantine/request_digest.h"
 #include "moortack/relay/crash_probe.h"
@@ -28,6 +29,7 @@
 	request_digest_key_t key;
 	bool key_known; /**< the fleet's secret is known */
 	quarantine_t table;
+	proven_parts_t proven;		   /**< by responses to this daemon */
 	unresolved_attempts_t interrupted; /**< connection lost */
 	unresolved_attempts_t abandoned;   /**< may still be running */
 	crash_probe_t *probes;
@@ -64,7 +66,8 @@
 void
 relay_quarantine_endpoint_removed(relay_quarantine_t *, const endpoint_t *);
 /** Process a message from another daemon; the argument is a relay. */
-void relay_quarantine_receive(void *relay, const gossip_message_t *);
+void relay_quarantine_receive(
+    void *relay, const struct sockaddr_in *from, const gossip_message_t *);
 
 /** Apply a row whose key starts with QUARANTINE_PREFIX; on false, the error is
  * set. */
--- a/moortack/quarantine/quarantine.c
+++ b/moortack/quarantine/quarantine.c
@@ -17,6 +17,11 @@
 /* How long after a run without a crash further crashes of the request are
  * ignored, since they may have happened before and be reported late. */
 #define CLEARED_PRECEDENCE_MS 30000
+/* The same for parts: in a series of crashes, a part that did not crash one
+ * endpoint may crash the next ones. */
+#define PART_CLEARED_PRECEDENCE_MS 2000
+/* Suspects that are looked at to find one that is evicted. */
+#define EVICTION_CANDIDATES 32
 
 static bool
 is_set(struct timespec at)
@@ -102,18 +107,41 @@
 	return timespec_ms_between(a->last_crash_at, b->last_crash_at) > 0;
 }
 
+/* Move a suspect to the end of the list, so that it is not looked at again
+ * before all others. */
 static void
-evict_if_full(quarantine_t *self)
+suspect_move_last(quarantine_t *self, suspect_t *suspect)
 {
-	suspect_t *victim = self->suspects;
+	HASH_DEL(self->suspects, suspect);
+	HASH_ADD(hh, self->suspects, digest, sizeof(suspect->digest), suspect);
+}
 
-	if (HASH_COUNT(self->suspects) < QUARANTINE_MAX)
-		return;
-	for (suspect_t *suspect = self->suspects; suspect != NULL;
-	     suspect = suspect->hh.next) {
+/* The best of a few suspects: a bounded search, as many suspects are added in a
+ * series of crashes. */
+static suspect_t *
+victim_find(quarantine_t *self)
+{
+	suspect_t *suspect = self->suspects, *victim = self->suspects, *next;
+
+	for (size_t i = 0; i < EVICTION_CANDIDATES && suspect != NULL; i++) {
+		next = suspect->hh.next;
 		if (evict_before(suspect, victim))
 			victim = suspect;
+		if (suspect != victim)
+			suspect_move_last(self, suspect);
+		suspect = next;
 	}
+	return victim;
+}
+
+static void
+evict_if_full(quarantine_t *self)
+{
+	suspect_t *victim;
+
+	if (HASH_COUNT(self->suspects) < QUARANTINE_MAX)
+		return;
+	victim = victim_find(self);
 	suspect_release(self, victim, QUARANTINE_EVICTED);
 	self->ops->removed(self->arg, victim);
 	suspect_free(self, victim);
@@ -170,7 +198,7 @@
 	suspect->quarantined_at = since;
 	suspect->trial_allowed = false;
 	suspect->trial_started_at = (struct timespec){0};
-	suspect->requests_stopped = false;
+	suspect->explained = false;
 	suspect->announcements = 0;
 	suspect->stored_crashes = 0;
 	self->ops->quarantined(self->arg, suspect);
@@ -180,7 +208,17 @@
 recently_cleared(const quarantine_t *self, const suspect_t *suspect)
 {
 	return is_set(suspect->cleared_at) &&
-	    age_ms(self, suspect->cleared_at) < CLEARED_PRECEDENCE_MS;
+	    age_ms(self, suspect->cleared_at) <
+	    (digest_is_part(suspect->digest) ? PART_CLEARED_PRECEDENCE_MS
+					     : CLEARED_PRECEDENCE_MS);
+}
+
+/* Whether the crash belongs to the same failure as the last one. */
+static bool
+is_same_failure(const quarantine_t *self, const suspect_t *suspect)
+{
+	return digest_is_part(suspect->digest) && suspect->crashes_len > 0 &&
+	    age_ms(self, suspect->last_crash_at) < PART_CRASH_SPACING_MS;
 }
 
 static bool
@@ -197,7 +235,8 @@
 	suspect_t *suspect = suspect_find_or_add(self, digest);
 
 	if (suspect == NULL || recently_cleared(self, suspect) ||
-	    suspect_has_crash(suspect, incarnation))
+	    suspect_has_crash(suspect, incarnation) ||
+	    is_same_failure(self, suspect))
 		return false;
 	suspect_add_crash(suspect, incarnation);
 	suspect->version = version;
@@ -264,6 +303,7 @@
 	suspect_release(self, suspect, QUARANTINE_CLEARED);
 	suspect->crashes_len = 0;
 	suspect->observed_locally = false;
+	suspect->spread = false;
 	suspect->cleared_at = clock_boottime(self->clock);
 	return true;
 }
@@ -306,6 +346,46 @@
 	}
 }
 
+static void
+suspect_remove_crash(suspect_t *suspect, uint32_t incarnation)
+{
+	for (size_t i = 0; i < suspect->crashes_len; i++) {
+		if (suspect->crashes[i] != incarnation)
+			continue;
+		suspect->crashes_len--;
+		memmove(&suspect->crashes[i], &suspect->crashes[i + 1],
+		    (suspect->crashes_len - i) * sizeof(suspect->crashes[0]));
+		return;
+	}
+}
+
+static void
+crashes_explain(quarantine_t *self, const suspect_t *cause)
+{
+	for (suspect_t *suspect = self->suspects; suspect != NULL;
+	     suspect = suspect->hh.next) {
+		if (suspect_is_quarantined(suspect))
+			continue;
+		for (size_t i = 0; i < cause->crashes_len; i++)
+			suspect_remove_crash(suspect, cause->crashes[i]);
+	}
+}
+
+void
+quarantine_explain_crashes(quarantine_t *self)
+{
+	if (self->quarantined_count == 0)
+		return;
+	for (suspect_t *suspect = self->suspects; suspect != NULL;
+	     suspect = suspect->hh.next) {
+		if (!suspect_is_quarantined(suspect) || suspect->explained ||
+		    !digest_is_part(suspect->digest))
+			continue;
+		suspect->explained = true;
+		crashes_explain(self, suspect);
+	}
+}
+
 static bool
 suspect_expired(const quarantine_t *self, const suspect_t *suspect)
 {
--- a/moortack/relay/gossip.c
+++ b/moortack/relay/gossip.c
@@ -94,7 +94,7 @@
 	case GOSSIP_CRASH:
 	case GOSSIP_QUARANTINED:
 	case GOSSIP_CLEARED:
-		self->ops->on_crash_message(self->arg, message);
+		self->ops->on_crash_message(self->arg, from, message);
 		break;
 	case GOSSIP_RATE_LIMIT:
 		if (self->ops->on_rate_limit(self->arg, message) &&
--- a/moortack/relay/quarantine_rows.c
+++ b/moortack/relay/quarantine_rows.c
@@ -167,16 +167,20 @@
 	int64_t age_ms = 0;
 	uint32_t crashes[QUARANTINE_CRASH_THRESHOLD];
 	size_t len = crashes_decode(body, crashes);
+	uint32_t version =
+	    (uint32_t)json_integer_value(json_object_get(body, "version"));
 
 	if (members->store_clock_known)
 		age_ms = timespec_to_ms(clock_boottime(self->relay->clock)) +
 		    members->store_clock_offset_ms -
 		    json_integer_value(json_object_get(body, "crashed_ms"));
 	self->source = "store";
-	return quarantine_merge(&self->table, digest, crashes, len,
-		   (uint32_t)json_integer_value(
-		       json_object_get(body, "version")),
-		   age_ms > 0 ? age_ms : 0)
+	if (age_ms < 0)
+		age_ms = 0;
+	if (quarantine_verdict_refuted(self, digest, version, age_ms))
+		return len;
+	return quarantine_merge(
+		   &self->table, digest, crashes, len, version, age_ms)
 	    ? len
 	    : 0;
 }
--- a/moortack/relay/relay_crashes.c
+++ b/moortack/relay/relay_crashes.c
@@ -30,8 +30,27 @@
 	    how);
 }
 
-/* Record the endpoint's crash for the requests of these attempts, and announce
- * it to other daemons. */
+/* Record the endpoint's crash for one suspect, and announce it to other daemons
+ * by a message that is sent once it is full. */
+static void
+crash_record(relay_quarantine_t *self, gossip_message_t *message,
+    uint64_t digest, const endpoint_t *endpoint, const char *how)
+{
+	if (quarantine_crash_outweighed(
+		self, digest, message->endpoint_hash, message->version_hash) ||
+	    !quarantine_record_crash(&self->table, digest,
+		message->endpoint_hash, message->version_hash, true))
+		return;
+	crash_log(self, digest, endpoint, how);
+	message->digests[message->digests_len++] = digest;
+	if (message->digests_len < GOSSIP_MESSAGE_DIGESTS_MAX)
+		return;
+	quarantine_announce(self, message);
+	message->digests_len = 0;
+}
+
+/* Record the endpoint's crash for the requests of these attempts and the parts
+ * of their prompts. */
 static void
 crashes_record(relay_quarantine_t *self, unresolved_attempts_t *attempts,
     const endpoint_t *endpoint, const char *how)
@@ -43,15 +62,12 @@
 
 	while (unresolved_attempts_take(
 	    attempts, endpoint->short_hash, &attempt)) {
-		if (!quarantine_record_crash(&self->table, attempt.digest,
-			attempt.incarnation, attempt.version, true))
-			continue;
-		crash_log(self, attempt.digest, endpoint, how);
-		message.digests[message.digests_len++] = attempt.digest;
-		if (message.digests_len < GOSSIP_MESSAGE_DIGESTS_MAX)
-			continue;
-		quarantine_announce(self, &message);
-		message.digests_len = 0;
+		if (attempt.digest != 0)
+			crash_record(
+			    self, &message, attempt.digest, endpoint, how);
+		for (size_t i = 0; i < attempt.parts_len; i++)
+			crash_record(
+			    self, &message, attempt.parts[i], endpoint, how);
 	}
 	if (message.digests_len > 0)
 		quarantine_announce(self, &message);
@@ -202,11 +218,18 @@
 	    .version = endpoint_version_hash(endpoint),
 	    .ended_at = clock_boottime(req->relay->clock)};
 
-	/* An endpoint that is leaving ends once its requests are completed, and
-	 * a brittle one under requests that it refused; that is no crash. */
-	if (attempt.digest == 0 || endpoint_is_leaving(endpoint) ||
-	    endpoint_brittle_milli(endpoint) >= 0)
+	/* An endpoint that is leaving ends once its requests are completed;
+	 * that is no crash. */
+	if (attempt.digest == 0 || endpoint_is_leaving(endpoint))
 		return false;
+	quarantine_add_parts(req, &attempt);
+	/* A brittle one ends under requests that it refused, but may crash on a
+	 * part of a prompt as well. */
+	if (endpoint_brittle_milli(endpoint) >= 0) {
+		attempt.digest = 0;
+		if (attempt.parts_len == 0)
+			return false;
+	}
 	unresolved_attempts_add(attempts, &attempt);
 	return true;
 }
@@ -227,7 +250,9 @@
 	relay_quarantine_t *self = &req->relay->quarantine;
 
 	if (attempt_record(req, &self->abandoned) &&
-	    quarantine_crash_count(&self->table, relay_request_digest(req)) > 0)
+	    (quarantine_crash_count(&self->table, relay_request_digest(req)) >
+		    0 ||
+		relay_parts_suspicion(req) > 0))
 		crash_probe_schedule(&self->probes, req->relay->base,
 		    req->attempt.endpoint, ABANDONED_PROBE_DELAY_MS,
 		    on_probe_done, self);
--- a/moortack/relay/relay_failure.c
+++ b/moortack/relay/relay_failure.c
@@ -66,7 +66,7 @@
 	relay_forward_result_line(req->from_daemon, code, req->sends, result);
 	if (code == ERR_QUARANTINED)
 		ms += quarantine_remaining_ms(
-		    &relay->quarantine.table, relay_request_digest(req));
+		    &relay->quarantine.table, req->quarantined_cause);
 	attempt_cancel(req);
 	if (req->response_started) {
 		stats_add(&relay->stats, STAT_STREAMS_CUT, 1);
--- a/moortack/relay/relay_quarantine.c
+++ b/moortack/relay/relay_quarantine.c
@@ -7,8 +7,9 @@
 #include "relay_quarantine_priv.h"
 #include "relay_request.h"
 
-/* Number of crashes from which on a suspect is stored, and so outlasts the
- * daemons that know of it. */
+/* Number of crashes from which on a suspected request is stored, and so
+ * outlasts the daemons that know of it. Of parts, many are suspected and few
+ * quarantined: only those are stored. */
 #define STORED_CRASHES_MIN 2
 /* How often a quarantine is announced to other daemons. */
 #define ANNOUNCEMENTS_MAX 2
@@ -89,8 +90,9 @@
 		self->resend[self->resend_len++] = *message;
 }
 
-static void
-suspect_clear(relay_quarantine_t *self, uint64_t digest, const char *source)
+void
+quarantine_suspect_clear(
+    relay_quarantine_t *self, uint64_t digest, const char *source)
 {
 	suspect_t *suspect = quarantine_find(&self->table, digest);
 
@@ -119,33 +121,94 @@
 	if (req->quarantine_trial)
 		gossip_broadcast(req->relay->gossip, &message);
 	quarantine_announce(self, &message);
-	suspect_clear(self, relay_request_digest(req), "run");
+	quarantine_suspect_clear(self, relay_request_digest(req), "run");
+}
+
+/* Tell the daemon that suspects a part, or the owner of its digest, that it was
+ * answered without a crash.
+ * @param to NULL: the owner */
+static void
+suspicion_refute(
+    relay_quarantine_t *self, uint64_t part, const struct sockaddr_in *to)
+{
+	gossip_message_t message = {
+	    .kind = GOSSIP_CLEARED, .digests = {part}, .digests_len = 1};
+
+	if (to != NULL)
+		gossip_send_to(self->relay->gossip, to, &message);
+	else
+		quarantine_announce(self, &message);
+}
+
+static void
+crash_receive(relay_quarantine_t *self, const struct sockaddr_in *from,
+    const gossip_message_t *message, uint64_t digest)
+{
+	if (quarantine_crash_outweighed(
+		self, digest, message->endpoint_hash, message->version_hash))
+		suspicion_refute(self, digest, from);
+	else
+		quarantine_record_crash(&self->table, digest,
+		    message->endpoint_hash, message->version_hash, false);
+}
+
+/* All daemons that were told of a quarantine have to learn that it has ended.
+ */
+static void
+cleared_receive(relay_quarantine_t *self, uint64_t digest)
+{
+	gossip_message_t message = {
+	    .kind = GOSSIP_CLEARED, .digests = {digest}, .digests_len = 1};
+
+	if (digest_is_part(digest) &&
+	    suspect_is_quarantined(quarantine_find(&self->table, digest)) &&
+	    gossip_owns_digest(self->relay->gossip, digest))
+		gossip_broadcast(self->relay->gossip, &message);
+	quarantine_suspect_clear(self, digest, "told");
+}
+
+/* A suspicion or a quarantine of another daemon. */
+static void
+suspect_receive(
+    relay_quarantine_t *self, const gossip_message_t *message, uint64_t digest)
+{
+	size_t known = quarantine_crash_count(&self->table, digest);
+	suspect_t *suspect;
+
+	if (quarantine_verdict_refuted(
+		self, digest, message->version_hash, message->quarantined_ms)) {
+		suspicion_refute(self, digest, NULL);
+		return;
+	}
+	quarantine_merge(&self->table, digest, message->crashes,
+	    message->crashes_len, message->version_hash,
+	    message->quarantined_ms);
+	suspect = quarantine_find(&self->table, digest);
+	if (suspect == NULL)
+		return;
+	suspect->announcements = ANNOUNCEMENTS_MAX;
+	suspect->spread = true;
+	if (self->relay->gossip->uses_owners && suspect->crashes_len > known &&
+	    message->crashes_len < QUARANTINE_CRASH_THRESHOLD)
+		gossip_spread(self->relay->gossip, message);
 }
 
 void
-relay_quarantine_receive(void *arg, const gossip_message_t *message)
+relay_quarantine_receive(
+    void *arg, const struct sockaddr_in *from, const gossip_message_t *message)
 {
 	relay_quarantine_t *self = &((relay_t *)arg)->quarantine;
-	suspect_t *suspect;
 
 	self->source = "told";
 	for (size_t i = 0; i < message->digests_len; i++) {
 		uint64_t digest = message->digests[i];
 
-		if (message->kind == GOSSIP_CRASH) {
-			quarantine_record_crash(&self->table, digest,
-			    message->endpoint_hash, message->version_hash,
-			    false);
-		} else if (message->kind == GOSSIP_CLEARED) {
-			suspect_clear(self, digest, "told");
-		} else {
-			quarantine_merge(&self->table, digest, message->crashes,
-			    message->crashes_len, message->version_hash,
-			    message->quarantined_ms);
-			suspect = quarantine_find(&self->table, digest);
-			if (suspect != NULL)
-				suspect->announcements = ANNOUNCEMENTS_MAX;
-		}
+		if (message->kind == GOSSIP_CRASH)
+			crash_receive(self, from, message, digest);
+		else if (message->kind == GOSSIP_CLEARED)
+			cleared_receive(self, digest);
+		else
+			suspect_receive(self, message, digest);
 	}
 }
 
@@ -168,13 +231,17 @@
 quarantine_should_write(
     const relay_quarantine_t *self, const suspect_t *suspect)
 {
-	return suspect->crashes_len >= STORED_CRASHES_MIN &&
+	size_t min = digest_is_part(suspect->digest)
+	    ? QUARANTINE_CRASH_THRESHOLD
+	    : STORED_CRASHES_MIN;
+
+	return suspect->crashes_len >= min &&
 	    suspect->crashes_len > suspect->stored_crashes &&
 	    should_act(self, suspect, NON_OWNER_WRITE_MS);
 }
 
-static void
-suspect_announce(relay_quarantine_t *self, suspect_t *suspect)
+static gossip_message_t
+suspect_message(const relay_quarantine_t *self, const suspect_t *suspect)
 {
 	gossip_message_t message = {.kind = GOSSIP_QUARANTINED,
 	    .digests = {suspect->digest},
@@ -182,16 +249,42 @@
 	    .version_hash = suspect->version,
 	    .crashes_len = suspect->crashes_len,
 	    .quarantined_ms = (uint32_t)timespec_ms_between(
-		suspect->quarantined_at, clock_boottime(self->relay->clock))};
+		suspect_is_quarantined(suspect) ? suspect->quarantined_at
+						: suspect->last_crash_at,
+		clock_boottime(self->relay->clock))};
 
 	memcpy(message.crashes, suspect->crashes, sizeof(message.crashes));
+	return message;
+}
+
+static void
+suspect_announce(relay_quarantine_t *self, suspect_t *suspect)
+{
+	gossip_message_t message = suspect_message(self, suspect);
+
 	gossip_broadcast(self->relay->gossip, &message);
 	suspect->announcements++;
 }
 
-/* Whether the service has endpoints, but none of this version. */
-static bool
-version_unused(const endpoint_set_t *set, uint32_t version)
+/* In a fleet where crashes are reported to owners only, let a daemon that saw
+ * the part answered refute the suspicion before the part is quarantined. */
+static void
+suspicion_spread(relay_quarantine_t *self, suspect_t *suspect)
+{
+	gossip_message_t message;
+
+	if (suspect->spread || !self->relay->gossip->uses_owners ||
+	    !digest_is_part(suspect->digest) ||
+	    suspect->crashes_len + 1 < QUARANTINE_CRASH_THRESHOLD ||
+	    !gossip_owns_digest(self->relay->gossip, suspect->digest))
+		return;
+	suspect->spread = true;
+	message = suspect_message(self, suspect);
+	gossip_spread(self->relay->gossip, &message);
+}
+
+bool
+endpoint_version_unused(const endpoint_set_t *set, uint32_t version)
 {
 	bool others = false;
 
@@ -211,13 +304,15 @@
 quarantined_step(
     relay_quarantine_t *self, suspect_t *suspect, bool check_versions)
 {
-	if (!suspect_is_quarantined(suspect))
+	if (!suspect_is_quarantined(suspect)) {
+		suspicion_spread(self, suspect);
 		return;
+	}
 	if (suspect->announcements < ANNOUNCEMENTS_MAX &&
 	    should_act(self, suspect, NON_OWNER_ANNOUNCE_MS))
 		suspect_announce(self, suspect);
 	if (check_versions && !suspect->trial_allowed &&
-	    version_unused(self->relay->endpoints, suspect->version))
+	    endpoint_version_unused(self->relay->endpoints, suspect->version))
 		quarantine_allow_trials(&self->table, suspect->version);
 }
 
@@ -237,6 +332,7 @@
 		self->versions_checked_at = now;
 	if (HASH_COUNT(self->table.suspects) == 0)
 		return;
+	quarantine_explain_crashes(&self->table);
 	quarantine_expire(&self->table);
 	HASH_ITER(hh, self->table.suspects, suspect, next)
 	quarantined_step(self, suspect, check_versions);
@@ -264,17 +360,13 @@
 	(void)what;
 	for (req = self->relay->requests; req != NULL; req = next) {
 		next = req->next;
-		suspect =
-		    quarantine_find(&self->table, relay_request_digest(req));
-		if (suspect_is_quarantined(suspect) &&
-		    !suspect->requests_stopped && !req->quarantine_trial)
+		if (!req->quarantine_trial &&
+		    relay_quarantined_causes(req, &req->quarantined_cause) > 0)
 			request_stop(req);
 	}
 	for (suspect = self->table.suspects; suspect != NULL;
-	     suspect = suspect->hh.next) {
-		suspect->requests_stopped |= suspect_is_quarantined(suspect);
+	     suspect = suspect->hh.next)
 		quarantined_step(self, suspect, false);
-	}
 	quarantine_rows_write(self);
 }
 
@@ -293,7 +385,7 @@
 	    (relay_quarantine_t){.relay = relay, .store = store, .source = "-"};
 	quarantine_init(&self->table, relay->clock, &table_ops, self);
 	self->stop_event = event_new(relay->base, -1, 0, on_stop, self);
-	return self->stop_event != NULL;
+	return self->stop_event != NULL && proven_parts_init(&self->proven);
 }
 
 void
@@ -301,6 +393,7 @@
 {
 	crash_probes_finish(&self->probes);
 	quarantine_finish(&self->table);
+	proven_parts_finish(&self->proven);
 	if (self->stop_event != NULL)
 		event_free(self->stop_event);
 }
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -73,6 +73,7 @@
 	bool connection_lost;	  /**< before the response was complete */
 	bool connection_refused; /**< by the endpoint's host: nothing listens */
 	bool completed;		 /**< the response was complete */
+	bool parts_answered;	 /**< the prompt did not crash the endpoint */
 	bool warmup_acquired;	 /**< counted against the quota of its cold
 				    endpoint */
 	int64_t warmup_slot;	 /**< slot in which it was counted */
@@ -129,8 +130,10 @@
 				    received_at, estimated */
 	int64_t time_limit_ms;	 /**< after received_at */
 	struct event *time_limit_timer;
-	bool quarantine_trial; /**< its digest is quarantined; this is a trial
-				  run */
+	uint64_t quarantined_cause; /**< digest for which it is refused; 0:
+				       none */
+	bool quarantine_trial; /**< what it is quarantined for is run as a trial
+				*/
 	bool awaits_probe;     /**< of an endpoint whose connection was lost */
 	bool avoid_reuse; /**< a reused connection was silent, others may be
 			     too: open new ones */
@@ -304,6 +307,17 @@
 void relay_attempt_connection_refused(const relay_request_t *);
 /** The attempt ran without crashing its endpoint. */
 void relay_attempt_completed(relay_request_t *);
+/** The endpoint answers the prompt without crashing: no part of it crashes
+ * endpoints. */
+void relay_parts_answered(relay_request_t *);
+/** An event of the attempt's stream was received. */
+void relay_parts_event(relay_request_t *);
+/** Crashes recorded, and possible ones, for the most suspected part of the
+ * prompt that is not proven. */
+size_t relay_parts_suspicion(relay_request_t *);
+/** How many of the request itself and the parts of its prompt are quarantined.
+ * @param first digest of one of them; 0: none */
+size_t relay_quarantined_causes(relay_request_t *, uint64_t *first);
 /** Whether the request is refused because it crashes endpoints. */
 bool relay_quarantine_refuses(relay_request_t *);
 /** Whether an endpoint crashed while it ran the request, or may have. */
@@ -404,6 +418,8 @@
  * @return whether it was news */
 bool relay_brittle_receive(void *relay, const gossip_message_t *);
 
+/** Whether an HTTP status is one of success. */
+bool status_is_success(int status);
 /** The endpoint has sent a complete response. */
 void attempt_succeeded(relay_request_t *);
 /** Forward a response that was buffered completely, and end the request. */
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -11,7 +11,7 @@
 #define STATUS_MULTIPLE_CHOICES 300
 #define STATUS_SERVER_ERROR 500
 
-static bool
+bool
 status_is_success(int status)
 {
 	return status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES;
@@ -189,8 +189,10 @@
 			req->max_event_gap_ms = pause_ms;
 	}
 	req->last_event_at = now;
-	if (!req->attempt.forwarded)
-		relay_canary_event(req);
+	if (req->attempt.forwarded)
+		return;
+	relay_canary_event(req);
+	relay_parts_event(req);
 }
 
 /* Forward the complete events.
--- a/moortack/relay/relay_suspects.c
+++ b/moortack/relay/relay_suspects.c
@@ -25,15 +25,19 @@
 relay_quarantine_refuses(relay_request_t *req)
 {
 	relay_quarantine_t *self = &req->relay->quarantine;
+	size_t causes;
 	uint64_t digest;
 
 	if (self->table.quarantined_count == 0 || req->quarantine_trial)
 		return false;
-	digest = relay_request_digest(req);
-	if (!suspect_is_quarantined(quarantine_find(&self->table, digest)))
+	causes = relay_quarantined_causes(req, &digest);
+	if (causes == 0)
 		return false;
-	req->quarantine_trial = quarantine_admit(&self->table, digest,
-	    gossip_owns_digest(req->relay->gossip, digest));
+	/* The result of a trial says nothing if there are several causes. */
+	req->quarantine_trial = causes == 1 &&
+	    quarantine_admit(&self->table, digest,
+		gossip_owns_digest(req->relay->gossip, digest));
+	req->quarantined_cause = digest;
 	decision_log(req, digest);
 	return !req->quarantine_trial;
 }
@@ -41,7 +45,7 @@
 /* Number of crashes recorded for the request, and of interrupted attempts that
  * may turn out to be crashes. */
 static size_t
-suspicion_count(relay_request_t *req)
+request_suspicion(relay_request_t *req)
 {
 	const relay_quarantine_t *self = &req->relay->quarantine;
 
@@ -58,6 +62,16 @@
 	return crashes + interrupted;
 }
 
+/* The same for the request or the most suspected part of its prompt. */
+static size_t
+suspicion_count(relay_request_t *req)
+{
+	size_t request = request_suspicion(req);
+	size_t part = relay_parts_suspicion(req);
+
+	return part > request ? part : request;
+}
+
 bool
 relay_request_suspected(relay_request_t *req)
 {
--- a/test/unit/quarantine_test.c
+++ b/test/unit/quarantine_test.c
@@ -2,7 +2,8 @@
  * @file
  * Quarantine of requests that crash endpoints: a request is refused from the
  * third crash on, also by daemons that learn of it from others, unless it ran
- * without a crash. Many other suspects do not displace a quarantined one.
+ * without a crash. Many other suspects do not displace a quarantined one. Parts
+ * of prompts in the same way, but crashes of one moment count once.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -17,6 +18,9 @@
 #define POISON 0xbadULL
 #define HARMLESS 0x900dULL
 #define VERSION 7
+/* Parts of prompts. */
+#define BAD_PART ((1ULL << 63) + 1)
+#define SOUND_PART ((1ULL << 63) + 2)
 #define MINUTE_MS 60000
 /* A trial is permitted after ten minutes, and the quarantine expires after
  * fifteen. */
@@ -235,6 +239,60 @@
 	assert_int_equal(quarantined_calls, 1);
 }
 
+static void
+part_crash(uint64_t part, uint32_t incarnation, int64_t after_ms)
+{
+	test_clock.now = timespec_add_ms(test_clock.now, after_ms);
+	quarantine_record_crash(&table, part, incarnation, VERSION, true);
+}
+
+static void
+crashes_of_one_moment_count_once_against_a_part(void **state)
+{
+	(void)state;
+	for (uint32_t i = 1; i <= 8; i++)
+		part_crash(BAD_PART, i, PART_CRASH_SPACING_MS / 8 - 1);
+	assert_int_equal(quarantine_crash_count(&table, BAD_PART), 1);
+	part_crash(BAD_PART, 9, PART_CRASH_SPACING_MS);
+	part_crash(BAD_PART, 10, PART_CRASH_SPACING_MS);
+	assert_false(quarantine_admit(&table, BAD_PART, true));
+}
+
+static void
+a_quarantined_part_explains_its_crashes(void **state)
+{
+	(void)state;
+	part_crash(BAD_PART, 1, 0);
+	part_crash(SOUND_PART, 1, 0);
+	part_crash(BAD_PART, 2, PART_CRASH_SPACING_MS);
+	part_crash(SOUND_PART, 2, 0);
+	record_crashes(HARMLESS, 2, 1);
+	quarantine_explain_crashes(&table);
+	assert_int_equal(quarantine_crash_count(&table, SOUND_PART), 2);
+	part_crash(BAD_PART, 3, PART_CRASH_SPACING_MS);
+	quarantine_explain_crashes(&table);
+	assert_int_equal(quarantine_crash_count(&table, SOUND_PART), 0);
+	assert_int_equal(quarantine_crash_count(&table, HARMLESS), 0);
+	/* Later crashes may have another cause. */
+	part_crash(SOUND_PART, 4, PART_CRASH_SPACING_MS);
+	quarantine_explain_crashes(&table);
+	assert_int_equal(quarantine_crash_count(&table, SOUND_PART), 1);
+	assert_false(quarantine_admit(&table, BAD_PART, true));
+	assert_true(quarantine_admit(&table, SOUND_PART, true));
+}
+
+static void
+a_part_that_was_cleared_is_suspected_again_soon(void **state)
+{
+	(void)state;
+	part_crash(BAD_PART, 1, 0);
+	assert_true(quarantine_clear(&table, BAD_PART));
+	part_crash(BAD_PART, 2, 1999);
+	assert_int_equal(quarantine_crash_count(&table, BAD_PART), 0);
+	part_crash(BAD_PART, 3, 1);
+	assert_int_equal(quarantine_crash_count(&table, BAD_PART), 1);
+}
+
 static unresolved_attempt_t
 attempt(uint64_t digest, uint32_t incarnation)
 {
@@ -309,6 +367,14 @@
 		crashes_from_several_daemons_add_up, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		many_suspects_do_not_evict_a_quarantined_one, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		crashes_of_one_moment_count_once_against_a_part, setup,
+		teardown),
+	    cmocka_unit_test_setup_teardown(
+		a_quarantined_part_explains_its_crashes, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		a_part_that_was_cleared_is_suspected_again_soon, setup,
+		teardown),
 	    cmocka_unit_test_setup_teardown(
 		a_lost_connection_alone_is_no_crash, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
