test: endpoints that crash in the middle of an answer without length or chunks

Three daemons, eight endpoints whose answers end with their connection. A part of a prompt crashes each of them after four whole events, then another one inside an event; last, a plain answer ends in the middle.

What the scenario needs of the fake endpoints is in standin/fake.c.

--- a/include/standin/fake.h
+++ b/include/standin/fake.h
@@ -45,6 +45,17 @@
 /** Close the connection of a request without a response. */
 void fake_connection_drop(fake_t *, struct evhttp_request *);
 
+/** End the process after this time; 0: at once. */
+void fake_exit_after(fake_t *, int64_t ms);
+/** Milliseconds of the steady clock. */
+int64_t fake_now_ms(void);
+
+/** Begin a response that has neither a length nor chunks, and so ends with its
+ * connection. */
+void fake_unframed_begin(struct evhttp_request *);
+/** Send a part of such a response's body; the buffer is drained. */
+void fake_unframed_write(struct evhttp_request *, struct evbuffer *);
+
 /** The integer @p name of @p object, or @p fallback if it has none. */
 int64_t fake_json_int(const json_t *object, const char *name, int64_t fallback);
 
--- a/standin/fake.c
+++ b/standin/fake.c
@@ -1,10 +1,15 @@
 #include "standin/fake.h"
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
+#include <time.h>
+#include <unistd.h>
 
 #include "common/http_call.h"
 #include "common/http_server.h"
@@ -78,6 +83,61 @@
 	event_add(drop->timer, &soon);
 }
 
+static void
+exit_now(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	(void)arg;
+	_exit(EXIT_FAILURE);
+}
+
+void
+fake_exit_after(fake_t *fake, int64_t ms)
+{
+	struct timeval delay = {ms / 1000, ms % 1000 * 1000};
+
+	if (ms == 0)
+		_exit(EXIT_FAILURE);
+	event_base_once(fake->base, -1, EV_TIMEOUT, exit_now, NULL, &delay);
+}
+
+int64_t
+fake_now_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+/* Past evhttp, which frames all that it sends. */
+void
+fake_unframed_write(struct evhttp_request *req, struct evbuffer *out)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(
+	    evhttp_request_get_connection(req));
+
+	if (evbuffer_write(out, bufferevent_getfd(bev)) < 0)
+		perror("write");
+}
+
+void
+fake_unframed_begin(struct evhttp_request *req)
+{
+	const struct evkeyvalq *headers =
+	    evhttp_request_get_output_headers(req);
+	struct evbuffer *out = evbuffer_new();
+	const struct evkeyval *field;
+
+	evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\n");
+	TAILQ_FOREACH(field, headers, next)
+	evbuffer_add_printf(out, "%s: %s\r\n", field->key, field->value);
+	evbuffer_add_printf(out, "\r\n");
+	fake_unframed_write(req, out);
+	evbuffer_free(out);
+}
+
 static void
 faults_apply(fake_t *fake, struct evhttp_request *req)
 {
--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -14,6 +14,9 @@
  * on a body that begins with this text, "crash_parts" on a prompt that shares
  * one of these parts (a text of ids between spaces), "crash_ms" is the delay
  * before that, "crash_events" the events that such a prompt gets first,
+ * "crash_half" ends them inside a further one, "unframed" sends responses with
+ * neither a length nor chunks, which end with their connection,
+ * "unframed_crash" ends the process in the middle of one that is no stream,
  * "cold_ms" is how long the replica is cold from now on, "cold_most" the
  * requests in a second above which it crashes while cold, "limit" the rate
  * limit that it names, "leaving" its notice that it leaves, "retry_after" the
@@ -25,7 +28,6 @@
  * it may refuse in a second before it falls (text of a header).
  */
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -49,6 +51,7 @@
 	int64_t cut;   /**< its connection closes after this id; 0: none */
 	int64_t crash; /**< the process ends after this id; 0: it does not */
 	bool closed;   /**< by the caller */
+	bool unframed; /**< ends with its connection */
 } stream_t;
 
 typedef struct replica {
@@ -185,6 +188,38 @@
 	    (held != NULL && model != NULL && strcmp(held, model) == 0);
 }
 
+static void
+stream_write(stream_t *stream, struct evbuffer *out)
+{
+	if (stream->unframed)
+		fake_unframed_write(stream->req, out);
+	else
+		evhttp_send_reply_chunk(stream->req, out);
+}
+
+static void
+stream_end(stream_t *stream)
+{
+	http_request_unwatch_close(stream->req);
+	if (stream->unframed)
+		fake_connection_drop(&replica.fake, stream->req);
+	else
+		evhttp_send_reply_end(stream->req);
+	stream_free(stream);
+}
+
+/* End the process, inside an event if that is wanted. */
+static void
+stream_crash(const stream_t *stream)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	evbuffer_add_printf(out, "id: %" PRId64 "\nda", stream->next);
+	if (fault_is("crash_half"))
+		fake_unframed_write(stream->req, out);
+	_exit(EXIT_FAILURE);
+}
+
 static void
 stream_step(evutil_socket_t fd, short what, void *arg)
 {
@@ -198,7 +233,7 @@
 		return;
 	}
 	if (stream->crash != 0 && stream->next > stream->crash)
-		_exit(EXIT_FAILURE);
+		stream_crash(stream);
 	if (stream->cut != 0 && stream->next > stream->cut) {
 		http_request_unwatch_close(stream->req);
 		fake_connection_drop(&replica.fake, stream->req);
@@ -208,19 +243,17 @@
 	out = evbuffer_new();
 	if (stream->half != 0 && stream->next > stream->half) {
 		evbuffer_add_printf(out, "id: %" PRId64 "\nda", stream->next);
-		evhttp_send_reply_chunk(stream->req, out);
+		stream_write(stream, out);
 		stream->last = 0;
 	}
 	if (stream->next > stream->last) {
-		http_request_unwatch_close(stream->req);
-		evhttp_send_reply_end(stream->req);
-		stream_free(stream);
+		stream_end(stream);
 	} else {
 		evbuffer_add_printf(out,
 		    "id: %" PRId64 "\ndata: part %" PRId64 "\n\n", stream->next,
 		    stream->next);
 		stream->next++;
-		evhttp_send_reply_chunk(stream->req, out);
+		stream_write(stream, out);
 	}
 	evbuffer_free(out);
 }
@@ -263,8 +296,12 @@
 	stream->timer =
 	    event_new(replica.fake.base, -1, EV_PERSIST, stream_step, stream);
 	http_request_watch_close(req, stream_closed, stream);
+	stream->unframed = fault_is("unframed");
 	http_response_add_header(req, "Content-Type", "text/event-stream");
-	evhttp_send_reply_start(req, 200, NULL);
+	if (stream->unframed)
+		fake_unframed_begin(req);
+	else
+		evhttp_send_reply_start(req, 200, NULL);
 	event_add(stream->timer, &pause);
 	replica.streams++;
 }
@@ -279,6 +316,22 @@
 	evbuffer_free(out);
 }
 
+static void
+respond_unframed(struct evhttp_request *req, const char *text)
+{
+	struct evbuffer *out = evbuffer_new();
+	bool crash = fault_is("unframed_crash");
+
+	fake_unframed_begin(req);
+	evbuffer_add(out, text, crash ? strlen(text) / 2 : strlen(text));
+	fake_unframed_write(req, out);
+	evbuffer_free(out);
+	if (crash)
+		fake_exit_after(&replica.fake, fault_int("crash_ms", 0));
+	else
+		fake_connection_drop(&replica.fake, req);
+}
+
 static bool
 replica_expected(struct evhttp_request *req)
 {
@@ -303,41 +356,11 @@
 	    evbuffer_search(body, text, strlen(text), NULL).pos == 0;
 }
 
-static void
-crash_now(evutil_socket_t fd, short what, void *arg)
-{
-	(void)fd;
-	(void)what;
-	(void)arg;
-	_exit(EXIT_FAILURE);
-}
-
-static void
-crash_schedule(void)
-{
-	int64_t ms = fault_int("crash_ms", 0);
-	struct timeval delay = {ms / 1000, ms % 1000 * 1000};
-
-	if (ms == 0)
-		_exit(EXIT_FAILURE);
-	event_base_once(
-	    replica.fake.base, -1, EV_TIMEOUT, crash_now, NULL, &delay);
-}
-
-static int64_t
-now_ms(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_MONOTONIC, &now);
-	return now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
 /* Record a request; too many in a second crash the replica while it is cold. */
 static void
 arrival_record(void)
 {
-	int64_t now = now_ms();
+	int64_t now = fake_now_ms();
 	int64_t limit = fault_int("cold_most", ARRIVALS_MAX);
 	int64_t count = 0;
 
@@ -359,7 +382,7 @@
 {
 	const char *brittle =
 	    json_string_value(json_object_get(replica.faults, "brittle"));
-	int64_t now = now_ms();
+	int64_t now = fake_now_ms();
 	int64_t count = 0;
 
 	replica.refusals[replica.refusals_next++ % ARRIVALS_MAX] = now;
@@ -392,7 +415,7 @@
 	if (json_array_size(replica.listed) == ARRIVALS_LISTED_MAX)
 		json_array_remove(replica.listed, 0);
 	json_array_append_new(replica.listed,
-	    json_pack("[I, s, s, s, s]", (json_int_t)now_ms(),
+	    json_pack("[I, s, s, s, s]", (json_int_t)fake_now_ms(),
 		id != NULL ? id : "", fault_text("limit"),
 		fault_text("leaving"),
 		fault_is("shed") ? fault_text("retry_after") : ""));
@@ -435,7 +458,7 @@
 	arrival_record();
 	run_record(req);
 	if (crashes(req))
-		crash_schedule();
+		fake_exit_after(&replica.fake, fault_int("crash_ms", 0));
 	if (request_held(req)) {
 		http_request_watch_close(req, held_closed, NULL);
 		return;
@@ -446,6 +469,8 @@
 		respond(req, 500, "failed\n");
 	else if (strncmp(uri, "/stream/", 8) == 0)
 		stream_start(req);
+	else if (fault_is("unframed"))
+		respond_unframed(req, "done\n");
 	else
 		respond(req, 200, "done\n");
 }
@@ -457,7 +482,7 @@
 	json_decref(replica.faults);
 	replica.faults = json_deep_copy(faults);
 	if (fault_int("cold_ms", 0) > 0)
-		replica.cold_until_ms = now_ms() + fault_int("cold_ms", 0);
+		replica.cold_until_ms = fake_now_ms() + fault_int("cold_ms", 0);
 }
 
 int
