relay: a response without length or chunks is complete if its endpoint still listens

What callers saw: a stream or a response that an endpoint's crash had cut short reached them as whole, if the endpoint had sent neither a length nor chunks.

Cause: the end of the connection was taken for the end of the response. A process that ends closes its connections in the same way as one that has responded. So a crash counted as a success: it cleared the request's and the parts' suspicion, and nothing probed the endpoint. A stream that ended inside an event was repeated, but was no evidence either.

Change: a response that ends with its connection, at an endpoint that should go on, waits for a probe of the endpoint, 5 ms later: complete if a connection is accepted, broken if it is refused (resumed, repeated or failed as any other, and evidence of a crash). If the probe has no result, or the time limit comes first, it is delivered. A stream that ends inside an event is evidence as well.

--- a/common/http_outbound.c
+++ b/common/http_outbound.c
@@ -35,6 +35,7 @@
 	bool connected;
 	bool response_started;	 /**< a byte of it was received */
 	bool response_completed; /**< without an error */
+	bool ended_by_close;	 /**< by the end of the connection */
 	bool in_reader;		 /**< during a callback of the reader */
 	bool free_pending;	 /**< to be freed after the callback */
 };
@@ -201,6 +202,7 @@
 			return;
 		if (result == HTTP_READ_COMPLETE) {
 			conn->reader.msg.keep_alive = false;
+			conn->ended_by_close = true;
 			request_complete(conn);
 			return;
 		}
@@ -350,6 +352,12 @@
 	    evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0;
 }
 
+bool
+http_outbound_ended_by_close(const http_outbound_t *conn)
+{
+	return conn->ended_by_close;
+}
+
 void
 http_outbound_set_idle(
     http_outbound_t *conn, http_outbound_idle_closed_t closed, void *arg)
--- a/include/common/http_outbound.h
+++ b/include/common/http_outbound.h
@@ -76,6 +76,10 @@
  * further bytes were received and the request was sent completely. */
 bool http_outbound_reusable(const http_outbound_t *);
 
+/** Whether the last response had neither a length nor chunks, so that the end
+ * of the connection was taken for its end. */
+bool http_outbound_ended_by_close(const http_outbound_t *);
+
 /** Keep the connection open without a request.
  * @param closed called when the connection can no longer be used */
 void http_outbound_set_idle(
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -106,6 +106,10 @@
 
 	(void)fd;
 	(void)what;
+	if (req->attempt.end_uncertain) {
+		response_end(req);
+		return;
+	}
 	if (req->failure_buffered && !req->response_started) {
 		attempt_cancel(req);
 		response_forward(req);
--- a/moortack/relay/relay_crashes.c
+++ b/moortack/relay/relay_crashes.c
@@ -193,9 +193,11 @@
 on_probe_done(void *arg, endpoint_t *endpoint, probe_result_t result)
 {
 	relay_quarantine_t *self = arg;
-	bool again = is_unresolved(self, endpoint);
+	bool again;
 
 	stats_add(&self->relay->stats, STAT_CRASH_PROBES, 1);
+	relay_ends_resolve(self->relay, endpoint, result);
+	again = is_unresolved(self, endpoint);
 	if (result == PROBE_ACCEPTED) {
 		unresolved_attempts_drop(
 		    &self->interrupted, endpoint->short_hash);
@@ -209,6 +211,14 @@
 	return again;
 }
 
+void
+quarantine_probe(
+    relay_quarantine_t *self, endpoint_t *endpoint, int64_t after_ms)
+{
+	crash_probe_schedule(&self->probes, self->relay->base, endpoint,
+	    after_ms, on_probe_done, self);
+}
+
 static bool
 attempt_record(relay_request_t *req, unresolved_attempts_t *attempts)
 {
@@ -240,8 +250,7 @@
 	relay_quarantine_t *self = &req->relay->quarantine;
 
 	if (attempt_record(req, &self->interrupted))
-		crash_probe_schedule(&self->probes, req->relay->base,
-		    req->attempt.endpoint, PROBE_DELAY_MS, on_probe_done, self);
+		quarantine_probe(self, req->attempt.endpoint, PROBE_DELAY_MS);
 }
 
 void
@@ -253,9 +262,8 @@
 	    (quarantine_crash_count(&self->table, relay_request_digest(req)) >
 		    0 ||
 		relay_parts_suspicion(req) > 0))
-		crash_probe_schedule(&self->probes, req->relay->base,
-		    req->attempt.endpoint, ABANDONED_PROBE_DELAY_MS,
-		    on_probe_done, self);
+		quarantine_probe(
+		    self, req->attempt.endpoint, ABANDONED_PROBE_DELAY_MS);
 }
 
 void
@@ -265,8 +273,7 @@
 	endpoint_t *endpoint = req->attempt.endpoint;
 
 	if (endpoint_refused(self, endpoint) && is_unresolved(self, endpoint))
-		crash_probe_schedule(&self->probes, req->relay->base, endpoint,
-		    PROBE_DELAY_MS, on_probe_done, self);
+		quarantine_probe(self, endpoint, PROBE_DELAY_MS);
 }
 
 /* An endpoint that crashes on an abandoned request may have no connections of
@@ -284,8 +291,7 @@
 		if (endpoint != NULL &&
 		    timespec_ms_between(
 			attempt->ended_at, endpoint->idle_closed_at) >= 0)
-			crash_probe_schedule(&self->probes, self->relay->base,
-			    endpoint, PROBE_DELAY_MS, on_probe_done, self);
+			quarantine_probe(self, endpoint, PROBE_DELAY_MS);
 	}
 }
 
--- a/moortack/relay/relay_quarantine_priv.h
+++ b/moortack/relay/relay_quarantine_priv.h
@@ -17,6 +17,10 @@
  * @param version as above */
 bool endpoint_version_unused(const endpoint_set_t *, uint32_t version);
 
+/** Probe whether a process listens at the endpoint, unless a probe of it is
+ * scheduled. */
+void quarantine_probe(relay_quarantine_t *, endpoint_t *, int64_t after_ms);
+
 /** Whether the digest is that of a part whose answers, seen by this daemon,
  * outweigh the crash. Counts the crash against them. */
 bool quarantine_crash_outweighed(relay_quarantine_t *, uint64_t digest,
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -73,6 +73,8 @@
 	bool connection_lost;	  /**< before the response was complete */
 	bool connection_refused; /**< by the endpoint's host: nothing listens */
 	bool completed;		 /**< the response was complete */
+	bool end_uncertain;	 /**< the response ended with its connection;
+				    a probe tells whether the endpoint crashed */
 	bool parts_answered;	 /**< the prompt did not crash the endpoint */
 	bool warmup_acquired;	 /**< counted against the quota of its cold
 				    endpoint */
@@ -307,6 +309,13 @@
 void relay_attempt_connection_refused(const relay_request_t *);
 /** The attempt ran without crashing its endpoint. */
 void relay_attempt_completed(relay_request_t *);
+/** Whether the end of the connection that ended the response may be that of the
+ * endpoint's process. */
+bool relay_end_is_uncertain(const relay_request_t *);
+/** Probe the endpoint: the response is complete if it still listens. */
+void relay_end_confirm(relay_request_t *);
+/** The endpoint was probed: end the responses that wait for the result. */
+void relay_ends_resolve(relay_t *, const endpoint_t *, probe_result_t);
 /** The endpoint answers the prompt without crashing: no part of it crashes
  * endpoints. */
 void relay_parts_answered(relay_request_t *);
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -275,6 +275,8 @@
 	http_inbound_t *caller = req->caller;
 
 	if (event_scan_has_partial(&req->scan)) {
+		req->attempt.connection_lost = !req->attempt.forwarded &&
+		    http_outbound_ended_by_close(req->attempt.conn);
 		attempt_retry_or_fail(req, ATTEMPT_UNKNOWN, "event_cut");
 		return;
 	}
@@ -355,6 +357,9 @@
 			stats_add(&req->relay->stats, STAT_WRONG_ENDPOINT, 1);
 		attempt_retry_or_fail(req, ATTEMPT_NOT_RUN,
 		    response->wrong_endpoint ? "wrong_endpoint" : "not_run");
+	} else if (relay_end_is_uncertain(req) &&
+	    !event_scan_has_partial(&req->scan)) {
+		relay_end_confirm(req);
 	} else {
 		response_end(req);
 	}
