test: a fake replica serves nothing before it knows its id

A replica that a scenario starts again listens some milliseconds before it is sent its faults and its id. A request that names another replica gets 421 as from one that knows its id.

--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -340,7 +340,8 @@
 	const char *id =
 	    json_string_value(json_object_get(replica.faults, "id"));
 
-	return expected == NULL || id == NULL || strcmp(expected, id) == 0;
+	/* Until it is told its id, no request is meant for it. */
+	return expected == NULL || (id != NULL && strcmp(expected, id) == 0);
 }
 
 static bool
