quarantine: the owner of a part decides on it, by the times of the crashes

Causes, traced by the daemons' logs: - Every daemon counted the crashes that it was told of, but whoever knew better refuted them only to the daemon that had told them. One daemon quarantined a popular part 1 ms before the sender took it back, and kept that to itself. - A crash found late, as the daemon's own links were in doubt, counted 1 s after another one of the same moment.

Change: a refutation goes to the sender and to the owner of the part's digest, and a told crash completes a quarantine only at the owner. Crashes carry their age, and the time at which they happened is what is compared. Refutations are sent a few times a second at most. The line of a suspicion that is cleared says by whom.

--- a/include/moortack/quarantine/proven_parts.h
+++ b/include/moortack/quarantine/proven_parts.h
@@ -19,6 +19,7 @@
 typedef struct proven_part {
 	uint64_t digest;     /**< see part_digest(); 0: unused */
 	int64_t answered_ms; /**< when it was last answered */
+	int64_t refuted_ms;  /**< when a suspicion was last refuted; 0: never */
 	uint32_t version;    /**< hash of the service and version that did so */
 	uint32_t last_crash; /**< hash of the incarnation that crashed last */
 	uint32_t crashes;    /**< under the part, since it was answered */
@@ -44,6 +45,9 @@
  * @return whether the part is still proven */
 bool proven_parts_outweigh(
     proven_parts_t *, uint64_t digest, uint32_t incarnation, int64_t now_ms);
+/** Whether another daemon's suspicion of a proven part is to be refuted now:
+ * at most a few times a second. Records that it is. */
+bool proven_parts_refute(proven_parts_t *, uint64_t digest, int64_t now_ms);
 /** The part is proven no longer. */
 void proven_parts_remove(proven_parts_t *, uint64_t digest);
 
--- a/include/moortack/quarantine/quarantine.h
+++ b/include/moortack/quarantine/quarantine.h
@@ -99,12 +99,14 @@
 /** Record that an endpoint crashed while the request ran there.
  * @param incarnation hash of the endpoint's id and start
  * @param version hash of its service and version
+ * @param age_ms time since the endpoint crashed, as far as is known
  * @param observed_locally this daemon detected the crash; false: another one
  * reported it
  * @return whether the crash was recorded; false: it is known already, the
  * request was cleared recently, or out of memory */
-bool quarantine_record_crash(quarantine_t *, uint64_t digest,
-    uint32_t incarnation, uint32_t version, bool observed_locally);
+bool
+quarantine_record_crash(quarantine_t *, uint64_t digest, uint32_t incarnation,
+    uint32_t version, int64_t age_ms, bool observed_locally);
 /** Merge crashes that another daemon or the store knows of. If there are enough
  * of them, the request is quarantined.
  * @param age_ms time since the last crash, or since the start of the quarantine
--- a/include/moortack/relay/gossip.h
+++ b/include/moortack/relay/gossip.h
@@ -100,6 +100,9 @@
 /** Sends a message to all gossip peers, or in a larger fleet to the owners of
  * the digests in it. */
 void gossip_send_to_owners(gossip_t *, const gossip_message_t *);
+/** Sends a message to the owner of its first digest, whatever the size of the
+ * fleet, unless that is this daemon. */
+void gossip_send_to_owner(gossip_t *, const gossip_message_t *);
 /** Sends a message to each daemon that serves, whatever the size of the fleet.
  */
 void gossip_broadcast(gossip_t *, const gossip_message_t *);
--- a/include/moortack/relay/gossip_message.h
+++ b/include/moortack/relay/gossip_message.h
@@ -59,13 +59,14 @@
 	    crashes[GOSSIP_MESSAGE_CRASHES_MAX]; /**< quarantined: hashes of the
 						    incarnations that crashed */
 	size_t crashes_len;
-	uint32_t quarantined_ms; /**< quarantined: for how long already */
-	bool rate_limited;	 /**< rate limit: there is one */
-	uint32_t rate_milli;	 /**< rate limit: requests in 1,000 s; brittle:
-				    refusals */
-	uint32_t service_hash;	 /**< reach query, report, brittle: of the
-				    service's name */
-	bool reaches;		 /**< reach report: see helper_report_t */
+	uint32_t age_ms; /**< crash: time since then; quarantined: for how long
+			    already */
+	bool rate_limited;     /**< rate limit: there is one */
+	uint32_t rate_milli;   /**< rate limit: requests in 1,000 s; brittle:
+				  refusals */
+	uint32_t service_hash; /**< reach query, report, brittle: of the
+				  service's name */
+	bool reaches;	       /**< reach report: see helper_report_t */
 	uint32_t contact_age_ms;
 	uint32_t load;
 	uint64_t noticed_ms; /**< rate limit, brittle: see rate_report_t; by the
--- a/moortack/quarantine/proven_parts.c
+++ b/moortack/quarantine/proven_parts.c
@@ -10,6 +10,9 @@
 #define WAYS 4
 /* How long after its last answer a part counts as proven. */
 #define PROOF_EXPIRY_MS 600000
+/* Time between two refutations of suspicions of a part: less than that between
+ * a report of a crash and its repetition. */
+#define REFUTATION_INTERVAL_MS 150
 
 bool
 proven_parts_init(proven_parts_t *self)
@@ -65,10 +68,13 @@
 {
 	proven_part_t *entry = entry_find(self, digest);
 
-	if (entry == NULL)
+	if (entry == NULL) {
 		entry = oldest_entry(self, digest);
-	*entry = (proven_part_t){
-	    .digest = digest, .answered_ms = now_ms, .version = version};
+		*entry = (proven_part_t){.digest = digest};
+	}
+	entry->answered_ms = now_ms;
+	entry->version = version;
+	entry->crashes = 0;
 }
 
 const proven_part_t *
@@ -98,6 +104,19 @@
 	return false;
 }
 
+bool
+proven_parts_refute(proven_parts_t *self, uint64_t digest, int64_t now_ms)
+{
+	proven_part_t *entry = entry_find(self, digest);
+
+	if (entry == NULL ||
+	    (entry->refuted_ms != 0 &&
+		now_ms - entry->refuted_ms < REFUTATION_INTERVAL_MS))
+		return false;
+	entry->refuted_ms = now_ms;
+	return true;
+}
+
 void
 proven_parts_remove(proven_parts_t *self, uint64_t digest)
 {
--- a/moortack/quarantine/quarantine.c
+++ b/moortack/quarantine/quarantine.c
@@ -213,12 +213,14 @@
 					     : CLEARED_PRECEDENCE_MS);
 }
 
-/* Whether the crash belongs to the same failure as the last one. */
+/* Whether the crash belongs to the same failure as the last one. Crashes are
+ * not always found in the order in which they happened. */
 static bool
-is_same_failure(const quarantine_t *self, const suspect_t *suspect)
+is_same_failure(const suspect_t *suspect, struct timespec crashed_at)
 {
 	return digest_is_part(suspect->digest) && suspect->crashes_len > 0 &&
-	    age_ms(self, suspect->last_crash_at) < PART_CRASH_SPACING_MS;
+	    llabs(timespec_ms_between(suspect->last_crash_at, crashed_at)) <
+	    PART_CRASH_SPACING_MS;
 }
 
 static bool
@@ -230,24 +232,28 @@
 
 bool
 quarantine_record_crash(quarantine_t *self, uint64_t digest,
-    uint32_t incarnation, uint32_t version, bool observed_locally)
+    uint32_t incarnation, uint32_t version, int64_t age_ms,
+    bool observed_locally)
 {
 	suspect_t *suspect = suspect_find_or_add(self, digest);
+	struct timespec crashed_at =
+	    timespec_add_ms(clock_boottime(self->clock), -age_ms);
 
 	if (suspect == NULL || recently_cleared(self, suspect) ||
 	    suspect_has_crash(suspect, incarnation) ||
-	    is_same_failure(self, suspect))
+	    is_same_failure(suspect, crashed_at))
 		return false;
 	suspect_add_crash(suspect, incarnation);
 	suspect->version = version;
-	suspect->last_crash_at = clock_boottime(self->clock);
+	if (timespec_ms_between(suspect->last_crash_at, crashed_at) > 0)
+		suspect->last_crash_at = crashed_at;
 	suspect->observed_locally |= observed_locally;
 	/* Runs that were in flight when the request was quarantined do not
 	 * renew the quarantine. */
 	if (suspect->crashes_len == QUARANTINE_CRASH_THRESHOLD &&
 	    (!suspect_is_quarantined(suspect) ||
 		trial_permitted(self, suspect)))
-		suspect_quarantine(self, suspect, suspect->last_crash_at);
+		suspect_quarantine(self, suspect, clock_boottime(self->clock));
 	return true;
 }
 
--- a/moortack/relay/gossip.c
+++ b/moortack/relay/gossip.c
@@ -302,6 +302,16 @@
 	}
 }
 
+void
+gossip_send_to_owner(gossip_t *self, const gossip_message_t *message)
+{
+	struct sockaddr_in owner;
+
+	if (self->fd >= 0 && self->has_key &&
+	    owner_address(self, NO_ZONE, (uint32_t)message->digests[0], &owner))
+		message_send(self, &owner, message);
+}
+
 void
 gossip_broadcast(gossip_t *self, const gossip_message_t *message)
 {
--- a/moortack/relay/gossip_message.c
+++ b/moortack/relay/gossip_message.c
@@ -42,7 +42,7 @@
 	wire.version = message->version_hash;
 	wire.n_crashes = message->crashes_len;
 	wire.crashes = (uint32_t *)(uintptr_t)message->crashes;
-	wire.held_ms = message->quarantined_ms;
+	wire.held_ms = message->age_ms;
 	wire.limited = message->rate_limited;
 	wire.rate = message->rate_milli;
 	wire.noticed_ms = message->noticed_ms;
@@ -75,7 +75,7 @@
 	    .digests_len = wire->n_digests,
 	    .version_hash = wire->version,
 	    .crashes_len = wire->n_crashes,
-	    .quarantined_ms = wire->held_ms,
+	    .age_ms = wire->held_ms,
 	    .rate_limited = wire->limited,
 	    .rate_milli = wire->rate,
 	    .noticed_ms = wire->noticed_ms,
--- a/moortack/relay/relay_crashes.c
+++ b/moortack/relay/relay_crashes.c
@@ -39,7 +39,8 @@
 	if (quarantine_crash_outweighed(
 		self, digest, message->endpoint_hash, message->version_hash) ||
 	    !quarantine_record_crash(&self->table, digest,
-		message->endpoint_hash, message->version_hash, true))
+		message->endpoint_hash, message->version_hash, message->age_ms,
+		true))
 		return;
 	crash_log(self, digest, endpoint, how);
 	message->digests[message->digests_len++] = digest;
@@ -49,15 +50,28 @@
 	message->digests_len = 0;
 }
 
+/* Time since the endpoint crashed: since its connections were lost. */
+static uint32_t
+crash_age_ms(const relay_quarantine_t *self, const endpoint_t *endpoint)
+{
+	struct timespec ended_at, now = clock_boottime(self->relay->clock);
+
+	if (!unresolved_attempts_last_end(
+		&self->interrupted, endpoint->short_hash, &ended_at))
+		return 0;
+	return (uint32_t)timespec_ms_between(ended_at, now);
+}
+
 /* Record the endpoint's crash for the requests of these attempts and the parts
  * of their prompts. */
 static void
 crashes_record(relay_quarantine_t *self, unresolved_attempts_t *attempts,
-    const endpoint_t *endpoint, const char *how)
+    const endpoint_t *endpoint, uint32_t age_ms, const char *how)
 {
 	gossip_message_t message = {.kind = GOSSIP_CRASH,
 	    .endpoint_hash = endpoint->short_hash,
-	    .version_hash = endpoint_version_hash(endpoint)};
+	    .version_hash = endpoint_version_hash(endpoint),
+	    .age_ms = age_ms};
 	unresolved_attempt_t attempt;
 
 	while (unresolved_attempts_take(
@@ -78,13 +92,14 @@
     relay_quarantine_t *self, const endpoint_t *endpoint, const char *how)
 {
 	struct timespec now = clock_boottime(self->relay->clock);
+	uint32_t age_ms = crash_age_ms(self, endpoint);
 
 	self->crash_count +=
 	    unresolved_attempts_has(&self->interrupted, endpoint->short_hash);
 	self->source = how;
 	unresolved_attempts_expire(&self->abandoned, now, ABANDONED_EXPIRY_MS);
-	crashes_record(self, &self->interrupted, endpoint, how);
-	crashes_record(self, &self->abandoned, endpoint, how);
+	crashes_record(self, &self->interrupted, endpoint, age_ms, how);
+	crashes_record(self, &self->abandoned, endpoint, age_ms, how);
 }
 
 void
@@ -257,11 +272,12 @@
 relay_attempt_abandoned(relay_request_t *req)
 {
 	relay_quarantine_t *self = &req->relay->quarantine;
+	uint64_t suspected;
 
 	if (attempt_record(req, &self->abandoned) &&
 	    (quarantine_crash_count(&self->table, relay_request_digest(req)) >
 		    0 ||
-		relay_parts_suspicion(req) > 0))
+		relay_parts_suspicion(req, &suspected) > 0))
 		quarantine_probe(
 		    self, req->attempt.endpoint, ABANDONED_PROBE_DELAY_MS);
 }
--- a/moortack/relay/relay_parts.c
+++ b/moortack/relay/relay_parts.c
@@ -55,6 +55,13 @@
 	    age_ms + REFUTATION_MS;
 }
 
+bool
+quarantine_refutation_due(relay_quarantine_t *self, uint64_t digest)
+{
+	return proven_parts_refute(
+	    &self->proven, digest, quarantine_now_ms(self));
+}
+
 /* @param trial the run was permitted as a trial of a quarantined part */
 static void
 part_clear(relay_quarantine_t *self, uint64_t part, bool trial)
@@ -139,13 +146,14 @@
 }
 
 size_t
-relay_parts_suspicion(relay_request_t *req)
+relay_parts_suspicion(relay_request_t *req, uint64_t *suspected)
 {
 	const relay_quarantine_t *self = &req->relay->quarantine;
 	int64_t now_ms = quarantine_now_ms(self);
 	size_t len, most = 0;
 	const uint64_t *parts;
 
+	*suspected = 0;
 	if (HASH_COUNT(self->table.suspects) == 0 && self->interrupted.len == 0)
 		return 0;
 	parts = relay_request_parts(req, &len);
@@ -155,6 +163,8 @@
 		if (proven_parts_find(&self->proven, parts[i], now_ms) != NULL)
 			continue;
 		count = part_suspicion(self, parts[i]);
+		if (count > 0)
+			*suspected ^= parts[i];
 		if (count > most)
 			most = count;
 	}
--- a/moortack/relay/relay_quarantine.c
+++ b/moortack/relay/relay_quarantine.c
@@ -100,6 +100,9 @@
 	if (!quarantine_clear(&self->table, digest))
 		return;
 	self->cleared_count++;
+	event_log_write_throttled(self->relay->log, EVENT_THROTTLED_SUSPECT,
+	    "digest=%016" PRIx64 " crashes=0 source=%s how=cleared", digest,
+	    source);
 	if (gossip_owns_digest(self->relay->gossip, digest))
 		quarantine_row_remove(self, suspect);
 }
@@ -115,41 +118,41 @@
 		0)
 		return;
 	message.digests[0] = relay_request_digest(req);
-	event_log_write_throttled(self->relay->log, EVENT_THROTTLED_SUSPECT,
-	    "digest=%016" PRIx64 " crashes=0 endpoint=%s how=cleared",
-	    relay_request_digest(req), req->last_endpoint_id);
 	if (req->quarantine_trial)
 		gossip_broadcast(req->relay->gossip, &message);
 	quarantine_announce(self, &message);
 	quarantine_suspect_clear(self, relay_request_digest(req), "run");
 }
 
-/* Tell the daemon that suspects a part, or the owner of its digest, that it was
- * answered without a crash.
- * @param to NULL: the owner */
-static void
-suspicion_refute(
-    relay_quarantine_t *self, uint64_t part, const struct sockaddr_in *to)
+/* Whether a told crash may complete the quarantine of a part: only its owner
+ * hears of all crashes, and of the answers that outweigh them. A daemon that
+ * detects the next crash itself needs no owner. */
+static bool
+crash_may_count(const relay_quarantine_t *self, uint64_t digest)
 {
-	gossip_message_t message = {
-	    .kind = GOSSIP_CLEARED, .digests = {part}, .digests_len = 1};
-
-	if (to != NULL)
-		gossip_send_to(self->relay->gossip, to, &message);
-	else
-		quarantine_announce(self, &message);
+	return !digest_is_part(digest) ||
+	    quarantine_crash_count(&self->table, digest) + 1 <
+	    QUARANTINE_CRASH_THRESHOLD ||
+	    gossip_owns_digest(self->relay->gossip, digest);
 }
 
 static void
 crash_receive(relay_quarantine_t *self, const struct sockaddr_in *from,
     const gossip_message_t *message, uint64_t digest)
 {
-	if (quarantine_crash_outweighed(
-		self, digest, message->endpoint_hash, message->version_hash))
-		suspicion_refute(self, digest, from);
-	else
-		quarantine_record_crash(&self->table, digest,
-		    message->endpoint_hash, message->version_hash, false);
+	gossip_message_t refutation = {
+	    .kind = GOSSIP_CLEARED, .digests = {digest}, .digests_len = 1};
+
+	if (!quarantine_crash_outweighed(
+		self, digest, message->endpoint_hash, message->version_hash)) {
+		if (crash_may_count(self, digest))
+			quarantine_record_crash(&self->table, digest,
+			    message->endpoint_hash, message->version_hash,
+			    message->age_ms, false);
+	} else if (quarantine_refutation_due(self, digest)) {
+		gossip_send_to(self->relay->gossip, from, &refutation);
+		gossip_send_to_owner(self->relay->gossip, &refutation);
+	}
 }
 
 /* All daemons that were told of a quarantine have to learn that it has ended.
@@ -172,17 +175,19 @@
 suspect_receive(
     relay_quarantine_t *self, const gossip_message_t *message, uint64_t digest)
 {
+	gossip_message_t refutation = {
+	    .kind = GOSSIP_CLEARED, .digests = {digest}, .digests_len = 1};
 	size_t known = quarantine_crash_count(&self->table, digest);
 	suspect_t *suspect;
 
 	if (quarantine_verdict_refuted(
-		self, digest, message->version_hash, message->quarantined_ms)) {
-		suspicion_refute(self, digest, NULL);
+		self, digest, message->version_hash, message->age_ms)) {
+		if (quarantine_refutation_due(self, digest))
+			quarantine_announce(self, &refutation);
 		return;
 	}
 	quarantine_merge(&self->table, digest, message->crashes,
-	    message->crashes_len, message->version_hash,
-	    message->quarantined_ms);
+	    message->crashes_len, message->version_hash, message->age_ms);
 	suspect = quarantine_find(&self->table, digest);
 	if (suspect == NULL)
 		return;
@@ -248,7 +253,7 @@
 	    .digests_len = 1,
 	    .version_hash = suspect->version,
 	    .crashes_len = suspect->crashes_len,
-	    .quarantined_ms = (uint32_t)timespec_ms_between(
+	    .age_ms = (uint32_t)timespec_ms_between(
 		suspect_is_quarantined(suspect) ? suspect->quarantined_at
 						: suspect->last_crash_at,
 		clock_boottime(self->relay->clock))};
--- a/moortack/relay/relay_quarantine_priv.h
+++ b/moortack/relay/relay_quarantine_priv.h
@@ -30,6 +30,8 @@
  * @param age_ms time since that crash */
 bool quarantine_verdict_refuted(
     relay_quarantine_t *, uint64_t digest, uint32_t version, int64_t age_ms);
+/** Whether to refute another daemon's suspicion of a part now. */
+bool quarantine_refutation_due(relay_quarantine_t *, uint64_t digest);
 /** Add the parts of the request's prompt that may have crashed the endpoint. */
 void quarantine_add_parts(relay_request_t *, unresolved_attempt_t *);
 /** A suspect ran without a crash.
--- a/moortack/relay/relay_suspects.c
+++ b/moortack/relay/relay_suspects.c
@@ -66,8 +66,9 @@
 static size_t
 suspicion_count(relay_request_t *req)
 {
+	uint64_t suspected;
 	size_t request = request_suspicion(req);
-	size_t part = relay_parts_suspicion(req);
+	size_t part = relay_parts_suspicion(req, &suspected);
 
 	return part > request ? part : request;
 }
--- a/test/fuzz/quarantine_fuzz.c
+++ b/test/fuzz/quarantine_fuzz.c
@@ -168,7 +168,7 @@
 
 	if (message->kind == MESSAGE_CRASH) {
 		quarantine_record_crash(&daemon->table, message->digest,
-		    message->incarnation, VERSION, false);
+		    message->incarnation, VERSION, 0, false);
 	} else if (message->kind == MESSAGE_CLEARED) {
 		quarantine_clear(&daemon->table, message->digest);
 	} else {
@@ -271,7 +271,7 @@
 		oracle->crashes[oracle->len++] =
 		    (crash_t){incarnation, now_ms()};
 	if (quarantine_record_crash(&world.daemons[daemon].table,
-		digest_of(request), incarnation, VERSION, true))
+		digest_of(request), incarnation, VERSION, 0, true))
 		broadcast(input, daemon,
 		    (message_t){.kind = MESSAGE_CRASH,
 			.digest = digest_of(request),
--- a/test/unit/gossip_test.c
+++ b/test/unit/gossip_test.c
@@ -60,7 +60,7 @@
 	    .version_hash = UINT32_MAX,
 	    .crashes = {UINT32_MAX, 2, UINT32_MAX},
 	    .crashes_len = GOSSIP_MESSAGE_CRASHES_MAX,
-	    .quarantined_ms = UINT32_MAX};
+	    .age_ms = UINT32_MAX};
 	const gossip_message_t rate_limit = {.kind = GOSSIP_RATE_LIMIT,
 	    .endpoint_hash = UINT32_MAX,
 	    .rate_limited = true,
--- a/test/unit/quarantine_test.c
+++ b/test/unit/quarantine_test.c
@@ -80,7 +80,7 @@
 {
 	for (uint32_t i = 0; i < count; i++)
 		quarantine_record_crash(
-		    &table, digest, first + i, VERSION, true);
+		    &table, digest, first + i, VERSION, 0, true);
 }
 
 static void
@@ -182,7 +182,7 @@
 	quarantine_allow_trials(&table, VERSION);
 	assert_false(quarantine_admit(&table, POISON, false));
 	assert_true(quarantine_admit(&table, POISON, true));
-	quarantine_record_crash(&table, POISON, 9, VERSION + 1, true);
+	quarantine_record_crash(&table, POISON, 9, VERSION + 1, 0, true);
 	quarantine_allow_trials(&table, VERSION);
 	assert_false(quarantine_admit(&table, POISON, true));
 }
@@ -243,7 +243,7 @@
 part_crash(uint64_t part, uint32_t incarnation, int64_t after_ms)
 {
 	test_clock.now = timespec_add_ms(test_clock.now, after_ms);
-	quarantine_record_crash(&table, part, incarnation, VERSION, true);
+	quarantine_record_crash(&table, part, incarnation, VERSION, 0, true);
 }
 
 static void
@@ -258,6 +258,21 @@
 	assert_false(quarantine_admit(&table, BAD_PART, true));
 }
 
+static void
+crashes_count_by_the_time_at_which_they_happened(void **state)
+{
+	(void)state;
+	part_crash(SOUND_PART, 1, 0);
+	/* Found late: it happened at the same moment. */
+	test_clock.now =
+	    timespec_add_ms(test_clock.now, 3 * PART_CRASH_SPACING_MS);
+	quarantine_record_crash(
+	    &table, SOUND_PART, 2, VERSION, 3 * PART_CRASH_SPACING_MS, true);
+	assert_int_equal(quarantine_crash_count(&table, SOUND_PART), 1);
+	part_crash(SOUND_PART, 3, 0);
+	assert_int_equal(quarantine_crash_count(&table, SOUND_PART), 2);
+}
+
 static void
 a_quarantined_part_explains_its_crashes(void **state)
 {
@@ -370,6 +385,9 @@
 	    cmocka_unit_test_setup_teardown(
 		crashes_of_one_moment_count_once_against_a_part, setup,
 		teardown),
+	    cmocka_unit_test_setup_teardown(
+		crashes_count_by_the_time_at_which_they_happened, setup,
+		teardown),
 	    cmocka_unit_test_setup_teardown(
 		a_quarantined_part_explains_its_crashes, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
