quarantine: crashes under all prompts end no part's proof

Cause, traced by the logs: for 2 s every endpoint ended within moments. The first part of all prompts, answered by every daemon until then, was under three crashes at each of them with no answer in between, which ended all proofs at once.

Change: more than two crashes end a part's proof only if eight prompts without it were answered since it was last answered. While nothing is answered, a crash says nothing about one part.

--- a/include/moortack/quarantine/proven_parts.h
+++ b/include/moortack/quarantine/proven_parts.h
@@ -13,8 +13,12 @@
 #include <stdint.h>
 
 /** Crashes since it was last answered that a proven part outweighs; the next
- * one ends the proof. */
+ * one ends the proof, unless hardly any prompt was answered since. */
 #define PROOF_CRASHES_MAX 2
+/** Prompts without the part that have to be answered before crashes can end its
+ * proof: while endpoints crash under all prompts, that says nothing about one
+ * part. */
+#define PROOF_CONTRAST_MIN 8
 
 typedef struct proven_part {
 	uint64_t digest;     /**< see part_digest(); 0: unused */
@@ -23,17 +27,21 @@
 	uint32_t version;    /**< hash of the service and version that did so */
 	uint32_t last_crash; /**< hash of the incarnation that crashed last */
 	uint32_t crashes;    /**< under the part, since it was answered */
+	uint32_t answers_at; /**< answers counted when it was answered */
 } proven_part_t;
 
 typedef struct proven_parts {
 	proven_part_t *entries;
+	uint32_t answers; /**< prompts answered so far; may overflow */
 } proven_parts_t;
 
 /** @return false: out of memory */
 bool proven_parts_init(proven_parts_t *);
 void proven_parts_finish(proven_parts_t *);
 
-/** An endpoint answered a prompt with the part and went on. */
+/** An endpoint answered a prompt and went on; its parts are added next. */
+void proven_parts_count_answer(proven_parts_t *);
+/** A prompt with the part was answered. */
 void proven_parts_add(
     proven_parts_t *, uint64_t digest, uint32_t version, int64_t now_ms);
 /** @return NULL: the part is not proven, or no longer */
--- a/moortack/quarantine/proven_parts.c
+++ b/moortack/quarantine/proven_parts.c
@@ -62,6 +62,12 @@
 	return oldest;
 }
 
+void
+proven_parts_count_answer(proven_parts_t *self)
+{
+	self->answers++;
+}
+
 void
 proven_parts_add(
     proven_parts_t *self, uint64_t digest, uint32_t version, int64_t now_ms)
@@ -75,6 +81,7 @@
 	entry->answered_ms = now_ms;
 	entry->version = version;
 	entry->crashes = 0;
+	entry->answers_at = self->answers;
 }
 
 const proven_part_t *
@@ -98,7 +105,8 @@
 	if (entry->crashes == 0 || entry->last_crash != incarnation)
 		entry->crashes++;
 	entry->last_crash = incarnation;
-	if (entry->crashes <= PROOF_CRASHES_MAX)
+	if (entry->crashes <= PROOF_CRASHES_MAX ||
+	    self->answers - entry->answers_at < PROOF_CONTRAST_MIN)
 		return true;
 	proven_parts_remove(self, digest);
 	return false;
--- a/moortack/relay/relay_parts.c
+++ b/moortack/relay/relay_parts.c
@@ -85,6 +85,7 @@
 	const uint64_t *parts = relay_request_parts(req, &len);
 
 	req->attempt.parts_answered = true;
+	proven_parts_count_answer(&self->proven);
 	for (size_t i = 0; i < len; i++) {
 		proven_parts_add(&self->proven, parts[i], version, now_ms);
 		if (quarantine_crash_count(&self->table, parts[i]) > 0)
--- a/test/unit/proven_parts_test.c
+++ b/test/unit/proven_parts_test.c
@@ -17,6 +17,13 @@
 
 static proven_parts_t proven;
 
+static void
+answer_others(size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		proven_parts_count_answer(&proven);
+}
+
 static int
 setup(void **state)
 {
@@ -42,10 +49,23 @@
 	/* Reported by another daemon as well. */
 	assert_true(proven_parts_outweigh(&proven, PART, 1, 0));
 	assert_true(proven_parts_outweigh(&proven, PART, 2, 0));
+	answer_others(PROOF_CONTRAST_MIN);
 	assert_false(proven_parts_outweigh(&proven, PART, 3, 0));
 	assert_null(proven_parts_find(&proven, PART, 0));
 }
 
+static void
+crashes_under_all_prompts_end_no_proof(void **state)
+{
+	(void)state;
+	proven_parts_add(&proven, PART, VERSION, 0);
+	answer_others(PROOF_CONTRAST_MIN - 1);
+	for (uint32_t crash = 1; crash < 20; crash++)
+		assert_true(proven_parts_outweigh(&proven, PART, crash, 0));
+	answer_others(1);
+	assert_false(proven_parts_outweigh(&proven, PART, 20, 0));
+}
+
 static void
 each_answer_renews_the_proof(void **state)
 {
@@ -89,6 +109,8 @@
 		an_answer_outweighs_two_crashes, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		each_answer_renews_the_proof, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		crashes_under_all_prompts_end_no_proof, setup, teardown),
 	    cmocka_unit_test_setup_teardown(a_proof_expires, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		the_oldest_proof_of_a_bucket_is_replaced, setup, teardown),
