quarantine: the first trial of a quarantined part comes after two seconds

Cause: for a request, a wrong verdict costs that request; for a part, all that share it, and the first trial came as late.

Change: a quarantined part has one early trial, 2 s after its verdict, by the owner of its digest as any other trial, of a request that is refused for nothing else. If its endpoint crashes, the next one comes ten minutes later.

Evidence: unit_quarantine.

--- a/include/moortack/quarantine/quarantine.h
+++ b/include/moortack/quarantine/quarantine.h
@@ -13,7 +13,9 @@
  * The same holds for the parts of its prompt, each of which stands for all
  * requests that share it. Since a part may be under way at many endpoints at
  * once, crashes of the same moment count as one, and once a part is
- * quarantined, its crashes are no evidence against others any more.
+ * quarantined, its crashes are no evidence against others any more. Many
+ * requests are refused for a part that is quarantined by mistake, so that its
+ * first trial comes soon.
  */
 #ifndef MOORTACK_QUARANTINE_QUARANTINE_H
 #define MOORTACK_QUARANTINE_QUARANTINE_H
@@ -47,7 +49,9 @@
 	struct timespec last_crash_at;
 	struct timespec cleared_at;	/**< 0: not cleared */
 	struct timespec quarantined_at; /**< 0: not quarantined */
-	bool trial_allowed; /**< at once: its version is no longer in use */
+	bool trial_allowed;    /**< at once: its version is no longer in use */
+	bool early_trial_used; /**< of a part; there is one until it is cleared
+				*/
 	struct timespec trial_started_at; /**< of the last trial; 0: none */
 	bool observed_locally; /**< this daemon detected one of the crashes */
 	/* How far the owner of the table has processed the quarantine. */
--- a/moortack/quarantine/quarantine.c
+++ b/moortack/quarantine/quarantine.c
@@ -7,6 +7,8 @@
 #define SUSPECT_EXPIRY_MS 3600000
 /* How long a request is quarantined before a trial is permitted. */
 #define TRIAL_AFTER_MS 600000
+/* The same for the first trial of a part. */
+#define PART_TRIAL_AFTER_MS 2000
 /* Time after the last crash at which a quarantine expires. */
 #define QUARANTINE_EXPIRY_MS 900000
 /* A trial that takes longer has no result: the next one may start. */
@@ -223,6 +225,13 @@
 	    PART_CRASH_SPACING_MS;
 }
 
+static bool
+early_trial_permitted(const quarantine_t *self, const suspect_t *suspect)
+{
+	return digest_is_part(suspect->digest) && !suspect->early_trial_used &&
+	    age_ms(self, suspect->quarantined_at) >= PART_TRIAL_AFTER_MS;
+}
+
 static bool
 trial_permitted(const quarantine_t *self, const suspect_t *suspect)
 {
@@ -310,6 +319,7 @@
 	suspect->crashes_len = 0;
 	suspect->observed_locally = false;
 	suspect->spread = false;
+	suspect->early_trial_used = false;
 	suspect->cleared_at = clock_boottime(self->clock);
 	return true;
 }
@@ -321,11 +331,14 @@
 
 	if (!suspect_is_quarantined(suspect))
 		return true;
-	if (!may_try || !trial_permitted(self, suspect) ||
+	if (!may_try ||
+	    (!trial_permitted(self, suspect) &&
+		!early_trial_permitted(self, suspect)) ||
 	    (is_set(suspect->trial_started_at) &&
 		age_ms(self, suspect->trial_started_at) < TRIAL_TIMEOUT_MS))
 		return false;
 	suspect->trial_started_at = clock_boottime(self->clock);
+	suspect->early_trial_used = true;
 	return true;
 }
 
--- a/test/unit/quarantine_test.c
+++ b/test/unit/quarantine_test.c
@@ -296,6 +296,29 @@
 	assert_true(quarantine_admit(&table, SOUND_PART, true));
 }
 
+static void
+a_part_has_one_early_trial(void **state)
+{
+	(void)state;
+	for (uint32_t i = 1; i <= 3; i++)
+		part_crash(BAD_PART, i, PART_CRASH_SPACING_MS);
+	test_clock.now = timespec_add_ms(test_clock.now, 1999);
+	assert_false(quarantine_admit(&table, BAD_PART, true));
+	test_clock.now = timespec_add_ms(test_clock.now, 1);
+	assert_false(quarantine_admit(&table, BAD_PART, false));
+	assert_true(quarantine_admit(&table, BAD_PART, true));
+	/* Callers come back after the next trial at the earliest. */
+	assert_int_equal(
+	    quarantine_remaining_ms(&table, BAD_PART), TRIAL_AFTER_MS - 2000);
+	part_crash(BAD_PART, 4, 100);
+	test_clock.now = timespec_add_ms(test_clock.now, 2 * MINUTE_MS);
+	assert_false(quarantine_admit(&table, BAD_PART, true));
+	/* A request has none. */
+	record_crashes(POISON, 1, 3);
+	test_clock.now = timespec_add_ms(test_clock.now, 2 * MINUTE_MS);
+	assert_false(quarantine_admit(&table, POISON, true));
+}
+
 static void
 a_part_that_was_cleared_is_suspected_again_soon(void **state)
 {
@@ -390,6 +413,8 @@
 		teardown),
 	    cmocka_unit_test_setup_teardown(
 		a_quarantined_part_explains_its_crashes, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		a_part_has_one_early_trial, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		a_part_that_was_cleared_is_suspected_again_soon, setup,
 		teardown),
