--- a/moortack/relay/relay_crashes.c
+++ b/moortack/relay/relay_crashes.c
@@ -272,12 +272,11 @@
 relay_attempt_abandoned(relay_request_t *req)
 {
 	relay_quarantine_t *self = &req->relay->quarantine;
-	uint64_t suspected;
 
 	if (attempt_record(req, &self->abandoned) &&
 	    (quarantine_crash_count(&self->table, relay_request_digest(req)) >
 		    0 ||
-		relay_parts_suspicion(req, &suspected) > 0))
+		relay_parts_suspicion(req) > 0))
 		quarantine_probe(
 		    self, req->attempt.endpoint, ABANDONED_PROBE_DELAY_MS);
 }
--- a/moortack/relay/relay_parts.c
+++ b/moortack/relay/relay_parts.c
@@ -147,14 +147,13 @@
 }
 
 size_t
-relay_parts_suspicion(relay_request_t *req, uint64_t *suspected)
+relay_parts_suspicion(relay_request_t *req)
 {
 	const relay_quarantine_t *self = &req->relay->quarantine;
 	int64_t now_ms = quarantine_now_ms(self);
 	size_t len, most = 0;
 	const uint64_t *parts;
 
-	*suspected = 0;
 	if (HASH_COUNT(self->table.suspects) == 0 && self->interrupted.len == 0)
 		return 0;
 	parts = relay_request_parts(req, &len);
@@ -164,8 +163,6 @@
 		if (proven_parts_find(&self->proven, parts[i], now_ms) != NULL)
 			continue;
 		count = part_suspicion(self, parts[i]);
-		if (count > 0)
-			*suspected ^= parts[i];
 		if (count > most)
 			most = count;
 	}
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -322,9 +322,8 @@
 /** An event of the attempt's stream was received. */
 void relay_parts_event(relay_request_t *);
 /** Crashes recorded, and possible ones, for the most suspected part of the
- * prompt that is not proven.
- * @param suspected hash of the set of its suspected parts; 0: none */
-size_t relay_parts_suspicion(relay_request_t *, uint64_t *suspected);
+ * prompt that is not proven. */
+size_t relay_parts_suspicion(relay_request_t *);
 /** How many of the request itself and the parts of its prompt are quarantined.
  * @param first digest of one of them; 0: none */
 size_t relay_quarantined_causes(relay_request_t *, uint64_t *first);
--- a/moortack/relay/relay_suspects.c
+++ b/moortack/relay/relay_suspects.c
@@ -66,9 +66,8 @@
 static size_t
 suspicion_count(relay_request_t *req)
 {
-	uint64_t suspected;
 	size_t request = request_suspicion(req);
-	size_t part = relay_parts_suspicion(req, &suspected);
+	size_t part = relay_parts_suspicion(req);
 
 	return part > request ? part : request;
 }
