--- a/moortack/quarantine/proven_parts.c
+++ b/moortack/quarantine/proven_parts.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /* Capacity, a power of two: at 33 requests a second and daemon, a minute of
- * prompts with two shared parts each, all of them different. 128 KB. */
+ * prompts with two shared parts each, all of them different. 160 KB. */
 #define ENTRIES 4096
 /* Associativity: entries per bucket. */
 #define WAYS 4
