--- a/soak/soak.lua
+++ b/soak/soak.lua
@@ -227,6 +227,9 @@
   half = function(fault)
     return replica_fault(fault.replica, {half_after = fault.events})
   end,
+  unframed = function(fault)
+    return replica_fault(fault.replica, {unframed = true})
+  end,
   shed = function(fault) return replica_fault(fault.replica, {shed = true}) end,
   fail = function(fault) return replica_fault(fault.replica, {fail = true}) end,
   -- The limit and the drain notice last until they are drawn again.
