quarantine: a part's trial without a result is repeated after five seconds

Found by reading: the early trial of a part was used up when its request was admitted. If no endpoint could take that request, as is likely just after a series of crashes, or its caller left, a part that had been quarantined by mistake stayed refused for ten minutes.

Change: only a crash during the trial uses it up; a trial of a part without a result may be repeated after 5 s rather than 60.

Evidence: unit_quarantine (a trial that was not sent).

--- a/include/moortack/quarantine/quarantine.h
+++ b/include/moortack/quarantine/quarantine.h
@@ -50,8 +50,7 @@
 	struct timespec cleared_at;	/**< 0: not cleared */
 	struct timespec quarantined_at; /**< 0: not quarantined */
 	bool trial_allowed;    /**< at once: its version is no longer in use */
-	bool early_trial_used; /**< of a part; there is one until it is cleared
-				*/
+	bool early_trial_used; /**< of a part: there was a crash during it */
 	struct timespec trial_started_at; /**< of the last trial; 0: none */
 	bool observed_locally; /**< this daemon detected one of the crashes */
 	/* How far the owner of the table has processed the quarantine. */
--- a/moortack/quarantine/quarantine.c
+++ b/moortack/quarantine/quarantine.c
@@ -13,6 +13,9 @@
 #define QUARANTINE_EXPIRY_MS 900000
 /* A trial that takes longer has no result: the next one may start. */
 #define TRIAL_TIMEOUT_MS 60000
+/* The same for a part: that of a request which was not sent, since few
+ * endpoints are left, must not keep all others out for long. */
+#define PART_TRIAL_TIMEOUT_MS 5000
 /* Maximum difference between the times at which two daemons date the start of
  * the same quarantine. */
 #define START_TOLERANCE_MS 5000
@@ -266,6 +269,7 @@
 	if (timespec_ms_between(suspect->last_crash_at, crashed_at) > 0)
 		suspect->last_crash_at = crashed_at;
 	suspect->observed_locally |= observed_locally;
+	suspect->early_trial_used |= is_set(suspect->trial_started_at);
 	/* Runs that were in flight when the request was quarantined do not
 	 * renew the quarantine. */
 	if (suspect->crashes_len == QUARANTINE_CRASH_THRESHOLD &&
@@ -333,6 +337,18 @@
 	return true;
 }
 
+/* Whether there is a trial that may still have a result. */
+static bool
+trial_in_progress(const quarantine_t *self, const suspect_t *suspect)
+{
+	int64_t timeout_ms = digest_is_part(suspect->digest)
+	    ? PART_TRIAL_TIMEOUT_MS
+	    : TRIAL_TIMEOUT_MS;
+
+	return is_set(suspect->trial_started_at) &&
+	    age_ms(self, suspect->trial_started_at) < timeout_ms;
+}
+
 bool
 quarantine_admit(quarantine_t *self, uint64_t digest, bool may_try)
 {
@@ -343,11 +359,9 @@
 	if (!may_try ||
 	    (!trial_permitted(self, suspect) &&
 		!early_trial_permitted(self, suspect)) ||
-	    (is_set(suspect->trial_started_at) &&
-		age_ms(self, suspect->trial_started_at) < TRIAL_TIMEOUT_MS))
+	    trial_in_progress(self, suspect))
 		return false;
 	suspect->trial_started_at = clock_boottime(self->clock);
-	suspect->early_trial_used = true;
 	return true;
 }
 
--- a/test/unit/quarantine_test.c
+++ b/test/unit/quarantine_test.c
@@ -310,6 +310,11 @@
 	/* Callers come back after the next trial at the earliest. */
 	assert_int_equal(
 	    quarantine_remaining_ms(&table, BAD_PART), TRIAL_AFTER_MS - 2000);
+	/* The request was not sent: there is no result. */
+	test_clock.now = timespec_add_ms(test_clock.now, 4999);
+	assert_false(quarantine_admit(&table, BAD_PART, true));
+	test_clock.now = timespec_add_ms(test_clock.now, 1);
+	assert_true(quarantine_admit(&table, BAD_PART, true));
 	part_crash(BAD_PART, 4, 100);
 	test_clock.now = timespec_add_ms(test_clock.now, 2 * MINUTE_MS);
 	assert_false(quarantine_admit(&table, BAD_PART, true));
