relay: a suspected part's requests are repeated only beside a crash of this moment

Change: a tenth of a second instead, in which a failure of many endpoints is noticed at all of them.

--- a/include/moortack/quarantine/quarantine.h
+++ b/include/moortack/quarantine/quarantine.h
@@ -99,8 +99,9 @@
 /** Number of crashes recorded for the request. */
 size_t quarantine_crash_count(const quarantine_t *, uint64_t digest);
 
-/** Whether a crash now would belong to the same failure as the last one that
- * counted. */
+/** Whether the last crash that counted happened at this moment: within a tenth
+ * of a second, in which a failure that takes many endpoints is noticed at all
+ * of them. */
 bool quarantine_failed_just_now(const quarantine_t *, uint64_t digest);
 
 /** Record that an endpoint crashed while the request ran there.
--- a/moortack/quarantine/quarantine.c
+++ b/moortack/quarantine/quarantine.c
@@ -25,6 +25,8 @@
 /* The same for parts: in a series of crashes, a part that did not crash one
  * endpoint may crash the next ones. */
 #define PART_CLEARED_PRECEDENCE_MS 2000
+/* Time in which one failure is noticed at all endpoints that it takes. */
+#define MOMENT_MS 100
 /* Suspects that are looked at to find one that is evicted. */
 #define EVICTION_CANDIDATES 32
 
@@ -233,8 +235,8 @@
 {
 	const suspect_t *suspect = quarantine_find(self, digest);
 
-	return suspect != NULL &&
-	    is_same_failure(suspect, clock_boottime(self->clock));
+	return suspect != NULL && suspect->crashes_len > 0 &&
+	    age_ms(self, suspect->last_crash_at) < MOMENT_MS;
 }
 
 static bool
