quarantine: an answered stream goes on when a part of its prompt is quarantined

Found by reading: all requests in flight with a part end when it is quarantined, also streams that their endpoints had long begun to answer, which no longer crash them. If the verdict was wrong, that cut sound streams midway.

Change: a stream that counts as answered goes on. The report that a request or a part was answered is one function for both.

--- a/moortack/relay/relay_parts.c
+++ b/moortack/relay/relay_parts.c
@@ -1,5 +1,3 @@
-#include <inttypes.h>
-
 #include "relay_quarantine_priv.h"
 #include "relay_request.h"
 
@@ -62,19 +60,6 @@
 	    &self->proven, digest, quarantine_now_ms(self));
 }
 
-/* @param trial the run was permitted as a trial of a quarantined part */
-static void
-part_clear(relay_quarantine_t *self, uint64_t part, bool trial)
-{
-	gossip_message_t message = {
-	    .kind = GOSSIP_CLEARED, .digests = {part}, .digests_len = 1};
-
-	if (trial)
-		gossip_broadcast(self->relay->gossip, &message);
-	quarantine_announce(self, &message);
-	quarantine_suspect_clear(self, part, "run");
-}
-
 void
 relay_parts_answered(relay_request_t *req)
 {
@@ -88,8 +73,7 @@
 	proven_parts_count_answer(&self->proven);
 	for (size_t i = 0; i < len; i++) {
 		proven_parts_add(&self->proven, parts[i], version, now_ms);
-		if (quarantine_crash_count(&self->table, parts[i]) > 0)
-			part_clear(self, parts[i], req->quarantine_trial);
+		quarantine_report_answer(self, parts[i], req->quarantine_trial);
 	}
 }
 
--- a/moortack/relay/relay_quarantine.c
+++ b/moortack/relay/relay_quarantine.c
@@ -90,6 +90,13 @@
 		self->resend[self->resend_len++] = *message;
 }
 
+gossip_message_t
+quarantine_cleared_message(uint64_t digest)
+{
+	return (gossip_message_t){
+	    .kind = GOSSIP_CLEARED, .digests = {digest}, .digests_len = 1};
+}
+
 void
 quarantine_suspect_clear(
     relay_quarantine_t *self, uint64_t digest, const char *source)
@@ -108,20 +115,27 @@
 }
 
 void
-relay_attempt_completed(relay_request_t *req)
+quarantine_report_answer(
+    relay_quarantine_t *self, uint64_t digest, bool was_trial)
 {
-	relay_quarantine_t *self = &req->relay->quarantine;
-	gossip_message_t message = {.kind = GOSSIP_CLEARED, .digests_len = 1};
+	gossip_message_t message = quarantine_cleared_message(digest);
 
-	if (HASH_COUNT(self->table.suspects) == 0 ||
-	    quarantine_crash_count(&self->table, relay_request_digest(req)) ==
-		0)
+	if (quarantine_crash_count(&self->table, digest) == 0)
 		return;
-	message.digests[0] = relay_request_digest(req);
-	if (req->quarantine_trial)
-		gossip_broadcast(req->relay->gossip, &message);
+	if (was_trial)
+		gossip_broadcast(self->relay->gossip, &message);
 	quarantine_announce(self, &message);
-	quarantine_suspect_clear(self, relay_request_digest(req), "run");
+	quarantine_suspect_clear(self, digest, "run");
+}
+
+void
+relay_attempt_completed(relay_request_t *req)
+{
+	relay_quarantine_t *self = &req->relay->quarantine;
+
+	if (HASH_COUNT(self->table.suspects) > 0)
+		quarantine_report_answer(
+		    self, relay_request_digest(req), req->quarantine_trial);
 }
 
 /* Whether a told crash may complete the quarantine of a part: only its owner
@@ -136,20 +150,13 @@
 	    gossip_owns_digest(self->relay->gossip, digest);
 }
 
-static gossip_message_t
-cleared_message(uint64_t digest)
-{
-	return (gossip_message_t){
-	    .kind = GOSSIP_CLEARED, .digests = {digest}, .digests_len = 1};
-}
-
 /* Tell the daemon that suspects a part, and the owner of its digest, that it
  * was answered. */
 static void
 suspicion_refute(
     relay_quarantine_t *self, const struct sockaddr_in *from, uint64_t part)
 {
-	gossip_message_t message = cleared_message(part);
+	gossip_message_t message = quarantine_cleared_message(part);
 
 	if (!quarantine_refutation_due(self, part))
 		return;
@@ -175,7 +182,7 @@
 static void
 cleared_receive(relay_quarantine_t *self, uint64_t digest)
 {
-	gossip_message_t message = cleared_message(digest);
+	gossip_message_t message = quarantine_cleared_message(digest);
 
 	if (digest_is_part(digest) &&
 	    suspect_is_quarantined(quarantine_find(&self->table, digest)) &&
@@ -189,7 +196,7 @@
 static void
 part_quarantine_check(relay_quarantine_t *self, uint64_t part)
 {
-	gossip_message_t message = cleared_message(part);
+	gossip_message_t message = quarantine_cleared_message(part);
 
 	if (!suspect_is_quarantined(quarantine_find(&self->table, part)) &&
 	    gossip_owns_digest(self->relay->gossip, part))
@@ -371,6 +378,18 @@
 	quarantine_rows_write(self);
 }
 
+/* Whether to end the request in flight: unless its endpoint has answered a part
+ * that is quarantined now, and will hardly crash on it any more. */
+static bool
+request_must_stop(relay_request_t *req)
+{
+	if (req->quarantine_trial ||
+	    relay_quarantined_causes(req, &req->quarantined_cause) == 0)
+		return false;
+	return !req->attempt.parts_answered ||
+	    !digest_is_part(req->quarantined_cause);
+}
+
 /* Ending the request may keep it from crashing one more endpoint. */
 static void
 request_stop(relay_request_t *req)
@@ -392,8 +411,7 @@
 	(void)what;
 	for (req = self->relay->requests; req != NULL; req = next) {
 		next = req->next;
-		if (!req->quarantine_trial &&
-		    relay_quarantined_causes(req, &req->quarantined_cause) > 0)
+		if (request_must_stop(req))
 			request_stop(req);
 	}
 	for (suspect = self->table.suspects; suspect != NULL;
--- a/moortack/relay/relay_quarantine_priv.h
+++ b/moortack/relay/relay_quarantine_priv.h
@@ -34,6 +34,13 @@
 bool quarantine_refutation_due(relay_quarantine_t *, uint64_t digest);
 /** Add the parts of the request's prompt that may have crashed the endpoint. */
 void quarantine_add_parts(relay_request_t *, unresolved_attempt_t *);
+/** A message that a suspect is cleared. */
+gossip_message_t quarantine_cleared_message(uint64_t digest);
+/** A request ran, or a part was answered, without a crash: if it is suspected,
+ * clear it, and report that to other daemons.
+ * @param was_trial all daemons refuse it, and have to learn of that */
+void
+quarantine_report_answer(relay_quarantine_t *, uint64_t digest, bool was_trial);
 /** A suspect ran without a crash.
  * @param source how that is known, for the log */
 void quarantine_suspect_clear(
