test: the fixture of lost links has decoded the parts of its request

unit_lost_links ended by a segmentation fault in five tests since: its request has no caller whose headers could be decoded for the parts of a prompt. The fixture says that they are decoded, and that there are none; the checks are the same. A test more: the fall of a brittle endpoint is evidence against a part, but not against the request.

--- a/test/unit/lost_links_test.c
+++ b/test/unit/lost_links_test.c
@@ -19,6 +19,7 @@
 
 #define ENDPOINTS 6
 #define DIGEST 0x1234
+#define PART ((1ULL << 63) + 1)
 #define SERVICE "lm"
 
 typedef struct fixture {
@@ -50,7 +51,8 @@
 	self->req = (relay_request_t){.relay = &self->node.node.relay,
 	    .route = &self->route,
 	    .service = SERVICE,
-	    .digest = DIGEST};
+	    .digest = DIGEST,
+	    .parts_decoded = true};
 }
 
 /* An attempt at the endpoint loses its connection. */
@@ -263,6 +265,28 @@
 	node_fixture_finish(&self.node);
 }
 
+static void
+a_part_is_suspected_of_the_fall_of_a_brittle_endpoint(void **state)
+{
+	uint64_t part = PART;
+	fixture_t self;
+
+	(void)state;
+	fixture_init(&self);
+	self.req.part_digests = &part;
+	self.req.part_digests_len = 1;
+	say_brittle(&self);
+	lose_attempt(&self, 0);
+	node_fixture_advance(&self.node, 10);
+	respond(&self, 1);
+	refuse(&self, 0);
+	assert_int_equal(crashes(&self), 0);
+	assert_int_equal(quarantine_crash_count(
+			     &self.node.node.relay.quarantine.table, PART),
+	    1);
+	node_fixture_finish(&self.node);
+}
+
 /* An attempt that waits for its first byte much longer than others did. */
 static void
 wait_for_first_byte(fixture_t *self)
@@ -353,6 +377,8 @@
 	    cmocka_unit_test(failures_of_lost_links_are_none_of_the_version),
 	    cmocka_unit_test(
 		a_brittle_endpoint_that_falls_is_no_sign_of_a_crash_or_a_bad_version),
+	    cmocka_unit_test(
+		a_part_is_suspected_of_the_fall_of_a_brittle_endpoint),
 	    cmocka_unit_test(silence_of_lost_links_is_no_late_response),
 	    cmocka_unit_test(
 		a_response_is_kept_while_no_other_endpoint_can_be_reached),
