relay: an unconfirmed end of a response clears no suspicion

Found by reading: a response without length or chunks whose probe has no result, whose time limit comes first, or whose endpoint leaves is delivered, and still counted as a sign that its endpoint did not crash: the mere end of a connection cleared the request and proved the parts of its prompt.

Change: it clears and proves only after a probe that was accepted. Also: the owner of a suspicion to be spread is looked for once a suspect, not at each tick, as that looks at all members; three comments say less of their past.

--- a/include/moortack/quarantine/quarantine.h
+++ b/include/moortack/quarantine/quarantine.h
@@ -55,7 +55,8 @@
 	bool observed_locally; /**< this daemon detected one of the crashes */
 	/* How far the owner of the table has processed the quarantine. */
 	bool explained; /**< its crashes are no evidence against others */
-	bool spread;	/**< sent to all daemons before it is quarantined */
+	bool spread;	/**< to all daemons before it is quarantined, or another
+			   daemon has to */
 	uint32_t announcements;	 /**< sent to other daemons */
 	size_t stored_crashes;	 /**< number of crashes in its stored row */
 	uint64_t stored_version; /**< of its row; 0: there is none */
--- a/moortack/relay/relay_quarantine.c
+++ b/moortack/relay/relay_quarantine.c
@@ -133,7 +133,7 @@
 {
 	relay_quarantine_t *self = &req->relay->quarantine;
 
-	if (HASH_COUNT(self->table.suspects) > 0)
+	if (HASH_COUNT(self->table.suspects) > 0 && relay_end_shows_life(req))
 		quarantine_report_answer(
 		    self, relay_request_digest(req), req->quarantine_trial);
 }
@@ -314,10 +314,12 @@
 
 	if (suspect->spread || !self->relay->gossip->uses_owners ||
 	    !digest_is_part(suspect->digest) ||
-	    suspect->crashes_len + 1 < QUARANTINE_CRASH_THRESHOLD ||
-	    !gossip_owns_digest(self->relay->gossip, suspect->digest))
+	    suspect->crashes_len + 1 < QUARANTINE_CRASH_THRESHOLD)
 		return;
+	/* The owner is found by a look at all members: once for a suspect. */
 	suspect->spread = true;
+	if (!gossip_owns_digest(self->relay->gossip, suspect->digest))
+		return;
 	message = suspect_message(self, suspect);
 	gossip_spread(self->relay->gossip, &message);
 }
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -73,18 +73,19 @@
 	bool connection_lost;	  /**< before the response was complete */
 	bool connection_refused; /**< by the endpoint's host: nothing listens */
 	bool completed;		 /**< the response was complete */
-	bool end_uncertain;	 /**< the response ended with its connection;
-				    a probe tells whether the endpoint crashed */
-	bool parts_answered;	 /**< the prompt did not crash the endpoint */
-	bool warmup_acquired;	 /**< counted against the quota of its cold
-				    endpoint */
-	int64_t warmup_slot;	 /**< slot in which it was counted */
-	bool rate_acquired;	 /**< counted against the rate limit of its
-				    endpoint */
-	int64_t rate_slot;	 /**< slot in which it was counted */
-	bool unresolved;	 /**< its endpoint may still refuse it */
-	bool forwarded;		 /**< sent on through another daemon; there is
-				    no endpoint */
+	bool end_confirmed; /**< after that, the endpoint was found to listen */
+	bool end_uncertain; /**< the response ended with its connection;
+			       a probe tells whether the endpoint crashed */
+	bool parts_answered;	   /**< the prompt did not crash the endpoint */
+	bool warmup_acquired;	   /**< counted against the quota of its cold
+				      endpoint */
+	int64_t warmup_slot;	   /**< slot in which it was counted */
+	bool rate_acquired;	   /**< counted against the rate limit of its
+				      endpoint */
+	int64_t rate_slot;	   /**< slot in which it was counted */
+	bool unresolved;	   /**< its endpoint may still refuse it */
+	bool forwarded;		   /**< sent on through another daemon; there is
+				      no endpoint */
 	struct sockaddr_in helper; /**< that daemon */
 	uint32_t forward_sends;	   /**< endpoints that it may send it to */
 	bool has_forward_result;
@@ -312,6 +313,9 @@
 /** Whether the end of the connection that ended the response may be that of the
  * endpoint's process. */
 bool relay_end_is_uncertain(const relay_request_t *);
+/** Whether the end of the response shows that the endpoint did not crash on the
+ * request: the end of its connection alone does not. */
+bool relay_end_shows_life(const relay_request_t *);
 /** Probe the endpoint: the response is complete if it still listens. */
 void relay_end_confirm(relay_request_t *);
 /** The endpoint was probed: end the responses that wait for the result. */
--- a/moortack/relay/relay_retry.c
+++ b/moortack/relay/relay_retry.c
@@ -228,7 +228,7 @@
 	}
 	endpoint_record_success(req->attempt.endpoint);
 	relay_attempt_completed(req);
-	if (status_is_success(req->status))
+	if (status_is_success(req->status) && relay_end_shows_life(req))
 		relay_parts_answered(req);
 	relay_canary_completed(req);
 }
--- a/moortack/relay/relay_unframed.c
+++ b/moortack/relay/relay_unframed.c
@@ -18,6 +18,13 @@
 	    !endpoint_is_leaving(attempt->endpoint);
 }
 
+bool
+relay_end_shows_life(const relay_request_t *req)
+{
+	return req->attempt.end_confirmed ||
+	    !http_outbound_ended_by_close(req->attempt.conn);
+}
+
 void
 relay_end_confirm(relay_request_t *req)
 {
@@ -38,6 +45,7 @@
 		    req->attempt.endpoint != endpoint)
 			continue;
 		req->attempt.end_uncertain = false;
+		req->attempt.end_confirmed = result == PROBE_ACCEPTED;
 		if (result == PROBE_REFUSED) {
 			req->attempt.connection_lost = true;
 			attempt_retry_or_fail(
--- a/test/fuzz/parts_fuzz.c
+++ b/test/fuzz/parts_fuzz.c
@@ -1,8 +1,9 @@
 /**
  * @file
- * What one daemon makes of crashes under parts of prompts that it detects, or
- * is told of late, and of the answers that it sees. Endpoints crash for a part
- * that crashes all of them, and for no reason, under any set of parts.
+ * Suspicions and proofs of parts of prompts at one daemon, from crashes that it
+ * detects, or is told of late, and from answers that it sees. Endpoints crash
+ * for a part that crashes all of them, and for no reason, under any set of
+ * parts.
  *
  * The oracle knows which part is bad and all that the daemon was given. It
  * checks that a part is refused only if three endpoints crashed under it, not
@@ -32,7 +33,7 @@
 	int64_t crashed_ms;
 } report_t;
 
-/** What the oracle knows of a part. */
+/** Reports and answers of one part, as the oracle recorded them. */
 typedef struct oracle {
 	report_t reports[REPORTS_MAX]; /**< since it was last answered */
 	size_t len;
--- a/test/platform/crashes_at_once.lua
+++ b/test/platform/crashes_at_once.lua
@@ -15,7 +15,7 @@
 for round = 1, ROUNDS do
   local streams = {}
   for i = 1, 10 do
-    -- Every second prompt has a part that no prompt had before this round.
+    -- Every second prompt has a part that is new in this round.
     local subject = i % 2 == 0 and 1 or 16 + round
     streams[i] = words.begin(w.daemons[i % DAEMONS + 1], "/stream/a",
       {body = round .. "." .. i, headers = words.prompt(subject, 100 * round + i)})
--- a/test/scenario/lib.lua
+++ b/test/scenario/lib.lua
@@ -23,7 +23,8 @@
 local SIGNALS = {HUP = 1, KILL = 9, TERM = 15, CONT = 18, STOP = 19}
 
 local log_dir = build .. "/scenario-logs/" .. network
--- An earlier run may have had the same addresses, and scenarios read these logs.
+-- Addresses are used again by other runs, processes append to their logs, and
+-- scenarios read them.
 os.execute("rm -rf '" .. log_dir .. "' && mkdir -p '" .. log_dir .. "'")
 
 function lib.say(format, ...)
