standin: the end of a silent connection is lost with its bytes

A connection that has fallen silent discarded its bytes, but passed on its end: a stream without length or chunks was cut inside and looked complete, which no network does. The other side now stays open until it closes as well.

--- a/standin/relay.c
+++ b/standin/relay.c
@@ -39,7 +39,8 @@
 	struct bufferevent *sides[SIDES];  /**< to the caller, to the target */
 	struct event *delay_timers[SIDES]; /**< for bytes of each side */
 	char source[IP_SIZE];
-	bool silent; /**< discards all bytes until it is closed */
+	bool silent;	   /**< discards all bytes until it is closed */
+	bool ended[SIDES]; /**< closed, while the other side can't know it */
 	struct pair *next;
 } pair_t;
 
@@ -146,16 +147,34 @@
 	pair_free(arg);
 }
 
+/* The end of a connection is lost with its bytes: the other side stays open
+ * until it closes as well. */
+static void
+side_end_silently(pair_t *pair, int from)
+{
+	pair->ended[from] = true;
+	if (pair->ended[1 - from]) {
+		pair_free(pair);
+		return;
+	}
+	bufferevent_disable(pair->sides[from], EV_READ | EV_WRITE);
+	bufferevent_setcb(pair->sides[from], NULL, NULL, NULL, NULL);
+}
+
 /* Bytes that one side sent before it closed are still forwarded. */
 static void
 side_event(struct bufferevent *bev, short what, void *arg)
 {
 	pair_t *pair = arg;
-	struct bufferevent *other =
-	    pair->sides[0] == bev ? pair->sides[1] : pair->sides[0];
+	int from = pair->sides[1] == bev;
+	struct bufferevent *other = pair->sides[1 - from];
 
 	if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
 		return;
+	if (pair->ended[1 - from] || bytes_discarded(pair, from)) {
+		side_end_silently(pair, from);
+		return;
+	}
 	if (evbuffer_get_length(bufferevent_get_output(other)) == 0) {
 		pair_free(pair);
 		return;
