relay: the estimate of the first byte knows attention

A prompt of 90,000 tokens spends more of its prefill on attention, which grows with the square of its length, than on the rest; a straight line through the shorter prompts took it for one that starts in time, and the largest tenth of the prompts was asked of models that could not answer it within the objective. The regression has the pairs of tokens as a second variable, without negative slopes. A model without samples is estimated by its price instead of counting as in time: after a start the daemon asked the largest model blindly.

unit_relay_decisions: attention_of_long_prompts_is_learned.

--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -98,6 +98,13 @@
 	}
 }
 
+static prefill_work_t
+attempt_prefill(const relay_request_t *req)
+{
+	return prefill_work(
+	    req->arrival.tokens_in, req->attempt.placement.uncached_tokens);
+}
+
 static void
 head_record(relay_request_t *req)
 {
@@ -107,8 +114,7 @@
 
 	if (model == NULL)
 		return;
-	prefill_rate_observe(&model->prefill_rate,
-	    attempt->placement.uncached_tokens,
+	prefill_rate_observe(&model->prefill_rate, attempt_prefill(req),
 	    attempt->first_byte_ms > attempt->placement.queue_wait_ms
 		? attempt->first_byte_ms - attempt->placement.queue_wait_ms
 		: 0);
@@ -138,10 +144,10 @@
 	/* The response had not started when the attempt ended. The time waited
 	 * says something only if it is longer than expected. */
 	waited_ms -= attempt->placement.queue_wait_ms;
-	if (waited_ms > prefill_rate_first_byte_ms(&model->prefill_rate,
-			    attempt->placement.uncached_tokens))
-		prefill_rate_observe(&model->prefill_rate,
-		    attempt->placement.uncached_tokens, waited_ms);
+	if (waited_ms > prefill_rate_first_byte_ms(
+			    &model->prefill_rate, attempt_prefill(req)))
+		prefill_rate_observe(
+		    &model->prefill_rate, attempt_prefill(req), waited_ms);
 }
 
 static void
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -17,20 +17,13 @@
  * largest model; smaller models are scaled by their price. */
 #define DEFAULT_MS_PER_TOKEN 0.06
 
-/* Milliseconds that the model takes per prefilled token. */
+/* The same for a model whose rate is not known yet. */
 static double
-prefill_ms_per_token(const relay_request_t *req, size_t index)
+default_ms_per_token(const relay_request_t *req, size_t index)
 {
 	const relay_route_t *route = req->route;
-	const service_model_t *known_model =
-	    relay_model_find(req, relay_model_name(req, index));
-	double ms_per_token = known_model != NULL
-	    ? prefill_rate_ms_per_token(&known_model->prefill_rate)
-	    : -1;
 	double max_cost;
 
-	if (ms_per_token >= 0)
-		return ms_per_token;
 	if (!req->arrival.any_model || route->models_len == 0)
 		return DEFAULT_MS_PER_TOKEN;
 	max_cost = route->models[route->models_len - 1].cost;
@@ -39,6 +32,40 @@
 	    : DEFAULT_MS_PER_TOKEN;
 }
 
+/* Milliseconds that the model takes per prefilled token. */
+static double
+prefill_ms_per_token(const relay_request_t *req, size_t index)
+{
+	const service_model_t *known_model =
+	    relay_model_find(req, relay_model_name(req, index));
+	double ms_per_token = known_model != NULL
+	    ? prefill_rate_ms_per_token(&known_model->prefill_rate)
+	    : -1;
+
+	return ms_per_token >= 0 ? ms_per_token
+				 : default_ms_per_token(req, index);
+}
+
+/* Milliseconds from the start of the prefill to the response. A model without
+ * samples, for example right after the start of the daemon, is estimated too:
+ * otherwise long prompts would be sent to the largest model although it starts
+ * its response after their objective.
+ * @return negative: not known, as the caller chose the model */
+static double
+first_byte_ms(const relay_request_t *req, size_t index, uint32_t uncached)
+{
+	const service_model_t *known_model =
+	    relay_model_find(req, relay_model_name(req, index));
+	double ms = known_model != NULL
+	    ? prefill_rate_first_byte_ms(&known_model->prefill_rate,
+		  prefill_work(req->arrival.tokens_in, uncached))
+	    : -1;
+
+	if (ms >= 0 || known_model == NULL)
+		return ms;
+	return default_ms_per_token(req, index) * uncached;
+}
+
 /* Additional cost of recomputing a shared token, beyond the time of this
  * request's model: a prefix that moves to another endpoint is prefilled there
  * by the larger models too, and its prefill at the previous endpoint is wasted.
@@ -164,7 +191,6 @@
 	    .first_cached = req->relay->gossip->unreported_share,
 	    .tie_breaker = req->relay->rng->next(req->relay->rng),
 	    .cross_zone_penalty = CROSS_ZONE_PENALTY};
-	const service_model_t *known_model = relay_model_find(req, model);
 	size_t chosen;
 
 	*out = (placement_t){.first_byte_ms = -1, .refusal = ERR_NO_ENDPOINT};
@@ -202,9 +228,7 @@
 		candidates.inputs[chosen].uncached_tokens,
 	    PREFILL_QUEUE_PROMPT_MAX_MS);
 	out->uncached_tokens = candidates.inputs[chosen].uncached_tokens;
-	if (known_model != NULL)
-		out->first_byte_ms = prefill_rate_first_byte_ms(
-		    &known_model->prefill_rate, out->uncached_tokens);
+	out->first_byte_ms = first_byte_ms(req, index, out->uncached_tokens);
 	if (out->first_byte_ms >= 0)
 		out->first_byte_ms += out->queue_wait_ms;
 	return true;
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -167,18 +167,54 @@
 	prefill_rate_t rate = {0};
 
 	(void)state;
-	assert_true(prefill_rate_first_byte_ms(&rate, 1000) < 0);
+	assert_true(
+	    prefill_rate_first_byte_ms(&rate, prefill_work(1000, 1000)) < 0);
 	for (int i = 0; i < 20; i++)
-		prefill_rate_observe(
-		    &rate, 1000 * (i % 5 + 1), 50 + 100 * (i % 5));
-	assert_true(prefill_rate_first_byte_ms(&rate, 10000) > 900);
-	assert_true(prefill_rate_first_byte_ms(&rate, 10000) < 1000);
-	assert_true(prefill_rate_first_byte_ms(&rate, 100) >= 0);
+		prefill_rate_observe(&rate,
+		    prefill_work(1000 * (i % 5 + 1), 1000 * (i % 5 + 1)),
+		    50 + 100 * (i % 5));
+	assert_true(prefill_rate_first_byte_ms(
+			&rate, prefill_work(10000, 10000)) > 900);
+	assert_true(prefill_rate_first_byte_ms(
+			&rate, prefill_work(10000, 10000)) < 1000);
+	assert_true(
+	    prefill_rate_first_byte_ms(&rate, prefill_work(100, 100)) >= 0);
 	/* The estimate soon follows an endpoint that becomes slower. */
 	for (int i = 0; i < 100; i++)
-		prefill_rate_observe(
-		    &rate, 1000 * (i % 5 + 1), 500 + 1000 * (i % 5));
-	assert_true(prefill_rate_first_byte_ms(&rate, 10000) > 8000);
+		prefill_rate_observe(&rate,
+		    prefill_work(1000 * (i % 5 + 1), 1000 * (i % 5 + 1)),
+		    500 + 1000 * (i % 5));
+	assert_true(prefill_rate_first_byte_ms(
+			&rate, prefill_work(10000, 10000)) > 8000);
+}
+
+/* Guards against taking a long prompt for one that starts in time: attention
+ * takes most of its prefill, which samples of shorter prompts hardly show. */
+static void
+attention_of_long_prompts_is_learned(void **state)
+{
+	static const uint32_t lengths[] = {
+	    2000, 5000, 9000, 14000, 20000, 30000, 45000};
+	const uint32_t longest = 80000;
+	prefill_rate_t rate = {0};
+	double ms;
+
+	(void)state;
+	for (int i = 0; i < 60; i++) {
+		prefill_work_t work =
+		    prefill_work(lengths[i % 7], lengths[i % 7] / (i % 3 + 1));
+		double noise = 30.0 * (i * 7919 % 11) / 10;
+
+		prefill_rate_observe(&rate, work,
+		    20 + 0.03 * work.tokens + 1.3 * work.pairs + noise);
+	}
+	ms = prefill_rate_first_byte_ms(&rate, prefill_work(longest, longest));
+	assert_true(ms > 0.8 * (20 + 0.03 * 80000 + 1.3 * 3200));
+	assert_true(ms < 1.2 * (20 + 0.03 * 80000 + 1.3 * 3200));
+	/* What is cached need not be prefilled, but is attended to. */
+	assert_true(
+	    prefill_rate_first_byte_ms(&rate, prefill_work(longest, 4000)) >
+	    prefill_rate_first_byte_ms(&rate, prefill_work(4000, 4000)));
 }
 
 static void
@@ -188,9 +224,11 @@
 
 	(void)state;
 	for (int i = 0; i < 10; i++)
-		prefill_rate_observe(&rate, 800, 40);
-	assert_true(prefill_rate_first_byte_ms(&rate, 8000) > 39);
-	assert_true(prefill_rate_first_byte_ms(&rate, 8000) < 41);
+		prefill_rate_observe(&rate, prefill_work(800, 800), 40);
+	assert_true(
+	    prefill_rate_first_byte_ms(&rate, prefill_work(8000, 8000)) > 39);
+	assert_true(
+	    prefill_rate_first_byte_ms(&rate, prefill_work(8000, 8000)) < 41);
 }
 
 static void
@@ -496,6 +534,7 @@
 	    cmocka_unit_test(shorter_deadline_shows_earlier_try),
 	    cmocka_unit_test(differing_deadlines_show_no_earlier_try),
 	    cmocka_unit_test(prefill_rate_is_learned),
+	    cmocka_unit_test(attention_of_long_prompts_is_learned),
 	    cmocka_unit_test(prompts_of_one_size_give_a_mean),
 	    cmocka_unit_test(late_responses_lower_the_on_time_rate),
 	    cmocka_unit_test(retries_stay_within_their_share),
