relay: messages name a prompt's parts, from which its prefixes follow

Queries and messages on prompts sent carried hashes of a prompt's prefixes only. An owner that knows which parts an endpoint keeps could not look them up. Sending both would add 27 bytes to each query.

A prefix's hash is now computed from the hash of the shorter prefix and that of the part, so that the receiver derives the prefixes itself: the size of the messages does not change. A response says whether its count is by the endpoint's list (field 22, not set yet).

--- a/include/moortack/relay/gossip_message.h
+++ b/include/moortack/relay/gossip_message.h
@@ -13,7 +13,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define GOSSIP_MESSAGE_PREFIXES_MAX 6
+#define GOSSIP_MESSAGE_PARTS_MAX 6
 #define GOSSIP_MESSAGE_DIGESTS_MAX 5
 #define GOSSIP_MESSAGE_CRASHES_MAX 3
 /** Maximum size of a datagram's payload, in bytes. */
@@ -43,13 +43,13 @@
 	uint32_t prefill_ms;	/**< prompt sent: expected prefill time */
 	uint32_t queue_wait_ms; /**< response: until the endpoint starts to
 				   prefill another prompt */
-	uint32_t cached_prefixes; /**< response: number of the query's prefixes
-				     that the endpoint has cached */
-	uint32_t
-	    prefixes[GOSSIP_MESSAGE_PREFIXES_MAX]; /**< hashes of the prefixes
-						      that other prompts share,
-						      shortest first */
-	size_t prefixes_len;
+	uint32_t cached_prefixes; /**< response: number of the query's leading
+				     parts that the endpoint has cached */
+	bool listed; /**< response: by what the endpoint itself lists */
+	uint32_t parts[GOSSIP_MESSAGE_PARTS_MAX]; /**< hashes of the leading
+						     parts, which other prompts
+						     share; see part_hash() */
+	size_t parts_len;
 	uint64_t
 	    digests[GOSSIP_MESSAGE_DIGESTS_MAX]; /**< see request_digest() */
 	size_t digests_len;
--- a/include/moortack/wire/peer.pb-c.h
+++ b/include/moortack/wire/peer.pb-c.h
@@ -448,12 +448,13 @@
    */
   uint32_t read_ms;
   /*
-   * hashes of the prompt's beginnings that other
+   * the prompt's beginnings that other prompts
    */
   size_t n_prefixes;
   uint32_t *prefixes;
   /*
-   * prompts share, the shortest first
+   * share, the shortest first: of each the hash
+   * of its last part
    */
   /*
    * 0: sent, 1: query, 2: response, 3: crash,
@@ -524,10 +525,14 @@
    * reach report: requests in flight for each core
    */
   uint32_t busy;
+  /*
+   * response: kept is by what the endpoint itself lists
+   */
+  protobuf_c_boolean listed;
 };
 #define WIRE__GOSSIP_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__gossip_message__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/moortack/relay/gossip_message.c
+++ b/moortack/relay/gossip_message.c
@@ -35,8 +35,9 @@
 	wire.read_ms = message->prefill_ms;
 	wire.wait_ms = message->queue_wait_ms;
 	wire.kept = message->cached_prefixes;
-	wire.n_prefixes = message->prefixes_len;
-	wire.prefixes = (uint32_t *)(uintptr_t)message->prefixes;
+	wire.listed = message->listed;
+	wire.n_prefixes = message->parts_len;
+	wire.prefixes = (uint32_t *)(uintptr_t)message->parts;
 	wire.n_digests = message->digests_len;
 	wire.digests = (uint64_t *)(uintptr_t)message->digests;
 	wire.version = message->version_hash;
@@ -60,7 +61,7 @@
 static bool
 message_from_wire(gossip_message_t *message, const Wire__GossipMessage *wire)
 {
-	if (wire->n_prefixes > GOSSIP_MESSAGE_PREFIXES_MAX ||
+	if (wire->n_prefixes > GOSSIP_MESSAGE_PARTS_MAX ||
 	    wire->n_digests > GOSSIP_MESSAGE_DIGESTS_MAX ||
 	    wire->n_crashes > GOSSIP_MESSAGE_CRASHES_MAX ||
 	    wire->kind >= GOSSIP_KIND_COUNT)
@@ -71,7 +72,8 @@
 	    .prefill_ms = wire->read_ms,
 	    .queue_wait_ms = wire->wait_ms,
 	    .cached_prefixes = wire->kept,
-	    .prefixes_len = wire->n_prefixes,
+	    .listed = wire->listed,
+	    .parts_len = wire->n_prefixes,
 	    .digests_len = wire->n_digests,
 	    .version_hash = wire->version,
 	    .crashes_len = wire->n_crashes,
@@ -84,7 +86,7 @@
 	    .contact_age_ms = wire->contact_ms,
 	    .load = wire->busy};
 	for (size_t i = 0; i < wire->n_prefixes; i++)
-		message->prefixes[i] = wire->prefixes[i];
+		message->parts[i] = wire->prefixes[i];
 	for (size_t i = 0; i < wire->n_digests; i++)
 		message->digests[i] = wire->digests[i];
 	for (size_t i = 0; i < wire->n_crashes; i++)
--- a/moortack/relay/relay_ask.c
+++ b/moortack/relay/relay_ask.c
@@ -11,14 +11,13 @@
 #define US_PER_MS 1000
 
 void
-relay_gossip_add_prefixes(
-    gossip_message_t *message, const prefix_list_t *prefixes)
+relay_gossip_add_parts(gossip_message_t *message, const prefix_list_t *prefixes)
 {
-	while (message->prefixes_len + 1 < prefixes->len &&
-	    message->prefixes_len < GOSSIP_MESSAGE_PREFIXES_MAX) {
-		message->prefixes[message->prefixes_len] =
-		    prefixes->hashes[message->prefixes_len];
-		message->prefixes_len++;
+	while (message->parts_len + 1 < prefixes->len &&
+	    message->parts_len < GOSSIP_MESSAGE_PARTS_MAX) {
+		message->parts[message->parts_len] =
+		    prefixes->parts[message->parts_len];
+		message->parts_len++;
 	}
 }
 
@@ -68,7 +67,7 @@
 	    .endpoint_hash = endpoint->short_hash,
 	    .query_id = query->number};
 
-	relay_gossip_add_prefixes(&message, prefixes);
+	relay_gossip_add_parts(&message, prefixes);
 	*queried = (queried_endpoint_t){.hash = endpoint->hash};
 	if (gossip_query(req->relay->gossip, endpoint->info.zone, &message))
 		query->pending++;
@@ -137,12 +136,11 @@
 	int64_t now_ms = timespec_to_ms(clock_boottime(relay->clock));
 	endpoint_t *endpoint = endpoint_set_find_by_short_hash(
 	    relay->endpoints, message->endpoint_hash);
-	prefix_list_t prefixes = {.len = message->prefixes_len};
+	prefix_list_t prefixes;
 
 	if (endpoint == NULL)
 		return;
-	memcpy(prefixes.hashes, message->prefixes,
-	    message->prefixes_len * sizeof(message->prefixes[0]));
+	prefix_list_fill_hashes(&prefixes, message->parts, message->parts_len);
 	prefix_index_add(
 	    &relay->prefix_index, &prefixes, endpoint->hash, now_ms);
 	prefill_queue_add_remote(
@@ -156,12 +154,11 @@
 	int64_t now_ms = timespec_to_ms(clock_boottime(relay->clock));
 	const endpoint_t *endpoint = endpoint_set_find_by_short_hash(
 	    relay->endpoints, query->endpoint_hash);
-	prefix_list_t prefixes = {.len = query->prefixes_len};
+	prefix_list_t prefixes;
 
 	if (endpoint == NULL)
 		return false;
-	memcpy(prefixes.hashes, query->prefixes,
-	    query->prefixes_len * sizeof(query->prefixes[0]));
+	prefix_list_fill_hashes(&prefixes, query->parts, query->parts_len);
 	response->cached_prefixes = (uint32_t)prefix_index_match_count(
 	    &relay->prefix_index, &prefixes, endpoint->hash, now_ms);
 	response->queue_wait_ms = (uint32_t)prefill_queue_wait_ms(
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -256,9 +256,9 @@
 bool relay_query_owners(relay_request_t *);
 /** Clear the query and its responses. */
 void relay_query_end(relay_request_t *);
-/** Add to a message the prefixes that other requests may share: all but the
- * complete prompt. */
-void relay_gossip_add_prefixes(gossip_message_t *, const prefix_list_t *);
+/** Add to a message the parts that other requests may share: all but the last
+ * one. */
+void relay_gossip_add_parts(gossip_message_t *, const prefix_list_t *);
 /** Milliseconds that an endpoint needs to prefill the request's prompt with
  * nothing cached. */
 double relay_prefill_ms(const relay_request_t *);
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -220,7 +220,7 @@
 
 	if (!gossip_should_send(relay->gossip, placement->prefill_ms))
 		return;
-	relay_gossip_add_prefixes(&message, prefixes);
+	relay_gossip_add_parts(&message, prefixes);
 	gossip_send(relay->gossip, placement->endpoint->info.zone, &message);
 }
 
--- a/moortack/wire/peer.pb-c.c
+++ b/moortack/wire/peer.pb-c.c
@@ -2255,7 +2255,7 @@
   (ProtobufCMessageInit) wire__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__gossip_message__field_descriptors[18] =
+static const ProtobufCFieldDescriptor wire__gossip_message__field_descriptors[19] =
 {
   {
     "endpoint",
@@ -2473,6 +2473,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "listed",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GossipMessage, listed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__gossip_message__field_indices_by_name[] = {
   17,   /* field[17] = busy */
@@ -2484,6 +2496,7 @@
   6,   /* field[6] = kept */
   3,   /* field[3] = kind */
   11,   /* field[11] = limited */
+  18,   /* field[18] = listed */
   13,   /* field[13] = noticed_ms */
   4,   /* field[4] = number */
   2,   /* field[2] = prefixes */
@@ -2494,10 +2507,11 @@
   8,   /* field[8] = version */
   5,   /* field[5] = wait_ms */
 };
-static const ProtobufCIntRange wire__gossip_message__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__gossip_message__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 22, 18 },
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor wire__gossip_message__descriptor =
 {
@@ -2507,10 +2521,10 @@
   "Wire__GossipMessage",
   "wire",
   sizeof(Wire__GossipMessage),
-  18,
+  19,
   wire__gossip_message__field_descriptors,
   wire__gossip_message__field_indices_by_name,
-  1,  wire__gossip_message__number_ranges,
+  2,  wire__gossip_message__number_ranges,
   (ProtobufCMessageInit) wire__gossip_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/test/unit/gossip_test.c
+++ b/test/unit/gossip_test.c
@@ -21,8 +21,8 @@
 
 static const gossip_message_t message = {.endpoint_hash = 0xfedcba98,
     .prefill_ms = 1234,
-    .prefixes = {1, 0xffffffff, 3, 4, 5, 6},
-    .prefixes_len = 6};
+    .parts = {1, 0xffffffff, 3, 4, 5, 6},
+    .parts_len = 6};
 
 static void
 message_opens_only_with_the_key(void **state)
@@ -40,9 +40,8 @@
 	assert_true(gossip_message_open(&opened, &key, bytes, len));
 	assert_int_equal(opened.endpoint_hash, message.endpoint_hash);
 	assert_int_equal(opened.prefill_ms, message.prefill_ms);
-	assert_int_equal(opened.prefixes_len, message.prefixes_len);
-	assert_memory_equal(
-	    opened.prefixes, message.prefixes, sizeof(message.prefixes));
+	assert_int_equal(opened.parts_len, message.parts_len);
+	assert_memory_equal(opened.parts, message.parts, sizeof(message.parts));
 	assert_false(gossip_message_open(&opened, &other, bytes, len));
 }
 
@@ -217,7 +216,8 @@
 	    .endpoint_hash = 7,
 	    .query_id = 0xffffffff,
 	    .queue_wait_ms = 4321,
-	    .cached_prefixes = 3};
+	    .cached_prefixes = 3,
+	    .listed = true};
 	uint8_t bytes[GOSSIP_DATAGRAM_MAX];
 	gossip_key_t key;
 	gossip_message_t opened;
@@ -231,6 +231,7 @@
 	assert_int_equal(opened.query_id, sent.query_id);
 	assert_int_equal(opened.queue_wait_ms, sent.queue_wait_ms);
 	assert_int_equal(opened.cached_prefixes, sent.cached_prefixes);
+	assert_true(opened.listed);
 }
 
 /* The smaller the send budget, the longer a prompt has to be. */
--- a/test/unit/placing_test.c
+++ b/test/unit/placing_test.c
@@ -198,6 +198,32 @@
 	prefix_index_finish(&index);
 }
 
+/* Messages have the hashes of parts only: an owner that finds no prefix by them
+ * knows nothing of what other daemons sent. */
+static void
+prefixes_follow_from_the_hashes_of_their_parts(void **state)
+{
+	prefix_list_t prompt = prompt_of(2, 3), received;
+	const uint32_t swapped[] = {prompt.parts[1], prompt.parts[0]};
+	prefix_index_t index;
+
+	(void)state;
+	assert_true(prefix_index_init(&index));
+	prefix_index_add(&index, &prompt, 77, 1000);
+	prefix_list_fill_hashes(&received, prompt.parts, 2);
+	assert_int_equal(
+	    prefix_index_match_count(&index, &received, 77, 1000), 2);
+	assert_true(prefix_index_sent_within(
+	    &index, received.hashes[1], 77, 1099, 100));
+	assert_false(prefix_index_sent_within(
+	    &index, received.hashes[1], 77, 1100, 100));
+	/* The same parts in another order are another prefix. */
+	prefix_list_fill_hashes(&received, swapped, 2);
+	assert_int_equal(
+	    prefix_index_match_count(&index, &received, 77, 1000), 0);
+	prefix_index_finish(&index);
+}
+
 static void
 full_index_replaces_the_oldest_entries(void **state)
 {
@@ -321,6 +347,7 @@
 	    cmocka_unit_test(ejected_endpoint_is_chosen_only_if_all_are),
 	    cmocka_unit_test(requests_without_prompt_go_to_the_least_loaded),
 	    cmocka_unit_test(prefixes_are_indexed_by_endpoint_and_model),
+	    cmocka_unit_test(prefixes_follow_from_the_hashes_of_their_parts),
 	    cmocka_unit_test(full_index_replaces_the_oldest_entries),
 	    cmocka_unit_test(prompts_wait_for_earlier_ones),
 	    cmocka_unit_test(late_response_shifts_later_prompts),
