relay: owners follow what their endpoints keep

A daemon knew of an endpoint's cache only the prompts sent there in the last 30 s: nothing after a restart of all daemons, and parts that the endpoint had dropped counted as cached.

Calls use one connection of their own for each endpoint, which counts toward its connections. Queries are answered from the contents while these are fresh, with prompts of the last 3 s besides, which are not among the events yet; the response says so, and outweighs what the asking daemon sent there itself earlier. Its own placing uses the contents in the same way. The endpoints are chosen again after a change of the members, the endpoints or the configuration, once a second at most; a daemon that is not the owner finds one that ranks before it among the first few members.

Off by default: without the setting no call is made and responses are as before. unit_relay_contents, unit_gossip, unit_zone_decoders, unit_kv_calls and platform_owners pass.

--- a/include/moortack/relay/endpoint_owner.h
+++ b/include/moortack/relay/endpoint_owner.h
@@ -16,5 +16,9 @@
  * @return NULL: this daemon */
 const member_t *
 endpoint_owner_find(const membership_t *, const char *zone, uint32_t endpoint);
+/** Whether this daemon serves and is the owner. Looks at few members on
+ * average, as most endpoints have another owner. */
+bool endpoint_owner_is_self(
+    const membership_t *, const char *zone, uint32_t endpoint);
 
 #endif
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -161,6 +161,7 @@
 	endpoint_t *by_short_hash;
 	endpoint_group_t *groups;
 	zone_table_t zones;
+	uint64_t changes;	/**< endpoints added and removed */
 	size_t earlier_entries; /**< number of endpoints with an entry of an
 				   earlier incarnation */
 	restriction_memory_t removed_restrictions; /**< of removed endpoints */
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -21,6 +21,7 @@
 #include "moortack/relay/prefill_rate.h"
 #include "moortack/relay/prefix_index.h"
 #include "moortack/relay/relay_config.h"
+#include "moortack/relay/relay_contents.h"
 #include "moortack/relay/relay_quarantine.h"
 #include "moortack/relay/relay_stats.h"
 #include "moortack/relay/retry_share.h"
@@ -102,6 +103,7 @@
 	service_state_t *service_states;
 	route_callers_t *route_callers;
 	prefix_index_t prefix_index; /**< prompts sent to endpoints */
+	relay_contents_t contents;   /**< what endpoints report to keep */
 	http_inbound_server_t *server;
 	relay_request_t *requests; /**< in flight, a linked list */
 	uint32_t in_flight;
--- a/include/moortack/relay/relay_config.h
+++ b/include/moortack/relay/relay_config.h
@@ -89,10 +89,13 @@
 	    connections_max; /**< to one endpoint, of all daemons together */
 	int64_t
 	    warmup_ms; /**< how long its endpoints are cold after their start */
-	double warmup_per_s;	    /**< requests a second that a cold endpoint
-				       tolerates; 0: unlimited */
-	capacity_limits_t capacity; /**< what may be ordered for it */
-	UT_hash_handle hh;	    /**< by name */
+	double warmup_per_s;	     /**< requests a second that a cold endpoint
+					tolerates; 0: unlimited */
+	capacity_limits_t capacity;  /**< what may be ordered for it */
+	uint32_t contents_calls_max; /**< calls for its contents that each of
+					its endpoints holds; 0: it offers none
+				      */
+	UT_hash_handle hh;	     /**< by name */
 } relay_service_t;
 
 typedef struct relay_organisation {
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -48,6 +48,8 @@
 	const endpoint_dialect_t *endpoint_dialect;
 	const rollout_status_encoder_t *rollout_status_encoder;
 	duty_api_t *duty_api; /**< NULL: there are no duties */
+	const contents_dialect_t *contents_dialect; /**< NULL: endpoints have no
+						       such calls */
 } relay_ports_t;
 
 /** The region in which a zone is. */
@@ -89,7 +91,8 @@
 	char source_address[INET_ADDRSTRLEN]; /**< of connections to endpoints;
 						 "": the system chooses */
 	double log_lines_per_s;
-	bool bootstrap; /**< no daemon of the fleet has ever run */
+	bool bootstrap;	      /**< no daemon of the fleet has ever run */
+	bool follow_contents; /**< of the caches of owned endpoints */
 } relay_node_settings_t;
 
 typedef struct relay_node {
--- a/moortack/relay/endpoint_owner.c
+++ b/moortack/relay/endpoint_owner.c
@@ -49,3 +49,24 @@
 	}
 	return owner;
 }
+
+bool
+endpoint_owner_is_self(
+    const membership_t *members, const char *zone, uint32_t endpoint)
+{
+	const membership_settings_t *self = &members->settings;
+	owner_rank_t own = owner_rank(self->name, self->zone, zone, endpoint);
+
+	if (members->state != MEMBER_READY)
+		return false;
+	for (const member_t *member = members->members; member != NULL;
+	     member = member->hh.next) {
+		owner_rank_t rank =
+		    owner_rank(member->name, member->zone, zone, endpoint);
+
+		if (ranks_before(&rank, &own) &&
+		    gossip_peer_available(members, member))
+			return false;
+	}
+	return true;
+}
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -98,6 +98,7 @@
 	restriction_memory_store(&set->removed_restrictions,
 	    restrictions_key(endpoint), &endpoint->restrictions,
 	    clock_boottime(set->clock));
+	set->changes++;
 	HASH_DEL(set->endpoints, endpoint);
 	HASH_DELETE(hh_short, set->by_short_hash, endpoint);
 	endpoint_group_remove(endpoint->group, endpoint);
@@ -307,6 +308,7 @@
 	HASH_ADD_KEYPTR(hh, set->endpoints, endpoint->info.id,
 	    strlen(endpoint->info.id), endpoint);
 	endpoint->short_hash = (uint32_t)endpoint->hash;
+	set->changes++;
 	HASH_ADD(hh_short, set->by_short_hash, short_hash,
 	    sizeof(endpoint->short_hash), endpoint);
 	return endpoint;
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -411,6 +411,7 @@
 	while (relay->requests != NULL)
 		request_end(relay->requests, "cut", "stopped");
 	reach_probes_finish(relay);
+	relay_contents_finish(relay);
 	http_inbound_server_free(relay->server);
 	if (relay->forward_server != NULL)
 		http_inbound_server_free(relay->forward_server);
--- a/moortack/relay/relay_ask.c
+++ b/moortack/relay/relay_ask.c
@@ -55,6 +55,17 @@
 	attempt_begin(req);
 }
 
+/* This daemon is the owner. The prompts that it knows of are considered with
+ * all endpoints. */
+static void
+own_estimate(const relay_t *relay, const endpoint_t *endpoint,
+    const prefix_list_t *prefixes, queried_endpoint_t *queried)
+{
+	queried->responded = true;
+	queried->listed = relay_contents_match(
+	    relay, endpoint, prefixes, &queried->cached_prefixes);
+}
+
 /* Queries the owner of one endpoint. If this daemon is the owner itself, its
  * own estimates count as the response. */
 static void
@@ -72,7 +83,7 @@
 	if (gossip_query(req->relay->gossip, endpoint->info.zone, &message))
 		query->pending++;
 	else
-		queried->responded = true;
+		own_estimate(req->relay, endpoint, prefixes, queried);
 }
 
 static bool
@@ -159,8 +170,13 @@
 	if (endpoint == NULL)
 		return false;
 	prefix_list_fill_hashes(&prefixes, query->parts, query->parts_len);
-	response->cached_prefixes = (uint32_t)prefix_index_match_count(
-	    &relay->prefix_index, &prefixes, endpoint->hash, now_ms);
+	response->listed = relay_contents_match(
+	    relay, endpoint, &prefixes, &response->cached_prefixes);
+	if (response->listed)
+		stats_add(&relay->stats, STAT_CONTENTS_ANSWERS, 1);
+	else
+		response->cached_prefixes = (uint32_t)prefix_index_match_count(
+		    &relay->prefix_index, &prefixes, endpoint->hash, now_ms);
 	response->queue_wait_ms = (uint32_t)prefill_queue_wait_ms(
 	    &endpoint->prefill_queue, (double)now_ms);
 	return true;
@@ -194,6 +210,7 @@
 		queried->responded = true;
 		queried->queue_wait_ms = response->queue_wait_ms;
 		queried->cached_prefixes = response->cached_prefixes;
+		queried->listed = response->listed;
 		req->owner_query.pending--;
 	}
 	if (req->owner_query.pending == 0)
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -222,6 +222,7 @@
 	duties_tick(&node->duties, is_responsible(node),
 	    node->members.store_clock_offset_ms);
 	gossip_tick(&node->gossip);
+	relay_contents_tick(&node->relay);
 	relay_reach_tick(&node->relay);
 	sessions_sync(node);
 	relay_quarantine_tick(&node->relay.quarantine);
@@ -370,7 +371,10 @@
 	    .config_watch = orders,
 	    .endpoint_watch =
 		row_sync_watch(&node->row_sync, ROW_TABLE_ENDPOINTS),
-	    .bounds = node->settings.bounds};
+	    .bounds = node->settings.bounds,
+	    .contents = {.dialect = node->settings.follow_contents
+		    ? ports->contents_dialect
+		    : NULL}};
 	node_duties_init(node);
 	warmup_daemons_init(&node->relay.warmup_daemons, node->settings.name);
 	snprintf(node->relay.zone, sizeof(node->relay.zone), "%s",
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -100,6 +100,7 @@
 	double queue_wait_ms; /**< until the endpoint starts to prefill one more
 				 prompt */
 	uint32_t cached_prefixes; /**< of the prompt, at the endpoint */
+	bool listed;		  /**< by what the endpoint itself reports */
 } queried_endpoint_t;
 
 /** The query to the owners of endpoints before an attempt is placed. */
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -70,18 +70,35 @@
 	return arrival->tokens_in > cached ? arrival->tokens_in - cached : 0;
 }
 
+/* Parts that the owner was asked for. */
+static size_t
+queried_parts(const prefix_list_t *prefixes)
+{
+	size_t shared = prefixes->len > 0 ? prefixes->len - 1 : 0;
+
+	return shared < GOSSIP_MESSAGE_PARTS_MAX ? shared
+						 : GOSSIP_MESSAGE_PARTS_MAX;
+}
+
 /* Tokens cached at the endpoint, by the greater of the owner's and this
- * daemon's estimate. */
+ * daemon's estimate. What the endpoint itself reports outweighs the prompts
+ * that this daemon sent, except for recent ones and for parts that the owner
+ * was not asked for. */
 static uint32_t
-reported_cached_tokens(const prefix_list_t *prefixes,
+reported_cached_tokens(const relay_t *relay, const prefix_list_t *prefixes,
     const queried_endpoint_t *report, uint32_t known)
 {
 	size_t count = report->cached_prefixes < prefixes->len
 	    ? report->cached_prefixes
 	    : prefixes->len;
-	uint32_t tokens = count > 0 ? prefixes->tokens[count - 1] : 0;
+	bool all = count >= queried_parts(prefixes);
+	uint32_t tokens;
 
-	return tokens > known ? tokens : known;
+	if (report->listed)
+		count = relay_contents_add_recent(
+		    relay, report->hash, prefixes, (uint32_t)count);
+	tokens = count > 0 ? prefixes->tokens[count - 1] : 0;
+	return tokens > known || (report->listed && !all) ? tokens : known;
 }
 
 /* Estimates of an owner are better than those of this daemon: if there are any,
@@ -129,8 +146,8 @@
 		if (report != NULL) {
 			candidate->queue_wait_ms = fmax(
 			    candidate->queue_wait_ms, report->queue_wait_ms);
-			cached =
-			    reported_cached_tokens(prefixes, report, cached);
+			cached = reported_cached_tokens(
+			    relay, prefixes, report, cached);
 		}
 		shared_uncached = shared > cached ? shared - cached : 0;
 		candidate->uncached_tokens =
--- a/moortack/relay/relay_stats.c
+++ b/moortack/relay/relay_stats.c
@@ -48,6 +48,14 @@
     {"forwards_served", "Of these, with a complete response."},
     {"forwards_failed", "Attempts through other daemons that failed."},
     {"forwards_accepted", "Requests that other daemons sent on to this one."},
+    {"contents_calls", "Calls to endpoints for what they keep."},
+    {"contents_lists", "Lists of what an endpoint keeps."},
+    {"contents_events", "Events on parts that endpoints added or dropped."},
+    {"contents_gaps", "Times at which events were missing."},
+    {"contents_failed", "Calls for contents that failed or were refused."},
+    {"contents_invalid", "Responses to such calls that are invalid."},
+    {"contents_answers",
+	"Queries that were answered by what the endpoint reports."},
 };
 
 /* Upper bounds in milliseconds, around the users' objectives of 100 to 3,000.
--- a/test/platform/zone_decoders_test.c
+++ b/test/platform/zone_decoders_test.c
@@ -138,6 +138,32 @@
 	relay_config_release(config);
 }
 
+/* Engines without the calls, and figures that are none, are not called. */
+static void
+calls_for_contents_are_decoded(void **state)
+{
+	static const struct {
+		const char *service;
+		uint32_t calls;
+	} cases[] = {{"", 0}, {",\"engine\":{\"most\":4}", 4},
+	    {",\"engine\":{\"most\":0}", 0}, {",\"engine\":{}", 0},
+	    {",\"engine\":null", 0}, {",\"engine\":{\"most\":-1}", 0},
+	    {",\"engine\":{\"most\":\"4\"}", 0}};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		err_t err;
+		relay_config_t *config =
+		    config_decode("", cases[i].service, "", &err);
+
+		assert_non_null(config);
+		assert_int_equal(
+		    relay_config_find_service(config, "s1")->contents_calls_max,
+		    cases[i].calls);
+		relay_config_release(config);
+	}
+}
+
 static void
 invalid_warm_up_parameters_are_refused(void **state)
 {
@@ -238,6 +264,7 @@
 	    cmocka_unit_test(regions_are_decoded),
 	    cmocka_unit_test(invalid_regions_are_refused),
 	    cmocka_unit_test(warm_up_parameters_are_decoded),
+	    cmocka_unit_test(calls_for_contents_are_decoded),
 	    cmocka_unit_test(invalid_warm_up_parameters_are_refused),
 	    cmocka_unit_test(the_key_of_an_evacuation_names_a_zone),
 	    cmocka_unit_test(settings_of_zones_and_warm_up_are_parsed),
--- a/test/support/node_settings.h
+++ b/test/support/node_settings.h
@@ -27,7 +27,7 @@
 	static const endpoint_dialect_t endpoints;
 	static const rollout_status_encoder_t rollouts;
 	const relay_ports_t ports = {base, clock, rng, store, &test_row_dialect,
-	    &callers, &endpoints, &rollouts, NULL};
+	    &callers, &endpoints, &rollouts, NULL, NULL};
 	err_t err;
 
 	return relay_node_init(node, &ports, &test_node_settings, &err);
--- a/test/unit/gossip_test.c
+++ b/test/unit/gossip_test.c
@@ -157,6 +157,8 @@
 
 	members_fill(&members, all, len, self);
 	owner = endpoint_owner_find(&members, zone, endpoint);
+	assert_int_equal(
+	    endpoint_owner_is_self(&members, zone, endpoint), owner == NULL);
 	HASH_CLEAR(hh, members.members);
 	return owner != NULL ? (size_t)(owner - all) : self;
 }
--- a/test/unit/relay_node_test.c
+++ b/test/unit/relay_node_test.c
@@ -161,7 +161,7 @@
 	scripted_store_t store = {{.ops = &scripted_ops}, event_base_new(),
 	    compacted, refuse_once, 0, 0, NULL};
 	const relay_ports_t ports = {store.base, &clock, &rng, &store.store,
-	    &test_row_dialect, &callers, &endpoints, &rollouts, NULL};
+	    &test_row_dialect, &callers, &endpoints, &rollouts, NULL, NULL};
 	relay_node_settings_t settings = test_node_settings;
 	const cached_row_t *row;
 	uint64_t version;
