test: owners that follow contents, with real processes

The stand-in of a replica keeps the parts of prompts, drops the least recently used ones and offers the list and the events, with faults: events lost, refusals, silence, invalid bodies, calls not offered. platform_contents_followed checks with 11 daemons that prompts go where their parts are kept, also after all daemons were killed, that a dropped prompt no longer counts, that lists keep their distance, and a restart of the endpoint and loss of the owner.

--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -2,14 +2,12 @@
  * @file
  * A fake replica that records the requests it runs and streams events.
  *
- * GET /runs returns the requests that ran, how many callers closed their
- * connection before the response was complete, and the most requests that
- * arrived in one second while the replica was cold. GET /arrivals returns the
- * latest requests. Faults:
- * "unnamed" omits the attempt id from responses, "hold" never responds,
- * "hold_model" does so for one model, "shed" refuses requests as not run,
- * "fail" responds 500, "cut_after" closes the connection of a stream after so
- * many events, "half_after" ends a stream with half an event after so many,
+ * GET /runs returns the requests that ran, how many callers left early, and the
+ * most requests in one second while it was cold; GET /arrivals the latest
+ * requests. Faults: "unnamed" omits the attempt id from responses, "hold" never
+ * responds, "hold_model" does so for one model, "shed" refuses requests as not
+ * run, "fail" responds 500, "cut_after" closes the connection of a stream after
+ * so many events, "half_after" ends a stream with half an event after so many,
  * "stray" responds with the id of another attempt, "crash_on" ends the process
  * on a body that begins with this text, "crash_parts" on a prompt that shares
  * one of these parts (a text of ids between spaces), "crash_ms" is the delay
@@ -25,7 +23,8 @@
  * the small model, "events" the number in a stream and "pause_ms" the time
  * between them, "slots" the number that it says it processes, "room" the most
  * streams that it holds, beyond which it refuses requests, "brittle" how many
- * it may refuse in a second before it falls (text of a header).
+ * it may refuse in a second before it falls (text of a header). See
+ * standin_kv.h for its KV cache.
  */
 #include <event2/buffer.h>
 #include <inttypes.h>
@@ -37,6 +36,7 @@
 
 #include "common/http_server.h"
 #include "standin/fake.h"
+#include "standin_kv.h"
 
 #define ARRIVALS_MAX 256
 #define ARRIVALS_LISTED_MAX 8192
@@ -78,6 +78,13 @@
 	return fake_json_int(replica.faults, name, fallback);
 }
 
+/* A text; NULL: none. */
+static const char *
+fault_string(const char *name)
+{
+	return json_string_value(json_object_get(replica.faults, name));
+}
+
 static bool
 fault_is(const char *name)
 {
@@ -107,8 +114,7 @@
 header_add_fault(
     struct evhttp_request *req, const char *name, const char *fault)
 {
-	const char *value =
-	    json_string_value(json_object_get(replica.faults, fault));
+	const char *value = fault_string(fault);
 
 	if (value != NULL)
 		http_response_add_header(req, name, value);
@@ -181,8 +187,7 @@
 request_held(struct evhttp_request *req)
 {
 	const char *model = http_request_header(req, "Moortack-Model-Id");
-	const char *held =
-	    json_string_value(json_object_get(replica.faults, "hold_model"));
+	const char *held = fault_string("hold_model");
 
 	return fault_is("hold") ||
 	    (held != NULL && model != NULL && strcmp(held, model) == 0);
@@ -263,8 +268,7 @@
 static bool
 shares_crash_part(struct evhttp_request *req)
 {
-	const char *ids =
-	    json_string_value(json_object_get(replica.faults, "crash_parts"));
+	const char *ids = fault_string("crash_parts");
 	const char *parts = http_request_header(req, "Moortack-Prefix-Hash");
 	char id[64];
 
@@ -337,8 +341,7 @@
 {
 	const char *expected =
 	    http_request_header(req, "Moortack-Expect-Replica");
-	const char *id =
-	    json_string_value(json_object_get(replica.faults, "id"));
+	const char *id = fault_string("id");
 
 	/* Until it is told its id, no request is meant for it. */
 	return expected == NULL || (id != NULL && strcmp(expected, id) == 0);
@@ -347,8 +350,7 @@
 static bool
 crashes(struct evhttp_request *req)
 {
-	const char *text =
-	    json_string_value(json_object_get(replica.faults, "crash_on"));
+	const char *text = fault_string("crash_on");
 	struct evbuffer *body = evhttp_request_get_input_buffer(req);
 
 	if (shares_crash_part(req) && fault_int("crash_events", 0) == 0)
@@ -381,8 +383,7 @@
 static void
 room_refuse(struct evhttp_request *req)
 {
-	const char *brittle =
-	    json_string_value(json_object_get(replica.faults, "brittle"));
+	const char *brittle = fault_string("brittle");
 	int64_t now = fake_now_ms();
 	int64_t count = 0;
 
@@ -400,10 +401,7 @@
 static const char *
 fault_text(const char *name)
 {
-	const char *text =
-	    json_string_value(json_object_get(replica.faults, name));
-
-	return text != NULL ? text : "";
+	return fault_string(name) != NULL ? fault_string(name) : "";
 }
 
 /* Add the request's time and id, and what its response says: a rate limit, that
@@ -427,7 +425,6 @@
 {
 	const char *uri = evhttp_request_get_uri(req);
 
-	(void)fake;
 	if (strcmp(uri, "/runs") == 0) {
 		http_respond_json(req, 200,
 		    json_pack("{s:O, s:I, s:I, s:I}", "runs", replica.runs,
@@ -446,6 +443,8 @@
 		respond(req, 421, "");
 		return;
 	}
+	if (kv_serve(fake->base, req))
+		return;
 	arrival_list(req);
 	if (fault_is("shed")) {
 		headers_add(req, false);
@@ -458,6 +457,7 @@
 	}
 	arrival_record();
 	run_record(req);
+	kv_keep_prompt(req);
 	if (crashes(req))
 		fake_exit_after(&replica.fake, fault_int("crash_ms", 0));
 	if (request_held(req)) {
@@ -482,6 +482,7 @@
 	(void)fake;
 	json_decref(replica.faults);
 	replica.faults = json_deep_copy(faults);
+	kv_faults_set(faults);
 	if (fault_int("cold_ms", 0) > 0)
 		replica.cold_until_ms = fake_now_ms() + fault_int("cold_ms", 0);
 }
