relay: the first choice of followed endpoints is not delayed

The test missed two mutants: ties between endpoints are broken at random, so a prompt went to the right one by chance; it now sends nine. And faults of calls ended before any call was made; it now awaits calls.

--- a/moortack/relay/relay_contents.c
+++ b/moortack/relay/relay_contents.c
@@ -96,13 +96,20 @@
 	}
 }
 
+/* Whether this daemon may own endpoints. */
+static bool
+may_own(const relay_t *relay)
+{
+	return relay->gossip->uses_owners &&
+	    relay->members->state == MEMBER_READY;
+}
+
 /* Changes with the set of daemons among which endpoints have owners. */
 static uint64_t
 members_hash(const relay_t *relay)
 {
 	const membership_t *members = relay->members;
-	uint64_t hash =
-	    relay->gossip->uses_owners && members->state == MEMBER_READY;
+	uint64_t hash = may_own(relay);
 
 	for (const member_t *member = members->members; member != NULL;
 	     member = member->hh.next) {
@@ -128,8 +135,8 @@
 	    relay->endpoints->changes == contents->endpoint_changes &&
 	    version == contents->config_version)
 		return;
-	/* A fleet that grows to use owners is looked at again without delay. */
-	if (relay->gossip->uses_owners)
+	/* Until then nothing is chosen, and the first choice is not delayed. */
+	if (may_own(relay))
 		contents->chosen_at = now;
 	contents->members_hash = members;
 	contents->endpoint_changes = relay->endpoints->changes;
--- a/test/platform/contents_followed.lua
+++ b/test/platform/contents_followed.lua
@@ -72,16 +72,23 @@
 end)
 check_homes(1, "a prompt whose parts were reported by events")
 
--- What an endpoint reports outweighs that this daemon sent a prompt there: the
--- endpoint has dropped it, and another one keeps it.
-local sent_to = send(w.daemons[1], 50)
-local kept_by = sent_to % REPLICAS + 1
-place(kept_by, 50)
-w:faults(sent_to, {kv_capacity = 1})
-place(sent_to, 51)
-w:faults(sent_to, {})
+-- What endpoints report outweighs that this daemon sent prompts there: they have
+-- dropped these, and others keep them.
+local sent_to = {}
+for subject = 51, 50 + SUBJECTS do
+  sent_to[subject] = send(w.daemons[1], subject)
+end
+for i = 1, REPLICAS do
+  w:faults(i, {kv_capacity = 1})
+  place(i, 99)
+  w:faults(i, {})
+end
+for subject, i in pairs(sent_to) do place(i % REPLICAS + 1, subject) end
 run.sleep(RECENT_MS)
-lib.equal(send(w.daemons[1], 50), kept_by, "a prompt that was dropped")
+for subject, i in pairs(sent_to) do
+  lib.equal(send(w.daemons[1], subject), i % REPLICAS + 1,
+    "the endpoint of a prompt that another one dropped")
+end
 
 -- All daemons are lost at once.
 for _, daemon in ipairs(w.daemons) do daemon:kill() end
@@ -159,9 +166,23 @@
 
 -- Refusals, silence and invalid responses: prompts are served as without the
 -- calls, and calls are rare.
+local function calls_at(i)
+  local seen = kv(i)
+  return #seen.polls + #seen.lists
+end
 for _, faults in ipairs({{kv_status = 429}, {kv_silent = 1},
     {kv_garbage = 1}, {kv_status = 503}}) do
-  for i = 1, REPLICAS do w:faults(i, faults) end
+  local before = {}
+  for i = 1, REPLICAS do
+    w:faults(i, faults)
+    before[i] = calls_at(i)
+  end
+  lib.wait_until("calls in that state", function()
+    for i = 1, REPLICAS do
+      if calls_at(i) == before[i] then return false end
+    end
+    return true
+  end)
   wait_known(0)
   lib.check(send(w.daemons[1], 500) ~= nil, "a prompt without contents")
 end
@@ -173,9 +194,9 @@
 wait_known(0)
 run.sleep(500)
 local calls = 0
-for i = 1, REPLICAS do calls = calls + #kv(i).polls + #kv(i).lists end
+for i = 1, REPLICAS do calls = calls + calls_at(i) end
 run.sleep(6000)
-for i = 1, REPLICAS do calls = calls - #kv(i).polls - #kv(i).lists end
+for i = 1, REPLICAS do calls = calls - calls_at(i) end
 lib.equal(calls, 0, "calls to endpoints that do not offer them")
 lib.check(kv(2).held_peak <= CALLS_MAX, "%d calls at once", kv(2).held_peak)
 lib.say("ok")
--- a/test/unit/relay_contents_test.c
+++ b/test/unit/relay_contents_test.c
@@ -112,6 +112,19 @@
 	assert_int_equal(followed_after_s(fixture, 2), 0);
 }
 
+/* At a start, a daemon is ready after it knows the members. */
+static void
+first_choice_is_not_delayed(void **state)
+{
+	fixture_t *fixture = *state;
+
+	endpoint_learn(fixture, 1);
+	fixture->members.state = MEMBER_STARTING;
+	assert_int_equal(followed_after_s(fixture, 2), 0);
+	fixture->members.state = MEMBER_READY;
+	assert_int_equal(followed_after_s(fixture, 0), 1);
+}
+
 static void
 followed_endpoints_are_bounded_and_current(void **state)
 {
@@ -189,6 +202,8 @@
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test_setup_teardown(
 		nothing_is_followed_unless_asked_for, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		first_choice_is_not_delayed, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		followed_endpoints_are_bounded_and_current, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
