--- a/moortack/relay/contents_calls.c
+++ b/moortack/relay/contents_calls.c
@@ -177,12 +177,11 @@
 	const contents_dialect_t *dialect = self->relay->contents.dialect;
 	size_t len = evbuffer_get_length(self->body);
 	const char *body = (const char *)evbuffer_pullup(self->body, -1);
-	contents_report_t report;
-	err_t err;
+	contents_report_t report = {0};
 	bool valid = body != NULL &&
 	    (self->call == FOLLOW_LIST
 		    ? dialect->decode_list
-		    : dialect->decode_events)(body, len, &report, &err);
+		    : dialect->decode_events)(body, len, &report, NULL);
 
 	if (!valid) {
 		stats_add(&self->relay->stats, STAT_CONTENTS_INVALID, 1);
