--- a/test/unit/endpoint_contents_test.c
+++ b/test/unit/endpoint_contents_test.c
@@ -25,6 +25,7 @@
 	const contents_report_t list = {EPOCH, 10, false, held, 3};
 
 	(void)state;
+	endpoint_contents_finish(&contents);
 	endpoint_contents_init(&contents);
 	endpoint_contents_apply_list(&contents, &list);
 	return 0;
