--- a/moortack/relay/relay_ask.c
+++ b/moortack/relay/relay_ask.c
@@ -11,14 +11,13 @@
 #define US_PER_MS 1000
 
 void
-relay_gossip_add_prefixes(
-    gossip_message_t *message, const prefix_list_t *prefixes)
+relay_gossip_add_parts(gossip_message_t *message, const prefix_list_t *prefixes)
 {
-	while (message->prefixes_len + 1 < prefixes->len &&
-	    message->prefixes_len < GOSSIP_MESSAGE_PREFIXES_MAX) {
-		message->prefixes[message->prefixes_len] =
-		    prefixes->hashes[message->prefixes_len];
-		message->prefixes_len++;
+	while (message->parts_len + 1 < prefixes->len &&
+	    message->parts_len < GOSSIP_MESSAGE_PARTS_MAX) {
+		message->parts[message->parts_len] =
+		    prefixes->parts[message->parts_len];
+		message->parts_len++;
 	}
 }
 
@@ -56,6 +55,17 @@
 	attempt_begin(req);
 }
 
+/* This daemon is the owner. The prompts that it knows of are considered with
+ * all endpoints. */
+static void
+own_estimate(const relay_t *relay, const endpoint_t *endpoint,
+    const prefix_list_t *prefixes, queried_endpoint_t *queried)
+{
+	queried->responded = true;
+	queried->listed = relay_contents_match(
+	    relay, endpoint, prefixes, &queried->cached_prefixes);
+}
+
 /* Queries the owner of one endpoint. If this daemon is the owner itself, its
  * own estimates count as the response. */
 static void
@@ -68,12 +78,12 @@
 	    .endpoint_hash = endpoint->short_hash,
 	    .query_id = query->number};
 
-	relay_gossip_add_prefixes(&message, prefixes);
+	relay_gossip_add_parts(&message, prefixes);
 	*queried = (queried_endpoint_t){.hash = endpoint->hash};
 	if (gossip_query(req->relay->gossip, endpoint->info.zone, &message))
 		query->pending++;
 	else
-		queried->responded = true;
+		own_estimate(req->relay, endpoint, prefixes, queried);
 }
 
 static bool
@@ -137,12 +147,11 @@
 	int64_t now_ms = timespec_to_ms(clock_boottime(relay->clock));
 	endpoint_t *endpoint = endpoint_set_find_by_short_hash(
 	    relay->endpoints, message->endpoint_hash);
-	prefix_list_t prefixes = {.len = message->prefixes_len};
+	prefix_list_t prefixes;
 
 	if (endpoint == NULL)
 		return;
-	memcpy(prefixes.hashes, message->prefixes,
-	    message->prefixes_len * sizeof(message->prefixes[0]));
+	prefix_list_fill_hashes(&prefixes, message->parts, message->parts_len);
 	prefix_index_add(
 	    &relay->prefix_index, &prefixes, endpoint->hash, now_ms);
 	prefill_queue_add_remote(
@@ -156,14 +165,18 @@
 	int64_t now_ms = timespec_to_ms(clock_boottime(relay->clock));
 	const endpoint_t *endpoint = endpoint_set_find_by_short_hash(
 	    relay->endpoints, query->endpoint_hash);
-	prefix_list_t prefixes = {.len = query->prefixes_len};
+	prefix_list_t prefixes;
 
 	if (endpoint == NULL)
 		return false;
-	memcpy(prefixes.hashes, query->prefixes,
-	    query->prefixes_len * sizeof(query->prefixes[0]));
-	response->cached_prefixes = (uint32_t)prefix_index_match_count(
-	    &relay->prefix_index, &prefixes, endpoint->hash, now_ms);
+	prefix_list_fill_hashes(&prefixes, query->parts, query->parts_len);
+	response->listed = relay_contents_match(
+	    relay, endpoint, &prefixes, &response->cached_prefixes);
+	if (response->listed)
+		stats_add(&relay->stats, STAT_CONTENTS_ANSWERS, 1);
+	else
+		response->cached_prefixes = (uint32_t)prefix_index_match_count(
+		    &relay->prefix_index, &prefixes, endpoint->hash, now_ms);
 	response->queue_wait_ms = (uint32_t)prefill_queue_wait_ms(
 	    &endpoint->prefill_queue, (double)now_ms);
 	return true;
@@ -197,6 +210,7 @@
 		queried->responded = true;
 		queried->queue_wait_ms = response->queue_wait_ms;
 		queried->cached_prefixes = response->cached_prefixes;
+		queried->listed = response->listed;
 		req->owner_query.pending--;
 	}
 	if (req->owner_query.pending == 0)
