relay: owners report the price of their endpoints, daemons keep it for each zone

A daemon knew the wait only at endpoints that it asked about, at the moment of the question. An endpoint's owner now smooths the waits that it sees there (its prefill queue, reported load) and returns the price in its response to a query; a daemon keeps a price for up to eight zones of a service from these responses and from load headers of its own. No message more; a response grows by at most seven bytes. 0 in the message is unknown, so that a daemon without the field is understood.

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -21,6 +21,7 @@
 #include "moortack/relay/restriction_memory.h"
 #include "moortack/relay/version_guard.h"
 #include "moortack/relay/zone_table.h"
+#include "moortack/scheduling/price.h"
 
 #define ENDPOINT_NAME_SIZE 96
 #define ENDPOINT_SUSPECTED_FAILURES_MAX 8
@@ -104,6 +105,7 @@
 	bool load_reported;
 	prefill_queue_t
 	    prefill_queue; /**< prompts that it has still to prefill */
+	price_t price;	   /**< from the waits that this daemon sees there */
 	uint32_t failures; /**< consecutive */
 	struct timespec ejected_until;
 	suspected_failure_t suspected_failures[ENDPOINT_SUSPECTED_FAILURES_MAX];
--- a/include/moortack/relay/gossip_message.h
+++ b/include/moortack/relay/gossip_message.h
@@ -69,6 +69,8 @@
 	bool reaches;	       /**< reach report: see helper_report_t */
 	uint32_t contact_age_ms;
 	uint32_t load;
+	uint32_t price_milli; /**< response: the endpoint's price in
+				 thousandths; 0: unknown */
 	uint64_t noticed_ms; /**< rate limit, brittle: see rate_report_t; by the
 				store's clock */
 } gossip_message_t;
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -28,6 +28,7 @@
 #include "moortack/relay/warmup_share.h"
 #include "moortack/replication/membership.h"
 #include "moortack/replication/row_watch.h"
+#include "moortack/scheduling/price.h"
 
 /** Limits set by the deployment. */
 typedef struct relay_bounds {
@@ -59,12 +60,22 @@
 	prefill_rate_t prefill_rate;
 } service_model_t;
 
-/** Retry budget and model statistics of one service. */
+/** Zones of a service whose prices are kept. */
+#define PRICE_ZONES_MAX 8
+
+/** Price of a service's endpoints in one zone. */
+typedef struct zone_price {
+	uint64_t zone_hash; /**< of the zone's name */
+	price_t price;
+} zone_price_t;
+
+/** Retry budget, model statistics and prices of one service. */
 typedef struct service_state {
 	char service[ENDPOINT_NAME_SIZE];
 	retry_share_t retry_share;
 	service_model_t models[MODELS_MAX];
 	size_t models_len;
+	zone_price_t zone_prices[PRICE_ZONES_MAX];
 	UT_hash_handle hh;
 } service_state_t;
 
@@ -194,6 +205,9 @@
 /** Number of services whose endpoints this daemon can't reach. */
 uint32_t relay_unreachable_services(const relay_t *);
 
+/** Write the highest price of each service as a metric. */
+void relay_price_write_metrics(const relay_t *, struct evbuffer *out);
+
 /** Number of cold endpoints. */
 uint32_t relay_cold_endpoints(const relay_t *);
 
--- a/include/moortack/wire/peer.pb-c.h
+++ b/include/moortack/wire/peer.pb-c.h
@@ -524,10 +524,14 @@
    * reach report: requests in flight for each core
    */
   uint32_t busy;
+  /*
+   * response: price in thousandths; 0: unknown, 1: none
+   */
+  uint32_t price_milli;
 };
 #define WIRE__GOSSIP_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__gossip_message__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/moortack/relay/gossip_message.c
+++ b/moortack/relay/gossip_message.c
@@ -50,6 +50,7 @@
 	wire.reaches = message->reaches;
 	wire.contact_ms = message->contact_age_ms;
 	wire.busy = message->load;
+	wire.price_milli = message->price_milli;
 	len = wire__gossip_message__pack(&wire, plain);
 	randombytes_buf(out, NONCE_SIZE);
 	crypto_aead_chacha20poly1305_ietf_encrypt(out + NONCE_SIZE, &sealed,
@@ -82,7 +83,8 @@
 	    .service_hash = wire->service,
 	    .reaches = wire->reaches,
 	    .contact_age_ms = wire->contact_ms,
-	    .load = wire->busy};
+	    .load = wire->busy,
+	    .price_milli = wire->price_milli};
 	for (size_t i = 0; i < wire->n_prefixes; i++)
 		message->prefixes[i] = wire->prefixes[i];
 	for (size_t i = 0; i < wire->n_digests; i++)
--- a/moortack/relay/relay_ask.c
+++ b/moortack/relay/relay_ask.c
@@ -59,8 +59,8 @@
 /* Queries the owner of one endpoint. If this daemon is the owner itself, its
  * own estimates count as the response. */
 static void
-owner_query(relay_request_t *req, const endpoint_t *endpoint,
-    const prefix_list_t *prefixes)
+owner_query(
+    relay_request_t *req, endpoint_t *endpoint, const prefix_list_t *prefixes)
 {
 	owner_query_t *query = &req->owner_query;
 	queried_endpoint_t *queried = &query->endpoints[query->len++];
@@ -70,10 +70,12 @@
 
 	relay_gossip_add_prefixes(&message, prefixes);
 	*queried = (queried_endpoint_t){.hash = endpoint->hash};
-	if (gossip_query(req->relay->gossip, endpoint->info.zone, &message))
+	if (gossip_query(req->relay->gossip, endpoint->info.zone, &message)) {
 		query->pending++;
-	else
-		queried->responded = true;
+		return;
+	}
+	queried->responded = true;
+	relay_price_observe_response(req->relay, endpoint);
 }
 
 static bool
@@ -147,6 +149,7 @@
 	    &relay->prefix_index, &prefixes, endpoint->hash, now_ms);
 	prefill_queue_add_remote(
 	    &endpoint->prefill_queue, message->prefill_ms, (double)now_ms);
+	relay_price_observe_endpoint(relay, endpoint);
 }
 
 static bool
@@ -154,7 +157,7 @@
 {
 	relay_t *relay = arg;
 	int64_t now_ms = timespec_to_ms(clock_boottime(relay->clock));
-	const endpoint_t *endpoint = endpoint_set_find_by_short_hash(
+	endpoint_t *endpoint = endpoint_set_find_by_short_hash(
 	    relay->endpoints, query->endpoint_hash);
 	prefix_list_t prefixes = {.len = query->prefixes_len};
 
@@ -166,6 +169,8 @@
 	    &relay->prefix_index, &prefixes, endpoint->hash, now_ms);
 	response->queue_wait_ms = (uint32_t)prefill_queue_wait_ms(
 	    &endpoint->prefill_queue, (double)now_ms);
+	relay_price_observe_endpoint(relay, endpoint);
+	response->price_milli = relay_price_milli(relay, endpoint);
 	return true;
 }
 
@@ -186,6 +191,8 @@
 {
 	relay_request_t *req = querying_request_find(arg, response->query_id);
 
+	relay_price_receive(
+	    arg, response->endpoint_hash, response->price_milli);
 	if (req == NULL)
 		return;
 	for (size_t i = 0; i < req->owner_query.len; i++) {
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -267,6 +267,21 @@
 const queried_endpoint_t *
 relay_query_result(const relay_request_t *, size_t model, uint64_t endpoint);
 
+/** Record the wait at an endpoint, as far as this daemon knows it. */
+void relay_price_observe_endpoint(relay_t *, endpoint_t *);
+/** The same for its zone, when the head of a response was received. */
+void relay_price_observe_response(relay_t *, endpoint_t *);
+/** The endpoint's price in thousandths, as its owner reports it; 0: unknown. */
+uint32_t relay_price_milli(const relay_t *, const endpoint_t *);
+/** An owner has reported its endpoint's price. */
+void relay_price_receive(relay_t *, uint32_t endpoint_hash, uint32_t milli);
+/** The price of the service's endpoints in a zone; 0: unknown, or none. */
+double relay_price(relay_t *, const char *service, const char *zone);
+/** The price with its age; all zero: unknown.
+ * @param state NULL: the service is not known */
+const price_t *
+service_zone_price(const service_state_t *state, const char *zone);
+
 /** Choose an endpoint for the request's next attempt.
  * @param model index in the route's models, if the router chooses the model
  * @param why set if there is none
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -161,8 +161,10 @@
 	attempt->first_byte_ms = (double)timespec_ms_between(
 	    attempt->sent_at, clock_boottime(req->relay->clock));
 	relay_notice_apply(req);
-	if (response->has_load)
+	if (response->has_load) {
 		endpoint_record_load(attempt->endpoint, &response->load);
+		relay_price_observe_response(req->relay, attempt->endpoint);
+	}
 	if (response->not_run || response->wrong_endpoint)
 		return;
 	usage_count(req);
--- a/moortack/wire/peer.pb-c.c
+++ b/moortack/wire/peer.pb-c.c
@@ -2255,7 +2255,7 @@
   (ProtobufCMessageInit) wire__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__gossip_message__field_descriptors[18] =
+static const ProtobufCFieldDescriptor wire__gossip_message__field_descriptors[19] =
 {
   {
     "endpoint",
@@ -2473,6 +2473,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "price_milli",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GossipMessage, price_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__gossip_message__field_indices_by_name[] = {
   17,   /* field[17] = busy */
@@ -2487,6 +2499,7 @@
   13,   /* field[13] = noticed_ms */
   4,   /* field[4] = number */
   2,   /* field[2] = prefixes */
+  18,   /* field[18] = price_milli */
   12,   /* field[12] = rate */
   15,   /* field[15] = reaches */
   1,   /* field[1] = read_ms */
@@ -2497,7 +2510,7 @@
 static const ProtobufCIntRange wire__gossip_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor wire__gossip_message__descriptor =
 {
@@ -2507,7 +2520,7 @@
   "Wire__GossipMessage",
   "wire",
   sizeof(Wire__GossipMessage),
-  18,
+  19,
   wire__gossip_message__field_descriptors,
   wire__gossip_message__field_indices_by_name,
   1,  wire__gossip_message__number_ranges,
--- a/test/unit/gossip_test.c
+++ b/test/unit/gossip_test.c
@@ -47,7 +47,7 @@
 }
 
 static void
-crash_messages_fit_into_one_datagram(void **state)
+largest_messages_fit_into_one_datagram(void **state)
 {
 	const gossip_message_t crash = {.kind = GOSSIP_CRASH,
 	    .endpoint_hash = UINT32_MAX,
@@ -66,8 +66,14 @@
 	    .rate_limited = true,
 	    .rate_milli = UINT32_MAX,
 	    .noticed_ms = UINT64_MAX};
+	const gossip_message_t response = {.kind = GOSSIP_RESPONSE,
+	    .endpoint_hash = UINT32_MAX,
+	    .query_id = UINT32_MAX,
+	    .queue_wait_ms = UINT32_MAX,
+	    .cached_prefixes = UINT32_MAX,
+	    .price_milli = UINT32_MAX};
 	const gossip_message_t *const messages[] = {
-	    &crash, &quarantined, &rate_limit};
+	    &crash, &quarantined, &rate_limit, &response};
 	uint8_t bytes[GOSSIP_DATAGRAM_MAX];
 	gossip_key_t key;
 	gossip_message_t opened;
@@ -217,7 +223,8 @@
 	    .endpoint_hash = 7,
 	    .query_id = 0xffffffff,
 	    .queue_wait_ms = 4321,
-	    .cached_prefixes = 3};
+	    .cached_prefixes = 3,
+	    .price_milli = 1234};
 	uint8_t bytes[GOSSIP_DATAGRAM_MAX];
 	gossip_key_t key;
 	gossip_message_t opened;
@@ -231,6 +238,7 @@
 	assert_int_equal(opened.query_id, sent.query_id);
 	assert_int_equal(opened.queue_wait_ms, sent.queue_wait_ms);
 	assert_int_equal(opened.cached_prefixes, sent.cached_prefixes);
+	assert_int_equal(opened.price_milli, sent.price_milli);
 }
 
 /* The smaller the send budget, the longer a prompt has to be. */
@@ -266,7 +274,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(message_opens_only_with_the_key),
-	    cmocka_unit_test(crash_messages_fit_into_one_datagram),
+	    cmocka_unit_test(largest_messages_fit_into_one_datagram),
 	    cmocka_unit_test(altered_datagrams_are_refused),
 	    cmocka_unit_test(small_fleet_notifies_all_daemons),
 	    cmocka_unit_test(response_survives_a_round_trip),
