model choice: what others wait for, and streams that their deadline would cut

Scarcity: a model's cost is today's constant plus price x endpoint time / latency objective. Endpoint time is the prefill and the share of a slot that decoding takes. A request of the default rank is charged the full price, a more urgent one less. With price 0 or unknown the choice is as before.

Completion: a model's time for a token is learned from the times of events and the stride in the service's configuration. The value of each response, the present one included, is multiplied by the probability that it ends in time, by the caller's estimate (log-normal, a factor of 1.6) and its limit. A retry before the first event steps down from a model that nine in ten times would be cut. A resume keeps its model and is not refused: its remaining output is not known, and events already sent are worth more than none. Unknown rates or estimates change nothing.

--- a/include/moortack/relay/model_choice.h
+++ b/include/moortack/relay/model_choice.h
@@ -22,6 +22,12 @@
 	double good_probability; /**< that its response is good enough, after a
 				    smaller model's was not */
 	double on_time_rate; /**< part of its responses that started in time */
+	double endpoint_ms;  /**< time that it takes of an endpoint; 0: not
+				known */
+	double price; /**< of that time, see price_now(); 0: not known, or
+			 nothing waits */
+	double cut_probability; /**< that its stream does not end before the
+				   caller's time limit; 0 also if not known */
 } model_option_t;
 
 /** What the selection depends on. */
@@ -32,6 +38,11 @@
 			   reported */
 	bool retry_allowed;  /**< attempts, time and budget allow another run */
 	double remaining_ms; /**< until the response is late; may be negative */
+	double
+	    objective_ms; /**< latency objective; 0: prices are not charged */
+	int rank;	  /**< of the request, 0 is the most urgent */
+	double cut_probability; /**< that the present response is cut, as above
+				 */
 	model_option_t options[MODELS_MAX];
 } model_choice_input_t;
 
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -14,6 +14,7 @@
 #include "common/rng.h"
 #include "moortack/duty/duties.h"
 #include "moortack/reach/forward_head.h"
+#include "moortack/relay/completion.h"
 #include "moortack/relay/dialect.h"
 #include "moortack/relay/first_try.h"
 #include "moortack/relay/gossip.h"
@@ -58,6 +59,7 @@
 	uint64_t name_hash;
 	model_stats_t record;
 	prefill_rate_t prefill_rate;
+	decode_rate_t decode_rate;
 } service_model_t;
 
 /** Zones of a service whose prices are kept. */
--- a/include/moortack/relay/relay_config.h
+++ b/include/moortack/relay/relay_config.h
@@ -91,6 +91,8 @@
 	    warmup_ms; /**< how long its endpoints are cold after their start */
 	double warmup_per_s;	    /**< requests a second that a cold endpoint
 				       tolerates; 0: unlimited */
+	uint32_t event_tokens;	    /**< output tokens that an event of a stream
+				       holds; 0: not known */
 	capacity_limits_t capacity; /**< what may be ordered for it */
 	UT_hash_handle hh;	    /**< by name */
 } relay_service_t;
--- a/moortack/relay/model_choice.c
+++ b/moortack/relay/model_choice.c
@@ -17,6 +17,12 @@
  * time, and one that is expected after the second part is late. */
 #define IN_TIME_PART 0.7
 #define LATE_PART 1.3
+/* A request of this rank, the default, is charged the full price. The price is
+ * what others wait for, and an endpoint makes only requests wait that are not
+ * more urgent. So an urgent request is charged less, in proportion to its rank:
+ * those it delays are worth less to their callers than it is to its own. Of all
+ * requests, less urgent ones give up larger models first. */
+#define FULL_PRICE_RANK 5
 
 size_t
 model_choice_first(size_t models)
@@ -44,6 +50,19 @@
 	    (LATE_PART - IN_TIME_PART);
 }
 
+/* What other requests lose by the time that the model takes of an endpoint: the
+ * value of one in time for each latency objective that they wait. */
+static double
+scarcity_cost(const model_choice_input_t *input, const model_option_t *option)
+{
+	double rank_part = (input->rank + 1.0) / (FULL_PRICE_RANK + 1.0);
+
+	if (input->objective_ms <= 0)
+		return 0;
+	return option->price * rank_part * option->endpoint_ms /
+	    input->objective_ms;
+}
+
 /* The value of the model's response minus its cost, as a part of the value of a
  * good response in time. */
 static double
@@ -55,8 +74,9 @@
 	double in_time = in_time_probability(option, input->remaining_ms);
 
 	return option->good_probability *
-	    (in_time + (1 - in_time) * LATE_VALUE) -
-	    LARGEST_COST * cost;
+	    (in_time + (1 - in_time) * LATE_VALUE) *
+	    (1 - option->cut_probability) -
+	    LARGEST_COST * cost - scarcity_cost(input, option);
 }
 
 bool
@@ -74,7 +94,8 @@
 	if (input->model + 1 >= input->models || !input->retry_allowed ||
 	    input->confidence < 0)
 		return input->model;
-	best_value = model_good_probability(input->confidence);
+	best_value = model_good_probability(input->confidence) *
+	    (1 - input->cut_probability);
 	for (size_t i = input->model + 1; i < input->models; i++) {
 		double value = option_value(input, i);
 
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -195,7 +195,7 @@
 	return true;
 }
 
-static int
+int
 request_rank(const relay_request_t *req)
 {
 	int rank = req->route->priority;
@@ -238,7 +238,7 @@
 /* Log the decision before the request is sent: if the VM is lost with the
  * request in flight, nothing else is left of it. */
 static void
-attempt_log(const relay_request_t *req)
+attempt_log(relay_request_t *req)
 {
 	const placement_t *placement = &req->attempt.placement;
 	const relay_t *relay = req->relay;
@@ -247,7 +247,7 @@
 	    "id=%s endpoint=%s zone=%s model=%s attempt=%u kept=%d resume=%d "
 	    "of=%zu cold=%zu limited=%zu back_off=%zu brittle=%zu told=%zu "
 	    "load=%.0f "
-	    "wait_ms=%.0f read_ms=%.0f first_ms=%.0f "
+	    "wait_ms=%.0f read_ms=%.0f first_ms=%.0f price=%.3f "
 	    "left_ms=%" PRId64 " config=%" PRIu64 " endpoints_age_ms=%" PRId64,
 	    req->arrival.id, req->last_endpoint_id,
 	    placement->endpoint->info.zone,
@@ -258,6 +258,8 @@
 	    placement->backoff_skipped, placement->brittle_skipped,
 	    placement->owner_reports, placement->load, placement->queue_wait_ms,
 	    placement->prefill_ms, placement->first_byte_ms,
+	    relay_price(
+		req->relay, req->service, placement->endpoint->info.zone),
 	    request_remaining_ms(req), req->config->version,
 	    row_watch_age_ms(relay->endpoint_watch));
 }
--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -1,8 +1,17 @@
+#include <inttypes.h>
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
 #include "relay_request.h"
 
+/* Events of which the time is measured together: few, so that the shortest
+ * streams count too, and as many as arrive in one read now and then. */
+#define DECODE_EVENTS 4
+/* A model that is cut with this probability is not asked again: nine in ten of
+ * its streams would take an endpoint's time for nothing. */
+#define CUT_CERTAIN 0.9
+
 service_model_t *
 relay_model_find(const relay_request_t *req, const char *name)
 {
@@ -144,6 +153,76 @@
 		    attempt->placement.uncached_tokens, waited_ms);
 }
 
+/* Probability that the model's stream does not end within the caller's time
+ * limit if it starts in so many ms. */
+static double
+cut_probability(
+    const relay_request_t *req, const service_model_t *model, double start_ms)
+{
+	const output_estimate_t output = {
+	    req->arrival.tokens_out_estimate, req->arrival.tokens_out_max};
+
+	return completion_cut_probability(&model->decode_rate, &output,
+	    (double)request_remaining_ms(req) - fmax(start_ms, 0));
+}
+
+/* Time that the model takes of the endpoint: it prefills one prompt at a time,
+ * and decodes for as many requests at once as it has slots. */
+static double
+endpoint_time_ms(const relay_request_t *req, const service_model_t *model,
+    const placement_t *place)
+{
+	const output_estimate_t output = {
+	    req->arrival.tokens_out_estimate, req->arrival.tokens_out_max};
+	double decode_ms = decode_rate_output_ms(&model->decode_rate, &output);
+	uint32_t slots = place->endpoint->info.slots;
+
+	if (decode_ms < 0)
+		return place->prefill_ms;
+	return place->prefill_ms + decode_ms / (slots > 0 ? slots : 1);
+}
+
+void
+relay_model_event(relay_request_t *req)
+{
+	attempt_t *attempt = &req->attempt;
+	const relay_service_t *service;
+	service_model_t *model;
+
+	if (req->attempt_events == 0 ||
+	    (req->attempt_events - 1) % DECODE_EVENTS != 0 ||
+	    attempt->model == NULL)
+		return;
+	model = relay_model_find(req, attempt->model);
+	service = relay_config_find_service(req->config, req->service);
+	/* While its caller reads too slowly, an endpoint is not read either. */
+	if (req->attempt_events > 1 && !attempt->caller_was_slow &&
+	    model != NULL && service != NULL)
+		decode_rate_observe(&model->decode_rate,
+		    DECODE_EVENTS * (double)service->event_tokens,
+		    (double)timespec_ms_between(
+			attempt->decode_since, req->last_event_at));
+	attempt->decode_since = req->last_event_at;
+	attempt->caller_was_slow = false;
+}
+
+void
+relay_model_reconsider(relay_request_t *req)
+{
+	const service_model_t *model;
+
+	if (!req->arrival.any_model || !req->model_chosen)
+		return;
+	while (req->model_index > 0) {
+		model = relay_model_find(
+		    req, relay_model_name(req, req->model_index));
+		if (model == NULL ||
+		    cut_probability(req, model, 0) < CUT_CERTAIN)
+			return;
+		req->model_index--;
+	}
+}
+
 static void
 option_fill(relay_request_t *req, size_t index, model_option_t *option)
 {
@@ -161,8 +240,29 @@
 		&model->record, req->smallest_confidence, largest),
 	    .on_time_rate = model_stats_on_time_probability(&model->record),
 	    .first_byte_ms = -1};
-	if (relay_choose_endpoint(req, index, &place, &why))
+	if (relay_choose_endpoint(req, index, &place, &why)) {
 		option->first_byte_ms = place.first_byte_ms;
+		option->endpoint_ms = endpoint_time_ms(req, model, &place);
+		option->price = relay_price(
+		    req->relay, req->service, place.endpoint->info.zone);
+	}
+	option->cut_probability =
+	    cut_probability(req, model, option->first_byte_ms);
+}
+
+static void
+choice_log(
+    const relay_request_t *req, const model_choice_input_t *input, size_t next)
+{
+	const model_option_t *largest = &input->options[input->models - 1];
+
+	event_log_write(req->relay->log, "model_choice",
+	    "id=%s model=%s next=%s confidence=%d rank=%d price=%.3f "
+	    "largest_ms=%.0f largest_cut=%.3f cut=%.3f left_ms=%" PRId64,
+	    req->arrival.id, relay_model_name(req, input->model),
+	    relay_model_name(req, next), input->confidence, input->rank,
+	    largest->price, largest->endpoint_ms, largest->cut_probability,
+	    input->cut_probability, request_remaining_ms(req));
 }
 
 void
@@ -172,7 +272,10 @@
 	model_choice_input_t input = {.model = req->model_index,
 	    .models = route->models_len,
 	    .confidence = req->confidence,
-	    .remaining_ms = objective_remaining_ms(req)};
+	    .remaining_ms = objective_remaining_ms(req),
+	    .objective_ms = (double)req->route->latency_objective_ms,
+	    .rank = request_rank(req)};
+	const service_model_t *model;
 	size_t next;
 
 	if (!req->arrival.any_model || route->models_len == 0)
@@ -181,11 +284,15 @@
 	late_responses_record(req->relay);
 	if (model_choice_is_final(req->confidence))
 		return;
+	model = relay_model_find(req, relay_model_name(req, input.model));
+	if (model != NULL)
+		input.cut_probability = cut_probability(req, model, 0);
 	input.retry_allowed = req->sends < request_sends_max(req) &&
 	    relay_retry_has_spare(req->relay, req->service);
 	for (size_t i = input.model + 1; i < input.models; i++)
 		option_fill(req, i, &input.options[i]);
 	next = model_choice_next(&input);
+	choice_log(req, &input, next);
 	/* A response is not discarded unless another one can be had without
 	 * taking what a rate limit leaves for first attempts. */
 	if (next == req->model_index || !relay_has_unlimited_endpoint(req))
--- a/moortack/relay/relay_price.c
+++ b/moortack/relay/relay_price.c
@@ -58,8 +58,9 @@
 	    relay_service_state(relay, endpoint->info.service);
 
 	if (state != NULL)
-		price_observe(zone_price_add(state, endpoint->info.zone, now_ms),
-		    wait_ms, busy, now_ms);
+		price_observe(
+		    zone_price_add(state, endpoint->info.zone, now_ms), wait_ms,
+		    busy, now_ms);
 }
 
 /* The wait at the endpoint as far as this daemon knows it.
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -72,7 +72,10 @@
 	bool late_recorded;	  /**< in the model's statistics */
 	bool connection_lost;	  /**< before the response was complete */
 	bool connection_refused; /**< by the endpoint's host: nothing listens */
-	bool completed;		 /**< the response was complete */
+	struct timespec decode_since; /**< first of the events of which the
+					 time is measured */
+	bool caller_was_slow; /**< since then, no data was read for a while */
+	bool completed;	      /**< the response was complete */
 	bool end_confirmed; /**< after that, the endpoint was found to listen */
 	bool end_uncertain; /**< the response ended with its connection;
 			       a probe tells whether the endpoint crashed */
@@ -203,6 +206,10 @@
 /** Milliseconds left until the time limit; negative: it has passed. */
 int64_t request_remaining_ms(const relay_request_t *);
 
+/** The request's rank: its organisation's, or else its route's; 0 is the most
+ * urgent, 9 the least. */
+int request_rank(const relay_request_t *);
+
 /** Keyed hash that identifies equal requests; 0: the fleet's secret is not
  * known yet. */
 uint64_t relay_request_digest(relay_request_t *);
@@ -481,6 +488,12 @@
  * and escalate to a larger model if that is better. The attempt has ended
  * then. */
 void relay_model_evaluate(relay_request_t *);
+/** An event of the attempt was received, at the time of last_event_at: measure
+ * how long the model takes for a token. */
+void relay_model_event(relay_request_t *);
+/** The request is sent again before its response has started: take a smaller
+ * model if the present one cannot complete in the time left. */
+void relay_model_reconsider(relay_request_t *);
 /** The attempt ends before the head of its response was received. */
 void relay_model_no_response(relay_request_t *);
 /** Estimate in milliseconds how long ago the caller first tried. It updates the
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -193,6 +193,7 @@
 	req->last_event_at = now;
 	if (req->attempt.forwarded)
 		return;
+	relay_model_event(req);
 	relay_canary_event(req);
 	relay_parts_event(req);
 }
@@ -233,6 +234,7 @@
 	if (http_inbound_unsent_bytes(req->caller) < CALLER_PENDING_MAX)
 		return;
 	req->paused = true;
+	req->attempt.caller_was_slow = true;
 	http_outbound_pause_reading(req->attempt.conn, true);
 }
 
--- a/moortack/relay/relay_retry.c
+++ b/moortack/relay/relay_retry.c
@@ -213,6 +213,8 @@
 	if (!final && may_retry(req, outcome, reached_endpoint)) {
 		if (req->response_started)
 			stats_add(&req->relay->stats, STAT_RESUMED, 1);
+		else if (outcome != ATTEMPT_ESCALATED)
+			relay_model_reconsider(req);
 		attempt_begin(req);
 		return;
 	}
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -8,10 +8,12 @@
 
 #include <cmocka.h>
 
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "common/clock_source.h"
+#include "moortack/relay/completion.h"
 #include "moortack/relay/event_scan.h"
 #include "moortack/relay/first_try.h"
 #include "moortack/relay/model_choice.h"
@@ -79,6 +81,143 @@
 	assert_int_equal(model_choice_next(&input), 2);
 }
 
+/* Without a price the choice is what it was, whatever time a model takes. While
+ * others wait, a larger model is asked for less, and rather by urgent requests.
+ */
+static void
+scarcity_makes_larger_models_rarer(void **state)
+{
+	double dearest_chosen[10];
+
+	(void)state;
+	for (int confidence = 0; confidence <= 100; confidence++) {
+		model_choice_input_t plain = doubtful_input(300);
+		model_choice_input_t priced = plain;
+
+		plain.confidence = priced.confidence = confidence;
+		priced.objective_ms = 1000;
+		for (size_t i = 1; i < priced.models; i++)
+			priced.options[i].endpoint_ms = 1e6;
+		assert_int_equal(
+		    model_choice_next(&plain), model_choice_next(&priced));
+		for (size_t i = 1; i < priced.models; i++)
+			priced.options[i].price = 100;
+		assert_int_equal(model_choice_next(&priced), 0);
+	}
+	for (int rank = 0; rank < 10; rank++) {
+		model_choice_input_t input = doubtful_input(100);
+
+		input.objective_ms = 1000;
+		input.rank = rank;
+		input.options[1].good_probability = 0;
+		input.options[2].endpoint_ms = 500;
+		dearest_chosen[rank] = 0;
+		for (double price = 0; price < 10; price += 0.01) {
+			input.options[2].price = price;
+			if (model_choice_next(&input) == 2)
+				dearest_chosen[rank] = price;
+		}
+		assert_true(dearest_chosen[rank] > 0);
+		assert_true(rank == 0 ||
+		    dearest_chosen[rank] < dearest_chosen[rank - 1]);
+	}
+	/* At the default rank: as much as it gains, (1 - 0.45) x 1000 / 500. */
+	assert_true(dearest_chosen[5] > 1.05 && dearest_chosen[5] < 1.15);
+}
+
+/* The largest model of a day's load: four tokens in an event, one event each
+ * 159 ms. The smaller one takes a tenth of the time. */
+static void
+decode_rates_fill(decode_rate_t *smallest, decode_rate_t *largest)
+{
+	*smallest = *largest = (decode_rate_t){0};
+	for (int i = 0; i < 20; i++) {
+		decode_rate_observe(smallest, 16, 63);
+		decode_rate_observe(largest, 16, 636);
+	}
+}
+
+/* A request of 913 tokens got 66 events of the largest model in 10.5 s, and was
+ * then cut by its deadline, though the smallest had answered within 30 ms. */
+static void
+stream_that_would_be_cut_stays_with_the_smaller_model(void **state)
+{
+	const output_estimate_t output = {305, 594};
+	const double left_ms = 10600 - 30;
+	model_choice_input_t input = doubtful_input(100);
+	decode_rate_t smallest, largest;
+
+	(void)state;
+	decode_rates_fill(&smallest, &largest);
+	input.confidence = 5;
+	input.options[1].good_probability = 0;
+	assert_int_equal(model_choice_next(&input), 2);
+	input.cut_probability =
+	    completion_cut_probability(&smallest, &output, left_ms);
+	input.options[2].cut_probability =
+	    completion_cut_probability(&largest, &output, left_ms - 100);
+	assert_true(input.cut_probability == 0);
+	assert_true(input.options[2].cut_probability > 0.6);
+	assert_int_equal(model_choice_next(&input), 0);
+	/* With twice the time, the larger one is asked. */
+	input.options[2].cut_probability =
+	    completion_cut_probability(&largest, &output, 2 * left_ms);
+	assert_int_equal(model_choice_next(&input), 2);
+	/* Where the smaller one is cut for certain, it is worth nothing. */
+	input = doubtful_input(100);
+	input.confidence = 90;
+	assert_int_equal(model_choice_next(&input), 0);
+	input.cut_probability = 1;
+	assert_int_equal(model_choice_next(&input), 2);
+}
+
+static void
+completion_is_estimated_from_events(void **state)
+{
+	const output_estimate_t output = {300, 600}, sure = {300, 310};
+	const output_estimate_t unlimited = {300, 0}, over = {900, 300};
+	const output_estimate_t none = {0, 600};
+	decode_rate_t rate = {0};
+	double before = 1;
+
+	(void)state;
+	for (int i = 0; i < 3; i++)
+		decode_rate_observe(&rate, 16, 160);
+	/* Unknown: nothing is cut. */
+	assert_true(decode_rate_ms_per_token(&rate) < 0);
+	assert_true(completion_cut_probability(&rate, &output, 1) == 0);
+	for (int i = 0; i < 5; i++) {
+		decode_rate_observe(&rate, 16, 160);
+		decode_rate_observe(&rate, 0, 160);
+		decode_rate_observe(&rate, 16, -1);
+	}
+	assert_true(fabs(decode_rate_ms_per_token(&rate) - 10) < 0.01);
+	assert_true(decode_rate_output_ms(&rate, &none) < 0);
+	assert_true(completion_cut_probability(&rate, &none, 1) == 0);
+	assert_true(fabs(decode_rate_output_ms(&rate, &over) - 3000) < 1);
+	/* Right at the median, one in six beyond a factor of 1.6. */
+	assert_true(fabs(completion_cut_probability(&rate, &output, 3000) -
+			0.5) < 0.01);
+	assert_true(fabs(completion_cut_probability(&rate, &output, 4800) -
+			0.16) < 0.01);
+	assert_true(completion_cut_probability(&rate, &output, 6010) == 0);
+	assert_true(completion_cut_probability(&rate, &unlimited, 6010) > 0);
+	assert_true(completion_cut_probability(&rate, &sure, 3110) == 0);
+	assert_true(completion_cut_probability(&rate, &output, 0) == 1);
+	assert_true(completion_cut_probability(&rate, &output, -5) == 1);
+	for (double left_ms = 100; left_ms < 7000; left_ms += 100) {
+		double cut =
+		    completion_cut_probability(&rate, &output, left_ms);
+
+		assert_true(cut <= before && cut >= 0);
+		before = cut;
+	}
+	/* A model that becomes slower is noticed within some streams. */
+	for (int i = 0; i < 100; i++)
+		decode_rate_observe(&rate, 16, 480);
+	assert_true(decode_rate_ms_per_token(&rate) > 25);
+}
+
 /* Once some responses were compared, the confidence of the smallest model
  * predicts how good a larger one's response will be. */
 static void
@@ -491,6 +630,10 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(doubtful_response_goes_to_a_larger_model),
 	    cmocka_unit_test(no_larger_model_is_asked_if_it_would_be_late),
+	    cmocka_unit_test(scarcity_makes_larger_models_rarer),
+	    cmocka_unit_test(
+		stream_that_would_be_cut_stays_with_the_smaller_model),
+	    cmocka_unit_test(completion_is_estimated_from_events),
 	    cmocka_unit_test(a_larger_models_gain_is_learned),
 	    cmocka_unit_test(lowest_confidence_has_its_own_estimate),
 	    cmocka_unit_test(shorter_deadline_shows_earlier_try),
