--- a/include/moortack/relay/completion.h
+++ b/include/moortack/relay/completion.h
@@ -1,8 +1,8 @@
 /**
  * @file
- * Whether a stream is completed before its deadline: the time that a model takes
- * for an output token, learned from events, and the probability that the output
- * ends in time. A pure estimate.
+ * Whether a stream is completed before its deadline: the time that a model
+ * takes for an output token, learned from events, and the probability that the
+ * output ends in time. A pure estimate.
  */
 #ifndef MOORTACK_RELAY_COMPLETION_H
 #define MOORTACK_RELAY_COMPLETION_H
--- a/moortack/relay/completion.c
+++ b/moortack/relay/completion.c
@@ -49,8 +49,8 @@
 }
 
 double
-completion_cut_probability(const decode_rate_t *rate,
-    const output_estimate_t *output, double left_ms)
+completion_cut_probability(
+    const decode_rate_t *rate, const output_estimate_t *output, double left_ms)
 {
 	double expected_ms = decode_rate_output_ms(rate, output);
 
--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -22,7 +22,8 @@
  * limit that it names, "leaving" its notice that it leaves, "retry_after" the
  * time for which it wants nothing after a refusal (texts of headers), "id" its
  * own id, "confidence" that of its responses, "confidence_small" the same of
- * the small model, "events" the number in a stream and "pause_ms" the time
+ * the small model, "pause_large_ms" the time between events of the large model,
+ * "events" the number in a stream and "pause_ms" the time
  * between them, "slots" the number that it says it processes, "room" the most
  * streams that it holds, beyond which it refuses requests, "brittle" how many
  * it may refuse in a second before it falls (text of a header).
@@ -283,7 +284,10 @@
 {
 	const char *after = http_request_header(req, "Last-Event-Id");
 	stream_t *stream = calloc(1, sizeof(*stream));
-	int64_t pause_ms = fault_int("pause_ms", 5);
+	const char *model = http_request_header(req, "Moortack-Model-Id");
+	bool large = model != NULL && strcmp(model, "large") == 0;
+	int64_t pause_ms = fault_int(
+	    large ? "pause_large_ms" : "pause_ms", fault_int("pause_ms", 5));
 	struct timeval pause = {pause_ms / 1000, pause_ms % 1000 * 1000};
 
 	stream->req = req;
