--- a/test/unit/relay_counts_test.c
+++ b/test/unit/relay_counts_test.c
@@ -1,11 +1,12 @@
 /**
  * @file
- * The part of the retry budget that is available for escalations to larger
- * models, under a simulated load. A daemon of a large fleet receives a few
- * streams a second, so that its own share is used unevenly, and when the rate
- * falls, its earlier retries are counted against fewer requests. Escalations
- * were denied then, although a larger model would have given a better response:
- * 131 of 828 in two seconds of a day on which a roll-out ended.
+ * The model of a retry, and the part of the retry budget that is available for
+ * escalations to larger models, under a simulated load. A daemon of a large
+ * fleet receives a few streams a second, so that its own share is used
+ * unevenly, and when the rate falls, its earlier retries are counted against
+ * fewer requests. Escalations were denied then, although a larger model would
+ * have given a better response: 131 of 828 in two seconds of a day on which a
+ * roll-out ended.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -106,12 +107,48 @@
 	relay_service_states_finish(&relay);
 }
 
+/* An endpoint fails after a larger model was asked: what is left of the time is
+ * enough for a smaller one only. */
+static void
+retry_takes_a_model_that_can_complete(void **state)
+{
+	manual_clock_t clock = {{&manual_clock_ops}, {1000, 0}};
+	relay_t relay = {.clock = &clock.source};
+	const relay_route_t route = {
+	    .models = {{"small", 0.1}, {"large", 1}}, .models_len = 2};
+	relay_request_t req = {.relay = &relay,
+	    .route = &route,
+	    .service = SERVICE,
+	    .received_at = clock.now,
+	    .time_limit_ms = 10000,
+	    .arrival = {.any_model = true, .tokens_out_estimate = 100},
+	    .model_chosen = true,
+	    .model_index = 1};
+
+	(void)state;
+	relay_model_reconsider(&req);
+	assert_int_equal(req.model_index, 1);
+	for (int i = 0; i < 10; i++)
+		decode_rate_observe(
+		    &relay_model_find(&req, "large")->decode_rate, 16, 640);
+	relay_model_reconsider(&req);
+	assert_int_equal(req.model_index, 1);
+	/* 4 s of output, 2 s left. */
+	clock.now.tv_sec += 8;
+	relay_model_reconsider(&req);
+	assert_int_equal(req.model_index, 0);
+	relay_model_reconsider(&req);
+	assert_int_equal(req.model_index, 0);
+	relay_service_states_finish(&relay);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(larger_models_are_rarely_denied),
 	    cmocka_unit_test(budget_is_reserved_for_failures),
+	    cmocka_unit_test(retry_takes_a_model_that_can_complete),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/unit/relay_price_test.c
+++ b/test/unit/relay_price_test.c
@@ -20,8 +20,7 @@
 
 static manual_clock_t manual_clock = {{&manual_clock_ops}, {1000, 0}};
 static endpoint_set_t endpoints;
-static relay_t relay = {
-    .clock = &manual_clock.source, .endpoints = &endpoints};
+static relay_t relay = {.clock = &manual_clock.source, .endpoints = &endpoints};
 
 static endpoint_t *
 endpoint_add(const char *id, const char *zone)
@@ -120,7 +119,8 @@
 	assert_true(relay_price(&relay, SERVICE, "a") == 0);
 }
 
-/* Zones come and go with endpoints' entries: the ones observed last are kept. */
+/* Zones come and go with endpoints' entries: the ones observed last are kept.
+ */
 static void
 number_of_zones_is_bounded(void **state)
 {
