--- a/moortack/relay/relay_ask.c
+++ b/moortack/relay/relay_ask.c
@@ -147,9 +147,10 @@
 	    message->prefixes_len * sizeof(message->prefixes[0]));
 	prefix_index_add(
 	    &relay->prefix_index, &prefixes, endpoint->hash, now_ms);
+	/* What the prompt has to wait for, and not what it takes itself. */
+	relay_price_observe_endpoint(relay, endpoint);
 	prefill_queue_add_remote(
 	    &endpoint->prefill_queue, message->prefill_ms, (double)now_ms);
-	relay_price_observe_endpoint(relay, endpoint);
 }
 
 static bool
--- a/test/fuzz/price_fuzz.c
+++ b/test/fuzz/price_fuzz.c
@@ -87,8 +87,8 @@
 		if (now_ms > INT64_MAX - 2 * PRICE_AGE_MAX_MS)
 			continue;
 		FUZZ_CHECK(price_wait_ms(&price, now_ms + 500) <= after_ms);
-		FUZZ_CHECK(price_wait_ms(
-			       &price, now_ms + PRICE_AGE_MAX_MS + 1) < 0);
+		FUZZ_CHECK(
+		    price_wait_ms(&price, now_ms + PRICE_AGE_MAX_MS + 1) < 0);
 	}
 	return 0;
 }
--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -24,7 +24,8 @@
  * own id, "confidence" that of its responses, "confidence_small" the same of
  * the small model, "pause_large_ms" the time between events of the large model,
  * "events" the number in a stream and "pause_ms" the time
- * between them, "slots" the number that it says it processes, "room" the most
+ * between them, "slots" the number that it says it processes, "waiting" the
+ * requests that it says wait there, "room" the most
  * streams that it holds, beyond which it refuses requests, "brittle" how many
  * it may refuse in a second before it falls (text of a header).
  */
@@ -135,8 +136,8 @@
 		id = "another";
 	if (id != NULL && !fault_is("unnamed"))
 		http_response_add_header(req, "Moortack-Attempt-Id", id);
-	snprintf(load, sizeof(load), "%" PRId64 ",0,%" PRId64, replica.streams,
-	    fault_int("slots", 8));
+	snprintf(load, sizeof(load), "%" PRId64 ",%" PRId64 ",%" PRId64,
+	    replica.streams, fault_int("waiting", 0), fault_int("slots", 8));
 	http_response_add_header(req, "Moortack-Replica-Load", load);
 	http_response_add_header(req, "Keep-Alive", "timeout=5");
 	header_add_fault(req, "Server-Limit", "limit");
--- a/test/unit/relay_price_test.c
+++ b/test/unit/relay_price_test.c
@@ -119,6 +119,31 @@
 	assert_true(relay_price(&relay, SERVICE, "a") == 0);
 }
 
+/* A prompt at an idle endpoint makes nobody wait, however long it is. */
+static void
+only_prompts_that_wait_have_a_price(void **state)
+{
+	endpoint_t *endpoint = endpoint_add("i-1", "a");
+	const gossip_message_t sent = {
+	    .endpoint_hash = endpoint->short_hash, .prefill_ms = 400};
+	const gossip_message_t query = {
+	    .kind = GOSSIP_QUERY, .endpoint_hash = endpoint->short_hash};
+	gossip_message_t response = {.kind = GOSSIP_RESPONSE};
+
+	(void)state;
+	assert_true(prefix_index_init(&relay.prefix_index));
+	relay_gossip_ops.on_prompt_sent(&relay, &sent);
+	assert_int_equal(relay_price_milli(&relay, endpoint), 1);
+	for (int i = 0; i < 4; i++) {
+		manual_clock.now =
+		    timespec_from_ms(timespec_to_ms(manual_clock.now) + 200);
+		relay_gossip_ops.on_prompt_sent(&relay, &sent);
+	}
+	assert_true(relay_gossip_ops.on_query(&relay, &query, &response));
+	assert_true(response.price_milli > 1000);
+	prefix_index_finish(&relay.prefix_index);
+}
+
 /* Zones come and go with endpoints' entries: the ones observed last are kept.
  */
 static void
@@ -152,6 +177,8 @@
 		prices_are_kept_by_zone_until_they_expire, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		owners_price_arrives_at_another_daemon, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		only_prompts_that_wait_have_a_price, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		number_of_zones_is_bounded, setup, teardown),
 	};
