--- a/test/platform/decoders_test.c
+++ b/test/platform/decoders_test.c
@@ -29,7 +29,8 @@
     "\"backends\":[{\"service\":\"s1\",\"weight\":90},"
     "{\"service\":\"s2\",\"weight\":10}],\"anonymous\":true}],"
     "\"services\":[{\"name\":\"s1\",\"max_conns\":370,\"engine\":"
-    "{\"models\":[{\"name\":\"m1\",\"cost\":0.18}]}},{\"name\":\"s2\"}],"
+    "{\"stride\":4,\"models\":[{\"name\":\"m1\",\"cost\":0.18}]}},"
+    "{\"name\":\"s2\"}],"
     "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
     "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
     "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\"],"
@@ -63,6 +64,10 @@
 	assert_null(relay_config_find_organisation(decoded, "k3"));
 	assert_int_equal(
 	    relay_config_find_service(decoded, "s1")->connections_max, 370);
+	assert_int_equal(
+	    relay_config_find_service(decoded, "s1")->event_tokens, 4);
+	assert_int_equal(
+	    relay_config_find_service(decoded, "s2")->event_tokens, 0);
 	assert_int_equal(decoded->idle_timeout_ms, 15000);
 	relay_config_release(decoded);
 }
@@ -93,6 +98,30 @@
 	return decoded;
 }
 
+/* The stride is the engine's setting: an odd one must not keep a configuration
+ * from coming into force. */
+static void
+odd_stride_counts_as_unknown(void **state)
+{
+	const char *const odd[] = {"\"stride\":0", "\"stride\":-4",
+	    "\"stride\":\"4\"", "\"stride\":4.5", "\"stride\":null",
+	    "\"stride\":999999999999"};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		char *text = config_edit("\"stride\":4", odd[i]);
+		err_t err;
+		relay_config_t *decoded =
+		    config_row_decode(text, strlen(text), NULL, &err);
+
+		assert_non_null(decoded);
+		assert_int_equal(
+		    relay_config_find_service(decoded, "s1")->event_tokens, 0);
+		relay_config_release(decoded);
+		free(text);
+	}
+}
+
 static void
 unchanged_routes_are_shared(void **state)
 {
@@ -604,6 +633,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_configuration_is_decoded),
+	    cmocka_unit_test(odd_stride_counts_as_unknown),
 	    cmocka_unit_test(invalid_configurations_are_refused_by_field),
 	    cmocka_unit_test(unchanged_routes_are_shared),
 	    cmocka_unit_test(routes_with_changed_prices_are_not_shared),
