--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -125,8 +125,8 @@
 	assert_true(dearest_chosen[5] > 1.05 && dearest_chosen[5] < 1.15);
 }
 
-/* The largest model of a day's load: four tokens in an event, one event each
- * 159 ms. The smaller one takes a tenth of the time. */
+/* The largest model sends an event each 159 ms. That it holds four tokens is
+ * assumed, the smaller model's rate too: a tenth of the time. */
 static void
 decode_rates_fill(decode_rate_t *smallest, decode_rate_t *largest)
 {
