--- a/include/moortack/relay/relay_config.h
+++ b/include/moortack/relay/relay_config.h
@@ -89,9 +89,11 @@
 	    connections_max; /**< to one endpoint, of all daemons together */
 	int64_t
 	    warmup_ms; /**< how long its endpoints are cold after their start */
-	double warmup_per_s;	     /**< requests a second that a cold endpoint
-					tolerates; 0: unlimited */
-	capacity_limits_t capacity;  /**< what may be ordered for it */
+	double warmup_per_s;	    /**< requests a second that a cold endpoint
+				       tolerates; 0: unlimited */
+	uint32_t event_tokens;	    /**< output tokens that an event of a stream
+				       holds; 0: not known */
+	capacity_limits_t capacity; /**< what may be ordered for it */
 	uint32_t contents_calls_max; /**< calls for its contents that each of
 					its endpoints holds; 0: it offers none
 				      */
--- a/include/moortack/wire/peer.pb-c.h
+++ b/include/moortack/wire/peer.pb-c.h
@@ -494,7 +494,7 @@
   size_t n_crashes;
   uint32_t *crashes;
   /*
-   * held: for how long already
+   * crash: time since then; held: for how long already
    */
   uint32_t held_ms;
   /*
@@ -525,6 +525,10 @@
    * reach report: requests in flight for each core
    */
   uint32_t busy;
+  /*
+   * response: price in thousandths; 0: unknown, 1: none
+   */
+  uint32_t price_milli;
   /*
    * response: kept is by what the endpoint itself lists
    */
@@ -532,7 +536,7 @@
 };
 #define WIRE__GOSSIP_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__gossip_message__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -72,7 +72,10 @@
 	bool late_recorded;	  /**< in the model's statistics */
 	bool connection_lost;	  /**< before the response was complete */
 	bool connection_refused; /**< by the endpoint's host: nothing listens */
-	bool completed;		 /**< the response was complete */
+	struct timespec decode_since; /**< first of the events of which the
+					 time is measured */
+	bool caller_was_slow; /**< since then, no data was read for a while */
+	bool completed;	      /**< the response was complete */
 	bool end_confirmed; /**< after that, the endpoint was found to listen */
 	bool end_uncertain; /**< the response ended with its connection;
 			       a probe tells whether the endpoint crashed */
@@ -204,6 +207,10 @@
 /** Milliseconds left until the time limit; negative: it has passed. */
 int64_t request_remaining_ms(const relay_request_t *);
 
+/** The request's rank: its organisation's, or else its route's; 0 is the most
+ * urgent, 9 the least. */
+int request_rank(const relay_request_t *);
+
 /** Keyed hash that identifies equal requests; 0: the fleet's secret is not
  * known yet. */
 uint64_t relay_request_digest(relay_request_t *);
@@ -268,6 +275,26 @@
 const queried_endpoint_t *
 relay_query_result(const relay_request_t *, size_t model, uint64_t endpoint);
 
+/** Record the wait at an endpoint, as far as this daemon knows it. */
+void relay_price_observe_endpoint(relay_t *, endpoint_t *);
+/** The same for its zone, when the head of a response was received. */
+void relay_price_observe_response(relay_t *, endpoint_t *);
+/** The endpoint's price in thousandths, as its owner reports it; 0: unknown. */
+uint32_t relay_price_milli(const relay_t *, const endpoint_t *);
+/** An owner has reported its endpoint's price. */
+void relay_price_receive(relay_t *, uint32_t endpoint_hash, uint32_t milli);
+/** The price of the service's endpoints in a zone; 0: unknown, or none. */
+double relay_price(relay_t *, const char *service, const char *zone);
+/** By how much requests wait longer in one zone than in another.
+ * @return false: a price is not known, or that of the first zone is not recent
+ */
+bool relay_zone_saving_ms(relay_t *, const char *service, const char *zone,
+    const char *other_zone, double *out);
+/** The price with its age; all zero: unknown.
+ * @param state NULL: the service is not known */
+const price_t *
+service_zone_price(const service_state_t *state, const char *zone);
+
 /** Choose an endpoint for the request's next attempt.
  * @param model index in the route's models, if the router chooses the model
  * @param why set if there is none
@@ -467,6 +494,12 @@
  * and escalate to a larger model if that is better. The attempt has ended
  * then. */
 void relay_model_evaluate(relay_request_t *);
+/** An event of the attempt was received, at the time of last_event_at: measure
+ * how long the model takes for a token. */
+void relay_model_event(relay_request_t *);
+/** The request is sent again before its response has started: take a smaller
+ * model if the present one cannot complete in the time left. */
+void relay_model_reconsider(relay_request_t *);
 /** The attempt ends before the head of its response was received. */
 void relay_model_no_response(relay_request_t *);
 /** Estimate in milliseconds how long ago the caller first tried. It updates the
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -161,8 +161,10 @@
 	attempt->first_byte_ms = (double)timespec_ms_between(
 	    attempt->sent_at, clock_boottime(req->relay->clock));
 	relay_notice_apply(req);
-	if (response->has_load)
+	if (response->has_load) {
 		endpoint_record_load(attempt->endpoint, &response->load);
+		relay_price_observe_response(req->relay, attempt->endpoint);
+	}
 	if (response->not_run || response->wrong_endpoint)
 		return;
 	usage_count(req);
@@ -191,6 +193,7 @@
 	req->last_event_at = now;
 	if (req->attempt.forwarded)
 		return;
+	relay_model_event(req);
 	relay_canary_event(req);
 	relay_parts_event(req);
 }
@@ -231,6 +234,7 @@
 	if (http_inbound_unsent_bytes(req->caller) < CALLER_PENDING_MAX)
 		return;
 	req->paused = true;
+	req->attempt.caller_was_slow = true;
 	http_outbound_pause_reading(req->attempt.conn, true);
 }
 
--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -20,8 +20,10 @@
  * limit that it names, "leaving" its notice that it leaves, "retry_after" the
  * time for which it wants nothing after a refusal (texts of headers), "id" its
  * own id, "confidence" that of its responses, "confidence_small" the same of
- * the small model, "events" the number in a stream and "pause_ms" the time
- * between them, "slots" the number that it says it processes, "room" the most
+ * the small model, "pause_large_ms" the time between events of the large model,
+ * "events" the number in a stream and "pause_ms" the time
+ * between them, "slots" the number that it says it processes, "waiting" the
+ * requests that it says wait there, "room" the most
  * streams that it holds, beyond which it refuses requests, "brittle" how many
  * it may refuse in a second before it falls (text of a header). See
  * standin_kv.h for its KV cache.
@@ -140,8 +142,8 @@
 		id = "another";
 	if (id != NULL && !fault_is("unnamed"))
 		http_response_add_header(req, "Moortack-Attempt-Id", id);
-	snprintf(load, sizeof(load), "%" PRId64 ",0,%" PRId64, replica.streams,
-	    fault_int("slots", 8));
+	snprintf(load, sizeof(load), "%" PRId64 ",%" PRId64 ",%" PRId64,
+	    replica.streams, fault_int("waiting", 0), fault_int("slots", 8));
 	http_response_add_header(req, "Moortack-Replica-Load", load);
 	http_response_add_header(req, "Keep-Alive", "timeout=5");
 	header_add_fault(req, "Server-Limit", "limit");
@@ -287,7 +289,10 @@
 {
 	const char *after = http_request_header(req, "Last-Event-Id");
 	stream_t *stream = calloc(1, sizeof(*stream));
-	int64_t pause_ms = fault_int("pause_ms", 5);
+	const char *model = http_request_header(req, "Moortack-Model-Id");
+	bool large = model != NULL && strcmp(model, "large") == 0;
+	int64_t pause_ms = fault_int(
+	    large ? "pause_large_ms" : "pause_ms", fault_int("pause_ms", 5));
 	struct timeval pause = {pause_ms / 1000, pause_ms % 1000 * 1000};
 
 	stream->req = req;
