model choice: waits that make nobody late cost nothing

The price is charged as far as it makes others late: from a tenth of the latency objective on, in full from a half.

--- a/moortack/relay/model_choice.c
+++ b/moortack/relay/model_choice.c
@@ -1,6 +1,9 @@
 #include "moortack/relay/model_choice.h"
 
+#include <math.h>
+
 #include "moortack/relay/model_record.h"
+#include "moortack/scheduling/price.h"
 
 /* As parts of the value of a good response: the value of a late one, and the
  * cost of the largest model, which is its own price and the time that it takes
@@ -23,6 +26,10 @@
  * those it delays are worth less to their callers than it is to its own. Of all
  * requests, less urgent ones give up larger models first. */
 #define FULL_PRICE_RANK 5
+/* Parts of the latency objective. A request that waits for a tenth is served in
+ * time whatever is added; with half of it gone, the prefill takes the rest. */
+#define HARMLESS_WAIT 0.1
+#define HARMFUL_WAIT 0.5
 
 size_t
 model_choice_first(size_t models)
@@ -50,8 +57,20 @@
 	    (LATE_PART - IN_TIME_PART);
 }
 
+/* How much of a delay makes those that wait late: none while they wait for a
+ * small part of the objective, all of it once they wait for most of it. */
+static double
+delay_harm(double wait_part)
+{
+	double harm =
+	    (wait_part - HARMLESS_WAIT) / (HARMFUL_WAIT - HARMLESS_WAIT);
+
+	return fmin(fmax(harm, 0), 1);
+}
+
 /* What other requests lose by the time that the model takes of an endpoint: the
- * value of one in time for each latency objective that they wait. */
+ * value of one in time for each latency objective that they wait, as far as
+ * they become late by it. */
 static double
 scarcity_cost(const model_choice_input_t *input, const model_option_t *option)
 {
@@ -60,7 +79,8 @@
 	if (input->objective_ms <= 0)
 		return 0;
 	return option->price * rank_part * option->endpoint_ms /
-	    input->objective_ms;
+	    input->objective_ms *
+	    delay_harm(price_to_wait_ms(option->price) / input->objective_ms);
 }
 
 /* The value of the model's response minus its cost, as a part of the value of a
