--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -67,7 +67,7 @@
 static void
 no_larger_model_is_asked_if_it_would_be_late(void **state)
 {
-	model_choice_input_t input = doubtful_input(100);
+	model_choice_input_t input = doubtful_input(2000);
 
 	(void)state;
 	assert_int_equal(model_choice_next(&input), 1);
