test: a stand-in replica whose capacity is limited

Admission control cannot be shown against replicas that respond at once. With the fault work_ms a replica processes "slots" requests at once, queues "queue" more, refuses the rest as not run and reports both in its load header; no_load omits that header. Off by default.

Evidence: platform_back_off_ignored, brittle_endpoints, cold_endpoints, failures and whole_path run as before.

--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -25,7 +25,8 @@
  * the small model, "events" the number in a stream and "pause_ms" the time
  * between them, "slots" the number that it says it processes, "room" the most
  * streams that it holds, beyond which it refuses requests, "brittle" how many
- * it may refuse in a second before it falls (text of a header).
+ * it may refuse in a second before it falls (text of a header). See
+ * standin_work.h for those of a limited capacity.
  */
 #include <event2/buffer.h>
 #include <inttypes.h>
@@ -37,8 +38,8 @@
 
 #include "common/http_server.h"
 #include "standin/fake.h"
+#include "standin_work.h"
 
-#define ARRIVALS_MAX 256
 #define ARRIVALS_LISTED_MAX 8192
 
 /** A stream in progress. */
@@ -57,16 +58,14 @@
 typedef struct replica {
 	fake_t fake;
 	json_t *runs;
-	int64_t left; /**< callers that closed their connection early */
-	int64_t arrivals[ARRIVALS_MAX]; /**< times of the latest requests, ms */
-	size_t arrivals_next;
+	rate_window_t arrivals;
 	int64_t cold_until_ms;
 	int64_t cold_peak; /**< most requests in a second while cold */
 	int64_t streams;   /**< in progress */
-	int64_t refusals[ARRIVALS_MAX]; /**< times of the latest, ms */
-	size_t refusals_next;
+	rate_window_t refusals;
 	int64_t refusals_peak; /**< most in a second while brittle */
 	json_t *listed; /**< the latest requests, as arrival_list() adds them */
+	work_t work;
 	json_t *faults;
 } replica_t;
 
@@ -84,6 +83,15 @@
 	return json_is_true(json_object_get(replica.faults, name));
 }
 
+static const char *
+fault_text(const char *name)
+{
+	const char *text =
+	    json_string_value(json_object_get(replica.faults, name));
+
+	return text != NULL ? text : "";
+}
+
 static void
 run_record(struct evhttp_request *req)
 {
@@ -107,11 +115,8 @@
 header_add_fault(
     struct evhttp_request *req, const char *name, const char *fault)
 {
-	const char *value =
-	    json_string_value(json_object_get(replica.faults, fault));
-
-	if (value != NULL)
-		http_response_add_header(req, name, value);
+	if (fault_text(fault)[0] != '\0')
+		http_response_add_header(req, name, fault_text(fault));
 }
 
 static int64_t
@@ -127,16 +132,14 @@
 static void
 headers_add(struct evhttp_request *req, bool run)
 {
-	const char *id = http_request_header(req, "Moortack-Attempt-Id");
-	char confidence[16], load[64];
+	const char *id = fault_is("stray")
+	    ? "another"
+	    : http_request_header(req, "Moortack-Attempt-Id");
+	char confidence[16];
 
-	if (fault_is("stray"))
-		id = "another";
 	if (id != NULL && !fault_is("unnamed"))
 		http_response_add_header(req, "Moortack-Attempt-Id", id);
-	snprintf(load, sizeof(load), "%" PRId64 ",0,%" PRId64, replica.streams,
-	    fault_int("slots", 8));
-	http_response_add_header(req, "Moortack-Replica-Load", load);
+	work_load_add(&replica.work, replica.faults, replica.streams, req);
 	http_response_add_header(req, "Keep-Alive", "timeout=5");
 	header_add_fault(req, "Server-Limit", "limit");
 	header_add_fault(req, "Server-Leaving", "leaving");
@@ -166,7 +169,7 @@
 {
 	(void)conn;
 	((stream_t *)arg)->closed = true;
-	replica.left++;
+	replica.work.left++;
 }
 
 static void
@@ -174,18 +177,16 @@
 {
 	(void)conn;
 	(void)arg;
-	replica.left++;
+	replica.work.left++;
 }
 
 static bool
 request_held(struct evhttp_request *req)
 {
 	const char *model = http_request_header(req, "Moortack-Model-Id");
-	const char *held =
-	    json_string_value(json_object_get(replica.faults, "hold_model"));
 
 	return fault_is("hold") ||
-	    (held != NULL && model != NULL && strcmp(held, model) == 0);
+	    (model != NULL && strcmp(fault_text("hold_model"), model) == 0);
 }
 
 static void
@@ -347,13 +348,12 @@
 static bool
 crashes(struct evhttp_request *req)
 {
-	const char *text =
-	    json_string_value(json_object_get(replica.faults, "crash_on"));
+	const char *text = fault_text("crash_on");
 	struct evbuffer *body = evhttp_request_get_input_buffer(req);
 
 	if (shares_crash_part(req) && fault_int("crash_events", 0) == 0)
 		return true;
-	return text != NULL && text[0] != '\0' &&
+	return text[0] != '\0' &&
 	    evbuffer_search(body, text, strlen(text), NULL).pos == 0;
 }
 
@@ -362,14 +362,12 @@
 arrival_record(void)
 {
 	int64_t now = fake_now_ms();
-	int64_t limit = fault_int("cold_most", ARRIVALS_MAX);
-	int64_t count = 0;
+	int64_t limit = fault_int("cold_most", RATE_TIMES_MAX);
+	int64_t count;
 
 	if (now >= replica.cold_until_ms)
 		return;
-	replica.arrivals[replica.arrivals_next++ % ARRIVALS_MAX] = now;
-	for (size_t i = 0; i < ARRIVALS_MAX; i++)
-		count += replica.arrivals[i] > now - 1000;
+	count = rate_window_add(&replica.arrivals, now);
 	if (count > replica.cold_peak)
 		replica.cold_peak = count;
 	if (count > limit)
@@ -383,12 +381,8 @@
 {
 	const char *brittle =
 	    json_string_value(json_object_get(replica.faults, "brittle"));
-	int64_t now = fake_now_ms();
-	int64_t count = 0;
+	int64_t count = rate_window_add(&replica.refusals, fake_now_ms());
 
-	replica.refusals[replica.refusals_next++ % ARRIVALS_MAX] = now;
-	for (size_t i = 0; i < ARRIVALS_MAX; i++)
-		count += replica.refusals[i] > now - 1000;
 	if (brittle != NULL && count > replica.refusals_peak)
 		replica.refusals_peak = count;
 	if (brittle != NULL && count > strtol(brittle, NULL, 10))
@@ -397,13 +391,11 @@
 	respond(req, 503, "");
 }
 
-static const char *
-fault_text(const char *name)
+static void
+work_done(struct evhttp_request *req)
 {
-	const char *text =
-	    json_string_value(json_object_get(replica.faults, name));
-
-	return text != NULL ? text : "";
+	headers_add(req, true);
+	respond(req, 200, "done\n");
 }
 
 /* Add the request's time and id, and what its response says: a rate limit, that
@@ -427,11 +419,10 @@
 {
 	const char *uri = evhttp_request_get_uri(req);
 
-	(void)fake;
 	if (strcmp(uri, "/runs") == 0) {
 		http_respond_json(req, 200,
 		    json_pack("{s:O, s:I, s:I, s:I}", "runs", replica.runs,
-			"left", (json_int_t)replica.left, "cold_peak",
+			"left", (json_int_t)replica.work.left, "cold_peak",
 			(json_int_t)replica.cold_peak, "refusals_peak",
 			(json_int_t)replica.refusals_peak));
 		return;
@@ -457,6 +448,11 @@
 		return;
 	}
 	arrival_record();
+	if (work_wanted(replica.faults, uri)) {
+		if (!work_add(&replica.work, fake, replica.faults, req))
+			room_refuse(req);
+		return;
+	}
 	run_record(req);
 	if (crashes(req))
 		fake_exit_after(&replica.fake, fault_int("crash_ms", 0));
@@ -495,5 +491,7 @@
 	replica.fake.handle_request = serve;
 	replica.fake.handle_fault = fault;
 	replica.fake.name = "standin-platform-replica";
+	replica.work.started = run_record;
+	replica.work.done = work_done;
 	return fake_main(&replica.fake, argc, argv);
 }
