relay: requests are admitted to crowded services

Callers that competed for too little capacity were all sent at once, waited in endpoints' queues and were refused there. attempt_begin() now asks the admission of the request's service after authorization and the quarantine, and before owners are queried: the attempt is sent, waits in the service's queue, or is refused before anything of it is sent. Resumed streams, requests that may have run and requests that another daemon sent on are only counted; a larger model is not asked if that would have to wait. Load reports, refusals for want of room and times without a wait are fed from the heads of responses. A timer for each service sends and refuses those that wait; each is authorized again.

--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -28,6 +28,7 @@
 #include "moortack/relay/warmup_share.h"
 #include "moortack/replication/membership.h"
 #include "moortack/replication/row_watch.h"
+#include "moortack/scheduling/wait_queue.h"
 
 /** Limits set by the deployment. */
 typedef struct relay_bounds {
@@ -47,6 +48,9 @@
 				       after this long without data */
 	int64_t reused_silence_timeout_ms; /**< the same for a reused connection
 					      with an idempotent request */
+	bool admission;	      /**< requests to crowded services wait or are
+				 refused */
+	uint32_t waiting_max; /**< requests that wait for one service */
 } relay_bounds_t;
 
 typedef struct relay_request relay_request_t;
@@ -59,12 +63,25 @@
 	prefill_rate_t prefill_rate;
 } service_model_t;
 
-/** Retry budget and model statistics of one service. */
+/** Retry budget, model statistics and admission of one service. */
 typedef struct service_state {
+	relay_t *relay;
 	char service[ENDPOINT_NAME_SIZE];
 	retry_share_t retry_share;
 	service_model_t models[MODELS_MAX];
 	size_t models_len;
+	service_admission_t admission;
+	wait_queue_t wait_queue;
+	struct event *wait_timer; /**< sends and refuses requests that wait;
+				     NULL: none has waited so far */
+	int64_t armed_ms;	  /**< when that was set last */
+	int64_t capacity_at_ms;	  /**< when the capacity was computed; 0: not
+				     yet */
+	double prompt_share;	  /**< of its requests have a prompt */
+	double prefill_full_ms;	  /**< of its latest prompts, nothing cached */
+	double prefill_uncached_ms; /**< of the same, where they were sent */
+	bool crowded_logged;
+	int64_t crowded_logged_ms; /**< last line of the log; 0: none */
 	UT_hash_handle hh;
 } service_state_t;
 
@@ -108,6 +125,7 @@
 	uint32_t daemons_max_seen;  /**< largest number of daemons seen;
 				       fleet-wide limits are divided by it */
 	bool accepting;		    /**< new connections are accepted */
+	bool draining;		    /**< the daemon leaves: nothing waits */
 	struct timespec started_at; /**< when it began to listen */
 	uint32_t last_query_number; /**< of owner_query_t */
 	bool refusing_streams; /**< new streams are refused, so that callers go
@@ -211,7 +229,16 @@
  * on. */
 void relay_stop_accepting(relay_t *);
 
-/** Close each caller's connection after its next response. */
+/** Log the services that are crowded, or no longer so; called a few times a
+ * second. */
+void relay_admission_tick(relay_t *);
+/** Number of requests that wait for a place at an endpoint. */
+uint32_t relay_admission_waiting(const relay_t *);
+/** Number of crowded services. */
+uint32_t relay_admission_crowded(const relay_t *);
+
+/** Close each caller's connection after its next response, and send the
+ * requests that wait for a place at an endpoint. */
 void relay_drain(relay_t *);
 
 #endif
--- a/include/moortack/relay/relay_stats.h
+++ b/include/moortack/relay/relay_stats.h
@@ -50,6 +50,13 @@
 	STAT_FORWARDS_SERVED,
 	STAT_FORWARDS_FAILED,
 	STAT_FORWARDS_ACCEPTED,
+	STAT_WAITED,
+	STAT_ADMITTED_AFTER_WAIT,
+	STAT_REFUSED_ABOVE_SHARE,
+	STAT_REFUSED_RANK,
+	STAT_REFUSED_LATE,
+	STAT_REFUSED_QUEUE_FULL,
+	STAT_ESCALATIONS_WITHHELD,
 	RELAY_COUNTERS /* number of counters */
 } relay_counter_t;
 
@@ -80,6 +87,7 @@
 	stats_histogram_t first_byte_ms; /**< to the first byte */
 	stats_histogram_t complete_ms;	 /**< to the end */
 	stats_histogram_t added_ms;	 /**< to the first send */
+	stats_histogram_t waited_ms;	 /**< of a wait for a place */
 } relay_stats_t;
 
 void stats_add(relay_stats_t *, relay_counter_t, uint64_t by);
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -7,7 +7,7 @@
 #include <xxhash.h>
 
 #include "reach_probe.h"
-#include "relay_request.h"
+#include "relay_admission.h"
 
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
@@ -27,6 +27,7 @@
 {
 	relay_t *relay = req->relay;
 
+	relay_admission_leave(req);
 	attempt_cancel(req);
 	if (req->prev != NULL)
 		req->prev->next = req->next;
@@ -75,6 +76,7 @@
 	    "id=%s route=%s service=%s organisation=%s outcome=%s why=%s "
 	    "status=%d sends=%u connects_failed=%u model=%s confidence=%d "
 	    "tokens=%u,%u,%u ms=%.0f first_ms=%.0f before_ms=%.0f "
+	    "admission=%s waited_ms=%" PRId64 " "
 	    "objective_ms=%" PRId64 " pause_ms=%.0f pause_most_ms=%" PRId64
 	    " dropped_ms=%.0f limit_ms=%" PRId64 " config=%" PRIu64
 	    " config_age_ms=%" PRId64 " endpoints_age_ms=%" PRId64
@@ -88,6 +90,7 @@
 	    req->confidence, req->arrival.tokens_in,
 	    req->arrival.tokens_out_max, req->arrival.tokens_out_estimate,
 	    age_ms, req->first_byte_ms, req->earlier_tries_ms,
+	    req->admission != NULL ? req->admission : "-", req->waited_ms,
 	    req->route->latency_objective_ms, req->max_event_gap_ms,
 	    req->route->event_gap_objective_ms, req->escalated_ms,
 	    req->time_limit_ms, req->config->version,
@@ -179,6 +182,7 @@
 
 		time_limit_set(req, left > 0 ? left : 0);
 	}
+	relay_admission_send_all(relay);
 }
 
 /* Another daemon has taken its own time, and part of the sends. */
@@ -469,6 +473,8 @@
 void
 relay_drain(relay_t *relay)
 {
+	relay->draining = true;
+	relay_admission_send_all(relay);
 	http_inbound_drain(relay->server);
 	if (relay->forward_server != NULL)
 		http_inbound_drain(relay->forward_server);
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -1,3 +1,4 @@
+#include "relay_admission.h"
 #include "relay_brittle.h"
 #include "relay_rate_limit.h"
 #include "relay_warmup.h"
@@ -15,7 +16,6 @@
 /* A request that is not idempotent must not be lost on a connection that was
  * closed unnoticed: it reuses only one that was idle for less than this. */
 #define IDLE_UNSAFE_MS 500
-#define RANK_MAX 9
 
 /* Whether the attempt is at an endpoint that a roll-out in progress replaces,
  * or that the next roll-out will replace. */
@@ -195,16 +195,6 @@
 	return true;
 }
 
-static int
-request_rank(const relay_request_t *req)
-{
-	int rank = req->route->priority;
-
-	if (req->organisation != NULL && req->organisation->priority >= 0)
-		rank = req->organisation->priority;
-	return rank < RANK_MAX ? rank : RANK_MAX;
-}
-
 static void
 attempt_send(relay_request_t *req)
 {
@@ -247,8 +237,9 @@
 	    "id=%s endpoint=%s zone=%s model=%s attempt=%u kept=%d resume=%d "
 	    "of=%zu cold=%zu limited=%zu back_off=%zu brittle=%zu told=%zu "
 	    "load=%.0f "
-	    "wait_ms=%.0f read_ms=%.0f first_ms=%.0f "
-	    "left_ms=%" PRId64 " config=%" PRIu64 " endpoints_age_ms=%" PRId64,
+	    "wait_ms=%.0f read_ms=%.0f first_ms=%.0f admission=%s "
+	    "waited_ms=%" PRId64 " left_ms=%" PRId64 " config=%" PRIu64
+	    " endpoints_age_ms=%" PRId64,
 	    req->arrival.id, req->last_endpoint_id,
 	    placement->endpoint->info.zone,
 	    req->attempt.model != NULL ? req->attempt.model : "-",
@@ -258,6 +249,7 @@
 	    placement->backoff_skipped, placement->brittle_skipped,
 	    placement->owner_reports, placement->load, placement->queue_wait_ms,
 	    placement->prefill_ms, placement->first_byte_ms,
+	    req->admission != NULL ? req->admission : "-", req->waited_ms,
 	    request_remaining_ms(req), req->config->version,
 	    row_watch_age_ms(relay->endpoint_watch));
 }
@@ -308,6 +300,8 @@
 	}
 	if (relay_forward_wanted(req) && relay_forward_begin(req))
 		return;
+	if (!relay_admission_pass(req))
+		return;
 	req->attempt.model = relay_model_select(req);
 	if (relay_query_owners(req))
 		return;
--- a/moortack/relay/relay_failure.c
+++ b/moortack/relay/relay_failure.c
@@ -24,6 +24,8 @@
 static int64_t
 request_retry_after_ms(const relay_request_t *req, err_code_t code)
 {
+	if (req->retry_after_final)
+		return req->retry_after_ms;
 	if (req->retry_after_ms > RETRY_AFTER_MS)
 		return req->retry_after_ms +
 		    rng_below(req->relay->rng, RETRY_AFTER_JITTER_MS);
--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -1,7 +1,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "relay_request.h"
+#include "relay_admission.h"
 
 service_model_t *
 relay_model_find(const relay_request_t *req, const char *name)
@@ -173,7 +173,7 @@
 	    .models = route->models_len,
 	    .confidence = req->confidence,
 	    .remaining_ms = objective_remaining_ms(req)};
-	size_t next;
+	size_t current = req->model_index, next;
 
 	if (!req->arrival.any_model || route->models_len == 0)
 		return;
@@ -188,9 +188,13 @@
 	next = model_choice_next(&input);
 	/* A response is not discarded unless another one can be had without
 	 * taking what a rate limit leaves for first attempts. */
-	if (next == req->model_index || !relay_has_unlimited_endpoint(req))
+	if (next == current || !relay_has_unlimited_endpoint(req))
 		return;
 	req->model_index = next;
+	if (!relay_admission_allows_escalation(req)) {
+		req->model_index = current;
+		return;
+	}
 	req->escalated_ms = (double)request_age_ms(req);
 	attempt_retry_or_fail(req, ATTEMPT_ESCALATED, "low_confidence");
 }
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -223,6 +223,7 @@
 	    node->members.store_clock_offset_ms);
 	gossip_tick(&node->gossip);
 	relay_reach_tick(&node->relay);
+	relay_admission_tick(&node->relay);
 	sessions_sync(node);
 	relay_quarantine_tick(&node->relay.quarantine);
 	if (rollouts_any_active(&node->rollouts))
--- a/moortack/relay/relay_request.c
+++ b/moortack/relay/relay_request.c
@@ -4,6 +4,7 @@
 
 /* Further parts of a prompt are left out. */
 #define SHARED_PARTS_MAX 1024
+#define RANK_MAX 9
 
 int64_t
 request_age_ms(const relay_request_t *req)
@@ -24,6 +25,16 @@
 	return req->time_limit_ms - request_age_ms(req);
 }
 
+int
+request_rank(const relay_request_t *req)
+{
+	int rank = req->route->priority;
+
+	if (req->organisation != NULL && req->organisation->priority >= 0)
+		rank = req->organisation->priority;
+	return rank < RANK_MAX ? rank : RANK_MAX;
+}
+
 bool
 request_idempotent(const relay_request_t *req)
 {
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -161,6 +161,17 @@
 	size_t tried_helpers_len;
 	char last_endpoint_id[ENDPOINT_NAME_SIZE]; /**< the last one chosen */
 	int64_t retry_after_ms; /**< until an endpoint may get it; 0: unknown */
+	bool retry_after_final; /**< it has jitter already */
+	wait_entry_t wait_entry;
+	service_state_t *waits_at;    /**< in the queue of this service; NULL:
+					 it does not wait */
+	service_state_t *admitted_at; /**< its next attempt, or the one in
+					 progress, is admitted to this service;
+					 NULL: to none */
+	service_state_t *expired_at;  /**< it got no place there in time */
+	admission_reason_t admission_reason; /**< of the last decision */
+	const char *admission; /**< the same as text; NULL: none was made */
+	int64_t waited_ms;     /**< for places, so far */
 	placement_t placement;	/**< of the last attempt */
 	uint32_t unresolved_sends; /**< sends not reported as not run */
 	bool may_have_run;
@@ -213,6 +224,9 @@
  * @return the request's; NULL: none */
 const uint64_t *relay_request_parts(relay_request_t *, size_t *len);
 
+/** Its rank among others: that of its organisation, or else of its route. */
+int request_rank(const relay_request_t *);
+
 /** Whether the request may safely run more than once. */
 bool request_idempotent(const relay_request_t *);
 
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -1,4 +1,4 @@
-#include "relay_request.h"
+#include "relay_admission.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -163,6 +163,7 @@
 	relay_notice_apply(req);
 	if (response->has_load)
 		endpoint_record_load(attempt->endpoint, &response->load);
+	relay_admission_observe(req, msg->status);
 	if (response->not_run || response->wrong_endpoint)
 		return;
 	usage_count(req);
--- a/moortack/relay/relay_retry.c
+++ b/moortack/relay/relay_retry.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "relay_request.h"
+#include "relay_admission.h"
 #include "relay_warmup.h"
 
 /* Attempts of a request that may fail to connect. */
@@ -207,6 +207,7 @@
 	err_code_t refusal = refusal_of_helper(req, outcome);
 	bool final = refusal != ERR_OVERLOAD && !err_info(refusal)->retryable;
 
+	relay_admission_attempt_over(req, outcome);
 	attempt_end(req, outcome, why);
 	event_scan_reset(&req->scan);
 	req->failure_buffered |= outcome == ATTEMPT_FAILED;
--- a/moortack/relay/relay_service_state.c
+++ b/moortack/relay/relay_service_state.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "relay_request.h"
+#include "relay_admission.h"
 
 /* Routes with an estimate of their callers' first tries: enough for those of
  * several configurations, since none is removed. */
@@ -23,6 +23,7 @@
 		if (state == NULL)
 			return NULL;
 		strcpy(state->service, service);
+		relay_admission_init(relay, state);
 		HASH_ADD_STR(relay->service_states, service, state);
 	}
 	return state;
@@ -99,6 +100,7 @@
 	HASH_ITER(hh, relay->service_states, state, state_next)
 	{
 		HASH_DEL(relay->service_states, state);
+		relay_admission_finish(state);
 		free(state);
 	}
 	HASH_ITER(hh, relay->route_callers, callers, callers_next)
--- a/moortack/relay/relay_stats.c
+++ b/moortack/relay/relay_stats.c
@@ -48,6 +48,16 @@
     {"forwards_served", "Of these, with a complete response."},
     {"forwards_failed", "Attempts through other daemons that failed."},
     {"forwards_accepted", "Requests that other daemons sent on to this one."},
+    {"waited", "Requests that had to wait for a place at an endpoint."},
+    {"admitted_after_wait", "Of these, sent after the wait."},
+    {"refused_above_share",
+	"Requests refused as their organisation is above its share."},
+    {"refused_rank", "Requests refused as others of a higher rank are sent."},
+    {"refused_late", "Requests refused as no place is free in time."},
+    {"refused_queue_full",
+	"Requests refused as too many wait, or the daemon leaves."},
+    {"escalations_withheld",
+	"Larger models not asked as the service is crowded."},
 };
 
 /* Upper bounds in milliseconds, around the users' objectives of 100 to 3,000.
@@ -172,4 +182,5 @@
 	histogram_write(&stats->first_byte_ms, "first", out);
 	histogram_write(&stats->complete_ms, "whole", out);
 	histogram_write(&stats->added_ms, "added", out);
+	histogram_write(&stats->waited_ms, "waited", out);
 }
