--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -188,7 +188,7 @@
 	next = model_choice_next(&input);
 	/* A response is not discarded unless another one can be had without
 	 * taking what a rate limit leaves for first attempts. */
-	if (next == current || !relay_has_unlimited_endpoint(req))
+	if (next == req->model_index || !relay_has_unlimited_endpoint(req))
 		return;
 	req->model_index = next;
 	if (!relay_admission_allows_escalation(req)) {
--- /dev/null
+++ b/test/platform/admission_waiting.lua
@@ -0,0 +1,158 @@
+-- Guards against what can go wrong with requests that wait for their place at an
+-- endpoint: served late, sent for a caller that has left or without a valid key,
+-- run although refused, or left without a response when the daemon stops, an
+-- endpoint ends or load reports stop.
+package.path = script_dir .. "/?.lua;" .. package.path
+local load = require("admission_load")
+local words, lib = load.words, load.lib
+local OBJECTIVE_MS, WORK_MS, SLOTS, REPLICAS = 2000, 100, 2, 2
+local CAPACITY = REPLICAS * SLOTS * 1000 / WORK_MS
+local FULL = {usual = 1.6 * CAPACITY}
+local w = load.world({daemons = 2, replicas = REPLICAS, slots = SLOTS,
+  queue = 30, work_ms = WORK_MS, objective_ms = OBJECTIVE_MS,
+  organisations = {"usual", "low1", "low2", "low3", "low4"},
+  priorities = {usual = 1, low1 = 9, low2 = 9, low3 = 9, low4 = 9},
+  environment = {"MOORTACK_LOG_RATE=10000"}})
+
+-- Sends load until a condition holds, and checks that all of it is served or
+-- refused, and that nothing that was refused has run.
+local function under_load(condition)
+  local calls = load.send(w, condition, FULL, {1, 2})
+  return function()
+    local results = load.results(calls, OBJECTIVE_MS)
+    load.check_refusals(w, results)
+    for _, r in pairs(results) do
+      lib.equal(r.other, 0, "neither served nor refused")
+    end
+    return results
+  end
+end
+
+-- Sends requests of the lowest rank until one waits, and then calls next with it
+-- until that returns true.
+local function with_waiting(key, next)
+  local call, found
+  return under_load(function()
+    if found then return next(found) end
+    if call and call:look().done then
+      call:finish()
+      call = nil
+    elseif call and load.waits(w.daemons[1], call.id) then
+      found = call
+    elseif not call then
+      call = words.begin(w.daemons[1], "/scan/a", {key = key})
+    end
+    return false
+  end)
+end
+
+local function faults(more)
+  local all = {work_ms = WORK_MS, slots = SLOTS, queue = 30, events = 3,
+    confidence_small = 5}
+  for name, value in pairs(more or {}) do all[name] = value end
+  for i = 1, REPLICAS do w:faults(i, all) end
+end
+
+-- With room at endpoints, the response of a small model is discarded for a larger
+-- one's.
+faults()
+lib.equal(words.call(w.daemons[1], "/stream/a", {key = "usual"}).status, 200,
+  "status of a stream")
+lib.equal(load.sum(w, "escalated_total"), 1, "larger models asked")
+
+-- Those that wait are served in time.
+local finish
+local until_ms = run.now() + 5000
+local results = under_load(function() return run.now() > until_ms end)()
+lib.check(load.sum(w, "admitted_after_wait_total") > 0, "nothing has waited")
+local usual = results.usual
+lib.check(usual.in_time >= 0.95 * usual.served, "%d of %d in time",
+  usual.in_time, usual.served)
+lib.check(usual.served >= 0.8 * CAPACITY * 5, "%d served", usual.served)
+
+-- No larger model is asked that would have to wait.
+local stream
+finish = under_load(function()
+  if stream and stream:look().done then
+    stream:finish()
+    stream = nil
+  end
+  stream = stream or words.begin(w.daemons[1], "/stream/a", {key = "usual"})
+  return load.sum(w, "escalations_withheld_total") > 0
+end)
+finish()
+stream:finish()
+
+-- A caller leaves while its request waits: that reaches no endpoint.
+local left_id
+finish = with_waiting("low1", function(call)
+  left_id = call.id
+  call:leave()
+  return true
+end)
+finish()
+run.sleep(500)
+for i = 1, REPLICAS do
+  for _, arrival in ipairs(lib.http("GET", w.replicas[i].address,
+      "/arrivals").json.arrivals) do
+    lib.check(arrival[2] ~= left_id, "a request arrives without its caller")
+  end
+end
+
+-- A key is revoked while a request with it waits: it does not run. Those that got
+-- their place, or were refused, before the daemon knew are tried again.
+local function revoke(key)
+  for i, organisation in ipairs(w.organisations) do
+    if organisation.name == key then table.remove(w.organisations, i) end
+  end
+  w:configure()
+end
+
+local revoked
+for _, key in ipairs({"low2", "low3", "low4"}) do
+  local call
+  finish = with_waiting(key, function(waiting)
+    if not call then revoke(key) end
+    call = waiting
+    return call:look().done
+  end)
+  finish()
+  if not revoked and call:finish().status == 401 then
+    revoked = call.id
+    lib.equal(w:ran(revoked), 0, "runs of a request with a revoked key")
+  end
+end
+lib.check(revoked, "no request waited as its key was revoked")
+
+local function some_wait()
+  return words.metric(w.daemons[1], "waiting") > 0
+end
+
+-- An endpoint ends while requests wait.
+finish = under_load(some_wait)
+w.replicas[2]:kill()
+finish()
+w:revive(2)
+faults()
+
+-- Load reports stop while requests wait: all is sent again, as if nothing was
+-- known.
+finish = under_load(some_wait)
+faults({no_load = true})
+lib.wait_until("nothing waits", function()
+  return load.sum(w, "waiting") == 0 and load.sum(w, "services_crowded") == 0
+end)
+finish()
+local waited = load.sum(w, "waited_total")
+finish = under_load(function() return w:arrivals_after(1, 0) > 0 end)
+finish()
+lib.equal(load.sum(w, "waited_total"), waited, "waits without load reports")
+faults()
+
+-- The daemon is told to stop while requests wait: each is served, or refused
+-- without having run.
+finish = under_load(some_wait)
+w.daemons[1]:signal("TERM")
+finish()
+lib.equal(w.daemons[1]:wait(), 0, "exit status")
+lib.say("ok")
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -72,6 +72,9 @@
       type = kind, service = "lm", max_attempts = 3, timeout_ms = 8000,
       slo_ms = 1000, priority = 1}
     for k, v in pairs(overrides or {}) do fields[k] = v end
+    for k, v in pairs(self.route_fields and self.route_fields[name] or {}) do
+      fields[k] = v
+    end
     fields.regions_allowed = self.route_regions and self.route_regions[name]
     return fields
   end
@@ -84,7 +87,8 @@
     services = {{name = "lm", max_conns = 400, warmup_s = self.warmup_s,
       warmup_per_s = self.warmup_per_s, scaling = self.scaling}},
     limits = {idle_timeout_ms = 15000},
-    tenants = {{name = "t1", api_keys = keys or {"k1", "k2"},
+    tenants = self.organisations or {{name = "t1",
+      api_keys = keys or {"k1", "k2"},
       regions_allowed = self.organisation_regions}}})
 end
 
@@ -405,6 +409,9 @@
   if self.own_sources then
     environment[2] = "MOORTACK_SOURCE=" .. ip
   end
+  for _, variable in ipairs(self.environment or {}) do
+    environment[#environment + 1] = variable
+  end
   local daemon = lib.spawn("platform/moortack-edge", {}, environment,
     "daemon" .. i .. ".log")
   daemon.callers = ip .. ":8100"
