--- a/moortack/relay/relay_admission.c
+++ b/moortack/relay/relay_admission.c
@@ -323,11 +323,10 @@
 void
 relay_admission_send_all(relay_t *relay)
 {
-	service_state_t *state, *next;
-	wait_entry_t *entry;
+	for (service_state_t *state = relay->service_states; state != NULL;
+	     state = state->hh.next) {
+		wait_entry_t *entry;
 
-	HASH_ITER(hh, relay->service_states, state, next)
-	{
 		for (uint32_t left = state->wait_queue.count; left > 0;
 		     left--) {
 			entry = wait_queue_pop_any(&state->wait_queue);
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -170,9 +170,9 @@
 					 NULL: to none */
 	service_state_t *expired_at;  /**< it got no place there in time */
 	admission_reason_t admission_reason; /**< of the last decision */
-	const char *admission; /**< the same as text; NULL: none was made */
-	int64_t waited_ms;     /**< for places, so far */
-	placement_t placement;	/**< of the last attempt */
+	const char *admission;	   /**< the same as text; NULL: none was made */
+	int64_t waited_ms;	   /**< for places, so far */
+	placement_t placement;	   /**< of the last attempt */
 	uint32_t unresolved_sends; /**< sends not reported as not run */
 	bool may_have_run;
 	bool usage_counted;
