--- a/include/moortack/scheduling/admission.h
+++ b/include/moortack/scheduling/admission.h
@@ -84,6 +84,8 @@
 	int64_t pool_at_ms;
 	int64_t controlled_ms; /**< last step of the control */
 	int64_t sent_ms;       /**< last request sent; INT64_MIN: never */
+	int64_t held_ms;       /**< last request not sent at once; INT64_MIN:
+				  never */
 	fair_share_t shares;
 } service_admission_t;
 
--- a/include/moortack/scheduling/fair_share.h
+++ b/include/moortack/scheduling/fair_share.h
@@ -10,6 +10,7 @@
 #ifndef MOORTACK_SCHEDULING_FAIR_SHARE_H
 #define MOORTACK_SCHEDULING_FAIR_SHARE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -41,6 +42,8 @@
 	double levels[FAIR_SHARE_RANKS];
 	/** A flow's share if there were no ranks. */
 	double level_without_ranks;
+	/** What flows under their share leave to the others. */
+	double spare_rate;
 } fair_share_t;
 
 void fair_share_init(fair_share_t *);
@@ -56,6 +59,10 @@
 /** Demand of a flow. */
 double fair_share_demand(const fair_share_flow_t *, int64_t now_ms);
 
+/** Whether its demand is above its share by more than chance. */
+bool fair_share_is_above(
+    const fair_share_t *, const fair_share_flow_t *, int64_t now_ms);
+
 /** Demand of all flows. */
 double fair_share_demand_sum(const fair_share_t *, int64_t now_ms);
 
@@ -70,6 +77,10 @@
 double
 fair_share_credit(const fair_share_t *, fair_share_flow_t *, int64_t now_ms);
 
+/** Credit that a request needs to be sent. One that costs more than the burst
+ * allowance would never be sent; it leaves a debt instead. */
+double fair_share_needed_ms(const fair_share_flow_t *, double cost_ms);
+
 /** Charges a request that is sent to its flow. */
 void fair_share_charge(fair_share_flow_t *, double cost_ms);
 
--- a/moortack/scheduling/admission.c
+++ b/moortack/scheduling/admission.c
@@ -1,7 +1,65 @@
 #include "moortack/scheduling/admission.h"
 
+#include <math.h>
 #include <string.h>
 
+#define MS_PER_S 1000.0
+/* Without an observation for this long, nothing is known. */
+#define KNOWN_MS 1000
+/* Slots that were free this long ago are likely to be free still. */
+#define FREE_KNOWN_MS 200
+#define FREE_BUSY_MAX 0.5
+/* The wait is followed upwards within about two service times of a plain
+ * service, and downwards more slowly, so that one idle endpoint does not end
+ * the control for all. */
+#define WAIT_RISE_MS 100.0
+#define WAIT_FALL_MS 500.0
+/* Parts of the objective. A quarter still leaves time for the work itself; the
+ * target is between the two bounds, so that the control keeps some requests
+ * waiting at the endpoints, and their slots in use. */
+#ifndef CROWDED_BEGIN
+#define CROWDED_BEGIN 0.25
+#endif
+#define CROWDED_END 0.1
+#define CROWDED_END_MS 500
+#ifndef WAIT_TARGET
+#define WAIT_TARGET 0.25
+#endif
+/* For how long the shortest objective holds after its last request. */
+#define OBJECTIVE_KEPT_MS 10000
+/* Assumed wait at an endpoint that refused a request as full. */
+#define REFUSED_WAIT 0.5
+#define CONTROL_MS 100
+/* Of the capacity. The rest is for what other daemons send in error. */
+#define RATE_START 0.9
+#define RATE_MIN 0.25
+#define RATE_MAX 2.0
+/* The wait is the integral of the excess of the rate, so that a correction that
+ * only integrates the wait's error oscillates with growing amplitude. The
+ * immediate part damps it; the slow part must be small against its square. */
+#define IMMEDIATE_GAIN 0.2
+#define IMMEDIATE_ERROR_MAX 2.5
+#define SLOW_GAIN 0.02
+/* The unused rate that is kept, in requests: as many as arrive more than the
+ * mean within a second by chance, twice. */
+#define POOL_DEVIATIONS 2.0
+#define POOL_REQUESTS_MIN 2.0
+/* Part of the rate that a full pool adds to what is shared out. */
+#define POOL_GAIN 0.5
+/* A daemon sends a request after this time, so that it learns the load. */
+/* Part of the rate by which an overdrawn pool grows at least, as estimated. */
+#define SPARE_MIN 0.05
+#ifndef GAIN_LOW
+#define GAIN_LOW 0
+#endif
+#ifndef POOL_OVERDRAWN
+#define POOL_OVERDRAWN 2.0
+#endif
+#define PROBE_MS 1000
+#define SERVICE_WEIGHT 0.1
+#define RETRY_AFTER_MAX_MS 30000
+#define COST_MIN_MS 0.01
+
 void
 service_admission_init(service_admission_t *admission)
 {
@@ -9,6 +67,7 @@
 	admission->now_ms = INT64_MIN;
 	admission->observed_ms = INT64_MIN;
 	admission->sent_ms = INT64_MIN;
+	admission->held_ms = INT64_MIN;
 	admission->calm_since_ms = INT64_MIN;
 	admission->daemons = 1;
 	admission->correction = 1;
@@ -18,88 +77,435 @@
 void
 service_admission_finish(service_admission_t *admission)
 {
-	(void)admission;
+	memset(admission, 0, sizeof(*admission));
 }
 
 void
 service_admission_set_capacity(
     service_admission_t *admission, double ms_per_s, uint32_t daemons)
 {
-	admission->capacity_ms_per_s = ms_per_s;
+	admission->capacity_ms_per_s = isfinite(ms_per_s) ? ms_per_s : 0;
 	admission->daemons = daemons > 0 ? daemons : 1;
 }
 
+static int64_t
+now_advance(service_admission_t *admission, int64_t now_ms)
+{
+	if (now_ms > admission->now_ms)
+		admission->now_ms = now_ms;
+	return admission->now_ms;
+}
+
+static int64_t
+now_clamp(const service_admission_t *admission, int64_t now_ms)
+{
+	return now_ms > admission->now_ms ? now_ms : admission->now_ms;
+}
+
+/* Whether it is at least this long ago; true if it never was. */
+static bool
+is_past(int64_t at_ms, int64_t now_ms, int64_t age_ms)
+{
+	return at_ms == INT64_MIN || now_ms - at_ms >= age_ms;
+}
+
+static bool
+is_known(const service_admission_t *admission, int64_t now_ms)
+{
+	return !is_past(admission->observed_ms, now_ms, KNOWN_MS + 1);
+}
+
+bool
+service_admission_is_crowded(
+    const service_admission_t *admission, int64_t now_ms)
+{
+	return admission->crowded &&
+	    is_known(admission, now_clamp(admission, now_ms));
+}
+
+double
+service_admission_wait_ms(const service_admission_t *admission, int64_t now_ms)
+{
+	if (!is_known(admission, now_clamp(admission, now_ms)))
+		return -1;
+	return admission->wait_ms;
+}
+
+static double
+request_cost_ms(
+    const service_admission_t *admission, const admission_request_t *request)
+{
+	if (isfinite(request->cost_ms) && request->cost_ms > 0)
+		return fmax(request->cost_ms, COST_MIN_MS);
+	return fmax(admission->service_ms, 1);
+}
+
+static double
+plain_share(const service_admission_t *admission)
+{
+	return admission->capacity_ms_per_s / admission->daemons;
+}
+
+/* Cost of a request, over all flows. */
+static double
+usual_cost_ms(const service_admission_t *admission)
+{
+	return fmax(admission->service_ms, 1);
+}
+
+static double
+pool_max_ms(const service_admission_t *admission)
+{
+	double cost_ms = usual_cost_ms(admission);
+
+	return cost_ms *
+	    (POOL_REQUESTS_MIN +
+		POOL_DEVIATIONS * sqrt(admission->rate_ms_per_s / cost_ms));
+}
+
+static void
+pool_fill(service_admission_t *admission)
+{
+	int64_t age_ms = admission->now_ms - admission->pool_at_ms;
+
+	admission->pool_ms = fmin(admission->pool_ms +
+		admission->rate_ms_per_s * (double)age_ms / MS_PER_S,
+	    pool_max_ms(admission));
+	admission->pool_at_ms = admission->now_ms;
+}
+
+static void
+rate_correct(service_admission_t *admission)
+{
+	double target_ms = WAIT_TARGET * (double)admission->objective_ms;
+	double error = (target_ms - admission->wait_ms) / target_ms;
+	double share = plain_share(admission);
+	double slow = fmax(fmin(error, 1), -1) * SLOW_GAIN;
+	double rate;
+
+	/* What a daemon does not use itself is no reason to raise its rate. */
+	if (slow < 0 ||
+	    fair_share_demand_sum(&admission->shares, admission->now_ms) >
+		admission->rate_ms_per_s)
+		admission->correction =
+		    fmax(fmin(admission->correction * (1 + slow), RATE_MAX),
+			RATE_MIN);
+	error = fmax(fmin(error, 1), -IMMEDIATE_ERROR_MAX);
+	rate =
+	    RATE_START * admission->correction * (1 + IMMEDIATE_GAIN * error);
+	admission->rate_ms_per_s = share * fmax(fmin(rate, RATE_MAX), RATE_MIN);
+}
+
+static void
+shares_compute(service_admission_t *admission)
+{
+	double filled = admission->pool_ms / pool_max_ms(admission);
+
+	fair_share_compute(&admission->shares,
+	    admission->rate_ms_per_s *
+		(1 + POOL_GAIN * fmax(fmin(filled, 1), -GAIN_LOW)),
+	    admission->now_ms);
+}
+
+static void
+crowded_begin(service_admission_t *admission)
+{
+	admission->crowded = true;
+	admission->crowded_since_ms = admission->now_ms;
+	admission->calm_since_ms = INT64_MIN;
+	admission->correction = 1;
+	admission->rate_ms_per_s = RATE_START * plain_share(admission);
+	admission->pool_ms = 0;
+	admission->pool_at_ms = admission->now_ms;
+	admission->controlled_ms = admission->now_ms;
+	rate_correct(admission);
+	shares_compute(admission);
+	fair_share_reset_credits(&admission->shares, admission->now_ms);
+}
+
+static void
+crowded_update(service_admission_t *admission)
+{
+	double objective_ms = (double)admission->objective_ms;
+
+	if (!is_known(admission, admission->now_ms)) {
+		admission->crowded = false;
+		return;
+	}
+	if (!admission->crowded) {
+		if (objective_ms > 0 && admission->capacity_ms_per_s > 0 &&
+		    admission->wait_ms > CROWDED_BEGIN * objective_ms)
+			crowded_begin(admission);
+		return;
+	}
+	if (admission->wait_ms >= CROWDED_END * objective_ms ||
+	    !is_past(admission->held_ms, admission->now_ms, CROWDED_END_MS)) {
+		admission->calm_since_ms = INT64_MIN;
+		return;
+	}
+	if (admission->calm_since_ms == INT64_MIN)
+		admission->calm_since_ms = admission->now_ms;
+	if (admission->now_ms - admission->calm_since_ms >= CROWDED_END_MS)
+		admission->crowded = false;
+}
+
+static void
+control(service_admission_t *admission)
+{
+	crowded_update(admission);
+	if (!admission->crowded)
+		return;
+	pool_fill(admission);
+	if (admission->now_ms - admission->controlled_ms < CONTROL_MS)
+		return;
+	admission->controlled_ms = admission->now_ms;
+	rate_correct(admission);
+	shares_compute(admission);
+}
+
+static void
+wait_smooth(service_admission_t *admission, double wait_ms, double busy)
+{
+	double age_ms;
+	double weight;
+
+	if (!is_known(admission, admission->now_ms)) {
+		admission->wait_ms = wait_ms;
+		admission->busy = busy;
+	} else {
+		age_ms = (double)(admission->now_ms - admission->observed_ms);
+		weight = 1 -
+		    exp(-age_ms /
+			(wait_ms > admission->wait_ms ? WAIT_RISE_MS
+						      : WAIT_FALL_MS));
+		admission->wait_ms += weight * (wait_ms - admission->wait_ms);
+		admission->busy += weight * (busy - admission->busy);
+	}
+	admission->last_wait_ms = wait_ms;
+	admission->last_busy = busy;
+	admission->observed_ms = admission->now_ms;
+}
+
 void
 service_admission_observe(
     service_admission_t *admission, double wait_ms, double busy, int64_t now_ms)
 {
-	admission->last_wait_ms = wait_ms;
-	admission->last_busy = busy;
-	admission->observed_ms = now_ms;
+	if (!isfinite(wait_ms) || !isfinite(busy))
+		return;
+	now_advance(admission, now_ms);
+	wait_smooth(admission, fmax(wait_ms, 0), fmax(fmin(busy, 1), 0));
+	control(admission);
 }
 
 void
 service_admission_observe_refusal(
     service_admission_t *admission, int64_t now_ms)
 {
-	admission->observed_ms = now_ms;
+	double wait_ms = REFUSED_WAIT * (double)admission->objective_ms;
+
+	now_advance(admission, now_ms);
+	if (is_known(admission, admission->now_ms))
+		wait_ms = fmax(wait_ms, admission->wait_ms);
+	wait_smooth(admission, wait_ms, 1);
+	control(admission);
 }
 
 void
 service_admission_observe_service_ms(
     service_admission_t *admission, double ms, int64_t now_ms)
 {
-	(void)now_ms;
-	admission->service_ms = ms;
+	now_advance(admission, now_ms);
+	if (!isfinite(ms) || ms <= 0)
+		return;
+	if (admission->service_ms <= 0)
+		admission->service_ms = ms;
+	admission->service_ms += SERVICE_WEIGHT * (ms - admission->service_ms);
 }
 
-bool
-service_admission_is_crowded(
+size_t
+service_admission_above_share(
     const service_admission_t *admission, int64_t now_ms)
 {
-	(void)now_ms;
-	return admission->crowded;
+	size_t count = 0;
+
+	if (!service_admission_is_crowded(admission, now_ms))
+		return 0;
+	for (size_t i = 0; i < admission->shares.flow_count; i++) {
+		const fair_share_flow_t *flow = &admission->shares.flows[i];
+
+		count += fair_share_demand(flow, now_clamp(admission, now_ms)) >
+		    admission->shares.levels[flow->rank];
+	}
+	return count;
 }
 
-double
-service_admission_wait_ms(const service_admission_t *admission, int64_t now_ms)
+static void
+objective_note(service_admission_t *admission, int64_t objective_ms)
 {
-	(void)now_ms;
-	return admission->observed_ms == INT64_MIN ? -1 : admission->wait_ms;
+	if (objective_ms <= 0)
+		return;
+	if (admission->objective_ms > 0 &&
+	    objective_ms > admission->objective_ms &&
+	    admission->now_ms - admission->objective_seen_ms <=
+		OBJECTIVE_KEPT_MS)
+		return;
+	admission->objective_ms = objective_ms;
+	admission->objective_seen_ms = admission->now_ms;
 }
 
-size_t
-service_admission_above_share(
-    const service_admission_t *admission, int64_t now_ms)
+static bool
+slots_are_free(const service_admission_t *admission)
 {
-	(void)admission;
-	(void)now_ms;
-	return 0;
+	return admission->last_wait_ms <= 0 &&
+	    admission->last_busy < FREE_BUSY_MAX &&
+	    !is_past(
+		admission->observed_ms, admission->now_ms, FREE_KNOWN_MS + 1);
+}
+
+/* How far the pool may be overdrawn. */
+static double
+pool_min_ms(const service_admission_t *admission)
+{
+	return -POOL_OVERDRAWN * pool_max_ms(admission);
+}
+
+/* Time until the flow has credit for the request and the pool too; 0: now. A
+ * flow above its share does not overdraw the pool: what is overdrawn by chance
+ * would else be refused to the others. */
+static double
+credit_in_ms(service_admission_t *admission, fair_share_flow_t *flow,
+    double cost_ms, double waiting_ms)
+{
+	double credit_ms =
+	    fair_share_credit(&admission->shares, flow, admission->now_ms);
+	double missing =
+	    fair_share_needed_ms(flow, cost_ms) + waiting_ms - credit_ms;
+	double pool_missing = -admission->pool_ms;
+	double pool_rate = fmax(
+	    admission->shares.spare_rate, SPARE_MIN * admission->rate_ms_per_s);
+	double in_ms = 0;
+
+	if (!fair_share_is_above(&admission->shares, flow, admission->now_ms)) {
+		missing = 0;
+		pool_missing += pool_min_ms(admission);
+		pool_rate = admission->rate_ms_per_s;
+	}
+	if (pool_missing > 0)
+		in_ms = pool_missing * MS_PER_S / pool_rate;
+	if (missing > 0)
+		in_ms = fmax(in_ms,
+		    missing * MS_PER_S / admission->shares.levels[flow->rank]);
+	return in_ms;
+}
+
+static void
+charge(service_admission_t *admission, fair_share_flow_t *flow, double cost_ms)
+{
+	admission->sent_ms = admission->now_ms;
+	if (!admission->crowded)
+		return;
+	fair_share_charge(flow, cost_ms);
+	admission->pool_ms = fmax(admission->pool_ms - cost_ms,
+	    pool_min_ms(admission) - fmax(cost_ms, usual_cost_ms(admission)));
+}
+
+static admission_reason_t
+held_reason(const service_admission_t *admission, const fair_share_flow_t *flow)
+{
+	double demand = fair_share_demand(flow, admission->now_ms);
+
+	if (!fair_share_is_above(&admission->shares, flow, admission->now_ms))
+		return ADMISSION_LATE;
+	return demand <= admission->shares.level_without_ranks
+	    ? ADMISSION_RANK
+	    : ADMISSION_ABOVE_SHARE;
+}
+
+static bool
+must_send(const service_admission_t *admission)
+{
+	return !admission->crowded || slots_are_free(admission) ||
+	    is_past(admission->sent_ms, admission->now_ms, PROBE_MS);
 }
 
 admission_decision_t
 service_admission_decide(service_admission_t *admission,
     const admission_request_t *request, int64_t now_ms)
 {
-	(void)request;
-	admission->sent_ms = now_ms;
-	return (admission_decision_t){ADMISSION_SEND, 0, ADMISSION_FREE};
+	double cost_ms = request_cost_ms(admission, request);
+	admission_decision_t decision = {ADMISSION_SEND, 0, ADMISSION_SHARE};
+	fair_share_flow_t *flow;
+	double in_ms;
+
+	now_advance(admission, now_ms);
+	objective_note(admission, request->objective_ms);
+	flow = fair_share_arrive(&admission->shares, request->organisation,
+	    request->rank, cost_ms, admission->now_ms);
+	control(admission);
+	if (must_send(admission)) {
+		charge(admission, flow, cost_ms);
+		decision.reason = ADMISSION_FREE;
+		return decision;
+	}
+	in_ms = credit_in_ms(admission, flow, cost_ms, flow->waiting_ms);
+	if (in_ms <= 0) {
+		charge(admission, flow, cost_ms);
+		return decision;
+	}
+	admission->held_ms = admission->now_ms;
+	decision.reason = held_reason(admission, flow);
+	in_ms = fmin(in_ms, RETRY_AFTER_MAX_MS);
+	decision.verdict = (double)admission->now_ms + in_ms <=
+		(double)admission_request_give_up_ms(request)
+	    ? ADMISSION_WAIT
+	    : ADMISSION_REFUSE;
+	decision.retry_after_ms =
+	    (int64_t)ceil(fmax(in_ms, fmax(admission->wait_ms, 1)));
+	return decision;
+}
+
+/* The flow of a request that was counted before. */
+static fair_share_flow_t *
+flow_of(service_admission_t *admission, const admission_request_t *request)
+{
+	fair_share_flow_t *flow = fair_share_find(
+	    &admission->shares, request->organisation, request->rank);
+
+	if (flow != NULL)
+		return flow;
+	return fair_share_arrive(&admission->shares, request->organisation,
+	    request->rank, request_cost_ms(admission, request),
+	    admission->now_ms);
 }
 
 void
 service_admission_charge(service_admission_t *admission,
     const admission_request_t *request, int64_t now_ms)
 {
-	(void)request;
-	admission->sent_ms = now_ms;
+	double cost_ms = request_cost_ms(admission, request);
+
+	now_advance(admission, now_ms);
+	control(admission);
+	charge(admission,
+	    fair_share_arrive(&admission->shares, request->organisation,
+		request->rank, cost_ms, admission->now_ms),
+	    cost_ms);
 }
 
 bool
 service_admission_try(service_admission_t *admission,
     const admission_request_t *request, int64_t now_ms)
 {
-	(void)request;
-	admission->sent_ms = now_ms;
+	double cost_ms = request_cost_ms(admission, request);
+	fair_share_flow_t *flow;
+
+	now_advance(admission, now_ms);
+	control(admission);
+	flow = flow_of(admission, request);
+	if (!must_send(admission) &&
+	    credit_in_ms(admission, flow, cost_ms, 0) > 0)
+		return false;
+	charge(admission, flow, cost_ms);
 	return true;
 }
 
@@ -107,22 +513,39 @@
 service_admission_credit_at(service_admission_t *admission,
     const admission_request_t *request, int64_t now_ms)
 {
-	(void)admission;
-	(void)request;
-	return now_ms;
+	double in_ms;
+
+	now_advance(admission, now_ms);
+	control(admission);
+	if (must_send(admission))
+		return admission->now_ms;
+	in_ms = credit_in_ms(admission, flow_of(admission, request),
+	    request_cost_ms(admission, request), 0);
+	return admission->now_ms + (int64_t)ceil(fmin(in_ms, CONTROL_MS));
 }
 
 void
 service_admission_add_waiting(service_admission_t *admission,
     const admission_request_t *request, bool waits)
 {
-	(void)admission;
-	(void)request;
-	(void)waits;
+	double cost_ms = request_cost_ms(admission, request);
+	fair_share_flow_t *flow = fair_share_find(
+	    &admission->shares, request->organisation, request->rank);
+
+	/* A flow that was replaced meanwhile has no account any more. */
+	if (flow == NULL)
+		return;
+	flow->waiting_ms =
+	    fmax(flow->waiting_ms + (waits ? cost_ms : -cost_ms), 0);
 }
 
 int64_t
 admission_request_give_up_ms(const admission_request_t *request)
 {
-	return request->latest_start_ms;
+	int64_t margin_ms =
+	    (int64_t)(WAIT_TARGET * (double)request->objective_ms);
+
+	if (request->latest_start_ms < INT64_MIN + margin_ms)
+		return INT64_MIN;
+	return request->latest_start_ms - margin_ms;
 }
--- a/moortack/scheduling/wait_queue.c
+++ b/moortack/scheduling/wait_queue.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "utlist.h"
+#include <utlist.h>
 
 static int
 entry_compare(const wait_entry_t *a, const wait_entry_t *b)
