relay: the time of a request is learned under load too

A daemon that started while its service was crowded, or whose first response was the head of a stream, took a request to last 1 ms and never held one. The time is now estimated from responses that waited until one did not, or while the known time is far too short; heads of streams and failures say nothing of it.

--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -80,6 +80,8 @@
 	double prompt_share;	  /**< of its requests have a prompt */
 	double prefill_full_ms;	  /**< of its latest prompts, nothing cached */
 	double prefill_uncached_ms; /**< of the same, where they were sent */
+	bool service_measured; /**< without a wait; until then it is estimated
+				*/
 	bool crowded_logged;
 	int64_t crowded_logged_ms; /**< last line of the log; 0: none */
 	UT_hash_handle hh;
--- a/moortack/relay/relay_admission_load.c
+++ b/moortack/relay/relay_admission_load.c
@@ -18,6 +18,9 @@
  * capacity is computed. */
 #define SAMPLE_WEIGHT 0.02
 #define PROMPT_SHARE_MIN 0.5
+/* A request that waited takes no longer than this times the known time, unless
+ * that is wrong. */
+#define SERVICE_TIME_WRONG 3
 
 int64_t
 relay_admission_now_ms(const relay_t *relay)
@@ -117,39 +120,63 @@
 	    req->attempt.placement.prefill_ms;
 }
 
+/* Requests that wait at the endpoint, in rounds of its slots. */
+static double
+response_rounds(const relay_request_t *req)
+{
+	const endpoint_load_t *load = &req->attempt.response.load;
+
+	return load->slots > 0 ? (double)load->waiting / load->slots : 0;
+}
+
 /* The wait at the endpoint that the response's load means. */
 static double
 response_wait_ms(const service_state_t *state, const relay_request_t *req)
 {
-	const attempt_t *attempt = &req->attempt;
-	const endpoint_load_t *load = &attempt->response.load;
-	double queued =
-	    load->slots > 0 ? (double)load->waiting / load->slots : 0;
+	return has_prompts(state) && req->arrival.parts_len > 0
+	    ? req->attempt.placement.queue_wait_ms
+	    : response_rounds(req) * state->admission.service_ms;
+}
 
-	if (has_prompts(state) && req->arrival.parts_len > 0)
-		return attempt->placement.queue_wait_ms;
-	if (state->admission.service_ms > 0 || attempt->response.not_run)
-		return queued * state->admission.service_ms;
-	/* No response without a wait was seen yet: this one took the time of a
-	 * request and the wait for as many before it. */
-	return attempt->first_byte_ms * queued / (1 + queued);
+/* Learns the time that a request takes from responses that are unlikely to have
+ * waited, as a slot is free now. Until there is one, or if the time known so
+ * far is far too short, from the others: they took this time, and the wait for
+ * as many requests as wait now. The head of a stream says nothing of its time.
+ */
+static void
+service_time_observe(service_state_t *state, const relay_request_t *req,
+    double busy, int64_t now)
+{
+	double ms = req->attempt.first_byte_ms;
+	double wait_ms = response_wait_ms(state, req);
+	bool waited = wait_ms > 0 || response_rounds(req) > 0 || busy >= 1;
+
+	if (!has_prompts(state) && req->route->kind == ROUTE_STREAM)
+		return;
+	ms = has_prompts(state) ? fmax(ms - wait_ms, 0)
+				: ms / (1 + response_rounds(req));
+	if (waited && state->service_measured &&
+	    ms < SERVICE_TIME_WRONG * state->admission.service_ms)
+		return;
+	state->service_measured = !waited;
+	service_admission_observe_service_ms(&state->admission, ms, now);
 }
 
 static void
-load_observe(service_state_t *state, const relay_request_t *req, int64_t now)
+load_observe(
+    service_state_t *state, const relay_request_t *req, int status, int64_t now)
 {
 	const endpoint_load_t *load = &req->attempt.response.load;
-	double wait_ms = response_wait_ms(state, req);
 	double busy = load->slots > 0 ? (double)load->running / load->slots : 0;
+	double wait_ms;
 
+	if (status_is_success(status))
+		service_time_observe(state, req, busy, now);
+	wait_ms = response_wait_ms(state, req);
 	if (wait_ms > 0)
 		relay_admission_update_capacity(state, now);
 	service_admission_observe(
 	    &state->admission, wait_ms, fmin(busy, 1), now);
-	if (wait_ms > 0 || load->waiting > 0 || req->attempt.response.not_run)
-		return;
-	service_admission_observe_service_ms(
-	    &state->admission, req->attempt.first_byte_ms, now);
 }
 
 void
@@ -165,7 +192,7 @@
 	if (req->arrival.parts_len > 0)
 		prefill_observe(state, req);
 	if (response->has_load)
-		load_observe(state, req, now);
+		load_observe(state, req, status, now);
 	/* One that names a time to retry after is full for other reasons, or is
 	 * left out for that time. */
 	if (response->not_run &&
