--- a/moortack/scheduling/admission.c
+++ b/moortack/scheduling/admission.c
@@ -6,10 +6,8 @@
 #define MS_PER_S 1000.0
 /* Without an observation for this long, nothing is known. */
 #define KNOWN_MS 1000
-/* Requests that are sent on a report of free slots, until the next one. Each
- * response that reports free slots lets two requests follow, so that all slots
- * are in use within a few service times, and not by all daemons at once. */
-#define FREE_SENDS 2
+/* Requests that are sent on a report of free slots, until the next one. */
+#define FREE_SENDS 1
 /* With under half of the slots busy, the load does not fill them this soon. */
 #define HALF_FREE 0.5
 #define HALF_FREE_KNOWN_MS 200
@@ -401,37 +399,34 @@
 }
 
 /* Time until the flow has credit for the request and the pool too; 0: now.
- * @param arrives it comes after the requests that wait */
+ * @param arrives it comes after the requests of its flow that wait */
 static double
 credit_in_ms(service_admission_t *admission, fair_share_flow_t *flow,
     double cost_ms, bool arrives)
 {
-	bool above =
-	    fair_share_is_above(&admission->shares, flow, admission->now_ms);
-	double missing = fair_share_needed_ms(flow, cost_ms) -
-	    fair_share_credit(&admission->shares, flow, admission->now_ms);
+	const fair_share_t *shares = &admission->shares;
+	bool above = fair_share_is_above(shares, flow, admission->now_ms);
+	double missing = fair_share_needed_ms(flow, cost_ms) +
+	    (arrives ? flow->waiting_ms : 0) -
+	    fair_share_credit(shares, flow, admission->now_ms);
 	double pool_missing =
 	    pool_min_ms(admission, flow, above) - admission->pool_ms;
 	double pool_rate = admission->rate_ms_per_s;
 	double in_ms = 0;
 
-	if (arrives)
-		missing += flow->waiting_ms;
 	if (admission->floors_ms[flow->rank] >=
 	    fmin(cost_ms, usual_cost_ms(admission)))
 		return 0;
-	if (above || flow->rank > admission->shares.top_rank) {
-		pool_rate = fmax(admission->shares.spare_rate,
-		    SPARE_MIN * admission->rate_ms_per_s);
-		if (arrives)
-			pool_missing += admission->waiting_ms;
-	}
-	if (pool_missing > 0)
-		in_ms = pool_missing * MS_PER_S / pool_rate;
 	if (above && missing > 0)
-		in_ms = fmax(in_ms,
-		    missing * MS_PER_S / admission->shares.levels[flow->rank]);
-	return in_ms;
+		in_ms = missing * MS_PER_S / shares->levels[flow->rank];
+	if (pool_missing <= 0)
+		return in_ms;
+	if (above || flow->rank > shares->top_rank) {
+		/* What grows is shared with those that wait. */
+		pool_missing += arrives ? admission->waiting_ms : 0;
+		pool_rate = fmax(shares->spare_rate, SPARE_MIN * pool_rate);
+	}
+	return fmax(in_ms, pool_missing * MS_PER_S / pool_rate);
 }
 
 static void
@@ -468,11 +463,26 @@
 	    : ADMISSION_LATE;
 }
 
+/* Whether the flow has used as much more than its share as it may owe. One
+ * whose callers retry at once would otherwise take each slot as it becomes
+ * free. */
+static bool
+is_in_debt(service_admission_t *admission, fair_share_flow_t *flow)
+{
+	return admission->wait_ms >=
+	    CROWDED_END * (double)admission->objective_ms &&
+	    fair_share_credit(&admission->shares, flow, admission->now_ms) <=
+	    -fair_share_needed_ms(flow, flow->cost_ms);
+}
+
 static bool
-must_send(const service_admission_t *admission, bool arrives)
+must_send(service_admission_t *admission, fair_share_flow_t *flow, bool arrives)
 {
-	return !admission->crowded || slots_are_free(admission, arrives) ||
-	    is_past(admission->sent_ms, admission->now_ms, PROBE_MS);
+	if (!admission->crowded ||
+	    is_past(admission->sent_ms, admission->now_ms, PROBE_MS))
+		return true;
+	return slots_are_free(admission, arrives) &&
+	    !is_in_debt(admission, flow);
 }
 
 admission_decision_t
@@ -489,7 +499,7 @@
 	flow = fair_share_arrive(&admission->shares, request->organisation,
 	    request->rank, cost_ms, admission->now_ms);
 	control(admission);
-	if (must_send(admission, true)) {
+	if (must_send(admission, flow, true)) {
 		charge(admission, flow, cost_ms);
 		decision.reason = ADMISSION_FREE;
 		return decision;
@@ -548,7 +558,7 @@
 	now_advance(admission, now_ms);
 	control(admission);
 	flow = flow_of(admission, request);
-	if (!must_send(admission, false) &&
+	if (!must_send(admission, flow, false) &&
 	    credit_in_ms(admission, flow, cost_ms, false) > 0)
 		return false;
 	charge(admission, flow, cost_ms);
@@ -559,13 +569,15 @@
 service_admission_credit_at(service_admission_t *admission,
     const admission_request_t *request, int64_t now_ms)
 {
+	fair_share_flow_t *flow;
 	double in_ms;
 
 	now_advance(admission, now_ms);
 	control(admission);
-	if (must_send(admission, false))
+	flow = flow_of(admission, request);
+	if (must_send(admission, flow, false))
 		return admission->now_ms;
-	in_ms = credit_in_ms(admission, flow_of(admission, request),
+	in_ms = credit_in_ms(admission, flow,
 	    service_admission_cost_ms(admission, request), false);
 	return admission->now_ms + (int64_t)ceil(fmin(in_ms, CONTROL_MS));
 }
