--- a/test/unit/relay_admission_test.c
+++ b/test/unit/relay_admission_test.c
@@ -67,9 +67,17 @@
 static void
 fixture_init(fixture_t *self)
 {
+	const endpoint_info_t info = {.id = "i-1",
+	    .service = SERVICE,
+	    .zone = "a",
+	    .version = "v1",
+	    .address = {"127.0.0.1", 1},
+	    .slots = 1};
+
 	memset(self, 0, sizeof(*self));
 	node_fixture_init(&self->node);
 	self->relay = &self->node.node.relay;
+	assert_non_null(endpoint_set_update(&self->node.node.endpoints, &info));
 	self->relay->bounds.admission = true;
 	self->relay->bounds.waiting_max = REQUESTS;
 	self->route = (relay_route_t){
