--- a/include/moortack/scheduling/admission.h
+++ b/include/moortack/scheduling/admission.h
@@ -63,7 +63,9 @@
 	int64_t now_ms; /**< latest time that was passed in */
 	double capacity_ms_per_s;
 	uint32_t daemons;
-	double service_ms; /**< of a request, without waiting; 0: not known */
+	double service_ms;  /**< of a request, without waiting; 0: not known */
+	double cost_ms;	    /**< of requests, smoothed */
+	double cost_square; /**< square of it, smoothed */
 
 	double wait_ms;	     /**< smoothed */
 	double busy;	     /**< smoothed share of busy slots, 0 to 1 */
--- a/moortack/scheduling/admission.c
+++ b/moortack/scheduling/admission.c
@@ -57,6 +57,7 @@
 /* A daemon sends a request after this time, so that it learns the load. */
 #define PROBE_MS 1000
 #define SERVICE_WEIGHT 0.1
+#define COST_WEIGHT 0.02
 #define RETRY_AFTER_MAX_MS 30000
 #define COST_MIN_MS 0.01
 #define COST_MAX_MS 1e6
@@ -147,11 +148,26 @@
 	return admission->capacity_ms_per_s / admission->daemons;
 }
 
-/* Cost of a request, over all flows. */
+/* Cost of a request, over all flows, that makes chance deviations as large as
+ * the mix of costs does. */
 static double
 usual_cost_ms(const service_admission_t *admission)
 {
-	return fmax(admission->service_ms, 1);
+	if (admission->cost_ms <= 0)
+		return fmax(admission->service_ms, 1);
+	return admission->cost_square / admission->cost_ms;
+}
+
+static void
+cost_note(service_admission_t *admission, double cost_ms)
+{
+	if (admission->cost_ms <= 0) {
+		admission->cost_ms = cost_ms;
+		admission->cost_square = cost_ms * cost_ms;
+	}
+	admission->cost_ms += COST_WEIGHT * (cost_ms - admission->cost_ms);
+	admission->cost_square +=
+	    COST_WEIGHT * (cost_ms * cost_ms - admission->cost_square);
 }
 
 static double
@@ -496,6 +512,7 @@
 
 	now_advance(admission, now_ms);
 	objective_note(admission, request->objective_ms);
+	cost_note(admission, cost_ms);
 	flow = fair_share_arrive(&admission->shares, request->organisation,
 	    request->rank, cost_ms, admission->now_ms);
 	control(admission);
