relay: a refusal for want of room counts as crowded, no repeat of what waits

Of endpoints without a queue the load of a refusal said that nothing waits, in the same millisecond, which took the refusal back: such a service never counted as crowded. A reused connection that is silent for 0.6 of the objective was repeated at another endpoint though requests wait at all of them by now, and ended as unknown outcome when that one was full; while the service is crowded it is not.

--- a/moortack/relay/attempt_silence.c
+++ b/moortack/relay/attempt_silence.c
@@ -1,4 +1,4 @@
-#include "relay_request.h"
+#include "relay_admission.h"
 
 /* Part of the objective after which a reused connection without a response is
  * silent. What is left of the objective is twice what such a request takes in
@@ -51,8 +51,11 @@
 		restarted_endpoint_silent(req);
 		return;
 	}
-	/* Without a retry left, a late response is the only one to be had. */
-	if (!relay_retry_has_spare(req->relay, req->service))
+	/* Without a retry left, a late response is the only one to be had. If
+	 * requests wait at the endpoints by now, this one is likely to, and
+	 * another attempt would wait as well. */
+	if (!relay_retry_has_spare(req->relay, req->service) ||
+	    relay_admission_is_crowded(req))
 		return;
 	endpoint_close_idle(req->attempt.endpoint);
 	req->avoid_reuse = true;
--- a/moortack/relay/relay_admission.h
+++ b/moortack/relay/relay_admission.h
@@ -30,6 +30,9 @@
 /** The head of the attempt's response was received. */
 void relay_admission_observe(relay_request_t *, int status);
 
+/** Whether the request's service is crowded, as far as is known. */
+bool relay_admission_is_crowded(const relay_request_t *);
+
 /** The request no longer waits, if it did. */
 void relay_admission_leave(relay_request_t *);
 
--- a/moortack/relay/relay_admission_load.c
+++ b/moortack/relay/relay_admission_load.c
@@ -36,6 +36,16 @@
 	    : NULL;
 }
 
+bool
+relay_admission_is_crowded(const relay_request_t *req)
+{
+	const service_state_t *state = relay_admission_state(req);
+
+	return state != NULL &&
+	    service_admission_is_crowded(
+		&state->admission, relay_admission_now_ms(req->relay));
+}
+
 static bool
 has_prompts(const service_state_t *state)
 {
@@ -179,6 +189,16 @@
 	    &state->admission, wait_ms, fmin(busy, 1), now);
 }
 
+/* Whether the endpoint has no room: one that names a time to retry after is
+ * left out for that time. */
+static bool
+refused_as_full(const endpoint_response_t *response, int status)
+{
+	return response->not_run &&
+	    status == err_info(ERR_OVERLOAD)->http_status &&
+	    response->notice.backoff_ms == 0;
+}
+
 void
 relay_admission_observe(relay_request_t *req, int status)
 {
@@ -191,15 +211,13 @@
 	now = relay_admission_now_ms(req->relay);
 	if (req->arrival.parts_len > 0)
 		prefill_observe(state, req);
-	if (response->has_load)
-		load_observe(state, req, status, now);
-	/* One that names a time to retry after is full for other reasons, or is
-	 * left out for that time. */
-	if (response->not_run &&
-	    status == err_info(ERR_OVERLOAD)->http_status &&
-	    response->notice.backoff_ms == 0) {
+	/* An endpoint without a queue is full with nothing that waits: its load
+	 * must not take back what its refusal says. */
+	if (refused_as_full(response, status)) {
 		relay_admission_update_capacity(state, now);
 		service_admission_observe_refusal(&state->admission, now);
+	} else if (response->has_load) {
+		load_observe(state, req, status, now);
 	}
 	crowded_log(state, now);
 	if (state->wait_queue.count > 0 &&
