--- a/moortack/scheduling/admission.c
+++ b/moortack/scheduling/admission.c
@@ -485,7 +485,8 @@
 static bool
 is_in_debt(service_admission_t *admission, fair_share_flow_t *flow)
 {
-	return admission->wait_ms >=
+	return admission->last_busy >= HALF_FREE &&
+	    admission->wait_ms >=
 	    CROWDED_END * (double)admission->objective_ms &&
 	    fair_share_credit(&admission->shares, flow, admission->now_ms) <=
 	    -fair_share_needed_ms(flow, flow->cost_ms);
