test: refusals, and the time of a request under load

Guards against a service without queues that never counts as crowded, against refusals for other reasons that count, and against a daemon that starts under load and holds nothing.

--- a/test/unit/relay_admission_test.c
+++ b/test/unit/relay_admission_test.c
@@ -10,6 +10,7 @@
 
 #include <cmocka.h>
 
+#include <math.h>
 #include <stdio.h>
 
 #include "../../moortack/relay/relay_admission.h"
@@ -209,6 +210,82 @@
 	fixture_finish(&self);
 }
 
+/* A response of the service's endpoint. */
+static void
+respond(fixture_t *self, int status, double first_byte_ms, uint32_t waiting)
+{
+	relay_request_t *req = &self->requests[0];
+
+	req->attempt.first_byte_ms = first_byte_ms;
+	req->attempt.response.has_load = true;
+	req->attempt.response.load = (endpoint_load_t){1, waiting, 1};
+	relay_admission_observe(req, status);
+	node_fixture_advance(&self->node, 50);
+}
+
+static bool
+refusals_crowd(fixture_t *self, int status, int64_t backoff_ms)
+{
+	relay_request_t *req = &self->requests[0];
+
+	assert_true(relay_admission_pass(req));
+	req->attempt.response.not_run = true;
+	req->attempt.response.notice.backoff_ms = backoff_ms;
+	for (int i = 0; i < 20; i++)
+		respond(self, status, 1, 0);
+	return relay_admission_is_crowded(req);
+}
+
+/* Nothing ever waits at an endpoint without a queue. */
+static void
+full_endpoints_without_a_queue_are_crowded(void **state)
+{
+	fixture_t self;
+
+	(void)state;
+	fixture_init(&self);
+	assert_true(refusals_crowd(&self, 503, 0));
+	fixture_finish(&self);
+}
+
+static void
+refusals_for_other_reasons_are_not_counted(void **state)
+{
+	static const int statuses[] = {503, 429, 421};
+
+	(void)state;
+	for (int i = 0; i < 3; i++) {
+		fixture_t self;
+
+		fixture_init(&self);
+		assert_false(
+		    refusals_crowd(&self, statuses[i], i == 0 ? 1000 : 0));
+		fixture_finish(&self);
+	}
+}
+
+/* A daemon that starts while endpoints are crowded sees no response that has
+ * not waited; without the time of a request it would hold none. */
+static void
+time_of_a_request_is_learned_under_load(void **state)
+{
+	fixture_t self;
+
+	(void)state;
+	fixture_init(&self);
+	self.route.kind = ROUTE_STREAM;
+	respond(&self, 200, 1, 0);
+	self.route.kind = ROUTE_IDEMPOTENT;
+	respond(&self, 500, 1, 0);
+	assert_true(self.state->admission.service_ms <= 0);
+	for (int i = 0; i < 20; i++)
+		respond(&self, 200, 300, 2);
+	assert_int_equal(lround(self.state->admission.service_ms), 100);
+	assert_true(service_admission_wait_ms(&self.state->admission,
+			relay_admission_now_ms(self.relay)) > 100);
+	fixture_finish(&self);
+}
+
 int
 main(void)
 {
@@ -218,6 +295,9 @@
 	    cmocka_unit_test(request_leaves_the_queue),
 	    cmocka_unit_test(larger_model_is_not_asked_while_crowded),
 	    cmocka_unit_test(nothing_is_held_if_switched_off_or_not_crowded),
+	    cmocka_unit_test(full_endpoints_without_a_queue_are_crowded),
+	    cmocka_unit_test(refusals_for_other_reasons_are_not_counted),
+	    cmocka_unit_test(time_of_a_request_is_learned_under_load),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
