Merge branch 'admission': requests to crowded services wait or are refused

One organisation at eight times its usual in front of a service with few slots: the others and the highest rank are served, it gets what is left over.

--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "relay_request.h"
+#include "relay_admission.h"
 
 /* Events of which the time is measured together: few, so that the shortest
  * streams count too, and as many as arrive in one read now and then. */
@@ -282,7 +282,7 @@
 	    .objective_ms = (double)req->route->latency_objective_ms,
 	    .rank = request_rank(req)};
 	const service_model_t *model;
-	size_t next;
+	size_t current = req->model_index, next;
 
 	if (!req->arrival.any_model || route->models_len == 0)
 		return;
@@ -304,6 +304,10 @@
 	if (next == req->model_index || !relay_has_unlimited_endpoint(req))
 		return;
 	req->model_index = next;
+	if (!relay_admission_allows_escalation(req)) {
+		req->model_index = current;
+		return;
+	}
 	req->escalated_ms = (double)request_age_ms(req);
 	attempt_retry_or_fail(req, ATTEMPT_ESCALATED, "low_confidence");
 }
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -224,6 +224,7 @@
 	gossip_tick(&node->gossip);
 	relay_contents_tick(&node->relay);
 	relay_reach_tick(&node->relay);
+	relay_admission_tick(&node->relay);
 	sessions_sync(node);
 	relay_quarantine_tick(&node->relay.quarantine);
 	if (rollouts_any_active(&node->rollouts))
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -1,4 +1,4 @@
-#include "relay_request.h"
+#include "relay_admission.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -165,6 +165,7 @@
 		endpoint_record_load(attempt->endpoint, &response->load);
 		relay_price_observe_response(req->relay, attempt->endpoint);
 	}
+	relay_admission_observe(req, msg->status);
 	if (response->not_run || response->wrong_endpoint)
 		return;
 	usage_count(req);
