--- a/test/fuzz/admission_fuzz.c
+++ b/test/fuzz/admission_fuzz.c
@@ -284,6 +284,7 @@
 	service_admission_init(&world.admission);
 	service_admission_set_capacity(&world.admission, 18000, daemons);
 	wait_queue_init(&world.queue, &world.admission, QUEUE_MAX);
+	clock_step(0);
 	while (!input_at_end(&input))
 		step(&input);
 	while ((entry = wait_queue_pop_any(&world.queue)) != NULL)
