--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -95,10 +95,7 @@
 static const char *
 fault_text(const char *name)
 {
-	const char *text =
-	    json_string_value(json_object_get(replica.faults, name));
-
-	return text != NULL ? text : "";
+	return fault_string(name) != NULL ? fault_string(name) : "";
 }
 
 static void
@@ -360,7 +357,7 @@
 static bool
 crashes(struct evhttp_request *req)
 {
-	const char *text = fault_string("crash_on");
+	const char *text = fault_text("crash_on");
 	struct evbuffer *body = evhttp_request_get_input_buffer(req);
 
 	if (shares_crash_part(req) && fault_int("crash_events", 0) == 0)
