relay: the timer of waiting requests never fires at once

A next time that is now, for a request that may not be sent yet after all, would have kept the daemon busy. Found by reading; not seen in a run.

--- a/moortack/relay/relay_admission.c
+++ b/moortack/relay/relay_admission.c
@@ -71,7 +71,8 @@
 {
 	int64_t now = relay_admission_now_ms(state->relay);
 	int64_t next = wait_queue_next_ms(&state->wait_queue, now);
-	int64_t ms = next > now ? next - now : 0;
+	/* Never at once, so that the timer cannot keep the daemon busy. */
+	int64_t ms = next > now ? next - now : 1;
 	struct timeval delay = {ms / MS_PER_SEC, ms % MS_PER_SEC * US_PER_MS};
 
 	if (state->wait_timer == NULL)
