--- a/moortack/relay/relay_price.c
+++ b/moortack/relay/relay_price.c
@@ -11,11 +11,6 @@
  * response arrives count as equal: the daemons of the two zones may see the
  * difference with either sign, and would send to each other. */
 #define ZONE_WAIT_MARGIN_MS 20.0
-/* The own zone's price holds requests back from other zones for this long after
- * the last observation: an endpoint that hangs makes none, and would otherwise
- * get requests until the price expires. Objectives start at about that time,
- * and a daemon that gets ten requests a second has a newer observation. */
-#define OWN_ZONE_AGE_MAX_MS 250
 /* In a message, 0 is no price: an owner that knows of no wait sends this. */
 #define PRICE_MILLI_NONE 1
 
@@ -151,14 +146,12 @@
 {
 	const service_state_t *state = relay_service_state(relay, service);
 	int64_t now_ms = now_get(relay);
-	const price_t *own = service_zone_price(state, zone);
-	double wait_ms = price_wait_ms(own, now_ms);
+	double wait_ms = price_wait_ms(service_zone_price(state, zone), now_ms);
 	double other_wait_ms =
 	    price_wait_ms(service_zone_price(state, other_zone), now_ms);
 
 	*out = wait_ms - other_wait_ms - ZONE_WAIT_MARGIN_MS;
-	return price_age_ms(own, now_ms) <= OWN_ZONE_AGE_MAX_MS &&
-	    other_wait_ms >= 0;
+	return wait_ms >= 0 && other_wait_ms >= 0;
 }
 
 void
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -300,8 +300,7 @@
 /** The price of the service's endpoints in a zone; 0: unknown, or none. */
 double relay_price(relay_t *, const char *service, const char *zone);
 /** By how much requests wait longer in one zone than in another.
- * @return false: a price is not known, or that of the first zone is not recent
- */
+ * @return false: a price is not known */
 bool relay_zone_saving_ms(relay_t *, const char *service, const char *zone,
     const char *other_zone, double *out);
 /** The price with its age; all zero: unknown.
