--- a/include/moortack/relay/choose.h
+++ b/include/moortack/relay/choose.h
@@ -7,10 +7,6 @@
  * milliseconds of endpoint time: queueing, prefill and cross-zone transfer.
  * Requests without one go to the endpoint with the smallest share of its slots
  * in use.
- *
- * Where the prices of both zones are known, a request is sent to another zone
- * for a shorter queue only as far as requests wait longer in the own zone as a
- * whole: zones whose queues are equally long do not exchange requests.
  */
 #ifndef MOORTACK_RELAY_CHOOSE_H
 #define MOORTACK_RELAY_CHOOSE_H
@@ -35,10 +31,6 @@
 				     requests share, including what their
 				     recomputation costs */
 	double cross_zone_ms; /**< cost of sending the prompt to another zone */
-	bool zones_priced; /**< the prices of this daemon's and of its zone are
-			      known */
-	double zone_saving_ms; /**< if so: how much longer requests wait in this
-				  daemon's zone; may be negative */
 } endpoint_candidate_t;
 
 /** What the request requires of an endpoint. */
--- a/moortack/relay/choose.c
+++ b/moortack/relay/choose.c
@@ -1,11 +1,8 @@
 #include "moortack/relay/choose.h"
 
-#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
-#include "moortack/scheduling/price.h"
-
 #define RANDOM_RANGE 4294967296.0
 /* Loads that differ by less than this share of the slots count as equal. */
 #define TIE_LOAD_SHARE 0.02
@@ -73,22 +70,11 @@
 	return count;
 }
 
-/* Whether an endpoint may be chosen among those of this daemon's zone, or of
- * all zones. */
-static bool
-may_choose(const endpoint_candidate_t *candidate, bool healthy_only,
-    bool own_zone_only)
-{
-	return !(healthy_only && candidate->ejected) &&
-	    !(own_zone_only && !candidate->same_zone);
-}
-
 /* Picks the endpoint with the lowest estimated time to the first byte,
  * including the cost to other requests. */
 static size_t
 choose_lowest_cost(const endpoint_candidate_t *candidates, size_t len,
-    const choice_criteria_t *criteria, bool healthy_only, bool own_zone_only,
-    double *cost)
+    const choice_criteria_t *criteria, bool healthy_only)
 {
 	size_t first = SIZE_MAX;
 	size_t best = SIZE_MAX;
@@ -104,7 +90,7 @@
 		    MS_PER_REQUEST * candidate->load +
 		    TIE_MS * tie_break(candidate, criteria);
 
-		if (!may_choose(candidate, healthy_only, own_zone_only))
+		if (healthy_only && candidate->ejected)
 			continue;
 		if (i == first)
 			ms -= criteria->first_cached *
@@ -114,14 +100,12 @@
 			best_ms = ms;
 		}
 	}
-	*cost = best_ms;
 	return best;
 }
 
 static size_t
 choose_least_loaded(const endpoint_candidate_t *candidates, size_t len,
-    const choice_criteria_t *criteria, bool healthy_only, bool own_zone_only,
-    double *cost)
+    const choice_criteria_t *criteria, bool healthy_only)
 {
 	double best_score = 0;
 	size_t best = SIZE_MAX;
@@ -130,7 +114,7 @@
 		const endpoint_candidate_t *candidate = &candidates[i];
 		double score;
 
-		if (!may_choose(candidate, healthy_only, own_zone_only))
+		if (healthy_only && candidate->ejected)
 			continue;
 		score = (candidate->load + 1) /
 		    (candidate->slots > 0 ? candidate->slots : 1);
@@ -142,56 +126,18 @@
 			best_score = score;
 		}
 	}
-	*cost = best_score;
 	return best;
 }
 
-/* The part of what a request saves in the queue of an endpoint in another zone
- * that the prices of both zones do not confirm; in milliseconds, or in shares
- * of slots without a prompt. */
-static double
-unconfirmed_saving(const endpoint_candidate_t *own,
-    const endpoint_candidate_t *other, bool has_prompt)
-{
-	double saving, confirmed;
-
-	if (has_prompt) {
-		saving = own->queue_wait_ms - other->queue_wait_ms +
-		    MS_PER_REQUEST * (own->load - other->load);
-		confirmed = other->zone_saving_ms;
-	} else {
-		saving = (own->load + 1) / (own->slots > 0 ? own->slots : 1) -
-		    (other->load + 1) / (other->slots > 0 ? other->slots : 1);
-		confirmed = other->zone_saving_ms / PRICE_REQUEST_MS;
-	}
-	return fmax(0, saving - fmax(0, confirmed));
-}
-
-typedef size_t (*choose_fn_t)(const endpoint_candidate_t *, size_t,
-    const choice_criteria_t *, bool healthy_only, bool own_zone_only,
-    double *cost);
-
 size_t
 endpoint_choose(const endpoint_candidate_t *candidates, size_t len,
     const choice_criteria_t *criteria)
 {
 	bool healthy_only = any_healthy(candidates, len);
 
-	choose_fn_t choose =
-	    criteria->has_prompt ? choose_lowest_cost : choose_least_loaded;
-	double cost, own_cost;
-	size_t best, own;
-
 	if (len == 0)
 		return SIZE_MAX;
-	best = choose(candidates, len, criteria, healthy_only, false, &cost);
-	if (candidates[best].same_zone || !candidates[best].zones_priced)
-		return best;
-	own = choose(candidates, len, criteria, healthy_only, true, &own_cost);
-	if (own == SIZE_MAX)
-		return best;
-	return own_cost - cost > unconfirmed_saving(&candidates[own],
-				     &candidates[best], criteria->has_prompt)
-	    ? best
-	    : own;
+	return criteria->has_prompt
+	    ? choose_lowest_cost(candidates, len, criteria, healthy_only)
+	    : choose_least_loaded(candidates, len, criteria, healthy_only);
 }
--- a/moortack/relay/relay_price.c
+++ b/moortack/relay/relay_price.c
@@ -7,10 +7,6 @@
 /* An endpoint's load report says nothing about its wait after this time. */
 #define LOAD_MAX_AGE_MS 1000
 #define MILLI 1000.0
-/* Waits of two zones that differ by less than the time in which an owner's
- * response arrives count as equal: the daemons of the two zones may see the
- * difference with either sign, and would send to each other. */
-#define ZONE_WAIT_MARGIN_MS 20.0
 /* In a message, 0 is no price: an owner that knows of no wait sends this. */
 #define PRICE_MILLI_NONE 1
 
@@ -140,20 +136,6 @@
 	    now_get(relay));
 }
 
-bool
-relay_zone_saving_ms(relay_t *relay, const char *service, const char *zone,
-    const char *other_zone, double *out)
-{
-	const service_state_t *state = relay_service_state(relay, service);
-	int64_t now_ms = now_get(relay);
-	double wait_ms = price_wait_ms(service_zone_price(state, zone), now_ms);
-	double other_wait_ms =
-	    price_wait_ms(service_zone_price(state, other_zone), now_ms);
-
-	*out = wait_ms - other_wait_ms - ZONE_WAIT_MARGIN_MS;
-	return wait_ms >= 0 && other_wait_ms >= 0;
-}
-
 void
 relay_price_write_metrics(const relay_t *relay, struct evbuffer *out)
 {
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -299,10 +299,6 @@
 void relay_price_receive(relay_t *, uint32_t endpoint_hash, uint32_t milli);
 /** The price of the service's endpoints in a zone; 0: unknown, or none. */
 double relay_price(relay_t *, const char *service, const char *zone);
-/** By how much requests wait longer in one zone than in another.
- * @return false: a price is not known */
-bool relay_zone_saving_ms(relay_t *, const char *service, const char *zone,
-    const char *other_zone, double *out);
 /** The price with its age; all zero: unknown.
  * @param state NULL: the service is not known */
 const price_t *
--- a/moortack/relay/relay_select.c
+++ b/moortack/relay/relay_select.c
@@ -188,40 +188,6 @@
 	}
 }
 
-/* Fill in what is known of the zones' prices; looked up once for each zone. */
-static void
-candidates_price_zones(const relay_request_t *req, candidates_t *set)
-{
-	const endpoint_candidate_t *first_of[PRICE_ZONES_MAX];
-	const zone_t *zones[PRICE_ZONES_MAX];
-	size_t zones_len = 0;
-
-	for (size_t i = 0; i < set->len; i++) {
-		endpoint_candidate_t *candidate = &set->inputs[i];
-		const endpoint_t *endpoint = set->endpoints[i];
-		size_t at = 0;
-
-		if (candidate->same_zone)
-			continue;
-		while (at < zones_len && zones[at] != endpoint->zone)
-			at++;
-		if (at < zones_len) {
-			candidate->zones_priced = first_of[at]->zones_priced;
-			candidate->zone_saving_ms =
-			    first_of[at]->zone_saving_ms;
-			continue;
-		}
-		/* No more zones have prices. */
-		if (zones_len == PRICE_ZONES_MAX)
-			continue;
-		candidate->zones_priced = relay_zone_saving_ms(req->relay,
-		    req->service, req->relay->zone, endpoint->info.zone,
-		    &candidate->zone_saving_ms);
-		first_of[zones_len] = candidate;
-		zones[zones_len++] = endpoint->zone;
-	}
-}
-
 double
 relay_prefill_ms(const relay_request_t *req)
 {
@@ -261,7 +227,6 @@
 			criteria.first_cached = 0;
 		candidates_estimate(req, &prefixes, index, &candidates);
 	}
-	candidates_price_zones(req, &candidates);
 	/* A request suspected of crashing endpoints avoids those with the most
 	 * requests. */
 	if (relay_request_suspected(req))
