test: a caller that leaves just after its request was sent is no case

The check is now that nothing is sent after the caller's leave, and one that surely waited must be among ten tries.

--- a/test/platform/admission_waiting.lua
+++ b/test/platform/admission_waiting.lua
@@ -86,13 +86,28 @@
 stream:finish()
 
 -- A caller leaves while its request waits: that reaches no endpoint.
+-- One that got its place just before its caller left is no case.
 local left_id
-finish = with_waiting("usual", function(call)
-  left_id = call.id
-  call:leave()
-  return true
-end)
-finish()
+for _ = 1, 10 do
+  local id
+  finish = with_waiting("usual", function(call)
+    id = call.id
+    call:leave()
+    return true
+  end)
+  finish()
+  local ended = lib.wait_until("the end of a request", function()
+    return load.log(w.daemons[1]):find("event=request id=" .. id .. " ", 1, true)
+  end)
+  local sent = load.log(w.daemons[1]):find("event=attempt id=" .. id .. " ", 1,
+    true)
+  lib.check(not sent or sent < ended, "a request is sent without its caller")
+  if not sent then
+    left_id = id
+    break
+  end
+end
+lib.check(left_id, "no caller has left while its request waited")
 run.sleep(500)
 for i = 1, REPLICAS do
   for _, arrival in ipairs(lib.http("GET", w.replicas[i].address,
