--- a/test/platform/standin_work.c
+++ b/test/platform/standin_work.c
@@ -154,7 +154,8 @@
 	if (json_is_true(json_object_get(faults, "no_load")))
 		return;
 	snprintf(load, sizeof(load), "%" PRId64 ",%" PRId64 ",%" PRId64,
-	    streams + work->running, work->waiting,
+	    streams + work->running,
+	    work->waiting + fake_json_int(faults, "waiting", 0),
 	    fake_json_int(faults, "slots", DEFAULT_SLOTS));
 	http_response_add_header(req, "Moortack-Replica-Load", load);
 }
