kv_cache: a list that fails ends the belief in contents with a gap, and is asked for less often

By review: after a gap the contents counted as fresh as long as calls for events succeeded, also if the list never did; such a list was asked for every 5 s without end, though it delays the endpoint; events that can't be decoded were asked for again and again. Contents with a gap are of use for 10 s, the time between lists doubles up to 320 s while they fail, and events that can't be decoded bring a list.

The connection of these calls counted as one of the daemon's connections to the endpoint, of which there may be two in a fleet of 34 daemons or more: the owner had one left for requests. It does not count any more. Bodies are freed after each call, the members are compared once a second instead of five times. A larger model of which no time is known counts as cut at least as likely as the one that responds.

--- a/include/moortack/kv_cache/contents_follow.h
+++ b/include/moortack/kv_cache/contents_follow.h
@@ -44,11 +44,13 @@
 	FOLLOW_REFUSED,	    /**< the endpoint did not run it: it has too many
 			       calls, or is busy */
 	FOLLOW_NO_RESPONSE, /**< none, or none that can be used */
+	FOLLOW_INVALID,	    /**< the response can't be decoded */
 	FOLLOW_NOT_OFFERED, /**< the endpoint does not know the call */
 } follow_failure_t;
 
 typedef struct contents_follow {
 	bool calling; /**< a call is in progress */
+	bool listing; /**< the last call was a list */
 	bool needs_list;
 	bool not_offered;
 	uint32_t failures; /**< consecutive */
@@ -56,7 +58,10 @@
 	int64_t sent_ms;   /**< last call */
 	int64_t list_ms; /**< earliest time of the next list, since the last one
 			    delayed the endpoint */
-	int64_t success_ms; /**< last successful call; negative: none */
+	int64_t success_ms;	/**< last successful call; negative: none */
+	int64_t gap_ms;		/**< since when a list is needed though calls
+				   succeed; negative: none is */
+	uint32_t list_failures; /**< consecutive */
 	uint64_t since;
 } contents_follow_t;
 
--- a/moortack/kv_cache/contents_follow.c
+++ b/moortack/kv_cache/contents_follow.c
@@ -5,6 +5,12 @@
 #define CALL_INTERVAL_MS 200
 /* Least time between two lists, as each delays the endpoint's work. */
 #define LIST_INTERVAL_MS 5000
+/* The interval doubles up to this with lists that fail: an endpoint whose list
+ * takes too long is not delayed by it again and again. */
+#define LIST_INTERVAL_MAX_MS 320000
+/* For how long contents with a gap are of use: two lists may fail. Afterwards
+ * too many of the parts may have been dropped unnoticed. */
+#define GAP_MAX_MS 10000
 /* Back-off after the first failure, and the longest. */
 #define BACKOFF_MIN_MS 200
 #define BACKOFF_MAX_MS 5000
@@ -22,7 +28,8 @@
 	*self = (contents_follow_t){.needs_list = true,
 	    .next_ms = now_ms + (int64_t)(random % (uint64_t)spread_ms),
 	    .list_ms = now_ms,
-	    .success_ms = -1};
+	    .success_ms = -1,
+	    .gap_ms = -1};
 }
 
 follow_step_t
@@ -45,11 +52,26 @@
 	return (follow_step_t){.action = FOLLOW_EVENTS, .since = self->since};
 }
 
+static int64_t
+list_interval_ms(const contents_follow_t *self)
+{
+	int64_t ms = LIST_INTERVAL_MS;
+
+	for (uint32_t i = 0; i < self->list_failures; i++) {
+		if (ms >= LIST_INTERVAL_MAX_MS)
+			break;
+		ms *= 2;
+	}
+	return ms;
+}
+
 void
 contents_follow_sent(contents_follow_t *self, int64_t now_ms)
 {
-	if (contents_follow_next(self, now_ms).action == FOLLOW_LIST)
-		self->list_ms = now_ms + LIST_INTERVAL_MS;
+	self->listing =
+	    contents_follow_next(self, now_ms).action == FOLLOW_LIST;
+	if (self->listing)
+		self->list_ms = now_ms + list_interval_ms(self);
 	self->calling = true;
 	self->sent_ms = now_ms;
 }
@@ -60,8 +82,14 @@
 {
 	self->calling = false;
 	self->failures = 0;
+	if (self->listing)
+		self->list_failures = 0;
 	self->since = next;
 	self->needs_list = result != CONTENTS_COMPLETE;
+	if (!self->needs_list)
+		self->gap_ms = -1;
+	else if (self->gap_ms < 0)
+		self->gap_ms = now_ms;
 	self->success_ms = result != CONTENTS_LOST ? now_ms : -1;
 	self->next_ms = later(self->sent_ms + CALL_INTERVAL_MS, now_ms);
 }
@@ -86,11 +114,17 @@
 	self->calling = false;
 	self->not_offered |= failure == FOLLOW_NOT_OFFERED;
 	self->failures++;
+	if (self->listing && failure != FOLLOW_REFUSED)
+		self->list_failures++;
+	/* The events after it can't be had: only a list shows the contents. */
+	if (failure == FOLLOW_INVALID && !self->listing) {
+		self->needs_list = true;
+		self->success_ms = -1;
+	}
 	self->next_ms = later(self->sent_ms + CALL_INTERVAL_MS,
 	    now_ms + backoff_ms(self->failures, random));
 	/* A list that was refused did not delay the endpoint. */
-	if (failure == FOLLOW_REFUSED && self->needs_list &&
-	    self->list_ms == self->sent_ms + LIST_INTERVAL_MS)
+	if (failure == FOLLOW_REFUSED && self->listing)
 		self->list_ms = self->next_ms;
 }
 
@@ -98,5 +132,6 @@
 contents_follow_is_fresh(const contents_follow_t *self, int64_t now_ms)
 {
 	return self->success_ms >= 0 && !self->not_offered &&
-	    now_ms - self->success_ms < FOLLOW_FRESH_MS;
+	    now_ms - self->success_ms < FOLLOW_FRESH_MS &&
+	    (self->gap_ms < 0 || now_ms - self->gap_ms < GAP_MAX_MS);
 }
--- a/moortack/relay/contents_calls.c
+++ b/moortack/relay/contents_calls.c
@@ -36,7 +36,6 @@
 		return;
 	http_outbound_free(self->conn);
 	self->conn = NULL;
-	self->endpoint->connections--;
 }
 
 void
@@ -70,6 +69,8 @@
 	return true;
 }
 
+/* It does not count as one of this daemon's connections for requests, of which
+ * there may be two in a large fleet: the endpoint bounds such calls itself. */
 static bool
 connection_ensure(followed_endpoint_t *self)
 {
@@ -77,8 +78,6 @@
 		return true;
 	self->conn = endpoint_connect(self->endpoint, self->relay->base,
 	    CONNECT_TIMEOUT_MS, SILENCE_TIMEOUT_MS);
-	if (self->conn != NULL)
-		self->endpoint->connections++;
 	return self->conn != NULL;
 }
 
@@ -185,7 +184,7 @@
 
 	if (!valid) {
 		stats_add(&self->relay->stats, STAT_CONTENTS_INVALID, 1);
-		call_failed(self, FOLLOW_NO_RESPONSE);
+		call_failed(self, FOLLOW_INVALID);
 		return;
 	}
 	report_apply(self, &report);
@@ -224,7 +223,7 @@
 	    evbuffer_add(self->body, bytes, len) == 0)
 		return;
 	stats_add(&self->relay->stats, STAT_CONTENTS_INVALID, 1);
-	call_abort(self, FOLLOW_NO_RESPONSE);
+	call_abort(self, FOLLOW_INVALID);
 }
 
 static void
@@ -248,6 +247,8 @@
 		body_apply(self);
 	else
 		call_failed(self, failure_from_status(self->status));
+	/* Up to 512 KB an endpoint would else be kept until the next call. */
+	evbuffer_drain(self->body, evbuffer_get_length(self->body));
 }
 
 static void
--- a/moortack/relay/relay_contents.c
+++ b/moortack/relay/relay_contents.c
@@ -131,13 +131,13 @@
 	    timespec_ms_between(contents->chosen_at, now) < CHOICE_INTERVAL_MS)
 		return;
 	members = members_hash(relay);
+	/* Until then nothing is chosen, and the first choice is not delayed. */
+	if (may_own(relay))
+		contents->chosen_at = now;
 	if (members == contents->members_hash &&
 	    relay->endpoints->changes == contents->endpoint_changes &&
 	    version == contents->config_version)
 		return;
-	/* Until then nothing is chosen, and the first choice is not delayed. */
-	if (may_own(relay))
-		contents->chosen_at = now;
 	contents->members_hash = members;
 	contents->endpoint_changes = relay->endpoints->changes;
 	contents->config_version = version;
--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -230,7 +230,8 @@
 }
 
 static void
-option_fill(relay_request_t *req, size_t index, model_option_t *option)
+option_fill(relay_request_t *req, size_t index, double current_cut,
+    model_option_t *option)
 {
 	const route_model_t *route_model = &req->route->models[index];
 	const service_model_t *model = relay_model_find(req, route_model->name);
@@ -254,6 +255,10 @@
 	}
 	option->cut_probability =
 	    cut_probability(req, model, option->first_byte_ms);
+	/* A larger model is not faster, as long as nothing is known of it. */
+	if (decode_rate_ms_per_token(&model->decode_rate) < 0)
+		option->cut_probability =
+		    fmax(option->cut_probability, current_cut);
 }
 
 static void
@@ -296,7 +301,7 @@
 	input.retry_allowed = req->sends < request_sends_max(req) &&
 	    relay_retry_has_spare(req->relay, req->service);
 	for (size_t i = input.model + 1; i < input.models; i++)
-		option_fill(req, i, &input.options[i]);
+		option_fill(req, i, input.cut_probability, &input.options[i]);
 	next = model_choice_next(&input);
 	choice_log(req, &input, next);
 	/* A response is not discarded unless another one can be had without
