relay: a request that got no place is refused only if it has not run; Retry-After after a wait

By review: - A request whose wait had ended without a place could be sent through another daemon, as the links were lost meanwhile; if that daemon was lost too, the next attempt refused it as not run. Whether it may have run is looked at first. unit_relay_admission: expired_request_that_may_have_run_is_not_refused failed before. - Such a request got a Retry-After of 100 ms at most, the interval of the queue's timer. It gets the time to the next place now, and at least the time that the backlog takes, as a request that is refused at once. - The number of tokens comes from callers; one large number made all other prompts cheap for hundreds of requests.

--- a/include/moortack/scheduling/admission.h
+++ b/include/moortack/scheduling/admission.h
@@ -140,6 +140,10 @@
 bool service_admission_try(
     service_admission_t *, const admission_request_t *, int64_t now_ms);
 
+/** When the caller of a request that got no place in time may come back, in
+ * milliseconds, without jitter; 0: at once, the service is not crowded. */
+int64_t service_admission_retry_after_ms(
+    service_admission_t *, const admission_request_t *, int64_t now_ms);
 /** For wait_queue.c: when credit for a request that waits is likely. Without
  * regard to others that wait. @return not before now_ms */
 int64_t service_admission_credit_at(
--- a/moortack/relay/attempt_silence.c
+++ b/moortack/relay/attempt_silence.c
@@ -9,6 +9,9 @@
  * milliseconds later. An attempt at the old process that has received nothing
  * for this long gets no further data. */
 #define RESTARTED_QUIET_MS 100
+/* Time after which a silent connection of a crowded service is looked at again:
+ * an endpoint has served what waited before by then. */
+#define CROWDED_RECHECK_MS 500
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
 
@@ -40,6 +43,20 @@
 		    req, ATTEMPT_UNKNOWN, "endpoint_restarted");
 }
 
+static void on_silence(evutil_socket_t fd, short what, void *arg);
+
+static void
+silence_timer_start(relay_request_t *req, int64_t ms)
+{
+	struct timeval delay = {ms / MS_PER_SEC, ms % MS_PER_SEC * US_PER_MS};
+
+	if (req->silence_timer == NULL)
+		req->silence_timer =
+		    event_new(req->relay->base, -1, 0, on_silence, req);
+	if (req->silence_timer != NULL)
+		event_add(req->silence_timer, &delay);
+}
+
 static void
 on_silence(evutil_socket_t fd, short what, void *arg)
 {
@@ -51,29 +68,20 @@
 		restarted_endpoint_silent(req);
 		return;
 	}
-	/* Without a retry left, a late response is the only one to be had. If
-	 * requests wait at the endpoints by now, this one is likely to, and
+	/* Without a retry left, a late response is the only one to be had. */
+	if (!relay_retry_has_spare(req->relay, req->service))
+		return;
+	/* If requests wait at the endpoints by now, this one is likely to, and
 	 * another attempt would wait as well. */
-	if (!relay_retry_has_spare(req->relay, req->service) ||
-	    relay_admission_is_crowded(req))
+	if (relay_admission_is_crowded(req)) {
+		silence_timer_start(req, CROWDED_RECHECK_MS);
 		return;
+	}
 	endpoint_close_idle(req->attempt.endpoint);
 	req->avoid_reuse = true;
 	attempt_retry_or_fail(req, ATTEMPT_UNKNOWN, "silent");
 }
 
-static void
-silence_timer_start(relay_request_t *req, int64_t ms)
-{
-	struct timeval delay = {ms / MS_PER_SEC, ms % MS_PER_SEC * US_PER_MS};
-
-	if (req->silence_timer == NULL)
-		req->silence_timer =
-		    event_new(req->relay->base, -1, 0, on_silence, req);
-	if (req->silence_timer != NULL)
-		event_add(req->silence_timer, &delay);
-}
-
 void
 attempt_watch_silence(relay_request_t *req)
 {
--- a/moortack/relay/relay_admission.c
+++ b/moortack/relay/relay_admission.c
@@ -227,9 +227,8 @@
 	int64_t now = relay_admission_now_ms(req->relay);
 	admission_decision_t decision = {.reason = req->admission_reason};
 
-	decision.retry_after_ms = service_admission_credit_at(&state->admission,
-				      &req->wait_entry.request, now) -
-	    now;
+	decision.retry_after_ms = service_admission_retry_after_ms(
+	    &state->admission, &req->wait_entry.request, now);
 	refusal_count(&req->relay->stats, decision.reason);
 	request_refuse(req, &decision, reason_names[decision.reason]);
 }
@@ -245,10 +244,6 @@
 	relay_admission_leave(req);
 	if (state == NULL || req->admitted_at == state)
 		return true;
-	if (req->expired_at == state) {
-		expired_refuse(req, state);
-		return false;
-	}
 	now = relay_admission_now_ms(req->relay);
 	relay_admission_count_prompt(state, req);
 	request = request_describe(req, state, now);
@@ -257,6 +252,10 @@
 		req->admitted_at = state;
 		return true;
 	}
+	if (req->expired_at == state) {
+		expired_refuse(req, state);
+		return false;
+	}
 	if (service_admission_is_crowded(&state->admission, now))
 		relay_admission_update_capacity(state, now);
 	decision = service_admission_decide(&state->admission, &request, now);
@@ -302,6 +301,8 @@
 void
 relay_admission_attempt_over(relay_request_t *req, attempt_outcome_t outcome)
 {
+	/* It was sent after its wait, through another daemon. */
+	req->expired_at = NULL;
 	/* An escalation was admitted before the attempt ended. */
 	if (outcome == ATTEMPT_NOT_SENT || outcome == ATTEMPT_ESCALATED ||
 	    (outcome == ATTEMPT_NOT_RUN &&
--- a/moortack/relay/relay_admission_load.c
+++ b/moortack/relay/relay_admission_load.c
@@ -106,6 +106,15 @@
 	    state->wait_queue.count, admission->service_ms);
 }
 
+/* Prefill time with nothing cached. Callers state the number of tokens:
+ * bounded, so that one wrong number does not decide what all others cost. */
+static double
+prefill_full_ms(const relay_request_t *req)
+{
+	return fmin(
+	    relay_prefill_ms(req), (double)req->route->latency_objective_ms);
+}
+
 /* Endpoint time that the request takes; 0: as usual for the service. Most of a
  * prompt may be cached where it is sent, as it was for those before it. */
 double
@@ -114,20 +123,20 @@
 {
 	if (!has_prompts(state) || req->arrival.parts_len == 0)
 		return 0;
-	return state->prefill_full_ms > 0 ? relay_prefill_ms(req) *
+	return state->prefill_full_ms > 0 ? prefill_full_ms(req) *
 		state->prefill_uncached_ms / state->prefill_full_ms
-					  : relay_prefill_ms(req);
+					  : prefill_full_ms(req);
 }
 
 /* Averages how much of a prompt's prefill is left where it is sent. */
 static void
 prefill_observe(service_state_t *state, const relay_request_t *req)
 {
-	state->prefill_full_ms = (1 - SAMPLE_WEIGHT) * state->prefill_full_ms +
-	    relay_prefill_ms(req);
+	state->prefill_full_ms =
+	    (1 - SAMPLE_WEIGHT) * state->prefill_full_ms + prefill_full_ms(req);
 	state->prefill_uncached_ms =
 	    (1 - SAMPLE_WEIGHT) * state->prefill_uncached_ms +
-	    req->attempt.placement.prefill_ms;
+	    fmin(req->attempt.placement.prefill_ms, prefill_full_ms(req));
 }
 
 /* Requests that wait at the endpoint, in rounds of its slots. */
--- a/moortack/scheduling/admission.c
+++ b/moortack/scheduling/admission.c
@@ -172,6 +172,17 @@
 	    !is_in_debt(admission, flow);
 }
 
+/* The time to the next place, and at least the time that what waits takes. */
+static int64_t
+retry_after_ms(const service_admission_t *admission, double in_ms)
+{
+	double drain_ms = admission->wait_ms +
+	    admission->waiting_ms * MS_PER_S / admission->rate_ms_per_s;
+
+	return (int64_t)ceil(
+	    fmin(fmax(in_ms, fmax(drain_ms, 1)), RETRY_AFTER_MAX_MS));
+}
+
 admission_decision_t
 service_admission_decide(service_admission_t *admission,
     const admission_request_t *request, int64_t now_ms)
@@ -180,7 +191,6 @@
 	admission_decision_t decision = {ADMISSION_SEND, 0, ADMISSION_SHARE};
 	fair_share_flow_t *flow;
 	double in_ms;
-	double drain_ms;
 
 	admission_load_advance(admission, now_ms);
 	objective_note(admission, request->objective_ms);
@@ -204,10 +214,7 @@
 		(double)admission_request_give_up_ms(request)
 	    ? ADMISSION_WAIT
 	    : ADMISSION_REFUSE;
-	drain_ms = admission->wait_ms +
-	    admission->waiting_ms * MS_PER_S / admission->rate_ms_per_s;
-	decision.retry_after_ms = (int64_t)ceil(
-	    fmin(fmax(in_ms, fmax(drain_ms, 1)), RETRY_AFTER_MAX_MS));
+	decision.retry_after_ms = retry_after_ms(admission, in_ms);
 	return decision;
 }
 
@@ -273,6 +280,19 @@
 	return admission->now_ms + (int64_t)ceil(fmin(in_ms, CONTROL_MS));
 }
 
+int64_t
+service_admission_retry_after_ms(service_admission_t *admission,
+    const admission_request_t *request, int64_t now_ms)
+{
+	admission_load_advance(admission, now_ms);
+	admission_load_control(admission);
+	if (!admission->crowded)
+		return 0;
+	return retry_after_ms(admission,
+	    credit_in_ms(admission, flow_of(admission, request),
+		service_admission_cost_ms(admission, request), false));
+}
+
 void
 service_admission_add_waiting(service_admission_t *admission,
     const admission_request_t *request, bool waits)
--- a/test/unit/relay_admission_test.c
+++ b/test/unit/relay_admission_test.c
@@ -130,6 +130,28 @@
 	fixture_finish(&self);
 }
 
+/* A request that got no place in time may have been sent through another daemon
+ * that was then lost: it is not refused as not run. */
+static void
+expired_request_that_may_have_run_is_not_refused(void **state)
+{
+	fixture_t self;
+	relay_request_t *req;
+
+	(void)state;
+	fixture_init(&self);
+	crowd(&self);
+	req = wait_one(&self);
+	relay_admission_leave(req);
+	req->expired_at = self.state;
+	req->may_have_run = true;
+	assert_true(relay_admission_pass(req));
+	req->admitted_at = NULL;
+	relay_admission_attempt_over(req, ATTEMPT_UNKNOWN);
+	assert_null(req->expired_at);
+	fixture_finish(&self);
+}
+
 static void
 admitted_attempt_is_not_held_again(void **state)
 {
@@ -291,6 +313,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(attempts_that_may_have_run_are_not_held),
+	    cmocka_unit_test(expired_request_that_may_have_run_is_not_refused),
 	    cmocka_unit_test(admitted_attempt_is_not_held_again),
 	    cmocka_unit_test(request_leaves_the_queue),
 	    cmocka_unit_test(larger_model_is_not_asked_while_crowded),
