--- a/include/moortack/kv_cache/contents_follow.h
+++ b/include/moortack/kv_cache/contents_follow.h
@@ -31,7 +31,7 @@
 	FOLLOW_STOP,   /**< the endpoint does not offer the calls */
 } follow_action_t;
 
-/** What to do next. */
+/** The next step. */
 typedef struct follow_step {
 	follow_action_t action;
 	int64_t at_ms;	/**< wait: until then; INT64_MAX: a call is in
@@ -68,7 +68,7 @@
 /** @param spread_ms the first list is requested within this time */
 void contents_follow_init(
     contents_follow_t *, int64_t now_ms, int64_t spread_ms, uint64_t random);
-/** What to do now. */
+/** The action to take now. */
 follow_step_t contents_follow_next(const contents_follow_t *, int64_t now_ms);
 /** The call that contents_follow_next() named is sent. */
 void contents_follow_sent(contents_follow_t *, int64_t now_ms);
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -249,8 +249,8 @@
  * on. */
 void relay_stop_accepting(relay_t *);
 
-/** Log the services that are crowded, or no longer so; called a few times a
- * second. */
+/** Log the services that have become crowded, and those of which that has
+ * ended; called a few times a second. */
 void relay_admission_tick(relay_t *);
 /** Number of requests that wait for a place at an endpoint. */
 uint32_t relay_admission_waiting(const relay_t *);
--- a/include/moortack/relay/relay_contents.h
+++ b/include/moortack/relay/relay_contents.h
@@ -22,7 +22,7 @@
 	followed_endpoint_t *followed[CONTENTS_FOLLOWED_MAX];
 	size_t len;
 	uint32_t skipped; /**< endpoints beyond CONTENTS_FOLLOWED_MAX */
-	/* What the choice of endpoints was made by. */
+	/* State by which the endpoints were chosen. */
 	struct timespec chosen_at;
 	uint64_t members_hash;
 	uint64_t endpoint_changes;
--- a/include/moortack/scheduling/admission.h
+++ b/include/moortack/scheduling/admission.h
@@ -149,7 +149,7 @@
 int64_t service_admission_credit_at(
     service_admission_t *, const admission_request_t *, int64_t now_ms);
 
-/** For wait_queue.c: a request waits, or no longer does. */
+/** For wait_queue.c: a request begins or ends to wait. */
 void service_admission_add_waiting(
     service_admission_t *, const admission_request_t *, bool waits);
 
--- a/include/moortack/scheduling/fair_share.h
+++ b/include/moortack/scheduling/fair_share.h
@@ -21,8 +21,8 @@
 /** Part of the rate that each rank with demand keeps, so that none starves. */
 #define FAIR_SHARE_RANK_FLOOR 0.05
 
-/** What one organisation sends with one rank. Rates are in ms of endpoint time
- * a second. */
+/** The requests of one organisation with one rank. Rates are in ms of endpoint
+ * time a second. */
 typedef struct fair_share_flow {
 	int rank;
 	double long_rate;  /**< demand over the window, as of seen_ms */
@@ -45,7 +45,7 @@
 	/** A flow's share if there were no ranks. */
 	double level_without_ranks;
 	int top_rank; /**< highest rank with demand */
-	/** What flows under their share leave to the others. */
+	/** Rate that flows under their share leave to the others. */
 	double spare_rate;
 } fair_share_t;
 
--- a/moortack/relay/model_choice.c
+++ b/moortack/relay/model_choice.c
@@ -68,9 +68,9 @@
 	return fmin(fmax(harm, 0), 1);
 }
 
-/* What other requests lose by the time that the model takes of an endpoint: the
- * value of one in time for each latency objective that they wait, as far as
- * they become late by it. */
+/* Value that other requests lose by the time that the model takes of an
+ * endpoint: the value of one in time for each latency objective that they wait,
+ * as far as they become late by it. */
 static double
 scarcity_cost(const model_choice_input_t *input, const model_option_t *option)
 {
--- a/moortack/relay/relay_admission.c
+++ b/moortack/relay/relay_admission.c
@@ -84,7 +84,7 @@
 		event_add(state->wait_timer, &delay);
 }
 
-/* The request is in the queue no longer. */
+/* The request has left the queue. */
 static void
 wait_end(relay_request_t *req)
 {
--- a/moortack/relay/relay_admission.h
+++ b/moortack/relay/relay_admission.h
@@ -33,7 +33,7 @@
 /** Whether the request's service is crowded, as far as is known. */
 bool relay_admission_is_crowded(const relay_request_t *);
 
-/** The request no longer waits, if it did. */
+/** Take the request out of the queue if it waits. */
 void relay_admission_leave(relay_request_t *);
 
 /** The admission of the request's service; NULL: admission is off, or it has no
--- a/moortack/relay/relay_ask.c
+++ b/moortack/relay/relay_ask.c
@@ -156,7 +156,7 @@
 	prefix_list_fill_hashes(&prefixes, message->parts, message->parts_len);
 	prefix_index_add(
 	    &relay->prefix_index, &prefixes, endpoint->hash, now_ms);
-	/* What the prompt has to wait for, and not what it takes itself. */
+	/* Before the prompt is added: its own prefill is no wait. */
 	relay_price_observe_endpoint(relay, endpoint);
 	prefill_queue_add_remote(
 	    &endpoint->prefill_queue, message->prefill_ms, (double)now_ms);
--- a/moortack/scheduling/admission.c
+++ b/moortack/scheduling/admission.c
@@ -107,7 +107,7 @@
 	if (pool_missing <= 0)
 		return in_ms;
 	if (above || flow->rank > shares->top_rank) {
-		/* What grows is shared with those that wait. */
+		/* Growth is shared with the requests that wait. */
 		pool_missing += arrives ? admission->waiting_ms : 0;
 		pool_rate = fmax(shares->spare_rate, SPARE_MIN * pool_rate);
 	}
--- a/moortack/scheduling/admission_load.c
+++ b/moortack/scheduling/admission_load.c
@@ -174,7 +174,7 @@
 	double slow = fmax(fmin(error, 1), -1) * SLOW_GAIN;
 	double rate;
 
-	/* What a daemon does not use itself is no reason to raise its rate. */
+	/* An unused rate is not raised. */
 	if (slow < 0 ||
 	    fair_share_demand_sum(&admission->shares, admission->now_ms) +
 		    admission->waiting_ms >
--- a/moortack/scheduling/admission_load.h
+++ b/moortack/scheduling/admission_load.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * What admission.c needs of the load and the control of the rate.
+ * Load and control of the rate, for admission.c.
  */
 #ifndef MOORTACK_SCHEDULING_ADMISSION_LOAD_H
 #define MOORTACK_SCHEDULING_ADMISSION_LOAD_H
@@ -44,7 +44,7 @@
 /** Counts the cost of a request. */
 void admission_load_note_cost(service_admission_t *, double cost_ms);
 
-/** What the pool holds at most. */
+/** Capacity of the pool. */
 double admission_load_pool_max_ms(const service_admission_t *);
 
 #endif
--- a/test/fuzz/admission_fuzz.c
+++ b/test/fuzz/admission_fuzz.c
@@ -57,8 +57,8 @@
 	    world.now_ms - world.observed_ms <= KNOWN_MS;
 }
 
-/* What may be sent beyond the rate: the debt of the pool, the last request of
- * the pool and of each rank's minimum, and a probe each second. */
+/* Bound of the requests beyond the rate: the debt of the pool, the last request
+ * of the pool and of each rank's minimum, and a probe each second. */
 static double
 burst_max(double seconds)
 {
--- a/test/fuzz/contents_fuzz.c
+++ b/test/fuzz/contents_fuzz.c
@@ -125,7 +125,7 @@
 	return len;
 }
 
-/* What the events that were sent leave of the parts of the last list. */
+/* Parts of the last list that remain after the events that were sent. */
 static void
 replay(uint64_t next)
 {
--- a/test/unit/admission_load_test.c
+++ b/test/unit/admission_load_test.c
@@ -62,7 +62,7 @@
 	return total;
 }
 
-/* What organisations of this rank got; rank -1: all but the first one. */
+/* Results of the organisations of this rank; rank -1: all but the first one. */
 static model_counts_t
 counts_add(model_counts_t total, int rank)
 {
--- a/test/unit/admission_model.h
+++ b/test/unit/admission_model.h
@@ -25,7 +25,7 @@
 #define MODEL_STEP_MS 100
 #define MODEL_STEPS (MODEL_END_MS / MODEL_STEP_MS)
 
-/** What the callers of an organisation got in the measured time. */
+/** Results of the callers of an organisation in the measured time. */
 typedef struct model_counts {
 	int sent;	  /**< by callers, retries excluded */
 	int in_time;	  /**< served within the objective */
--- a/test/unit/endpoint_contents_test.c
+++ b/test/unit/endpoint_contents_test.c
@@ -1,8 +1,8 @@
 /**
  * @file
- * What an endpoint keeps, by its list and its events. A part that is claimed
- * although it was dropped sends prompts to an endpoint that has to prefill
- * them.
+ * Contents of an endpoint's cache, by its list and its events. A part that is
+ * claimed although it was dropped sends prompts to an endpoint that has to
+ * prefill them.
  */
 #include <setjmp.h>
 #include <stdarg.h>
--- a/test/unit/price_test.c
+++ b/test/unit/price_test.c
@@ -132,7 +132,7 @@
 	assert_true(price_wait_ms(&price, 4000) >= 0);
 	assert_true(price_wait_ms(&price, 4001) < 0);
 	assert_true(price_now(&price, 4001) == 0);
-	/* What follows such a gap is a first observation. */
+	/* The next one after such a gap is a first observation. */
 	price_observe(&price, 100, 0, 9000);
 	assert_true(price_wait_ms(&price, 9000) == 100);
 }
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -369,7 +369,7 @@
 	ms = prefill_rate_first_byte_ms(&rate, prefill_work(longest, longest));
 	assert_true(ms > 0.8 * (20 + 0.03 * 80000 + 1.3 * 3200));
 	assert_true(ms < 1.2 * (20 + 0.03 * 80000 + 1.3 * 3200));
-	/* What is cached need not be prefilled, but is attended to. */
+	/* Cached tokens need not be prefilled, but are attended to. */
 	assert_true(
 	    prefill_rate_first_byte_ms(&rate, prefill_work(longest, 4000)) >
 	    prefill_rate_first_byte_ms(&rate, prefill_work(4000, 4000)));
--- a/test/unit/relay_price_test.c
+++ b/test/unit/relay_price_test.c
@@ -71,7 +71,7 @@
 	assert_true(relay_price(&relay, SERVICE, "a") == 0);
 }
 
-/* What an owner sends arrives as the same price; no price is not an idle
+/* The price that an owner sends arrives unchanged; no price is not an idle
  * endpoint. */
 static void
 owners_price_arrives_at_another_daemon(void **state)
