--- a/moortack/kv_cache/contents_follow.c
+++ b/moortack/kv_cache/contents_follow.c
@@ -7,7 +7,7 @@
 #define LIST_INTERVAL_MS 5000
 /* The interval doubles up to this with lists that fail: an endpoint whose list
  * takes too long is not delayed by it again and again. */
-#define LIST_INTERVAL_MAX_MS 320000
+#define LIST_INTERVAL_MAX_MS 40000
 /* For how long contents with a gap are of use: two lists may fail. Afterwards
  * too many of the parts may have been dropped unnoticed. */
 #define GAP_MAX_MS 10000
@@ -82,8 +82,10 @@
 {
 	self->calling = false;
 	self->failures = 0;
-	if (self->listing)
+	if (self->listing) {
 		self->list_failures = 0;
+		self->list_ms = self->sent_ms + LIST_INTERVAL_MS;
+	}
 	self->since = next;
 	self->needs_list = result != CONTENTS_COMPLETE;
 	if (!self->needs_list)
--- a/test/unit/contents_follow_test.c
+++ b/test/unit/contents_follow_test.c
@@ -146,6 +146,38 @@
 	assert_int_equal(follow.failures, 0);
 }
 
+/* After a gap, parts that were dropped count as kept until a list corrects it:
+ * a list that never comes must end that. */
+static void
+gap_without_a_list_ends_the_belief(void **state)
+{
+	contents_follow_t follow = followed_since(START);
+	int64_t now_ms = START;
+	int lists = 0;
+
+	(void)state;
+	while (now_ms < START + 60000) {
+		follow_step_t step = step_after_wait(&follow, &now_ms);
+
+		contents_follow_sent(&follow, now_ms);
+		if (step.action == FOLLOW_LIST) {
+			lists++;
+			contents_follow_failed(
+			    &follow, FOLLOW_NO_RESPONSE, now_ms, 0);
+			continue;
+		}
+		contents_follow_succeeded(&follow, CONTENTS_GAP, 8, now_ms);
+		assert_true(contents_follow_is_fresh(&follow, now_ms) ==
+		    (now_ms < START + 200 + 10000));
+	}
+	/* At 5, 10, 20 and 40 s from each other. */
+	assert_in_range(lists, 3, 5);
+	now_ms += 40000;
+	contents_follow_sent(&follow, now_ms);
+	contents_follow_succeeded(&follow, CONTENTS_COMPLETE, 8, now_ms);
+	assert_true(contents_follow_is_fresh(&follow, now_ms));
+}
+
 /* A refused list may be repeated soon, one without a response may have delayed
  * the endpoint. */
 static void
@@ -190,6 +222,7 @@
 	    cmocka_unit_test(lists_keep_their_distance),
 	    cmocka_unit_test(nothing_is_known_between_loss_and_list),
 	    cmocka_unit_test(failures_back_off),
+	    cmocka_unit_test(gap_without_a_list_ends_the_belief),
 	    cmocka_unit_test(refused_lists_are_repeated_soon),
 	    cmocka_unit_test(endpoints_without_the_calls_are_left_alone),
 	};
