--- a/test/unit/admission_model.c
+++ b/test/unit/admission_model.c
@@ -274,6 +274,33 @@
 		capacity_set(model->daemons - model->dead_daemons);
 }
 
+static void
+jobs_free(job_t *jobs)
+{
+	job_t *job, *next;
+
+	DL_FOREACH_SAFE(jobs, job, next)
+	free(job);
+}
+
+/* Frees the requests that are under way at the end. */
+static void
+world_finish(void)
+{
+	wait_entry_t *entry;
+
+	jobs_free(world.retrying);
+	for (int i = 0; i < world.model->endpoints; i++) {
+		jobs_free(world.endpoints[i].running);
+		jobs_free(world.endpoints[i].waiting);
+	}
+	for (int i = 0; i < world.model->daemons; i++) {
+		while ((entry = wait_queue_pop_any(&world.daemons[i].queue)) !=
+		    NULL)
+			free(entry);
+	}
+}
+
 void
 model_run(model_t *model, uint64_t seed)
 {
@@ -288,4 +315,5 @@
 	capacity_set(model->daemons);
 	for (; world.now_ms < MODEL_END_MS; world.now_ms++)
 		world_step();
+	world_finish();
 }
