--- a/common/clock_source.c
+++ b/common/clock_source.c
@@ -36,8 +36,18 @@
 	return now;
 }
 
+static struct timespec
+system_processor(const clock_source_t *clock)
+{
+	struct timespec now;
+
+	(void)clock;
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+	return now;
+}
+
 static const clock_ops_t system_ops = {
-    system_boottime, system_wall, system_monotonic};
+    system_boottime, system_wall, system_monotonic, system_processor};
 
 void
 clock_system_init(clock_source_t *clock)
@@ -63,6 +73,12 @@
 	return clock->ops->monotonic(clock);
 }
 
+struct timespec
+clock_processor(const clock_source_t *clock)
+{
+	return clock->ops->processor(clock);
+}
+
 int64_t
 timespec_us_between(struct timespec from, struct timespec to)
 {
--- a/common/event_log.c
+++ b/common/event_log.c
@@ -93,6 +93,8 @@
     [EVENT_THROTTLED_MEMBER] = "member",
     [EVENT_THROTTLED_MEMBER_REMOVED] = "member_gone",
     [EVENT_THROTTLED_SUSPECT] = "suspect",
+    [EVENT_THROTTLED_LONG_TURN] = "long_turn",
+    [EVENT_THROTTLED_LATE_TICK] = "late_tick",
 };
 
 /* Start a new window if the current one has ended, and report the lines that
--- a/include/common/clock_source.h
+++ b/include/common/clock_source.h
@@ -21,6 +21,8 @@
 	/** The clock by which timers run; stops while the VM is suspended
 	 * (CLOCK_MONOTONIC). */
 	struct timespec (*monotonic)(const clock_source_t *);
+	/** Processor time that the calling thread has used. */
+	struct timespec (*processor)(const clock_source_t *);
 } clock_ops_t;
 
 /** A clock. Implementations embed it as their first member. */
@@ -28,12 +30,14 @@
 	const clock_ops_t *ops;
 };
 
-/** The VM's clocks: CLOCK_BOOTTIME, CLOCK_REALTIME and CLOCK_MONOTONIC. */
+/** The VM's clocks: CLOCK_BOOTTIME, CLOCK_REALTIME, CLOCK_MONOTONIC, and
+ * CLOCK_THREAD_CPUTIME_ID. */
 void clock_system_init(clock_source_t *);
 
 struct timespec clock_boottime(const clock_source_t *);
 struct timespec clock_wall(const clock_source_t *);
 struct timespec clock_monotonic(const clock_source_t *);
+struct timespec clock_processor(const clock_source_t *);
 
 /** Milliseconds from @p from until @p to; negative if @p to is earlier. */
 int64_t timespec_ms_between(struct timespec from, struct timespec to);
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -119,6 +119,7 @@
 	const clock_source_t *clock;
 	rng_t *rng;
 	event_log_t *log;
+	work_meter_t *meter; /**< NULL: none */
 	const caller_dialect_t *caller_dialect;
 	const endpoint_dialect_t *endpoint_dialect;
 	endpoint_set_t *endpoints;
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -99,6 +99,7 @@
 	relay_ports_t ports;
 	relay_node_settings_t settings;
 	event_log_t log;
+	work_meter_t meter;
 	endpoint_set_t endpoints;
 	membership_t members;
 	rollouts_t rollouts;
--- a/include/moortack/replication/feed_client.h
+++ b/include/moortack/replication/feed_client.h
@@ -7,6 +7,7 @@
 
 #include <event2/event.h>
 
+#include "common/work_meter.h"
 #include "moortack/member/peer_auth.h"
 #include "moortack/member/peer_socket.h"
 #include "moortack/replication/feed_wire.h"
@@ -35,6 +36,7 @@
 	bool slow;	      /**< the slow callback has been called */
 	uint64_t request_id;  /**< of the request in flight */
 	struct timespec sent_at;
+	work_meter_t *meter; /**< NULL: none */
 } feed_client_t;
 
 bool
--- a/include/moortack/replication/feed_server.h
+++ b/include/moortack/replication/feed_server.h
@@ -9,6 +9,7 @@
 
 #include <event2/event.h>
 
+#include "common/work_meter.h"
 #include "moortack/member/peer_auth.h"
 #include "moortack/member/peer_socket.h"
 #include "moortack/replication/feed_body.h"
@@ -44,6 +45,7 @@
 	feed_body_cache_t body_cache;
 	uint64_t responses;
 	uint64_t bytes_sent;
+	work_meter_t *meter; /**< NULL: none */
 } feed_server_t;
 
 /** Starts serving.
--- a/include/moortack/replication/row_source.h
+++ b/include/moortack/replication/row_source.h
@@ -87,6 +87,7 @@
 	const clock_source_t *clock;
 	rng_t *rng;
 	event_log_t *log;
+	work_meter_t *meter; /**< NULL: none */
 	membership_t *members;
 	const row_sync_ops_t *ops;
 	void *arg;
--- a/include/moortack/replication/row_store.h
+++ b/include/moortack/replication/row_store.h
@@ -10,6 +10,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "common/work_meter.h"
+
 /** Result of a call. */
 typedef enum row_result {
 	ROW_OK,
@@ -92,7 +94,8 @@
 struct row_store {
 	const row_store_ops_t *ops;
 	uint64_t calls[ROW_PURPOSES]; /**< by purpose */
-	uint64_t era; /**< the latest one that the store has reported */
+	uint64_t era;	     /**< the latest one that the store has reported */
+	work_meter_t *meter; /**< NULL: none */
 };
 
 /* Call the store's functions, and count the calls by purpose. */
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -280,8 +280,8 @@
 	return ERR_NONE;
 }
 
-void
-attempt_begin(relay_request_t *req)
+static void
+attempt_prepare(relay_request_t *req)
 {
 	err_code_t code = request_reauthorize(req);
 	rollout_t *rollout;
@@ -348,6 +348,17 @@
 	attempt_send(req);
 }
 
+void
+attempt_begin(relay_request_t *req)
+{
+	/* The request may have ended afterwards. */
+	work_meter_t *meter = req->relay->meter;
+	work_turn_t turn = work_begin(meter);
+
+	attempt_prepare(req);
+	work_end(meter, WORK_ATTEMPT, &turn, 1);
+}
+
 bool
 attempt_may_send(relay_request_t *req)
 {
--- a/moortack/relay/relay_contents.c
+++ b/moortack/relay/relay_contents.c
@@ -126,6 +126,7 @@
 	struct timespec now = clock_boottime(relay->clock);
 	uint64_t version = relay->config != NULL ? relay->config->version : 0;
 	uint64_t members;
+	work_turn_t turn;
 
 	if (contents->dialect == NULL ||
 	    timespec_ms_between(contents->chosen_at, now) < CHOICE_INTERVAL_MS)
@@ -141,7 +142,9 @@
 	contents->members_hash = members;
 	contents->endpoint_changes = relay->endpoints->changes;
 	contents->config_version = version;
+	turn = work_begin(relay->meter);
 	endpoints_choose(relay);
+	work_end(relay->meter, WORK_CONTENTS, &turn, contents->len);
 }
 
 void
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -207,6 +207,8 @@
 	int64_t suspended_ms =
 	    suspend_watch_poll(&node->suspend_watch, node->ports.clock);
 
+	work_turn_t turn = work_begin(&node->meter);
+
 	(void)fd;
 	(void)what;
 	if (suspended_ms > 0)
@@ -236,6 +238,8 @@
 	else
 		membership_set_state(&node->members,
 		    relay_node_ready(node) ? MEMBER_READY : MEMBER_STARTING);
+	work_end(&node->meter, WORK_TICK, &turn, 1);
+	work_meter_tick(&node->meter, TICK_MS);
 }
 
 static bool
@@ -280,6 +284,7 @@
 	    .clock = ports->clock,
 	    .rng = ports->rng,
 	    .log = &node->log,
+	    .meter = &node->meter,
 	    .members = &node->members};
 	strcpy(node->row_sync.settings.peer_address, settings->peer_address);
 	row_cache_init(&node->row_sync.cache, ports->clock, row_unchanged,
@@ -362,6 +367,7 @@
 	    .clock = ports->clock,
 	    .rng = ports->rng,
 	    .log = &node->log,
+	    .meter = &node->meter,
 	    .caller_dialect = ports->caller_dialect,
 	    .endpoint_dialect = ports->endpoint_dialect,
 	    .endpoints = &node->endpoints,
@@ -407,6 +413,8 @@
 	node->ports = *ports;
 	node->settings = *settings;
 	event_log_init(&node->log, ports->clock, settings->log_lines_per_s);
+	work_meter_init(&node->meter, ports->clock, &node->log);
+	ports->store->meter = &node->meter;
 	node->refusals =
 	    (row_refusals_t){.clock = ports->clock, .log = &node->log};
 	if (!components_init(node, err))
--- a/moortack/replication/feed_client.c
+++ b/moortack/replication/feed_client.c
@@ -82,8 +82,12 @@
 {
 	struct timespec sent_at = client->sent_at;
 	feed_response_t response;
+	work_turn_t turn = work_begin(client->meter);
+	bool valid = response_decode(head, rows, &response);
 
-	if (!response_decode(head, rows, &response))
+	work_end(client->meter, WORK_ROWS_DECODE, &turn,
+	    rows != NULL ? zmq_msg_size(rows) : 0);
+	if (!valid)
 		return;
 	if (response.request_id == client->request_id) {
 		event_del(client->timer);
--- a/moortack/replication/feed_server.c
+++ b/moortack/replication/feed_server.c
@@ -75,6 +75,8 @@
 {
 	struct timespec now = clock_boottime(server->clock);
 	feed_pending_t **at = &server->pending;
+	work_turn_t turn = work_begin(server->meter);
+	uint64_t responses = server->responses;
 
 	while (*at != NULL) {
 		feed_pending_t *pending = *at;
@@ -88,6 +90,9 @@
 		server->pending_len--;
 		free(pending);
 	}
+	if (server->responses != responses)
+		work_end(server->meter, WORK_ROWS_SERVE, &turn,
+		    server->responses - responses);
 }
 
 static void
--- a/moortack/replication/row_answer.c
+++ b/moortack/replication/row_answer.c
@@ -140,6 +140,7 @@
     row_sync_t *self, const feed_response_t *response, struct timespec sent)
 {
 	apply_context_t context = {self, response};
+	work_turn_t turn = work_begin(self->meter);
 	bool partial[ROW_TABLES];
 	bool request_all;
 
@@ -157,4 +158,6 @@
 	tables_advance(self, response, partial, sent);
 	self->parent_incarnation = request_all ? 0 : response->incarnation;
 	self->parent_change = response->change;
+	work_end(self->meter, WORK_ROWS_APPLY, &turn,
+	    json_array_size(response->rows));
 }
--- a/moortack/replication/row_follow.c
+++ b/moortack/replication/row_follow.c
@@ -356,6 +356,8 @@
 		    self->log, "peers_failed", "address=%s", address);
 		return;
 	}
+	self->server.meter = self->meter;
+	self->client.meter = self->meter;
 	self->first_response_timer =
 	    event_new(self->base, -1, 0, row_parent_first_timeout, self);
 	snprintf(self->fleet_key, sizeof(self->fleet_key), "%s", secret);
--- a/test/support/manual_clock.h
+++ b/test/support/manual_clock.h
@@ -9,7 +9,7 @@
 
 typedef struct manual_clock {
 	clock_source_t source;
-	struct timespec now; /**< returned for all three clocks */
+	struct timespec now; /**< returned for all clocks */
 } manual_clock_t;
 
 static inline struct timespec
@@ -19,6 +19,6 @@
 }
 
 static const clock_ops_t manual_clock_ops = {
-    manual_clock_now, manual_clock_now, manual_clock_now};
+    manual_clock_now, manual_clock_now, manual_clock_now, manual_clock_now};
 
 #endif
--- a/test/unit/fleet_clock_test.c
+++ b/test/unit/fleet_clock_test.c
@@ -35,7 +35,8 @@
 	return timespec_from_ms(((const vm_clock_t *)source)->wall_ms);
 }
 
-static const clock_ops_t vm_clock_ops = {vm_boottime, vm_wall, vm_boottime};
+static const clock_ops_t vm_clock_ops = {
+    vm_boottime, vm_wall, vm_boottime, vm_boottime};
 
 /* A VM that has been up for a time, at the store's time 0. */
 static vm_clock_t
--- a/test/unit/suspend_watch_test.c
+++ b/test/unit/suspend_watch_test.c
@@ -35,7 +35,7 @@
 	return timespec_add_ms(vm->now, -vm->suspended_ms);
 }
 
-static const clock_ops_t vm_ops = {vm_now, vm_now, vm_monotonic};
+static const clock_ops_t vm_ops = {vm_now, vm_now, vm_monotonic, vm_monotonic};
 
 static void
 vm_clock_advance(vm_clock_t *clock, int64_t ms)
