member_tree: the departure of a daemon moves only those that followed it

Cause: a daemon took the parent whose number in its zone was its own number in the order, modulo the parents. Each departure or start of any daemon shifts the numbers of those after it, so that most of the zone changed its parent.

Parents are chosen among the first ones of the zone by rendezvous hashing now. Of 985 daemons in 6 zones, the departure of one that nobody follows moves none (before: 13 per cent, for one that is early in the order), that of a parent its own followers and up to 5 per cent of the rest. unit_member_tree failed before: 13 where 0 are expected.

--- a/common/work_meter.c
+++ b/common/work_meter.c
@@ -79,8 +79,8 @@
 {
 	struct timespec now = clock_monotonic(meter->clock);
 	struct timespec before = meter->ticked_at;
-	int64_t late_us = timespec_us_between(before, now) -
-	    interval_ms * (int64_t)US_PER_MS;
+	int64_t late_us =
+	    timespec_us_between(before, now) - interval_ms * (int64_t)US_PER_MS;
 
 	meter->ticked_at = now;
 	if ((before.tv_sec == 0 && before.tv_nsec == 0) || late_us <= 0)
--- a/include/common/work_meter.h
+++ b/include/common/work_meter.h
@@ -14,21 +14,21 @@
 typedef enum work_kind {
 	WORK_ROWS_DECODE, /**< rows that another daemon sent; counts bytes */
 	WORK_ROWS_APPLY,  /**< the same; counts rows */
-	WORK_ROWS_STORE,  /**< rows that were read from the store; counts rows */
-	WORK_ROWS_SERVE,  /**< responses to followers; counts responses */
-	WORK_TICK,	  /**< what is due a few times a second */
-	WORK_CONTENTS,	  /**< choice of the endpoints to follow; counts
-			     endpoints */
-	WORK_ATTEMPT,	  /**< choice of an endpoint, and sending */
-	WORK_KINDS	  /* count */
+	WORK_ROWS_STORE, /**< rows that were read from the store; counts rows */
+	WORK_ROWS_SERVE, /**< responses to followers; counts responses */
+	WORK_TICK,	 /**< what is due a few times a second */
+	WORK_CONTENTS,	 /**< choice of the endpoints to follow; counts
+			    endpoints */
+	WORK_ATTEMPT,	 /**< choice of an endpoint, and sending */
+	WORK_KINDS	 /* count */
 } work_kind_t;
 
 /** What one kind of work has taken. */
 typedef struct work_total {
 	uint64_t turns;
-	uint64_t items; /**< unit: see work_kind_t */
-	uint64_t us;	/**< that passed */
-	uint64_t cpu_us; /**< processor time of this thread */
+	uint64_t items;	     /**< unit: see work_kind_t */
+	uint64_t us;	     /**< that passed */
+	uint64_t cpu_us;     /**< processor time of this thread */
 	uint64_t longest_us; /**< turn, by time that passed */
 } work_total_t;
 
@@ -54,8 +54,7 @@
 work_turn_t work_begin(const work_meter_t *);
 /** A turn that takes long is logged as `long_turn`.
  * @param items see work_kind_t */
-void
-work_end(work_meter_t *, work_kind_t, const work_turn_t *, uint64_t items);
+void work_end(work_meter_t *, work_kind_t, const work_turn_t *, uint64_t items);
 
 /** Called by a timer. Measures how late it is, and logs that as `late_tick` if
  * it is much; logs the totals as `work` lines, one for each kind, every few
--- a/include/moortack/replication/membership.h
+++ b/include/moortack/replication/membership.h
@@ -109,10 +109,7 @@
 				 deleted */
 	struct timespec next_cleanup_at;
 	liveness_view_t liveness;
-	double sort_key;		    /**< of this daemon */
-	const member_t **parent_candidates; /**< buffer of
-					       membership_parent() */
-	size_t parent_candidates_cap;
+	double sort_key;	       /**< of this daemon */
 	int64_t store_clock_offset_ms; /**< store's clock minus this daemon's */
 	bool store_clock_known;
 } membership_t;
@@ -205,10 +202,10 @@
  * As none follows one after it, differing views can't make a cycle.
  * @return NULL: read the store
  */
-const member_t *membership_parent(membership_t *);
+const member_t *membership_parent(const membership_t *);
 /** Whether this daemon follows the first in the order, or reads the store
  * itself: the number of those that do is about the square root of all. */
-bool membership_near_root(membership_t *);
+bool membership_near_root(const membership_t *);
 /** The next member after this daemon in the order: followed only while the
  * store is unavailable to this daemon and none is before it. Or NULL. */
 const member_t *membership_next_member(const membership_t *);
--- a/moortack/replication/member_tree.c
+++ b/moortack/replication/member_tree.c
@@ -1,5 +1,5 @@
-#include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "membership_priv.h"
 
@@ -9,21 +9,33 @@
 /* Zones that are counted; further ones are ignored. */
 #define ZONES_MAX 16
 
+/* Daemons of one zone that others in it follow, at the most. */
+#define RELAYS_MAX 64
+
+/** The members before this daemon that may be followed. */
+typedef struct tree_view {
+	size_t before;
+	const member_t *first; /**< of all; NULL: there is none */
+	/** The first ones in this daemon's zone, without the first of all, in
+	 * the order. */
+	const member_t *relays[RELAYS_MAX];
+	size_t relays_len;
+} tree_view_t;
+
 static bool
-may_request(const membership_t *self, const member_t *member)
+may_request(const member_t *member, struct timespec now)
 {
 	return member->state != MEMBER_LEAVING &&
 	    member->peer_address[0] != '\0' &&
-	    timespec_ms_between(
-		clock_boottime(self->clock), member->backoff_until) <= 0;
+	    timespec_ms_between(now, member->backoff_until) <= 0;
 }
 
 static bool
-may_follow(const membership_t *self, const member_t *member)
+may_follow(
+    const membership_t *self, const member_t *member, struct timespec now)
 {
-	return may_request(self, member) &&
-	    liveness_is_responsive(&self->liveness, &member->liveness,
-		clock_boottime(self->clock));
+	return may_request(member, now) &&
+	    liveness_is_responsive(&self->liveness, &member->liveness, now);
 }
 
 /* Whether the member is before this daemon in the order; all are before one
@@ -35,50 +47,6 @@
 	    self->state == MEMBER_LEAVING;
 }
 
-static int
-order_compare(const void *a, const void *b)
-{
-	const member_t *const *first = a;
-	const member_t *const *second = b;
-
-	return ((*first)->sort_key > (*second)->sort_key) -
-	    ((*first)->sort_key < (*second)->sort_key);
-}
-
-static bool
-candidates_reserve(membership_t *self, size_t count)
-{
-	const member_t **grown;
-
-	if (count <= self->parent_candidates_cap)
-		return true;
-	grown = realloc(self->parent_candidates, 2 * count * sizeof(*grown));
-	if (grown == NULL)
-		return false;
-	self->parent_candidates = grown;
-	self->parent_candidates_cap = 2 * count;
-	return true;
-}
-
-/* Collects the members before this daemon that may be followed, in order. */
-static size_t
-candidates_collect(membership_t *self)
-{
-	size_t len = 0;
-
-	if (!candidates_reserve(self, HASH_COUNT(self->members)))
-		return 0;
-	for (const member_t *member = self->members; member != NULL;
-	     member = member->hh.next) {
-		if (is_before(self, member) && may_follow(self, member))
-			self->parent_candidates[len++] = member;
-	}
-	if (len > 1)
-		qsort(self->parent_candidates, len,
-		    sizeof(*self->parent_candidates), order_compare);
-	return len;
-}
-
 /* The number of followers per daemon that makes a tree of two levels. */
 static size_t
 followers_per_parent(size_t daemons)
@@ -90,23 +58,18 @@
 	return followers;
 }
 
-bool
-membership_follows_another(membership_t *self)
-{
-	return candidates_collect(self) > 0;
-}
-
 /* The first of the members before this daemon, when all are silent. They send
  * no requests to daemons after them, so only a request of this one shows that
  * one of them responds again. */
 static const member_t *
 first_silent(const membership_t *self)
 {
+	struct timespec now = clock_boottime(self->clock);
 	const member_t *first = NULL;
 
 	for (const member_t *member = self->members; member != NULL;
 	     member = member->hh.next) {
-		if (is_before(self, member) && may_request(self, member) &&
+		if (is_before(self, member) && may_request(member, now) &&
 		    (first == NULL || member->sort_key < first->sort_key))
 			first = member;
 	}
@@ -138,70 +101,138 @@
 	return len;
 }
 
-/* The parent candidate with this number among those in the same zone, leaving
- * out the first of all. */
-static const member_t *
-same_zone_candidate(const membership_t *self, size_t before, size_t rank)
+/* The number of daemons of each zone that others in it follow. */
+static size_t
+relays_per_zone(const membership_t *self)
+{
+	size_t zones = zones_count(self);
+	size_t relays =
+	    (followers_per_parent(membership_alive_count(self)) + zones - 1) /
+	    zones;
+
+	return relays < RELAYS_MAX ? relays : RELAYS_MAX;
+}
+
+static void
+first_find(const membership_t *self, struct timespec now, tree_view_t *view)
 {
-	for (size_t i = 1; i < before; i++) {
-		if (in_same_zone(self, self->parent_candidates[i]) &&
-		    rank-- == 0)
-			return self->parent_candidates[i];
+	*view = (tree_view_t){0};
+	for (const member_t *member = self->members; member != NULL;
+	     member = member->hh.next) {
+		if (!is_before(self, member) || !may_follow(self, member, now))
+			continue;
+		view->before++;
+		if (view->first == NULL ||
+		    member->sort_key < view->first->sort_key)
+			view->first = member;
 	}
-	return self->parent_candidates[0];
 }
 
-static size_t
-same_zone_count(const membership_t *self, size_t before)
+/* Inserts the member into the first @p max relays, if it is one of them. */
+static void
+relay_insert(tree_view_t *view, size_t max, const member_t *member)
 {
-	size_t count = 0;
+	size_t at = view->relays_len;
 
-	for (size_t i = 1; i < before; i++)
-		count += in_same_zone(self, self->parent_candidates[i]);
-	return count;
+	while (at > 0 && view->relays[at - 1]->sort_key > member->sort_key)
+		at--;
+	if (at == max)
+		return;
+	if (view->relays_len < max)
+		view->relays_len++;
+	memmove(&view->relays[at + 1], &view->relays[at],
+	    (view->relays_len - at - 1) * sizeof(view->relays[0]));
+	view->relays[at] = member;
+}
+
+static void
+relays_find(const membership_t *self, struct timespec now, size_t max,
+    tree_view_t *view)
+{
+	for (const member_t *member = self->members; member != NULL;
+	     member = member->hh.next) {
+		if (member != view->first && is_before(self, member) &&
+		    in_same_zone(self, member) && may_follow(self, member, now))
+			relay_insert(view, max, member);
+	}
+}
+
+/* Rendezvous hashing: another daemon's departure or start moves no more than
+ * the share of the daemons that followed it, or will. */
+static const member_t *
+relay_choose(const membership_t *self, const tree_view_t *view)
+{
+	const char *name = self->settings.name;
+	uint64_t own = XXH3_64bits(name, strlen(name));
+	const member_t *chosen = NULL;
+	uint64_t best = 0;
+
+	for (size_t i = 0; i < view->relays_len; i++) {
+		const member_t *relay = view->relays[i];
+		uint64_t weight =
+		    XXH3_64bits_withSeed(relay->name, strlen(relay->name), own);
+
+		if (chosen == NULL || weight > best) {
+			chosen = relay;
+			best = weight;
+		}
+	}
+	return chosen;
 }
 
 /* The first daemons of each zone follow the first of all, and the others follow
  * one of these in their own zone: what is sent to all daemons crosses between
  * zones a few times, not once for each daemon. */
+static const member_t *
+parent_choose(const membership_t *self, tree_view_t *view)
+{
+	struct timespec now = clock_boottime(self->clock);
+	size_t relays;
+
+	first_find(self, now, view);
+	if (view->before <= FOLLOWERS_MIN)
+		return view->first;
+	relays = relays_per_zone(self);
+	relays_find(self, now, relays, view);
+	return view->relays_len < relays ? view->first
+					 : relay_choose(self, view);
+}
+
+bool
+membership_follows_another(const membership_t *self)
+{
+	tree_view_t view;
+
+	first_find(self, clock_boottime(self->clock), &view);
+	return view.before > 0;
+}
+
 const member_t *
-membership_parent(membership_t *self)
+membership_parent(const membership_t *self)
 {
-	size_t before = candidates_collect(self);
-	size_t followers = followers_per_parent(membership_alive_count(self));
-	size_t zones, same_zone, relays_per_zone;
+	tree_view_t view;
+	const member_t *parent = parent_choose(self, &view);
 
-	if (before == 0)
-		return first_silent(self);
-	if (before <= FOLLOWERS_MIN)
-		return self->parent_candidates[0];
-	zones = zones_count(self);
-	relays_per_zone = (followers + zones - 1) / zones;
-	same_zone = same_zone_count(self, before);
-	return same_zone < relays_per_zone
-	    ? self->parent_candidates[0]
-	    : same_zone_candidate(self, before, same_zone % relays_per_zone);
+	return parent != NULL ? parent : first_silent(self);
 }
 
 bool
-membership_near_root(membership_t *self)
+membership_near_root(const membership_t *self)
 {
-	const member_t *parent;
+	tree_view_t view;
 
-	if (candidates_collect(self) <= FOLLOWERS_MIN)
-		return true;
-	parent = membership_parent(self);
-	return parent == self->parent_candidates[0];
+	return parent_choose(self, &view) == view.first;
 }
 
 const member_t *
 membership_next_member(const membership_t *self)
 {
+	struct timespec now = clock_boottime(self->clock);
 	const member_t *next = NULL;
 
 	for (const member_t *member = self->members; member != NULL;
 	     member = member->hh.next) {
-		if (is_before(self, member) || !may_follow(self, member))
+		if (is_before(self, member) || !may_follow(self, member, now))
 			continue;
 		if (next == NULL || member->sort_key < next->sort_key)
 			next = member;
--- a/moortack/replication/membership.c
+++ b/moortack/replication/membership.c
@@ -78,7 +78,6 @@
 	member_free(self, member);
 	member_row_requests_finish(self);
 	json_decref(self->report);
-	free(self->parent_candidates);
 	member_record_finish(&self->stored_record);
 }
 
--- a/moortack/replication/membership_priv.h
+++ b/moortack/replication/membership_priv.h
@@ -30,7 +30,7 @@
 void member_row_requests_finish(membership_t *);
 
 /** Whether there is a member to follow that is not known to be silent. */
-bool membership_follows_another(membership_t *);
+bool membership_follows_another(const membership_t *);
 
 /** Logs what is known of the liveness of a member. */
 void
--- a/test/unit/member_tree_test.c
+++ b/test/unit/member_tree_test.c
@@ -127,6 +127,76 @@
 	event_base_free(base);
 }
 
+enum { FLEET = 985, FLEET_ZONES = 6, FLEET_STRONG = 60, FLEET_STEP = 7 };
+
+/* The members of a daemon of a large fleet, of which one is gone.
+ * @param gone -1: none */
+static void
+fleet_members_init(membership_t *self, row_store_t *store,
+    const clock_source_t *clock, int own, int gone)
+{
+	membership_settings_t settings = {
+	    .strength = own < FLEET_STRONG ? 1 : 0.12,
+	    .liveness = {.silence_timeout_ms = SILENCE_TIMEOUT_MS}};
+
+	snprintf(settings.name, sizeof(settings.name), "10.0.0.%d:80", own);
+	snprintf(
+	    settings.zone, sizeof(settings.zone), "zone-%d", own % FLEET_ZONES);
+	membership_init(self, store, clock, NULL, &settings);
+	self->state = MEMBER_READY;
+	for (int i = 0; i < FLEET; i++) {
+		char key[64], value[160];
+		row_t row = {.key = key, .value = value, .version = 10};
+
+		if (i == own || i == gone)
+			continue;
+		snprintf(key, sizeof(key), MEMBER_PREFIX "10.0.0.%d:80", i);
+		row.value_len = (size_t)snprintf(value, sizeof(value),
+		    "{\"place\":\"zone-%d\",\"peer\":\"10.0.0.%d:81\","
+		    "\"state\":\"ready\",\"strength\":%g,\"beat\":1}",
+		    i % FLEET_ZONES, i, i < FLEET_STRONG ? 1 : 0.12);
+		membership_apply_row(self, &row);
+	}
+}
+
+/* Of all daemons that do not follow it, how many change their parent when one
+ * is gone, in per cent of a sample. */
+static int
+moved_by_departure_percent(int gone)
+{
+	manual_clock_t clock = {{&manual_clock_ops}, {100, 0}};
+	row_store_t store = {.ops = &silent_store_ops};
+	int others = 0, moved = 0;
+
+	for (int i = 0; i < FLEET; i += FLEET_STEP) {
+		membership_t with, without;
+		int before;
+
+		if (i == gone)
+			continue;
+		fleet_members_init(&with, &store, &clock.source, i, -1);
+		fleet_members_init(&without, &store, &clock.source, i, gone);
+		before = parent_number(&with);
+		others += before != gone;
+		moved += before != gone && before != parent_number(&without);
+		membership_finish(&with);
+		membership_finish(&without);
+	}
+	return 100 * moved / others;
+}
+
+/* The parent of a daemon depended on how many daemons were before it in the
+ * order: each departure and each start moved most of those after it. */
+static void
+departure_moves_only_followers(void **state)
+{
+	(void)state;
+	/* One that nobody follows, and one of those that others follow. */
+	assert_int_equal(moved_by_departure_percent(FLEET_STRONG + 1), 0);
+	assert_in_range(moved_by_departure_percent(1), 0, 5);
+	assert_in_range(moved_by_departure_percent(20), 0, 5);
+}
+
 static void
 a_daemon_that_failed_is_not_followed_for_a_time(void **state)
 {
@@ -298,6 +368,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(followers_form_a_tree),
 	    cmocka_unit_test(few_links_of_the_tree_cross_between_zones),
+	    cmocka_unit_test(departure_moves_only_followers),
 	    cmocka_unit_test(a_daemon_that_failed_is_not_followed_for_a_time),
 	    cmocka_unit_test(the_first_daemon_may_follow_the_second),
 	    cmocka_unit_test(a_silent_member_counts_as_down),
--- a/test/unit/work_meter_test.c
+++ b/test/unit/work_meter_test.c
@@ -26,8 +26,7 @@
 {
 	fixture->clock = (manual_clock_t){{&manual_clock_ops}, {100, 0}};
 	event_log_init(&fixture->log, &fixture->clock.source, 100);
-	work_meter_init(
-	    &fixture->meter, &fixture->clock.source, &fixture->log);
+	work_meter_init(&fixture->meter, &fixture->clock.source, &fixture->log);
 }
 
 static void
