row sync: daemons keep and send only what they read of endpoints' rows

Cause: a row was kept and passed on as its endpoint wrote it, with its heartbeat, phase and models, which no daemon uses; whether a row had changed was found by decoding the kept and the new text once more each.

The platform's dialect encodes what it has decoded, in a fixed order. Daemons keep and send that text; equal texts mean the same, and only others are compared by their fields. Keys are searched without allocating.

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -24,6 +24,9 @@
 #include "moortack/scheduling/price.h"
 
 #define ENDPOINT_NAME_SIZE 96
+/** Size of an endpoint's row as daemons keep it: its names, of which each byte
+ * may take six, and the other fields. */
+#define ENDPOINT_TEXT_SIZE (4 * 6 * ENDPOINT_NAME_SIZE + 512)
 #define ENDPOINT_SUSPECTED_FAILURES_MAX 8
 
 /** What an endpoint reports about itself; filled in by an endpoint source. */
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -31,6 +31,13 @@
 	/** Whether the key of an evacuation ends with a valid name of a zone.
 	 * @param zone the key without its prefix */
 	bool (*check_evacuation_zone)(const char *zone, err_t *);
+	/** Encodes what decode_endpoint() has read, so that daemons keep and
+	 * send no more than that, and equal endpoints have equal values.
+	 * NULL: rows are kept and sent as they are.
+	 * @param size of the text; ENDPOINT_TEXT_SIZE
+	 * @return its length, 0: it does not fit */
+	size_t (*encode_endpoint)(
+	    const endpoint_info_t *, char *text, size_t size);
 	/** Whether two values of an endpoint's row differ only in what does not
 	 * matter, such as the heartbeat. */
 	bool (*endpoint_unchanged)(
--- a/include/platform/rows.h
+++ b/include/platform/rows.h
@@ -33,6 +33,12 @@
 bool endpoint_row_decode(
     const char *id, const char *text, size_t len, endpoint_info_t *, err_t *);
 
+/** Encode an entry with those fields only that endpoint_row_decode() reads, in
+ * a fixed order: entries with the same text mean the same.
+ * @param size of the text; ENDPOINT_TEXT_SIZE suffices
+ * @return its length, 0: it does not fit */
+size_t endpoint_row_encode(const endpoint_info_t *, char *text, size_t size);
+
 /** Whether an entry differs from the previous one only in fields that change
  * with each heartbeat. False if either is invalid. */
 bool endpoint_row_unchanged(
--- a/moortack/relay/endpoint_rows.c
+++ b/moortack/relay/endpoint_rows.c
@@ -135,6 +135,25 @@
 	    endpoint_compare_incarnation(endpoint, info) == INCARNATION_SAME;
 }
 
+/* Keeps of the row what was decoded. */
+static void
+endpoint_row_put(
+    relay_node_t *node, const row_t *row, const endpoint_info_t *info)
+{
+	const row_dialect_t *dialect = node->ports.row_dialect;
+	char text[ENDPOINT_TEXT_SIZE];
+	row_t kept = *row;
+	size_t len = dialect->encode_endpoint != NULL
+	    ? dialect->encode_endpoint(info, text, sizeof(text))
+	    : 0;
+
+	if (len > 0) {
+		kept.value = text;
+		kept.value_len = len;
+	}
+	row_sync_put(&node->row_sync, ROW_TABLE_ENDPOINTS, &kept);
+}
+
 void
 relay_endpoint_apply_row(relay_node_t *node, const row_t *row)
 {
@@ -164,7 +183,7 @@
 		relay_row_keep_known(node, ROW_TABLE_ENDPOINTS, known, row);
 		return;
 	}
-	row_sync_put(&node->row_sync, ROW_TABLE_ENDPOINTS, row);
+	endpoint_row_put(node, row, &info);
 	endpoint_apply(node, &info, is_newer);
 }
 
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -248,14 +248,15 @@
 {
 	const row_dialect_t *row_dialect = arg;
 
+	/* An order that is written again with the same text is a new one. */
+	if (table == ROW_TABLE_OPERATOR)
+		return false;
+	if (a_len == b_len && memcmp(a, b, a_len) == 0)
+		return true;
 	if (table == ROW_TABLE_ENDPOINTS)
 		return row_dialect->endpoint_unchanged(a, a_len, b, b_len);
-	if (table == ROW_TABLE_SYSTEM &&
-	    strncmp(key, MEMBER_PREFIX, strlen(MEMBER_PREFIX)) == 0)
-		return member_row_unchanged(a, a_len, b, b_len);
-	/* An order that is written again with the same text is a new one. */
-	return table != ROW_TABLE_OPERATOR && a_len == b_len &&
-	    memcmp(a, b, a_len) == 0;
+	return strncmp(key, MEMBER_PREFIX, strlen(MEMBER_PREFIX)) == 0 &&
+	    member_row_unchanged(a, a_len, b, b_len);
 }
 
 static bool
--- a/moortack/replication/row_cache.c
+++ b/moortack/replication/row_cache.c
@@ -1,6 +1,5 @@
 #include "moortack/replication/row_cache.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -20,6 +19,8 @@
  * changes. */
 #define PRIORS_MAX 4
 #define PRIOR_KEPT_MS 5000
+/* Longer keys are rare, and allocated for each search. */
+#define HASH_KEY_BUFFER 256
 
 void
 row_cache_init(row_cache_t *cache, const clock_source_t *clock,
@@ -64,14 +65,21 @@
 	row_free(cache, row);
 }
 
+static void
+hash_key_fill(char *hash_key, row_table_t table, const char *key, size_t len)
+{
+	hash_key[0] = (char)('a' + table);
+	memcpy(hash_key + 1, key, len + 1);
+}
+
 static char *
 hash_key_make(row_table_t table, const char *key)
 {
-	size_t size = strlen(key) + 2;
-	char *hash_key = malloc(size);
+	size_t len = strlen(key);
+	char *hash_key = malloc(len + 2);
 
 	if (hash_key != NULL)
-		snprintf(hash_key, size, "%c%s", 'a' + (char)table, key);
+		hash_key_fill(hash_key, table, key, len);
 	return hash_key;
 }
 
@@ -84,12 +92,19 @@
 static cached_row_t *
 row_find(const row_cache_t *cache, row_table_t table, const char *key)
 {
-	char *hash_key = hash_key_make(table, key);
+	char buffer[HASH_KEY_BUFFER];
+	size_t len = strlen(key);
+	bool fits = len + 2 <= sizeof(buffer);
+	char *hash_key = fits ? buffer : hash_key_make(table, key);
 	cached_row_t *row = NULL;
 
-	if (hash_key != NULL)
-		HASH_FIND_STR(cache->rows, hash_key, row);
-	free(hash_key);
+	if (hash_key == NULL)
+		return NULL;
+	if (fits)
+		hash_key_fill(buffer, table, key, len);
+	HASH_FIND(hh, cache->rows, hash_key, len + 1, row);
+	if (!fits)
+		free(hash_key);
 	return row;
 }
 
@@ -203,6 +218,10 @@
 {
 	char *value = NULL;
 
+	if (!update->deleted && row->value != NULL &&
+	    row->value_len == update->value_len &&
+	    memcmp(row->value, update->value, update->value_len) == 0)
+		return true;
 	if (!update->deleted) {
 		value = malloc(update->value_len + 1);
 		if (value == NULL)
--- a/test/platform/decoders_test.c
+++ b/test/platform/decoders_test.c
@@ -14,6 +14,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../../platform/row_fields.h"
 #include "platform/dialects.h"
 #include "platform/node_file.h"
 #include "platform/rows.h"
@@ -339,6 +340,62 @@
 	    entry, strlen(entry), second, strlen(second)));
 }
 
+/* Encodes what was decoded, and checks that it means the same. */
+static void
+entry_encode(const char *text, char encoded[ENDPOINT_TEXT_SIZE])
+{
+	endpoint_info_t info;
+	err_t err;
+	size_t len;
+
+	assert_true(
+	    endpoint_row_decode("i-1", text, strlen(text), &info, &err));
+	len = endpoint_row_encode(&info, encoded, ENDPOINT_TEXT_SIZE);
+	assert_int_equal(len, strlen(encoded));
+	assert_in_range(len, 1, ENDPOINT_TEXT_SIZE - 1);
+	assert_true(endpoint_row_unchanged(text, strlen(text), encoded, len));
+	assert_true(endpoint_row_unchanged(encoded, len, text, strlen(text)));
+}
+
+static void
+encoded_entries_mean_the_same(void **state)
+{
+	char all[ENDPOINT_TEXT_SIZE], later[ENDPOINT_TEXT_SIZE];
+	char longest[1000];
+
+	(void)state;
+	entry_encode("{\"service\":\"s\\\"\\\\\\n\\u00e4 /\","
+		     "\"address\":\"10.0.0.9:8080\",\"zone\":\"z\\u0001\","
+		     "\"version\":\"v1\",\"batch_slots\":64,"
+		     "\"state\":\"draining\",\"warmup_left_ms\":70,"
+		     "\"preemptible\":true,\"born\":1778527889000,"
+		     "\"sequence\":8,\"phase\":\"colocated\"}",
+	    all);
+	snprintf(longest, sizeof(longest), "{\"state\":\"ready\"");
+	for (int i = 0; i < 3; i++) {
+		static const char *const fields[] = {
+		    "service", "zone", "version"};
+		size_t len = strlen(longest);
+
+		len += (size_t)snprintf(longest + len, sizeof(longest) - len,
+		    ",\"%s\":\"", fields[i]);
+		for (size_t j = 0; j < ROW_FIELD_TEXT_MAX; j++) {
+			longest[len++] = '\\';
+			longest[len++] = '"';
+		}
+		longest[len++] = '"';
+		longest[len] = '\0';
+	}
+	strcat(longest, ",\"address\":\"255.255.255.255:65535\"}");
+	entry_encode(longest, all);
+	/* Heartbeats have the same text. */
+	entry_encode(entry, all);
+	snprintf(longest, sizeof(longest), "%.*s,\"sequence\":77}",
+	    (int)strlen(entry) - 1, entry);
+	entry_encode(longest, later);
+	assert_string_equal(all, later);
+}
+
 static void
 invalid_endpoints_are_refused_by_field(void **state)
 {
@@ -642,6 +699,7 @@
 	    cmocka_unit_test(becoming_cold_or_warm_is_a_change),
 	    cmocka_unit_test(start_times_are_decoded),
 	    cmocka_unit_test(another_start_time_is_a_change),
+	    cmocka_unit_test(encoded_entries_mean_the_same),
 	    cmocka_unit_test(invalid_endpoints_are_refused_by_field),
 	    cmocka_unit_test(malformed_rows_do_not_affect_others),
 	    cmocka_unit_test(the_next_page_follows_any_key),
--- a/test/platform/rows_fuzz.c
+++ b/test/platform/rows_fuzz.c
@@ -48,6 +48,7 @@
     .endpoints_table = ROWS_ENDPOINTS_TABLE,
     .decode_config = config_row_decode,
     .decode_endpoint = endpoint_row_decode,
+    .encode_endpoint = endpoint_row_encode,
     .decode_rollout_order = rollout_order_row_decode,
     .endpoint_unchanged = endpoint_row_unchanged};
 
