row sync: rows are applied in turns of 5 ms, operators' rows first

What callers saw: on a small VM of the whole fleet, 10,000 rows in one response held the event loop for more than a second. Endpoints' responses that were ready, and the answer due at a route's time-out, waited behind them (CONFIG: held on over 0.5 s past the time-out); a new configuration waited too.

Cause: a response was applied in one piece, whatever its size.

A turn ends after 5 ms and the rest follows by a timer, behind the other events. Rows of operators come first, are in force and passed on after the first turn. Until all are applied, requests of followers wait, the next request is not sent, and the parent is not taken for overdue; following another drops the rest. Rows that may go back (a full table older than what this daemon has, or withheld changes) are still applied in one turn, so that nobody is told a mixture.

A row of a bucket that was not sent, and that changed or was deleted between the request and the end, makes a summarized response outdated: it is requested again, and after three in a row all rows are (log rows_changed).

--- a/include/moortack/replication/feed_client.h
+++ b/include/moortack/replication/feed_client.h
@@ -16,8 +16,10 @@
 	/** Fills in the request, except for its id. */
 	void (*prepare)(void *arg, feed_request_t *);
 	/** Handles the response to a request that was sent at @p sent_at. The
-	 * response may be modified; the client releases it. */
-	void (*response)(void *arg, feed_response_t *, struct timespec sent_at);
+	 * response may be modified; the client releases it.
+	 * @return whether to send the next request now; otherwise
+	 * feed_client_request_next() does */
+	bool (*response)(void *arg, feed_response_t *, struct timespec sent_at);
 	/** The response takes longer than responses usually do. */
 	void (*slow)(void *arg);
 	/** No response arrived in time. */
@@ -34,6 +36,7 @@
 	peer_socket_t dealer; /**< closed while no daemon is followed */
 	struct event *timer;  /**< until the response is slow, or times out */
 	bool slow;	      /**< the slow callback has been called */
+	bool in_flight;	      /**< a response is awaited */
 	uint64_t request_id;  /**< of the request in flight */
 	struct timespec sent_at;
 	work_meter_t *meter; /**< NULL: none */
@@ -47,5 +50,7 @@
 /** Starts requesting rows from the daemon at @p address (tcp://IP:PORT). */
 bool feed_client_connect(feed_client_t *, const char *address);
 void feed_client_disconnect(feed_client_t *);
+/** Sends the next request, unless one is in flight or no daemon is followed. */
+void feed_client_request_next(feed_client_t *);
 
 #endif
--- a/include/moortack/replication/feed_server.h
+++ b/include/moortack/replication/feed_server.h
@@ -39,6 +39,7 @@
 	struct event *flush; /**< responds to held requests */
 	feed_pending_t *pending;
 	uint32_t pending_len;
+	bool paused;
 	bool respond_all; /**< respond to all held requests at the next flush */
 	bool store_unavailable; /**< to this daemon */
 	bool leaving;		/**< followers have to follow another daemon */
@@ -67,6 +68,10 @@
  * to all held requests. */
 void feed_server_respond_all(feed_server_t *);
 
+/** While paused, changes are not sent at once, but with the next flush: more
+ * changes follow within moments. */
+void feed_server_pause(feed_server_t *, bool paused);
+
 /** The cache has changed: responds to the held requests that this concerns. */
 void feed_server_cache_changed(feed_server_t *);
 
--- a/include/moortack/replication/feed_wire.h
+++ b/include/moortack/replication/feed_wire.h
@@ -102,6 +102,8 @@
 
 /** Whether any table is sent in full. */
 bool feed_response_has_full_table(const feed_response_t *);
+/** Whether it leaves out rows that the requester has by its summary. */
+bool feed_response_is_summarized(const feed_response_t *);
 /** Whether the rows of a response came through the daemon @p name. */
 bool feed_response_path_contains(const feed_response_t *, const char *name);
 /** Appends a cached row to a response. */
--- a/include/moortack/replication/row_source.h
+++ b/include/moortack/replication/row_source.h
@@ -14,6 +14,7 @@
 
 #include "common/event_log.h"
 #include "common/rng.h"
+#include "moortack/replication/feed_apply.h"
 #include "moortack/replication/feed_client.h"
 #include "moortack/replication/feed_server.h"
 #include "moortack/replication/membership.h"
@@ -67,12 +68,25 @@
 	row_watch_t watch;
 } table_watch_t;
 
+/** A response of the parent whose rows are being applied, in several turns of
+ * the event loop. */
+typedef struct row_apply {
+	bool active;
+	feed_response_t response;
+	struct timespec sent; /**< it has what was known then, or later */
+	feed_cursor_t cursor;
+	bool partial[ROW_TABLES]; /**< tables that it does not cover in full */
+	struct event *timer;	  /**< next turn */
+} row_apply_t;
+
 typedef struct row_sync_settings {
 	const char *tables[ROW_TABLES];
 	row_watch_timing_t timings[ROW_TABLES];
 	char peer_address[MEMBER_NAME_SIZE]; /**< IP:PORT; "": follow no daemon
 					      */
 	int64_t hold_ms; /**< requests of other daemons are held this long */
+	size_t turn_rows_max;	 /**< rows of the parent that are applied in one
+				    turn of the event loop; 0: as time allows */
 	int64_t start_jitter_ms; /**< the first read is delayed by a random part
 				    of it */
 	/** Rows older than this are outdated: other ways to get them are tried.
@@ -121,6 +135,7 @@
 	bool parent_responded;		    /**< it has sent a response */
 	bool parent_stale;		    /**< its rows are outdated */
 	struct timespec parent_stale_since;
+	row_apply_t apply;
 	bool applying; /**< rows that are passed to the callbacks now come from
 			  another daemon */
 	bool applying_older; /**< which has fewer of the withheld changes */
@@ -146,8 +161,8 @@
 	uint64_t parent_change; /**< newest one received from it */
 	/** Change of the cache whose rows the last request summarized. */
 	uint64_t summarized_change;
-	bool summary_outdated; /**< rows changed before the response came: the
-				  next request asks for all of them */
+	uint32_t summaries_outdated; /**< consecutive responses before which
+					rows had changed */
 	struct timespec parent_since;
 };
 
--- a/include/moortack/replication/row_summary.h
+++ b/include/moortack/replication/row_summary.h
@@ -35,8 +35,7 @@
 void row_summary_toggle(row_summary_t *, uint32_t hash, uint64_t digest);
 /** Fills in the summary of the same rows with fewer buckets, as many as suit
  * this number of rows. */
-void
-row_summary_fold(const row_summary_t *, size_t rows, row_summary_t *out);
+void row_summary_fold(const row_summary_t *, size_t rows, row_summary_t *out);
 
 /** Fills in the buckets in which two summaries differ. The larger one is
  * folded. */
--- a/moortack/replication/feed_apply.c
+++ b/moortack/replication/feed_apply.c
@@ -9,8 +9,10 @@
 unlisted_rows_delete(const feed_response_t *response, row_cache_t *cache,
     feed_row_cb_t on_row, void *arg)
 {
+	row_origin_t before = cache->origin;
 	cached_row_t *row, *next;
 
+	cache->origin = ROW_ORIGIN_PEER;
 	for (row = cache->rows; row != NULL; row = next) {
 		row_t deletion = {.key = cached_row_key(row),
 		    .version = response->tables[row->table].deletions_version,
@@ -25,6 +27,7 @@
 			continue;
 		on_row(arg, row->table, &deletion);
 	}
+	cache->origin = before;
 }
 
 /* A full table has every row as of the table's version. It may have a row as it
@@ -42,42 +45,81 @@
 		row->version = state->version;
 }
 
-/* The requester has the rows of the buckets that were not sent. */
-static void
-unsent_rows_mark(const feed_response_t *response, row_cache_t *cache)
+static bool
+is_unsent(const feed_response_t *response, const cached_row_t *row)
 {
-	for (cached_row_t *row = cache->rows; row != NULL; row = row->hh.next) {
-		const feed_table_state_t *state = &response->tables[row->table];
+	const feed_table_state_t *state = &response->tables[row->table];
 
-		if (state->full && row->value != NULL &&
-		    !row_bucket_set_has(&state->sent, row->hash))
+	return state->full && !row_bucket_set_has(&state->sent, row->hash);
+}
+
+bool
+feed_apply_confirm(
+    const feed_response_t *response, row_cache_t *cache, uint64_t requested)
+{
+	for (cached_row_t *row = cache->rows; row != NULL; row = row->hh.next) {
+		if (!is_unsent(response, row))
+			continue;
+		if (row->change > requested)
+			return false;
+		if (row->value != NULL)
 			cached_row_mark(row, ROW_ORIGIN_PEER);
 	}
+	return true;
 }
 
-static void
-rows_apply(const feed_response_t *response, row_cache_t *cache,
-    feed_row_cb_t on_row, void *arg)
+void
+feed_apply_begin(const feed_response_t *response, row_cache_t *cache)
 {
-	size_t len = json_array_size(response->rows);
-	row_table_t table;
-	row_t row;
-
 	for (int i = 0; i < ROW_TABLES; i++) {
 		if (response->tables[i].full)
 			row_cache_clear_marks(
 			    cache, (row_table_t)i, ROW_ORIGIN_PEER);
 	}
-	for (size_t i = 0; i < len; i++) {
-		if (!feed_response_row(response, i, &table, &row))
+}
+
+static void
+row_apply(const feed_response_t *response, row_cache_t *cache,
+    row_table_t table, row_t *row, feed_row_cb_t on_row, void *arg)
+{
+	row_origin_t before = cache->origin;
+
+	cache->origin = ROW_ORIGIN_PEER;
+	listed_row_renew(response, cache, table, row);
+	if (!row_cache_has_newer(cache, table, row))
+		on_row(arg, table, row);
+	cache->origin = before;
+}
+
+bool
+feed_apply_next(const feed_response_t *response, row_cache_t *cache,
+    feed_cursor_t *cursor, feed_row_cb_t on_row, void *arg)
+{
+	size_t len = json_array_size(response->rows);
+	row_table_t table;
+	row_t row;
+
+	while (cursor->next < len) {
+		size_t index = cursor->next++;
+
+		if (!feed_response_row(response, index, &table, &row) ||
+		    (table == ROW_TABLE_OPERATOR) != !cursor->operators_done)
 			continue;
-		listed_row_renew(response, cache, table, &row);
-		if (!row_cache_has_newer(cache, table, &row))
-			on_row(arg, table, &row);
+		row_apply(response, cache, table, &row, on_row, arg);
+		return true;
 	}
+	if (cursor->operators_done)
+		return false;
+	*cursor = (feed_cursor_t){.operators_done = true};
+	return true;
+}
+
+void
+feed_apply_end(const feed_response_t *response, row_cache_t *cache,
+    feed_row_cb_t on_row, void *arg)
+{
 	if (!feed_response_has_full_table(response))
 		return;
-	unsent_rows_mark(response, cache);
 	unlisted_rows_delete(response, cache, on_row, arg);
 	for (int i = 0; i < ROW_TABLES; i++) {
 		if (response->tables[i].full)
@@ -86,17 +128,6 @@
 	}
 }
 
-void
-feed_rows_apply(const feed_response_t *response, row_cache_t *cache,
-    feed_row_cb_t on_row, void *arg)
-{
-	row_origin_t before = cache->origin;
-
-	cache->origin = ROW_ORIGIN_PEER;
-	rows_apply(response, cache, on_row, arg);
-	cache->origin = before;
-}
-
 /* Whether the requester gets all rows of the table: it may miss a deletion, or
  * it comes from another daemon, and a row that was deleted and written again
  * with the same meaning is no change that is sent. Operators' rows are not
@@ -130,9 +161,8 @@
 {
 	/* A deletion may be newer than the table's version, which goes back
 	 * while this daemon relies on another with an older one. */
-	if (row->value == NULL)
-		return newer;
-	return row_bucket_set_has(&state->sent, row->hash);
+	return row_bucket_set_has(&state->sent, row->hash) &&
+	    (row->value != NULL || newer);
 }
 
 /* Adds the rows that are newer than the requester's versions, and the rows of
--- a/moortack/replication/feed_client.c
+++ b/moortack/replication/feed_client.c
@@ -41,10 +41,18 @@
 	free(text);
 	peer_socket_schedule_read(&client->dealer);
 	client->slow = false;
+	client->in_flight = true;
 	timer_start(client, SLOW_MS);
 	return sent >= 0;
 }
 
+void
+feed_client_request_next(feed_client_t *client)
+{
+	if (client->dealer.socket != NULL && !client->in_flight)
+		request_send(client);
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
@@ -89,11 +97,11 @@
 	    rows != NULL ? zmq_msg_size(rows) : 0);
 	if (!valid)
 		return;
-	if (response.request_id == client->request_id) {
+	if (response.request_id == client->request_id && client->in_flight) {
 		event_del(client->timer);
-		client->ops->response(client->arg, &response, sent_at);
-		if (client->dealer.socket != NULL)
-			request_send(client);
+		client->in_flight = false;
+		if (client->ops->response(client->arg, &response, sent_at))
+			feed_client_request_next(client);
 	}
 	feed_response_clear(&response);
 }
@@ -136,6 +144,7 @@
 	if (client->timer == NULL)
 		return;
 	event_del(client->timer);
+	client->in_flight = false;
 	if (client->dealer.socket != NULL)
 		peer_socket_close(&client->dealer);
 }
--- a/moortack/replication/feed_server.c
+++ b/moortack/replication/feed_server.c
@@ -126,12 +126,24 @@
 void
 feed_server_cache_changed(feed_server_t *server)
 {
-	struct timeval delay = {0, CHANGE_DELAY_US};
+	struct timeval delay = {
+	    0, server->paused ? FLUSH_INTERVAL_US : CHANGE_DELAY_US};
 
-	if (server->flush != NULL && server->pending != NULL)
+	if (server->flush != NULL && server->pending != NULL &&
+	    !(server->paused && event_pending(server->flush, EV_TIMEOUT, NULL)))
 		event_add(server->flush, &delay);
 }
 
+void
+feed_server_pause(feed_server_t *server, bool paused)
+{
+	bool ended = server->paused && !paused;
+
+	server->paused = paused;
+	if (ended)
+		feed_server_cache_changed(server);
+}
+
 void
 feed_server_set_status(
     feed_server_t *server, bool store_unavailable, bool leaving)
--- a/moortack/replication/feed_wire.c
+++ b/moortack/replication/feed_wire.c
@@ -262,6 +262,17 @@
 	return false;
 }
 
+bool
+feed_response_is_summarized(const feed_response_t *response)
+{
+	for (int i = 0; i < ROW_TABLES; i++) {
+		if (response->tables[i].full &&
+		    response->tables[i].sent.len > 0)
+			return true;
+	}
+	return false;
+}
+
 bool
 feed_response_path_contains(const feed_response_t *response, const char *name)
 {
--- a/moortack/replication/row_follow.c
+++ b/moortack/replication/row_follow.c
@@ -7,6 +7,9 @@
 
 /* A parent whose rows are outdated for longer is replaced. */
 #define STALE_MAX_MS 3000
+/* After as many responses before which rows had changed, a summary is not sent
+ * again. */
+#define SUMMARIES_OUTDATED_MAX 3
 
 static bool
 rows_are_stale(const row_sync_t *self)
@@ -43,8 +46,8 @@
 		    self->leaving || self->follows_next);
 }
 
-static bool
-any_withheld(const row_sync_t *self)
+bool
+row_sync_withholds(const row_sync_t *self)
 {
 	for (int i = 0; i < ROW_TABLES; i++) {
 		if (self->withheld_version[i] != 0)
@@ -174,25 +177,15 @@
 	event_log_write(self->log, "base_missing", "source=%s", self->parent);
 }
 
-/* Whether the response relies on rows that have changed since the request: it
- * does not tell what is true of them. */
-static bool
-summary_is_outdated(const row_sync_t *self, const feed_response_t *response)
-{
-	if (self->summarized_change == self->cache.last_change)
-		return false;
-	for (int i = 0; i < ROW_TABLES; i++) {
-		if (response->tables[i].sent.len > 0)
-			return true;
-	}
-	return false;
-}
-
+/* Rows that the response relies on have changed since the request. With changes
+ * that keep coming, all rows are requested. */
 static void
-all_rows_request(row_sync_t *self)
+rows_request_again(row_sync_t *self)
 {
 	self->parent_incarnation = 0;
-	self->summary_outdated = true;
+	self->summaries_outdated++;
+	event_log_write(self->log, "rows_changed", "source=%s times=%" PRIu32,
+	    self->parent, self->summaries_outdated);
 }
 
 /* Whether a starting daemon applies the rows in spite of what else the response
@@ -210,28 +203,11 @@
 		    response, self->members->settings.name));
 }
 
-void
-row_follow_response(
-    row_sync_t *self, feed_response_t *response, struct timespec sent)
+/* All rows of the response are applied. */
+static void
+response_applied(row_sync_t *self, const feed_response_t *response)
 {
-	membership_record_response(self->members, self->parent, sent);
-	self->parent_responded = true;
-	if (self->ops->downlink_received != NULL)
-		self->ops->downlink_received(self->arg, response->downlink);
-	if (!feed_delta_resolve(response, &self->cache)) {
-		entire_rows_request(self);
-		return;
-	}
-	if (summary_is_outdated(self, response)) {
-		all_rows_request(self);
-		return;
-	}
-	if (starter_applies(self, response))
-		row_response_apply(self, response, sent);
-	if (response_unusable(self, response))
-		return;
-	row_response_apply(self, response, sent);
-	liveness_apply(self, response, sent);
+	liveness_apply(self, response, self->apply.sent);
 	if (any_table_stale(self, response)) {
 		parent_stale_handle(self, response);
 		return;
@@ -243,7 +219,7 @@
 		row_sync_suspend_reads(self, true);
 		return;
 	}
-	if (!any_withheld(self)) {
+	if (!row_sync_withholds(self)) {
 		follow_begin(self, response);
 		return;
 	}
@@ -253,12 +229,77 @@
 		self->parent_incarnation = 0;
 }
 
+static void
+apply_timer_start(row_sync_t *self)
+{
+	static const struct timeval now = {0, 0};
+
+	if (self->apply.timer != NULL)
+		event_add(self->apply.timer, &now);
+}
+
+bool
+row_follow_continue(row_sync_t *self)
+{
+	feed_response_t response;
+
+	switch (row_apply_step(self)) {
+	case ROW_APPLY_MORE:
+		apply_timer_start(self);
+		return false;
+	case ROW_APPLY_OUTDATED:
+		rows_request_again(self);
+		row_apply_cancel(self);
+		return true;
+	case ROW_APPLY_DONE:
+		break;
+	}
+	/* What follows may choose another parent. */
+	response = self->apply.response;
+	self->apply.response = (feed_response_t){0};
+	row_apply_cancel(self);
+	if (!response_unusable(self, &response))
+		response_applied(self, &response);
+	feed_response_clear(&response);
+	return true;
+}
+
+void
+row_apply_on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	row_sync_t *self = arg;
+
+	(void)fd;
+	(void)what;
+	if (self->apply.active && row_follow_continue(self))
+		feed_client_request_next(&self->client);
+}
+
+bool
+row_follow_response(
+    row_sync_t *self, feed_response_t *response, struct timespec sent)
+{
+	membership_record_response(self->members, self->parent, sent);
+	self->parent_responded = true;
+	if (self->ops->downlink_received != NULL)
+		self->ops->downlink_received(self->arg, response->downlink);
+	if (!feed_delta_resolve(response, &self->cache)) {
+		entire_rows_request(self);
+		return true;
+	}
+	if (!starter_applies(self, response) &&
+	    response_unusable(self, response))
+		return true;
+	row_apply_begin(self, response, sent);
+	return row_follow_continue(self);
+}
+
 /* The response has what was known when it was sent: no earlier than the request
  * was sent, plus the time that it was held. */
-static void
+static bool
 on_response(void *arg, feed_response_t *response, struct timespec sent_at)
 {
-	row_follow_response(
+	return row_follow_response(
 	    arg, response, timespec_add_ms(sent_at, response->held_ms));
 }
 
@@ -285,7 +326,7 @@
 static bool
 table_is_summarized(const row_sync_t *self, row_table_t table)
 {
-	return table != ROW_TABLE_OPERATOR && !any_withheld(self) &&
+	return table != ROW_TABLE_OPERATOR && !row_sync_withholds(self) &&
 	    (self->parent_incarnation == 0 ||
 		row_sync_requested_version(self, table) == 0);
 }
@@ -296,7 +337,8 @@
 summaries_add(row_sync_t *self, feed_position_t *position)
 {
 	self->summarized_change = self->cache.last_change;
-	if (!row_sync_synced(self) || self->summary_outdated)
+	if (!row_sync_synced(self) ||
+	    self->summaries_outdated >= SUMMARIES_OUTDATED_MAX)
 		return;
 	for (int i = 0; i < ROW_TABLES; i++) {
 		if (!table_is_summarized(self, (row_table_t)i) ||
@@ -426,6 +468,7 @@
 	if (self->first_response_timer != NULL)
 		event_free(self->first_response_timer);
 	self->first_response_timer = NULL;
+	row_apply_cancel(self);
 	feed_client_finish(&self->client);
 	feed_server_finish(&self->server);
 	if (self->context != NULL)
--- a/moortack/replication/row_parent.c
+++ b/moortack/replication/row_parent.c
@@ -46,6 +46,7 @@
 		return;
 	event_log_write(
 	    self->log, "unfollow", "source=%s why=%s", self->parent, why);
+	row_apply_cancel(self);
 	self->parent[0] = '\0';
 	self->following = false;
 	self->follows_next = false;
@@ -178,8 +179,9 @@
 static bool
 first_response_overdue(const row_sync_t *self)
 {
-	return timespec_ms_between(self->parent_since,
-		   clock_boottime(self->clock)) >= first_response_ms(self);
+	return !self->apply.active &&
+	    timespec_ms_between(self->parent_since,
+		clock_boottime(self->clock)) >= first_response_ms(self);
 }
 
 void
@@ -196,6 +198,7 @@
 	char address[MEMBER_NAME_SIZE + 8];
 
 	snprintf(address, sizeof(address), "tcp://%s", member->peer_address);
+	row_apply_cancel(self);
 	strcpy(self->parent, member->name);
 	if (self->ops->parent_changed != NULL)
 		self->ops->parent_changed(self->arg);
--- a/moortack/replication/row_source.c
+++ b/moortack/replication/row_source.c
@@ -262,6 +262,10 @@
 		self->suspended[i] = i != ROW_TABLE_SYSTEM &&
 		    self->settings.peer_address[0] != '\0';
 	}
+	self->apply.timer =
+	    event_new(self->base, -1, 0, row_apply_on_timer, self);
+	if (self->apply.timer == NULL)
+		return false;
 	self->started_at = clock_boottime(self->clock);
 	watches_update(self);
 	if (self->settings.start_jitter_ms > 0)
@@ -275,6 +279,9 @@
 row_sync_finish(row_sync_t *self)
 {
 	row_follow_stop(self);
+	row_apply_cancel(self);
+	if (self->apply.timer != NULL)
+		event_free(self->apply.timer);
 	json_decref(self->parent_path);
 	for (int i = 0; i < ROW_TABLES; i++)
 		row_watch_finish(&self->watches[i].watch);
--- a/moortack/replication/row_source_priv.h
+++ b/moortack/replication/row_source_priv.h
@@ -18,6 +18,9 @@
  * is read most often. */
 #define ROW_TABLE_PROBE ROW_TABLE_ENDPOINTS
 
+/** Whether any changes are withheld; see row_sync_withhold(). */
+bool row_sync_withholds(const row_sync_t *);
+
 /** Stops reading the store, or resumes it. */
 void row_sync_suspend_reads(row_sync_t *, bool suspend);
 
@@ -35,11 +38,30 @@
 /** Fills in the position for a request to the parent;
  * feed_position_clear() releases it. */
 void row_follow_position(row_sync_t *, feed_position_t *);
-/** Handles a response that was sent at @p sent, or later. */
-void row_follow_response(row_sync_t *, feed_response_t *, struct timespec sent);
-/** Applies the rows of a response and the state of its tables. */
-void
-row_response_apply(row_sync_t *, const feed_response_t *, struct timespec sent);
+/** Handles a response that was sent at @p sent, or later; its rows are taken
+ * over, and applied in as many turns as they need.
+ * @return whether the next request may be sent; otherwise the timer of
+ * row_apply_t calls row_follow_continue() */
+bool row_follow_response(row_sync_t *, feed_response_t *, struct timespec sent);
+/** Applies more rows of the response.
+ * @return as row_follow_response() */
+bool row_follow_continue(row_sync_t *);
+
+typedef enum row_apply_result {
+	ROW_APPLY_MORE, /**< rows are left */
+	ROW_APPLY_DONE,
+	ROW_APPLY_OUTDATED, /**< rows that the response relies on have changed
+			       since the request */
+} row_apply_result_t;
+
+/** Begins to apply a response, which is taken over. */
+void row_apply_begin(row_sync_t *, feed_response_t *, struct timespec sent);
+/** Applies rows for a turn, and at the end the state of the tables. */
+row_apply_result_t row_apply_step(row_sync_t *);
+/** Drops what is left of the response. */
+void row_apply_cancel(row_sync_t *);
+/** Timer callback: the next turn. */
+void row_apply_on_timer(evutil_socket_t, short, void *arg);
 /** Fills in the state of this daemon's tables, and the path of their rows. */
 void row_follow_fill_state(const row_sync_t *, feed_response_t *);
 
--- a/test/unit/feed_client_test.c
+++ b/test/unit/feed_client_test.c
@@ -51,13 +51,14 @@
 	follower->sent_at = clock_boottime(&follower->clock);
 }
 
-static void
+static bool
 on_response(void *arg, feed_response_t *response, struct timespec sent_at)
 {
 	(void)arg;
 	(void)response;
 	(void)sent_at;
 	fail_msg("a response of a stopped process");
+	return true;
 }
 
 static void
--- a/test/unit/feed_delta_test.c
+++ b/test/unit/feed_delta_test.c
@@ -16,7 +16,7 @@
 
 #include "../support/bytes_equal.h"
 #include "../support/manual_clock.h"
-#include "moortack/replication/feed_apply.h"
+#include "../support/rows_apply.h"
 #include "moortack/replication/feed_delta.h"
 #include "moortack/replication/value_delta.h"
 
--- a/test/unit/paged_read_test.c
+++ b/test/unit/paged_read_test.c
@@ -26,6 +26,7 @@
 #include "../../moortack/replication/row_source_priv.h"
 #include "../support/manual_clock.h"
 #include "../support/node_settings.h"
+#include "../support/rows_apply.h"
 
 #define VERSION_READ 60
 
@@ -125,7 +126,6 @@
 		.age_ms = -1,
 		.full = true};
 	row_response_apply(sync, &response, paged->clock.now);
-	feed_response_clear(&response);
 	row_cache_finish(&peer_cache);
 }
 
--- a/test/unit/slow_link_test.c
+++ b/test/unit/slow_link_test.c
@@ -150,7 +150,7 @@
 	request->position = follower->position;
 }
 
-static void
+static bool
 on_response(void *arg, feed_response_t *response, struct timespec sent_at)
 {
 	follower_t *follower = arg;
@@ -164,6 +164,7 @@
 	for (size_t i = 0; feed_response_row(response, i, &table, &row); i++)
 		follower->knows_deletion |=
 		    table == ROW_TABLE_ENDPOINTS && row.deleted;
+	return true;
 }
 
 static void
