row sync: a response that withheld changes have overtaken is requested again

What callers saw: nothing that was reported; an endpoint could stay at a daemon after its removal, or be missing there although its entry was written again, until the next full read.

Cause: while a request was under way, or its rows were applied in turns, a read of the store brought a deletion that is withheld after an outage. The response, made for rows from before it, was applied: a row older than the deletion cancelled it, or the version advanced past the row that was written again. A summarized response was refused only after its rows had been applied.

At the start of each turn, a response that does not have all rows of a table with withheld changes is dropped and requested again; while changes are withheld, requests are for all rows.

Found by fuzz_follow: it now delivers a read of the store while a request is under way.

--- a/moortack/replication/row_answer.c
+++ b/moortack/replication/row_answer.c
@@ -228,11 +228,9 @@
 	const feed_response_t *response = &apply->response;
 	bool request_all;
 
-	/* Only all rows show the outcome of changes that are withheld. */
 	if (feed_response_is_summarized(response) &&
-	    (row_sync_withholds(self) ||
-		!feed_apply_confirm(
-		    response, &self->cache, self->summarized_change)))
+	    !feed_apply_confirm(
+		response, &self->cache, self->summarized_change))
 		return false;
 	request_all = partial_tables_note(self, response, apply->partial);
 	feed_apply_end(response, &self->cache, on_row, self);
@@ -250,11 +248,31 @@
 	return true;
 }
 
+/* Whether changes have been withheld since the request. Only all rows show
+ * their outcome, and some of those in the response may be older. */
+static bool
+is_overtaken(const row_sync_t *self)
+{
+	for (int i = 0; i < ROW_TABLES; i++) {
+		const feed_table_state_t *state =
+		    &self->apply.response.tables[i];
+
+		if (self->withheld_version[i] != 0 &&
+		    (!state->full || state->sent.len > 0))
+			return true;
+	}
+	return false;
+}
+
 row_apply_result_t
 row_apply_step(row_sync_t *self)
 {
 	row_apply_result_t result = ROW_APPLY_MORE;
 
+	if (is_overtaken(self)) {
+		feed_server_pause(&self->server, false);
+		return ROW_APPLY_OUTDATED;
+	}
 	self->applying = true;
 	self->applying_older = sender_is_older(self, &self->apply.response);
 	if (rows_apply(self))
--- a/test/fuzz/follow_fuzz.c
+++ b/test/fuzz/follow_fuzz.c
@@ -242,11 +242,17 @@
 static void
 rows_change_meanwhile(daemon_t *follower, daemon_t *parent, input_t *input)
 {
+	daemon_t *daemon;
+
 	if (input == NULL)
 		return;
 	if (input_below(input, 2) == 0)
 		entry_change(input);
-	store_read(input_below(input, 2) == 0 ? follower : parent);
+	daemon = input_below(input, 2) == 0 ? follower : parent;
+	if (daemon->read_pending)
+		full_read_deliver(daemon);
+	else
+		store_read(daemon);
 }
 
 /* Applies what is left of the last response. */
