row sync: after a full read of the store, followers are sent only changes

Cause: at 2.0 s, 2,000 endpoints start at once. That is more than the store's history holds, so the reader reads the endpoints in full. From then on its history of deletions began there, later than the version of each follower, and so all of them got all rows: 925 responses of 10,000 rows in the third second (227 KB packed, up to 370 ms to decode on a small VM), and once more in the fifth, as each follower's history then began later than those of its own followers.

A daemon whose last request came here has only rows that were sent to it, and those that it read from the store itself; for the latter it asks for all rows as soon as its parent has caught up. Deletions that show only by a full read are changes like any other. So its history needs no beginning; only a requester from another daemon needs all rows, or those that differ by its summary.

--- a/moortack/replication/feed_apply.c
+++ b/moortack/replication/feed_apply.c
@@ -128,17 +128,22 @@
 	}
 }
 
-/* Whether the requester gets all rows of the table: it may miss a deletion, or
- * it comes from another daemon, and a row that was deleted and written again
- * with the same meaning is no change that is sent. Operators' rows are not
- * taken back, so that the versions suffice. */
+/* Whether the requester gets all rows of the table. One whose last request came
+ * here has no rows but those that were sent to it, and those that it read
+ * itself, for which it asks for all rows once they are known here: deletions
+ * are changes to it, also if they show only by a full list. One that comes from
+ * another daemon may miss a deletion, and a row that was deleted and written
+ * again with the same meaning is no change that is sent. Operators' rows are
+ * not taken back, so that the versions suffice. */
 static bool
 needs_full_table(const row_cache_t *cache, const feed_position_t *position,
     row_table_t table, bool incremental)
 {
-	return position->versions[table] == 0 ||
-	    position->versions[table] < cache->complete_since[table] ||
-	    (!incremental && table != ROW_TABLE_OPERATOR);
+	if (position->versions[table] == 0)
+		return true;
+	return !incremental &&
+	    (table != ROW_TABLE_OPERATOR ||
+		position->versions[table] < cache->complete_since[table]);
 }
 
 /* Adds the rows that changed since the requester's last response, which is all
--- a/test/unit/new_parent_test.c
+++ b/test/unit/new_parent_test.c
@@ -66,6 +66,15 @@
 	return count;
 }
 
+/* A full read of the store shows no deletions that came and went before it. */
+static void
+full_read_complete(node_fixture_t *daemon, uint64_t version)
+{
+	versions_advance(daemon, version);
+	daemon->node.row_sync.cache.complete_since[ROW_TABLE_ENDPOINTS] =
+	    version;
+}
+
 static bool
 has_endpoint(node_fixture_t *daemon, const char *id)
 {
@@ -165,6 +174,57 @@
 	node_fixture_finish(&second);
 }
 
+/* After a full read of the store, each daemon was sent all rows. */
+static void
+full_read_at_the_parent_sends_only_changes(void **state)
+{
+	node_fixture_t follower, parent;
+
+	(void)state;
+	daemon_start(&follower, "follower", 1);
+	daemon_start(&parent, "parent", 1);
+	assert_int_equal(rows_sent(&follower, &parent), 0);
+	endpoint_put(&parent, ENDPOINTS, "v1", VERSION + 1);
+	endpoint_put(&parent, 7, NULL, VERSION + 2);
+	full_read_complete(&parent, VERSION + 2);
+	assert_int_equal(rows_sent(&follower, &parent), 2);
+	assert_true(has_endpoint(&follower, "e10000"));
+	assert_false(has_endpoint(&follower, "e7"));
+	assert_int_equal(
+	    row_sync_watch(&follower.node.row_sync, ROW_TABLE_ENDPOINTS)
+		->version,
+	    VERSION + 2);
+	node_fixture_finish(&follower);
+	node_fixture_finish(&parent);
+}
+
+/* The parent's full read is later than the row's deletion, which the parent
+ * does not know of. */
+static void
+row_that_was_read_beside_is_removed_after_a_full_read(void **state)
+{
+	const row_t row = {.key = "e10000",
+	    .value = "v1",
+	    .value_len = 2,
+	    .version = VERSION + 1};
+	node_fixture_t follower, parent;
+	row_watch_t *watch;
+
+	(void)state;
+	daemon_start(&follower, "follower", 1);
+	daemon_start(&parent, "parent", 1);
+	assert_int_equal(rows_sent(&follower, &parent), 0);
+	watch = &follower.node.row_sync.watches[ROW_TABLE_ENDPOINTS].watch;
+	watch->ops->row(watch->arg, &row);
+	assert_true(has_endpoint(&follower, "e10000"));
+	full_read_complete(&parent, VERSION + 3);
+	rows_sent(&follower, &parent);
+	assert_in_range(rows_sent(&follower, &parent), 0, ROWS_PER_CHANGE);
+	assert_false(has_endpoint(&follower, "e10000"));
+	node_fixture_finish(&follower);
+	node_fixture_finish(&parent);
+}
+
 /* A daemon that starts has no rows to summarize. */
 static void
 starting_daemon_gets_all_rows(void **state)
@@ -189,6 +249,9 @@
 	    cmocka_unit_test(
 		rows_that_changed_since_the_request_are_not_confirmed),
 	    cmocka_unit_test(older_parent_does_not_remove_a_confirmed_row),
+	    cmocka_unit_test(full_read_at_the_parent_sends_only_changes),
+	    cmocka_unit_test(
+		row_that_was_read_beside_is_removed_after_a_full_read),
 	    cmocka_unit_test(starting_daemon_gets_all_rows),
 	};
 
