--- a/test/unit/row_turns_test.c
+++ b/test/unit/row_turns_test.c
@@ -42,9 +42,9 @@
 typedef struct fixture {
 	node_fixture_t parent;
 	node_fixture_t follower;
-	running_clock_t clock; /**< of the follower */
-	struct event *other;   /**< another event of its loop */
-	size_t known_at_other; /**< endpoints known when that came */
+	running_clock_t clock;	  /**< of the follower */
+	struct event *other;	  /**< another event of its loop */
+	size_t known_at_other;	  /**< endpoints known when that came */
 	uint64_t config_at_other; /**< version of its configuration then */
 } fixture_t;
 
@@ -100,8 +100,8 @@
 		node_fixture_apply_row(&fixture.parent, ROW_TABLE_ENDPOINTS,
 		    key, "v1", (uint64_t)i + 1);
 	}
-	node_fixture_apply_row(&fixture.parent, ROW_TABLE_OPERATOR, "late",
-	    "{}", ENDPOINTS + 1);
+	node_fixture_apply_row(
+	    &fixture.parent, ROW_TABLE_OPERATOR, "late", "{}", ENDPOINTS + 1);
 	versions_advance(&fixture, ENDPOINTS + 1);
 	fixture.other =
 	    event_new(fixture.follower.base, -1, 0, on_other, &fixture);
@@ -171,10 +171,9 @@
 	event_add(fixture->other, &now);
 	event_base_dispatch(fixture->follower.base);
 	assert_true(fixture->config_at_other);
-	assert_int_equal(row_sync_watch(sync, ROW_TABLE_OPERATOR)->version,
-	    ENDPOINTS + 1);
 	assert_int_equal(
-	    row_sync_watch(sync, ROW_TABLE_ENDPOINTS)->version, 0);
+	    row_sync_watch(sync, ROW_TABLE_OPERATOR)->version, ENDPOINTS + 1);
+	assert_int_equal(row_sync_watch(sync, ROW_TABLE_ENDPOINTS)->version, 0);
 }
 
 /* What is left of the former parent's rows would be applied as if it were of
@@ -188,10 +187,9 @@
 	assert_false(response_receive(fixture));
 	row_parent_unfollow(sync, "test");
 	assert_false(sync->apply.active);
-	assert_int_equal(
-	    row_sync_watch(sync, ROW_TABLE_ENDPOINTS)->version, 0);
-	node_fixture_apply_row(&fixture->parent, ROW_TABLE_ENDPOINTS, "e0",
-	    NULL, ENDPOINTS + 2);
+	assert_int_equal(row_sync_watch(sync, ROW_TABLE_ENDPOINTS)->version, 0);
+	node_fixture_apply_row(
+	    &fixture->parent, ROW_TABLE_ENDPOINTS, "e0", NULL, ENDPOINTS + 2);
 	versions_advance(fixture, ENDPOINTS + 2);
 	response_receive(fixture);
 	while (sync->apply.active)
