contents: a daemon looks at all members once to choose the endpoints that it follows

Cause: whether this daemon owns an endpoint was decided by a search through all members, in the order in which they joined, for each of 10,000 endpoints, whenever endpoints or members change, once a second at most.

The available members are collected once: those of its own zone, which decide about the endpoints there, and the zones of the others, whose endpoints are not its own. Only a zone without members is still searched for.

--- a/include/moortack/relay/endpoint_owner.h
+++ b/include/moortack/relay/endpoint_owner.h
@@ -9,6 +9,9 @@
 
 #include "moortack/relay/gossip_peers.h"
 
+/** Of more zones, members are searched for each endpoint. */
+#define OWNED_ZONES_MAX 32
+
 /** The daemon that owns the endpoint; one of its zone if there is any. If a
  * daemon joins or leaves, only the endpoints that it owns move.
  * @param zone the endpoint's
@@ -16,9 +19,28 @@
  * @return NULL: this daemon */
 const member_t *
 endpoint_owner_find(const membership_t *, const char *zone, uint32_t endpoint);
-/** Whether this daemon serves and is the owner. Looks at few members on
- * average, as most endpoints have another owner. */
+/** Whether this daemon serves and is the owner. */
 bool endpoint_owner_is_self(
     const membership_t *, const char *zone, uint32_t endpoint);
 
+/** What decides of which endpoints this daemon is the owner, for many endpoints
+ * at once: members are looked at once, and then only those of its zone. */
+typedef struct owned_endpoints {
+	const membership_t *members;
+	const member_t **rivals; /**< available members of its zone; NULL: not
+				    known */
+	size_t rivals_len;
+	/** Zones of other available members. */
+	const char *zones[OWNED_ZONES_MAX];
+	size_t zones_len;
+} owned_endpoints_t;
+
+/** Looks at the members; they must not change until
+ * owned_endpoints_finish(). */
+void owned_endpoints_init(owned_endpoints_t *, const membership_t *);
+void owned_endpoints_finish(owned_endpoints_t *);
+/** Same as endpoint_owner_is_self(). */
+bool owned_endpoints_has(
+    const owned_endpoints_t *, const char *zone, uint32_t endpoint);
+
 #endif
--- a/moortack/relay/endpoint_owner.c
+++ b/moortack/relay/endpoint_owner.c
@@ -1,5 +1,6 @@
 #include "moortack/relay/endpoint_owner.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -70,3 +71,69 @@
 	}
 	return true;
 }
+
+static bool
+zone_listed(const owned_endpoints_t *owned, const char *zone)
+{
+	for (size_t i = 0; i < owned->zones_len; i++) {
+		if (strcmp(owned->zones[i], zone) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+member_add(owned_endpoints_t *owned, const member_t *member)
+{
+	if (strcmp(member->zone, owned->members->settings.zone) == 0)
+		owned->rivals[owned->rivals_len++] = member;
+	else if (owned->zones_len < OWNED_ZONES_MAX &&
+	    !zone_listed(owned, member->zone))
+		owned->zones[owned->zones_len++] = member->zone;
+}
+
+void
+owned_endpoints_init(owned_endpoints_t *owned, const membership_t *members)
+{
+	size_t count = HASH_COUNT(members->members);
+
+	*owned = (owned_endpoints_t){.members = members,
+	    .rivals = calloc(count + 1, sizeof(*owned->rivals))};
+	if (owned->rivals == NULL)
+		return;
+	for (const member_t *member = members->members; member != NULL;
+	     member = member->hh.next) {
+		if (gossip_peer_available(members, member))
+			member_add(owned, member);
+	}
+}
+
+void
+owned_endpoints_finish(owned_endpoints_t *owned)
+{
+	free(owned->rivals);
+	owned->rivals = NULL;
+}
+
+bool
+owned_endpoints_has(
+    const owned_endpoints_t *owned, const char *zone, uint32_t endpoint)
+{
+	const membership_settings_t *self = &owned->members->settings;
+	owner_rank_t own = owner_rank(self->name, self->zone, zone, endpoint);
+
+	if (owned->members->state != MEMBER_READY)
+		return false;
+	if (!own.same_zone && zone_listed(owned, zone))
+		return false;
+	if (!own.same_zone || owned->rivals == NULL)
+		return endpoint_owner_is_self(owned->members, zone, endpoint);
+	for (size_t i = 0; i < owned->rivals_len; i++) {
+		owner_rank_t rank = owner_rank(owned->rivals[i]->name,
+		    owned->rivals[i]->zone, zone, endpoint);
+
+		if (ranks_before(&rank, &own))
+			return false;
+	}
+	return true;
+}
--- a/moortack/relay/relay_contents.c
+++ b/moortack/relay/relay_contents.c
@@ -17,7 +17,8 @@
 }
 
 static bool
-endpoint_wanted(const relay_t *relay, const endpoint_t *endpoint)
+endpoint_wanted(const relay_t *relay, const owned_endpoints_t *owned,
+    const endpoint_t *endpoint)
 {
 	const relay_service_t *service = relay->config != NULL
 	    ? relay_config_find_service(relay->config, endpoint->info.service)
@@ -25,8 +26,8 @@
 
 	return relay->gossip->uses_owners && endpoint->in_set &&
 	    service != NULL && service->contents_calls_max > 0 &&
-	    endpoint_owner_is_self(
-		relay->members, endpoint->info.zone, endpoint->short_hash);
+	    owned_endpoints_has(
+		owned, endpoint->info.zone, endpoint->short_hash);
 }
 
 static followed_endpoint_t *
@@ -40,7 +41,7 @@
 }
 
 static void
-followed_prune(relay_t *relay)
+followed_prune(relay_t *relay, const owned_endpoints_t *owned)
 {
 	relay_contents_t *contents = &relay->contents;
 	size_t len = 0;
@@ -48,7 +49,7 @@
 	for (size_t i = 0; i < contents->len; i++) {
 		followed_endpoint_t *self = contents->followed[i];
 
-		if (endpoint_wanted(relay, self->endpoint))
+		if (endpoint_wanted(relay, owned, self->endpoint))
 			contents->followed[len++] = self;
 		else
 			followed_free(self);
@@ -57,7 +58,8 @@
 }
 
 static void
-group_follow(relay_t *relay, const endpoint_group_t *group)
+group_follow(relay_t *relay, const owned_endpoints_t *owned,
+    const endpoint_group_t *group)
 {
 	relay_contents_t *contents = &relay->contents;
 
@@ -65,8 +67,8 @@
 		endpoint_t *endpoint = group->ring[i];
 		followed_endpoint_t *followed;
 
-		if (!endpoint_owner_is_self(relay->members, endpoint->info.zone,
-			endpoint->short_hash) ||
+		if (!owned_endpoints_has(
+			owned, endpoint->info.zone, endpoint->short_hash) ||
 		    followed_find(contents, endpoint) != NULL)
 			continue;
 		followed = contents->len < CONTENTS_FOLLOWED_MAX
@@ -80,22 +82,31 @@
 }
 
 static void
-endpoints_choose(relay_t *relay)
+groups_follow(relay_t *relay, const owned_endpoints_t *owned)
 {
-	followed_prune(relay);
-	relay->contents.skipped = 0;
-	if (!relay->gossip->uses_owners || relay->config == NULL)
-		return;
 	for (const endpoint_group_t *group = relay->endpoints->groups;
 	     group != NULL; group = group->hh.next) {
 		const relay_service_t *service =
 		    relay_config_find_service(relay->config, group->service);
 
 		if (service != NULL && service->contents_calls_max > 0)
-			group_follow(relay, group);
+			group_follow(relay, owned, group);
 	}
 }
 
+static void
+endpoints_choose(relay_t *relay)
+{
+	owned_endpoints_t owned;
+
+	owned_endpoints_init(&owned, relay->members);
+	followed_prune(relay, &owned);
+	relay->contents.skipped = 0;
+	if (relay->gossip->uses_owners && relay->config != NULL)
+		groups_follow(relay, &owned);
+	owned_endpoints_finish(&owned);
+}
+
 /* Whether this daemon may own endpoints. */
 static bool
 may_own(const relay_t *relay)
--- a/test/unit/gossip_test.c
+++ b/test/unit/gossip_test.c
@@ -159,12 +159,17 @@
     member_t *all, size_t len, size_t self, const char *zone, uint32_t endpoint)
 {
 	const member_t *owner;
+	owned_endpoints_t owned;
 	membership_t members;
 
 	members_fill(&members, all, len, self);
 	owner = endpoint_owner_find(&members, zone, endpoint);
 	assert_int_equal(
 	    endpoint_owner_is_self(&members, zone, endpoint), owner == NULL);
+	owned_endpoints_init(&owned, &members);
+	assert_int_equal(
+	    owned_endpoints_has(&owned, zone, endpoint), owner == NULL);
+	owned_endpoints_finish(&owned);
 	HASH_CLEAR(hh, members.members);
 	return owner != NULL ? (size_t)(owner - all) : self;
 }
@@ -197,6 +202,32 @@
 		assert_true(owned[i] <= OWNED_MAX);
 }
 
+/* With some daemons of each zone gone, and all of one. */
+static void
+owned_endpoints_follow_the_members_state(void **state)
+{
+	static member_t all[DAEMONS];
+	owned_endpoints_t owned;
+	membership_t members;
+	char zone[16];
+
+	(void)state;
+	members_fill(&members, all, DAEMONS, 4);
+	for (size_t i = 0; i < DAEMONS; i++)
+		all[i].state =
+		    i % 3 == 0 || i % 7 == 0 ? MEMBER_LEAVING : MEMBER_READY;
+	owned_endpoints_init(&owned, &members);
+	for (uint32_t endpoint = 0; endpoint < 4 * ENDPOINTS; endpoint++) {
+		snprintf(zone, sizeof(zone), "zone-%u", endpoint % 4);
+		assert_int_equal(owned_endpoints_has(&owned, zone, endpoint),
+		    endpoint_owner_is_self(&members, zone, endpoint));
+	}
+	members.state = MEMBER_LEAVING;
+	assert_false(owned_endpoints_has(&owned, "zone-1", 1));
+	owned_endpoints_finish(&owned);
+	HASH_CLEAR(hh, members.members);
+}
+
 /* A daemon that leaves only moves the endpoints that it owned; if there is no
  * daemon in the endpoint's zone, one of another zone is the owner. */
 static void
@@ -283,6 +314,7 @@
 	    cmocka_unit_test(small_fleet_notifies_all_daemons),
 	    cmocka_unit_test(response_survives_a_round_trip),
 	    cmocka_unit_test(large_fleet_has_an_owner_for_each_endpoint),
+	    cmocka_unit_test(owned_endpoints_follow_the_members_state),
 	    cmocka_unit_test(endpoints_move_only_with_their_owner),
 	    cmocka_unit_test(long_prompts_are_preferred),
 	};
