--- a/include/moortack/relay/retry_share.h
+++ b/include/moortack/relay/retry_share.h
@@ -2,8 +2,7 @@
  * @file
  * This daemon's share of a service's retry budget over a sliding window: a
  * fixed number of retries divided by the daemons, and a ratio of the requests
- * that this daemon received. A process that starts has only the ratio for one
- * window: it knows neither what its predecessor spent nor all daemons.
+ * that this daemon received.
  */
 #ifndef MOORTACK_RELAY_RETRY_SHARE_H
 #define MOORTACK_RELAY_RETRY_SHARE_H
@@ -23,21 +22,13 @@
 			       requests */
 } retry_bounds_t;
 
-/** Counts of one service by slices of the window. */
+/** Counts of one service by slices of the window; all zeros at first. */
 typedef struct retry_share {
-	/** From then on min_retries counts: no earlier process of this daemon
-	 * can have spent any of it in the same window. */
-	struct timespec min_retries_at;
 	int64_t slice; /**< number of the newest slice */
 	uint32_t requests[RETRY_SLICES];
 	uint32_t retries[RETRY_SLICES];
 } retry_share_t;
 
-/** Start to count.
- * @param started_at when the process started */
-void retry_share_init(
-    retry_share_t *, const retry_bounds_t *, struct timespec started_at);
-
 /** Count a request. */
 void retry_share_add_request(
     retry_share_t *, const retry_bounds_t *, struct timespec now);
--- a/moortack/relay/relay_service_state.c
+++ b/moortack/relay/relay_service_state.c
@@ -23,8 +23,6 @@
 		if (state == NULL)
 			return NULL;
 		strcpy(state->service, service);
-		retry_share_init(&state->retry_share, &relay->bounds.retries,
-		    relay->started_at);
 		relay_admission_init(relay, state);
 		HASH_ADD_STR(relay->service_states, service, state);
 	}
--- a/moortack/relay/retry_share.c
+++ b/moortack/relay/retry_share.c
@@ -11,15 +11,6 @@
  * learns late of new daemons. */
 #define BUDGET_SAFETY_FACTOR 0.85
 
-void
-retry_share_init(retry_share_t *share, const retry_bounds_t *bounds,
-    struct timespec started_at)
-{
-	*share = (retry_share_t){0};
-	share->min_retries_at = timespec_add_ms(
-	    started_at, bounds->window_ms * RETRY_SLICES / WINDOW_SLICES);
-}
-
 static void
 share_advance(
     retry_share_t *share, const retry_bounds_t *bounds, struct timespec now)
@@ -61,14 +52,12 @@
 
 /* Retries that this daemon may make in the window. */
 static double
-retries_allowed(const retry_share_t *share, const retry_bounds_t *bounds,
-    uint32_t daemons, struct timespec now)
+retries_allowed(
+    const retry_share_t *share, const retry_bounds_t *bounds, uint32_t daemons)
 {
-	double allowed = bounds->ratio * counts_sum(share->requests);
-
-	if (timespec_ms_between(share->min_retries_at, now) >= 0)
-		allowed += bounds->min_retries / (daemons > 0 ? daemons : 1);
-	return BUDGET_SAFETY_FACTOR * allowed;
+	return BUDGET_SAFETY_FACTOR *
+	    (bounds->min_retries / (daemons > 0 ? daemons : 1) +
+		bounds->ratio * counts_sum(share->requests));
 }
 
 bool
@@ -77,7 +66,7 @@
 {
 	share_advance(share, bounds, now);
 	if (counts_sum(share->retries) + 1 >
-	    retries_allowed(share, bounds, daemons, now))
+	    retries_allowed(share, bounds, daemons))
 		return false;
 	share->retries[share->slice % RETRY_SLICES]++;
 	return true;
@@ -90,7 +79,7 @@
 	double limit, used;
 
 	share_advance(share, bounds, now);
-	limit = retries_allowed(share, bounds, daemons, now);
+	limit = retries_allowed(share, bounds, daemons);
 	used = counts_sum(share->retries);
 	/* Less than one retry can't be used. */
 	return used + 1 <= limit ? 1 - used / limit : 0;
