--- a/test/unit/relay_contents_test.c
+++ b/test/unit/relay_contents_test.c
@@ -17,7 +17,25 @@
 #define ENDPOINTS 40
 
 static manual_clock_t manual_clock = {{&manual_clock_ops}, {1000, 0}};
-static const contents_dialect_t dialect;
+static void
+list_write(const endpoint_info_t *info, struct evbuffer *out)
+{
+	(void)info;
+	evbuffer_add_printf(out, "GET /list HTTP/1.1\r\n\r\n");
+}
+
+static void
+events_write(const endpoint_info_t *info, uint64_t since, int64_t wait_ms,
+    struct evbuffer *out)
+{
+	(void)info;
+	(void)since;
+	(void)wait_ms;
+	evbuffer_add_printf(out, "GET /events HTTP/1.1\r\n\r\n");
+}
+
+static const contents_dialect_t dialect = {
+    .write_list = list_write, .write_events = events_write};
 
 typedef struct fixture {
 	endpoint_set_t endpoints;
