--- a/include/moortack/relay/endpoint_owner.h
+++ b/include/moortack/relay/endpoint_owner.h
@@ -23,8 +23,8 @@
 bool endpoint_owner_is_self(
     const membership_t *, const char *zone, uint32_t endpoint);
 
-/** What decides of which endpoints this daemon is the owner, for many endpoints
- * at once: members are looked at once, and then only those of its zone. */
+/** The members among which endpoints have owners, collected once to decide for
+ * many endpoints whether this daemon owns them. */
 typedef struct owned_endpoints {
 	const membership_t *members;
 	const member_t **rivals; /**< available members of its zone; NULL: not
--- a/moortack/replication/row_follow.c
+++ b/moortack/replication/row_follow.c
@@ -254,7 +254,7 @@
 	case ROW_APPLY_DONE:
 		break;
 	}
-	/* What follows may choose another parent. */
+	/* Handling the response may choose another parent. */
 	response = self->apply.response;
 	self->apply.response = (feed_response_t){0};
 	row_apply_cancel(self);
--- a/test/unit/new_parent_test.c
+++ b/test/unit/new_parent_test.c
@@ -151,6 +151,37 @@
 	node_fixture_finish(&parent);
 }
 
+/* Summaries that are always outdated would never let a daemon follow. */
+static void
+rows_that_keep_changing_are_requested_in_full(void **state)
+{
+	node_fixture_t follower, parent;
+	feed_response_t response;
+	feed_request_t request;
+	row_sync_t *sync;
+
+	(void)state;
+	daemon_start(&follower, "follower", 1);
+	daemon_start(&parent, "parent", 1);
+	sync = &follower.node.row_sync;
+	feed_parent_set(sync, "parent");
+	for (int i = 1; i <= 3; i++) {
+		assert_true(feed_request_transfer(sync, &request));
+		endpoint_put(&parent, i, "v1 leaving", VERSION + i);
+		endpoint_put(&follower, ENDPOINTS + i, "v1", VERSION + i);
+		assert_true(feed_response_transfer(
+		    &parent.node.row_sync, &request, &response));
+		row_follow_response(sync, &response, follower.clock.now);
+		feed_response_clear(&response);
+		assert_false(sync->following);
+	}
+	assert_in_range(
+	    rows_sent(&follower, &parent), ENDPOINTS, ENDPOINTS + 3);
+	assert_true(sync->following);
+	node_fixture_finish(&follower);
+	node_fixture_finish(&parent);
+}
+
 /* A row that was deleted and written again means the same to the first parent.
  * The second one still has its deletion, which is older. */
 static void
@@ -248,6 +279,7 @@
 	    cmocka_unit_test(new_parent_sends_only_rows_that_differ),
 	    cmocka_unit_test(
 		rows_that_changed_since_the_request_are_not_confirmed),
+	    cmocka_unit_test(rows_that_keep_changing_are_requested_in_full),
 	    cmocka_unit_test(older_parent_does_not_remove_a_confirmed_row),
 	    cmocka_unit_test(full_read_at_the_parent_sends_only_changes),
 	    cmocka_unit_test(
--- a/test/unit/row_turns_test.c
+++ b/test/unit/row_turns_test.c
@@ -176,7 +176,7 @@
 	assert_int_equal(row_sync_watch(sync, ROW_TABLE_ENDPOINTS)->version, 0);
 }
 
-/* What is left of the former parent's rows would be applied as if it were of
+/* The rest of the former parent's rows would be applied as if they were of
  * the new one. */
 static void
 rest_of_a_former_parent_is_dropped(void **state)
