rollout: canary analysis and plan in a room of their own

The decisions on roll-outs take nothing from the relay, but stood among its files. They move to moortack/rollout/, beside quarantine/ and reach/, as a library of their own; version_guard.[ch] is named canary_analysis.[ch], as its types are. No behaviour changes: unit_relay_decisions, unit_rollout_load and unit_rollouts pass.

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -19,8 +19,8 @@
 #include "moortack/relay/prefill_queue.h"
 #include "moortack/relay/refusal_limit.h"
 #include "moortack/relay/restriction_memory.h"
-#include "moortack/relay/version_guard.h"
 #include "moortack/relay/zone_table.h"
+#include "moortack/rollout/canary_analysis.h"
 #include "moortack/scheduling/price.h"
 
 #define ENDPOINT_NAME_SIZE 96
--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -13,10 +13,10 @@
 #include "common/event_log.h"
 #include "moortack/relay/endpoint_set.h"
 #include "moortack/relay/recent_sessions.h"
-#include "moortack/relay/rollout_plan.h"
-#include "moortack/relay/version_guard.h"
 #include "moortack/replication/membership.h"
 #include "moortack/replication/row_store.h"
+#include "moortack/rollout/canary_analysis.h"
+#include "moortack/rollout/rollout_plan.h"
 
 /** Prefix of the keys of rows that hold a roll-out's state; the service's name
  * follows. */
--- a/include/moortack/relay/version_guard.h
+++ b/include/moortack/rollout/canary_analysis.h
@@ -4,8 +4,8 @@
  * version with those of the old one, for each route, over a sliding window.
  * Performs no I/O and reads no clock.
  */
-#ifndef MOORTACK_RELAY_VERSION_GUARD_H
-#define MOORTACK_RELAY_VERSION_GUARD_H
+#ifndef MOORTACK_ROLLOUT_CANARY_ANALYSIS_H
+#define MOORTACK_ROLLOUT_CANARY_ANALYSIS_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/include/moortack/relay/rollout_plan.h
+++ b/include/moortack/rollout/rollout_plan.h
@@ -3,8 +3,8 @@
  * The schedule of a roll-out: which share of a service's requests goes to its
  * new version at which time. Pure functions without state.
  */
-#ifndef MOORTACK_RELAY_ROLLOUT_PLAN_H
-#define MOORTACK_RELAY_ROLLOUT_PLAN_H
+#ifndef MOORTACK_ROLLOUT_ROLLOUT_PLAN_H
+#define MOORTACK_ROLLOUT_ROLLOUT_PLAN_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/moortack/relay/version_guard.c
+++ b/moortack/rollout/canary_analysis.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/version_guard.h"
+#include "moortack/rollout/canary_analysis.h"
 
 #include <math.h>
 #include <string.h>
--- a/moortack/relay/rollout_plan.c
+++ b/moortack/rollout/rollout_plan.c
@@ -1,4 +1,4 @@
-#include "moortack/relay/rollout_plan.h"
+#include "moortack/rollout/rollout_plan.h"
 
 #include <math.h>
 #include <stddef.h>
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -21,8 +21,8 @@
 #include "moortack/relay/prefill_rate.h"
 #include "moortack/relay/recent_sessions.h"
 #include "moortack/relay/retry_share.h"
-#include "moortack/relay/rollout_plan.h"
-#include "moortack/relay/version_guard.h"
+#include "moortack/rollout/canary_analysis.h"
+#include "moortack/rollout/rollout_plan.h"
 
 /* Three models; the response of the largest is expected after @p largest_ms. */
 static model_choice_input_t
