roll-outs: log lines name the version, and what the analysis has counted

attempt and request lines have version=. The daemon that has the reports of the others writes rollout_evidence once a second: what all have counted of both versions, and the logarithms of the likelihood ratios that the tests compare with their bounds (canary_tally_evidence). No decision changes. Cost: ten bytes a line, and a line a second at one daemon while a roll-out is in progress.

platform_decision_logged checks version=; unit_relay_decisions passes.

--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -77,6 +77,7 @@
 	rollout_state_t write_state; /**< that the last write stores */
 	bool deadline_reported;
 	canary_analysis_t canary;
+	struct timespec evidence_logged_at;
 	double share; /**< of the requests, for the new version, as of the last
 			 rollout_prefers_new() */
 	/** Highest part of the slots that was in use at an endpoint of the new
--- a/include/moortack/rollout/canary_analysis.h
+++ b/include/moortack/rollout/canary_analysis.h
@@ -111,6 +111,15 @@
 size_t canary_analysis_long_routes(
     const canary_analysis_t *, uint64_t *out, size_t cap);
 
+/** What counts show: logarithms of the likelihood of a worse new version over
+ * that of one as good as the old one. Positive: it is likely worse. */
+typedef struct canary_evidence {
+	double failed;
+	double late;
+	double gaps;
+} canary_evidence_t;
+
+canary_evidence_t canary_tally_evidence(const canary_tally_t *);
 /** Whether the counts show that the new version is worse than the old one. */
 bool canary_tally_is_bad(const canary_tally_t *);
 
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -80,7 +80,7 @@
 	    "objective_ms=%" PRId64 " pause_ms=%.0f pause_most_ms=%" PRId64
 	    " dropped_ms=%.0f limit_ms=%" PRId64 " config=%" PRIu64
 	    " config_age_ms=%" PRId64 " endpoints_age_ms=%" PRId64
-	    " endpoint=%s load=%.0f of=%zu told=%zu wait_ms=%.0f"
+	    " endpoint=%s version=%s load=%.0f of=%zu told=%zu wait_ms=%.0f"
 	    " session=%08" PRIx32 " from_daemon=%d helpers=%zu",
 	    req->arrival.id, req->route->name,
 	    req->service != NULL ? req->service : "-",
@@ -96,9 +96,10 @@
 	    req->time_limit_ms, req->config->version,
 	    row_watch_age_ms(relay->config_watch),
 	    row_watch_age_ms(relay->endpoint_watch), req->last_endpoint_id,
-	    req->placement.load, req->placement.candidates,
-	    req->placement.owner_reports, req->placement.queue_wait_ms,
-	    session_tag(req), req->from_daemon, req->tried_helpers_len);
+	    req->last_endpoint_version, req->placement.load,
+	    req->placement.candidates, req->placement.owner_reports,
+	    req->placement.queue_wait_ms, session_tag(req), req->from_daemon,
+	    req->tried_helpers_len);
 	request_free(req);
 }
 
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -234,13 +234,14 @@
 	const relay_t *relay = req->relay;
 
 	event_log_write(relay->log, "attempt",
-	    "id=%s endpoint=%s zone=%s model=%s attempt=%u kept=%d resume=%d "
+	    "id=%s endpoint=%s version=%s zone=%s model=%s attempt=%u kept=%d "
+	    "resume=%d "
 	    "of=%zu cold=%zu limited=%zu back_off=%zu brittle=%zu told=%zu "
 	    "load=%.0f "
 	    "wait_ms=%.0f read_ms=%.0f first_ms=%.0f price=%.3f admission=%s "
 	    "waited_ms=%" PRId64 " left_ms=%" PRId64 " config=%" PRIu64
 	    " endpoints_age_ms=%" PRId64,
-	    req->arrival.id, req->last_endpoint_id,
+	    req->arrival.id, req->last_endpoint_id, req->last_endpoint_version,
 	    placement->endpoint->info.zone,
 	    req->attempt.model != NULL ? req->attempt.model : "-",
 	    req->sends + req->connects_failed + 1, req->attempt.reused,
@@ -319,6 +320,7 @@
 	}
 	req->placement = placement;
 	strcpy(req->last_endpoint_id, placement.endpoint->info.id);
+	strcpy(req->last_endpoint_version, placement.endpoint->info.version);
 	if (!connection_acquire(req, placement.endpoint)) {
 		attempt_refuse(req, ERR_NO_ENDPOINT, "no_socket");
 		return;
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -164,6 +164,7 @@
 	    tried_helpers[FORWARDS_MAX]; /**< it was sent on through these */
 	size_t tried_helpers_len;
 	char last_endpoint_id[ENDPOINT_NAME_SIZE]; /**< the last one chosen */
+	char last_endpoint_version[ENDPOINT_NAME_SIZE];
 	int64_t retry_after_ms; /**< until an endpoint may get it; 0: unknown */
 	bool retry_after_final; /**< it has jitter already */
 	wait_entry_t wait_entry;
--- a/moortack/relay/rollout_report.c
+++ b/moortack/relay/rollout_report.c
@@ -11,6 +11,7 @@
 /* Part of the daemons whose reports have to be known to estimate the requests
  * of all. Only the daemon that all others follow has them. */
 #define REPORTED_MIN 0.8
+#define EVIDENCE_LOG_INTERVAL_MS 1000
 
 /* The member's report on the roll-out of a service, or NULL if it has none on
  * this order. */
@@ -81,6 +82,63 @@
 	}
 }
 
+/* Part of the other daemons whose report is known. */
+static double
+reported_part(const rollout_t *rollout)
+{
+	const membership_t *members = rollout->owner->members;
+	uint32_t daemons = 0, reported = 0;
+
+	for (const member_t *member = members->members; member != NULL;
+	     member = member->hh.next) {
+		if (!member_is_alive(members, member))
+			continue;
+		daemons++;
+		reported +=
+		    member_rollout_report(member, rollout->order.service,
+			rollout->order.number) != NULL;
+	}
+	return daemons > 0 ? (double)reported / daemons : 1;
+}
+
+static void
+evidence_log(rollout_t *rollout, const canary_tally_t *all, double reported)
+{
+	canary_evidence_t evidence = canary_tally_evidence(all);
+	rollout_snapshot_t snapshot = rollout_take_snapshot(rollout);
+
+	event_log_write(rollout->owner->log, "rollout_evidence",
+	    "service=%s order=%" PRIu64 " elapsed_ms=%" PRId64
+	    " share=%.2f reports=%.2f new=%u failed=%u late=%u gaps=%u"
+	    " slow_gaps=%u old=%u old_failed=%u old_late=%u old_gaps=%u"
+	    " old_slow_gaps=%u log_failed=%.1f log_late=%.1f log_gaps=%.1f",
+	    rollout->order.service, rollout->order.number, snapshot.elapsed_ms,
+	    rollout_plan_share(&snapshot), reported, all->new_counts.responses,
+	    all->new_counts.failed, all->new_counts.late,
+	    all->new_counts.gaps_measured, all->new_counts.gaps_slow,
+	    all->old_counts.responses, all->old_counts.failed,
+	    all->old_counts.late, all->old_counts.gaps_measured,
+	    all->old_counts.gaps_slow, evidence.failed, evidence.late,
+	    evidence.gaps);
+}
+
+/* Log what the counts of all daemons show, at a daemon that has their reports.
+ */
+static void
+evidence_log_if_due(rollout_t *rollout, const canary_tally_t *all)
+{
+	struct timespec now = clock_boottime(rollout->owner->clock);
+	double reported;
+
+	if (timespec_ms_between(rollout->evidence_logged_at, now) <
+	    EVIDENCE_LOG_INTERVAL_MS)
+		return;
+	rollout->evidence_logged_at = now;
+	reported = reported_part(rollout);
+	if (reported >= REPORTED_MIN)
+		evidence_log(rollout, all, reported);
+}
+
 static void
 bad_version_log(const rollout_t *rollout, const canary_tally_t *tally)
 {
@@ -99,8 +157,7 @@
 /* The routes are also compared together, which can show a difference before any
  * single route has enough responses to. */
 static bool
-tallies_are_bad(
-    const rollout_t *rollout, const canary_tally_t *sums, size_t len)
+tallies_are_bad(rollout_t *rollout, const canary_tally_t *sums, size_t len)
 {
 	canary_tally_t all = {0};
 
@@ -112,6 +169,7 @@
 			return true;
 		}
 	}
+	evidence_log_if_due(rollout, &all);
 	if (!canary_tally_is_bad(&all))
 		return false;
 	bad_version_log(rollout, &all);
@@ -143,25 +201,6 @@
 	return len;
 }
 
-/* Part of the other daemons whose report is known. */
-static double
-reported_part(const rollout_t *rollout)
-{
-	const membership_t *members = rollout->owner->members;
-	uint32_t daemons = 0, reported = 0;
-
-	for (const member_t *member = members->members; member != NULL;
-	     member = member->hh.next) {
-		if (!member_is_alive(members, member))
-			continue;
-		daemons++;
-		reported +=
-		    member_rollout_report(member, rollout->order.service,
-			rollout->order.number) != NULL;
-	}
-	return daemons > 0 ? (double)reported / daemons : 1;
-}
-
 bool
 rollout_load_input(
     rollout_t *rollout, const rollout_load_t *load, rollout_load_input_t *input)
--- a/moortack/rollout/canary_analysis.c
+++ b/moortack/rollout/canary_analysis.c
@@ -319,8 +319,8 @@
 	return len;
 }
 
-static bool
-test_shows_worse(const ratio_test_t *test, uint32_t bad, uint32_t responses,
+static double
+test_log_ratio(const ratio_test_t *test, uint32_t bad, uint32_t responses,
     uint32_t old_bad, uint32_t old_responses)
 {
 	double p0 =
@@ -328,27 +328,39 @@
 	double p1 = fmin(RATE_MAX, fmax(STEP_FACTOR * p0, p0 + test->step_min));
 	double good = (double)responses - bad;
 
-	if (bad < test->bad_min || p0 >= p1)
-		return false;
-	return bad * log(p1 / p0) + good * log((1 - p1) / (1 - p0)) >
-	    test->log_ratio_min;
+	return p0 < p1 ? bad * log(p1 / p0) + good * log((1 - p1) / (1 - p0))
+		       : 0;
 }
 
-bool
-canary_tally_is_bad(const canary_tally_t *tally)
+canary_evidence_t
+canary_tally_evidence(const canary_tally_t *tally)
 {
 	const canary_counts_t *new_counts = &tally->new_counts;
 	const canary_counts_t *old_counts = &tally->old_counts;
 
-	return test_shows_worse(&test_failed, new_counts->failed,
-		   new_counts->responses, old_counts->failed,
-		   old_counts->responses) ||
-	    test_shows_worse(&test_late, new_counts->late,
-		new_counts->responses, old_counts->late,
-		old_counts->responses) ||
-	    test_shows_worse(&test_gaps, new_counts->gaps_slow,
+	return (canary_evidence_t){
+	    .failed = test_log_ratio(&test_failed, new_counts->failed,
+		new_counts->responses, old_counts->failed,
+		old_counts->responses),
+	    .late = test_log_ratio(&test_late, new_counts->late,
+		new_counts->responses, old_counts->late, old_counts->responses),
+	    .gaps = test_log_ratio(&test_gaps, new_counts->gaps_slow,
 		new_counts->gaps_measured, old_counts->gaps_slow,
-		old_counts->gaps_measured);
+		old_counts->gaps_measured)};
+}
+
+bool
+canary_tally_is_bad(const canary_tally_t *tally)
+{
+	const canary_counts_t *counts = &tally->new_counts;
+	canary_evidence_t evidence = canary_tally_evidence(tally);
+
+	return (counts->failed >= test_failed.bad_min &&
+		   evidence.failed > test_failed.log_ratio_min) ||
+	    (counts->late >= test_late.bad_min &&
+		evidence.late > test_late.log_ratio_min) ||
+	    (counts->gaps_slow >= test_gaps.bad_min &&
+		evidence.gaps > test_gaps.log_ratio_min);
 }
 
 void
--- a/test/platform/decision_logged.lua
+++ b/test/platform/decision_logged.lua
@@ -23,7 +23,7 @@
 d:kill()
 call:leave()
 local line = line_of("underway")
-for _, field in ipairs({"endpoint=i%-1 ", "zone=%S+", "attempt=1 ", "of=1 ",
+for _, field in ipairs({"endpoint=i%-1 ", "version=v1 ", "zone=%S+", "attempt=1 ", "of=1 ",
     "load=%d", "left_ms=%d+", "config=%d+", "endpoints_age_ms=%d+"}) do
   lib.check(line:match(field), "%s is missing in: %s", field, line)
 end
