canary analysis: the shortest gaps of streams, judged over several endpoints

What callers saw: a version whose streams paused three to ten times as long got all requests before it was found to be bad, or was kept.

Cause: the analysis had too little to go by. And all requests of the first step went to one endpoint, so that a slow endpoint and a slow version could not be told apart.

Change: the shortest of a stream's first three gaps, which a prompt that is prefilled in between seldom stretches, is counted in bins of equal ratio, by groups of endpoints. The daemons' reports hold the bins. A likelihood ratio compares the distributions of both versions: as they are, against a part or all of the new one's longer by 2.5, 4 or 8 times. The version is worse beyond a bound, and only if it still seems so without the quarter of the groups that shows most; with many gaps each has to show more. A small share goes to eight endpoints at least. Endpoints that warm up, and callers who read slowly, are left out. The earlier tests stand.

Steps still go by time.

A report grows by the bins that are in use: at 32 bins of one old and twelve new histograms by arithmetic up to 0.4 KB, measured not.

--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -209,6 +209,8 @@
 /** Slots of an endpoint of a roll-out's new version; 0: none is known.
  * @param relay a relay_t */
 uint32_t relay_new_version_slots(const void *relay, const rollout_t *);
+/** Whether all endpoints of the new version are in one group. */
+bool relay_new_version_is_one_group(const void *relay, const rollout_t *);
 
 /** The version that most endpoints of a service had at first; "": not known.
  * @param relay a relay_t */
--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -110,6 +110,8 @@
 	    const void *relay, const rollout_t *, uint64_t route);
 	/** Slots of an endpoint of the new version; 0: none is known. */
 	uint32_t (*new_version_slots)(const void *relay, const rollout_t *);
+	/** Whether all endpoints of the new version are in one group. */
+	bool (*new_version_is_one_group)(const void *relay, const rollout_t *);
 	/** Part of the requests that a bad version may get, 0 to 1. */
 	double exposure_max;
 	/** The version of a service before any order; "": not known. */
--- a/include/moortack/rollout/canary_analysis.h
+++ b/include/moortack/rollout/canary_analysis.h
@@ -12,7 +12,11 @@
 #include <stdint.h>
 #include <time.h>
 
+#include "moortack/rollout/latency_histogram.h"
+
 #define CANARY_ROUTES_MAX 12
+/** Groups of a version's endpoints, by hash. */
+#define CANARY_GROUPS 12
 /** Slices of the window, of 1 s each. One of the users' workloads has 26
  * requests a second; a twentieth of them is 15 responses of the new version in
  * a window. */
@@ -47,6 +51,14 @@
 	uint32_t samples;
 } canary_latency_t;
 
+/** Responses by the shortest of their first gaps between events. A gap is
+ * longer while the endpoint prefills another prompt, the shortest one seldom
+ * is. */
+typedef struct canary_gaps {
+	latency_histogram_t old_gaps;
+	latency_histogram_t new_gaps[CANARY_GROUPS]; /**< by endpoints */
+} canary_gaps_t;
+
 /** The counts of one route in the window. */
 typedef struct canary_route {
 	uint64_t route; /**< hash of its name */
@@ -64,30 +76,37 @@
 	size_t routes_len;
 	canary_latency_t latencies[CANARY_LATENCIES_MAX];
 	size_t latencies_len;
+	canary_gaps_t gaps_slices[CANARY_SLICES];
+	int64_t gaps_last_slice; /**< number of the newest slice */
 } canary_analysis_t;
 
 /** What was observed of a response. */
 typedef enum canary_signal {
-	CANARY_FIRST_BYTE, /**< its first byte came */
-	CANARY_OVERDUE,	   /**< its first byte has not come yet */
-	CANARY_EVENT_GAP,  /**< the time between its events is known */
+	CANARY_FIRST_BYTE,   /**< its first byte came */
+	CANARY_OVERDUE,	     /**< its first byte has not come yet */
+	CANARY_EVENT_GAP,    /**< the time between its events is known */
+	CANARY_SHORTEST_GAP, /**< the shortest of its first gaps is known */
 	CANARY_FAILED,
 } canary_signal_t;
 
 /** One observation of a response. */
 typedef struct canary_observation {
 	canary_signal_t signal;
-	uint64_t route;	 /**< hash of its name */
-	uint64_t model;	 /**< hash of the model's name; 0: none */
-	bool is_new;	 /**< the response is of the new version */
-	bool stream;	 /**< it is a stream of events */
-	bool repeatable; /**< the request may be sent again */
-	bool counted;	 /**< an earlier signal of it was counted */
-	double ms; /**< until its first byte, or mean between its events */
+	uint64_t route;	    /**< hash of its name */
+	uint64_t model;	    /**< hash of the model's name; 0: none */
+	bool is_new;	    /**< the response is of the new version */
+	bool stream;	    /**< it is a stream of events */
+	bool repeatable;    /**< the request may be sent again */
+	bool counted;	    /**< an earlier signal of it was counted */
+	uint64_t endpoint;  /**< its hash */
+	double ms;	    /**< until its first byte, or between its events */
 	double token_ratio; /**< tokens in per token out expected; 0: not known
 			     */
 } canary_observation_t;
 
+/** @return the group of an endpoint with this hash */
+size_t canary_group(uint64_t endpoint);
+
 /** Discard the counts of the new version, for another order. */
 void canary_analysis_reset(canary_analysis_t *);
 
@@ -102,6 +121,10 @@
 size_t canary_analysis_tally(
     canary_analysis_t *, struct timespec now, canary_tally_t *out, size_t cap);
 
+/** Add the gaps in the window. */
+void canary_analysis_add_gaps(
+    canary_analysis_t *, struct timespec now, canary_gaps_t *sum);
+
 /** Routes whose responses take long compared with their prompts, so that many
  * of them run at an endpoint at a time before its prefill is the limit; the
  * best one in any case. Requests without a prompt need no prefill. Routes whose
@@ -123,6 +146,13 @@
 /** Whether the counts show that the new version is worse than the old one. */
 bool canary_tally_is_bad(const canary_tally_t *);
 
+/** Whether the gaps show that the new version is slower than the old one.
+ * @param single all its endpoints are in one group; else it isn't judged by
+ * those of few */
+bool canary_gaps_are_bad(const canary_gaps_t *, bool single);
+latency_evidence_t canary_gaps_evidence(const canary_gaps_t *);
+void canary_gaps_merge(canary_gaps_t *sum, const canary_gaps_t *more);
+
 /** Add the counts of @p more to @p sum. */
 void canary_counts_add(canary_counts_t *sum, const canary_counts_t *more);
 
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -84,6 +84,27 @@
 	return 0;
 }
 
+bool
+relay_new_version_is_one_group(const void *arg, const rollout_t *rollout)
+{
+	const relay_t *relay = arg;
+	const endpoint_group_t *group =
+	    endpoint_set_find_group(relay->endpoints, rollout->order.service);
+	const endpoint_t *first = NULL;
+
+	for (size_t i = 0; group != NULL && i < group->len; i++) {
+		const endpoint_t *endpoint = group->ring[i];
+
+		if (!rollout_is_new_version(rollout, endpoint))
+			continue;
+		if (first == NULL)
+			first = endpoint;
+		if (canary_group(endpoint->hash) != canary_group(first->hash))
+			return false;
+	}
+	return first != NULL;
+}
+
 const char *
 relay_group_base_version(const void *arg, const char *service)
 {
--- a/moortack/relay/relay_candidates.c
+++ b/moortack/relay/relay_candidates.c
@@ -15,6 +15,10 @@
  * endpoint that is put under load. */
 #define LOAD_WAIT_PART 0.5
 
+/* Endpoints of the new version that a small share of the requests goes to at
+ * least, since a version is not judged by few of its endpoints. */
+#define NEW_ENDPOINTS_MIN 8
+
 /** Which versions a request may go to. */
 typedef enum version_class {
 	VERSION_ANY,
@@ -225,8 +229,9 @@
 }
 
 /* Restricts a small share of the requests to as small a share of the endpoints,
- * so that these are as busy as they will be later. Those that put the new
- * version under load go to the first ones, the others to those that follow. */
+ * if these are enough, so that they are as busy as they will be later. Those
+ * that put the new version under load go to the first ones, the others to those
+ * that follow. */
 static void
 candidates_narrow(
     const relay_request_t *req, const rollout_t *rollout, candidates_t *set)
@@ -244,6 +249,8 @@
 	}
 	if (count == 0 || (rollout->share >= 1.0 && loaded == 0))
 		return;
+	if (count < NEW_ENDPOINTS_MIN)
+		count = NEW_ENDPOINTS_MIN;
 	for (size_t i = 0; i < set->len; i++)
 		allowed[i] = true;
 	candidates_select(rollout, set,
--- a/moortack/relay/relay_guard.c
+++ b/moortack/relay/relay_guard.c
@@ -11,6 +11,8 @@
 #define GAP_EVENTS 5
 /* Events from which a gap is reported at the end of a shorter response. */
 #define GAP_EVENTS_MIN 4
+/* Events after which the shortest gap is reported. */
+#define SHORTEST_GAP_EVENTS 4
 #define US_PER_MS 1000.0
 /* If an endpoint responds within this time after a response was truncated or
  * never came, it is alive, and the failure is attributed to its version.
@@ -62,6 +64,7 @@
 	    .stream = req->route->kind == ROUTE_STREAM,
 	    .repeatable = request_idempotent(req),
 	    .counted = attempt->guard_counted,
+	    .endpoint = attempt->endpoint->hash,
 	    .ms = ms,
 	    .token_ratio = token_ratio(&req->arrival)};
 }
@@ -69,12 +72,19 @@
 /* Responses of endpoints that are put under load are late whatever their
  * version. With these latencies counted, 7 of
  * 18 good versions were reverted on the larger of the users' workloads.
- * Failures are still due to the version alone, so they are counted. */
+ * So are those of an endpoint that is warming up. Failures are still due to the
+ * version alone, so they are counted. */
 static bool
 signal_counts(const relay_request_t *req, canary_signal_t signal)
 {
-	return signal == CANARY_FAILED || !req->attempt.new_version ||
-	    !req->attempt.puts_under_load;
+	const attempt_t *attempt = &req->attempt;
+
+	if (signal == CANARY_FAILED)
+		return true;
+	if (timespec_ms_between(clock_boottime(req->relay->clock),
+		attempt->endpoint->cold_until) > 0)
+		return false;
+	return !attempt->new_version || !attempt->puts_under_load;
 }
 
 /* How full the endpoints were at which the new version was observed. */
@@ -159,9 +169,37 @@
 	signal_report(req, CANARY_EVENT_GAP, event_gap_ms(req));
 }
 
+static void
+shortest_gap_update(relay_request_t *req)
+{
+	attempt_t *attempt = &req->attempt;
+	struct timespec now = clock_boottime(req->relay->clock);
+	double ms =
+	    (double)timespec_us_between(attempt->event_at, now) / US_PER_MS;
+
+	if (req->attempt_events == 2 || ms < attempt->shortest_gap_ms)
+		attempt->shortest_gap_ms = ms;
+	attempt->event_at = now;
+}
+
+/* Gaps of a response that was not read for a while are its caller's. */
+static void
+shortest_gap_report(relay_request_t *req)
+{
+	req->attempt.shortest_gap_reported = true;
+	if (!req->attempt.caller_was_slow)
+		signal_report(
+		    req, CANARY_SHORTEST_GAP, req->attempt.shortest_gap_ms);
+}
+
 void
 relay_canary_event(relay_request_t *req)
 {
+	if (!req->attempt.shortest_gap_reported) {
+		shortest_gap_update(req);
+		if (req->attempt_events == SHORTEST_GAP_EVENTS)
+			shortest_gap_report(req);
+	}
 	if (!req->attempt.event_rate_reported &&
 	    req->attempt_events == GAP_EVENTS)
 		gap_report(req);
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -370,6 +370,7 @@
 	    .log = &node->log,
 	    .old_in_flight = relay_old_version_in_flight,
 	    .new_version_slots = relay_new_version_slots,
+	    .new_version_is_one_group = relay_new_version_is_one_group,
 	    .exposure_max = node->settings.bounds.exposure_max,
 	    .group_base_version = relay_group_base_version,
 	    .relay = &node->relay};
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -68,9 +68,12 @@
 	bool puts_under_load; /**< its route's requests put the new
 				 version of a roll-out under load */
 	bool guard_counted;   /**< by the canary analysis */
-	bool event_rate_reported; /**< to the canary analysis */
-	bool late_recorded;	  /**< in the model's statistics */
-	bool connection_lost;	  /**< before the response was complete */
+	bool event_rate_reported;   /**< to the canary analysis */
+	bool shortest_gap_reported; /**< to the canary analysis */
+	double shortest_gap_ms;	    /**< of its first gaps between events */
+	struct timespec event_at;   /**< the last event */
+	bool late_recorded;	    /**< in the model's statistics */
+	bool connection_lost;	    /**< before the response was complete */
 	bool connection_refused; /**< by the endpoint's host: nothing listens */
 	struct timespec decode_since; /**< first of the events of which the
 					 time is measured */
--- /dev/null
+++ b/moortack/relay/rollout_evidence.c
@@ -0,0 +1,104 @@
+#include <inttypes.h>
+
+#include "rollouts_priv.h"
+
+#define EVIDENCE_LOG_INTERVAL_MS 1000
+
+static void
+evidence_log(rollout_t *rollout, const canary_sums_t *sums, double reported)
+{
+	const canary_counts_t *new_counts = &sums->all.new_counts;
+	const canary_counts_t *old_counts = &sums->all.old_counts;
+	canary_evidence_t evidence = canary_tally_evidence(&sums->all);
+	latency_evidence_t gaps = canary_gaps_evidence(&sums->gaps);
+	rollout_snapshot_t snapshot = rollout_take_snapshot(rollout);
+
+	event_log_write(rollout->owner->log, "rollout_evidence",
+	    "service=%s order=%" PRIu64 " elapsed_ms=%" PRId64
+	    " share=%.2f reports=%.2f new=%u failed=%u late=%u gaps=%u"
+	    " slow_gaps=%u old=%u old_failed=%u old_late=%u old_gaps=%u"
+	    " old_slow_gaps=%u log_failed=%.1f log_late=%.1f log_gaps=%.1f"
+	    " shortest_gaps=%u log_shortest=%.1f groups=%u log_trimmed=%.1f",
+	    rollout->order.service, rollout->order.number, snapshot.elapsed_ms,
+	    rollout_plan_share(&snapshot), reported, new_counts->responses,
+	    new_counts->failed, new_counts->late, new_counts->gaps_measured,
+	    new_counts->gaps_slow, old_counts->responses, old_counts->failed,
+	    old_counts->late, old_counts->gaps_measured, old_counts->gaps_slow,
+	    evidence.failed, evidence.late, evidence.gaps, gaps.count,
+	    gaps.log_ratio, gaps.groups, gaps.trimmed_log_ratio);
+}
+
+/* Log what all daemons counted and what it shows, at a daemon that has their
+ * reports. */
+static void
+evidence_log_if_due(rollout_t *rollout, const canary_sums_t *sums)
+{
+	struct timespec now = clock_boottime(rollout->owner->clock);
+	double reported;
+
+	if (timespec_ms_between(rollout->evidence_logged_at, now) <
+	    EVIDENCE_LOG_INTERVAL_MS)
+		return;
+	rollout->evidence_logged_at = now;
+	reported = rollout_reported_part(rollout);
+	if (reported >= ROLLOUT_REPORTED_MIN)
+		evidence_log(rollout, sums, reported);
+}
+
+static void
+bad_version_log(const rollout_t *rollout, const canary_sums_t *sums,
+    const canary_tally_t *tally)
+{
+	const canary_counts_t *new_counts = &tally->new_counts;
+	const canary_counts_t *old_counts = &tally->old_counts;
+	latency_evidence_t gaps = canary_gaps_evidence(&sums->gaps);
+
+	event_log_write(rollout->owner->log, "rollout_bad",
+	    "service=%s order=%" PRIu64 " route=%016" PRIx64
+	    " new=%u failed=%u slow=%u paced=%u dragged=%u"
+	    " old=%u failed=%u slow=%u paced=%u dragged=%u"
+	    " shortest_gaps=%u log_shortest=%.1f groups=%u log_trimmed=%.1f",
+	    rollout->order.service, rollout->order.number, tally->route,
+	    new_counts->responses, new_counts->failed, new_counts->late,
+	    new_counts->gaps_measured, new_counts->gaps_slow,
+	    old_counts->responses, old_counts->failed, old_counts->late,
+	    old_counts->gaps_measured, old_counts->gaps_slow, gaps.count,
+	    gaps.log_ratio, gaps.groups, gaps.trimmed_log_ratio);
+}
+
+static bool
+is_single_group(const rollout_t *rollout)
+{
+	const rollouts_t *self = rollout->owner;
+
+	return self->new_version_is_one_group != NULL &&
+	    self->new_version_is_one_group(self->relay, rollout);
+}
+
+/* The routes are also compared together, which can show a difference before any
+ * single route has enough responses to. */
+static bool
+sums_are_bad(const rollout_t *rollout, const canary_sums_t *sums)
+{
+	for (size_t i = 0; i < sums->routes_len; i++) {
+		if (canary_tally_is_bad(&sums->routes[i])) {
+			bad_version_log(rollout, sums, &sums->routes[i]);
+			return true;
+		}
+	}
+	if (!canary_tally_is_bad(&sums->all) &&
+	    !canary_gaps_are_bad(&sums->gaps, is_single_group(rollout)))
+		return false;
+	bad_version_log(rollout, sums, &sums->all);
+	return true;
+}
+
+bool
+rollout_new_version_is_bad(rollout_t *rollout)
+{
+	canary_sums_t sums;
+
+	rollout_sums_collect(rollout, &sums);
+	evidence_log_if_due(rollout, &sums);
+	return sums_are_bad(rollout, &sums);
+}
--- a/moortack/relay/rollout_report.c
+++ b/moortack/relay/rollout_report.c
@@ -6,12 +6,6 @@
 
 /* Numbers that canary_counts_t has in a report. */
 #define COUNTS_FIELDS 5
-/* Routes of all daemons together. */
-#define SUM_ROUTES_MAX 32
-/* Part of the daemons whose reports have to be known to estimate the requests
- * of all. Only the daemon that all others follow has them. */
-#define REPORTED_MIN 0.8
-#define EVIDENCE_LOG_INTERVAL_MS 1000
 
 /* The member's report on the roll-out of a service, or NULL if it has none on
  * this order. */
@@ -56,135 +50,84 @@
 	    .old_in_flight = array_u32(row, 1 + 2 * COUNTS_FIELDS)};
 }
 
+/* Pairs of a bin's number and its count, from an index on. */
 static void
-member_tallies_add(const rollout_t *rollout, canary_tally_t *sums, size_t *len)
+histogram_decode(const json_t *pairs, size_t at, latency_histogram_t *histogram)
 {
-	const membership_t *members = rollout->owner->members;
-
-	for (const member_t *member = members->members; member != NULL;
-	     member = member->hh.next) {
-		json_t *rows = json_object_get(
-		    member_rollout_report(
-			member, rollout->order.service, rollout->order.number),
-		    "tally");
-		size_t i;
-		json_t *row;
+	for (; at + 1 < json_array_size(pairs); at += 2) {
+		uint32_t bin = array_u32(pairs, at);
 
-		if (!member_is_alive(members, member))
-			continue;
-		json_array_foreach(rows, i, row)
-		{
-			canary_tally_t tally;
-
-			tally_decode(row, &tally);
-			canary_tally_add(sums, len, SUM_ROUTES_MAX, &tally);
-		}
+		if (bin < LATENCY_BINS)
+			histogram->bins[bin] += array_u32(pairs, at + 1);
 	}
 }
 
-/* Part of the other daemons whose report is known. */
-static double
-reported_part(const rollout_t *rollout)
+static void
+gaps_decode(const json_t *gaps, canary_gaps_t *sum)
 {
-	const membership_t *members = rollout->owner->members;
-	uint32_t daemons = 0, reported = 0;
+	const json_t *groups = json_object_get(gaps, "new");
+	size_t i;
+	json_t *row;
 
-	for (const member_t *member = members->members; member != NULL;
-	     member = member->hh.next) {
-		if (!member_is_alive(members, member))
-			continue;
-		daemons++;
-		reported +=
-		    member_rollout_report(member, rollout->order.service,
-			rollout->order.number) != NULL;
+	histogram_decode(json_object_get(gaps, "old"), 0, &sum->old_gaps);
+	json_array_foreach(groups, i, row)
+	{
+		uint32_t group = array_u32(row, 0);
+
+		if (group < CANARY_GROUPS)
+			histogram_decode(row, 1, &sum->new_gaps[group]);
 	}
-	return daemons > 0 ? (double)reported / daemons : 1;
 }
 
 static void
-evidence_log(rollout_t *rollout, const canary_tally_t *all, double reported)
+member_report_add(const json_t *report, canary_sums_t *sums)
 {
-	canary_evidence_t evidence = canary_tally_evidence(all);
-	rollout_snapshot_t snapshot = rollout_take_snapshot(rollout);
+	const json_t *rows = json_object_get(report, "tally");
+	size_t i;
+	json_t *row;
 
-	event_log_write(rollout->owner->log, "rollout_evidence",
-	    "service=%s order=%" PRIu64 " elapsed_ms=%" PRId64
-	    " share=%.2f reports=%.2f new=%u failed=%u late=%u gaps=%u"
-	    " slow_gaps=%u old=%u old_failed=%u old_late=%u old_gaps=%u"
-	    " old_slow_gaps=%u log_failed=%.1f log_late=%.1f log_gaps=%.1f",
-	    rollout->order.service, rollout->order.number, snapshot.elapsed_ms,
-	    rollout_plan_share(&snapshot), reported, all->new_counts.responses,
-	    all->new_counts.failed, all->new_counts.late,
-	    all->new_counts.gaps_measured, all->new_counts.gaps_slow,
-	    all->old_counts.responses, all->old_counts.failed,
-	    all->old_counts.late, all->old_counts.gaps_measured,
-	    all->old_counts.gaps_slow, evidence.failed, evidence.late,
-	    evidence.gaps);
-}
+	json_array_foreach(rows, i, row)
+	{
+		canary_tally_t tally;
 
-/* Log what the counts of all daemons show, at a daemon that has their reports.
- */
-static void
-evidence_log_if_due(rollout_t *rollout, const canary_tally_t *all)
-{
-	struct timespec now = clock_boottime(rollout->owner->clock);
-	double reported;
-
-	if (timespec_ms_between(rollout->evidence_logged_at, now) <
-	    EVIDENCE_LOG_INTERVAL_MS)
-		return;
-	rollout->evidence_logged_at = now;
-	reported = reported_part(rollout);
-	if (reported >= REPORTED_MIN)
-		evidence_log(rollout, all, reported);
+		tally_decode(row, &tally);
+		canary_tally_add(sums->routes, &sums->routes_len,
+		    ROLLOUT_SUM_ROUTES_MAX, &tally);
+	}
+	gaps_decode(json_object_get(report, "gaps"), &sums->gaps);
 }
 
 static void
-bad_version_log(const rollout_t *rollout, const canary_tally_t *tally)
+member_reports_add(const rollout_t *rollout, canary_sums_t *sums)
 {
-	event_log_write(rollout->owner->log, "rollout_bad",
-	    "service=%s order=%" PRIu64 " route=%016" PRIx64
-	    " new=%u failed=%u slow=%u paced=%u dragged=%u"
-	    " old=%u failed=%u slow=%u paced=%u dragged=%u",
-	    rollout->order.service, rollout->order.number, tally->route,
-	    tally->new_counts.responses, tally->new_counts.failed,
-	    tally->new_counts.late, tally->new_counts.gaps_measured,
-	    tally->new_counts.gaps_slow, tally->old_counts.responses,
-	    tally->old_counts.failed, tally->old_counts.late,
-	    tally->old_counts.gaps_measured, tally->old_counts.gaps_slow);
-}
+	const membership_t *members = rollout->owner->members;
 
-/* The routes are also compared together, which can show a difference before any
- * single route has enough responses to. */
-static bool
-tallies_are_bad(rollout_t *rollout, const canary_tally_t *sums, size_t len)
-{
-	canary_tally_t all = {0};
-
-	for (size_t i = 0; i < len; i++) {
-		canary_counts_add(&all.new_counts, &sums[i].new_counts);
-		canary_counts_add(&all.old_counts, &sums[i].old_counts);
-		if (canary_tally_is_bad(&sums[i])) {
-			bad_version_log(rollout, &sums[i]);
-			return true;
-		}
+	for (const member_t *member = members->members; member != NULL;
+	     member = member->hh.next) {
+		if (member_is_alive(members, member))
+			member_report_add(
+			    member_rollout_report(member,
+				rollout->order.service, rollout->order.number),
+			    sums);
 	}
-	evidence_log_if_due(rollout, &all);
-	if (!canary_tally_is_bad(&all))
-		return false;
-	bad_version_log(rollout, &all);
-	return true;
 }
 
-bool
-rollout_new_version_is_bad(rollout_t *rollout)
+double
+rollout_reported_part(const rollout_t *rollout)
 {
-	canary_tally_t sums[SUM_ROUTES_MAX];
-	size_t len = canary_analysis_tally(&rollout->canary,
-	    clock_boottime(rollout->owner->clock), sums, SUM_ROUTES_MAX);
+	const membership_t *members = rollout->owner->members;
+	uint32_t daemons = 0, reported = 0;
 
-	member_tallies_add(rollout, sums, &len);
-	return tallies_are_bad(rollout, sums, len);
+	for (const member_t *member = members->members; member != NULL;
+	     member = member->hh.next) {
+		if (!member_is_alive(members, member))
+			continue;
+		daemons++;
+		reported +=
+		    member_rollout_report(member, rollout->order.service,
+			rollout->order.number) != NULL;
+	}
+	return daemons > 0 ? (double)reported / daemons : 1;
 }
 
 /* The counts of this daemon. */
@@ -201,26 +144,46 @@
 	return len;
 }
 
+void
+rollout_sums_collect(rollout_t *rollout, canary_sums_t *sums)
+{
+	struct timespec now = clock_boottime(rollout->owner->clock);
+
+	*sums = (canary_sums_t){0};
+	sums->routes_len = canary_analysis_tally(
+	    &rollout->canary, now, sums->routes, ROLLOUT_SUM_ROUTES_MAX);
+	canary_analysis_add_gaps(&rollout->canary, now, &sums->gaps);
+	member_reports_add(rollout, sums);
+	for (size_t i = 0; i < sums->routes_len; i++) {
+		canary_counts_add(
+		    &sums->all.new_counts, &sums->routes[i].new_counts);
+		canary_counts_add(
+		    &sums->all.old_counts, &sums->routes[i].old_counts);
+	}
+}
+
 bool
 rollout_load_input(
     rollout_t *rollout, const rollout_load_t *load, rollout_load_input_t *input)
 {
-	canary_tally_t sums[SUM_ROUTES_MAX];
-	double reported = reported_part(rollout);
-	uint32_t in_flight = 0, responses = 0, responses_all = 0;
-	size_t len;
+	const rollouts_t *self = rollout->owner;
+	double reported = rollout_reported_part(rollout);
+	uint32_t in_flight = 0, responses = 0, responses_all;
+	canary_sums_t sums;
 
-	if (reported < REPORTED_MIN)
+	if (reported < ROLLOUT_REPORTED_MIN)
 		return false;
-	len = own_tallies(rollout, sums, SUM_ROUTES_MAX);
-	member_tallies_add(rollout, sums, &len);
-	for (size_t i = 0; i < len; i++) {
-		responses_all += sums[i].old_counts.responses;
-		if (!rollout_load_has_route(load, sums[i].route))
+	rollout_sums_collect(rollout, &sums);
+	for (size_t i = 0; i < sums.routes_len; i++) {
+		const canary_tally_t *route = &sums.routes[i];
+
+		if (!rollout_load_has_route(load, route->route))
 			continue;
-		responses += sums[i].old_counts.responses;
-		in_flight += sums[i].old_in_flight;
+		responses += route->old_counts.responses;
+		in_flight += route->old_in_flight +
+		    self->old_in_flight(self->relay, rollout, route->route);
 	}
+	responses_all = sums.all.old_counts.responses;
 	input->in_flight = (uint32_t)(in_flight / reported);
 	input->route_part =
 	    responses_all > 0 ? (double)responses / responses_all : 1;
@@ -274,6 +237,35 @@
 	return row;
 }
 
+static void
+histogram_encode(json_t *pairs, const latency_histogram_t *histogram)
+{
+	for (size_t i = 0; i < LATENCY_BINS; i++) {
+		if (histogram->bins[i] == 0)
+			continue;
+		json_array_append_new(pairs, json_integer((json_int_t)i));
+		json_array_append_new(pairs, json_integer(histogram->bins[i]));
+	}
+}
+
+static json_t *
+gaps_encode(const canary_gaps_t *gaps)
+{
+	json_t *old = json_array(), *groups = json_array();
+
+	histogram_encode(old, &gaps->old_gaps);
+	for (size_t i = 0; i < CANARY_GROUPS; i++) {
+		json_t *row;
+
+		if (latency_histogram_count(&gaps->new_gaps[i]) == 0)
+			continue;
+		row = json_pack("[i]", (int)i);
+		histogram_encode(row, &gaps->new_gaps[i]);
+		json_array_append_new(groups, row);
+	}
+	return json_pack("{s:o, s:o}", "old", old, "new", groups);
+}
+
 static json_t *
 rollout_report_encode(rollout_t *rollout)
 {
@@ -281,15 +273,18 @@
 	size_t len = own_tallies(rollout, tallies, CANARY_ROUTES_MAX);
 	rollout_snapshot_t snapshot = rollout_take_snapshot(rollout);
 	json_t *rows = json_array();
+	canary_gaps_t gaps = {0};
 
 	for (size_t i = 0; i < len; i++)
 		json_array_append_new(rows, tally_encode(&tallies[i]));
-	return json_pack("{s:I, s:f, s:i, s:o}", "order",
+	canary_analysis_add_gaps(
+	    &rollout->canary, clock_boottime(rollout->owner->clock), &gaps);
+	return json_pack("{s:I, s:f, s:i, s:o, s:o}", "order",
 	    (json_int_t)rollout->order.number, "share",
 	    rollout_plan_share(&snapshot), "old",
 	    (int)rollout->owner->old_in_flight(
 		rollout->owner->relay, rollout, 0),
-	    "tally", rows);
+	    "tally", rows, "gaps", gaps_encode(&gaps));
 }
 
 json_t *
--- a/moortack/relay/rollouts_priv.h
+++ b/moortack/relay/rollouts_priv.h
@@ -2,9 +2,9 @@
  * @file
  * Internals of the roll-outs: rollouts.c keeps orders and states,
  * rollout_state.c encodes and decodes the rows of states, rollout_report.c
- * evaluates the reports of all daemons, rollout_sessions.c keeps the sessions
- * that stay on an old version, rollout_load.c determines how the new version is
- * put under load.
+ * sums up the reports of all daemons, rollout_evidence.c judges by them,
+ * rollout_sessions.c keeps the sessions that stay on an old version,
+ * rollout_load.c determines how the new version is put under load.
  */
 #ifndef MOORTACK_RELAY_ROLLOUTS_PRIV_H
 #define MOORTACK_RELAY_ROLLOUTS_PRIV_H
@@ -39,6 +39,24 @@
 /** What the share depends on, now. */
 rollout_snapshot_t rollout_take_snapshot(const rollout_t *);
 
+/** Routes of all daemons together. */
+#define ROLLOUT_SUM_ROUTES_MAX 32
+/** Part of the daemons whose reports have to be known to decide for all. Only
+ * the daemon that all others follow has them. */
+#define ROLLOUT_REPORTED_MIN 0.8
+
+/** What this daemon counted, and those whose reports it has. */
+typedef struct canary_sums {
+	canary_tally_t routes[ROLLOUT_SUM_ROUTES_MAX];
+	size_t routes_len;
+	canary_tally_t all; /**< of all routes */
+	canary_gaps_t gaps;
+} canary_sums_t;
+
+void rollout_sums_collect(rollout_t *, canary_sums_t *);
+/** Part of the other daemons whose report is known. */
+double rollout_reported_part(const rollout_t *);
+
 /** Whether the responses counted by all daemons show that the new version is
  * bad. */
 bool rollout_new_version_is_bad(rollout_t *);
--- a/moortack/rollout/canary_analysis.c
+++ b/moortack/rollout/canary_analysis.c
@@ -43,6 +43,17 @@
 static const ratio_test_t test_late = {0.05, 0.15, 10, 14.0};
 static const ratio_test_t test_gaps = {0.10, 0.20, 6, 9.0};
 
+/* From which logarithm of the likelihood ratio on the gaps show a slower
+ * version. With many gaps a small difference would do, which the load of both
+ * versions and their caches explain; so each gap beyond the first ones has to
+ * show more. */
+#define GAPS_LOG_RATIO_MIN 6.0
+#define GAPS_FIRST 40
+#define GAPS_LOG_RATIO_PER_GAP 0.3
+/* The same without the slowest groups of endpoints. Few endpoints may be slow
+ * for reasons of their own. */
+#define GAPS_TRIMMED_LOG_RATIO_MIN 1.0
+
 /* A worse version has the old one's rate times this factor, or plus the test's
  * step if that is more. */
 #define STEP_FACTOR 3.0
@@ -53,12 +64,21 @@
  * for a token out as for one in, and has 16 to 64 slots. */
 #define LONG_TOKEN_RATIO_MAX 12.0
 
+size_t
+canary_group(uint64_t endpoint)
+{
+	return endpoint % CANARY_GROUPS;
+}
+
 void
 canary_analysis_reset(canary_analysis_t *analysis)
 {
 	for (size_t i = 0; i < analysis->routes_len; i++)
 		memset(analysis->routes[i].new_slices, 0,
 		    sizeof(analysis->routes[i].new_slices));
+	for (size_t i = 0; i < CANARY_SLICES; i++)
+		memset(analysis->gaps_slices[i].new_gaps, 0,
+		    sizeof(analysis->gaps_slices[i].new_gaps));
 }
 
 static void
@@ -80,6 +100,22 @@
 	entry->last_slice = slice;
 }
 
+static void
+gaps_advance(canary_analysis_t *analysis, struct timespec now)
+{
+	int64_t slice = timespec_to_ms(now) / SLICE_MS;
+	int64_t steps = slice - analysis->gaps_last_slice;
+
+	if (steps <= 0)
+		return;
+	if (steps > CANARY_SLICES)
+		steps = CANARY_SLICES;
+	for (int64_t i = 0; i < steps; i++)
+		analysis->gaps_slices[(slice - i) % CANARY_SLICES] =
+		    (canary_gaps_t){0};
+	analysis->gaps_last_slice = slice;
+}
+
 static canary_route_t *
 route_find_or_add(canary_analysis_t *analysis, uint64_t route)
 {
@@ -210,6 +246,21 @@
 	latency_learn(&measurement, observation->is_new);
 }
 
+static void
+shortest_gap_count(canary_analysis_t *analysis,
+    const canary_observation_t *observation, struct timespec now)
+{
+	canary_gaps_t *slice;
+
+	gaps_advance(analysis, now);
+	slice =
+	    &analysis->gaps_slices[analysis->gaps_last_slice % CANARY_SLICES];
+	latency_histogram_add(observation->is_new
+		? &slice->new_gaps[canary_group(observation->endpoint)]
+		: &slice->old_gaps,
+	    observation->ms);
+}
+
 static void
 token_ratio_learn(canary_route_t *entry, double ratio)
 {
@@ -274,6 +325,9 @@
 	case CANARY_EVENT_GAP:
 		gap_count(analysis, observation, counts);
 		break;
+	case CANARY_SHORTEST_GAP:
+		shortest_gap_count(analysis, observation, now);
+		break;
 	case CANARY_FAILED:
 		counts->responses += !observation->counted;
 		counts->failed++;
@@ -319,6 +373,42 @@
 	return len;
 }
 
+void
+canary_gaps_merge(canary_gaps_t *sum, const canary_gaps_t *more)
+{
+	latency_histogram_merge(&sum->old_gaps, &more->old_gaps);
+	for (size_t i = 0; i < CANARY_GROUPS; i++)
+		latency_histogram_merge(&sum->new_gaps[i], &more->new_gaps[i]);
+}
+
+void
+canary_analysis_add_gaps(
+    canary_analysis_t *analysis, struct timespec now, canary_gaps_t *sum)
+{
+	gaps_advance(analysis, now);
+	for (size_t i = 0; i < CANARY_SLICES; i++)
+		canary_gaps_merge(sum, &analysis->gaps_slices[i]);
+}
+
+latency_evidence_t
+canary_gaps_evidence(const canary_gaps_t *gaps)
+{
+	return latency_histogram_compare(
+	    &gaps->old_gaps, gaps->new_gaps, CANARY_GROUPS);
+}
+
+bool
+canary_gaps_are_bad(const canary_gaps_t *gaps, bool single)
+{
+	latency_evidence_t evidence = canary_gaps_evidence(gaps);
+	uint32_t further =
+	    evidence.count > GAPS_FIRST ? evidence.count - GAPS_FIRST : 0;
+
+	return evidence.log_ratio >
+	    GAPS_LOG_RATIO_MIN + GAPS_LOG_RATIO_PER_GAP * further &&
+	    (single || evidence.trimmed_log_ratio > GAPS_TRIMMED_LOG_RATIO_MIN);
+}
+
 static double
 test_log_ratio(const ratio_test_t *test, uint32_t bad, uint32_t responses,
     uint32_t old_bad, uint32_t old_responses)
--- /dev/null
+++ b/test/unit/canary_analysis_test.c
@@ -0,0 +1,226 @@
+/**
+ * @file
+ * What the gaps between the events of a new version show, one response after
+ * the other: how many responses it takes to find a slower version, and how
+ * often one that is not slower is taken for one. Each check plays many seeds.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "../support/random.h"
+#include "moortack/rollout/canary_analysis.h"
+
+#define SEEDS 500
+/* Requests that a bad version may get in any case, by the users' rule. */
+#define TOLERANCE 30
+#define OLD_RESPONSES 150
+#define ENDPOINTS 8
+#define USUAL_MS 20.0
+#define PERMILLE 1000
+
+static const struct timespec now = {100, 0};
+
+static double
+random_part(uint64_t *random)
+{
+	return random_below(random, PERMILLE) / (double)PERMILLE;
+}
+
+/* The shortest of three gaps: most are near the usual one; a tenth is up to
+ * three times as long, and one in fifty up to fifteen times, since the endpoint
+ * prefilled long prompts. */
+static double
+gap_draw(uint64_t *random)
+{
+	double usual = USUAL_MS * (0.8 + 0.4 * random_part(random));
+	uint32_t kind = random_below(random, 50);
+
+	if (kind == 0)
+		return usual * (3 + 12 * random_part(random));
+	return kind <= 5 ? usual * (1 + 2 * random_part(random)) : usual;
+}
+
+/** How a new version behaves. */
+typedef struct behaviour {
+	double part;		 /**< of its responses that are slower */
+	double factor;		 /**< by which they are */
+	uint32_t slow_endpoints; /**< whose responses are slower; 0: all */
+} behaviour_t;
+
+static void
+observe(canary_analysis_t *analysis, bool is_new, uint64_t endpoint, double ms)
+{
+	const canary_observation_t observation = {.signal = CANARY_SHORTEST_GAP,
+	    .route = 1,
+	    .stream = true,
+	    .is_new = is_new,
+	    .endpoint = endpoint,
+	    .ms = ms};
+
+	assert_true(canary_analysis_observe(analysis, &observation, now));
+}
+
+static void
+old_version_observe(canary_analysis_t *analysis, uint64_t *random)
+{
+	for (int i = 0; i < OLD_RESPONSES; i++)
+		observe(analysis, false, 0, gap_draw(random));
+}
+
+static void
+new_version_observe(
+    canary_analysis_t *analysis, const behaviour_t *behaviour, uint64_t *random)
+{
+	uint32_t endpoint = random_below(random, ENDPOINTS);
+	double ms = gap_draw(random);
+
+	if (random_part(random) < behaviour->part &&
+	    (behaviour->slow_endpoints == 0 ||
+		endpoint < behaviour->slow_endpoints))
+		ms *= behaviour->factor;
+	observe(analysis, true, endpoint, ms);
+}
+
+/* Responses of the new version until it is found to be slower; @p max + 1 if it
+ * is not within @p max. */
+static uint32_t
+responses_until_bad(uint64_t seed, const behaviour_t *behaviour, uint32_t max)
+{
+	canary_analysis_t analysis = {0};
+	uint64_t random = seed;
+	uint32_t count = 0;
+	bool bad = false;
+
+	old_version_observe(&analysis, &random);
+	while (!bad && count <= max) {
+		canary_gaps_t gaps = {0};
+
+		new_version_observe(&analysis, behaviour, &random);
+		canary_analysis_add_gaps(&analysis, now, &gaps);
+		bad = canary_gaps_are_bad(&gaps, false);
+		count++;
+	}
+	return count;
+}
+
+/* How many of the seeds are found to be slower within @p max responses. */
+static uint32_t
+seeds_found_bad(const behaviour_t *behaviour, uint32_t max)
+{
+	uint32_t found = 0;
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++)
+		found += responses_until_bad(seed, behaviour, max) <= max;
+	return found;
+}
+
+/* A version that answers several times slower got all requests before enough of
+ * its responses were counted as slow. */
+static void
+slower_version_is_found_within_the_tolerance(void **state)
+{
+	static const behaviour_t all_slower[] = {{1.0, 3, 0}, {1.0, 8, 0}};
+	static const behaviour_t half_slower[] = {{0.5, 4, 0}, {0.5, 8, 0}};
+
+	(void)state;
+	for (size_t i = 0; i < 2; i++) {
+		assert_in_range(seeds_found_bad(&all_slower[i], TOLERANCE),
+		    SEEDS * 98 / 100, SEEDS);
+		assert_in_range(seeds_found_bad(&half_slower[i], TOLERANCE),
+		    SEEDS * 90 / 100, SEEDS);
+	}
+}
+
+static void
+version_that_is_not_slower_is_not_found_bad(void **state)
+{
+	static const behaviour_t behaviours[] = {{0, 1, 0}, {1.0, 1.3, 0}};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(behaviours) / sizeof(behaviours[0]); i++)
+		assert_in_range(
+		    seeds_found_bad(&behaviours[i], 300), 0, SEEDS / 100);
+}
+
+/* Endpoints that are slow for a reason of their own are no slower version. */
+static void
+few_slow_endpoints_do_not_make_a_version_bad(void **state)
+{
+	static const behaviour_t behaviours[] = {{1.0, 8, 1}, {1.0, 8, 2}};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(behaviours) / sizeof(behaviours[0]); i++)
+		assert_in_range(
+		    seeds_found_bad(&behaviours[i], 300), 0, SEEDS / 100);
+}
+
+/* A version with one endpoint only has no other to be judged by. */
+static void
+single_endpoint_stands_for_its_version(void **state)
+{
+	canary_analysis_t analysis = {0};
+	uint64_t random = 1;
+	canary_gaps_t gaps = {0};
+
+	(void)state;
+	old_version_observe(&analysis, &random);
+	for (int i = 0; i < TOLERANCE; i++)
+		observe(&analysis, true, 3, 8 * gap_draw(&random));
+	canary_analysis_add_gaps(&analysis, now, &gaps);
+	assert_false(canary_gaps_are_bad(&gaps, false));
+	assert_true(canary_gaps_are_bad(&gaps, true));
+}
+
+static void
+gaps_are_not_compared_with_too_few_of_the_old_version(void **state)
+{
+	canary_analysis_t analysis = {0};
+	canary_gaps_t gaps = {0};
+
+	(void)state;
+	for (int i = 0; i < 10; i++)
+		observe(&analysis, false, 0, USUAL_MS);
+	for (int i = 0; i < 100; i++)
+		observe(&analysis, true, (uint64_t)i, 20 * USUAL_MS);
+	canary_analysis_add_gaps(&analysis, now, &gaps);
+	assert_true(canary_gaps_evidence(&gaps).log_ratio == 0);
+	assert_false(canary_gaps_are_bad(&gaps, false));
+}
+
+/* Gaps outside the range of the bins, and a window that has passed. */
+static void
+odd_gaps_and_old_ones_are_harmless(void **state)
+{
+	static const double gaps_ms[] = {-5, 0, 0.001, 1, 1e12};
+	const struct timespec later = {200, 0};
+	canary_analysis_t analysis = {0};
+	canary_gaps_t gaps = {0};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(gaps_ms) / sizeof(gaps_ms[0]); i++)
+		observe(&analysis, false, 0, gaps_ms[i]);
+	canary_analysis_add_gaps(&analysis, now, &gaps);
+	assert_int_equal(latency_histogram_count(&gaps.old_gaps), 5);
+	gaps = (canary_gaps_t){0};
+	canary_analysis_add_gaps(&analysis, later, &gaps);
+	assert_int_equal(latency_histogram_count(&gaps.old_gaps), 0);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(slower_version_is_found_within_the_tolerance),
+	    cmocka_unit_test(version_that_is_not_slower_is_not_found_bad),
+	    cmocka_unit_test(few_slow_endpoints_do_not_make_a_version_bad),
+	    cmocka_unit_test(single_endpoint_stands_for_its_version),
+	    cmocka_unit_test(
+		gaps_are_not_compared_with_too_few_of_the_old_version),
+	    cmocka_unit_test(odd_gaps_and_old_ones_are_harmless),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/unit/candidates_test.c
+++ b/test/unit/candidates_test.c
@@ -287,6 +287,24 @@
 	assert_int_equal(new_candidates_count(0.8, &long_route, true), NEW);
 }
 
+/* One endpoint that is slow or fails for a reason of its own would be taken for
+ * the version. */
+static void
+small_share_goes_to_several_endpoints(void **state)
+{
+	row_watch_t watch;
+	daemon_t *daemon = daemon_new(false, 0);
+
+	(void)state;
+	for (int i = 0; i < 12; i++)
+		version_learn(daemon, i, "v2");
+	rollout_add(daemon, &watch, 0.2);
+	daemon->relay.daemons_max_seen = 1;
+	daemon->request.route = &other_route;
+	assert_int_equal(candidates_count(daemon, 0), 8);
+	daemon_in_rollout_free(daemon);
+}
+
 /* Prompts of other requests would take the time of the endpoints under load. */
 static void
 other_requests_avoid_the_endpoints_under_load(void **state)
@@ -336,6 +354,7 @@
 	    cmocka_unit_test(few_endpoints_are_all_candidates),
 	    cmocka_unit_test(other_daemons_are_assumed_to_have_equal_load),
 	    cmocka_unit_test(new_version_is_put_under_load_at_few_endpoints),
+	    cmocka_unit_test(small_share_goes_to_several_endpoints),
 	    cmocka_unit_test(other_requests_avoid_the_endpoints_under_load),
 	    cmocka_unit_test(full_endpoint_is_not_loaded_further),
 	};
