retry budget: log lines say what it allows and what it was used for

The hypotheses of docs/incidents/retries-of-daemons-that-start.md could not be told apart: no line had the daemons among which a process divides the fixed part, nor what its requests allowed.

retry_budget, at most once a second for each service while retries are made or denied: time since the start of the process, daemons, requests and retries of the window, both parts of what is allowed, retries made and denied. The functions move to a file of their own (relay_retry_budget.c). No decision changes; unit_relay_counts, unit_relay_decisions pass.

--- a/include/moortack/relay/retry_share.h
+++ b/include/moortack/relay/retry_share.h
@@ -29,6 +29,14 @@
 	uint32_t retries[RETRY_SLICES];
 } retry_share_t;
 
+/** What a daemon may spend, and has spent, in the present window. */
+typedef struct retry_usage {
+	uint32_t requests;
+	uint32_t retries;
+	double earned; /**< retries allowed by its requests */
+	double fixed;  /**< retries allowed besides */
+} retry_usage_t;
+
 /** Count a request. */
 void retry_share_add_request(
     retry_share_t *, const retry_bounds_t *, struct timespec now);
@@ -44,4 +52,7 @@
 double retry_share_remaining(retry_share_t *, const retry_bounds_t *,
     uint32_t daemons, struct timespec now);
 
+retry_usage_t retry_share_usage(retry_share_t *, const retry_bounds_t *,
+    uint32_t daemons, struct timespec now);
+
 #endif
--- a/moortack/relay/relay_service_state.c
+++ b/moortack/relay/relay_service_state.c
@@ -6,11 +6,6 @@
 /* Routes with an estimate of their callers' first tries: enough for those of
  * several configurations, since none is removed. */
 #define ROUTES_TRACKED_MAX 4096
-/* Part of the retry budget that is reserved for failures. 0.25 left a daemon
- * that receives a few streams a second no retry for one escalation to a larger
- * model in forty, and lowered the benchmark score of three deployments by 0.003
- * to 0.005 (15, 15 and 10 days, each within the noise). */
-#define RETRY_RESERVE_SHARE 0.05
 
 service_state_t *
 relay_service_state(relay_t *relay, const char *service)
@@ -29,44 +24,6 @@
 	return state;
 }
 
-static retry_share_t *
-budget_of(relay_t *relay, const char *service)
-{
-	service_state_t *state = relay_service_state(relay, service);
-
-	return state != NULL ? &state->retry_share : NULL;
-}
-
-bool
-relay_retry_acquire(relay_t *relay, const char *service)
-{
-	retry_share_t *share = budget_of(relay, service);
-
-	return share != NULL &&
-	    retry_share_spend(share, &relay->bounds.retries,
-		relay->daemons_max_seen, clock_boottime(relay->clock));
-}
-
-bool
-relay_retry_has_spare(relay_t *relay, const char *service)
-{
-	retry_share_t *share = budget_of(relay, service);
-
-	return share != NULL &&
-	    retry_share_remaining(share, &relay->bounds.retries,
-		relay->daemons_max_seen,
-		clock_boottime(relay->clock)) > RETRY_RESERVE_SHARE;
-}
-
-void
-relay_count_request(relay_t *relay, const char *service, struct timespec now)
-{
-	retry_share_t *share = budget_of(relay, service);
-
-	if (share != NULL)
-		retry_share_add_request(share, &relay->bounds.retries, now);
-}
-
 double
 relay_earlier_tries_ms(
     relay_t *relay, const relay_route_t *route, int64_t deadline_ms)
--- a/moortack/relay/retry_share.c
+++ b/moortack/relay/retry_share.c
@@ -50,23 +50,28 @@
 	share->requests[share->slice % RETRY_SLICES]++;
 }
 
-/* Retries that this daemon may make in the window. */
-static double
-retries_allowed(
-    const retry_share_t *share, const retry_bounds_t *bounds, uint32_t daemons)
+retry_usage_t
+retry_share_usage(retry_share_t *share, const retry_bounds_t *bounds,
+    uint32_t daemons, struct timespec now)
 {
-	return BUDGET_SAFETY_FACTOR *
-	    (bounds->min_retries / (daemons > 0 ? daemons : 1) +
-		bounds->ratio * counts_sum(share->requests));
+	retry_usage_t usage;
+
+	share_advance(share, bounds, now);
+	usage.requests = counts_sum(share->requests);
+	usage.retries = counts_sum(share->retries);
+	usage.earned = BUDGET_SAFETY_FACTOR * bounds->ratio * usage.requests;
+	usage.fixed = BUDGET_SAFETY_FACTOR * bounds->min_retries /
+	    (daemons > 0 ? daemons : 1);
+	return usage;
 }
 
 bool
 retry_share_spend(retry_share_t *share, const retry_bounds_t *bounds,
     uint32_t daemons, struct timespec now)
 {
-	share_advance(share, bounds, now);
-	if (counts_sum(share->retries) + 1 >
-	    retries_allowed(share, bounds, daemons))
+	retry_usage_t usage = retry_share_usage(share, bounds, daemons, now);
+
+	if (usage.retries + 1 > usage.earned + usage.fixed)
 		return false;
 	share->retries[share->slice % RETRY_SLICES]++;
 	return true;
@@ -76,11 +81,9 @@
 retry_share_remaining(retry_share_t *share, const retry_bounds_t *bounds,
     uint32_t daemons, struct timespec now)
 {
-	double limit, used;
+	retry_usage_t usage = retry_share_usage(share, bounds, daemons, now);
+	double limit = usage.earned + usage.fixed;
 
-	share_advance(share, bounds, now);
-	limit = retries_allowed(share, bounds, daemons);
-	used = counts_sum(share->retries);
 	/* Less than one retry can't be used. */
-	return used + 1 <= limit ? 1 - used / limit : 0;
+	return usage.retries + 1 <= limit ? 1 - usage.retries / limit : 0;
 }
