retry_share: a token bucket, so that daemons that start again stay within the budget

Retries that are not allowed are load on a service that fails already.

Cause: the budget was a count over a window, which ends with its process. Each process that starts has its part of the fixed part (7.4 of 52) anew, and what requests of before the window had earned is spent by the old process, what those of the window earn by the new one. Ruled out by retry_budget lines: that a process knows only itself (daemons=6 before its first retry). docs/incidents/retries-of-daemons-that-start.md.

Change: a token bucket. What can be saved up is bounded (0.13 of the ratio for the window's requests, or what the latest have earned; a part of the fixed part), so that it and what is earned in a window stay within the budget whoever saved it. A process starts with one retry at most. Nothing is remembered or sent. docs/design/retry-budget.md has the bound as arithmetic, and what is not within it: bursts just before a window, more than two starts of a daemon in a window, the first start of a fleet. retry_budget lines show what is saved, and how often none was left besides those reserved for failures.

--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -81,8 +81,10 @@
 	relay_t *relay;
 	char service[ENDPOINT_NAME_SIZE];
 	retry_share_t retry_share;
-	uint32_t retries_made;		   /**< since retries_logged_at */
-	uint32_t retries_denied;	   /**< since retries_logged_at */
+	uint32_t retries_made;	   /**< since retries_logged_at */
+	uint32_t retries_denied;   /**< since retries_logged_at */
+	uint32_t retries_reserved; /**< not available since then, as the rest is
+				      reserved for failures */
 	struct timespec retries_logged_at; /**< last line of the log; 0: none */
 	service_model_t models[MODELS_MAX];
 	size_t models_len;
--- a/include/moortack/relay/retry_share.h
+++ b/include/moortack/relay/retry_share.h
@@ -1,8 +1,10 @@
 /**
  * @file
- * This daemon's share of a service's retry budget over a sliding window: a
- * fixed number of retries divided by the daemons, and a ratio of the requests
- * that this daemon received.
+ * This daemon's share of a service's retry budget: a token bucket. Requests
+ * earn retries, a fixed number of retries is divided by the daemons, and only
+ * so many can be saved that daemons that start again at any time, and know
+ * nothing of what was spent before, stay within the budget of all
+ * (docs/design/retry-budget.md).
  */
 #ifndef MOORTACK_RELAY_RETRY_SHARE_H
 #define MOORTACK_RELAY_RETRY_SHARE_H
@@ -11,7 +13,7 @@
 #include <stdint.h>
 #include <time.h>
 
-/** Slices whose counts are kept; the window is one slice shorter. */
+/** Slices of the window in which requests are counted. */
 #define RETRY_SLICES 20
 
 /** Retry budget of a service. */
@@ -22,20 +24,21 @@
 			       requests */
 } retry_bounds_t;
 
-/** Counts of one service by slices of the window; all zeros at first. */
+/** Bucket of one service; all zeros at first. */
 typedef struct retry_share {
 	int64_t slice; /**< number of the newest slice */
 	uint32_t requests[RETRY_SLICES];
-	uint32_t retries[RETRY_SLICES];
+	double saved;	     /**< retries that can be made */
+	bool started;	     /**< the part for the start was added */
+	int64_t refilled_ms; /**< until then the fixed part was added */
 } retry_share_t;
 
-/** What a daemon may spend, and has spent, in the present window. */
-typedef struct retry_usage {
-	uint32_t requests;
-	uint32_t retries;
-	double earned; /**< retries allowed by its requests */
-	double fixed;  /**< retries allowed besides */
-} retry_usage_t;
+/** What is left of the budget. */
+typedef struct retry_balance {
+	uint32_t requests; /**< in the window */
+	double saved;	   /**< retries that can be made */
+	double saved_max;  /**< retries that can be saved at present */
+} retry_balance_t;
 
 /** Count a request. */
 void retry_share_add_request(
@@ -47,12 +50,11 @@
 bool retry_share_spend(retry_share_t *, const retry_bounds_t *,
     uint32_t daemons, struct timespec now);
 
-/** Part of this daemon's budget that is left, at most 1; 0: less than one retry
- * is left. */
-double retry_share_remaining(retry_share_t *, const retry_bounds_t *,
+/** Whether a retry is left besides those that are reserved for failures. */
+bool retry_share_has_spare(retry_share_t *, const retry_bounds_t *,
     uint32_t daemons, struct timespec now);
 
-retry_usage_t retry_share_usage(retry_share_t *, const retry_bounds_t *,
+retry_balance_t retry_share_balance(retry_share_t *, const retry_bounds_t *,
     uint32_t daemons, struct timespec now);
 
 #endif
--- a/moortack/relay/relay_retry_budget.c
+++ b/moortack/relay/relay_retry_budget.c
@@ -2,11 +2,6 @@
 
 #include "relay_request.h"
 
-/* Part of the retry budget that is reserved for failures. 0.25 left a daemon
- * that receives a few streams a second no retry for one escalation to a larger
- * model in forty, and lowered the benchmark score of three deployments by 0.003
- * to 0.005 (15, 15 and 10 days, each within the noise). */
-#define RETRY_RESERVE_SHARE 0.05
 #define LOG_INTERVAL_MS 1000
 
 /* Write what the service's budget was used for since the last line. */
@@ -14,25 +9,26 @@
 usage_log(service_state_t *state, struct timespec now)
 {
 	relay_t *relay = state->relay;
-	retry_usage_t usage;
+	retry_balance_t balance;
 
 	if (relay->log == NULL ||
 	    timespec_ms_between(state->retries_logged_at, now) <
 		LOG_INTERVAL_MS)
 		return;
-	usage = retry_share_usage(&state->retry_share, &relay->bounds.retries,
-	    relay->daemons_max_seen, now);
+	balance = retry_share_balance(&state->retry_share,
+	    &relay->bounds.retries, relay->daemons_max_seen, now);
 	event_log_write(relay->log, "retry_budget",
 	    "service=%s started_ms=%" PRId64
-	    " daemons=%u requests=%u retries=%u earned=%.1f fixed=%.1f "
-	    "made=%u denied=%u",
+	    " daemons=%u requests=%u saved=%.1f saved_max=%.1f made=%u "
+	    "denied=%u reserved=%u",
 	    state->service, timespec_ms_between(relay->started_at, now),
-	    relay->daemons_max_seen, usage.requests, usage.retries,
-	    usage.earned, usage.fixed, state->retries_made,
-	    state->retries_denied);
+	    relay->daemons_max_seen, balance.requests, balance.saved,
+	    balance.saved_max, state->retries_made, state->retries_denied,
+	    state->retries_reserved);
 	state->retries_logged_at = now;
 	state->retries_made = 0;
 	state->retries_denied = 0;
+	state->retries_reserved = 0;
 }
 
 bool
@@ -58,11 +54,18 @@
 relay_retry_has_spare(relay_t *relay, const char *service)
 {
 	service_state_t *state = relay_service_state(relay, service);
+	struct timespec now = clock_boottime(relay->clock);
+	bool spare;
 
-	return state != NULL &&
-	    retry_share_remaining(&state->retry_share, &relay->bounds.retries,
-		relay->daemons_max_seen,
-		clock_boottime(relay->clock)) > RETRY_RESERVE_SHARE;
+	if (state == NULL)
+		return false;
+	spare = retry_share_has_spare(&state->retry_share,
+	    &relay->bounds.retries, relay->daemons_max_seen, now);
+	if (!spare) {
+		state->retries_reserved++;
+		usage_log(state, now);
+	}
+	return spare;
 }
 
 void
