--- a/include/moortack/relay/recent_sessions.h
+++ b/include/moortack/relay/recent_sessions.h
@@ -42,8 +42,10 @@
 bool recent_sessions_contain(
     const recent_sessions_t *, uint64_t hash, struct timespec now);
 /** Encode the hashes of the window as an array of hexadecimal strings.
+ * @param share of all hashes, 0 to 1: those above are left out
  * @return a new reference; NULL: no entry */
-json_t *recent_sessions_encode(const recent_sessions_t *, struct timespec now);
+json_t *recent_sessions_encode(
+    const recent_sessions_t *, struct timespec now, double share);
 /** Add the sessions of such an array. Other values are ignored. */
 void recent_sessions_merge(
     recent_sessions_t *, const json_t *list, struct timespec now);
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -44,6 +44,7 @@
 	warmup_bounds_t warmup;
 	double exposure_max;	    /**< part of the requests in the time of a
 				       roll-out that a bad version may get */
+	double exposure_tolerance;  /**< requests that it may get besides */
 	uint32_t body_buffer_max;   /**< bytes of a response that are buffered
 				       before it is forwarded */
 	uint32_t requests_max;	    /**< in flight at the same time */
@@ -214,6 +215,10 @@
 /** Slots of an endpoint of a roll-out's new version; 0: none is known.
  * @param relay a relay_t */
 uint32_t relay_new_version_slots(const void *relay, const rollout_t *);
+/** Add requests at the new version that were sent before this time and still
+ * wait for what the canary analysis observes. */
+void relay_new_version_waiting(const void *relay, const rollout_t *,
+    struct timespec sent_before, canary_cohort_t *sum);
 /** Whether all endpoints of the new version are in one group. */
 bool relay_new_version_is_one_group(const void *relay, const rollout_t *);
 
--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -62,8 +62,18 @@
 	char state_to_version[ENDPOINT_NAME_SIZE];   /**< of that order */
 	char state_base_version[ENDPOINT_NAME_SIZE]; /**< that it replaces; "":
 							not known */
-	int64_t started_ms;  /**< start of that order by the store's clock; 0:
-				not known */
+	int64_t started_ms; /**< start of that order by the store's clock; 0:
+			       not known */
+	/** When its new version was found to be as good, after the order; 0: it
+	 * was not. */
+	int64_t accepted_ms;
+	int64_t accepted_proposed_ms; /**< the same of the order in force, by
+					 this daemon; in use once it is stored
+				       */
+	rollout_trial_t trial; /**< of that order, the same at all daemons */
+	/** Of the order in force, by this daemon; in use once it is stored. */
+	rollout_trial_t trial_proposed;
+	struct timespec trial_tried_at; /**< last attempt to determine it */
 	rollout_load_t load; /**< of that order, the same at all daemons */
 	rollout_load_t load_proposed;  /**< of the order in force, by this
 					  daemon; in use once it is stored */
@@ -71,8 +81,10 @@
 	uint64_t stored_version;       /**< of the state's row; 0: none */
 	bool state_rewrite_needed;     /**< the row in the store was deleted, or
 					  holds no valid or no current state */
-	bool stopped; /**< this daemon found the new version to be bad */
-	bool writing; /**< a write of the state is in flight */
+	bool stopped;  /**< this daemon found the new version to be bad */
+	bool given_up; /**< this daemon could not decide in time whether it is
+			  bad */
+	bool writing;  /**< a write of the state is in flight */
 	struct timespec write_after; /**< no write before; 0: not set */
 	rollout_state_t write_state; /**< that the last write stores */
 	bool deadline_reported;
@@ -110,10 +122,15 @@
 	    const void *relay, const rollout_t *, uint64_t route);
 	/** Slots of an endpoint of the new version; 0: none is known. */
 	uint32_t (*new_version_slots)(const void *relay, const rollout_t *);
+	/** Add this daemon's requests at the new version that were sent before
+	 * this time and still wait for what the analysis observes. */
+	void (*new_version_waiting)(const void *relay, const rollout_t *,
+	    struct timespec sent_before, canary_cohort_t *sum);
 	/** Whether all endpoints of the new version are in one group. */
 	bool (*new_version_is_one_group)(const void *relay, const rollout_t *);
 	/** Part of the requests that a bad version may get, 0 to 1. */
 	double exposure_max;
+	double exposure_tolerance; /**< requests that it may get besides */
 	/** The version of a service before any order; "": not known. */
 	const char *(*group_base_version)(
 	    const void *relay, const char *service);
@@ -143,8 +160,8 @@
 void rollout_record_load(rollout_t *, uint32_t held, uint32_t slots);
 /** Record that a session's request goes to an old version, or to a version that
  * no roll-out replaces yet: the next roll-out leaves the session there.
- * Sessions outside the share of the first step are not recorded; they don't
- * move while sessions are pinned. */
+ * Sessions outside ROLLOUT_PINNED_SHARE_MAX are not recorded; they don't move
+ * while sessions are pinned. */
 void rollouts_record_old_session(rollouts_t *, uint64_t hash);
 /** Apply a row whose key begins with ROLLOUT_SESSIONS_PREFIX: sessions that
  * other daemons served. */
--- a/include/moortack/rollout/canary_analysis.h
+++ b/include/moortack/rollout/canary_analysis.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 #include <time.h>
 
+#include "moortack/rollout/canary_cohort.h"
 #include "moortack/rollout/latency_histogram.h"
 
 #define CANARY_ROUTES_MAX 12
@@ -77,7 +78,9 @@
 	canary_latency_t latencies[CANARY_LATENCIES_MAX];
 	size_t latencies_len;
 	canary_gaps_t gaps_slices[CANARY_SLICES];
-	int64_t gaps_last_slice; /**< number of the newest slice */
+	uint32_t gaps_counts[CANARY_SLICES]; /**< gaps in each slice */
+	int64_t gaps_last_slice;	     /**< number of the newest slice */
+	canary_cohorts_t cohorts;
 } canary_analysis_t;
 
 /** What was observed of a response. */
@@ -92,13 +95,14 @@
 /** One observation of a response. */
 typedef struct canary_observation {
 	canary_signal_t signal;
-	uint64_t route;	    /**< hash of its name */
-	uint64_t model;	    /**< hash of the model's name; 0: none */
-	bool is_new;	    /**< the response is of the new version */
-	bool stream;	    /**< it is a stream of events */
-	bool repeatable;    /**< the request may be sent again */
-	bool counted;	    /**< an earlier signal of it was counted */
-	uint64_t endpoint;  /**< its hash */
+	uint64_t route;		 /**< hash of its name */
+	uint64_t model;		 /**< hash of the model's name; 0: none */
+	bool is_new;		 /**< the response is of the new version */
+	bool stream;		 /**< it is a stream of events */
+	bool repeatable;	 /**< the request may be sent again */
+	bool counted;		 /**< an earlier signal of it was counted */
+	uint64_t endpoint;	 /**< its hash */
+	struct timespec sent_at; /**< the request */
 	double ms;	    /**< until its first byte, or between its events */
 	double token_ratio; /**< tokens in per token out expected; 0: not known
 			     */
@@ -134,23 +138,6 @@
 size_t canary_analysis_long_routes(
     const canary_analysis_t *, uint64_t *out, size_t cap);
 
-/** What counts show: logarithms of the likelihood of a worse new version over
- * that of one as good as the old one. Positive: it is likely worse. */
-typedef struct canary_evidence {
-	double failed;
-	double late;
-	double gaps;
-} canary_evidence_t;
-
-canary_evidence_t canary_tally_evidence(const canary_tally_t *);
-/** Whether the counts show that the new version is worse than the old one. */
-bool canary_tally_is_bad(const canary_tally_t *);
-
-/** Whether the gaps show that the new version is slower than the old one.
- * @param single all its endpoints are in one group; else it isn't judged by
- * those of few */
-bool canary_gaps_are_bad(const canary_gaps_t *, bool single);
-latency_evidence_t canary_gaps_evidence(const canary_gaps_t *);
 void canary_gaps_merge(canary_gaps_t *sum, const canary_gaps_t *more);
 
 /** Add the counts of @p more to @p sum. */
--- a/include/moortack/rollout/latency_histogram.h
+++ b/include/moortack/rollout/latency_histogram.h
@@ -20,6 +20,10 @@
 void latency_histogram_add(latency_histogram_t *, double ms);
 void latency_histogram_merge(
     latency_histogram_t *sum, const latency_histogram_t *more);
+/** Count latencies that are not known yet as far longer than those of another
+ * histogram, which has some. */
+void latency_histogram_add_unknown(
+    latency_histogram_t *, const latency_histogram_t *usual, uint32_t count);
 /** @return how many latencies are counted */
 uint32_t latency_histogram_count(const latency_histogram_t *);
 
--- a/include/moortack/rollout/rollout_plan.h
+++ b/include/moortack/rollout/rollout_plan.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * The schedule of a roll-out: which share of a service's requests goes to its
- * new version at which time. Pure functions without state.
+ * new version at which time, once that was found to be as good as the old one.
+ * Pure functions without state.
  */
 #ifndef MOORTACK_ROLLOUT_ROLLOUT_PLAN_H
 #define MOORTACK_ROLLOUT_ROLLOUT_PLAN_H
@@ -10,6 +11,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "moortack/rollout/rollout_trial.h"
+
 /** The state of a roll-out. */
 typedef enum rollout_state {
 	ROLLOUT_PENDING, /**< ordered, not started */
@@ -45,23 +48,29 @@
 	rollout_state_t state;
 	int64_t elapsed_ms; /**< since the order */
 	int64_t duration_ms;
+	int64_t accepted_ms; /**< when the new version was found to be as good
+				as the old one, after the order; 0: it was not
+				yet */
+	rollout_trial_t trial;
 	rollout_load_t load;
 	bool stopped; /**< this daemon found the new version to be bad */
 	bool stale;   /**< the order and the state may be outdated */
 } rollout_snapshot_t;
 
-/** Share of the requests that the first step sends to the new version. */
-#define ROLLOUT_FIRST_SHARE 0.05
-
 /** Figures from which the load of the new version is determined. */
 typedef struct rollout_load_input {
-	uint32_t in_flight;  /**< requests of the load's routes in flight, of
-				all daemons */
-	double route_part;   /**< part of all requests that is of these routes,
-				0 to 1 */
-	uint32_t slots;	     /**< of an endpoint */
-	double exposure_max; /**< part of all requests that a version which
-				turns out to be bad may get, 0 to 1 */
+	uint32_t in_flight; /**< requests of the load's routes in flight, of
+			       all daemons */
+	double route_part;  /**< part of all requests that is of these routes,
+			       0 to 1 */
+	double rate;	    /**< requests a second, of all routes and
+			       daemons; 0: not known */
+	uint32_t slots;	    /**< of an endpoint */
+	double trial_share; /**< see rollout_trial_t */
+	double trial_exposure; /**< part of all requests that the new version
+				  gets before it is put under load */
+	double exposure_max;   /**< part of all requests that a version which
+				  turns out to be bad may get, 0 to 1 */
 } rollout_load_input_t;
 
 /** Determine how to put the new version under load.
@@ -82,6 +91,15 @@
 
 /** Whether sessions that the old version served recently stay there. */
 bool rollout_plan_pins_sessions(const rollout_snapshot_t *);
+/** Share of the requests of sessions for the new version meanwhile. */
+double rollout_plan_pinned_share(const rollout_snapshot_t *);
+
+/** When it should be known whether the new version is as good, after the order.
+ */
+int64_t rollout_plan_decision_ms(const rollout_snapshot_t *);
+/** Requests that the new version gets before it is put under load, as a part of
+ * all. */
+double rollout_plan_trial_exposure(const rollout_snapshot_t *);
 
 /** Share of the requests for the new version, 0 to 1, apart from those that put
  * it under load. */
@@ -93,6 +111,15 @@
  * @param share 0 to 1 */
 bool rollout_share_includes(double share, uint64_t hash);
 
+/** Whether it is late enough that the new version is accepted if it is likely
+ * to be as good. */
+bool rollout_plan_decision_is_due(const rollout_snapshot_t *);
+/** Whether the new version was not accepted for so long after the order's time
+ * that the old version gets all requests again. */
+bool rollout_plan_gives_up(const rollout_snapshot_t *);
+/** Whether a service without requests may be taken for accepted. */
+bool rollout_plan_accepts_unseen(const rollout_snapshot_t *);
+
 /** Whether the roll-out may be declared complete.
  * @param drained every daemon sends all requests to the new version and has
  * none in flight on the old one */
--- a/include/platform/node_file.h
+++ b/include/platform/node_file.h
@@ -53,6 +53,7 @@
 	int64_t retry_window_ms;     /**< bounds.retry_window_s */
 	double retry_min;	     /**< bounds.retry_min */
 	double canary_share;	     /**< bounds.canary_share */
+	double canary_tolerance;     /**< bounds.canary_tolerance */
 	int64_t session_ms;	     /**< bounds.session_s */
 	double warmup_overshoot;     /**< bounds.warmup_overshoot */
 	double warmup_tolerance;     /**< bounds.warmup_tolerance */
--- a/moortack/relay/recent_sessions.c
+++ b/moortack/relay/recent_sessions.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "common/clock_source.h"
+#include "moortack/rollout/rollout_plan.h"
 
 #define HASH_TEXT_SIZE 17
 
@@ -88,7 +89,8 @@
 }
 
 json_t *
-recent_sessions_encode(const recent_sessions_t *recent, struct timespec now)
+recent_sessions_encode(
+    const recent_sessions_t *recent, struct timespec now, double share)
 {
 	json_t *list = NULL;
 
@@ -96,7 +98,8 @@
 	     session != NULL; session = session->hh.next) {
 		char text[HASH_TEXT_SIZE];
 
-		if (!is_recent(recent, session->served_at, now))
+		if (!is_recent(recent, session->served_at, now) ||
+		    !rollout_share_includes(share, session->hash))
 			continue;
 		if (list == NULL)
 			list = json_array();
--- a/moortack/relay/relay_guard.c
+++ b/moortack/relay/relay_guard.c
@@ -65,6 +65,7 @@
 	    .repeatable = request_idempotent(req),
 	    .counted = attempt->guard_counted,
 	    .endpoint = attempt->endpoint->hash,
+	    .sent_at = attempt->sent_at,
 	    .ms = ms,
 	    .token_ratio = token_ratio(&req->arrival)};
 }
@@ -236,6 +237,37 @@
 		.at = clock_boottime(req->relay->clock)};
 }
 
+/* Streams that end without a gap are in flight no longer. */
+static bool
+is_gapless(const relay_request_t *req)
+{
+	return req->route->kind == ROUTE_STREAM &&
+	    !req->attempt.shortest_gap_reported;
+}
+
+void
+relay_new_version_waiting(const void *arg, const rollout_t *rollout,
+    struct timespec sent_before, canary_cohort_t *sum)
+{
+	const relay_t *relay = arg;
+
+	for (const relay_request_t *req = relay->requests; req != NULL;
+	     req = req->next) {
+		const attempt_t *attempt = &req->attempt;
+
+		if (attempt->endpoint == NULL || !attempt->sent ||
+		    !attempt->new_version || attempt->puts_under_load ||
+		    strcmp(attempt->endpoint->info.service,
+			rollout->order.service) != 0 ||
+		    timespec_ms_between(attempt->sent_at, sent_before) <= 0)
+			continue;
+		if (!attempt->head_received)
+			sum->unanswered += !attempt->guard_counted;
+		else
+			sum->gapless += is_gapless(req);
+	}
+}
+
 void
 relay_canary_check_overdue(relay_t *relay)
 {
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -370,8 +370,10 @@
 	    .log = &node->log,
 	    .old_in_flight = relay_old_version_in_flight,
 	    .new_version_slots = relay_new_version_slots,
+	    .new_version_waiting = relay_new_version_waiting,
 	    .new_version_is_one_group = relay_new_version_is_one_group,
 	    .exposure_max = node->settings.bounds.exposure_max,
+	    .exposure_tolerance = node->settings.bounds.exposure_tolerance,
 	    .group_base_version = relay_group_base_version,
 	    .relay = &node->relay};
 	recent_sessions_init(
@@ -473,6 +475,7 @@
 	node->members.liveness.timeouts = node->members.settings.liveness;
 	node->relay.bounds = settings->bounds;
 	node->rollouts.exposure_max = settings->bounds.exposure_max;
+	node->rollouts.exposure_tolerance = settings->bounds.exposure_tolerance;
 	zone_regions_apply(node, settings);
 	node->row_sync.watches[ROW_TABLE_ENDPOINTS].watch.timing.pause_ms =
 	    settings->endpoints_poll_pause_ms;
--- a/moortack/relay/rollout_load.c
+++ b/moortack/relay/rollout_load.c
@@ -3,6 +3,7 @@
 #include "rollouts_priv.h"
 
 #define PERCENT 100
+#define MS_PER_SEC 1000
 /* Time between two attempts to determine the load. Each looks at the reports of
  * all members, which most daemons don't have. */
 #define PROPOSE_INTERVAL_MS 1000
@@ -42,11 +43,25 @@
 	    : 0;
 }
 
+/* The requests that a bad version may get besides its share, as a part of all
+ * in the order's duration. */
+static double
+tolerance_part(const rollout_t *rollout, double rate)
+{
+	double requests =
+	    rate * (double)rollout->order.duration_ms / MS_PER_SEC;
+
+	return requests > 0 ? rollout->owner->exposure_tolerance / requests : 0;
+}
+
 bool
 rollout_load_propose(rollout_t *rollout)
 {
 	const rollouts_t *self = rollout->owner;
+	rollout_snapshot_t snapshot = rollout_take_snapshot(rollout);
 	rollout_load_input_t input = {.exposure_max = self->exposure_max,
+	    .trial_share = snapshot.trial.share,
+	    .trial_exposure = rollout_plan_trial_exposure(&snapshot),
 	    .slots = self->new_version_slots(self->relay, rollout)};
 	struct timespec now = clock_boottime(self->clock);
 	rollout_load_t load = {0};
@@ -62,6 +77,7 @@
 	if (input.slots == 0 || load.routes_len == 0 ||
 	    !rollout_load_input(rollout, &load, &input))
 		return false;
+	input.exposure_max += tolerance_part(rollout, input.rate);
 	rollout_plan_load(&load, &input);
 	rollout->load_proposed = load;
 	event_log_write(self->log, "rollout_load",
--- a/moortack/relay/rollout_report.c
+++ b/moortack/relay/rollout_report.c
@@ -6,6 +6,9 @@
 
 /* Numbers that canary_counts_t has in a report. */
 #define COUNTS_FIELDS 5
+#define MS_PER_SEC 1000
+/* The oldest second of the window is not complete. */
+#define CANARY_WINDOW_MS ((CANARY_SLICES - 1) * MS_PER_SEC + MS_PER_SEC / 2)
 
 /* The member's report on the roll-out of a service, or NULL if it has none on
  * this order. */
@@ -62,6 +65,20 @@
 	}
 }
 
+/* Numbers that canary_cohort_t has in a report before its gaps. */
+#define COHORT_FIELDS 5
+
+static void
+cohort_decode(const json_t *row, canary_cohort_t *sum)
+{
+	sum->responses += array_u32(row, 0);
+	sum->failed += array_u32(row, 1);
+	sum->late += array_u32(row, 2);
+	sum->unanswered += array_u32(row, 3);
+	sum->gapless += array_u32(row, 4);
+	histogram_decode(row, COHORT_FIELDS, &sum->gaps);
+}
+
 static void
 gaps_decode(const json_t *gaps, canary_gaps_t *sum)
 {
@@ -79,10 +96,21 @@
 	}
 }
 
+/* Requests a second, from the responses in the window. */
+static double
+responses_rate(uint32_t responses, int64_t elapsed_ms)
+{
+	int64_t window_ms =
+	    elapsed_ms < CANARY_WINDOW_MS ? elapsed_ms : CANARY_WINDOW_MS;
+
+	return window_ms > 0 ? (double)responses * MS_PER_SEC / window_ms : 0;
+}
+
 static void
 member_report_add(const json_t *report, canary_sums_t *sums)
 {
 	const json_t *rows = json_object_get(report, "tally");
+	uint32_t responses = 0;
 	size_t i;
 	json_t *row;
 
@@ -92,9 +120,14 @@
 
 		tally_decode(row, &tally);
 		canary_tally_add(sums->routes, &sums->routes_len,
-		    ROLLOUT_SUM_ROUTES_MAX, &tally);
+		    CANARY_SUM_ROUTES_MAX, &tally);
+		responses +=
+		    tally.new_counts.responses + tally.old_counts.responses;
 	}
+	sums->rate += responses_rate(
+	    responses, json_integer_value(json_object_get(report, "elapsed")));
 	gaps_decode(json_object_get(report, "gaps"), &sums->gaps);
+	cohort_decode(json_object_get(report, "settled"), &sums->settled);
 }
 
 static void
@@ -144,15 +177,35 @@
 	return len;
 }
 
+/* What became of this daemon's requests at the new version. */
+static void
+own_settled_add(rollout_t *rollout, canary_cohort_t *sum)
+{
+	const rollouts_t *self = rollout->owner;
+	struct timespec now = clock_boottime(self->clock);
+
+	canary_cohorts_add_settled(&rollout->canary.cohorts, now, sum);
+	if (self->new_version_waiting != NULL)
+		self->new_version_waiting(
+		    self->relay, rollout, canary_cohorts_settled_at(now), sum);
+}
+
 void
 rollout_sums_collect(rollout_t *rollout, canary_sums_t *sums)
 {
 	struct timespec now = clock_boottime(rollout->owner->clock);
+	uint32_t responses = 0;
 
 	*sums = (canary_sums_t){0};
 	sums->routes_len = canary_analysis_tally(
-	    &rollout->canary, now, sums->routes, ROLLOUT_SUM_ROUTES_MAX);
+	    &rollout->canary, now, sums->routes, CANARY_SUM_ROUTES_MAX);
+	for (size_t i = 0; i < sums->routes_len; i++)
+		responses += sums->routes[i].new_counts.responses +
+		    sums->routes[i].old_counts.responses;
+	sums->rate = responses_rate(
+	    responses, rollout_take_snapshot(rollout).elapsed_ms);
 	canary_analysis_add_gaps(&rollout->canary, now, &sums->gaps);
+	own_settled_add(rollout, &sums->settled);
 	member_reports_add(rollout, sums);
 	for (size_t i = 0; i < sums->routes_len; i++) {
 		canary_counts_add(
@@ -187,6 +240,7 @@
 	input->in_flight = (uint32_t)(in_flight / reported);
 	input->route_part =
 	    responses_all > 0 ? (double)responses / responses_all : 1;
+	input->rate = sums.rate / reported;
 	return true;
 }
 
@@ -266,6 +320,17 @@
 	return json_pack("{s:o, s:o}", "old", old, "new", groups);
 }
 
+static json_t *
+cohort_encode(const canary_cohort_t *cohort)
+{
+	json_t *row = json_pack("[i, i, i, i, i]", (int)cohort->responses,
+	    (int)cohort->failed, (int)cohort->late, (int)cohort->unanswered,
+	    (int)cohort->gapless);
+
+	histogram_encode(row, &cohort->gaps);
+	return row;
+}
+
 static json_t *
 rollout_report_encode(rollout_t *rollout)
 {
@@ -274,17 +339,21 @@
 	rollout_snapshot_t snapshot = rollout_take_snapshot(rollout);
 	json_t *rows = json_array();
 	canary_gaps_t gaps = {0};
+	canary_cohort_t settled = {0};
 
 	for (size_t i = 0; i < len; i++)
 		json_array_append_new(rows, tally_encode(&tallies[i]));
 	canary_analysis_add_gaps(
 	    &rollout->canary, clock_boottime(rollout->owner->clock), &gaps);
-	return json_pack("{s:I, s:f, s:i, s:o, s:o}", "order",
-	    (json_int_t)rollout->order.number, "share",
+	own_settled_add(rollout, &settled);
+	return json_pack("{s:I, s:I, s:f, s:i, s:o, s:o, s:o}", "order",
+	    (json_int_t)rollout->order.number, "elapsed",
+	    (json_int_t)snapshot.elapsed_ms, "share",
 	    rollout_plan_share(&snapshot), "old",
 	    (int)rollout->owner->old_in_flight(
 		rollout->owner->relay, rollout, 0),
-	    "tally", rows, "gaps", gaps_encode(&gaps));
+	    "tally", rows, "gaps", gaps_encode(&gaps), "settled",
+	    cohort_encode(&settled));
 }
 
 json_t *
@@ -305,8 +374,10 @@
 	if (report == NULL)
 		return NULL;
 	report = json_pack("{s:o}", "rollouts", report);
-	sessions = recent_sessions_encode(
-	    &self->local_sessions, clock_boottime(self->clock));
+	json_object_set_new(report, "sessions_share",
+	    json_real(rollouts_own_sessions_share(self)));
+	sessions = recent_sessions_encode(&self->local_sessions,
+	    clock_boottime(self->clock), rollouts_own_sessions_share(self));
 	if (sessions != NULL)
 		json_object_set_new(report, "sessions", sessions);
 	return report;
--- a/moortack/relay/rollout_sessions.c
+++ b/moortack/relay/rollout_sessions.c
@@ -1,12 +1,17 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "rollouts_priv.h"
 
+/* Sessions that all daemons together report, about. They travel to each of
+ * them while a roll-out is in progress. */
+#define REPORTED_SESSIONS_MAX 512
+
 void
 rollouts_record_old_session(rollouts_t *self, uint64_t hash)
 {
-	if (rollout_share_includes(ROLLOUT_FIRST_SHARE, hash))
+	if (rollout_share_includes(ROLLOUT_PINNED_SHARE_MAX, hash))
 		recent_sessions_add(
 		    &self->local_sessions, hash, clock_boottime(self->clock));
 }
@@ -38,8 +43,9 @@
 {
 	struct timespec now = clock_boottime(self->clock);
 	json_t *all = json_array();
-	json_t *served = recent_sessions_encode(&self->local_sessions, now);
-	json_t *heard = recent_sessions_encode(&self->peer_sessions, now);
+	json_t *served = recent_sessions_encode(
+	    &self->local_sessions, now, rollouts_own_sessions_share(self));
+	json_t *heard = recent_sessions_encode(&self->peer_sessions, now, 1);
 	char *text;
 
 	if (served != NULL)
@@ -53,6 +59,47 @@
 	return text;
 }
 
+/* The largest share of a trial in force: its sessions are reported in any case.
+ */
+static double
+trial_share_max(const rollouts_t *self)
+{
+	double share = ROLLOUT_FIRST_SHARE;
+
+	for (const rollout_t *rollout = self->by_service; rollout != NULL;
+	     rollout = rollout->hh.next)
+		share = fmax(share, rollout_current_trial(rollout).share);
+	return fmin(share, ROLLOUT_PINNED_SHARE_MAX);
+}
+
+double
+rollouts_own_sessions_share(const rollouts_t *self)
+{
+	double daemons = HASH_COUNT(self->members->members) + 1.0;
+	double sessions = HASH_COUNT(self->local_sessions.sessions);
+	double part = REPORTED_SESSIONS_MAX / daemons / fmax(sessions, 1);
+
+	return fmax(
+	    ROLLOUT_PINNED_SHARE_MAX * fmin(part, 1), trial_share_max(self));
+}
+
+double
+rollouts_reported_sessions_share(const rollouts_t *self)
+{
+	double share = rollouts_own_sessions_share(self);
+
+	for (const member_t *member = self->members->members; member != NULL;
+	     member = member->hh.next) {
+		double reported = json_number_value(
+		    json_object_get(member->report, "sessions_share"));
+
+		if (member_is_alive(self->members, member))
+			share =
+			    fmin(share, fmax(reported, ROLLOUT_FIRST_SHARE));
+	}
+	return share;
+}
+
 void
 rollouts_merge_member_sessions(rollouts_t *self)
 {
--- a/moortack/relay/rollout_state.c
+++ b/moortack/relay/rollout_state.c
@@ -84,6 +84,32 @@
 	return load;
 }
 
+static rollout_trial_t
+trial_decode(const json_t *value)
+{
+	double share = json_number_value(json_object_get(value, "trial_share"));
+	json_int_t from_ms =
+	    json_integer_value(json_object_get(value, "trial_from_ms"));
+
+	if (!(share > 0 && share <= 1) || from_ms < 0)
+		return (rollout_trial_t){0};
+	return (rollout_trial_t){share, from_ms};
+}
+
+static void
+trial_encode(const rollout_t *rollout, json_t *value)
+{
+	rollout_trial_t trial = rollout_current_trial(rollout);
+
+	if (rollout->trial_proposed.share > trial.share)
+		trial = rollout->trial_proposed;
+	if (trial.share <= 0)
+		return;
+	json_object_set_new(value, "trial_share", json_real(trial.share));
+	json_object_set_new(
+	    value, "trial_from_ms", json_integer(trial.from_ms));
+}
+
 static bool
 content_decode(const json_t *value, rollout_state_row_t *content, err_t *err)
 {
@@ -95,6 +121,9 @@
 	content->order = (uint64_t)order;
 	content->started_ms =
 	    json_integer_value(json_object_get(value, "began_ms"));
+	content->accepted_ms =
+	    json_integer_value(json_object_get(value, "accepted_ms"));
+	content->trial = trial_decode(value);
 	content->load = load_decode(value);
 	if (!version_decode(value, "to", content->to_version, err) ||
 	    !version_decode(value, "base", content->base_version, err))
@@ -134,8 +163,15 @@
 	    (json_int_t)(timespec_to_ms(rollout_started_at(rollout)) +
 		self->store_clock_offset_ms));
 	rollout_load_t load = rollout_current_load(rollout);
+	int64_t accepted_ms = rollout_accepted_ms(rollout);
 	char *text;
 
+	trial_encode(rollout, value);
+	if (accepted_ms <= 0)
+		accepted_ms = rollout->accepted_proposed_ms;
+	if (accepted_ms > 0)
+		json_object_set_new(
+		    value, "accepted_ms", json_integer(accepted_ms));
 	if (load.endpoints == 0)
 		load = rollout->load_proposed;
 	if (load.endpoints > 0) {
--- a/moortack/relay/rollouts.c
+++ b/moortack/relay/rollouts.c
@@ -72,6 +72,8 @@
 	    .elapsed_ms = timespec_ms_between(
 		rollout_started_at(rollout), clock_boottime(self->clock)),
 	    .duration_ms = rollout->order.duration_ms,
+	    .accepted_ms = rollout_accepted_ms(rollout),
+	    .trial = rollout_current_trial(rollout),
 	    .load = rollout_current_load(rollout),
 	    .stopped = rollout->stopped,
 	    .stale = row_watch_age_ms(self->orders_watch) > STALE_MS ||
@@ -115,10 +117,9 @@
 	share = rollout_plan_route_share(&snapshot, request->route);
 	if (!request->session || !rollout_plan_pins_sessions(&snapshot))
 		return rollout_share_includes(share, request->hash);
-	/* Only sessions in the first step's share are recorded and reported to
-	 * others, so the rest must not move while sessions are pinned. */
-	if (share > ROLLOUT_FIRST_SHARE)
-		share = ROLLOUT_FIRST_SHARE;
+	/* Only sessions in the trial's share are reported by all daemons, so
+	 * the rest must not move while sessions are pinned. */
+	share = rollout_plan_pinned_share(&snapshot);
 	return !rollouts_session_on_old(rollout->owner, request->hash) &&
 	    rollout_share_includes(share, request->hash);
 }
@@ -142,6 +143,9 @@
 	rollout->order_seen_at = clock_boottime(self->clock);
 	rollout->stopped = false;
 	rollout->load_proposed = (rollout_load_t){0};
+	rollout->accepted_proposed_ms = 0;
+	rollout->trial_proposed = (rollout_trial_t){0};
+	rollout->given_up = false;
 	rollout->write_after = (struct timespec){0};
 	canary_analysis_reset(&rollout->canary);
 	event_log_write(self->log, "rollout_order",
@@ -274,6 +278,8 @@
 	strcpy(rollout->state_base_version, row->base_version);
 	rollout->state = row->state;
 	rollout->started_ms = row->started_ms;
+	rollout->accepted_ms = row->accepted_ms;
+	rollout->trial = row->trial;
 	rollout->load = row->load;
 	rollout->state_rewrite_needed = false;
 }
@@ -314,10 +320,12 @@
 	state_set(rollout, &content);
 	event_log_write(self->log, "rollout_state",
 	    "service=%s order=%" PRIu64 " state=%s version=%" PRIu64
+	    " trial_share=%.3f accepted_ms=%" PRId64
 	    " load_share=%.3f load_endpoints=%u",
 	    rollout->order.service, rollout->state_order,
 	    rollout_state_names[rollout->state], row->version,
-	    rollout->load.share, rollout->load.endpoints);
+	    rollout->trial.share, rollout->accepted_ms, rollout->load.share,
+	    rollout->load.endpoints);
 	next_order_apply(rollout);
 	return true;
 }
@@ -383,7 +391,9 @@
 					: ROLLOUT_IN_PROGRESS;
 	if (snapshot->state != ROLLOUT_IN_PROGRESS)
 		return snapshot->state;
-	if (rollout->stopped)
+	if (rollout->stopped ||
+	    (rollout->given_up && snapshot->accepted_ms <= 0 &&
+		!snapshot->stale))
 		return ROLLOUT_REVERTED;
 	if (rollout_plan_may_complete(snapshot, rollout_is_drained(rollout)))
 		return ROLLOUT_COMPLETED;
@@ -398,15 +408,16 @@
 	rollout_snapshot_t snapshot = rollout_take_snapshot(rollout);
 	rollout_state_t target;
 
-	if (snapshot.state == ROLLOUT_IN_PROGRESS && !rollout->stopped &&
-	    rollout_new_version_is_bad(rollout)) {
-		rollout->stopped = true;
-		snapshot.stopped = true;
-		rollout->write_after = now;
+	if (snapshot.state == ROLLOUT_IN_PROGRESS && !rollout->stopped) {
+		rollout_judge(rollout);
+		snapshot.stopped = rollout->stopped;
 	}
 	target = target_state(rollout, &snapshot);
 	if (rollout->writing ||
 	    (target == snapshot.state && !rollout->state_rewrite_needed &&
+		!(snapshot.state == ROLLOUT_IN_PROGRESS &&
+		    (rollout_acceptance_pending(rollout) ||
+			rollout_trial_propose(rollout))) &&
 		!(rollout_plan_load_due(&snapshot) &&
 		    rollout_load_propose(rollout))))
 		return;
--- a/moortack/relay/rollouts_priv.h
+++ b/moortack/relay/rollouts_priv.h
@@ -10,6 +10,7 @@
 #define MOORTACK_RELAY_ROLLOUTS_PRIV_H
 
 #include "moortack/relay/rollouts.h"
+#include "moortack/rollout/canary_verdict.h"
 
 /** Names of the states in the rows, indexed by rollout_state_t. */
 extern const char *const rollout_state_names[];
@@ -22,6 +23,8 @@
 						  known */
 	rollout_state_t state;
 	int64_t started_ms;  /**< by the store's clock; 0: not known */
+	int64_t accepted_ms; /**< see rollout_snapshot_t */
+	rollout_trial_t trial;
 	rollout_load_t load; /**< share 0: not determined yet */
 } rollout_state_row_t;
 
@@ -39,20 +42,11 @@
 /** What the share depends on, now. */
 rollout_snapshot_t rollout_take_snapshot(const rollout_t *);
 
-/** Routes of all daemons together. */
-#define ROLLOUT_SUM_ROUTES_MAX 32
 /** Part of the daemons whose reports have to be known to decide for all. Only
  * the daemon that all others follow has them. */
 #define ROLLOUT_REPORTED_MIN 0.8
 
-/** What this daemon counted, and those whose reports it has. */
-typedef struct canary_sums {
-	canary_tally_t routes[ROLLOUT_SUM_ROUTES_MAX];
-	size_t routes_len;
-	canary_tally_t all; /**< of all routes */
-	canary_gaps_t gaps;
-} canary_sums_t;
-
+/** Sum up what this daemon counted, and those whose reports it has. */
 void rollout_sums_collect(rollout_t *, canary_sums_t *);
 /** Part of the other daemons whose report is known. */
 double rollout_reported_part(const rollout_t *);
@@ -61,6 +55,16 @@
  * bad. */
 bool rollout_new_version_is_bad(rollout_t *);
 
+/** Judge the new version by what all daemons counted: stop the roll-out if it
+ * is bad, propose to accept it if it is as good as the old one. */
+void rollout_judge(rollout_t *);
+/** Whether this daemon proposes to accept the new version, and the stored state
+ * does not say so yet. */
+bool rollout_acceptance_pending(const rollout_t *);
+/** When the new version of the order in force was accepted, as stored; 0: it
+ * was not. */
+int64_t rollout_accepted_ms(const rollout_t *);
+
 /** Requests of the load's routes at the old version, as all daemons reported.
  * @param input requests in flight and the part of these routes are filled in
  * @return false: too few reports are known */
@@ -75,6 +79,18 @@
  */
 bool rollout_load_propose(rollout_t *);
 
+/** The trial of the order in force, as stored. */
+rollout_trial_t rollout_current_trial(const rollout_t *);
+/** Determine the trial of the new version, or extend it, by what all daemons
+ * reported.
+ * @return whether the stored state has to be changed for it */
+bool rollout_trial_propose(rollout_t *);
+/** Up to which share of the requests all daemons report the sessions that the
+ * old version served recently. */
+double rollouts_reported_sessions_share(const rollouts_t *);
+/** The same of this daemon. */
+double rollouts_own_sessions_share(const rollouts_t *);
+
 /** Whether every daemon sends all requests to the new version and has none in
  * flight on the old one. */
 bool rollout_is_drained(const rollout_t *);
--- a/moortack/rollout/canary_analysis.c
+++ b/moortack/rollout/canary_analysis.c
@@ -22,42 +22,6 @@
 #define GAP_KEY 0x9e3779b97f4a7c15ULL
 #define LATENCY_SAMPLES_MIN 8
 #define LATENCY_WEIGHT 0.05
-/** A likelihood ratio test of the hypothesis that the new version is worse by a
- * step against the hypothesis that it is as good as the old version. */
-typedef struct ratio_test {
-	double rate_min;      /**< lowest rate assumed of the old version */
-	double step_min;      /**< least difference of the new version's rate */
-	uint32_t bad_min;     /**< least number of bad responses */
-	double log_ratio_min; /**< logarithm of the ratio from which the new
-				 version is worse */
-} ratio_test_t;
-
-/* Failures are independent of each other. Late responses are not, since one
- * long prompt delays all that are queued behind it; so more of them are needed.
- * Gaps that are several times longer are mostly due to the endpoint itself, but
- * under peak load a tenth of the old version's responses have them too, and
- * late in a roll-out there are few of these to compare with. With a lowest rate
- * of 0.03 and 5 responses, 4 of 36 good versions were reverted under load; with
- * these values none was for its gaps. */
-static const ratio_test_t test_failed = {0.01, 0.15, 3, 5.0};
-static const ratio_test_t test_late = {0.05, 0.15, 10, 14.0};
-static const ratio_test_t test_gaps = {0.10, 0.20, 6, 9.0};
-
-/* From which logarithm of the likelihood ratio on the gaps show a slower
- * version. With many gaps a small difference would do, which the load of both
- * versions and their caches explain; so each gap beyond the first ones has to
- * show more. */
-#define GAPS_LOG_RATIO_MIN 6.0
-#define GAPS_FIRST 40
-#define GAPS_LOG_RATIO_PER_GAP 0.3
-/* The same without the slowest groups of endpoints. Few endpoints may be slow
- * for reasons of their own. */
-#define GAPS_TRIMMED_LOG_RATIO_MIN 1.0
-
-/* A worse version has the old one's rate times this factor, or plus the test's
- * step if that is more. */
-#define STEP_FACTOR 3.0
-#define RATE_MAX 0.95
 
 /* Up to this many tokens in per token out, half of an endpoint's slots are in
  * use before its prefill is the limit. An engine takes 200 to 300 times as long
@@ -79,6 +43,7 @@
 	for (size_t i = 0; i < CANARY_SLICES; i++)
 		memset(analysis->gaps_slices[i].new_gaps, 0,
 		    sizeof(analysis->gaps_slices[i].new_gaps));
+	analysis->cohorts = (canary_cohorts_t){0};
 }
 
 static void
@@ -110,9 +75,14 @@
 		return;
 	if (steps > CANARY_SLICES)
 		steps = CANARY_SLICES;
-	for (int64_t i = 0; i < steps; i++)
-		analysis->gaps_slices[(slice - i) % CANARY_SLICES] =
-		    (canary_gaps_t){0};
+	for (int64_t i = 0; i < steps; i++) {
+		size_t at = (size_t)((slice - i) % CANARY_SLICES);
+
+		if (analysis->gaps_counts[at] == 0)
+			continue;
+		analysis->gaps_slices[at] = (canary_gaps_t){0};
+		analysis->gaps_counts[at] = 0;
+	}
 	analysis->gaps_last_slice = slice;
 }
 
@@ -251,10 +221,12 @@
     const canary_observation_t *observation, struct timespec now)
 {
 	canary_gaps_t *slice;
+	size_t at;
 
 	gaps_advance(analysis, now);
-	slice =
-	    &analysis->gaps_slices[analysis->gaps_last_slice % CANARY_SLICES];
+	at = (size_t)(analysis->gaps_last_slice % CANARY_SLICES);
+	slice = &analysis->gaps_slices[at];
+	analysis->gaps_counts[at]++;
 	latency_histogram_add(observation->is_new
 		? &slice->new_gaps[canary_group(observation->endpoint)]
 		: &slice->old_gaps,
@@ -301,12 +273,45 @@
 	return len;
 }
 
+/* Count a response of the new version in the cohort of its request.
+ * @param late how many late responses were counted for it */
+static void
+cohort_count(canary_analysis_t *analysis,
+    const canary_observation_t *observation, uint32_t late, struct timespec now)
+{
+	canary_cohort_t *cohort;
+
+	if (!observation->is_new)
+		return;
+	cohort =
+	    canary_cohorts_find(&analysis->cohorts, observation->sent_at, now);
+	if (cohort == NULL)
+		return;
+	switch (observation->signal) {
+	case CANARY_FIRST_BYTE:
+	case CANARY_OVERDUE:
+		cohort->responses++;
+		cohort->late += late;
+		break;
+	case CANARY_SHORTEST_GAP:
+		latency_histogram_add(&cohort->gaps, observation->ms);
+		break;
+	case CANARY_FAILED:
+		cohort->responses += !observation->counted;
+		cohort->failed++;
+		break;
+	case CANARY_EVENT_GAP:
+		break;
+	}
+}
+
 bool
 canary_analysis_observe(canary_analysis_t *analysis,
     const canary_observation_t *observation, struct timespec now)
 {
 	canary_route_t *entry = route_find_or_add(analysis, observation->route);
 	canary_counts_t *counts;
+	uint32_t late_before;
 
 	if (entry == NULL)
 		return false;
@@ -315,13 +320,16 @@
 	counts = observation->is_new
 	    ? &entry->new_slices[entry->last_slice % CANARY_SLICES]
 	    : &entry->old_slices[entry->last_slice % CANARY_SLICES];
+	late_before = counts->late;
 	switch (observation->signal) {
 	case CANARY_FIRST_BYTE:
 		first_byte_count(analysis, observation, counts);
 		token_ratio_learn(entry, observation->token_ratio);
 		break;
 	case CANARY_OVERDUE:
-		return overdue_count(analysis, observation, counts);
+		if (!overdue_count(analysis, observation, counts))
+			return false;
+		break;
 	case CANARY_EVENT_GAP:
 		gap_count(analysis, observation, counts);
 		break;
@@ -333,6 +341,7 @@
 		counts->failed++;
 		break;
 	}
+	cohort_count(analysis, observation, counts->late - late_before, now);
 	return true;
 }
 
@@ -386,71 +395,10 @@
     canary_analysis_t *analysis, struct timespec now, canary_gaps_t *sum)
 {
 	gaps_advance(analysis, now);
-	for (size_t i = 0; i < CANARY_SLICES; i++)
-		canary_gaps_merge(sum, &analysis->gaps_slices[i]);
-}
-
-latency_evidence_t
-canary_gaps_evidence(const canary_gaps_t *gaps)
-{
-	return latency_histogram_compare(
-	    &gaps->old_gaps, gaps->new_gaps, CANARY_GROUPS);
-}
-
-bool
-canary_gaps_are_bad(const canary_gaps_t *gaps, bool single)
-{
-	latency_evidence_t evidence = canary_gaps_evidence(gaps);
-	uint32_t further =
-	    evidence.count > GAPS_FIRST ? evidence.count - GAPS_FIRST : 0;
-
-	return evidence.log_ratio >
-	    GAPS_LOG_RATIO_MIN + GAPS_LOG_RATIO_PER_GAP * further &&
-	    (single || evidence.trimmed_log_ratio > GAPS_TRIMMED_LOG_RATIO_MIN);
-}
-
-static double
-test_log_ratio(const ratio_test_t *test, uint32_t bad, uint32_t responses,
-    uint32_t old_bad, uint32_t old_responses)
-{
-	double p0 =
-	    fmax((old_bad + 0.2) / (old_responses + 5.0), test->rate_min);
-	double p1 = fmin(RATE_MAX, fmax(STEP_FACTOR * p0, p0 + test->step_min));
-	double good = (double)responses - bad;
-
-	return p0 < p1 ? bad * log(p1 / p0) + good * log((1 - p1) / (1 - p0))
-		       : 0;
-}
-
-canary_evidence_t
-canary_tally_evidence(const canary_tally_t *tally)
-{
-	const canary_counts_t *new_counts = &tally->new_counts;
-	const canary_counts_t *old_counts = &tally->old_counts;
-
-	return (canary_evidence_t){
-	    .failed = test_log_ratio(&test_failed, new_counts->failed,
-		new_counts->responses, old_counts->failed,
-		old_counts->responses),
-	    .late = test_log_ratio(&test_late, new_counts->late,
-		new_counts->responses, old_counts->late, old_counts->responses),
-	    .gaps = test_log_ratio(&test_gaps, new_counts->gaps_slow,
-		new_counts->gaps_measured, old_counts->gaps_slow,
-		old_counts->gaps_measured)};
-}
-
-bool
-canary_tally_is_bad(const canary_tally_t *tally)
-{
-	const canary_counts_t *counts = &tally->new_counts;
-	canary_evidence_t evidence = canary_tally_evidence(tally);
-
-	return (counts->failed >= test_failed.bad_min &&
-		   evidence.failed > test_failed.log_ratio_min) ||
-	    (counts->late >= test_late.bad_min &&
-		evidence.late > test_late.log_ratio_min) ||
-	    (counts->gaps_slow >= test_gaps.bad_min &&
-		evidence.gaps > test_gaps.log_ratio_min);
+	for (size_t i = 0; i < CANARY_SLICES; i++) {
+		if (analysis->gaps_counts[i] > 0)
+			canary_gaps_merge(sum, &analysis->gaps_slices[i]);
+	}
 }
 
 void
--- a/moortack/rollout/latency_histogram.c
+++ b/moortack/rollout/latency_histogram.c
@@ -16,6 +16,8 @@
 #define UNEXPECTED_PART 0.2
 /* Latencies assumed in addition to the observed ones, over all bins. */
 #define PRIOR_COUNT 0.3
+/* A latency that is not known yet counts as so many bins above the median. */
+#define UNKNOWN_BINS 6
 /* What an observation counts for. Those of an endpoint at the same time depend
  * on each other. */
 #define OBSERVATION_WEIGHT 0.7
@@ -79,6 +81,16 @@
 	return bin;
 }
 
+void
+latency_histogram_add_unknown(latency_histogram_t *histogram,
+    const latency_histogram_t *usual, uint32_t count)
+{
+	size_t bin =
+	    median_bin(usual, latency_histogram_count(usual)) + UNKNOWN_BINS;
+
+	histogram->bins[bin < LATENCY_BINS ? bin : LATENCY_BINS - 1] += count;
+}
+
 static size_t
 compared_bin(const ratio_table_t *table, size_t bin)
 {
--- a/test/fuzz/rollouts_fuzz.c
+++ b/test/fuzz/rollouts_fuzz.c
@@ -9,7 +9,9 @@
  * - a daemon that knows that a version was reverted or replaced, or knows a
  *   later order, sends no request to that version;
  * - a session of the old version stays there while sessions are pinned;
- * - no good version is reverted;
+ * - no good version is reverted, but one that was not accepted for twice its
+ *   order's time;
+ * - no version completes that was not accepted;
  * - an order that has ended doesn't change its state any more;
  * - daemons that have read the same state put the same requests under load;
  * - once no more faults are injected, the last order ends.
@@ -116,20 +118,30 @@
 						    : ROLLOUT_IN_PROGRESS;
 }
 
+static int64_t
+field(const json_t *value, const char *name)
+{
+	return json_integer_value(json_object_get(value, name));
+}
+
 static void
 state_put(const row_change_t *change)
 {
 	json_t *value = json_loads(change->value, 0, NULL);
-	order_record_t *record = order_find(
-	    (uint64_t)json_integer_value(json_object_get(value, "order")));
+	order_record_t *record = order_find((uint64_t)field(value, "order"));
 	rollout_state_t state = state_parse(change->value);
+	bool accepted = field(value, "accepted_ms") > 0;
+	int64_t elapsed_ms =
+	    timespec_to_ms(world.clock.now) - field(value, "began_ms");
 
 	json_decref(value);
 	FUZZ_CHECK(record != NULL);
 	/* The state doesn't change after the end. */
 	FUZZ_CHECK(record->state != ROLLOUT_COMPLETED &&
 	    record->state != ROLLOUT_REVERTED);
-	FUZZ_CHECK(state != ROLLOUT_REVERTED || record->bad);
+	FUZZ_CHECK(state != ROLLOUT_REVERTED || record->bad ||
+	    (!accepted && elapsed_ms >= 2 * DURATION_MS));
+	FUZZ_CHECK(state != ROLLOUT_COMPLETED || accepted);
 	FUZZ_CHECK(record->number >= world.state_order);
 	record->state = state;
 	world.state_order = record->number;
@@ -296,6 +308,19 @@
 		rollout->stopped = true;
 }
 
+/* How long the order in force has been in progress: from its start, which a
+ * daemon may learn of late. */
+static int64_t
+order_elapsed_ms(const rollout_t *rollout)
+{
+	int64_t now_ms = timespec_to_ms(world.clock.now);
+
+	if (rollout->state_order == rollout->order.number &&
+	    rollout->started_ms > 0)
+		return now_ms - rollout->started_ms;
+	return now_ms - timespec_to_ms(rollout->order_seen_at);
+}
+
 /* Whether no request may go to a version: it was reverted, or replaced by one
  * whose roll-out completed, and the daemon has read that state, or has read the
  * states after a later order that it knows. */
@@ -334,7 +359,7 @@
 	    timespec_ms_between(served_at, now) < SESSION_MS;
 	const rollout_request_t arrived = {
 	    .hash = hash, .route = ROUTE, .session = session};
-	const canary_observation_t observation = {.signal = CANARY_FIRST_BYTE,
+	canary_observation_t observation = {.signal = CANARY_FIRST_BYTE,
 	    .route = ROUTE,
 	    .stream = true,
 	    .repeatable = true,
@@ -351,10 +376,11 @@
 	    .state = rollout->state_order == rollout->order.number
 		? rollout->state
 		: ROLLOUT_PENDING,
-	    .elapsed_ms =
-		timespec_ms_between(rollout->order_seen_at, world.clock.now),
+	    .elapsed_ms = order_elapsed_ms(rollout),
 	    .duration_ms = DURATION_MS};
 	prefers_new = rollout_prefers_new(rollout, &arrived);
+	observation.is_new = prefers_new;
+	observation.sent_at = now;
 	canary_analysis_observe(
 	    &rollout->canary, &observation, world.clock.now);
 	FUZZ_CHECK(!prefers_new || !session || !served ||
@@ -368,7 +394,8 @@
 	rollouts_record_old_session(&daemon->rollouts, hash);
 }
 
-/* Daemons that have read the same state put the same requests under load. */
+/* Daemons that have read the same state send the same share to the new version,
+ * and put the same requests under load. */
 static void
 loads_check(void)
 {
@@ -385,6 +412,9 @@
 			continue;
 		if (first == NULL)
 			first = rollout;
+		FUZZ_CHECK(rollout->trial.share == first->trial.share);
+		FUZZ_CHECK(rollout->trial.from_ms == first->trial.from_ms);
+		FUZZ_CHECK(rollout->accepted_ms == first->accepted_ms);
 		FUZZ_CHECK(rollout->load.share == first->load.share);
 		FUZZ_CHECK(rollout->load.fill_share == first->load.fill_share);
 		FUZZ_CHECK(rollout->load.endpoints == first->load.endpoints);
--- a/test/unit/canary_analysis_test.c
+++ b/test/unit/canary_analysis_test.c
@@ -11,7 +11,7 @@
 #include <cmocka.h>
 
 #include "../support/random.h"
-#include "moortack/rollout/canary_analysis.h"
+#include "moortack/rollout/canary_verdict.h"
 
 #define SEEDS 500
 /* Requests that a bad version may get in any case, by the users' rule. */
@@ -100,7 +100,7 @@
 
 		new_version_observe(&analysis, behaviour, &random);
 		canary_analysis_add_gaps(&analysis, now, &gaps);
-		bad = canary_gaps_are_bad(&gaps, false);
+		bad = canary_gaps_are_bad(&gaps, false, CANARY_TRIAL);
 		count++;
 	}
 	return count;
@@ -157,6 +157,114 @@
 		    seeds_found_bad(&behaviours[i], 300), 0, SEEDS / 100);
 }
 
+/* Requests are sent every 20 ms; what is observed of them by @p now_ms. */
+static void
+cohort_observe(canary_sums_t *sums, uint64_t *random,
+    const behaviour_t *behaviour, int64_t now_ms)
+{
+	static canary_analysis_t analysis;
+	struct timespec observed_at = {100 + now_ms / 1000, 0};
+	struct timespec settled_at = canary_cohorts_settled_at(observed_at);
+
+	analysis = (canary_analysis_t){0};
+	old_version_observe(&analysis, random);
+	for (int64_t sent_ms = 0; sent_ms < now_ms; sent_ms += 20) {
+		canary_observation_t observation = {.signal = CANARY_FIRST_BYTE,
+		    .route = 1,
+		    .stream = true,
+		    .is_new = true,
+		    .endpoint = random_below(random, ENDPOINTS),
+		    .sent_at = {100 + sent_ms / 1000, sent_ms % 1000 * 1000000},
+		    .ms = gap_draw(random)};
+		bool settled = observation.sent_at.tv_sec < settled_at.tv_sec;
+		bool slower = random_part(random) < behaviour->part;
+
+		if (slower)
+			observation.ms *= behaviour->factor;
+		if (sent_ms + observation.ms > (double)now_ms) {
+			sums->settled.unanswered += settled;
+			continue;
+		}
+		canary_analysis_observe(&analysis, &observation, observed_at);
+		observation.signal = CANARY_SHORTEST_GAP;
+		if (sent_ms + 4 * observation.ms > (double)now_ms)
+			sums->settled.gapless += settled;
+		else
+			canary_analysis_observe(
+			    &analysis, &observation, observed_at);
+	}
+	canary_cohorts_add_settled(
+	    &analysis.cohorts, observed_at, &sums->settled);
+	canary_analysis_add_gaps(&analysis, observed_at, &sums->gaps);
+	sums->all.old_counts.responses = OLD_RESPONSES;
+}
+
+/* Seeds in which the version is found to be as good by what is observed until
+ * then. */
+static uint32_t
+seeds_found_good(const behaviour_t *behaviour, int64_t now_ms)
+{
+	uint32_t found = 0;
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		canary_sums_t sums = {0};
+		uint64_t random = seed;
+
+		cohort_observe(&sums, &random, behaviour, now_ms);
+		found += canary_sums_are_good(&sums, CANARY_TRIAL);
+	}
+	return found;
+}
+
+/* Fast responses are observed first: of a version of which half the responses
+ * are far slower, the first ones observed all look good. */
+static void
+version_is_not_accepted_by_its_fast_responses(void **state)
+{
+	static const behaviour_t behaviours[] = {{0.5, 8, 0}, {0.5, 30, 0},
+	    {0.5, 200, 0}, {1.0, 200, 0}, {1.0, 3, 0}};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(behaviours) / sizeof(behaviours[0]);
+	     i++) {
+		for (int64_t now_ms = 1000; now_ms <= 4000; now_ms += 1000)
+			assert_in_range(
+			    seeds_found_good(&behaviours[i], now_ms), 0,
+			    SEEDS / 100);
+	}
+}
+
+static void
+version_as_good_is_accepted(void **state)
+{
+	static const behaviour_t behaviour = {0, 1, 0};
+
+	(void)state;
+	assert_int_equal(seeds_found_good(&behaviour, 1000), 0);
+	assert_in_range(
+	    seeds_found_good(&behaviour, 3000), SEEDS * 95 / 100, SEEDS);
+}
+
+/* What was not observed counted as good. */
+static void
+silence_is_no_evidence(void **state)
+{
+	canary_sums_t sums = {0};
+	uint64_t random = 1;
+	canary_analysis_t analysis = {0};
+
+	(void)state;
+	assert_true(canary_sums_are_empty(&sums));
+	assert_false(canary_sums_are_good(&sums, CANARY_TRIAL_LATE));
+	old_version_observe(&analysis, &random);
+	canary_analysis_add_gaps(&analysis, now, &sums.gaps);
+	sums.all.old_counts.responses = OLD_RESPONSES;
+	assert_false(canary_sums_are_good(&sums, CANARY_TRIAL_LATE));
+	/* Responses, but no gap of a stream. */
+	sums.settled.responses = OLD_RESPONSES;
+	assert_false(canary_sums_are_good(&sums, CANARY_TRIAL_LATE));
+}
+
 /* A version with one endpoint only has no other to be judged by. */
 static void
 single_endpoint_stands_for_its_version(void **state)
@@ -170,8 +278,8 @@
 	for (int i = 0; i < TOLERANCE; i++)
 		observe(&analysis, true, 3, 8 * gap_draw(&random));
 	canary_analysis_add_gaps(&analysis, now, &gaps);
-	assert_false(canary_gaps_are_bad(&gaps, false));
-	assert_true(canary_gaps_are_bad(&gaps, true));
+	assert_false(canary_gaps_are_bad(&gaps, false, CANARY_TRIAL));
+	assert_true(canary_gaps_are_bad(&gaps, true, CANARY_TRIAL));
 }
 
 static void
@@ -187,7 +295,7 @@
 		observe(&analysis, true, (uint64_t)i, 20 * USUAL_MS);
 	canary_analysis_add_gaps(&analysis, now, &gaps);
 	assert_true(canary_gaps_evidence(&gaps).log_ratio == 0);
-	assert_false(canary_gaps_are_bad(&gaps, false));
+	assert_false(canary_gaps_are_bad(&gaps, false, CANARY_TRIAL));
 }
 
 /* Gaps outside the range of the bins, and a window that has passed. */
@@ -216,6 +324,9 @@
 	    cmocka_unit_test(slower_version_is_found_within_the_tolerance),
 	    cmocka_unit_test(version_that_is_not_slower_is_not_found_bad),
 	    cmocka_unit_test(few_slow_endpoints_do_not_make_a_version_bad),
+	    cmocka_unit_test(version_is_not_accepted_by_its_fast_responses),
+	    cmocka_unit_test(version_as_good_is_accepted),
+	    cmocka_unit_test(silence_is_no_evidence),
 	    cmocka_unit_test(single_endpoint_stands_for_its_version),
 	    cmocka_unit_test(
 		gaps_are_not_compared_with_too_few_of_the_old_version),
--- a/test/unit/candidates_test.c
+++ b/test/unit/candidates_test.c
@@ -214,6 +214,7 @@
 		.duration_ms = ORDER_MS},
 	    .state = ROLLOUT_IN_PROGRESS,
 	    .state_order = 5,
+	    .accepted_ms = 1,
 	    .order_seen_at = timespec_add_ms(
 		daemon->clock.now, -(int64_t)(part * ORDER_MS))};
 	HASH_ADD_KEYPTR(hh, daemon->rollouts.by_service, rollout.order.service,
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -21,7 +21,7 @@
 #include "moortack/relay/prefill_rate.h"
 #include "moortack/relay/recent_sessions.h"
 #include "moortack/relay/retry_share.h"
-#include "moortack/rollout/canary_analysis.h"
+#include "moortack/rollout/canary_verdict.h"
 #include "moortack/rollout/rollout_plan.h"
 
 /* Three models; the response of the largest is expected after @p largest_ms. */
@@ -447,8 +447,9 @@
 static void
 rollout_share_grows_late_and_only_while_not_stale(void **state)
 {
-	rollout_snapshot_t snapshot = {
-	    .state = ROLLOUT_IN_PROGRESS, .duration_ms = 20000};
+	rollout_snapshot_t snapshot = {.state = ROLLOUT_IN_PROGRESS,
+	    .duration_ms = 20000,
+	    .accepted_ms = 9000};
 
 	(void)state;
 	assert_true(rollout_plan_share(&snapshot) == 0);
@@ -472,12 +473,59 @@
 	assert_true(rollout_plan_share(&snapshot) == 1.0);
 }
 
-/* All steps before the last expose less than the users' bound of 0.15. */
+/* Time alone took the steps: a version that was found to be neither worse nor
+ * as good got all requests, and was completed. */
 static void
-a_rollout_exposes_little_before_its_last_step(void **state)
+share_does_not_grow_until_the_version_is_accepted(void **state)
 {
 	rollout_snapshot_t snapshot = {
 	    .state = ROLLOUT_IN_PROGRESS, .duration_ms = 10000};
+
+	(void)state;
+	for (int64_t ms = 2000; ms < 30000; ms += 100) {
+		snapshot.elapsed_ms = ms;
+		assert_true(
+		    rollout_plan_share(&snapshot) == ROLLOUT_FIRST_SHARE);
+		assert_false(rollout_plan_is_saturating(&snapshot));
+		assert_false(rollout_plan_may_complete(&snapshot, true));
+		assert_int_equal(rollout_plan_gives_up(&snapshot), ms >= 20000);
+	}
+}
+
+/* A version that is accepted late still gets all requests, and time to take
+ * them over, before it completes; in time, if the order leaves any. */
+static void
+late_acceptance_completes_after_the_old_version_could_drain(void **state)
+{
+	(void)state;
+	for (int64_t accepted = 7000; accepted < 20000; accepted += 500) {
+		rollout_snapshot_t snapshot = {.state = ROLLOUT_IN_PROGRESS,
+		    .duration_ms = 10000,
+		    .accepted_ms = accepted,
+		    .elapsed_ms = accepted};
+		int64_t full_ms = 0;
+
+		assert_true(rollout_plan_share(&snapshot) < 1);
+		while (!rollout_plan_may_complete(&snapshot, false)) {
+			if (full_ms == 0 && rollout_plan_share(&snapshot) == 1)
+				full_ms = snapshot.elapsed_ms;
+			snapshot.elapsed_ms += 10;
+			assert_true(snapshot.elapsed_ms <= accepted + 2500);
+		}
+		assert_in_range(full_ms, accepted, accepted + 1050);
+		if (accepted <= 9000)
+			assert_true(snapshot.elapsed_ms <= 9800);
+		assert_true(snapshot.elapsed_ms >= full_ms + 500);
+	}
+}
+
+/* All steps before the last expose less than the users' bound of 0.15. */
+static void
+a_rollout_exposes_little_before_its_last_step(void **state)
+{
+	rollout_snapshot_t snapshot = {.state = ROLLOUT_IN_PROGRESS,
+	    .duration_ms = 10000,
+	    .accepted_ms = 3000};
 	double exposed = 0;
 
 	(void)state;
@@ -508,7 +556,7 @@
 	assert_int_equal(canary_analysis_tally(
 			     analysis, (struct timespec){100, 0}, &tally, 1),
 	    1);
-	return canary_tally_is_bad(&tally);
+	return canary_tally_is_bad(&tally, CANARY_TRIAL);
 }
 
 static void
@@ -616,13 +664,13 @@
 	now.tv_sec += 4;
 	assert_true(recent_sessions_contain(&sessions, 77, now));
 	assert_false(recent_sessions_contain(&sessions, 78, now));
-	list = recent_sessions_encode(&sessions, now);
+	list = recent_sessions_encode(&sessions, now, 1);
 	recent_sessions_merge(&other, list, now);
 	json_decref(list);
 	assert_true(recent_sessions_contain(&other, 77, now));
 	now.tv_sec += 2;
 	assert_false(recent_sessions_contain(&sessions, 77, now));
-	assert_null(recent_sessions_encode(&sessions, now));
+	assert_null(recent_sessions_encode(&sessions, now, 1));
 	recent_sessions_finish(&sessions);
 	recent_sessions_finish(&other);
 }
@@ -703,6 +751,9 @@
 	    cmocka_unit_test(retries_stay_within_their_share),
 	    cmocka_unit_test(part_of_a_retry_does_not_count_as_remaining),
 	    cmocka_unit_test(rollout_share_grows_late_and_only_while_not_stale),
+	    cmocka_unit_test(share_does_not_grow_until_the_version_is_accepted),
+	    cmocka_unit_test(
+		late_acceptance_completes_after_the_old_version_could_drain),
 	    cmocka_unit_test(a_rollout_exposes_little_before_its_last_step),
 	    cmocka_unit_test(analysis_distinguishes_worse_from_equally_bad),
 	    cmocka_unit_test(
--- a/test/unit/rollout_load_test.c
+++ b/test/unit/rollout_load_test.c
@@ -16,8 +16,9 @@
 static double
 exposure_under_load(const rollout_load_input_t *input)
 {
-	rollout_snapshot_t snapshot = {
-	    .state = ROLLOUT_IN_PROGRESS, .duration_ms = 10000};
+	rollout_snapshot_t snapshot = {.state = ROLLOUT_IN_PROGRESS,
+	    .duration_ms = 10000,
+	    .accepted_ms = 3000};
 	double exposed = 0;
 
 	snapshot.load.routes[0] = 1;
@@ -39,6 +40,7 @@
 new_version_under_load_is_exposed_within_the_bound(void **state)
 {
 	static const double bounds[] = {0.08, 0.0975, 0.15, 0.3};
+	const rollout_snapshot_t trial = {.duration_ms = 10000};
 
 	(void)state;
 	for (size_t i = 0; i < sizeof(bounds) / sizeof(bounds[0]); i++) {
@@ -48,6 +50,8 @@
 				const rollout_load_input_t input = {
 				    .in_flight = in_flight,
 				    .route_part = part / 100.0,
+				    .trial_exposure =
+					rollout_plan_trial_exposure(&trial),
 				    .slots = 48,
 				    .exposure_max = bounds[i]};
 
@@ -88,6 +92,7 @@
 	rollout_snapshot_t snapshot = {.state = ROLLOUT_IN_PROGRESS,
 	    .elapsed_ms = 5500,
 	    .duration_ms = 10000,
+	    .accepted_ms = 3000,
 	    .load = {.share = 0.4,
 		.fill_share = 0.8,
 		.endpoints = 2,
@@ -158,6 +163,8 @@
 /* In the share of the load only. */
 #define LOAD_HASH (UINT64_MAX / 100 * 42)
 #define LOAD_ROUTE 0xaa
+/* When the new version was found to be as good, after the order. */
+#define ACCEPTED_MS 3000
 /* After this the load may be determined again. */
 #define RETRY_MS 1500
 
@@ -179,8 +186,8 @@
 
 	row.value_len = (size_t)snprintf(text, sizeof(text),
 	    "{\"order\":%d,\"to\":\"v2\",\"base\":\"v1\",\"state\":"
-	    "\"in_progress\",\"began_ms\":%d,%s}",
-	    ORDER, STORE_NOW_MS, load);
+	    "\"in_progress\",\"began_ms\":%d,\"accepted_ms\":%d,%s}",
+	    ORDER, STORE_NOW_MS, ACCEPTED_MS, load);
 	assert_true(rollouts_apply_state_row(&fixture->rollouts, &row, NULL));
 }
 
--- a/test/unit/rollouts_test.c
+++ b/test/unit/rollouts_test.c
@@ -43,8 +43,9 @@
 	case INPUT_STATE:
 		snprintf(text, sizeof(text),
 		    "{\"order\":%d,\"to\":\"v2\",\"base\":\"v1\","
-		    "\"state\":\"in_progress\",\"began_ms\":%d}",
-		    ORDER, STORE_NOW_MS - ELAPSED_MS);
+		    "\"state\":\"in_progress\",\"began_ms\":%d,"
+		    "\"accepted_ms\":%d}",
+		    ORDER, STORE_NOW_MS - ELAPSED_MS, ELAPSED_MS / 2);
 		row.value_len = strlen(text);
 		rollouts_apply_state_row(rollouts, &row, NULL);
 		break;
