http_msg: interim responses without end are bound together

What callers saw: an endpoint that sends 1xx responses one after the other, without end, held a request until its time was over (504), and the daemon read all that came.

Cause: the bound of a head counted each message from nothing, and interim ones are skipped.

--- a/common/http_msg.c
+++ b/common/http_msg.c
@@ -8,6 +8,8 @@
 #define STATUS_SWITCHING 101
 #define STATUS_OK 200
 #define FIELDS_INITIAL_CAP 16
+/* Bytes of a status line that the parser does not report. */
+#define STATUS_LINE_MIN 16
 
 static bool
 text_append(http_reader_t *reader, char **text, const char *bytes, size_t len)
@@ -16,7 +18,7 @@
 	char *grown;
 
 	reader->msg.head_bytes += len;
-	if (reader->msg.head_bytes > reader->head_max) {
+	if (reader->msg.head_bytes + reader->interim_bytes > reader->head_max) {
 		reader->head_too_large = true;
 		return false;
 	}
@@ -161,6 +163,12 @@
 	msg->status = (int)parser->status_code;
 	reader->interim = msg->status >= STATUS_CONTINUE &&
 	    msg->status < STATUS_OK && msg->status != STATUS_SWITCHING;
+	if (reader->interim)
+		reader->interim_bytes += STATUS_LINE_MIN + msg->head_bytes;
+	if (reader->interim_bytes > reader->head_max) {
+		reader->head_too_large = true;
+		return -1;
+	}
 	if (!reader->interim)
 		reader->ops->on_head(reader->arg, msg);
 	return reader->no_body ? 1 : 0;
@@ -234,6 +242,7 @@
 	reader->in_message = false;
 	reader->complete = false;
 	reader->interim = false;
+	reader->interim_bytes = 0;
 }
 
 http_read_result_t
--- a/include/common/http_msg.h
+++ b/include/common/http_msg.h
@@ -61,6 +61,7 @@
 	bool complete;		/**< the current message is complete */
 	bool head_too_large;	/**< head_max was exceeded */
 	bool interim;		/**< a 1xx response, which is skipped */
+	size_t interim_bytes;	/**< about, of those before this message */
 	bool out_of_memory;
 } http_reader_t;
 
--- a/test/unit/http_msg_test.c
+++ b/test/unit/http_msg_test.c
@@ -186,6 +186,26 @@
 	parse_finish(&parse);
 }
 
+static void
+interim_responses_without_end_are_invalid(void **state)
+{
+	static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	parse_t parse;
+	int count = 1;
+
+	(void)state;
+	feed(&parse, HTTP_RESPONSE, interim, sizeof(interim) - 1);
+	while (parse.result == HTTP_READ_INCOMPLETE && count < 4096) {
+		evbuffer_add(parse.in, interim, sizeof(interim) - 1);
+		parse.result = http_reader_feed(&parse.reader, parse.in);
+		count++;
+	}
+	assert_int_equal(parse.result, HTTP_READ_INVALID);
+	assert_true(count > 10);
+	assert_int_equal(parse.received.heads, 0);
+	parse_finish(&parse);
+}
+
 static void
 responses_without_length_end_with_the_connection(void **state)
 {
@@ -229,6 +249,7 @@
 	    cmocka_unit_test(trailers_are_not_headers),
 	    cmocka_unit_test(too_large_heads_are_refused),
 	    cmocka_unit_test(interim_responses_are_skipped),
+	    cmocka_unit_test(interim_responses_without_end_are_invalid),
 	    cmocka_unit_test(responses_without_length_end_with_the_connection),
 	    cmocka_unit_test(truncated_responses_are_invalid),
 	};
