http_call: heads without end are bound

A server of an own call, such as the store, could send header lines without end: evhttp bounds a head only if it is told to, and kept all of it. The bound is 64 KB, as for endpoints. unit_http_call, head_without_end_ends_the_call: over 16 MB were read before.

--- a/common/http_call.c
+++ b/common/http_call.c
@@ -9,6 +9,7 @@
 
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
+#define HEAD_MAX 65536 /* bytes */
 #define RESPONSE_MAX (64L << 20)
 
 /** A call in flight. It owns its connection, since libevent frees connections
@@ -174,6 +175,7 @@
 		return false;
 	}
 	evhttp_connection_set_timeout_tv(pending->conn, &timeout);
+	evhttp_connection_set_max_headers_size(pending->conn, HEAD_MAX);
 	evhttp_connection_set_max_body_size(pending->conn, RESPONSE_MAX);
 	/* evhttp frees the request also on failure. */
 	if (evhttp_make_request(pending->conn, req, call->method, call->path) !=
--- a/test/unit/http_call_test.c
+++ b/test/unit/http_call_test.c
@@ -9,13 +9,17 @@
 
 #include <cmocka.h>
 
+#include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/listener.h>
 #include <malloc.h>
+#include <signal.h>
 
 #include "common/http_call.h"
 
 #define CALLS 200
 #define GROWTH_MAX 20000 /* bytes; a leaked connection takes over 1,000 */
+#define ENDLESS_MAX (16U << 20) /* bytes; socket buffers hold some of them */
 
 static void
 count_refused(void *arg, const http_response_t *response)
@@ -97,12 +101,90 @@
 	event_base_free(base);
 }
 
+/** A server whose head never ends. */
+typedef struct endless_server {
+	struct event_base *base;
+	struct evconnlistener *listener;
+	struct bufferevent *bev;
+	size_t sent;
+} endless_server_t;
+
+static void
+head_write(struct bufferevent *bev, void *arg)
+{
+	static const char line[] = "X-Long: more and more and more\r\n";
+	endless_server_t *server = arg;
+
+	for (int i = 0; i < 100; i++)
+		bufferevent_write(bev, line, sizeof(line) - 1);
+	server->sent += 100 * (sizeof(line) - 1);
+	if (server->sent > ENDLESS_MAX)
+		event_base_loopbreak(server->base);
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+    struct sockaddr *address, int len, void *arg)
+{
+	endless_server_t *server = arg;
+
+	(void)listener;
+	(void)address;
+	(void)len;
+	server->bev =
+	    bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(server->bev, NULL, head_write, NULL, server);
+	bufferevent_enable(server->bev, EV_WRITE);
+	bufferevent_write(server->bev, "HTTP/1.1 200 OK\r\n", 17);
+}
+
+static void
+stop_after_call(void *arg, const http_response_t *response)
+{
+	assert_int_equal(response->status, 0);
+	event_base_loopbreak(arg);
+}
+
+static void
+head_without_end_ends_the_call(void **state)
+{
+	endless_server_t server = {.base = event_base_new()};
+	struct sockaddr_in any = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(any);
+	http_address_t address = {.host = "127.0.0.1"};
+	const http_call_t call = {.address = &address,
+	    .method = EVHTTP_REQ_GET,
+	    .path = "/",
+	    .timeout_ms = 5000};
+
+	(void)state;
+	signal(SIGPIPE, SIG_IGN);
+	server.listener =
+	    evconnlistener_new_bind(server.base, on_accept, &server,
+		LEV_OPT_CLOSE_ON_FREE, 1, (struct sockaddr *)&any, sizeof(any));
+	assert_non_null(server.listener);
+	getsockname(evconnlistener_get_fd(server.listener),
+	    (struct sockaddr *)&any, &len);
+	address.port = ntohs(any.sin_port);
+	assert_true(
+	    http_call_start(server.base, &call, stop_after_call, server.base));
+	event_base_dispatch(server.base);
+	assert_in_range(server.sent, 1, ENDLESS_MAX);
+	event_base_loop(server.base, EVLOOP_NONBLOCK);
+	bufferevent_free(server.bev);
+	evconnlistener_free(server.listener);
+	http_calls_cancel(server.base);
+	event_base_free(server.base);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(refused_calls_leak_nothing),
 	    cmocka_unit_test(cancelled_calls_report_no_response),
+	    cmocka_unit_test(head_without_end_ends_the_call),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
