relay: a body that is not wanted is read within a bound, and never passed on

Cause: such bodies were read to their end whatever came, or buffered up to the size from which an answer is passed on without a look at whose it is.

Change: the body of a response that says not run or is of the wrong endpoint, of an error, and of a success that is not the endpoint's own is read for 64 KB and a second at most, so that the connection can be kept. Then it is closed, the endpoint counts as failing, and the request goes elsewhere if it may, or ends as what it is: not run, or unknown. attempt_over says why=endless_body.

Errors of over 64 KB, or that take over a second, are no longer passed on as they are: 502 where they can't be repeated.

Not bound but by the request's time: streams of events or comments without end, answers of the endpoint's own.

--- a/moortack/relay/attempt_silence.c
+++ b/moortack/relay/attempt_silence.c
@@ -12,6 +12,9 @@
 /* Time after which a silent connection of a crowded service is looked at again:
  * an endpoint has served what waited before by then. */
 #define CROWDED_RECHECK_MS 500
+/* An unused body of more bytes or time is not read to its end. */
+#define UNUSED_BODY_MAX (64U << 10)
+#define UNUSED_BODY_MS 1000
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
 
@@ -57,6 +60,18 @@
 		event_add(req->silence_timer, &delay);
 }
 
+static void
+unused_body_cut(relay_request_t *req)
+{
+	const endpoint_response_t *response = &req->attempt.response;
+
+	endpoint_record_failure(req->attempt.endpoint);
+	if (response->not_run || response->wrong_endpoint)
+		response_not_run(req, "endless_body");
+	else
+		attempt_retry_or_fail(req, ATTEMPT_UNKNOWN, "endless_body");
+}
+
 static void
 on_silence(evutil_socket_t fd, short what, void *arg)
 {
@@ -68,6 +83,10 @@
 		restarted_endpoint_silent(req);
 		return;
 	}
+	if (req->attempt.body_unused) {
+		unused_body_cut(req);
+		return;
+	}
 	/* Without a retry left, a late response is the only one to be had. */
 	if (!relay_retry_has_spare(req->relay, req->service))
 		return;
@@ -92,11 +111,35 @@
 		silence_timer_start(req, ms);
 }
 
+void
+attempt_watch_unused_body(relay_request_t *req)
+{
+	req->attempt.body_unused = true;
+	if (!req->attempt.endpoint_restarted)
+		silence_timer_start(req, UNUSED_BODY_MS);
+}
+
+bool
+attempt_unused_body_add(relay_request_t *req, size_t len)
+{
+	attempt_t *attempt = &req->attempt;
+
+	if (!attempt->body_unused)
+		return true;
+	attempt->unused_body_bytes += len;
+	if (attempt->unused_body_bytes <= UNUSED_BODY_MAX)
+		return true;
+	unused_body_cut(req);
+	return false;
+}
+
 void
 attempt_bytes_received(relay_request_t *req)
 {
 	if (req->attempt.endpoint_restarted)
 		silence_timer_start(req, RESTARTED_QUIET_MS);
+	else if (req->attempt.body_unused)
+		return;
 	else if (req->silence_timer != NULL)
 		event_del(req->silence_timer);
 }
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -77,6 +77,8 @@
 	bool connection_refused; /**< by the endpoint's host: nothing listens */
 	struct timespec decode_since; /**< first of the events of which the
 					 time is measured */
+	bool body_unused;	  /**< the body of the response is not wanted */
+	size_t unused_body_bytes; /**< received of it */
 	bool caller_was_slow; /**< since then, no data was read for a while */
 	bool completed;	      /**< the response was complete */
 	bool end_confirmed; /**< after that, the endpoint was found to listen */
@@ -264,6 +266,14 @@
 bool attempt_may_send(relay_request_t *);
 /** The request was sent: start to watch its connection for silence. */
 void attempt_watch_silence(relay_request_t *);
+/** The body of the response is not wanted: it is read to its end only within a
+ * bound in bytes and time, so that the connection can be kept. */
+void attempt_watch_unused_body(relay_request_t *);
+/** Count bytes of such a body.
+ * @return false: it was beyond its bound, and the attempt has ended */
+bool attempt_unused_body_add(relay_request_t *, size_t len);
+/** End an attempt that the endpoint says it has not run. */
+void response_not_run(relay_request_t *, const char *why);
 /** Data of the response was received: the connection is not silent. */
 void attempt_bytes_received(relay_request_t *);
 /** Cancel the attempt in progress; nothing is sent to the caller. */
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -136,6 +136,24 @@
 	return req->response_head != NULL;
 }
 
+/* Whether a response is not a success of the endpoint itself. */
+static bool
+response_is_not_genuine(const relay_request_t *req)
+{
+	const endpoint_response_t *response = &req->attempt.response;
+
+	return status_is_success(req->status) &&
+	    (!response->has_signature || response->encoded);
+}
+
+/* Whether another response is preferred to this one. */
+static bool
+response_is_unusable(const relay_request_t *req)
+{
+	return req->status >= STATUS_SERVER_ERROR ||
+	    response_is_not_genuine(req);
+}
+
 static void
 on_head(void *arg, const http_msg_t *msg)
 {
@@ -166,14 +184,20 @@
 		relay_price_observe_response(req->relay, attempt->endpoint);
 	}
 	relay_admission_observe(req, msg->status);
-	if (response->not_run || response->wrong_endpoint)
+	if (response->not_run || response->wrong_endpoint) {
+		attempt_watch_unused_body(req);
 		return;
+	}
 	usage_count(req);
 	if (req->route->kind == ROUTE_STREAM &&
 	    status_is_success(msg->status) && response->has_signature)
 		relay_canary_first_byte(req);
-	if (response_head_accept(req, msg) && req->streaming &&
-	    !req->response_started)
+	if (!response_head_accept(req, msg))
+		return;
+	if (!req->streaming && !req->response_started &&
+	    response_is_unusable(req))
+		attempt_watch_unused_body(req);
+	if (req->streaming && !req->response_started)
 		relay_model_evaluate(req);
 }
 
@@ -269,6 +293,8 @@
 	relay_request_t *req = arg;
 	const endpoint_response_t *response = &req->attempt.response;
 
+	if (!attempt_unused_body_add(req, len))
+		return;
 	attempt_bytes_received(req);
 	if (!response->not_run && !response->wrong_endpoint)
 		response_body_add(req, bytes, len);
@@ -315,11 +341,9 @@
 static void
 response_complete(relay_request_t *req)
 {
-	const endpoint_response_t *response = &req->attempt.response;
 	http_inbound_t *caller = req->caller;
 
-	if (status_is_success(req->status) &&
-	    (!response->has_signature || response->encoded)) {
+	if (response_is_not_genuine(req)) {
 		attempt_retry_or_fail(req, ATTEMPT_UNKNOWN, "not_genuine");
 		return;
 	}
@@ -349,6 +373,16 @@
 		response_complete(req);
 }
 
+void
+response_not_run(relay_request_t *req, const char *why)
+{
+	req->unresolved_sends--;
+	req->may_have_run = req->unresolved_sends > 0;
+	if (req->attempt.response.wrong_endpoint)
+		stats_add(&req->relay->stats, STAT_WRONG_ENDPOINT, 1);
+	attempt_retry_or_fail(req, ATTEMPT_NOT_RUN, why);
+}
+
 static void
 on_done(void *arg)
 {
@@ -356,11 +390,7 @@
 	const endpoint_response_t *response = &req->attempt.response;
 
 	if (response->not_run || response->wrong_endpoint) {
-		req->unresolved_sends--;
-		req->may_have_run = req->unresolved_sends > 0;
-		if (response->wrong_endpoint)
-			stats_add(&req->relay->stats, STAT_WRONG_ENDPOINT, 1);
-		attempt_retry_or_fail(req, ATTEMPT_NOT_RUN,
+		response_not_run(req,
 		    response->wrong_endpoint ? "wrong_endpoint" : "not_run");
 	} else if (relay_end_is_uncertain(req) &&
 	    !event_scan_has_partial(&req->scan)) {
--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -39,6 +39,7 @@
 
 #include "common/http_server.h"
 #include "standin/fake.h"
+#include "standin_endless.h"
 #include "standin_kv.h"
 #include "standin_work.h"
 
@@ -448,6 +449,13 @@
 	if (kv_serve(fake->base, req))
 		return;
 	arrival_list(req);
+	if (fault_string("endless") != NULL) {
+		if (strcmp(fault_text("endless"), "not_run") != 0)
+			run_record(req);
+		endless_start(fake->base, req, fault_text("endless"),
+		    fault_is("endless_slow"), &replica.work.left);
+		return;
+	}
 	if (fault_is("shed")) {
 		headers_add(req, false);
 		respond(req, 503, "");
