--- a/moortack/rollout/canary_verdict.c
+++ b/moortack/rollout/canary_verdict.c
@@ -15,10 +15,7 @@
 /* Failures are independent of each other. Late responses are not, since one
  * long prompt delays all that are queued behind it; so more of them are needed.
  * Gaps that are several times longer are mostly due to the endpoint itself, but
- * under peak load a tenth of the old version's responses have them too, and
- * late in a roll-out there are few of these to compare with. With a lowest rate
- * of 0.03 and 5 responses, 4 of 36 good versions were reverted under load; with
- * these values none was for its gaps. */
+ * under peak load a tenth of the old version's responses have them too. */
 static const ratio_test_t test_failed = {0.01, 0.15, 3, 5.0};
 static const ratio_test_t test_late = {0.05, 0.15, 10, 14.0};
 static const ratio_test_t test_gaps = {0.10, 0.20, 6, 9.0};
