--- a/test/platform/standin_endless.c
+++ b/test/platform/standin_endless.c
@@ -1,5 +1,6 @@
 #include "standin_endless.h"
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <stdlib.h>
 #include <string.h>
