retry_share: two starts of a daemon within a window stay within its fixed part

The first bucket added the whole rest of the fixed part over a window, and gave each start its part besides: a process that ran until the end of a window, and two starts then, had one such part too much.

The parts of two starts are taken off what is added over a window, and the wait before it is added is gone, as it has no use then. A start has 0.45 of the rest, as 0.5 left nothing.

The five tests around starts, and platform_retries_across_restarts, pass.

--- a/moortack/relay/retry_share.c
+++ b/moortack/relay/retry_share.c
@@ -15,9 +15,10 @@
 /* Of that, what can be saved, but a whole retry if the fixed part allows one.
  */
 #define FIXED_SAVED_PART 0.4
-/* Of the rest, what a process has at its start, so that a daemon may start
- * twice in a window. */
-#define START_PART 0.5
+/* Starts of a daemon in a window that the rest allows for, and what each may
+ * have of it. */
+#define STARTS_IN_WINDOW 2
+#define START_PART 0.45
 /* What the requests of the latest slices have earned can always be saved: a
  * process that has just started has no others. */
 #define RECENT_SLICES 3
@@ -40,7 +41,7 @@
 
 	part.saved_max = fmax(fmin(1, total), FIXED_SAVED_PART * total);
 	part.start = fmin(1, START_PART * (total - part.saved_max));
-	part.refill = total - part.saved_max - part.start;
+	part.refill = total - part.saved_max - STARTS_IN_WINDOW * part.start;
 	return part;
 }
 
@@ -90,20 +91,14 @@
 	int64_t now_ms = timespec_to_ms(now);
 
 	share_advance(share, bounds, now);
-	if (!share->started) {
-		share->started = true;
+	if (!share->started)
 		share->saved += fixed.start;
-		/* What it has at its start is not added again. */
-		share->refilled_ms = now_ms;
-		if (fixed.refill > 0)
-			share->refilled_ms += (int64_t)(fixed.start /
-			    fixed.refill * (double)bounds->window_ms);
-	} else if (now_ms > share->refilled_ms && bounds->window_ms > 0) {
+	else if (now_ms > share->refilled_ms && bounds->window_ms > 0)
 		share->saved += fixed.refill *
 		    (double)(now_ms - share->refilled_ms) /
 		    (double)bounds->window_ms;
-		share->refilled_ms = now_ms;
-	}
+	share->started = true;
+	share->refilled_ms = now_ms;
 	balance.requests = requests_of(share, RETRY_SLICES);
 	balance.saved_max = fixed.saved_max +
 	    bounds->ratio *
