roll-outs: a version that is accepted after a daemon gave up on it is not taken back

Cause: a daemon that had given up on a version (twice the order's time, no decision) kept that when it found the version to be as good before the give-up was stored, as happens when the store is away. It then wrote the state reverted together with the acceptance: a good version was taken back. Callers lose the new version; no rule is broken.

Change: an acceptance withdraws the give-up, as long as neither is stored.

--- a/moortack/relay/rollout_evidence.c
+++ b/moortack/relay/rollout_evidence.c
@@ -165,6 +165,7 @@
 		return;
 	if (sums_are_acceptable(rollout, sums, snapshot)) {
 		rollout->accepted_proposed_ms = snapshot->elapsed_ms;
+		rollout->given_up = false;
 		evidence_log(rollout, sums, "rollout_accept");
 	} else if (!rollout->given_up && is_doubtful(sums, snapshot)) {
 		evidence_log(rollout, sums, "rollout_undecided");
