--- a/include/moortack/relay/retry_share.h
+++ b/include/moortack/relay/retry_share.h
@@ -33,7 +33,7 @@
 	int64_t refilled_ms; /**< until then the fixed part was added */
 } retry_share_t;
 
-/** What is left of the budget. */
+/** Balance of the bucket. */
 typedef struct retry_balance {
 	uint32_t requests; /**< in the window */
 	double saved;	   /**< retries that can be made */
--- a/include/moortack/rollout/canary_cohort.h
+++ b/include/moortack/rollout/canary_cohort.h
@@ -17,7 +17,7 @@
 /** Cohorts that are kept, of 1 s each. */
 #define CANARY_COHORTS 12
 
-/** What became of the requests of one or more cohorts. */
+/** Outcomes of the requests of one or more cohorts. */
 typedef struct canary_cohort {
 	uint32_t responses;
 	uint32_t failed;
--- a/include/moortack/rollout/canary_verdict.h
+++ b/include/moortack/rollout/canary_verdict.h
@@ -12,7 +12,7 @@
 /** Routes of all daemons together. */
 #define CANARY_SUM_ROUTES_MAX 32
 
-/** What all daemons counted in the window. */
+/** Counts of all daemons in the window. */
 typedef struct canary_sums {
 	canary_tally_t routes[CANARY_SUM_ROUTES_MAX];
 	size_t routes_len;
@@ -22,7 +22,7 @@
 	double rate;		 /**< responses a second, of both versions */
 } canary_sums_t;
 
-/** What counts show: logarithms of the likelihood of a worse new version over
+/** Evidence of counts: logarithms of the likelihood of a worse new version over
  * that of one as good as the old one. Positive: it is likely worse. */
 typedef struct canary_evidence {
 	double failed;
@@ -49,8 +49,8 @@
  * those of few */
 bool canary_gaps_are_bad(const canary_gaps_t *, bool single, canary_standard_t);
 
-/** What the cohorts that may be judged show, with the shortest gaps as the last
- * figure. Requests that still wait count as late. */
+/** Evidence of the cohorts that may be judged, with the shortest gaps as the
+ * last figure. Requests that still wait count as late. */
 canary_evidence_t canary_settled_evidence(const canary_sums_t *);
 
 /** Whether the sums show that the new version is as good as the old one. What
--- a/moortack/relay/retry_share.c
+++ b/moortack/relay/retry_share.c
@@ -19,7 +19,7 @@
  * have of it. */
 #define STARTS_IN_WINDOW 2
 #define START_PART 0.45
-/* What the requests of the latest slices have earned can always be saved: a
+/* Retries that the requests of the latest slices earned can always be saved: a
  * process that has just started has no others. */
 #define RECENT_SLICES 3
 /* Of the ratio, what each request of the window reserves for failures. */
--- a/moortack/relay/rollout_report.c
+++ b/moortack/relay/rollout_report.c
@@ -177,7 +177,7 @@
 	return len;
 }
 
-/* What became of this daemon's requests at the new version. */
+/* Add the outcomes of this daemon's requests at the new version. */
 static void
 own_settled_add(rollout_t *rollout, canary_cohort_t *sum)
 {
--- a/test/unit/canary_analysis_test.c
+++ b/test/unit/canary_analysis_test.c
@@ -245,7 +245,7 @@
 	    seeds_found_good(&behaviour, 3000), SEEDS * 95 / 100, SEEDS);
 }
 
-/* What was not observed counted as good. */
+/* Guards against counting unobserved responses as good. */
 static void
 silence_is_no_evidence(void **state)
 {
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -473,8 +473,7 @@
 	assert_true(rollout_plan_share(&snapshot) == 1.0);
 }
 
-/* Time alone took the steps: a version that was found to be neither worse nor
- * as good got all requests, and was completed. */
+/* Guards against steps and completion by time alone. */
 static void
 share_does_not_grow_until_the_version_is_accepted(void **state)
 {
--- a/test/unit/rollout_model_test.c
+++ b/test/unit/rollout_model_test.c
@@ -340,7 +340,7 @@
 	}
 }
 
-/** What came of all seeds of a case. */
+/** Outcomes of all seeds of a case. */
 typedef struct outcome {
 	uint32_t completed, in_time, over, played;
 	double exposed; /**< mean part of the allowed requests that it got */
--- a/test/unit/rollout_trial_test.c
+++ b/test/unit/rollout_trial_test.c
@@ -58,7 +58,7 @@
 	assert_true(rollout_trial_share(&trial, 5000) == ROLLOUT_FIRST_SHARE);
 }
 
-/* Whatever the traffic, the trial leaves half of what a bad version may get. */
+/* With any traffic, the trial leaves half of what a bad version may get. */
 static void
 trial_leaves_half_of_the_exposure(void **state)
 {
