--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,50 +10,58 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import world as w  # noqa: E402
 
-CLIENTS = 8
-BYTES = 250000     # of an answer
-WORK_S = 0.6       # of the replica
-TERM_S = 0.3       # after the requests were sent
-READ_EVERY_S = 0.1
-READ_BYTES = 3600  # 36 KB a second
+SIZES = (200000, 220000, 240000, 250000)  # of answers, one of each kind
+WORK_S = 0.6        # of the replica
+TERM_S = 0.3        # after the requests were sent
+SLOW_S = 3.0        # for so long after it sent, a client reads slowly:
+SLOW_BYTES = 1000   # so much,
+SLOW_EVERY_S = 0.1  # so often, 10 KB a second; then as fast as it comes
 
 
-def client(world, name, kind, result):
+def is_whole(data):
+    head, found, body = data.partition(b"\r\n\r\n")
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return found and len(body) >= int(line.split(b":")[1])
+    return found and body.endswith(b"\r\n0\r\n\r\n")
+
+
+def client(world, name, kind, size, result):
     sock = socket.socket()
     # A link between machines, not the loopback interface's 64 KB segments.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1400)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
     sock.connect(world.front(1))
     sock.settimeout(20)
-    sock.sendall(w.request_text("POST", "/%s/x" % kind, name, b"{}"))
+    sock.sendall(w.request_text("POST", "/%s/x" % kind, name,
+                                b"%d" % size))
     sent = time.monotonic()
     world.record.write("client sends %s" % name)
-    data, need = b"", None
+    data, whole = b"", False
     try:
-        while need is None or len(data) < need:
-            chunk = sock.recv(READ_BYTES)
+        while not whole:
+            slow = time.monotonic() - sent < SLOW_S
+            chunk = sock.recv(SLOW_BYTES if slow else 65536)
             if not chunk:
                 break
             data += chunk
-            if need is None and b"\r\n\r\n" in data:
-                head, _ = data.split(b"\r\n\r\n", 1)
-                for line in head.split(b"\r\n"):
-                    if line.lower().startswith(b"content-length:"):
-                        need = len(head) + 4 + int(line.split(b":")[1])
-            time.sleep(READ_EVERY_S)
-        why = "whole" if need is not None and len(data) >= need else "closed"
+            whole = is_whole(data)
+            if slow:
+                time.sleep(SLOW_EVERY_S)
+        why = "whole" if whole else "closed"
     except OSError as error:
         why = repr(error)
     sock.close()
-    result[name] = (why, len(data), need, time.monotonic() - sent)
-    world.record.write("client of %s: %s, %d of %s bytes, %.2f s after it sent"
-                       % (name, why, len(data), need, result[name][3]))
+    result[name] = why
+    world.record.write("client of %s: %s, %d bytes of an answer of %d, %.2f s "
+                       "after it sent" % (name, why, len(data), size,
+                                          time.monotonic() - sent))
 
 
 def case(world, trouble):
     world.start_store()
-    body = b"x" * BYTES
-    replica = w.Replica(world, 1, "reports", lambda *_: (WORK_S, body))
+    replica = w.Replica(world, 1, "reports", lambda _, __, request: (
+        WORK_S, b"x" * int(request["body"])))
     world.configure([w.route("claim", "unsafe", "reports", max_attempts=1),
                      w.route("list", "safe", "reports")], ["reports"])
     world.entry(replica)
@@ -61,12 +69,12 @@
     world.wait_ready(1)
     time.sleep(3.5)  # stable_ms, and a little
     result, threads = {}, []
-    for i in range(CLIENTS):
-        kind = "claim" if i % 2 == 0 else "list"
-        thread = threading.Thread(target=client, args=(
-            world, "%s-%d" % (kind, i), kind, result))
-        thread.start()
-        threads.append(thread)
+    for size in SIZES:
+        for kind in ("claim", "list"):
+            thread = threading.Thread(target=client, args=(
+                world, "%s-%d" % (kind, size), kind, size, result))
+            thread.start()
+            threads.append(thread)
     time.sleep(TERM_S)
     term = time.monotonic()
     if trouble:
@@ -80,10 +88,10 @@
             time.monotonic() - term, status))
     for thread in threads:
         thread.join()
-    cut = [name for name in result if result[name][0] != "whole"]
+    cut = [name for name in result if result[name] != "whole"]
     run = {r["headers"]["moortack-attempt-id"] for r in replica.runs}
     world.record.say("%d of %d answers whole; cut short: %s" % (
-        CLIENTS - len(cut), CLIENTS, " ".join(sorted(cut)) or "none"))
+        len(result) - len(cut), len(result), " ".join(sorted(cut)) or "none"))
     # LOST: read whole, passed on to a replica, and no complete answer.
     return any(name in run for name in cut)
 
