--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,99 +1,64 @@
-"""SIGTERM while clients still read answers that their replicas have finished."""
+"""A configuration takes a key away and adds a route with a long prefix."""
 import os
-import signal
-import socket
 import sys
-import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 import world as w  # noqa: E402
 
-SIZES = (200000, 220000, 240000, 250000)  # of answers, one of each kind
-WORK_S = 0.6        # of the replica
-TERM_S = 0.3        # after the requests were sent
-SLOW_S = 3.0        # for so long after it sent, a client reads slowly:
-SLOW_BYTES = 1000   # so much,
-SLOW_EVERY_S = 0.1  # so often, 10 KB a second; then as fast as it comes
-
-
-def is_whole(data):
-    head, found, body = data.partition(b"\r\n\r\n")
-    for line in head.lower().split(b"\r\n"):
-        if line.startswith(b"content-length:"):
-            return found and len(body) >= int(line.split(b":")[1])
-    return found and body.endswith(b"\r\n0\r\n\r\n")
-
-
-def client(world, name, kind, size, result):
-    sock = socket.socket()
-    # A link between machines, not the loopback interface's 64 KB segments.
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1400)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
-    sock.connect(world.front(1))
-    sock.settimeout(20)
-    sock.sendall(w.request_text("POST", "/%s/x" % kind, name,
-                                b"%d" % size))
-    sent = time.monotonic()
-    world.record.write("client sends %s" % name)
-    data, whole = b"", False
-    try:
-        while not whole:
-            slow = time.monotonic() - sent < SLOW_S
-            chunk = sock.recv(SLOW_BYTES if slow else 65536)
-            if not chunk:
-                break
-            data += chunk
-            whole = is_whole(data)
-            if slow:
-                time.sleep(SLOW_EVERY_S)
-        why = "whole" if whole else "closed"
-    except OSError as error:
-        why = repr(error)
-    sock.close()
-    result[name] = why
-    world.record.write("client of %s: %s, %d bytes of an answer of %d, %.2f s "
-                       "after it sent" % (name, why, len(data), size,
-                                          time.monotonic() - sent))
+REVOKE_S = 5.0  # bounds.revoke_ms
+# 112 bytes; the short one has 8.
+LONG = ("/studios/salzkammergut/halle-nord/reservations/firing-schedules/"
+        "by-week/glost-and-bisque/cones-04-to-10/summaries/")
+SHORT = "/weekly/"
+ASKED = 10  # times at each daemon, after the bound
 
 
 def case(world, trouble):
     world.start_store()
-    replica = w.Replica(world, 1, "reports", lambda _, __, request: (
-        WORK_S, b"x" * int(request["body"])))
-    world.configure([w.route("claim", "unsafe", "reports", max_attempts=1),
-                     w.route("list", "safe", "reports")], ["reports"])
+    replica = w.Replica(world, 1, "bookings", lambda *_: (0.01, b"booked"))
+    base = [w.route("slot", "unsafe", "bookings", max_attempts=1),
+            w.route("list", "safe", "bookings")]
+    world.configure(base, ["bookings"], keys=("kept", "taken"))
     world.entry(replica)
-    daemon = world.start_daemon(1)
-    world.wait_ready(1)
+    for i in (1, 2):
+        world.start_daemon(i)
+    world.wait_ready(1, 2)
     time.sleep(3.5)  # stable_ms, and a little
-    result, threads = {}, []
-    for size in SIZES:
-        for kind in ("claim", "list"):
-            thread = threading.Thread(target=client, args=(
-                world, "%s-%d" % (kind, size), kind, size, result))
-            thread.start()
-            threads.append(thread)
-    time.sleep(TERM_S)
-    term = time.monotonic()
-    if trouble:
-        world.record.write("SIGTERM")
-        daemon.send_signal(signal.SIGTERM)
-        try:
-            status = daemon.wait(timeout=12)
-        except Exception:
-            status = "none"
-        world.record.say("the daemon ended %.2f s after SIGTERM, status %s" % (
-            time.monotonic() - term, status))
-    for thread in threads:
-        thread.join()
-    cut = [name for name in result if result[name] != "whole"]
-    run = {r["headers"]["moortack-attempt-id"] for r in replica.runs}
-    world.record.say("%d of %d answers whole; cut short: %s" % (
-        len(result) - len(cut), len(result), " ".join(sorted(cut)) or "none"))
-    # LOST: read whole, passed on to a replica, and no complete answer.
-    return any(name in run for name in cut)
+
+    def ask(i, name, path, key):
+        status, _ = w.ask(world, i, w.request_text(
+            "POST", path, name, b"{}", deadline_ms=1500, key=key))
+        world.record.write("daemon %d answers %s (POST %s, key %s): %d" % (
+            i, name, path, key, status))
+        return status
+
+    for i in (1, 2):
+        for key in ("kept", "taken"):
+            if ask(i, "before-%d-%s" % (i, key), "/slot/1", key) != 200:
+                raise w.CannotRun("the first configuration is not served")
+    added = w.route("weekly", "safe", "bookings",
+                    prefix=LONG if trouble else SHORT)
+    world.configure(base + [added], ["bookings"], keys=("kept",))
+    acknowledged = time.monotonic()
+    world.record.write("the store has acknowledged a configuration without "
+                       "the key 'taken', with a route %s" % added["prefix"])
+    time.sleep(REVOKE_S + 0.5)
+    for n in range(ASKED):
+        for i in (1, 2):
+            ask(i, "after-%d-%d" % (i, n), "/slot/1", "taken")
+        time.sleep(0.2)
+    ask(1, "new-route", added["prefix"] + "7", "kept")
+    late = [r for r in replica.runs
+            if r["headers"]["moortack-attempt-id"].startswith("after-")]
+    world.record.say(
+        "requests with the key that was taken away, sent later than %.1f s "
+        "after the acknowledgement: %d; run: %d, the last one %.1f s after it"
+        % (REVOKE_S, 2 * ASKED, len(late),
+           late[-1]["at"] - acknowledged if late else 0))
+    # CONFIG: such a request runs.
+    return len(late) > 0
 
 
 w.main(case, FOLDER)
--- a/review/world.py
+++ b/review/world.py
@@ -303,17 +303,30 @@
 
 
 def request_text(method, path, request_id, body=b"", deadline_ms=25000,
-                 headers=()):
+                 headers=(), key=KEY):
     lines = ["%s %s HTTP/1.1" % (method, path), "Host: " + HOST,
              "Moortack-Attempt-Id: " + request_id,
              "Moortack-Deadline-Ms: %d" % deadline_ms,
-             "Moortack-Credential: " + KEY]
+             "Moortack-Credential: " + key]
     lines += list(headers)
     if body or method == "POST":
         lines.append("Content-Length: %d" % len(body))
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def ask(world, i, text, timeout=10.0):
+    """Sends a request over a new connection. Returns the status, 0 if there is
+    none, and the body."""
+    with socket.create_connection(world.front(i), timeout=timeout) as sock:
+        sock.sendall(text)
+        response = http.client.HTTPResponse(sock)
+        try:
+            response.begin()
+            return response.status, response.read()
+        except (OSError, http.client.HTTPException):
+            return 0, b""
+
+
 def main(case, folder):
     """Runs a case: case(world, trouble) returns whether the rule was broken."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
