--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,11 @@
 REPLICAS = 3         # of each version of a service
 CLIENTS = 12         # of a service
 PAUSE_S = 0.15       # of a client after an answer
-WORK_S, SLOW_S = 0.05, 0.4  # the new version is 8 times slower: a bad one
+WORK_S = 0.05
+# The new version is bad from so long after its start, and fails half of its
+# requests then: the site's own `rollout_bad` (`late`, share 0.5, gap_s 3).
+GOOD_S = 3.0
+DRAINS_S = 4.2       # from `reverted` until the new replicas drain, as on the bench
 DOWN_S = 1.5         # of the daemons
 START_S = 0.6        # of the new replicas, after the order
 ORDER_S = 16.0
@@ -52,14 +56,22 @@
 
 def case(world, trouble):
     world.start_store()
-    replicas = {}
+    replicas, started = {}, []
+
+    def new_version(replica, *_):
+        bad = started and time.monotonic() > started[0] + GOOD_S
+        if bad and len(replica.runs) % 2 == 0:
+            return WORK_S, b"failed", "500 Internal Server Error"
+        return WORK_S, b"done"
+
+    def old_version(*_):
+        return WORK_S, b"done"
+
     for s, service in enumerate(SERVICES):
         for i in range(2 * REPLICAS):
-            new = i >= REPLICAS
-            replica = w.Replica(
-                world, 10 * s + i, service,
-                lambda *_, new=new: (SLOW_S if new else WORK_S, b"done"))
-            replica.new = new
+            replica = w.Replica(world, 10 * s + i, service,
+                                new_version if i >= REPLICAS else old_version)
+            replica.new = i >= REPLICAS
             replicas.setdefault(service, []).append(replica)
     world.configure([w.route(name, "unsafe", name, max_attempts=1,
                              slo_ms=300, timeout_ms=3000)
@@ -89,6 +101,7 @@
             "service": service, "to": "v2", "duration_s": ORDER_S})
     world.record.write("the orders are acknowledged")
     time.sleep(START_S)
+    started.append(time.monotonic())
     for service in SERVICES:
         for replica in replicas[service]:
             if replica.new:
@@ -110,9 +123,9 @@
                 world.record.write("roll-out of %s: %s" % (service, state))
                 for replica in replicas[service]:
                     if state == "completed" and not replica.new:
-                        world.put("servers", replica.id, None)
+                        world.leave(replica)
                     if state == "reverted" and replica.new:
-                        threading.Timer(3.0, world.entry, (
+                        threading.Timer(DRAINS_S, world.entry, (
                             replica, "draining"), {"version": "v2"}).start()
         time.sleep(0.2)
     broken = []
--- a/review/world.py
+++ b/review/world.py
@@ -22,6 +22,7 @@
 EDGE = ["target/platform/moortack-edge", "--metrics-port=9464"]
 HOST = "a.example"
 KEY = "k1"
+HEARTBEAT_S = 1.2
 
 
 class CannotRun(Exception):
@@ -153,8 +154,14 @@
                          b"Moortack-Not-Executed: 1\r\n"
                          b"Content-Length: 0\r\n\r\n")
             return True
+        if request["path"] == "/healthz":
+            conn.sendall(("HTTP/1.1 200 OK\r\nMoortack-Replica-Id: %s\r\n"
+                          "Content-Length: 0\r\n\r\n" % self.id).encode())
+            return True
         if "moortack-attempt-id" not in request["headers"]:
-            conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            conn.sendall(b"HTTP/1.1 400 Bad Request\r\n"
+                         b"Moortack-Not-Executed: 1\r\n"
+                         b"Content-Length: 0\r\n\r\n")
             return True
         self.runs.append(request)
         request_id = request["headers"]["moortack-attempt-id"]
@@ -162,10 +169,12 @@
         reply = self.answer(self, conn, request)
         if reply is None:
             return False
-        seconds, body = reply
+        seconds, body = reply[:2]
+        status = reply[2] if len(reply) > 2 else "200 OK"
         time.sleep(seconds)
-        conn.sendall(self.head(request, more="Content-Length: %d\r\n\r\n" %
-                               len(body)) + body)
+        conn.sendall(self.head(request, status,
+                               "Content-Length: %d\r\n\r\n" % len(body)) +
+                     body)
         self.world.record.write("replica %s has answered %s, %d bytes" % (
             self.id, request_id, len(body)))
         return True
@@ -180,6 +189,8 @@
         self.processes = []
         self.daemons = {}
         self.version = 0
+        self.entries = {}  # of the replicas that run, by id
+        self.entries_lock = threading.Lock()
         self.limits = {"max_header_bytes": 65536, "max_body_bytes": 4194304,
                        "header_timeout_ms": 10000, "idle_timeout_ms": 15000}
         self.zone, self.region = "halle-nord", "salzkammergut"
@@ -231,7 +242,8 @@
         self.version += 3
         self.put("op", "config", {
             "version": self.version, "routes": routes,
-            "services": [{"name": name, "max_conns": 400}
+            "services": [{"name": name, "health_path": "/healthz",
+                          "max_conns": 400, "protocol": "h1", "tls": False}
                          for name in services],
             "limits": self.limits,
             "tenants": [{"name": "t1", "api_keys": list(keys)}]})
@@ -241,7 +253,30 @@
                  "zone": self.zone, "version": "v1", "batch_slots": 64,
                  "state": state, "warmup_left_ms": 0, "sequence": 1}
         value.update(fields)
-        self.put("servers", replica.id, value)
+        with self.entries_lock:
+            first = not self.entries
+            self.entries[replica.id] = value
+            self.put("servers", replica.id, value)
+        if first:
+            threading.Thread(target=self.heartbeats, daemon=True).start()
+
+    def leave(self, replica):
+        """Removes the entry of a replica."""
+        with self.entries_lock:
+            self.entries.pop(replica.id, None)
+            self.put("servers", replica.id, None)
+
+    def heartbeats(self):
+        """Each replica writes its entry again every heartbeat_ms."""
+        while True:
+            time.sleep(HEARTBEAT_S)
+            try:
+                with self.entries_lock:
+                    for name, value in self.entries.items():
+                        value["sequence"] += 1
+                        self.put("servers", name, value)
+            except (OSError, CannotRun, http.client.HTTPException):
+                return
 
     def settings(self, i):
         ip = self.net + str(i)
@@ -298,7 +333,8 @@
 def route(name, kind, service, **fields):
     value = {"name": name, "host": HOST, "prefix": "/%s/" % name,
              "type": kind, "service": service, "max_attempts": 3,
-             "timeout_ms": 25000, "slo_ms": 1500, "priority": 1}
+             "timeout_ms": 25000, "slo_ms": 1500, "priority": 1,
+             "anonymous": False, "sticky": False}
     value.update(fields)
     return value
 
