config_row: texts, lists and numbers of any size; a part that is invalid is refused alone

Callers saw: a configuration that takes a key away and adds a route whose prefix has 112 bytes was refused as a whole. The key went on to work (20 of 20 requests ran later than revoke_ms), and the new route was answered 404.

It refused texts over 95 bytes, more than 16 backends, 8 models or 32 regions, and numbers beyond bounds of its own, such as a weight over 1,000,000; and any of these refused everything, the keys with it. A path over 2,040 bytes matched no route. Names in rows of endpoints, orders and evacuations had the same 95 bytes, without spaces or UTF-8.

Names that are keys of rows have the 200 bytes of a key, and only control characters are refused. Of more than 32 models the first 31 and the last are used. A route that can be selected but not read stays, and its requests get 503: without it a route with a shorter prefix would run them. Likewise the keys of an organisation whose restrictions can't be read. Each part that is refused is counted (config_parts_refused, rows_refused_total) and the first one logged. The look-up tries only the lengths that prefixes have, so that long paths of slashes cost no more.

--- a/include/moortack/duty/capacity_plan.h
+++ b/include/moortack/duty/capacity_plan.h
@@ -20,8 +20,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define CAPACITY_NAME_SIZE 96
-#define CAPACITY_ZONES_MAX 16
+#define CAPACITY_NAME_SIZE 201
+#define CAPACITY_ZONES_MAX 32
 
 /** What may be ordered for a service. */
 typedef struct capacity_limits {
--- a/include/moortack/duty/usage_counts.h
+++ b/include/moortack/duty/usage_counts.h
@@ -17,7 +17,6 @@
 #include <stdint.h>
 #include <uthash.h>
 
-#define USAGE_NAME_SIZE 96
 /** Windows that are kept: the latest ones. */
 #define USAGE_WINDOWS_MAX 64
 /** Organisations that are told apart. */
@@ -45,7 +44,7 @@
 } usage_entry_t;
 
 typedef struct usage_organisation {
-	char name[USAGE_NAME_SIZE];
+	char *name;
 	uint32_t index;
 	UT_hash_handle hh;
 } usage_organisation_t;
--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -23,7 +23,9 @@
 #include "moortack/rollout/canary_analysis.h"
 #include "moortack/scheduling/price.h"
 
-#define ENDPOINT_NAME_SIZE 96
+/** Longest name and its terminator: names are keys of rows, which have at most
+ * 200 bytes. */
+#define ENDPOINT_NAME_SIZE 201
 /** Size of an endpoint's row as daemons keep it: its names, of which each byte
  * may take six, and the other fields. */
 #define ENDPOINT_TEXT_SIZE (4 * 6 * ENDPOINT_NAME_SIZE + 512)
--- a/include/moortack/relay/model_choice.h
+++ b/include/moortack/relay/model_choice.h
@@ -12,7 +12,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define MODELS_MAX 8
+#define MODELS_MAX 32
 
 /** One of the models that a route names. */
 typedef struct model_option {
--- a/include/moortack/relay/region_list.h
+++ b/include/moortack/relay/region_list.h
@@ -11,15 +11,14 @@
 
 #include "common/err.h"
 
-#define REGION_LIST_MAX 32
-
 typedef struct region_list {
-	char *names[REGION_LIST_MAX];
+	char **names;
 	size_t len; /**< 0: no restriction */
+	size_t cap;
 } region_list_t;
 
 /** Append a copy of the name.
- * @return false: the list is full, or out of memory */
+ * @return false: out of memory */
 bool region_list_add(region_list_t *, const char *name, err_t *);
 void region_list_finish(region_list_t *);
 
--- a/include/moortack/relay/relay_config.h
+++ b/include/moortack/relay/relay_config.h
@@ -20,8 +20,6 @@
 #include "moortack/relay/model_choice.h"
 #include "moortack/relay/region_list.h"
 
-#define ROUTE_POOLS_MAX 16
-
 /** Which requests of a route may be sent again. */
 typedef enum route_kind {
 	ROUTE_IDEMPOTENT,     /**< may be sent again */
@@ -34,7 +32,7 @@
 /** A service that gets a share of a route's requests. */
 typedef struct route_pool {
 	char *service;
-	uint32_t weight; /**< share of the sum of all weights */
+	uint64_t weight; /**< share of the sum of all weights */
 } route_pool_t;
 
 /** A model that may serve a request, with its price. */
@@ -70,10 +68,12 @@
 	bool anonymous;	  /**< no key is required */
 	bool resumable;	  /**< a stream may be continued after its last event */
 	region_list_t regions; /**< restriction of the endpoints */
-	route_pool_t pools[ROUTE_POOLS_MAX];
+	route_pool_t *pools;
 	size_t pools_len;
-	route_model_t models[MODELS_MAX]; /**< smallest first */
-	size_t models_len;
+	route_model_t *models; /**< smallest first */
+	size_t models_len;     /**< at most MODELS_MAX */
+	bool unreadable; /**< its requests are refused: more than its host and
+			    prefix could not be decoded */
 } relay_route_t;
 
 /** A route in the hash tables of one configuration. */
@@ -104,7 +104,9 @@
 	char *name;
 	int priority; /**< replaces that of the route; negative: none */
 	region_list_t
-	    regions; /**< restriction in addition to that of the route */
+	    regions;	 /**< restriction in addition to that of the route */
+	bool unreadable; /**< its requests are refused: its restrictions could
+			    not be decoded */
 } relay_organisation_t;
 
 typedef struct relay_key {
@@ -130,6 +132,12 @@
 	size_t body_max;	 /**< bytes */
 	int64_t read_timeout_ms; /**< for the head of a request */
 	int64_t idle_timeout_ms; /**< of a connection between requests */
+	/** Lengths of the look-up keys of its routes, longest first. */
+	size_t *key_lens;
+	size_t key_lens_len;
+	uint32_t parts_refused; /**< that could not be decoded; the others are
+				   in force */
+	err_t refused_why;	/**< of the first of them */
 } relay_config_t;
 
 /** A configuration with default limits and one reference.
@@ -153,12 +161,24 @@
  * @return NULL: out of memory */
 relay_organisation_t *
 relay_config_add_organisation(relay_config_t *, const char *name, int priority);
-/** Add a key of an organisation.
- * @return false with the error set: another key has the same text, or out of
+/** Add a key of an organisation, which may have it already.
+ * @return false with the error set: another organisation has the key, or out of
  * memory */
 bool relay_config_add_key(
     relay_config_t *, const char *text, relay_organisation_t *, err_t *);
 
+/** Record a part of the configuration that could not be decoded.
+ * @param why its error */
+void relay_config_refuse_part(relay_config_t *, const err_t *why);
+
+/** Append a service with its weight.
+ * @return false: out of memory */
+bool
+relay_route_add_pool(relay_route_t *, const char *service, uint64_t weight);
+/** Append a model. Of more than MODELS_MAX, the last one replaces the one
+ * before it, so that the largest is kept.
+ * @return false: out of memory */
+bool relay_route_add_model(relay_route_t *, const char *name);
 /** Drop a reference to a route; the last one frees it. */
 void relay_route_release(relay_route_t *);
 
@@ -177,7 +197,7 @@
 
 /** Collect the regions of all routes of a host in an empty list.
  * @return false, with @p out empty: the host has no route, a route is not
- * restricted, there are more than REGION_LIST_MAX regions, or out of memory */
+ * restricted, or out of memory */
 bool relay_config_collect_host_regions(
     const relay_config_t *, const char *host, region_list_t *out);
 
--- a/include/moortack/relay/zone_table.h
+++ b/include/moortack/relay/zone_table.h
@@ -10,7 +10,7 @@
 #include <time.h>
 #include <uthash.h>
 
-#define ZONE_NAME_SIZE 96
+#define ZONE_NAME_SIZE 201
 
 typedef struct zone {
 	char name[ZONE_NAME_SIZE];
--- a/moortack/duty/usage_counts.c
+++ b/moortack/duty/usage_counts.c
@@ -27,8 +27,10 @@
 	HASH_ITER(hh, self->entries, entry, next)
 	entry_free(self, entry);
 	HASH_CLEAR(hh, self->by_name);
-	for (size_t i = 0; i < self->organisations_len; i++)
+	for (size_t i = 0; i < self->organisations_len; i++) {
+		free(self->organisations[i]->name);
 		free(self->organisations[i]);
+	}
 	free(self->organisations);
 }
 
@@ -49,7 +51,7 @@
 	return true;
 }
 
-/* @return NULL: too many names, a name is too long, or out of memory */
+/* @return NULL: too many names, or out of memory */
 static usage_organisation_t *
 organisation_find_or_add(usage_counts_t *self, const char *name)
 {
@@ -59,15 +61,18 @@
 	if (organisation != NULL)
 		return organisation;
 	if (self->organisations_len == USAGE_ORGANISATIONS_MAX ||
-	    strlen(name) >= USAGE_NAME_SIZE || !organisations_reserve(self))
+	    !organisations_reserve(self))
 		return NULL;
 	organisation = calloc(1, sizeof(*organisation));
-	if (organisation == NULL)
+	if (organisation == NULL ||
+	    (organisation->name = strdup(name)) == NULL) {
+		free(organisation);
 		return NULL;
-	strcpy(organisation->name, name);
+	}
 	organisation->index = (uint32_t)self->organisations_len;
 	self->organisations[self->organisations_len++] = organisation;
-	HASH_ADD_STR(self->by_name, name, organisation);
+	HASH_ADD_KEYPTR(hh, self->by_name, organisation->name,
+	    strlen(organisation->name), organisation);
 	return organisation;
 }
 
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -73,7 +73,8 @@
 	    req->earlier_tries_ms + req->first_byte_ms >
 		(double)req->route->latency_objective_ms);
 	event_log_write(relay->log, "request",
-	    "id=%s route=%s service=%s organisation=%s outcome=%s why=%s "
+	    "id=%s route=%.95s service=%.95s organisation=%.95s outcome=%s "
+	    "why=%s "
 	    "status=%d sends=%u connects_failed=%u model=%s confidence=%d "
 	    "tokens=%u,%u,%u ms=%.0f first_ms=%.0f before_ms=%.0f "
 	    "admission=%s waited_ms=%" PRId64 " "
@@ -435,9 +436,11 @@
 		return;
 	}
 	event_log_write(relay->log, "config",
-	    "version=%" PRIu64 " before=%" PRIu64 " routes=%u services=%u",
+	    "version=%" PRIu64 " before=%" PRIu64
+	    " routes=%u services=%u parts_refused=%u",
 	    config->version, relay->config != NULL ? relay->config->version : 0,
-	    HASH_COUNT(config->routes), HASH_COUNT(config->services));
+	    HASH_COUNT(config->routes), HASH_COUNT(config->services),
+	    config->parts_refused);
 	relay_config_release(relay->config);
 	relay->config = config;
 	inbound_limits_set(relay);
--- a/moortack/relay/relay_authorize.c
+++ b/moortack/relay/relay_authorize.c
@@ -43,6 +43,8 @@
 	*route = relay_config_find_route(config, arrival->host, target);
 	if (*route == NULL)
 		return stale ? ERR_CONFIG_STALE : ERR_NOT_FOUND;
+	if ((*route)->unreadable)
+		return ERR_NOT_READY;
 	if (!config->keys_required || (*route)->anonymous)
 		return ERR_NONE;
 	if (age_ms > relay->bounds.key_max_age_ms)
@@ -52,5 +54,7 @@
 		    relay_config_find_organisation(config, arrival->key);
 	if (*organisation == NULL)
 		return stale ? ERR_CONFIG_STALE : ERR_AUTHENTICATION;
+	if ((*organisation)->unreadable)
+		return ERR_NOT_READY;
 	return ERR_NONE;
 }
--- a/moortack/relay/relay_config.c
+++ b/moortack/relay/relay_config.c
@@ -5,8 +5,9 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Bytes; a longer host and path match no route. */
+/* Bytes of a host and path that are joined without allocating memory. */
 #define LOOKUP_KEY_SIZE 2048
+#define ARRAY_INITIAL_CAP 4
 #define CONNECTIONS_MAX_DEFAULT 100
 #define HEAD_MAX_DEFAULT 65536
 #define BODY_MAX_DEFAULT (8U << 20)
@@ -70,6 +71,8 @@
 		free(route->pools[i].service);
 	for (size_t i = 0; i < route->models_len; i++)
 		free(route->models[i].name);
+	free(route->pools);
+	free(route->models);
 	region_list_finish(&route->regions);
 	free(route);
 }
@@ -106,6 +109,7 @@
 		free(config->organisations[i]);
 	}
 	free(config->organisations);
+	free(config->key_lens);
 	free(config);
 }
 
@@ -116,6 +120,84 @@
 		config_free(config);
 }
 
+/* Makes room in an array that has a power of two, or no, entries when full.
+ * @return NULL: out of memory */
+static void *
+array_reserve(void *array, size_t len, size_t entry_size)
+{
+	if (len == 0)
+		return realloc(array, ARRAY_INITIAL_CAP * entry_size);
+	if (len < ARRAY_INITIAL_CAP || (len & (len - 1)) != 0)
+		return array;
+	return realloc(array, 2 * len * entry_size);
+}
+
+bool
+relay_route_add_pool(relay_route_t *route, const char *service, uint64_t weight)
+{
+	route_pool_t *grown = array_reserve(
+	    route->pools, route->pools_len, sizeof(route->pools[0]));
+	char *copy = strdup(service);
+
+	if (grown != NULL)
+		route->pools = grown;
+	if (grown == NULL || copy == NULL) {
+		free(copy);
+		return false;
+	}
+	route->pools[route->pools_len++] =
+	    (route_pool_t){.service = copy, .weight = weight};
+	return true;
+}
+
+bool
+relay_route_add_model(relay_route_t *route, const char *name)
+{
+	route_model_t *grown = array_reserve(
+	    route->models, route->models_len, sizeof(route->models[0]));
+	char *copy = strdup(name);
+
+	if (grown != NULL)
+		route->models = grown;
+	if (grown == NULL || copy == NULL) {
+		free(copy);
+		return false;
+	}
+	if (route->models_len == MODELS_MAX)
+		free(route->models[--route->models_len].name);
+	route->models[route->models_len++] = (route_model_t){.name = copy};
+	return true;
+}
+
+void
+relay_config_refuse_part(relay_config_t *config, const err_t *why)
+{
+	if (config->parts_refused++ == 0)
+		config->refused_why = *why;
+}
+
+/* Inserts the length of a look-up key, unless another key has it. */
+static bool
+key_len_add(relay_config_t *config, size_t len)
+{
+	size_t *grown, index = 0;
+
+	while (index < config->key_lens_len && config->key_lens[index] > len)
+		index++;
+	if (index < config->key_lens_len && config->key_lens[index] == len)
+		return true;
+	grown = array_reserve(
+	    config->key_lens, config->key_lens_len, sizeof(grown[0]));
+	if (grown == NULL)
+		return false;
+	config->key_lens = grown;
+	memmove(&grown[index + 1], &grown[index],
+	    (config->key_lens_len - index) * sizeof(grown[0]));
+	grown[index] = len;
+	config->key_lens_len++;
+	return true;
+}
+
 static bool
 route_lookup_key_make(relay_route_t *route)
 {
@@ -141,7 +223,9 @@
 	if (entry != NULL)
 		return err_set(
 		    err, ERR_BAD_REQUEST, "two routes have the same prefix");
-	entry = calloc(1, sizeof(*entry));
+	entry = key_len_add(config, strlen(route->lookup_key))
+	    ? calloc(1, sizeof(*entry))
+	    : NULL;
 	if (entry == NULL)
 		return err_set(err, ERR_MEMORY, "out of memory");
 	entry->route = route;
@@ -217,6 +301,8 @@
 	relay_key_t *key;
 
 	HASH_FIND_STR(config->keys, text, key);
+	if (key != NULL && key->organisation == organisation)
+		return true;
 	if (key != NULL)
 		return err_set(
 		    err, ERR_BAD_REQUEST, "two organisations share a key");
@@ -239,28 +325,54 @@
 	return colon != NULL ? (size_t)(colon - host) : strlen(host);
 }
 
+/* Finds the longest prefix, which ends with a slash, of a host and path. Only
+ * the lengths that prefixes have are looked up, so that a path of many slashes
+ * costs no more than others. */
+static const relay_route_t *
+prefix_find(
+    const relay_config_t *config, const char *text, size_t name_len, size_t len)
+{
+	relay_route_entry_t *entry;
+
+	for (size_t i = 0; i < config->key_lens_len; i++) {
+		size_t end = config->key_lens[i];
+
+		if (end > len || text[end - 1] != '/')
+			continue;
+		if (end <= name_len)
+			break;
+		HASH_FIND(hh, config->routes, text, end, entry);
+		if (entry != NULL)
+			return entry->route;
+	}
+	return NULL;
+}
+
 const relay_route_t *
 relay_config_find_route(
     const relay_config_t *config, const char *host, const char *target)
 {
-	char text[LOOKUP_KEY_SIZE];
+	char buffer[LOOKUP_KEY_SIZE];
 	size_t name_len = host_name_len(host);
 	size_t path_len = strcspn(target, "?#");
-	relay_route_entry_t *entry;
+	size_t longest = config->key_lens_len > 0 ? config->key_lens[0] : 0;
+	const relay_route_t *route;
+	char *text = buffer;
 
-	if (name_len + path_len >= sizeof(text))
+	if (longest <= name_len)
+		return NULL;
+	if (path_len > longest - name_len)
+		path_len = longest - name_len;
+	if (name_len + path_len > sizeof(buffer))
+		text = malloc(name_len + path_len);
+	if (text == NULL)
 		return NULL;
 	memcpy(text, host, name_len);
 	memcpy(text + name_len, target, path_len);
-	/* Each prefix ends with a slash: the longest is tried first. */
-	for (size_t end = name_len + path_len; end > name_len; end--) {
-		if (text[end - 1] != '/')
-			continue;
-		HASH_FIND(hh, config->routes, text, end, entry);
-		if (entry != NULL)
-			return entry->route;
-	}
-	return NULL;
+	route = prefix_find(config, text, name_len, name_len + path_len);
+	if (text != buffer)
+		free(text);
+	return route;
 }
 
 static bool
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -75,6 +75,9 @@
 		relay_row_keep_known(node, ROW_TABLE_OPERATOR, known, row);
 	else
 		row_sync_put(&node->row_sync, ROW_TABLE_OPERATOR, row);
+	if (config != NULL && config->parts_refused > 0)
+		row_refusals_record(&node->refusals, ROW_KIND_CONFIG, row,
+		    &config->refused_why);
 	if (config != NULL)
 		relay_configure(&node->relay, config);
 	else if (!row->deleted)
