relay: a configuration that can't be read does not count as read

Callers saw: while the operator's newest configuration was refused, for whatever reason, keys that it may have taken away stayed valid without end, and the daemon said that it was ready and its configuration fresh.

Cause: the age that is compared with the bound for keys was that of the last read of the table. on_config_row() kept the earlier configuration in force, but the row watch counted the row as read.

Change: the relay notes that its configuration is outdated, and when it was last known to be the newest one; relay_config_age_ms() counts from then until a readable one that is not older comes. With strict revocation requests with a key are refused once the age passes the bound, and the daemon is not ready; routes that need no key go on.

Ruled out: applying nothing and refusing at once, which would stop a fleet for any unreadable row; peers handing on what they decoded, as then one daemon's fault is all daemons' fault.

--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -138,6 +138,11 @@
 	char zone[ENDPOINT_NAME_SIZE];
 	relay_bounds_t bounds;
 	relay_config_t *config; /**< NULL: none received yet */
+	bool config_outdated;	/**< a later configuration could not be read, so
+				   that the one before it is still in force */
+	struct timespec config_current_at; /**< last time at which the one in
+					      force was known to be the latest,
+					      if it is outdated */
 	relay_stats_t stats;
 	service_state_t *service_states;
 	route_callers_t *route_callers;
@@ -176,6 +181,12 @@
 /** Make a configuration the current one, and take over the caller's reference.
  * One that is not newer than the current one is released instead. */
 void relay_configure(relay_t *, relay_config_t *);
+/** The latest configuration could not be read: from now on the age of the
+ * current one grows until relay_configure() gets one that is not older. */
+void relay_config_mark_outdated(relay_t *);
+/** Milliseconds since the current configuration was known to be the latest;
+ * INT64_MAX: it never was. */
+int64_t relay_config_age_ms(const relay_t *);
 
 /** Accept connections once the daemon is ready to serve, or at the latest after
  * a bounded delay. Until then connections wait in the kernel, so that callers
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -95,12 +95,11 @@
 	    req->route->latency_objective_ms, req->max_event_gap_ms,
 	    req->route->event_gap_objective_ms, req->escalated_ms,
 	    req->time_limit_ms, req->config->version,
-	    row_watch_age_ms(relay->config_watch),
-	    row_watch_age_ms(relay->endpoint_watch), req->last_endpoint_id,
-	    req->last_endpoint_version, req->placement.load,
-	    req->placement.candidates, req->placement.owner_reports,
-	    req->placement.queue_wait_ms, session_tag(req), req->from_daemon,
-	    req->tried_helpers_len);
+	    relay_config_age_ms(relay), row_watch_age_ms(relay->endpoint_watch),
+	    req->last_endpoint_id, req->last_endpoint_version,
+	    req->placement.load, req->placement.candidates,
+	    req->placement.owner_reports, req->placement.queue_wait_ms,
+	    session_tag(req), req->from_daemon, req->tried_helpers_len);
 	request_free(req);
 }
 
@@ -427,9 +426,36 @@
 	warmup_daemons_finish(&relay->warmup_daemons);
 }
 
+void
+relay_config_mark_outdated(relay_t *relay)
+{
+	const row_watch_t *watch = relay->config_watch;
+
+	if (relay->config_outdated)
+		return;
+	relay->config_outdated = true;
+	relay->config_current_at =
+	    watch->synced_once ? watch->synced_at : (struct timespec){0};
+	event_log_write(relay->log, "config_outdated",
+	    "version=%" PRIu64 " age_ms=%" PRId64,
+	    relay->config != NULL ? relay->config->version : 0,
+	    relay_config_age_ms(relay));
+}
+
+int64_t
+relay_config_age_ms(const relay_t *relay)
+{
+	if (!relay->config_outdated)
+		return row_watch_age_ms(relay->config_watch);
+	return timespec_ms_between(
+	    relay->config_current_at, clock_boottime(relay->clock));
+}
+
 void
 relay_configure(relay_t *relay, relay_config_t *config)
 {
+	if (relay->config == NULL || config->version >= relay->config->version)
+		relay->config_outdated = false;
 	if (relay->config != NULL &&
 	    config->version <= relay->config->version) {
 		relay_config_release(config);
@@ -459,8 +485,7 @@
 relay_ready(const relay_t *relay)
 {
 	return relay_can_serve(relay) &&
-	    row_watch_age_ms(relay->config_watch) <=
-	    relay->bounds.key_max_age_ms;
+	    relay_config_age_ms(relay) <= relay->bounds.key_max_age_ms;
 }
 
 void
--- a/moortack/relay/relay_authorize.c
+++ b/moortack/relay/relay_authorize.c
@@ -34,7 +34,7 @@
     const relay_organisation_t **organisation)
 {
 	const relay_config_t *config = relay->config;
-	int64_t age_ms = row_watch_age_ms(relay->config_watch);
+	int64_t age_ms = relay_config_age_ms(relay);
 	bool stale = age_ms > relay->bounds.config_stale_ms;
 
 	*organisation = NULL;
--- a/moortack/relay/relay_failure.c
+++ b/moortack/relay/relay_failure.c
@@ -99,6 +99,6 @@
 	    " under_way=%u",
 	    id, err_info(code)->name, why,
 	    relay->config != NULL ? relay->config->version : 0,
-	    row_watch_age_ms(relay->config_watch), relay->in_flight);
+	    relay_config_age_ms(relay), relay->in_flight);
 	error_send(relay, caller, code, retry_after_ms(relay, code), result);
 }
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -197,7 +197,7 @@
 	node->suspensions++;
 	event_log_write(&node->log, "suspended",
 	    "ms=%" PRId64 " under_way=%u config_age_ms=%" PRId64, suspended_ms,
-	    node->relay.in_flight, row_watch_age_ms(node->relay.config_watch));
+	    node->relay.in_flight, relay_config_age_ms(&node->relay));
 	relay_vm_resumed(&node->relay);
 }
 
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -71,17 +71,22 @@
 	if (!row->deleted)
 		config = node->ports.row_dialect->decode_config(
 		    row->value, row->value_len, node->relay.config, &err);
-	if (config_is_older(node, known, row, config))
+	if (config_is_older(node, known, row, config)) {
 		relay_row_keep_known(node, ROW_TABLE_OPERATOR, known, row);
-	else
-		row_sync_put(&node->row_sync, ROW_TABLE_OPERATOR, row);
+		relay_config_release(config);
+		return;
+	}
+	row_sync_put(&node->row_sync, ROW_TABLE_OPERATOR, row);
 	if (config != NULL && config->parts_refused > 0)
 		row_refusals_record(&node->refusals, ROW_KIND_CONFIG, row,
 		    &config->refused_why);
-	if (config != NULL)
+	if (config != NULL) {
 		relay_configure(&node->relay, config);
-	else if (!row->deleted)
-		/* The last valid configuration stays in force. */
+		return;
+	}
+	/* The last one that could be read stays in force, and ages. */
+	relay_config_mark_outdated(&node->relay);
+	if (!row->deleted)
 		row_refusals_record(
 		    &node->refusals, ROW_KIND_CONFIG, row, &err);
 }
