relay: a route whose weights are all 0 is refused, and ends no daemon

Callers saw: all daemons ended by signal 11 at the first prompt on a route of which all backends have weight 0, and again after each restart.

Cause: relay_route_service() gives NULL for such a route. The query of owners, the choice of the model and the retry budget hash the service's name without a check.

Change: request_accept() refuses a request without a service (503, not run, no_service), and request_reauthorize() one whose route has lost its service, before it changes the request. So no code behind the two sees such a request.

--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -281,12 +281,16 @@
 	}
 	http_inbound_set_user_data(caller, req);
 	req->service = relay_route_service(route, req->split_hash);
+	if (req->service == NULL) {
+		request_fail(req, ERR_NO_ENDPOINT, "no_service");
+		return;
+	}
 	if (from_daemon && relay_reach_verdict(req) != REACH_OK) {
 		request_fail(req, ERR_NO_ENDPOINT, "unreachable");
 		return;
 	}
 	/* The daemon that the caller connected to has counted it. */
-	if (req->service != NULL && !from_daemon)
+	if (!from_daemon)
 		relay_count_request(relay, req->service, req->received_at);
 	attempt_begin(req);
 }
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -287,18 +287,20 @@
 	const http_msg_t *msg = http_inbound_request(req->caller);
 	const relay_organisation_t *organisation;
 	const relay_route_t *route;
+	const char *service;
 	err_code_t code = relay_authorize(
 	    relay, &req->arrival, msg->target, &route, &organisation);
 
 	if (code != ERR_NONE || req->config == relay->config)
 		return code;
-	if (!relay_model_rebind(req, route))
+	service = relay_route_service(route, req->split_hash);
+	if (service == NULL || !relay_model_rebind(req, route))
 		return ERR_NO_ENDPOINT;
 	relay_config_release(req->config);
 	req->config = relay_config_acquire(relay->config);
 	req->route = route;
 	req->organisation = organisation;
-	req->service = relay_route_service(route, req->split_hash);
+	req->service = service;
 	return ERR_NONE;
 }
 
