roll-outs: the version that an order names is not taken for the one that it replaces

Callers saw: after a loss of all VMs right after, or before, the order of a roll-out, all requests went to the new version, which was bad: 402 to 503 of them where 230 to 261 are allowed. After the roll-back the service had no endpoints for some seconds; a slow version was completed.

Cause: without a state of the roll-out, the replaced version was the one with the most endpoints, a tie going by the order of a hash table. The first daemon stored that for all.

Change: the order names the newer version, so the replaced one is of the others, unless the service was seen without an order: all endpoints read first, the orders after them, none for the service. Majorities of a partly read table are forgotten; a tie goes to the first by name. If only the new version is known, nothing is sent for 5 s, since entries that expired in an outage come back later, and after that it is better than none. No state is written before all endpoints were read, a state without a replaced version is completed, and no request is sent before the orders were read to their end: they come in the same read as the configuration, but maybe on a later page.

Ruled out: a share that is granted twice (it is 0 at that time).

--- a/include/moortack/relay/endpoint_set.h
+++ b/include/moortack/relay/endpoint_set.h
@@ -146,11 +146,17 @@
 	uint32_t in_flight;    /**< requests of this daemon at all of them */
 	double in_flight_mean; /**< moving average of in_flight over some
 				  seconds */
-	char base_version[ENDPOINT_NAME_SIZE]; /**< version that most endpoints
-						  have; "": not known yet */
-	brittle_notice_t brittle; /**< the last one of any of them */
-	uint32_t service_hash;	  /**< as other daemons are sent it */
-	reach_t reach;		  /**< this daemon's links to them */
+	char base_version[ENDPOINT_NAME_SIZE]; /**< version in force before any
+						  order; "": not known yet */
+	bool base_proven; /**< all endpoints were read, and after them the
+			     orders, of which none is for the service; else it
+			     is the version that most endpoints have */
+	struct timespec new_alone_since; /**< only endpoints of a version that
+					    is being rolled out are known; 0:
+					    there are others */
+	brittle_notice_t brittle;	 /**< the last one of any of them */
+	uint32_t service_hash;		 /**< as other daemons are sent it */
+	reach_t reach;			 /**< this daemon's links to them */
 	struct timespec
 	    unreachable_at; /**< last failure while none can be reached */
 	helpers_t helpers;  /**< used while the links are lost */
@@ -236,11 +242,21 @@
 /** Index in the ring of the first endpoint whose hash is not less than this
  * one; the ring's length: there is none. */
 size_t endpoint_group_lower_bound(const endpoint_group_t *, uint64_t hash);
-/** Sets the base version, once, to the version that most endpoints of the
- * service have while no roll-out is ordered: endpoints of other versions are
- * not used until an order names them. */
+/** Sets the base version, if it is not known, to the version that most
+ * endpoints of the service have: endpoints of other versions are not used until
+ * an order names them. */
 void endpoint_group_learn_base_version(endpoint_group_t *);
 void endpoint_set_learn_base_versions(endpoint_set_t *);
+/** The same, also if it is known, and for good: all endpoints were read, and
+ * after them the orders, of which none is for the service. */
+void endpoint_group_prove_base_version(endpoint_group_t *);
+/** The version that an order for the new version replaces: the base version if
+ * it is proven, else the version that most of the other endpoints have.
+ * @return "": not known */
+const char *
+endpoint_group_replaced_version(endpoint_group_t *, const char *new_version);
+/** Forgets the base versions that are not proven. */
+void endpoint_set_forget_base_versions(endpoint_set_t *);
 
 /** Updates the moving averages of requests in flight; called a few times a
  * second. */
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -233,9 +233,10 @@
 /** Whether all endpoints of the new version are in one group. */
 bool relay_new_version_is_one_group(const void *relay, const rollout_t *);
 
-/** The version that most endpoints of a service had at first; "": not known.
+/** See rollouts_t.replaced_version.
  * @param relay a relay_t */
-const char *relay_group_base_version(const void *relay, const char *service);
+const char *relay_group_replaced_version(
+    const void *relay, const char *service, const char *new_version);
 
 /** Callbacks for messages of other daemons about prompts and crashes; their
  * argument is a relay_t. */
--- a/include/moortack/relay/relay_node.h
+++ b/include/moortack/relay/relay_node.h
@@ -117,13 +117,14 @@
 	row_refusals_t refusals;
 	struct timespec store_available_at; /**< end of the last outage, or
 					       restore, of the store */
-	bool keep_lapsed;      /**< entries of endpoints may have been removed
-				  because of an outage: they are kept as lapsed */
-	bool member_rows_read; /**< the rows of all daemons were read once */
-	uint64_t store_era;    /**< latest one known; the store starts a new one
-				  when it is restored from an older copy */
-	uint64_t rows_kept;    /**< number of rows that were kept although a
-				  restored copy of the store has an older state */
+	bool keep_lapsed;	 /**< entries of endpoints may have been removed
+				    because of an outage: they are kept as lapsed */
+	bool endpoint_rows_read; /**< all rows of endpoints were read once */
+	bool member_rows_read;	 /**< the rows of all daemons were read once */
+	uint64_t store_era; /**< latest one known; the store starts a new one
+			       when it is restored from an older copy */
+	uint64_t rows_kept; /**< number of rows that were kept although a
+			       restored copy of the store has an older state */
 	struct event *tick_timer;
 	suspend_watch_t suspend_watch;
 	uint64_t suspensions; /**< of the VM; number of them */
--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -104,8 +104,11 @@
 	const clock_source_t *clock;
 	const rollout_status_encoder_t *status_encoder;
 	membership_t *members;
-	const row_watch_t *orders_watch; /**< for the age of the orders */
-	row_watch_t *states_watch;	 /**< for the age of the states */
+	const row_watch_t *orders_watch;    /**< for the age of the orders */
+	row_watch_t *states_watch;	    /**< for the age of the states */
+	const row_watch_t *endpoints_watch; /**< no order starts before all
+					       endpoints were read; NULL:
+					       they are known */
 	event_log_t *log;
 	rollout_t *by_service;
 	struct event *timer;
@@ -131,9 +134,10 @@
 	/** Part of the requests that a bad version may get, 0 to 1. */
 	double exposure_max;
 	double exposure_tolerance; /**< requests that it may get besides */
-	/** The version of a service before any order; "": not known. */
-	const char *(*group_base_version)(
-	    const void *relay, const char *service);
+	/** The version of a service that an order for the new version replaces,
+	 * if no state tells it; "": not known. */
+	const char *(*replaced_version)(
+	    const void *relay, const char *service, const char *new_version);
 	const void *relay;
 };
 
--- a/moortack/relay/endpoint_group.c
+++ b/moortack/relay/endpoint_group.c
@@ -88,27 +88,63 @@
 	return count;
 }
 
-void
-endpoint_group_learn_base_version(endpoint_group_t *group)
+/* The version that most endpoints have, apart from the excluded one. Of several
+ * the first by name, so that all daemons choose the same.
+ * @param version "" if there is none */
+static void
+majority_find(const endpoint_group_t *group, const char *excluded,
+    char version[ENDPOINT_NAME_SIZE])
 {
-	version_count_t *counts = NULL, *count, *next;
+	version_count_t *counts = NULL, *count = NULL, *next = NULL;
 	uint32_t best = 0;
 
-	if (group->base_version[0] != '\0')
-		return;
+	version[0] = '\0';
 	for (size_t i = 0; i < group->len; i++) {
-		count =
-		    version_count_get(&counts, group->ring[i]->info.version);
+		const char *found = group->ring[i]->info.version;
+
+		if (excluded != NULL && strcmp(found, excluded) == 0)
+			continue;
+		count = version_count_get(&counts, found);
 		if (count != NULL)
 			count->count++;
 	}
 	HASH_ITER(hh, counts, count, next)
 	{
-		if (count->count > best) {
+		if (count->count > best ||
+		    (count->count == best &&
+			strcmp(count->version, version) < 0)) {
 			best = count->count;
-			strcpy(group->base_version, count->version);
+			strcpy(version, count->version);
 		}
 		HASH_DEL(counts, count);
 		free(count);
 	}
 }
+
+void
+endpoint_group_learn_base_version(endpoint_group_t *group)
+{
+	if (group->base_version[0] == '\0')
+		majority_find(group, NULL, group->base_version);
+}
+
+void
+endpoint_group_prove_base_version(endpoint_group_t *group)
+{
+	if (group->base_proven || group->len == 0)
+		return;
+	majority_find(group, NULL, group->base_version);
+	group->base_proven = true;
+}
+
+const char *
+endpoint_group_replaced_version(
+    endpoint_group_t *group, const char *new_version)
+{
+	if (group->base_proven)
+		return group->base_version;
+	if (group->base_version[0] == '\0' ||
+	    strcmp(group->base_version, new_version) == 0)
+		majority_find(group, new_version, group->base_version);
+	return group->base_version;
+}
--- a/moortack/relay/endpoint_set.c
+++ b/moortack/relay/endpoint_set.c
@@ -228,6 +228,16 @@
 		endpoint_group_learn_base_version(group);
 }
 
+void
+endpoint_set_forget_base_versions(endpoint_set_t *set)
+{
+	for (endpoint_group_t *group = set->groups; group != NULL;
+	     group = group->hh.next) {
+		if (!group->base_proven)
+			group->base_version[0] = '\0';
+	}
+}
+
 incarnation_order_t
 endpoint_compare_incarnation(
     const endpoint_t *known, const endpoint_info_t *info)
--- a/moortack/relay/relay_attempt.c
+++ b/moortack/relay/relay_attempt.c
@@ -106,16 +106,16 @@
 }
 
 const char *
-relay_group_base_version(const void *arg, const char *service)
+relay_group_replaced_version(
+    const void *arg, const char *service, const char *new_version)
 {
 	const relay_t *relay = arg;
 	endpoint_group_t *group =
 	    endpoint_set_find_group(relay->endpoints, service);
 
-	if (group == NULL)
-		return "";
-	endpoint_group_learn_base_version(group);
-	return group->base_version;
+	return group != NULL
+	    ? endpoint_group_replaced_version(group, new_version)
+	    : "";
 }
 
 /* The attempt no longer counts as load of its endpoint. */
--- a/moortack/relay/relay_authorize.c
+++ b/moortack/relay/relay_authorize.c
@@ -38,7 +38,9 @@
 	bool stale = age_ms > relay->bounds.config_stale_ms;
 
 	*organisation = NULL;
-	if (config == NULL)
+	/* The orders come with the configuration: without them, the versions
+	 * that requests may go to are not known. */
+	if (config == NULL || !relay->config_watch->synced_once)
 		return ERR_NOT_READY;
 	*route = relay_config_find_route(config, arrival->host, target);
 	if (*route == NULL)
--- a/moortack/relay/relay_candidates.c
+++ b/moortack/relay/relay_candidates.c
@@ -15,6 +15,10 @@
  * endpoint that is put under load. */
 #define LOAD_WAIT_PART 0.5
 
+/* How long the new version has to be the only one before it gets all requests.
+ */
+#define NEW_ALONE_MS 5000
+
 /* Endpoints of the new version that a small share of the requests goes to at
  * least, since a version is not judged by few of its endpoints. */
 #define NEW_ENDPOINTS_MIN 8
@@ -54,7 +58,8 @@
 
 static bool
 version_matches(const endpoint_group_t *group, const rollout_t *rollout,
-    version_class_t wanted, const endpoint_t *endpoint)
+    const char *base_version, version_class_t wanted,
+    const endpoint_t *endpoint)
 {
 	const char *version = endpoint->info.version;
 
@@ -62,7 +67,7 @@
 	case VERSION_ANY:
 		return strcmp(group->base_version, version) == 0;
 	case VERSION_OLD:
-		return strcmp(rollout_base_version(rollout), version) == 0;
+		return strcmp(base_version, version) == 0;
 	case VERSION_NEW:
 		return rollout_is_new_version(rollout, endpoint);
 	case VERSION_OTHER:
@@ -116,13 +121,17 @@
 	    req->shared_prefix_hash != 0 ? req->shared_prefix_hash
 					 : req->split_hash);
 
+	const char *base_version =
+	    wanted == VERSION_OLD ? rollout_base_version(rollout) : NULL;
+
 	out->len = 0;
 	relay_warmup_snapshot(req, &warmup);
 	for (size_t i = 0; i < group->len && out->len < CANDIDATES_MAX; i++) {
 		endpoint_t *endpoint = group->ring[(start + i) % group->len];
 
 		if (!endpoint_eligible(req, endpoint, connections) ||
-		    !version_matches(group, rollout, wanted, endpoint))
+		    !version_matches(
+			group, rollout, base_version, wanted, endpoint))
 			continue;
 		if (endpoint_restrictions_backoff_ms(
 			&endpoint->restrictions, warmup.now) > 0) {
@@ -281,14 +290,36 @@
 	return false;
 }
 
+/* Whether the new version has been the only one for so long that the endpoints
+ * of the one that it replaces are gone: after an outage of the store their
+ * entries may come back later than those of the new ones. */
+static bool
+new_version_is_alone(const relay_request_t *req, endpoint_group_t *group,
+    const rollout_t *rollout)
+{
+	struct timespec now = clock_boottime(req->relay->clock);
+
+	for (size_t i = 0; i < group->len; i++) {
+		if (rollout_is_new_version(rollout, group->ring[i]))
+			continue;
+		group->new_alone_since = (struct timespec){0};
+		return false;
+	}
+	if (group->new_alone_since.tv_sec == 0)
+		group->new_alone_since = now;
+	return req->relay->endpoint_watch->synced_once &&
+	    rollout_is_active(rollout) && !rollout->stopped &&
+	    timespec_ms_between(group->new_alone_since, now) >= NEW_ALONE_MS;
+}
+
 /* Endpoints of the version that is replaced; if it is unknown or has no
  * endpoints, those of any version that may be it. */
 static void
 candidates_find_old(const relay_request_t *req, const endpoint_group_t *group,
     const rollout_t *rollout, candidates_t *out)
 {
-	version_class_t wanted =
-	    group_has_version(group, rollout_base_version(rollout))
+	const char *base_version = rollout_base_version(rollout);
+	version_class_t wanted = group_has_version(group, base_version)
 	    ? VERSION_OLD
 	    : VERSION_OTHER;
 
@@ -340,6 +371,11 @@
 	if (out->len == 0 && wanted == VERSION_NEW &&
 	    rollout_allows_old_version(rollout))
 		candidates_find_old(req, group, rollout, out);
+	if (wanted == VERSION_OLD && out->len > 0)
+		group->new_alone_since = (struct timespec){0};
+	if (wanted == VERSION_OLD && out->len == 0 &&
+	    new_version_is_alone(req, group, rollout))
+		candidates_find(req, group, rollout, VERSION_NEW, out);
 	if (out->len == 0 && out->held_back_len > 0)
 		*why = held_back_why(out);
 	return out->len > 0;
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -142,6 +142,30 @@
 		sessions_publish(node);
 }
 
+/* The versions of services without an order are in force: no order can have
+ * started endpoints that were read before the orders. */
+static void
+base_versions_prove(relay_node_t *node)
+{
+	const row_watch_t *orders =
+	    row_sync_watch(&node->row_sync, ROW_TABLE_OPERATOR);
+	const row_watch_t *endpoints =
+	    row_sync_watch(&node->row_sync, ROW_TABLE_ENDPOINTS);
+
+	if (!orders->synced_once || !endpoints->synced_once ||
+	    timespec_ms_between(endpoints->synced_at, orders->synced_at) <= 0)
+		return;
+	for (endpoint_group_t *group = node->endpoints.groups; group != NULL;
+	     group = group->hh.next) {
+		const rollout_t *rollout = group->base_proven
+		    ? NULL
+		    : rollouts_find(&node->rollouts, group->service);
+
+		if (rollout == NULL || rollout->order.number == 0)
+			endpoint_group_prove_base_version(group);
+	}
+}
+
 static void
 members_tick(relay_node_t *node)
 {
@@ -222,6 +246,7 @@
 	relay_warmup_tick(&node->relay, false);
 	endpoint_set_sample_in_flight(&node->endpoints);
 	members_tick(node);
+	base_versions_prove(node);
 	duties_tick(&node->duties, is_responsible(node),
 	    node->members.store_clock_offset_ms);
 	gossip_tick(&node->gossip);
@@ -367,6 +392,8 @@
 	    .members = &node->members,
 	    .orders_watch = orders,
 	    .states_watch = &node->row_sync.watches[ROW_TABLE_SYSTEM].watch,
+	    .endpoints_watch =
+		&node->row_sync.watches[ROW_TABLE_ENDPOINTS].watch,
 	    .log = &node->log,
 	    .old_in_flight = relay_old_version_in_flight,
 	    .new_version_slots = relay_new_version_slots,
@@ -374,7 +401,7 @@
 	    .new_version_is_one_group = relay_new_version_is_one_group,
 	    .exposure_max = node->settings.bounds.exposure_max,
 	    .exposure_tolerance = node->settings.bounds.exposure_tolerance,
-	    .group_base_version = relay_group_base_version,
+	    .replaced_version = relay_group_replaced_version,
 	    .relay = &node->relay};
 	recent_sessions_init(
 	    &node->rollouts.local_sessions, node->settings.session_window_ms);
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -256,8 +256,13 @@
 	uint32_t daemons;
 
 	(void)full_read;
-	if (table == ROW_TABLE_ENDPOINTS)
+	if (table == ROW_TABLE_ENDPOINTS) {
+		/* What was learned from a part of the rows may be wrong. */
+		if (!node->endpoint_rows_read)
+			endpoint_set_forget_base_versions(&node->endpoints);
+		node->endpoint_rows_read = true;
 		endpoint_set_learn_base_versions(&node->endpoints);
+	}
 	relay_accept_when_ready(&node->relay);
 	if (table != ROW_TABLE_SYSTEM)
 		return;
--- a/moortack/relay/rollout_versions.c
+++ b/moortack/relay/rollout_versions.c
@@ -13,15 +13,16 @@
 {
 	const rollouts_t *self = rollout->owner;
 
-	if (rollout->state_order == 0)
-		return self->group_base_version != NULL
-		    ? self->group_base_version(
-			  self->relay, rollout->order.service)
-		    : "";
-	if (rollout->state_order < rollout->order.number &&
+	if (rollout->state_order != 0 &&
+	    rollout->state_order < rollout->order.number &&
 	    rollout->state == ROLLOUT_COMPLETED)
 		return rollout->state_to_version;
-	return rollout->state_base_version;
+	if (rollout->state_order != 0 && rollout->state_base_version[0] != '\0')
+		return rollout->state_base_version;
+	return self->replaced_version != NULL
+	    ? self->replaced_version(self->relay, rollout->order.service,
+		  rollout->order.to_version)
+	    : "";
 }
 
 bool
--- a/moortack/relay/rollouts.c
+++ b/moortack/relay/rollouts.c
@@ -408,6 +408,10 @@
 	rollout_snapshot_t snapshot = rollout_take_snapshot(rollout);
 	rollout_state_t target;
 
+	if (snapshot.state == ROLLOUT_PENDING &&
+	    self->endpoints_watch != NULL &&
+	    !self->endpoints_watch->synced_once)
+		return;
 	if (snapshot.state == ROLLOUT_IN_PROGRESS && !rollout->stopped) {
 		rollout_judge(rollout);
 		snapshot.stopped = rollout->stopped;
--- a/test/fuzz/rollouts_fuzz.c
+++ b/test/fuzz/rollouts_fuzz.c
@@ -196,10 +196,11 @@
  */
 
 static const char *
-first_version(const void *relay, const char *service)
+first_version(const void *relay, const char *service, const char *new_version)
 {
 	(void)relay;
 	(void)service;
+	(void)new_version;
 	return "v0";
 }
 
@@ -239,7 +240,7 @@
 	    .old_in_flight = on_old,
 	    .new_version_slots = new_version_slots,
 	    .exposure_max = EXPOSURE_MAX,
-	    .group_base_version = first_version};
+	    .replaced_version = first_version};
 	recent_sessions_init(&daemon->rollouts.local_sessions, SESSION_MS);
 	recent_sessions_init(&daemon->rollouts.peer_sessions, SESSION_MS);
 	memset(daemon->old_served_at, 0, sizeof(daemon->old_served_at));
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -102,7 +102,7 @@
     self.replicas[i] = replica
     lib.fault(replica.address, {id = replica.id})
   end
-  self:put("servers", replica.id, {service = replica.service or "lm",
+  self:put("servers", replica.id, {service = replica.service or self.service or "lm",
     address = replica.link or replica.address, zone = replica.zone or "a",
     version = version or "v1", batch_slots = self.slots or 8,
     state = state or "ready", sequence = 1, warmup_left_ms = replica.warmup_left_ms,
--- a/test/support/rollout_fixture.h
+++ b/test/support/rollout_fixture.h
@@ -39,10 +39,11 @@
 } fixture_t;
 
 static inline const char *
-first_version(const void *relay, const char *service)
+first_version(const void *relay, const char *service, const char *new_version)
 {
 	(void)relay;
 	(void)service;
+	(void)new_version;
 	return "v1";
 }
 
@@ -83,7 +84,7 @@
 	    .orders_watch = &fixture->watch,
 	    .states_watch = &fixture->watch,
 	    .log = &fixture->log,
-	    .group_base_version = first_version};
+	    .replaced_version = first_version};
 	event_log_init(&fixture->log, &fixture->clock.source, 1);
 	row_watch_advance(&fixture->watch, 1, fixture->clock.now);
 	rollouts_set_store_clock(&fixture->rollouts, STORE_NOW_MS);
