inbound, relay: answers reach callers that read slowly; a stopping daemon takes what it can finish

Callers saw: after SIGTERM, finished answers of 200 to 250 KB ended in the middle for those that read slowly (6 or 7 of 8), and without SIGTERM too where they asked for "Connection: close". Requests of 5 s sent 3 s after it were passed on and cut at the end of the process (5 of 5).

Cause, answers: LINGER_MS limited the silence of the caller from the moment when the answer was given to the buffer; a caller that only reads is silent. The idle limit, the eviction at the connection limit and the end of the caller's sending side did the same to kept connections, and the process ended once no request was under way, whatever was unsent. Cause, requests: new ones were taken until 0.42 of the grace time, however long they take.

Change: connections linger and are idle from the last byte that was written. Unsent responses are not evicted, survive a half-closed connection, and are waited for at the end; what is left goes to the socket. A stopping daemon takes a request if its time limit ends before the process, and until 0.25 of the grace time also if its route's requests usually do (request_duration.c, averages as of round-trip times); others get 503, not run. Idle connections are closed in turn. Over 16 MB unsent for all callers, 16 KB are held for each further answer.

Ruled out: the process's end as the only cause (connections close 1 s after the answer).

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -12,15 +12,28 @@
 /* Bytes buffered from a caller that sends ahead while its request is being
  * handled. */
 #define PIPELINED_MAX 65536
-/* How long a closing connection is still read, since a reset by unread bytes
- * could destroy the response before the caller reads it. */
+/* How long a closing connection is still read after its last byte was written,
+ * since a reset by unread bytes could destroy the response before the caller
+ * reads it. */
 #define LINGER_MS 1000
-/* A caller that reads nothing for this long is considered disconnected. */
+/* A caller that reads nothing for this long, or for as long as it may be idle,
+ * is considered disconnected. */
 #define WRITE_TIMEOUT_MS 15000
 #define NO_TIMEOUT_S 86400
 
 static void inbound_read(http_inbound_t *conn);
 
+static void
+on_output_changed(
+    struct evbuffer *output, const struct evbuffer_cb_info *info, void *arg)
+{
+	http_inbound_server_t *server = arg;
+
+	(void)output;
+	server->unsent_bytes += info->n_added;
+	server->unsent_bytes -= info->n_deleted;
+}
+
 void
 inbound_free(http_inbound_t *conn)
 {
@@ -33,6 +46,9 @@
 	if (conn->next != NULL)
 		conn->next->prev = conn->prev;
 	server->connections_len--;
+	evbuffer_remove_cb(
+	    bufferevent_get_output(conn->bev), on_output_changed, server);
+	server->unsent_bytes -= http_inbound_unsent_bytes(conn);
 	http_reader_finish(&conn->reader);
 	bufferevent_free(conn->bev);
 	free(conn);
@@ -44,25 +60,58 @@
 	/* libevent may keep using an old timeout that is merely removed, so a
 	 * long one replaces it. */
 	struct timeval read = {NO_TIMEOUT_S, 0};
-	struct timeval write = {WRITE_TIMEOUT_MS / MS_PER_SEC, 0};
+	int64_t write_ms = conn->server->limits.idle_timeout_ms;
+	struct timeval write;
 
+	if (write_ms < WRITE_TIMEOUT_MS)
+		write_ms = WRITE_TIMEOUT_MS;
+	write = (struct timeval){
+	    write_ms / MS_PER_SEC, write_ms % MS_PER_SEC * US_PER_MS};
 	if (read_ms > 0)
 		read = (struct timeval){
 		    read_ms / MS_PER_SEC, read_ms % MS_PER_SEC * US_PER_MS};
 	bufferevent_set_timeouts(conn->bev, &read, &write);
 }
 
-/* Discard further input until the caller closes the connection or sends nothing
- * for LINGER_MS. */
+/* Limit the wait for a request. While a response is unsent the caller is not
+ * idle: the write timeout applies. */
+static void
+waiting_timeout_set(http_inbound_t *conn)
+{
+	const http_inbound_limits_t *limits = &conn->server->limits;
+
+	if (http_inbound_unsent_bytes(conn) > 0)
+		timeouts_set(conn, 0);
+	else
+		timeouts_set(conn,
+		    conn->reader.in_message ? limits->read_timeout_ms
+					    : limits->idle_timeout_ms);
+}
+
+/* The last byte was written. */
+static void
+linger_start(http_inbound_t *conn)
+{
+	if (conn->input_ended) {
+		inbound_free(conn);
+		return;
+	}
+	shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
+	timeouts_set(conn, LINGER_MS);
+}
+
+/* Discard further input until the caller closes the connection or, once all is
+ * written, sends nothing for LINGER_MS. */
 static void
 inbound_linger(http_inbound_t *conn)
 {
 	conn->state = INBOUND_LINGERING;
-	timeouts_set(conn, LINGER_MS);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, 0);
 	bufferevent_enable(conn->bev, EV_READ);
-	if (evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0)
-		shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
+	if (http_inbound_unsent_bytes(conn) > 0)
+		timeouts_set(conn, 0);
+	else
+		linger_start(conn);
 }
 
 static void
@@ -156,10 +205,7 @@
 			inbound_refuse(conn, &err);
 			return;
 		}
-		timeouts_set(conn,
-		    conn->reader.in_message
-			? conn->server->limits.read_timeout_ms
-			: conn->server->limits.idle_timeout_ms);
+		waiting_timeout_set(conn);
 		return;
 	case HTTP_READ_COMPLETE:
 		inbound_handle(conn);
@@ -187,8 +233,11 @@
 {
 	http_inbound_t *conn = arg;
 
+	(void)bev;
 	if (conn->state == INBOUND_LINGERING)
-		shutdown(bufferevent_getfd(bev), SHUT_WR);
+		linger_start(conn);
+	else if (conn->state == INBOUND_READING)
+		waiting_timeout_set(conn);
 	else if (conn->state == INBOUND_STREAMING)
 		conn->server->ops->on_drained(conn->server->arg, conn);
 }
@@ -199,8 +248,16 @@
 	http_inbound_t *conn = arg;
 	http_inbound_server_t *server = conn->server;
 
-	(void)bev;
-	(void)what;
+	/* A caller that has ended its own side may still read the response. */
+	if ((what & BEV_EVENT_EOF) != 0 &&
+	    http_inbound_unsent_bytes(conn) > 0 &&
+	    (conn->state == INBOUND_LINGERING ||
+		conn->state == INBOUND_READING)) {
+		conn->state = INBOUND_LINGERING;
+		conn->input_ended = true;
+		bufferevent_disable(bev, EV_READ);
+		return;
+	}
 	if (conn->state == INBOUND_HANDLING || conn->state == INBOUND_STREAMING)
 		server->ops->on_closed(server->arg, conn);
 	inbound_free(conn);
@@ -241,6 +298,8 @@
 	server->connections = conn;
 	server->connections_len++;
 	bufferevent_setcb(conn->bev, on_readable, on_written, on_event, conn);
+	evbuffer_add_cb(
+	    bufferevent_get_output(conn->bev), on_output_changed, server);
 	timeouts_set(conn, server->limits.idle_timeout_ms);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 }
@@ -296,7 +355,7 @@
 	conn->state = INBOUND_READING;
 	conn->wait_seq = conn->server->next_wait_seq++;
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, 0);
-	timeouts_set(conn, conn->server->limits.idle_timeout_ms);
+	waiting_timeout_set(conn);
 	/* Deferred, so that pipelined requests can't nest on the stack. */
 	if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0)
 		bufferevent_trigger(conn->bev, EV_READ,
--- a/common/http_inbound_priv.h
+++ b/common/http_inbound_priv.h
@@ -25,6 +25,7 @@
 	inbound_state_t state;
 	bool close_after_response;
 	bool body_too_large;
+	bool input_ended;  /**< the caller sends no more; it may still read */
 	uint64_t wait_seq; /**< order of starting to wait for a request */
 	void *user_data;
 	http_inbound_t *next;
@@ -39,6 +40,7 @@
 	http_inbound_limits_t limits;
 	http_inbound_t *connections;
 	uint32_t connections_len;
+	size_t unsent_bytes; /**< of responses, on all connections */
 	uint64_t next_wait_seq;
 	bool draining;
 };
--- a/common/http_inbound_server.c
+++ b/common/http_inbound_server.c
@@ -1,14 +1,19 @@
 #include "http_inbound_priv.h"
 
 #include <arpa/inet.h>
+#include <math.h>
 #include <netinet/in.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 
 #define BACKLOG 1024
+/* Bounds the time that a caller can take by sending on. */
+#define FLUSH_READS_MAX 64
 
 /* Make room for a new connection by closing the one that has been idle for the
  * longest time or, if none is idle, the one whose request has been incomplete
- * for the longest time. Connections that wait for a response are never closed.
+ * for the longest time. Connections that wait for a response, or for the rest
+ * of one, are never closed.
  * @return false if all of them do */
 static bool
 waiting_connection_evict(http_inbound_server_t *server)
@@ -17,7 +22,8 @@
 
 	for (http_inbound_t *conn = server->connections; conn != NULL;
 	     conn = conn->next) {
-		if (conn->state != INBOUND_READING)
+		if (conn->state != INBOUND_READING ||
+		    http_inbound_unsent_bytes(conn) > 0)
 			continue;
 		if (oldest == NULL ||
 		    inbound_request_started(conn) <
@@ -111,24 +117,98 @@
 	server->draining = true;
 }
 
+static bool
+is_idle(const http_inbound_t *conn)
+{
+	return conn->state == INBOUND_READING &&
+	    !inbound_request_started(conn) &&
+	    http_inbound_unsent_bytes(conn) == 0;
+}
+
 void
-http_inbound_stop_accepting(http_inbound_server_t *server)
+http_inbound_close_idle(http_inbound_server_t *server, double part)
 {
+	uint32_t idle = 0;
 	http_inbound_t *next;
 
+	for (const http_inbound_t *conn = server->connections; conn != NULL;
+	     conn = conn->next)
+		idle += is_idle(conn);
+	idle = (uint32_t)ceil(idle * part);
+	for (http_inbound_t *conn = server->connections;
+	     conn != NULL && idle > 0; conn = next) {
+		next = conn->next;
+		if (!is_idle(conn))
+			continue;
+		inbound_free(conn);
+		idle--;
+	}
+}
+
+void
+http_inbound_stop_accepting(http_inbound_server_t *server)
+{
 	if (server->listener != NULL)
 		evconnlistener_free(server->listener);
 	server->listener = NULL;
+	http_inbound_close_idle(server, 1);
+}
+
+bool
+http_inbound_has_responses(const http_inbound_server_t *server)
+{
+	for (const http_inbound_t *conn = server->connections; conn != NULL;
+	     conn = conn->next) {
+		if (conn->state != INBOUND_READING ||
+		    http_inbound_unsent_bytes(conn) > 0)
+			return true;
+	}
+	return false;
+}
+
+/* Moves what is unsent to the socket, from where it is still sent after the
+ * process has ended, and reads what was received: closing a socket with unread
+ * bytes would reset the connection. */
+static void
+inbound_flush(http_inbound_t *conn)
+{
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+	int fd = bufferevent_getfd(conn->bev);
+	int size = (int)evbuffer_get_length(out);
+	char discarded[4096];
+
+	bufferevent_disable(conn->bev, EV_READ | EV_WRITE);
+	if (size > 0) {
+		/* The bufferevent keeps its output frozen. */
+		evbuffer_unfreeze(out, 1);
+		setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+		evbuffer_write(out, fd);
+	}
+	shutdown(fd, SHUT_WR);
+	for (int i = 0; i < FLUSH_READS_MAX; i++) {
+		if (recv(fd, discarded, sizeof(discarded), MSG_DONTWAIT) <= 0)
+			break;
+	}
+}
+
+void
+http_inbound_flush(http_inbound_server_t *server)
+{
 	for (http_inbound_t *conn = server->connections; conn != NULL;
-	     conn = next) {
-		next = conn->next;
-		if (conn->state == INBOUND_READING &&
-		    !conn->reader.in_message &&
-		    evbuffer_get_length(bufferevent_get_input(conn->bev)) == 0)
-			inbound_free(conn);
+	     conn = conn->next) {
+		if (conn->state == INBOUND_LINGERING ||
+		    (conn->state == INBOUND_READING &&
+			http_inbound_unsent_bytes(conn) > 0))
+			inbound_flush(conn);
 	}
 }
 
+size_t
+http_inbound_server_unsent_bytes(const http_inbound_server_t *server)
+{
+	return server->unsent_bytes;
+}
+
 uint32_t
 http_inbound_connection_count(const http_inbound_server_t *server)
 {
--- a/include/common/http_inbound.h
+++ b/include/common/http_inbound.h
@@ -21,7 +21,8 @@
 	size_t head_max;	  /**< bytes */
 	size_t body_max;	  /**< bytes */
 	int64_t read_timeout_ms;  /**< without new bytes of a request */
-	int64_t idle_timeout_ms;  /**< before the first byte of a request */
+	int64_t idle_timeout_ms;  /**< before the first byte of a request, and
+				     at least 15 s of writing nothing */
 	uint32_t connections_max; /**< open at the same time */
 } http_inbound_limits_t;
 
@@ -50,8 +51,20 @@
 void http_inbound_pause_accepting(http_inbound_server_t *, bool pause);
 /** From now on, close each connection after its response. */
 void http_inbound_drain(http_inbound_server_t *);
-/** Close the listening socket, and the connections without a request. */
+/** Close this part, 0 to 1, of the connections without a request or an unsent
+ * response. */
+void http_inbound_close_idle(http_inbound_server_t *, double part);
+/** Close the listening socket, and the connections without a request or an
+ * unsent response. */
 void http_inbound_stop_accepting(http_inbound_server_t *);
+/** Whether responses are awaited or unsent, or connections are being closed. */
+bool http_inbound_has_responses(const http_inbound_server_t *);
+/** Before the process ends: leave what is unsent of complete responses to the
+ * system, which goes on to send it. The server can only be freed then. */
+void http_inbound_flush(http_inbound_server_t *);
+/** Bytes of responses that were not yet written to the sockets, on all
+ * connections. */
+size_t http_inbound_server_unsent_bytes(const http_inbound_server_t *);
 uint32_t http_inbound_connection_count(const http_inbound_server_t *);
 
 const http_msg_t *http_inbound_request(const http_inbound_t *);
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -25,6 +25,7 @@
 #include "moortack/relay/relay_contents.h"
 #include "moortack/relay/relay_quarantine.h"
 #include "moortack/relay/relay_stats.h"
+#include "moortack/relay/request_duration.h"
 #include "moortack/relay/retry_share.h"
 #include "moortack/relay/rollouts.h"
 #include "moortack/relay/warmup_share.h"
@@ -107,10 +108,12 @@
 	UT_hash_handle hh;
 } service_state_t;
 
-/** Estimate of how long ago the callers of a route first tried. */
+/** Estimates of how long ago the callers of a route first tried, and of how
+ * long its requests take. */
 typedef struct route_callers {
 	char *route; /**< name of the route */
 	retry_age_t retry_age;
+	request_duration_t duration;
 	UT_hash_handle hh;
 } route_callers_t;
 
@@ -157,8 +160,9 @@
 	bool draining;		    /**< the daemon leaves: nothing waits */
 	struct timespec started_at; /**< when it began to listen */
 	uint32_t last_query_number; /**< of owner_query_t */
-	bool refusing_streams; /**< new streams are refused, so that callers go
-				  to another daemon */
+	/** If it leaves: from when on requests that might not be answered
+	 * before the end of the process are refused, and that end. */
+	struct timespec certain_from, stops_at;
 	relay_quarantine_t quarantine;
 	warmup_daemons_t warmup_daemons;
 	rate_computations_t rate_computations;
@@ -270,9 +274,17 @@
  * @param first_read the daemons' rows were just read for the first time */
 void relay_warmup_tick(relay_t *, bool first_read);
 
-/** Accept no new connections, of callers or of other daemons that send requests
- * on. */
+/** Close this part, 0 to 1, of the idle connections of callers and of other
+ * daemons that send requests on. */
+void relay_close_idle(relay_t *, double part);
+/** Accept no new connections of either, and close the idle ones. */
 void relay_stop_accepting(relay_t *);
+/** Whether requests are under way, or responses not yet written to the sockets.
+ */
+bool relay_has_responses(const relay_t *);
+/** Before the process ends: refuse the requests that were not sent, and leave
+ * unsent responses to the system. */
+void relay_refuse_unsent(relay_t *);
 
 /** Log the services that have become crowded, and those of which that has
  * ended; called a few times a second. */
@@ -283,7 +295,9 @@
 uint32_t relay_admission_crowded(const relay_t *);
 
 /** Close each caller's connection after its next response, and send the
- * requests that wait for a place at an endpoint. */
-void relay_drain(relay_t *);
+ * requests that wait for a place at an endpoint. From now on requests are
+ * refused that can't be expected to end before the process does. */
+void
+relay_drain(relay_t *, struct timespec certain_from, struct timespec stops_at);
 
 #endif
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -69,6 +69,8 @@
 	double age_ms = (double)request_age_ms(req);
 
 	stats_observe(&relay->stats.complete_ms, age_ms);
+	if (strcmp(outcome, "answered") == 0)
+		relay_observe_duration(relay, req->route, age_ms);
 	stats_count_outcome(&relay->stats, outcome, why,
 	    req->earlier_tries_ms + req->first_byte_ms >
 		(double)req->route->latency_objective_ms);
@@ -251,6 +253,7 @@
 	const relay_route_t *route;
 	relay_request_t *req;
 	arrival_t arrival;
+	int64_t limit_ms;
 	err_code_t code;
 	err_t err;
 
@@ -266,7 +269,10 @@
 		    relay, caller, arrival.id, from_daemon, code, "permit");
 		return;
 	}
-	if (relay->refusing_streams && route->kind == ROUTE_STREAM) {
+	limit_ms = arrival_time_limit_ms(route, &arrival);
+	if (head != NULL && head->remaining_ms < limit_ms)
+		limit_ms = head->remaining_ms;
+	if (relay_leaving_refuses(relay, route, limit_ms)) {
 		relay_refuse_arrival(relay, caller, arrival.id, from_daemon,
 		    ERR_DRAINING, "leaving");
 		return;
@@ -430,31 +436,6 @@
 	warmup_daemons_finish(&relay->warmup_daemons);
 }
 
-void
-relay_config_mark_outdated(relay_t *relay)
-{
-	const row_watch_t *watch = relay->config_watch;
-
-	if (relay->config_outdated)
-		return;
-	relay->config_outdated = true;
-	relay->config_current_at =
-	    watch->synced_once ? watch->synced_at : (struct timespec){0};
-	event_log_write(relay->log, "config_outdated",
-	    "version=%" PRIu64 " age_ms=%" PRId64,
-	    relay->config != NULL ? relay->config->version : 0,
-	    relay_config_age_ms(relay));
-}
-
-int64_t
-relay_config_age_ms(const relay_t *relay)
-{
-	if (!relay->config_outdated)
-		return row_watch_age_ms(relay->config_watch);
-	return timespec_ms_between(
-	    relay->config_current_at, clock_boottime(relay->clock));
-}
-
 void
 relay_configure(relay_t *relay, relay_config_t *config)
 {
@@ -480,7 +461,7 @@
 relay_can_serve(const relay_t *relay)
 {
 	/* Without a roll-out's state, the version it replaces is unknown. */
-	return relay->config != NULL && !relay->refusing_streams &&
+	return relay->config != NULL && !relay_refuses_uncertain(relay) &&
 	    relay->endpoints->endpoints != NULL &&
 	    relay->rollouts->states_watch->synced_once;
 }
@@ -504,24 +485,6 @@
 	http_inbound_pause_accepting(relay->server, false);
 }
 
-void
-relay_drain(relay_t *relay)
-{
-	relay->draining = true;
-	relay_admission_send_all(relay);
-	http_inbound_drain(relay->server);
-	if (relay->forward_server != NULL)
-		http_inbound_drain(relay->forward_server);
-}
-
-void
-relay_stop_accepting(relay_t *relay)
-{
-	http_inbound_stop_accepting(relay->server);
-	if (relay->forward_server != NULL)
-		http_inbound_stop_accepting(relay->forward_server);
-}
-
 void
 relay_set_secret(relay_t *relay, const char *fleet_secret)
 {
--- a/moortack/relay/relay_authorize.c
+++ b/moortack/relay/relay_authorize.c
@@ -1,5 +1,6 @@
 #include "relay_request.h"
 
+#include <inttypes.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -28,6 +29,31 @@
 	return XXH3_64bits(route->name, strlen(route->name));
 }
 
+void
+relay_config_mark_outdated(relay_t *relay)
+{
+	const row_watch_t *watch = relay->config_watch;
+
+	if (relay->config_outdated)
+		return;
+	relay->config_outdated = true;
+	relay->config_current_at =
+	    watch->synced_once ? watch->synced_at : (struct timespec){0};
+	event_log_write(relay->log, "config_outdated",
+	    "version=%" PRIu64 " age_ms=%" PRId64,
+	    relay->config != NULL ? relay->config->version : 0,
+	    relay_config_age_ms(relay));
+}
+
+int64_t
+relay_config_age_ms(const relay_t *relay)
+{
+	if (!relay->config_outdated)
+		return row_watch_age_ms(relay->config_watch);
+	return timespec_ms_between(
+	    relay->config_current_at, clock_boottime(relay->clock));
+}
+
 err_code_t
 relay_authorize(const relay_t *relay, const arrival_t *arrival,
     const char *target, const relay_route_t **route,
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -6,7 +6,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define TICK_MS 200
 #define US_PER_MS 1000
 /* Time limits for responses of the store, in addition to the time for which it
  * may hold a poll. The followers of this daemon have to learn that the store no
@@ -58,12 +57,6 @@
  * time, callers are still sent for 2.9 s after an outage to daemons that went
  * down in it. */
 #define GRACE_PART 0.25
-/* Parts of the grace time of a shutdown: until then new streams are accepted,
- * idle connections of callers kept open, and responses waited for. */
-#define SHUTDOWN_REFUSE_STREAMS_PART 0.25
-#define SHUTDOWN_STOP_ACCEPTING_PART 0.42
-#define SHUTDOWN_MAX_PART 0.96
-
 /* Sets the poll pause of the system's table, and writes the report on roll-outs
  * to the own row while no other daemon receives other signs of life of this
  * one. */
@@ -193,28 +186,6 @@
 	    relay_node_ready(node);
 }
 
-static void
-shutdown_step(relay_node_t *node)
-{
-	struct timespec now = clock_boottime(node->ports.clock);
-	double part = (double)timespec_ms_between(node->leaving_since, now) /
-	    (double)node->settings.grace_ms;
-
-	if (part >= SHUTDOWN_REFUSE_STREAMS_PART)
-		node->relay.refusing_streams = true;
-	if (part >= SHUTDOWN_STOP_ACCEPTING_PART)
-		relay_stop_accepting(&node->relay);
-	if (part < SHUTDOWN_MAX_PART &&
-	    (part < SHUTDOWN_STOP_ACCEPTING_PART || node->relay.in_flight > 0 ||
-		node->members.write_pending || duties_busy(&node->duties)))
-		return;
-	event_log_write(&node->log, "stop", "under_way=%u part=%.2f",
-	    node->relay.in_flight, part);
-	if (node->on_stopped != NULL)
-		node->on_stopped(node->on_stopped_arg);
-	node->on_stopped = NULL;
-}
-
 static void
 vm_resumed(relay_node_t *node, int64_t suspended_ms)
 {
@@ -260,12 +231,12 @@
 	report_send(node);
 	relay_store_calls_log(node);
 	if (node->leaving)
-		shutdown_step(node);
+		relay_node_shutdown_step(node);
 	else
 		membership_set_state(&node->members,
 		    relay_node_ready(node) ? MEMBER_READY : MEMBER_STARTING);
 	work_end(&node->meter, WORK_TICK, &turn, 1);
-	work_meter_tick(&node->meter, TICK_MS);
+	work_meter_tick(&node->meter, RELAY_TICK_MS);
 }
 
 static bool
@@ -451,7 +422,7 @@
 relay_node_init(relay_node_t *node, const relay_ports_t *ports,
     const relay_node_settings_t *settings, err_t *err)
 {
-	struct timeval tick = {0, TICK_MS * US_PER_MS};
+	struct timeval tick = {0, RELAY_TICK_MS * US_PER_MS};
 
 	memset(node, 0, sizeof(*node));
 	node->ports = *ports;
@@ -511,22 +482,6 @@
 	    settings->bounds.key_max_age_ms, settings->grace_ms);
 }
 
-void
-relay_node_shut_down(relay_node_t *node, void (*on_stopped)(void *), void *arg)
-{
-	if (node->leaving)
-		return;
-	node->leaving = true;
-	node->leaving_since = clock_boottime(node->ports.clock);
-	node->on_stopped = on_stopped;
-	node->on_stopped_arg = arg;
-	event_log_write(
-	    &node->log, "leave", "under_way=%u", node->relay.in_flight);
-	membership_set_state(&node->members, MEMBER_LEAVING);
-	row_sync_stop_serving(&node->row_sync);
-	relay_drain(&node->relay);
-}
-
 bool
 relay_node_ready(const relay_node_t *node)
 {
--- a/moortack/relay/relay_node_priv.h
+++ b/moortack/relay/relay_node_priv.h
@@ -46,4 +46,10 @@
  * one, whose removals are final. */
 void relay_endpoints_stop_keeping_lapsed(relay_node_t *);
 
+/** Period of a node's timer, in ms. */
+#define RELAY_TICK_MS 200
+
+/** Advance the shutdown of a daemon that leaves; called at each tick. */
+void relay_node_shutdown_step(relay_node_t *);
+
 #endif
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -529,6 +529,15 @@
  * route's estimate, so call it once for each request. */
 double
 relay_earlier_tries_ms(relay_t *, const relay_route_t *, int64_t deadline_ms);
+/** Record how long a request took that was answered. */
+void relay_observe_duration(relay_t *, const relay_route_t *, double ms);
+/** Whether this daemon stops so soon that it takes only requests that end
+ * before for certain. */
+bool relay_refuses_uncertain(const relay_t *);
+/** Whether this daemon stops too early to take the request.
+ * @param limit_ms after which the request has ended in any case */
+bool
+relay_leaving_refuses(const relay_t *, const relay_route_t *, int64_t limit_ms);
 /** Count a request for the service, which adds to its retry budget. */
 void relay_count_request(relay_t *, const char *service, struct timespec now);
 /** Acquire a retry from the budget of the service.
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -7,6 +7,10 @@
 
 /* An endpoint is not read while this many bytes are pending for its caller. */
 #define CALLER_PENDING_MAX (256U << 10)
+/* Once so many bytes are pending for all callers together, only these many are
+ * held for each further one. */
+#define ALL_PENDING_MAX (16U << 20)
+#define CROWDED_PENDING_MAX (16U << 10)
 #define STATUS_OK 200
 #define STATUS_MULTIPLE_CHOICES 300
 #define STATUS_SERVER_ERROR 500
@@ -253,10 +257,25 @@
 	return true;
 }
 
+/* Bytes that may be held for a caller. */
+static size_t
+pending_max(const relay_request_t *req, size_t usual)
+{
+	const relay_t *relay = req->relay;
+	size_t all = http_inbound_server_unsent_bytes(relay->server);
+
+	if (relay->forward_server != NULL)
+		all += http_inbound_server_unsent_bytes(relay->forward_server);
+	return all < ALL_PENDING_MAX || usual < CROWDED_PENDING_MAX
+	    ? usual
+	    : CROWDED_PENDING_MAX;
+}
+
 static void
 endpoint_pause_if_caller_slow(relay_request_t *req)
 {
-	if (http_inbound_unsent_bytes(req->caller) < CALLER_PENDING_MAX)
+	if (http_inbound_unsent_bytes(req->caller) <
+	    pending_max(req, CALLER_PENDING_MAX))
 		return;
 	req->paused = true;
 	req->attempt.caller_was_slow = true;
@@ -279,7 +298,7 @@
 	evbuffer_add(req->buffered, bytes, len);
 	if (!req->response_started &&
 	    evbuffer_get_length(req->buffered) >
-		req->relay->bounds.body_buffer_max)
+		pending_max(req, req->relay->bounds.body_buffer_max))
 		response_start(req);
 	if (!req->response_started)
 		return;
--- a/moortack/relay/relay_service_state.c
+++ b/moortack/relay/relay_service_state.c
@@ -24,28 +24,44 @@
 	return state;
 }
 
-double
-relay_earlier_tries_ms(
-    relay_t *relay, const relay_route_t *route, int64_t deadline_ms)
+/* @return NULL: too many routes, or out of memory */
+static route_callers_t *
+route_callers_find_or_add(relay_t *relay, const relay_route_t *route)
 {
 	route_callers_t *callers;
 
 	HASH_FIND_STR(relay->route_callers, route->name, callers);
-	if (callers == NULL) {
-		if (HASH_COUNT(relay->route_callers) >= ROUTES_TRACKED_MAX)
-			return 0;
-		callers = calloc(1, sizeof(*callers));
-		if (callers == NULL)
-			return 0;
-		callers->route = strdup(route->name);
-		if (callers->route == NULL) {
-			free(callers);
-			return 0;
-		}
-		HASH_ADD_KEYPTR(hh, relay->route_callers, callers->route,
-		    strlen(callers->route), callers);
+	if (callers != NULL ||
+	    HASH_COUNT(relay->route_callers) >= ROUTES_TRACKED_MAX)
+		return callers;
+	callers = calloc(1, sizeof(*callers));
+	if (callers == NULL || (callers->route = strdup(route->name)) == NULL) {
+		free(callers);
+		return NULL;
 	}
-	return retry_age_observe(&callers->retry_age, deadline_ms);
+	HASH_ADD_KEYPTR(hh, relay->route_callers, callers->route,
+	    strlen(callers->route), callers);
+	return callers;
+}
+
+double
+relay_earlier_tries_ms(
+    relay_t *relay, const relay_route_t *route, int64_t deadline_ms)
+{
+	route_callers_t *callers = route_callers_find_or_add(relay, route);
+
+	return callers != NULL
+	    ? retry_age_observe(&callers->retry_age, deadline_ms)
+	    : 0;
+}
+
+void
+relay_observe_duration(relay_t *relay, const relay_route_t *route, double ms)
+{
+	route_callers_t *callers = route_callers_find_or_add(relay, route);
+
+	if (callers != NULL)
+		request_duration_observe(&callers->duration, ms);
 }
 
 void
