roll-outs: an order that came while all daemons were lost completes in its time

Cause: an order's time counts from the first daemon that knows it, and the last steps leave less than the time of a restart.

Change: an order that is found at a start without a state came while all daemons were lost. The steps after the acceptance, and the completion, come earlier by 2 s, or by an eighth of the order's time; the first daemon stores that for all (late_ms). Trial, sessions and the load keep their times, since a session must not move in the first half.

Tried and not kept: counting the order as 2 s older altogether; its trial then begins before the daemons have exchanged their sessions.

Tests: unit_rollouts, order_found_at_the_start_completes_earlier and time_before_the_order_was_known_is_stored (new fields, so they don't build before).

--- a/include/moortack/relay/rollouts.h
+++ b/include/moortack/relay/rollouts.h
@@ -62,8 +62,10 @@
 	char state_to_version[ENDPOINT_NAME_SIZE];   /**< of that order */
 	char state_base_version[ENDPOINT_NAME_SIZE]; /**< that it replaces; "":
 							not known */
-	int64_t started_ms; /**< start of that order by the store's clock; 0:
-			       not known */
+	int64_t started_ms;    /**< start of that order by the store's clock; 0:
+				  not known */
+	int64_t state_late_ms; /**< of that order, see rollout_snapshot_t */
+	int64_t late_ms;       /**< of the order in force, as seen here */
 	/** When its new version was found to be as good, after the order; 0: it
 	 * was not. */
 	int64_t accepted_ms;
--- a/include/moortack/rollout/rollout_plan.h
+++ b/include/moortack/rollout/rollout_plan.h
@@ -46,7 +46,9 @@
 /** What the schedule depends on at one moment. */
 typedef struct rollout_snapshot {
 	rollout_state_t state;
-	int64_t elapsed_ms; /**< since the order */
+	int64_t elapsed_ms; /**< since the order, as far as is known */
+	int64_t late_ms;    /**< time that may have passed before that, in which
+			       no daemon knew the order */
 	int64_t duration_ms;
 	int64_t accepted_ms; /**< when the new version was found to be as good
 				as the old one, after the order; 0: it was not
--- a/moortack/relay/rollout_state.c
+++ b/moortack/relay/rollout_state.c
@@ -34,6 +34,7 @@
 
 #define ROUTE_TEXT_SIZE 17
 #define ROUTE_BASE 16
+#define LATE_MAX_MS 60000
 
 static void
 load_routes_decode(const json_t *routes, rollout_load_t *load)
@@ -123,6 +124,10 @@
 	    json_integer_value(json_object_get(value, "began_ms"));
 	content->accepted_ms =
 	    json_integer_value(json_object_get(value, "accepted_ms"));
+	content->late_ms =
+	    json_integer_value(json_object_get(value, "late_ms"));
+	if (content->late_ms < 0 || content->late_ms > LATE_MAX_MS)
+		content->late_ms = 0;
 	content->trial = trial_decode(value);
 	content->load = load_decode(value);
 	if (!version_decode(value, "to", content->to_version, err) ||
@@ -167,6 +172,9 @@
 	char *text;
 
 	trial_encode(rollout, value);
+	if (rollout_late_ms(rollout) > 0)
+		json_object_set_new(
+		    value, "late_ms", json_integer(rollout_late_ms(rollout)));
 	if (accepted_ms <= 0)
 		accepted_ms = rollout->accepted_proposed_ms;
 	if (accepted_ms > 0)
--- a/moortack/relay/rollouts.c
+++ b/moortack/relay/rollouts.c
@@ -51,18 +51,6 @@
 	return rollout->state;
 }
 
-struct timespec
-rollout_started_at(const rollout_t *rollout)
-{
-	const rollouts_t *self = rollout->owner;
-
-	if (rollout->state_order != rollout->order.number ||
-	    rollout->started_ms <= 0 || !self->store_clock_known)
-		return rollout->order_seen_at;
-	return timespec_from_ms(
-	    rollout->started_ms - self->store_clock_offset_ms);
-}
-
 rollout_snapshot_t
 rollout_take_snapshot(const rollout_t *rollout)
 {
@@ -71,6 +59,7 @@
 	return (rollout_snapshot_t){.state = current_state(rollout),
 	    .elapsed_ms = timespec_ms_between(
 		rollout_started_at(rollout), clock_boottime(self->clock)),
+	    .late_ms = rollout_late_ms(rollout),
 	    .duration_ms = rollout->order.duration_ms,
 	    .accepted_ms = rollout_accepted_ms(rollout),
 	    .trial = rollout_current_trial(rollout),
@@ -141,6 +130,7 @@
 	rollout->order.duration_ms = order->duration_ms;
 	rollout->next_order.number = 0;
 	rollout->order_seen_at = clock_boottime(self->clock);
+	rollout->late_ms = rollout_order_late_ms(self, order);
 	rollout->stopped = false;
 	rollout->load_proposed = (rollout_load_t){0};
 	rollout->accepted_proposed_ms = 0;
@@ -278,6 +268,7 @@
 	strcpy(rollout->state_base_version, row->base_version);
 	rollout->state = row->state;
 	rollout->started_ms = row->started_ms;
+	rollout->state_late_ms = row->late_ms;
 	rollout->accepted_ms = row->accepted_ms;
 	rollout->trial = row->trial;
 	rollout->load = row->load;
--- a/moortack/relay/rollouts_priv.h
+++ b/moortack/relay/rollouts_priv.h
@@ -24,6 +24,7 @@
 	rollout_state_t state;
 	int64_t started_ms;  /**< by the store's clock; 0: not known */
 	int64_t accepted_ms; /**< see rollout_snapshot_t */
+	int64_t late_ms;     /**< likewise */
 	rollout_trial_t trial;
 	rollout_load_t load; /**< share 0: not determined yet */
 } rollout_state_row_t;
@@ -61,6 +62,10 @@
 /** Whether this daemon proposes to accept the new version, and the stored state
  * does not say so yet. */
 bool rollout_acceptance_pending(const rollout_t *);
+/** Time that may have passed before any daemon knew the order in force. */
+int64_t rollout_late_ms(const rollout_t *);
+/** The same for an order that is read now. */
+int64_t rollout_order_late_ms(const rollouts_t *, const rollout_order_t *);
 /** When the new version of the order in force was accepted, as stored; 0: it
  * was not. */
 int64_t rollout_accepted_ms(const rollout_t *);
--- a/moortack/rollout/rollout_plan.c
+++ b/moortack/rollout/rollout_plan.c
@@ -136,11 +136,22 @@
 	return accepted + part;
 }
 
+/* The fraction of the duration that may have passed before the order was known.
+ * The last steps, which are taken for accepted versions only, come as much
+ * earlier. */
+static double
+late_fraction(const rollout_snapshot_t *snapshot)
+{
+	return (double)snapshot->late_ms /
+	    fmax((double)snapshot->duration_ms, 1);
+}
+
 static bool
 step_is_due(const rollout_snapshot_t *snapshot, const step_t *step)
 {
 	return elapsed_fraction(snapshot) >=
-	    fmax(step->start, load_end(snapshot) + step->loaded);
+	    fmax(step->start - late_fraction(snapshot),
+		load_end(snapshot) + step->loaded);
 }
 
 int64_t
@@ -281,7 +292,8 @@
 
 	if (accepted > SHORT_DRAIN_FROM && accepted <= SHORT_DRAIN_TO)
 		accepted = SHORT_DRAIN_FROM;
-	return fmax(COMPLETE_ANYWAY, accepted + DRAIN_PART);
+	return fmax(
+	    COMPLETE_ANYWAY - late_fraction(snapshot), accepted + DRAIN_PART);
 }
 
 bool
@@ -293,5 +305,6 @@
 	    snapshot->stale || rollout_plan_share(snapshot) < 1.0)
 		return false;
 	return fraction >= complete_anyway_start(snapshot) ||
-	    (fraction >= COMPLETE_IF_DRAINED && drained);
+	    (fraction >= COMPLETE_IF_DRAINED - late_fraction(snapshot) &&
+		drained);
 }
--- a/test/unit/rollouts_test.c
+++ b/test/unit/rollouts_test.c
@@ -241,6 +241,65 @@
 	rollouts_clear(&fixture.rollouts);
 }
 
+/* Guards against good versions that complete too late, as the time in which all
+ * daemons were lost was not counted. */
+static void
+order_found_at_the_start_completes_earlier(void **state)
+{
+	fixture_t fixture;
+	rollout_snapshot_t snapshot;
+
+	(void)state;
+	fixture_init(&fixture);
+	assert_int_equal(rollout_take_snapshot(fixture.rollout).late_ms, 0);
+	rollouts_clear(&fixture.rollouts);
+	fixture.watch.synced_once = false;
+	order_apply(&fixture, NEXT_ORDER, "v2");
+	fixture.rollout = rollouts_find(&fixture.rollouts, "s");
+	snapshot = rollout_take_snapshot(fixture.rollout);
+	assert_int_equal(snapshot.elapsed_ms, 0);
+	assert_int_equal(snapshot.late_ms, DURATION_MS / 8);
+	snapshot = (rollout_snapshot_t){.state = ROLLOUT_IN_PROGRESS,
+	    .elapsed_ms = DURATION_MS * 81 / 100,
+	    .duration_ms = DURATION_MS,
+	    .late_ms = DURATION_MS / 8,
+	    .accepted_ms = DURATION_MS / 2};
+	assert_true(rollout_plan_may_complete(&snapshot, false));
+	snapshot.late_ms = 0;
+	assert_false(rollout_plan_may_complete(&snapshot, false));
+	/* No session moves earlier, and no trial begins. */
+	snapshot.late_ms = DURATION_MS / 8;
+	snapshot.elapsed_ms = DURATION_MS * 51 / 100;
+	assert_true(rollout_plan_pins_sessions(&snapshot));
+	assert_true(rollout_plan_share(&snapshot) < 0.1);
+	snapshot.elapsed_ms = 1900;
+	assert_true(rollout_plan_share(&snapshot) == 0);
+	rollouts_clear(&fixture.rollouts);
+}
+
+/* All daemons take over what the first one has stored. */
+static void
+time_before_the_order_was_known_is_stored(void **state)
+{
+	fixture_t fixture;
+	rollout_t *rollout;
+	row_t row = {.key = ROLLOUT_PREFIX "s", .version = 13};
+	char *text;
+
+	(void)state;
+	fixture_init(&fixture);
+	rollout = rollouts_find(&fixture.rollouts, "s");
+	rollout->state_late_ms = 1700;
+	text = rollout_state_encode(rollout, ROLLOUT_IN_PROGRESS);
+	rollout->state_late_ms = 0;
+	row.value = text;
+	row.value_len = strlen(text);
+	assert_true(rollouts_apply_state_row(&fixture.rollouts, &row, NULL));
+	free(text);
+	assert_int_equal(rollout_late_ms(rollout), 1700);
+	rollouts_clear(&fixture.rollouts);
+}
+
 /* Silent for longer than a daemon that is paused for a moment. */
 #define DOWN_MS 5000
 
@@ -351,6 +410,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(start_time_is_independent_of_arrival_order),
+	    cmocka_unit_test(order_found_at_the_start_completes_earlier),
+	    cmocka_unit_test(time_before_the_order_was_known_is_stored),
 	    cmocka_unit_test(next_order_replaces_version_of_last_end),
 	    cmocka_unit_test(next_order_waits_for_end_of_current),
 	    cmocka_unit_test(starting_daemon_learns_replaced_version),
