rollouts: a write that is answered after the stop uses no freed memory

Cause: the calls of the event loop are cancelled after relay_node_finish(), as most of their owners are part of the node; a roll-out is allocated by itself.

Change: a roll-out whose write is in flight is freed by the callback.

Ruled out: cancelling the calls before the node is finished, as callbacks would start new ones.

Test: unit_rollouts, write_may_be_answered_after_the_end; with the sanitizers it fails without the change (heap-use-after-free) and passes with it.

--- a/moortack/relay/rollouts.c
+++ b/moortack/relay/rollouts.c
@@ -327,6 +327,10 @@
 	rollout_t *rollout = arg;
 	rollouts_t *self = rollout->owner;
 
+	if (self == NULL) {
+		free(rollout);
+		return;
+	}
 	rollout->writing = false;
 	/* The state is applied when its row is read, whichever daemon wrote it.
 	 * That also resolves a write whose result is unknown. */
@@ -483,7 +487,10 @@
 	HASH_ITER(hh, self->by_service, rollout, next)
 	{
 		HASH_DEL(self->by_service, rollout);
-		free(rollout);
+		/* The response to its write frees it. */
+		rollout->owner = NULL;
+		if (!rollout->writing)
+			free(rollout);
 	}
 	recent_sessions_finish(&self->local_sessions);
 	recent_sessions_finish(&self->peer_sessions);
--- a/test/unit/rollouts_test.c
+++ b/test/unit/rollouts_test.c
@@ -15,6 +15,7 @@
 #include <string.h>
 
 #include "../support/rollout_fixture.h"
+#include "../support/silent_store.h"
 #include "moortack/replication/era_version.h"
 
 /* In the last step of a roll-out. */
@@ -224,6 +225,52 @@
 	event_base_free(base);
 }
 
+static row_done_t written;
+static void *written_arg;
+
+static bool
+write_unanswered(row_store_t *store, const row_change_t *expected,
+    size_t expected_len, const row_change_t *changes, size_t changes_len,
+    int64_t timeout_ms, row_done_t done, void *arg)
+{
+	written = done;
+	written_arg = arg;
+	return silent_store_write(store, expected, expected_len, changes,
+	    changes_len, timeout_ms, done, arg);
+}
+
+/* Guards against the use of freed memory when a daemon stops while the store
+ * has not answered a write, which is cancelled afterwards. */
+static void
+write_may_be_answered_after_the_end(void **state)
+{
+	static const row_store_ops_t unanswered = {
+	    NULL, NULL, write_unanswered};
+	static const rollout_status_encoder_t encoder = {status_encode};
+	static const row_store_response_t no_response = {
+	    .result = ROW_NO_RESPONSE};
+	row_store_t store = {.ops = &unanswered};
+	struct event_base *base = event_base_new();
+	fixture_t fixture;
+
+	(void)state;
+	fixture_init(&fixture);
+	fixture.rollouts.store = &store;
+	fixture.rollouts.status_encoder = &encoder;
+	assert_true(rollouts_init(&fixture.rollouts, base));
+	order_apply(&fixture, NEXT_ORDER, "v3");
+	state_apply(&fixture, ORDER, "v2", "v1", "reverted", 12);
+	for (int i = 0; i < 20 && written == NULL; i++) {
+		fixture.clock.now = timespec_add_ms(fixture.clock.now, 200);
+		event_active(fixture.rollouts.timer, EV_TIMEOUT, 0);
+		event_base_loop(base, EVLOOP_NONBLOCK);
+	}
+	assert_non_null(written);
+	rollouts_finish(&fixture.rollouts);
+	written(written_arg, &no_response);
+	event_base_free(base);
+}
+
 /* A daemon that starts receives only the newest order and the last state. */
 static void
 starting_daemon_learns_replaced_version(void **state)
@@ -416,6 +463,7 @@
 	    cmocka_unit_test(next_order_waits_for_end_of_current),
 	    cmocka_unit_test(starting_daemon_learns_replaced_version),
 	    cmocka_unit_test(state_of_later_order_is_not_overwritten),
+	    cmocka_unit_test(write_may_be_answered_after_the_end),
 	    cmocka_unit_test(report_expires_when_daemon_is_down),
 	    cmocka_unit_test(restored_store_restarts_no_rollout),
 	    cmocka_unit_test(restored_order_stays_replaced),
