inbound: a body that exceeds the limit with its last bytes is refused

Callers saw: a request whose body passes max_body_bytes with the piece that completes it was handed to an endpoint without what was too much, and answered as if that were the request.

Cause: the body was marked as too large, but the mark was looked at only while the request was incomplete.

Change: a complete request with the mark is refused with 413, too.

Test: unit_http_inbound, body_over_the_limit_is_refused_to_its_last_byte, with a length and in chunks: failed on the code before (one request was handled), passes here.

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -174,6 +174,15 @@
 		server->ops->on_request(server->arg, conn);
 }
 
+static void
+inbound_refuse_body(http_inbound_t *conn)
+{
+	err_t err;
+
+	err_set(&err, ERR_BODY_TOO_LARGE, "the request body is too large");
+	inbound_refuse(conn, &err);
+}
+
 static void
 inbound_refuse_invalid(http_inbound_t *conn)
 {
@@ -195,20 +204,19 @@
 inbound_read(http_inbound_t *conn)
 {
 	struct evbuffer *in = bufferevent_get_input(conn->bev);
-	err_t err;
 
 	switch (http_reader_feed(&conn->reader, in)) {
 	case HTTP_READ_INCOMPLETE:
-		if (conn->body_too_large) {
-			err_set(&err, ERR_BODY_TOO_LARGE,
-			    "the request body is too large");
-			inbound_refuse(conn, &err);
-			return;
-		}
-		waiting_timeout_set(conn);
+		if (conn->body_too_large)
+			inbound_refuse_body(conn);
+		else
+			waiting_timeout_set(conn);
 		return;
 	case HTTP_READ_COMPLETE:
-		inbound_handle(conn);
+		if (conn->body_too_large)
+			inbound_refuse_body(conn);
+		else
+			inbound_handle(conn);
 		return;
 	case HTTP_READ_INVALID:
 		inbound_refuse_invalid(conn);
--- a/test/unit/http_inbound_test.c
+++ b/test/unit/http_inbound_test.c
@@ -219,10 +219,43 @@
 	run_loop(fixture);
 }
 
+/* Guards against a request that is handled without the part of its body that
+ * exceeds the limit, as its last bytes came at once. */
+static void
+body_over_the_limit_is_refused_to_its_last_byte(void **state)
+{
+	static const char *const framings[] = {"Content-Length: 5000\r\n\r\n%s",
+	    "Transfer-Encoding: chunked\r\n\r\n"
+	    "1388\r\n%s\r\n0\r\n\r\n"};
+	const fixture_t *fixture = *state;
+	char body[5001], text[6000], answer[64];
+
+	memset(body, 'x', sizeof(body) - 1);
+	body[sizeof(body) - 1] = '\0';
+	for (int i = 0; i < 2; i++) {
+		size_t len = (size_t)snprintf(
+		    text, sizeof(text), "POST / HTTP/1.1\r\nHost: a\r\n");
+		int fd;
+
+		snprintf(text + len, sizeof(text) - len, framings[i], body);
+		fd = client(fixture, text);
+		assert_int_equal(handled, 0);
+		memset(answer, 0, sizeof(answer));
+		assert_true(
+		    recv(fd, answer, sizeof(answer) - 1, MSG_DONTWAIT) > 0);
+		assert_memory_equal(answer, "HTTP/1.1 413", 12);
+		close(fd);
+		run_loop(fixture);
+	}
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		body_over_the_limit_is_refused_to_its_last_byte, setup,
+		teardown),
 	    cmocka_unit_test_setup_teardown(
 		idle_connections_are_evicted, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
