fuzz_rollouts: a daemon that stops has its write in flight cancelled

The target dropped a write in flight when it stopped a daemon, while the process cancels it after the end, with a response that says nothing.

--- a/test/fuzz/rollouts_fuzz.c
+++ b/test/fuzz/rollouts_fuzz.c
@@ -285,7 +285,7 @@
 }
 
 static void
-tick(daemon_t *daemon)
+write_answer(daemon_t *daemon)
 {
 	row_store_response_t response = {.result = daemon->result};
 	row_done_t done = daemon->done;
@@ -293,6 +293,20 @@
 	daemon->done = NULL;
 	if (done != NULL)
 		done(daemon->done_arg, &response);
+}
+
+/* As in the process, writes in flight are cancelled after the end. */
+static void
+daemon_stop(daemon_t *daemon)
+{
+	rollouts_finish(&daemon->rollouts);
+	write_answer(daemon);
+}
+
+static void
+tick(daemon_t *daemon)
+{
+	write_answer(daemon);
 	event_active(daemon->rollouts.timer, EV_TIMEOUT, 0);
 	event_base_loop(world.base, EVLOOP_NONBLOCK);
 }
@@ -481,7 +495,7 @@
 		bad_version_detect(daemon);
 		break;
 	case 7:
-		rollouts_finish(&daemon->rollouts);
+		daemon_stop(daemon);
 		daemon_start(daemon);
 		break;
 	case 8:
@@ -530,7 +544,7 @@
 		step(&input);
 	settle();
 	for (size_t i = 0; i < DAEMONS; i++)
-		rollouts_finish(&world.daemons[i].rollouts);
+		daemon_stop(&world.daemons[i]);
 	event_base_free(world.base);
 	return 0;
 }
