--- a/include/moortack/relay/request_duration.h
+++ b/include/moortack/relay/request_duration.h
@@ -17,7 +17,7 @@
 	bool known;
 } request_duration_t;
 
-/** What the decision about a request at a daemon that stops depends on. */
+/** Input of the decision about a request at a daemon that stops. */
 typedef struct stop_input {
 	int64_t remaining_ms; /**< until the daemon stops */
 	int64_t limit_ms;     /**< after which the request has ended in any case
--- a/moortack/relay/relay_rows.c
+++ b/moortack/relay/relay_rows.c
@@ -257,7 +257,7 @@
 
 	(void)full_read;
 	if (table == ROW_TABLE_ENDPOINTS) {
-		/* What was learned from a part of the rows may be wrong. */
+		/* Versions learned from a part of the rows may be wrong. */
 		if (!node->endpoint_rows_read)
 			endpoint_set_forget_base_versions(&node->endpoints);
 		node->endpoint_rows_read = true;
--- a/test/platform/decoders_test.c
+++ b/test/platform/decoders_test.c
@@ -295,7 +295,7 @@
 	relay_config_release(decoded);
 }
 
-/* What is added to a configuration, and how many routes take requests then. */
+/* Text of a configuration that is built piece by piece. */
 typedef struct addition {
 	char *text;
 	size_t len;
--- a/test/unit/slow_caller_test.c
+++ b/test/unit/slow_caller_test.c
@@ -248,7 +248,7 @@
 	close(fd);
 }
 
-/* What the system takes over is sent although the server is gone, and input
+/* Bytes in the socket are sent although the server is gone, and input
  * that it has not read does not reset the connection. */
 static void
 flushed_response_outlives_the_server(void **state)
