inbound: a caller that reads slowly is not taken for one that reads nothing

What callers saw: an answer that was read steadily, but slowly, ended in the middle, and so did one whose caller read nothing for 15 s although it had said that it would wait for 25 s.

Cause: the write limit was renewed only when the socket took more bytes. It takes none before a third of its queue was read, which is 60 KB and more and takes a slow caller longer than the limit. The limit also did not know how long the caller waits.

Change: at each quarter of the limit the socket is asked how much the caller has not acknowledged; what it has read renews the limit. The limit is at least the time that the caller waits for its response, a minute at most. A closing connection lingers on as long as its caller reads what is in the socket, so that late input does not reset it; the end of the process does not wait for that, and at the connection limit such a connection may be closed.

Evidence: unit_slow_caller has three more tests.

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -16,9 +16,6 @@
  * since a reset by unread bytes could destroy the response before the caller
  * reads it. */
 #define LINGER_MS 1000
-/* A caller that reads nothing for this long, or for as long as it may be idle,
- * is considered disconnected. */
-#define WRITE_TIMEOUT_MS 15000
 #define NO_TIMEOUT_S 86400
 
 static void inbound_read(http_inbound_t *conn);
@@ -27,11 +24,12 @@
 on_output_changed(
     struct evbuffer *output, const struct evbuffer_cb_info *info, void *arg)
 {
-	http_inbound_server_t *server = arg;
+	http_inbound_t *conn = arg;
 
 	(void)output;
-	server->unsent_bytes += info->n_added;
-	server->unsent_bytes -= info->n_deleted;
+	conn->server->unsent_bytes += info->n_added;
+	conn->server->unsent_bytes -= info->n_deleted;
+	conn->written_bytes += info->n_deleted;
 }
 
 void
@@ -47,7 +45,7 @@
 		conn->next->prev = conn->prev;
 	server->connections_len--;
 	evbuffer_remove_cb(
-	    bufferevent_get_output(conn->bev), on_output_changed, server);
+	    bufferevent_get_output(conn->bev), on_output_changed, conn);
 	server->unsent_bytes -= http_inbound_unsent_bytes(conn);
 	http_reader_finish(&conn->reader);
 	bufferevent_free(conn->bev);
@@ -60,11 +58,9 @@
 	/* libevent may keep using an old timeout that is merely removed, so a
 	 * long one replaces it. */
 	struct timeval read = {NO_TIMEOUT_S, 0};
-	int64_t write_ms = conn->server->limits.idle_timeout_ms;
+	int64_t write_ms = inbound_write_check_ms(conn);
 	struct timeval write;
 
-	if (write_ms < WRITE_TIMEOUT_MS)
-		write_ms = WRITE_TIMEOUT_MS;
 	write = (struct timeval){
 	    write_ms / MS_PER_SEC, write_ms % MS_PER_SEC * US_PER_MS};
 	if (read_ms > 0)
@@ -250,12 +246,33 @@
 		conn->server->ops->on_drained(conn->server->arg, conn);
 }
 
+/* @return false: the connection has timed out */
+static bool
+timeout_continue(http_inbound_t *conn, short what)
+{
+	if ((what & BEV_EVENT_WRITING) != 0) {
+		if (!inbound_caller_reads(conn, inbound_write_check_ms(conn)))
+			return false;
+		bufferevent_enable(conn->bev, EV_WRITE);
+		return true;
+	}
+	if (conn->state != INBOUND_LINGERING ||
+	    inbound_queued_bytes(conn) == 0 ||
+	    !inbound_caller_reads(conn, LINGER_MS))
+		return false;
+	conn->lingered = true;
+	bufferevent_enable(conn->bev, EV_READ);
+	return true;
+}
+
 static void
 on_event(struct bufferevent *bev, short what, void *arg)
 {
 	http_inbound_t *conn = arg;
 	http_inbound_server_t *server = conn->server;
 
+	if ((what & BEV_EVENT_TIMEOUT) != 0 && timeout_continue(conn, what))
+		return;
 	/* A caller that has ended its own side may still read the response. */
 	if ((what & BEV_EVENT_EOF) != 0 &&
 	    http_inbound_unsent_bytes(conn) > 0 &&
@@ -307,7 +324,7 @@
 	server->connections_len++;
 	bufferevent_setcb(conn->bev, on_readable, on_written, on_event, conn);
 	evbuffer_add_cb(
-	    bufferevent_get_output(conn->bev), on_output_changed, server);
+	    bufferevent_get_output(conn->bev), on_output_changed, conn);
 	timeouts_set(conn, server->limits.idle_timeout_ms);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 }
--- a/common/http_inbound_priv.h
+++ b/common/http_inbound_priv.h
@@ -1,7 +1,8 @@
 /**
  * @file
- * Private definitions of the HTTP server: its connections (http_inbound.c), and
- * the server that accepts them (http_inbound_server.c).
+ * Private definitions of the HTTP server: its connections (http_inbound.c), the
+ * server that accepts them (http_inbound_server.c), and callers that read
+ * slowly (http_inbound_stall.c).
  */
 #ifndef COMMON_HTTP_INBOUND_PRIV_H
 #define COMMON_HTTP_INBOUND_PRIV_H
@@ -25,8 +26,14 @@
 	inbound_state_t state;
 	bool close_after_response;
 	bool body_too_large;
-	bool input_ended;  /**< the caller sends no more; it may still read */
-	uint64_t wait_seq; /**< order of starting to wait for a request */
+	bool input_ended; /**< the caller sends no more; it may still read */
+	bool lingered;	  /**< its closing waits only for the caller to read
+			     what is in the socket */
+	size_t written_bytes; /**< to the socket */
+	size_t read_bytes;    /**< of these by the caller, when last checked */
+	int64_t stalled_ms;   /**< since the caller was last seen to read */
+	int64_t patience_ms;  /**< see http_inbound_set_patience() */
+	uint64_t wait_seq;    /**< order of starting to wait for a request */
 	void *user_data;
 	http_inbound_t *next;
 	http_inbound_t *prev;
@@ -50,6 +57,14 @@
 void inbound_open(http_inbound_server_t *, evutil_socket_t fd);
 /** Close the connection without calling on_closed. */
 void inbound_free(http_inbound_t *);
+/** How often to ask whether a caller still reads that can't be written to. */
+int64_t inbound_write_check_ms(const http_inbound_t *);
+/** Bytes in the socket that the caller has not acknowledged; 0: not known. */
+size_t inbound_queued_bytes(const http_inbound_t *);
+/** Whether a caller that could not be written to for this long, or to which all
+ * was written, still reads: the socket takes no more bytes before a large part
+ * of its queue was read, which a slow caller needs long for. */
+bool inbound_caller_reads(http_inbound_t *, int64_t waited_ms);
 /** Whether bytes of a request were received. */
 bool inbound_request_started(const http_inbound_t *);
 
--- a/common/http_inbound_server.c
+++ b/common/http_inbound_server.c
@@ -22,7 +22,7 @@
 
 	for (http_inbound_t *conn = server->connections; conn != NULL;
 	     conn = conn->next) {
-		if (conn->state != INBOUND_READING ||
+		if ((conn->state != INBOUND_READING && !conn->lingered) ||
 		    http_inbound_unsent_bytes(conn) > 0)
 			continue;
 		if (oldest == NULL ||
@@ -159,7 +159,7 @@
 {
 	for (const http_inbound_t *conn = server->connections; conn != NULL;
 	     conn = conn->next) {
-		if (conn->state != INBOUND_READING ||
+		if ((conn->state != INBOUND_READING && !conn->lingered) ||
 		    http_inbound_unsent_bytes(conn) > 0)
 			return true;
 	}
--- a/include/common/http_inbound.h
+++ b/include/common/http_inbound.h
@@ -21,8 +21,10 @@
 	size_t head_max;	  /**< bytes */
 	size_t body_max;	  /**< bytes */
 	int64_t read_timeout_ms;  /**< without new bytes of a request */
-	int64_t idle_timeout_ms;  /**< before the first byte of a request, and
-				     at least 15 s of writing nothing */
+	int64_t idle_timeout_ms;  /**< before the first byte of a request */
+	int64_t write_timeout_ms; /**< after which a caller that reads nothing
+				     is disconnected, unless it may be idle for
+				     longer; 0: 15 s */
 	uint32_t connections_max; /**< open at the same time */
 } http_inbound_limits_t;
 
@@ -68,6 +70,9 @@
 uint32_t http_inbound_connection_count(const http_inbound_server_t *);
 
 const http_msg_t *http_inbound_request(const http_inbound_t *);
+/** Set how long the caller waits for its response: for as long, a minute at
+ * most, it is not disconnected although it reads nothing. */
+void http_inbound_set_patience(http_inbound_t *, int64_t ms);
 void http_inbound_set_user_data(http_inbound_t *, void *user_data);
 void *http_inbound_user_data(const http_inbound_t *);
 
--- a/test/unit/slow_caller_test.c
+++ b/test/unit/slow_caller_test.c
@@ -2,8 +2,8 @@
  * @file
  * Guards against cutting a complete response because its caller reads slowly:
  * while the connection closes, waits for a next request, is idle for too long
- * by what was received, is at the connection limit, or is at the end of the
- * process.
+ * by what was received, takes no more bytes for longer than its write timeout,
+ * is at the connection limit, or is at the end of the process.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -28,6 +28,12 @@
 /* Longer than a closing connection lingers, and than a connection may be idle.
  */
 #define PAUSE_MS 1400
+#define WRITE_TIMEOUT_MS 400
+#define PATIENCE_MS 4000
+/* A caller that reads this much in each step takes longer to empty a third of
+ * the socket's queue, before which it takes no more, than the write timeout. */
+#define SLOW_BYTES 1000
+#define SLOW_STEPS 100
 #define STEP_MS 20
 #define PORT_FIRST 18900
 #define PORT_COUNT 200
@@ -35,6 +41,8 @@
 static const char close_request[] =
     "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
 static const char keep_request[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+static const char patient_request[] =
+    "GET /patient HTTP/1.1\r\nHost: a\r\n\r\n";
 
 typedef struct fixture {
 	struct event_base *base;
@@ -50,6 +58,8 @@
 
 	(void)arg;
 	evbuffer_add(body, bytes, sizeof(bytes));
+	if (strcmp(http_inbound_request(conn)->target, "/patient") == 0)
+		http_inbound_set_patience(conn, PATIENCE_MS);
 	http_inbound_respond(conn, 200, "", body);
 	evbuffer_free(body);
 }
@@ -80,15 +90,16 @@
 	event_base_dispatch(fixture->base);
 }
 
+static const http_inbound_limits_t limits = {.head_max = 4096,
+    .body_max = 4096,
+    .read_timeout_ms = IDLE_MS,
+    .idle_timeout_ms = IDLE_MS,
+    .connections_max = CONNECTIONS_MAX};
+
 static int
 setup(void **state)
 {
 	static fixture_t fixture;
-	const http_inbound_limits_t limits = {.head_max = 4096,
-	    .body_max = 4096,
-	    .read_timeout_ms = IDLE_MS,
-	    .idle_timeout_ms = IDLE_MS,
-	    .connections_max = CONNECTIONS_MAX};
 	err_t err;
 
 	fixture = (fixture_t){
@@ -105,6 +116,19 @@
 	return 0;
 }
 
+static int
+setup_write_timeout(void **state)
+{
+	http_inbound_limits_t short_limits = limits;
+	fixture_t *fixture;
+
+	setup(state);
+	fixture = *state;
+	short_limits.write_timeout_ms = WRITE_TIMEOUT_MS;
+	http_inbound_set_limits(fixture->server, &short_limits);
+	return 0;
+}
+
 static int
 teardown(void **state)
 {
@@ -137,6 +161,28 @@
 	return fd;
 }
 
+/* Reads until nothing more comes.
+ * @return bytes */
+static size_t
+read_rest(const fixture_t *fixture, int fd)
+{
+	static char bytes[BODY_SIZE];
+	size_t len = 0;
+	ssize_t count;
+
+	for (int idle = 0; idle < 50; idle++) {
+		count = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		if (count == 0)
+			break;
+		if (count > 0) {
+			len += (size_t)count;
+			idle = 0;
+		}
+		run_loop(fixture, 1);
+	}
+	return len;
+}
+
 /* Reads until the response is whole, or nothing more comes.
  * @return bytes of the body */
 static size_t
@@ -195,6 +241,55 @@
 	close(fd);
 }
 
+static void
+caller_that_reads_steadily_is_not_stalled(void **state)
+{
+	static const char *const requests[] = {close_request, keep_request};
+	const fixture_t *fixture = *state;
+
+	for (int i = 0; i < 2; i++) {
+		int fd = client(fixture, requests[i]);
+		char bytes[SLOW_BYTES];
+		size_t len = 0;
+
+		for (int n = 0; n < SLOW_STEPS; n++) {
+			ssize_t count =
+			    recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+
+			len += count > 0 ? (size_t)count : 0;
+			run_loop(fixture, STEP_MS);
+		}
+		assert_int_equal(
+		    http_inbound_connection_count(fixture->server), 1);
+		len += read_rest(fixture, fd);
+		assert_true(len >= BODY_SIZE);
+		close(fd);
+		run_loop(fixture, 2 * IDLE_MS);
+	}
+}
+
+static void
+caller_that_reads_nothing_is_disconnected(void **state)
+{
+	const fixture_t *fixture = *state;
+	int fd = client(fixture, keep_request);
+
+	run_loop(fixture, 3 * WRITE_TIMEOUT_MS);
+	assert_int_equal(http_inbound_connection_count(fixture->server), 0);
+	close(fd);
+}
+
+static void
+caller_that_waits_for_its_response_may_read_nothing(void **state)
+{
+	const fixture_t *fixture = *state;
+	int fd = client(fixture, patient_request);
+
+	run_loop(fixture, 3 * WRITE_TIMEOUT_MS);
+	assert_int_equal(read_body(fixture, fd), BODY_SIZE);
+	close(fd);
+}
+
 static void
 unsent_response_is_not_evicted(void **state)
 {
@@ -279,6 +374,15 @@
 	    cmocka_unit_test_setup_teardown(
 		connection_is_not_idle_while_its_response_is_unsent, setup,
 		teardown),
+	    cmocka_unit_test_setup_teardown(
+		caller_that_reads_steadily_is_not_stalled, setup_write_timeout,
+		teardown),
+	    cmocka_unit_test_setup_teardown(
+		caller_that_reads_nothing_is_disconnected, setup_write_timeout,
+		teardown),
+	    cmocka_unit_test_setup_teardown(
+		caller_that_waits_for_its_response_may_read_nothing,
+		setup_write_timeout, teardown),
 	    cmocka_unit_test_setup_teardown(
 		unsent_response_is_not_evicted, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
