roll-outs: a retry from before the daemons started moves no session

What callers saw: all daemons lose power around the order of a roll-out. The callers of the streams that broke off return 8 s later, in the first half of the roll-out, and their sessions go on at the new version.

Cause: which sessions the old version serves is known to the daemons alone, and lost with them. By the requests' log the sessions that moved are not known to any daemon, and their requests have 16 s of 25 s left. The estimate of earlier tries does not see it: it wants half of the callers at their first try, and these callers return all at once.

Change: a request of a session is kept at the old version, while sessions are pinned, if its caller may have tried before the daemon started and before the session's share of the new version was in force. A fifth of callers at their first try is enough for that.

--- a/include/moortack/relay/first_try.h
+++ b/include/moortack/relay/first_try.h
@@ -20,5 +20,8 @@
  * have differing deadlines or send none, or if too few requests have come yet
  */
 double retry_age_observe(retry_age_t *, int64_t deadline_ms);
+/** The same without recording it, and also while so many callers retry that
+ * the estimate above is 0: the caller's first try may be that long ago. */
+double retry_age_possible(const retry_age_t *, int64_t deadline_ms);
 
 #endif
--- a/include/moortack/rollout/rollout_plan.h
+++ b/include/moortack/rollout/rollout_plan.h
@@ -41,6 +41,8 @@
 	uint64_t hash;	/**< of its session, or of its id if it has none */
 	uint64_t route; /**< hash of the route's name */
 	bool session;
+	int64_t tried_ms_ago; /**< its caller may have tried that long ago, by a
+				 daemon that was lost since; 0: it has not */
 } rollout_request_t;
 
 /** What the schedule depends on at one moment. */
--- a/moortack/relay/first_try.c
+++ b/moortack/relay/first_try.c
@@ -8,6 +8,9 @@
  * exceeds this after 14 requests in a row with nearly equal deadlines, so that
  * a new daemon infers no earlier try from the first requests of a route. */
 #define NEAR_SHARE_MIN 0.5
+/* The same for an earlier try to be possible: many callers may retry at once.
+ */
+#define NEAR_SHARE_POSSIBLE 0.2
 /* Weight of the newest request, and factor by which the longest deadline decays
  * with each request: a deadline that no caller has any more is forgotten after
  * some thousand requests. */
@@ -31,3 +34,14 @@
 		return 0;
 	return self->longest_ms - ms;
 }
+
+double
+retry_age_possible(const retry_age_t *self, int64_t deadline_ms)
+{
+	double ms = (double)deadline_ms;
+
+	if (deadline_ms <= 0 || self->near_longest < NEAR_SHARE_POSSIBLE ||
+	    ms >= NEAR_RATIO * self->longest_ms)
+		return 0;
+	return self->longest_ms - ms;
+}
--- a/moortack/relay/relay_candidates.c
+++ b/moortack/relay/relay_candidates.c
@@ -275,7 +275,8 @@
 		return VERSION_ANY;
 	request = (rollout_request_t){.hash = req->split_hash,
 	    .route = request_route_hash(req),
-	    .session = req->arrival.session != NULL};
+	    .session = req->arrival.session != NULL,
+	    .tried_ms_ago = relay_tried_before_start_ms(req)};
 	return rollout_prefers_new(rollout, &request) ? VERSION_NEW
 						      : VERSION_OLD;
 }
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -529,6 +529,9 @@
  * route's estimate, so call it once for each request. */
 double
 relay_earlier_tries_ms(relay_t *, const relay_route_t *, int64_t deadline_ms);
+/** How long ago the request's caller may have first tried, if that was before
+ * this daemon started; else 0. */
+int64_t relay_tried_before_start_ms(const relay_request_t *);
 /** Record how long a request took that was answered. */
 void relay_observe_duration(relay_t *, const relay_route_t *, double ms);
 /** Whether this daemon stops so soon that it takes only requests that end
--- a/moortack/relay/relay_service_state.c
+++ b/moortack/relay/relay_service_state.c
@@ -55,6 +55,24 @@
 	    : 0;
 }
 
+int64_t
+relay_tried_before_start_ms(const relay_request_t *req)
+{
+	const relay_t *relay = req->relay;
+	int64_t uptime_ms =
+	    timespec_ms_between(relay->started_at, req->received_at);
+	double tried_ms = req->earlier_tries_ms;
+	const route_callers_t *callers;
+
+	HASH_FIND_STR(relay->route_callers, req->route->name, callers);
+	if (callers != NULL && !req->from_daemon)
+		tried_ms = retry_age_possible(
+		    &callers->retry_age, req->arrival.deadline_ms);
+	if (tried_ms <= (double)uptime_ms)
+		return 0;
+	return (int64_t)tried_ms + request_age_ms(req);
+}
+
 void
 relay_observe_duration(relay_t *relay, const relay_route_t *route, double ms)
 {
--- a/moortack/relay/rollout_sessions.c
+++ b/moortack/relay/rollout_sessions.c
@@ -25,6 +25,17 @@
 	    recent_sessions_contain(&self->peer_sessions, hash, now);
 }
 
+bool
+rollout_session_may_be_on_old(
+    const rollout_snapshot_t *snapshot, const rollout_request_t *request)
+{
+	return request->tried_ms_ago > 0 &&
+	    !rollout_share_includes(
+		rollout_trial_share(&snapshot->trial,
+		    snapshot->elapsed_ms - request->tried_ms_ago),
+		request->hash);
+}
+
 void
 rollouts_apply_sessions_row(rollouts_t *self, const row_t *row)
 {
--- a/moortack/relay/rollouts.c
+++ b/moortack/relay/rollouts.c
@@ -110,6 +110,7 @@
 	 * the rest must not move while sessions are pinned. */
 	share = rollout_plan_pinned_share(&snapshot);
 	return !rollouts_session_on_old(rollout->owner, request->hash) &&
+	    !rollout_session_may_be_on_old(&snapshot, request) &&
 	    rollout_share_includes(share, request->hash);
 }
 
--- a/moortack/relay/rollouts_priv.h
+++ b/moortack/relay/rollouts_priv.h
@@ -59,6 +59,11 @@
 /** Judge the new version by what all daemons counted: stop the roll-out if it
  * is bad, propose to accept it if it is as good as the old one. */
 void rollout_judge(rollout_t *);
+/** Whether a request's session may have been served by the old version although
+ * no daemon knows: its caller tried before the session's share of the new
+ * version was in force. */
+bool rollout_session_may_be_on_old(
+    const rollout_snapshot_t *, const rollout_request_t *);
 /** Whether this daemon proposes to accept the new version, and the stored state
  * does not say so yet. */
 bool rollout_acceptance_pending(const rollout_t *);
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -293,6 +293,25 @@
 	assert_true(retry_age_observe(&tries, 0) == 0);
 }
 
+/* Guards against missing earlier tries when many callers return at once, after
+ * a daemon that has seen few first tries. */
+static void
+returning_callers_leave_an_earlier_try_possible(void **state)
+{
+	retry_age_t tries = {0};
+
+	(void)state;
+	for (int i = 0; i < 20; i++)
+		retry_age_observe(&tries, 25000);
+	for (int i = 0; i < 12; i++) {
+		retry_age_observe(&tries, 16000);
+		assert_true(retry_age_possible(&tries, 16000) > 8900);
+	}
+	assert_true(retry_age_observe(&tries, 16000) == 0);
+	assert_true(retry_age_possible(&tries, 25000) == 0);
+	assert_true(retry_age_possible(&tries, 0) == 0);
+}
+
 /* Callers with different deadlines show no earlier tries. */
 static void
 differing_deadlines_show_no_earlier_try(void **state)
@@ -304,6 +323,8 @@
 		retry_age_observe(&tries, 1000 + i % 10 * 2000);
 	for (int i = 0; i < 10; i++)
 		assert_true(retry_age_observe(&tries, 1000 + i * 2000) == 0);
+	for (int i = 0; i < 10; i++)
+		assert_true(retry_age_possible(&tries, 1000 + i * 2000) == 0);
 }
 
 /* Guards against a new daemon that takes differing deadlines for earlier tries:
@@ -742,6 +763,7 @@
 	    cmocka_unit_test(a_larger_models_gain_is_learned),
 	    cmocka_unit_test(lowest_confidence_has_its_own_estimate),
 	    cmocka_unit_test(shorter_deadline_shows_earlier_try),
+	    cmocka_unit_test(returning_callers_leave_an_earlier_try_possible),
 	    cmocka_unit_test(differing_deadlines_show_no_earlier_try),
 	    cmocka_unit_test(prefill_rate_is_learned),
 	    cmocka_unit_test(attention_of_long_prompts_is_learned),
--- a/test/unit/rollout_load_test.c
+++ b/test/unit/rollout_load_test.c
@@ -225,6 +225,40 @@
 	rollouts_clear(&fixture.rollouts);
 }
 
+/* Guards against moving a session when its caller tries again after all daemons
+ * were lost: what was known of its version is lost with them. */
+static void
+retry_from_before_the_daemons_start_moves_no_session(void **state)
+{
+	rollout_request_t retry = {.hash = 1, .session = true};
+	int64_t elapsed_ms;
+	fixture_t fixture;
+	rollout_t *rollout;
+
+	(void)state;
+	fixture_init(&fixture);
+	rollout = rollouts_find(&fixture.rollouts, "s");
+	for (double part = 0.3; part < 0.52; part += 0.02) {
+		time_pass_to(&fixture, part);
+		elapsed_ms = (int64_t)(part * DURATION_MS);
+		retry.tried_ms_ago = 0;
+		assert_true(rollout_prefers_new(rollout, &retry));
+		/* Before the order, and before its first share. */
+		retry.tried_ms_ago = elapsed_ms + 1000;
+		assert_false(rollout_prefers_new(rollout, &retry));
+		retry.tried_ms_ago =
+		    elapsed_ms - ROLLOUT_SESSION_EXCHANGE_MS + 100;
+		assert_false(rollout_prefers_new(rollout, &retry));
+		retry.tried_ms_ago =
+		    elapsed_ms - ROLLOUT_SESSION_EXCHANGE_MS - 100;
+		assert_true(rollout_prefers_new(rollout, &retry));
+	}
+	time_pass_to(&fixture, 0.53);
+	retry.tried_ms_ago = DURATION_MS;
+	assert_true(rollout_prefers_new(rollout, &retry));
+	rollouts_clear(&fixture.rollouts);
+}
+
 /* The load is in the state's row, so that all daemons put the same requests to
  * the same endpoints. What can't be one is left out. */
 static void
@@ -358,6 +392,8 @@
 	    cmocka_unit_test(load_ends_with_the_rollout_and_while_stale),
 	    cmocka_unit_test(routes_with_short_prompts_load_the_new_version),
 	    cmocka_unit_test(no_session_moves_while_sessions_are_pinned),
+	    cmocka_unit_test(
+		retry_from_before_the_daemons_start_moves_no_session),
 	    cmocka_unit_test(load_is_taken_from_the_stored_state),
 	    cmocka_unit_test(
 		load_of_an_earlier_order_is_not_stored_for_the_next),
