config_row: a name with a line break is not sent as headers

What endpoints saw: a tenant whose name has a line break added headers of its own to each of its requests (X-Evil: 1, seen with real processes); the name of a model on a route would do the same.

Cause: names go into headers as they are. Texts of the configuration were never checked for control characters, only the keys of rows were.

--- a/test/platform/decoders_test.c
+++ b/test/platform/decoders_test.c
@@ -295,6 +295,24 @@
 	relay_config_release(decoded);
 }
 
+/* Guards against headers that a line break in a name adds to the requests for
+ * endpoints. */
+static void
+names_with_line_breaks_are_not_sent_in_headers(void **state)
+{
+	relay_config_t *decoded;
+
+	(void)state;
+	decoded = config_part_refused("\"priority\":1}]",
+	    "\"priority\":1},{\"name\":\"t\\r\\nX: 1\","
+	    "\"api_keys\":[\"k4\"]}]",
+	    "control character");
+	assert_true(relay_config_find_organisation(decoded, "k4")->unreadable);
+	relay_config_release(decoded);
+	route_refused("/x/", "/x/y/", "[\"m0\",\"m1\"]",
+	    "[\"m0\",\"m1\\r\\nX: 1\"]", "control character");
+}
+
 /* Text of a configuration that is built piece by piece. */
 typedef struct addition {
 	char *text;
@@ -908,6 +926,7 @@
 	    cmocka_unit_test(odd_stride_counts_as_unknown),
 	    cmocka_unit_test(invalid_configurations_are_refused_by_field),
 	    cmocka_unit_test(a_part_that_is_invalid_takes_no_other_with_it),
+	    cmocka_unit_test(names_with_line_breaks_are_not_sent_in_headers),
 	    cmocka_unit_test(texts_and_lists_may_be_as_long_as_the_row),
 	    cmocka_unit_test(numbers_may_be_of_any_size),
 	    cmocka_unit_test(unchanged_routes_are_shared),
