roll-outs: a good version is not taken back for requests that fail anywhere

Cause, by the rollout_bad lines, three things: a daemon alone judged by four responses of the new version, three failed, against three to ten of the old one, none failed, and took the low rate of so few for known; a request that fails does so again at the next endpoint, and counted twice; from 0.8 of the order's time on half of the evidence was enough also for a daemon that has only its own part of it.

Change: the likelihood ratio of failures is taken over all rates that the old version may have by what was observed of it; of a request that failed only the first attempt counts; less evidence once the decision is due is for the daemon that has the reports of nearly all.

Evidence: few_responses_of_the_old_version_prove_no_low_failure_rate failed before; daemon_without_reports_does_not_judge_by_less_evidence and mutants canary-rate-taken-as-known, canary-part-judged-late, caught. A test with real daemons and routes that fail a fifth of their requests was tried and left out: it fails by chance once in some runs, as twelve of 30 requests of a good version failed.

--- a/moortack/relay/relay_guard.c
+++ b/moortack/relay/relay_guard.c
@@ -107,7 +107,8 @@
 
 	if (rollout != NULL)
 		load_record(req, rollout);
-	if (rollout != NULL && signal_counts(req, signal) &&
+	if (rollout != NULL && !req->canary_failed &&
+	    signal_counts(req, signal) &&
 	    canary_analysis_observe(&rollout->canary, &observation,
 		clock_boottime(req->relay->clock)))
 		req->attempt.guard_counted = true;
@@ -219,6 +220,7 @@
 relay_canary_failed(relay_request_t *req)
 {
 	signal_report(req, CANARY_FAILED, 0);
+	req->canary_failed = true;
 }
 
 void
@@ -257,6 +259,7 @@
 
 		if (attempt->endpoint == NULL || !attempt->sent ||
 		    !attempt->new_version || attempt->puts_under_load ||
+		    req->canary_failed ||
 		    strcmp(attempt->endpoint->info.service,
 			rollout->order.service) != 0 ||
 		    timespec_ms_between(attempt->sent_at, sent_before) <= 0)
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -156,7 +156,10 @@
 	owner_query_t owner_query; /**< before the next attempt */
 	uint64_t tried_endpoints[TRIED_ENDPOINTS_MAX]; /**< hashes */
 	size_t tried_endpoints_len;
-	uint32_t sends; /**< attempts of which bytes may have been sent */
+	bool canary_failed; /**< an attempt of it failed by its endpoint: the
+			       next ones say little about a version, as a
+			       request that fails may fail anywhere */
+	uint32_t sends;	    /**< attempts of which bytes may have been sent */
 	uint32_t connects_failed; /**< attempts that did not get a connection */
 	struct event *reports_timer; /**< ends the wait for other daemons'
 					reports; NULL: it does not wait */
--- a/moortack/relay/rollout_evidence.c
+++ b/moortack/relay/rollout_evidence.c
@@ -80,21 +80,25 @@
 	    self->new_version_is_one_group(self->relay, rollout);
 }
 
+/* Less evidence is enough once the decision is due, but not for a daemon that
+ * has only its own part of it: of many such parts one looks bad by chance. */
 static canary_standard_t
-current_standard(const rollout_t *rollout)
+current_standard(rollout_t *rollout)
 {
 	rollout_snapshot_t snapshot = rollout_take_snapshot(rollout);
 
 	if (snapshot.accepted_ms > 0)
 		return CANARY_ACCEPTED;
-	return rollout_plan_decision_is_due(&snapshot) ? CANARY_TRIAL_LATE
-						       : CANARY_TRIAL;
+	return rollout_plan_decision_is_due(&snapshot) &&
+		rollout_reported_part(rollout) >= ROLLOUT_REPORTED_MIN
+	    ? CANARY_TRIAL_LATE
+	    : CANARY_TRIAL;
 }
 
 /* The routes are also compared together, which can show a difference before any
  * single route has enough responses to. */
 static bool
-sums_are_bad(const rollout_t *rollout, const canary_sums_t *sums)
+sums_are_bad(rollout_t *rollout, const canary_sums_t *sums)
 {
 	canary_standard_t standard = current_standard(rollout);
 
@@ -137,7 +141,7 @@
 }
 
 static bool
-sums_are_acceptable(const rollout_t *rollout, const canary_sums_t *sums,
+sums_are_acceptable(rollout_t *rollout, const canary_sums_t *sums,
     const rollout_snapshot_t *snapshot)
 {
 	if (canary_sums_are_empty(sums))
--- a/moortack/rollout/canary_verdict.c
+++ b/moortack/rollout/canary_verdict.c
@@ -66,6 +66,59 @@
 		       : 0;
 }
 
+/* Rates from RATE_LEAST to RATE_MAX, each RATE_RATIO times the one before. */
+#define RATES 26
+#define RATE_LEAST 0.01
+#define RATE_RATIO 1.2
+
+/* The logarithm of the mean of exp(x), by weights whose logarithms are given.
+ */
+static double
+log_mean_exp(const double *x, const double *log_weights)
+{
+	double highest = x[0] + log_weights[0], total = 0, weights = 0;
+	double heaviest = log_weights[0];
+
+	for (size_t i = 1; i < RATES; i++) {
+		highest = fmax(highest, x[i] + log_weights[i]);
+		heaviest = fmax(heaviest, log_weights[i]);
+	}
+	for (size_t i = 0; i < RATES; i++) {
+		total += exp(x[i] + log_weights[i] - highest);
+		weights += exp(log_weights[i] - heaviest);
+	}
+	return highest + log(total) - heaviest - log(weights);
+}
+
+/* Like test_log_ratio(), over all rates that the old version may have by what
+ * was observed of it: a few responses without a failure don't show that its
+ * rate is low. */
+static double
+failures_log_ratio(
+    const canary_counts_t *new_counts, const canary_counts_t *old_counts)
+{
+	double bad = new_counts->failed;
+	double good = (double)new_counts->responses - bad;
+	double old_bad = old_counts->failed + 0.2;
+	double old_good =
+	    (double)old_counts->responses - old_counts->failed + 4.8;
+	double log_weights[RATES], as_good[RATES], worse[RATES];
+	double p0 = RATE_LEAST;
+
+	for (size_t i = 0; i < RATES; i++, p0 *= RATE_RATIO) {
+		double p1 = fmin(RATE_MAX,
+		    fmax(STEP_FACTOR * p0, p0 + test_failed.step_min));
+
+		/* The density of the rate, times the rate as the width. */
+		log_weights[i] =
+		    old_bad * log(p0) + (old_good - 1) * log(1 - p0);
+		as_good[i] = bad * log(p0) + good * log(1 - p0);
+		worse[i] = bad * log(p1) + good * log(1 - p1);
+	}
+	return log_mean_exp(worse, log_weights) -
+	    log_mean_exp(as_good, log_weights);
+}
+
 canary_evidence_t
 canary_tally_evidence(const canary_tally_t *tally)
 {
@@ -73,9 +126,7 @@
 	const canary_counts_t *old_counts = &tally->old_counts;
 
 	return (canary_evidence_t){
-	    .failed = test_log_ratio(&test_failed, new_counts->failed,
-		new_counts->responses, old_counts->failed,
-		old_counts->responses),
+	    .failed = failures_log_ratio(new_counts, old_counts),
 	    .late = test_log_ratio(&test_late, new_counts->late,
 		new_counts->responses, old_counts->late, old_counts->responses),
 	    .gaps = test_log_ratio(&test_gaps, new_counts->gaps_slow,
@@ -127,13 +178,14 @@
 	const canary_cohort_t *settled = &sums->settled;
 	const canary_counts_t *old_counts = &sums->all.old_counts;
 	const latency_histogram_t *old_gaps = &sums->gaps.old_gaps;
+	const canary_counts_t new_counts = {
+	    .responses = settled->responses, .failed = settled->failed};
 	latency_histogram_t gaps = settled->gaps;
 
 	latency_histogram_add_unknown(
 	    &gaps, old_gaps, settled->unanswered + settled->gapless);
 	return (canary_evidence_t){
-	    .failed = test_log_ratio(&test_failed, settled->failed,
-		settled->responses, old_counts->failed, old_counts->responses),
+	    .failed = failures_log_ratio(&new_counts, old_counts),
 	    .late =
 		test_log_ratio(&test_late, settled->late + settled->unanswered,
 		    settled->responses + settled->unanswered, old_counts->late,
--- a/test/unit/relay_decisions_test.c
+++ b/test/unit/relay_decisions_test.c
@@ -596,6 +596,22 @@
 	assert_false(analysis_is_bad(&analysis));
 }
 
+/* Guards against taking a good version back because a daemon has seen few
+ * responses of the old one, none of which failed. */
+static void
+few_responses_of_the_old_version_prove_no_low_failure_rate(void **state)
+{
+	canary_analysis_t analysis = {0};
+
+	(void)state;
+	observe(&analysis, false, false, 6);
+	observe(&analysis, true, false, 1);
+	observe(&analysis, true, true, 3);
+	assert_false(analysis_is_bad(&analysis));
+	observe(&analysis, false, false, 200);
+	assert_true(analysis_is_bad(&analysis));
+}
+
 static void
 slow_version_is_bad_but_few_late_responses_are_not(void **state)
 {
@@ -777,6 +793,8 @@
 		late_acceptance_completes_after_the_old_version_could_drain),
 	    cmocka_unit_test(a_rollout_exposes_little_before_its_last_step),
 	    cmocka_unit_test(analysis_distinguishes_worse_from_equally_bad),
+	    cmocka_unit_test(
+		few_responses_of_the_old_version_prove_no_low_failure_rate),
 	    cmocka_unit_test(
 		slow_version_is_bad_but_few_late_responses_are_not),
 	    cmocka_unit_test(
--- a/test/unit/rollouts_test.c
+++ b/test/unit/rollouts_test.c
@@ -377,6 +377,44 @@
 	rollouts_clear(&fixture.rollouts);
 }
 
+static void
+responses_count(rollout_t *rollout, bool is_new, int sound, int failed)
+{
+	canary_observation_t observation = {
+	    .route = 0xaa, .is_new = is_new, .ms = 20};
+
+	for (int i = 0; i < sound + failed; i++) {
+		observation.signal =
+		    i < sound ? CANARY_FIRST_BYTE : CANARY_FAILED;
+		canary_analysis_observe(&rollout->canary, &observation,
+		    clock_boottime(rollout->owner->clock));
+	}
+}
+
+/* Guards against taking a good version back by what one of many daemons has
+ * seen: once the decision is due, less evidence is enough only for all. */
+static void
+daemon_without_reports_does_not_judge_by_less_evidence(void **state)
+{
+	fixture_t fixture;
+	rollout_t *rollout;
+	member_t member = {.name = "b", .state = MEMBER_READY};
+
+	(void)state;
+	fixture_init(&fixture);
+	rollout = rollouts_find(&fixture.rollouts, "s");
+	fixture.members.clock = &fixture.clock.source;
+	fixture.clock.now =
+	    timespec_add_ms(fixture.clock.now, DURATION_MS * 85 / 100);
+	responses_count(rollout, false, 29, 5);
+	responses_count(rollout, true, 1, 3);
+	HASH_ADD_STR(fixture.members.members, name, &member);
+	assert_false(rollout_new_version_is_bad(rollout));
+	HASH_DEL(fixture.members.members, &member);
+	assert_true(rollout_new_version_is_bad(rollout));
+	rollouts_clear(&fixture.rollouts);
+}
+
 /* Applies the rows of a restored store, the order or the state first. */
 static void
 restored_rows_apply(fixture_t *fixture, bool order_first, const char *state)
@@ -465,6 +503,8 @@
 	    cmocka_unit_test(state_of_later_order_is_not_overwritten),
 	    cmocka_unit_test(write_may_be_answered_after_the_end),
 	    cmocka_unit_test(report_expires_when_daemon_is_down),
+	    cmocka_unit_test(
+		daemon_without_reports_does_not_judge_by_less_evidence),
 	    cmocka_unit_test(restored_store_restarts_no_rollout),
 	    cmocka_unit_test(restored_order_stays_replaced),
 	    cmocka_unit_test(
