canary analysis: slower plain responses are compared as distributions

What callers saw: a version of a plain service of which half of the requests take eight times as long got up to 167 of 297 requests where 75 are allowed, and was completed.

Cause: only a first byte that comes 6 times and 150 ms later than usual counted, and each daemon learned the usual one of each route by itself from 8 responses, which takes 11 s at 18 requests a second. The evidence line shows late=3 of 49 while by the requests' log half took 100 to 400 ms instead of 10 to 50.

Change: the latencies of responses that are no streams go where the shortest gaps of streams go: histograms of both versions, summed over all daemons, and the likelihood ratio over several slowdowns, for worse and for as good.

--- a/moortack/relay/relay_guard.c
+++ b/moortack/relay/relay_guard.c
@@ -156,12 +156,19 @@
 	return fmax(ms - req->attempt.placement.queue_wait_ms, 0);
 }
 
+/* Responses that are no streams have no gaps: their latencies are compared
+ * instead, which are known with fewer responses than a usual one of each route.
+ */
 void
 relay_canary_first_byte(relay_request_t *req)
 {
-	if (!req->attempt.guard_counted)
-		signal_report(req, CANARY_FIRST_BYTE,
-		    without_queue_wait(req, req->attempt.first_byte_ms));
+	double ms = without_queue_wait(req, req->attempt.first_byte_ms);
+
+	if (req->attempt.guard_counted)
+		return;
+	signal_report(req, CANARY_FIRST_BYTE, ms);
+	if (req->route->kind != ROUTE_STREAM)
+		signal_report(req, CANARY_SHORTEST_GAP, ms);
 }
 
 static void
