--- a/test/platform/decoders_test.c
+++ b/test/platform/decoders_test.c
@@ -445,6 +445,14 @@
 	route = relay_config_find_route(decoded, "a.example", "/x/y/");
 	assert_int_equal(route->pools[1].weight, 4 * route->pools[0].weight);
 	relay_config_release(decoded);
+	/* The factor to a usual weight is beyond the range of a double. */
+	decoded =
+	    config_taken("\"weight\":90},{\"service\":\"s2\",\"weight\":10}",
+		"\"weight\":1e-300},{\"service\":\"s2\",\"weight\":0}");
+	route = relay_config_find_route(decoded, "a.example", "/x/y/");
+	assert_int_equal(route->pools[0].weight, 1000000000);
+	assert_int_equal(route->pools[1].weight, 0);
+	relay_config_release(decoded);
 }
 
 static void
--- a/test/platform/rows_fuzz.c
+++ b/test/platform/rows_fuzz.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "../../moortack/relay/relay_node_priv.h"
+#include "../../moortack/relay/relay_request.h"
 #include "../fuzz/input.h"
 #include "../support/manual_clock.h"
 #include "../support/silent_store.h"
@@ -88,6 +89,19 @@
 	return tables[kind];
 }
 
+#define ROUTE_START \
+	"{\"name\":\"r\",\"host\":\"a\",\"prefix\":\"/x/\",\"type\":\"safe\","
+
+/* Routes of a configuration. */
+static const char *const routes[] = {"", ROUTE_START "\"service\":\"s0\"}",
+    ROUTE_START "\"backends\":[{\"service\":\"s0\",\"weight\":0}]}",
+    ROUTE_START "\"backends\":[{\"service\":\"s0\",\"weight\":1e-300},"
+		"{\"service\":\"s1\",\"weight\":0}]}",
+    ROUTE_START "\"backends\":[{\"service\":\"s0\",\"weight\":1e300},"
+		"{\"service\":\"s1\",\"weight\":1e18}]}",
+    ROUTE_START "\"backends\":[],\"service\":\"s1\",\"sizes\":[\"m\"],"
+		"\"regions_allowed\":[\"a\"]}"};
+
 /* Makes a valid row of a kind as in table_of_kind(). */
 static void
 valid_row(input_t *input, uint32_t kind, char *key, char *value)
@@ -108,8 +122,11 @@
 	case 1:
 		strcpy(key, ROWS_CONFIG_KEY);
 		snprintf(value, VALUE_SIZE,
-		    "{\"version\":%llu,\"routes\":[],\"services\":[]}",
-		    (unsigned long long)world.version);
+		    "{\"version\":%llu,\"routes\":[%s],\"services\":[],"
+		    "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}]}",
+		    (unsigned long long)world.version,
+		    routes[(i + KEY_COUNT * variant) %
+			(sizeof(routes) / sizeof(routes[0]))]);
 		break;
 	case 2:
 		snprintf(key, TEXT_SIZE, ROWS_ROLLOUT_PREFIX "s%u", i);
@@ -183,6 +200,37 @@
 	return len < VALUE_SIZE ? len : VALUE_SIZE - 1;
 }
 
+/* Decides about requests as a daemon with the configuration does: whatever it
+ * holds, each gets a route and a service or none. */
+static void
+requests_decide(const relay_config_t *config)
+{
+	static const char *const targets[] = {
+	    "", "/", "/x", "/x/", "/x/1?/y/", "//x//"};
+	static const uint64_t hashes[] = {0, 1, UINT64_MAX / 2, UINT64_MAX};
+	region_list_t regions = {0};
+
+	for (size_t i = 0; i < sizeof(targets) / sizeof(targets[0]); i++) {
+		const relay_route_t *route =
+		    relay_config_find_route(config, "a", targets[i]);
+
+		if (route == NULL || route->unreadable)
+			continue;
+		for (size_t k = 0; k < sizeof(hashes) / sizeof(hashes[0]);
+		     k++) {
+			const char *service =
+			    relay_route_service(route, hashes[k]);
+
+			FUZZ_CHECK(service == NULL || service[0] != '\0');
+			if (service != NULL)
+				relay_config_find_service(config, service);
+		}
+	}
+	relay_config_find_organisation(config, "k");
+	relay_config_collect_host_regions(config, "a", &regions);
+	region_list_finish(&regions);
+}
+
 /* Whether a configuration is valid. Checks that this does not depend on the
  * configuration that it shares routes with. */
 static bool
@@ -193,9 +241,12 @@
 	bool valid = fresh != NULL;
 
 	FUZZ_CHECK(valid == (shared != NULL));
-	if (valid)
+	if (valid) {
 		FUZZ_CHECK(
 		    HASH_COUNT(fresh->routes) == HASH_COUNT(shared->routes));
+		requests_decide(fresh);
+		requests_decide(shared);
+	}
 	relay_config_release(fresh);
 	relay_config_release(shared);
 	return valid;
