relay: the response of a stream that can't be resumed is not discarded

What callers saw: 502, without a byte, for a stream on a route without `resumable`, although an endpoint had begun to answer: the small model's answer was dropped for its low confidence.

Cause: the choice of a larger model looked at the attempts and the retry budget that are left, but not at whether the request may run again. It may not, so the next attempt was refused.

Change: such a response is kept, whatever its confidence.

--- a/moortack/relay/relay_model.c
+++ b/moortack/relay/relay_model.c
@@ -298,7 +298,8 @@
 	model = relay_model_find(req, relay_model_name(req, input.model));
 	if (model != NULL)
 		input.cut_probability = cut_probability(req, model, 0);
-	input.retry_allowed = req->sends < request_sends_max(req) &&
+	input.retry_allowed = request_idempotent(req) &&
+	    req->sends < request_sends_max(req) &&
 	    relay_retry_has_spare(req->relay, req->service);
 	for (size_t i = input.model + 1; i < input.models; i++)
 		option_fill(req, i, input.cut_probability, &input.options[i]);
