http_call: a response that only trickles in ends

What daemons saw: a response of the store that comes a byte at a time was never given up, so that what they know of its table grows old without another try.

Cause: evhttp's time limit starts anew with each piece.

Change: all of a response may take four times the time limit of the call. The limits are 0.4 to 0.9 s and the time for which the store may hold a poll; its largest responses have 1 MB.

--- a/common/http_call.c
+++ b/common/http_call.c
@@ -11,6 +11,9 @@
 #define US_PER_MS 1000
 #define HEAD_MAX 65536 /* bytes */
 #define RESPONSE_MAX (64L << 20)
+/* Each piece of a response starts the time limit anew; all of it may take this
+ * many times as long. */
+#define TOTAL_FACTOR 4
 
 /** A call in flight. It owns its connection, since libevent frees connections
  * by itself only after a response and leaks those that never connected. */
@@ -20,6 +23,7 @@
 	http_call_done_t done;
 	void *arg;
 	struct event *cleanup; /**< frees the call outside evhttp's callback */
+	struct event *limit;   /**< ends a response that only trickles in */
 	struct pending_call *next;
 	struct pending_call *prev;
 } pending_call_t;
@@ -79,9 +83,24 @@
 		evhttp_connection_free(call->conn);
 	if (call->cleanup != NULL)
 		event_free(call->cleanup);
+	if (call->limit != NULL)
+		event_free(call->limit);
 	free(call);
 }
 
+/* Ends a call without a response. */
+static void
+pending_cancel(pending_call_t *call)
+{
+	const http_response_t no_response = {0};
+	http_call_done_t done = call->done;
+	void *arg = call->arg;
+
+	pending_free(call);
+	if (done != NULL)
+		done(arg, &no_response);
+}
+
 static void
 on_cleanup(evutil_socket_t fd, short what, void *arg)
 {
@@ -90,6 +109,14 @@
 	pending_free(arg);
 }
 
+static void
+on_limit(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	pending_cancel(arg);
+}
+
 static void
 on_response(struct evhttp_request *req, void *arg)
 {
@@ -145,6 +172,7 @@
 	pending->done = done;
 	pending->arg = arg;
 	pending->cleanup = event_new(base, -1, 0, on_cleanup, pending);
+	pending->limit = event_new(base, -1, 0, on_limit, pending);
 	pending->conn = call->tls != NULL
 	    ? tls_connection_new(call->tls, base, address->host, address->port)
 	    : evhttp_connection_base_new(
@@ -153,18 +181,26 @@
 	if (pending_calls != NULL)
 		pending_calls->prev = pending;
 	pending_calls = pending;
-	if (pending->conn != NULL && pending->cleanup != NULL)
+	if (pending->conn != NULL && pending->cleanup != NULL &&
+	    pending->limit != NULL)
 		return pending;
 	pending_free(pending);
 	return NULL;
 }
 
+static struct timeval
+timeval_from_ms(int64_t ms)
+{
+	return (struct timeval){ms / MS_PER_SEC, ms % MS_PER_SEC * US_PER_MS};
+}
+
 bool
 http_call_start(struct event_base *base, const http_call_t *call,
     http_call_done_t done, void *arg)
 {
-	struct timeval timeout = {call->timeout_ms / MS_PER_SEC,
-	    (call->timeout_ms % MS_PER_SEC) * US_PER_MS};
+	const struct timeval timeout = timeval_from_ms(call->timeout_ms);
+	const struct timeval limit =
+	    timeval_from_ms((int64_t)call->timeout_ms * TOTAL_FACTOR);
 	pending_call_t *pending = pending_new(base, call, done, arg);
 	struct evhttp_request *req =
 	    pending != NULL ? request_new(call, pending) : NULL;
@@ -183,6 +219,7 @@
 		pending_free(pending);
 		return false;
 	}
+	event_add(pending->limit, &limit);
 	return true;
 }
 
@@ -192,17 +229,11 @@
 	pending_call_t *call = pending_calls;
 
 	while (call != NULL) {
-		const http_response_t no_response = {0};
-		http_call_done_t done = call->done;
-		void *arg = call->arg;
-
 		if (call->base != base) {
 			call = call->next;
 			continue;
 		}
-		pending_free(call);
-		if (done != NULL)
-			done(arg, &no_response);
+		pending_cancel(call);
 		call = pending_calls;
 	}
 }
--- a/test/unit/http_call_test.c
+++ b/test/unit/http_call_test.c
@@ -1,7 +1,8 @@
 /**
  * @file
- * Each call ends with exactly one callback, and a call without a response leaks
- * nothing: evhttp itself does not free connections that were refused.
+ * Each call ends with exactly one callback, also if its response has no end or
+ * only trickles in, and a call without a response leaks nothing: evhttp itself
+ * does not free connections that were refused.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -19,6 +20,8 @@
 
 #define CALLS 200
 #define GROWTH_MAX 20000 /* bytes; a leaked connection takes over 1,000 */
+#define TRICKLE_MS 50
+#define TRICKLE_MAX 40		/* pieces of a response */
 #define ENDLESS_MAX (16U << 20) /* bytes; socket buffers hold some of them */
 
 static void
@@ -145,10 +148,10 @@
 	event_base_loopbreak(arg);
 }
 
+/* Calls a server until the call ends without a response. */
 static void
-head_without_end_ends_the_call(void **state)
+server_call(endless_server_t *server, evconnlistener_cb accept, int timeout_ms)
 {
-	endless_server_t server = {.base = event_base_new()};
 	struct sockaddr_in any = {
 	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	socklen_t len = sizeof(any);
@@ -156,26 +159,81 @@
 	const http_call_t call = {.address = &address,
 	    .method = EVHTTP_REQ_GET,
 	    .path = "/",
-	    .timeout_ms = 5000};
+	    .timeout_ms = timeout_ms};
 
-	(void)state;
 	signal(SIGPIPE, SIG_IGN);
-	server.listener =
-	    evconnlistener_new_bind(server.base, on_accept, &server,
-		LEV_OPT_CLOSE_ON_FREE, 1, (struct sockaddr *)&any, sizeof(any));
-	assert_non_null(server.listener);
-	getsockname(evconnlistener_get_fd(server.listener),
+	server->listener = evconnlistener_new_bind(server->base, accept, server,
+	    LEV_OPT_CLOSE_ON_FREE, 1, (struct sockaddr *)&any, sizeof(any));
+	assert_non_null(server->listener);
+	getsockname(evconnlistener_get_fd(server->listener),
 	    (struct sockaddr *)&any, &len);
 	address.port = ntohs(any.sin_port);
-	assert_true(
-	    http_call_start(server.base, &call, stop_after_call, server.base));
-	event_base_dispatch(server.base);
+	assert_true(http_call_start(
+	    server->base, &call, stop_after_call, server->base));
+	event_base_dispatch(server->base);
+}
+
+static void
+server_free(endless_server_t *server)
+{
+	event_base_loop(server->base, EVLOOP_NONBLOCK);
+	bufferevent_free(server->bev);
+	evconnlistener_free(server->listener);
+	http_calls_cancel(server->base);
+	event_base_free(server->base);
+}
+
+static void
+head_without_end_ends_the_call(void **state)
+{
+	endless_server_t server = {.base = event_base_new()};
+
+	(void)state;
+	server_call(&server, on_accept, 5000);
 	assert_in_range(server.sent, 1, ENDLESS_MAX);
-	event_base_loop(server.base, EVLOOP_NONBLOCK);
-	bufferevent_free(server.bev);
-	evconnlistener_free(server.listener);
-	http_calls_cancel(server.base);
-	event_base_free(server.base);
+	server_free(&server);
+}
+
+static void
+on_trickle(evutil_socket_t fd, short what, void *arg)
+{
+	endless_server_t *server = arg;
+
+	(void)fd;
+	(void)what;
+	if (server->bev != NULL)
+		bufferevent_write(server->bev, "x", 1);
+	if (++server->sent == TRICKLE_MAX)
+		event_base_loopbreak(server->base);
+}
+
+static void
+on_accept_trickling(struct evconnlistener *listener, evutil_socket_t fd,
+    struct sockaddr *address, int len, void *arg)
+{
+	endless_server_t *server = arg;
+
+	on_accept(listener, fd, address, len, arg);
+	bufferevent_setcb(server->bev, NULL, NULL, NULL, NULL);
+	bufferevent_write(server->bev, "Content-Length: 1000000\r\n\r\n", 27);
+}
+
+/* Guards against a response that keeps the call for as long as it trickles in,
+ * while what the caller knows grows old. */
+static void
+response_that_trickles_in_ends_the_call(void **state)
+{
+	const struct timeval pause = {0, TRICKLE_MS * 1000};
+	endless_server_t server = {.base = event_base_new()};
+	struct event *timer =
+	    event_new(server.base, -1, EV_PERSIST, on_trickle, &server);
+
+	(void)state;
+	event_add(timer, &pause);
+	server_call(&server, on_accept_trickling, 2 * TRICKLE_MS);
+	assert_in_range(server.sent, 1, TRICKLE_MAX - 1);
+	event_free(timer);
+	server_free(&server);
 }
 
 int
@@ -185,6 +243,7 @@
 	    cmocka_unit_test(refused_calls_leak_nothing),
 	    cmocka_unit_test(cancelled_calls_report_no_response),
 	    cmocka_unit_test(head_without_end_ends_the_call),
+	    cmocka_unit_test(response_that_trickles_in_ends_the_call),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
