http_inbound, canary analysis: names and comments

A connection's caller_wait_ms and http_inbound_set_caller_wait() instead of patience; the doc comments of the gaps say that latencies of responses which are not streams are counted there as well. No change of behaviour; unit_slow_caller passes.

--- a/common/http_inbound_priv.h
+++ b/common/http_inbound_priv.h
@@ -32,8 +32,8 @@
 	size_t written_bytes; /**< to the socket */
 	size_t read_bytes;    /**< of these by the caller, when last checked */
 	int64_t stalled_ms;   /**< since the caller was last seen to read */
-	int64_t patience_ms;  /**< see http_inbound_set_patience() */
-	uint64_t wait_seq;    /**< order of starting to wait for a request */
+	int64_t caller_wait_ms; /**< see http_inbound_set_caller_wait() */
+	uint64_t wait_seq;	/**< order of starting to wait for a request */
 	void *user_data;
 	http_inbound_t *next;
 	http_inbound_t *prev;
--- a/common/http_inbound_stall.c
+++ b/common/http_inbound_stall.c
@@ -10,7 +10,7 @@
 /* How often in that time the socket is asked whether the caller has read. */
 #define WRITE_CHECKS 4
 /* Bounds the time for which a caller that reads nothing is held. */
-#define PATIENCE_MAX_MS 60000
+#define CALLER_WAIT_MAX_MS 60000
 
 static int64_t
 write_timeout_ms(const http_inbound_t *conn)
@@ -21,7 +21,7 @@
 
 	if (ms < limits->idle_timeout_ms)
 		ms = limits->idle_timeout_ms;
-	return ms < conn->patience_ms ? conn->patience_ms : ms;
+	return ms < conn->caller_wait_ms ? conn->caller_wait_ms : ms;
 }
 
 int64_t
@@ -56,7 +56,8 @@
 }
 
 void
-http_inbound_set_patience(http_inbound_t *conn, int64_t ms)
+http_inbound_set_caller_wait(http_inbound_t *conn, int64_t ms)
 {
-	conn->patience_ms = ms < PATIENCE_MAX_MS ? ms : PATIENCE_MAX_MS;
+	conn->caller_wait_ms =
+	    ms < CALLER_WAIT_MAX_MS ? ms : CALLER_WAIT_MAX_MS;
 }
--- a/include/common/http_inbound.h
+++ b/include/common/http_inbound.h
@@ -72,7 +72,7 @@
 const http_msg_t *http_inbound_request(const http_inbound_t *);
 /** Set how long the caller waits for its response: for as long, a minute at
  * most, it is not disconnected although it reads nothing. */
-void http_inbound_set_patience(http_inbound_t *, int64_t ms);
+void http_inbound_set_caller_wait(http_inbound_t *, int64_t ms);
 void http_inbound_set_user_data(http_inbound_t *, void *user_data);
 void *http_inbound_user_data(const http_inbound_t *);
 
--- a/include/moortack/rollout/canary_analysis.h
+++ b/include/moortack/rollout/canary_analysis.h
@@ -52,9 +52,9 @@
 	uint32_t samples;
 } canary_latency_t;
 
-/** Responses by the shortest of their first gaps between events. A gap is
- * longer while the endpoint prefills another prompt, the shortest one seldom
- * is. */
+/** Responses by the shortest of their first gaps between events, or by their
+ * latency if they are not streams. A gap is longer while the endpoint prefills
+ * another prompt, the shortest one seldom is. */
 typedef struct canary_gaps {
 	latency_histogram_t old_gaps;
 	latency_histogram_t new_gaps[CANARY_GROUPS]; /**< by endpoints */
@@ -88,7 +88,8 @@
 	CANARY_FIRST_BYTE,   /**< its first byte came */
 	CANARY_OVERDUE,	     /**< its first byte has not come yet */
 	CANARY_EVENT_GAP,    /**< the time between its events is known */
-	CANARY_SHORTEST_GAP, /**< the shortest of its first gaps is known */
+	CANARY_SHORTEST_GAP, /**< the shortest of its first gaps is known, or
+				the latency of one that is no stream */
 	CANARY_FAILED,
 } canary_signal_t;
 
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -286,7 +286,7 @@
 		return;
 	}
 	http_inbound_set_user_data(caller, req);
-	http_inbound_set_patience(caller, limit_ms);
+	http_inbound_set_caller_wait(caller, limit_ms);
 	req->service = relay_route_service(route, req->split_hash);
 	if (req->service == NULL) {
 		request_fail(req, ERR_NO_ENDPOINT, "no_service");
--- a/moortack/relay/relay_guard.c
+++ b/moortack/relay/relay_guard.c
@@ -156,9 +156,8 @@
 	return fmax(ms - req->attempt.placement.queue_wait_ms, 0);
 }
 
-/* Responses that are no streams have no gaps: their latencies are compared
- * instead, which are known with fewer responses than a usual one of each route.
- */
+/* Responses that are not streams have no gaps between events: their latencies
+ * take the place of these in the comparison of the versions. */
 void
 relay_canary_first_byte(relay_request_t *req)
 {
--- a/test/unit/slow_caller_test.c
+++ b/test/unit/slow_caller_test.c
@@ -29,7 +29,7 @@
  */
 #define PAUSE_MS 1400
 #define WRITE_TIMEOUT_MS 400
-#define PATIENCE_MS 4000
+#define CALLER_WAIT_MS 4000
 /* A caller that reads this much in each step takes longer to empty a third of
  * the socket's queue, before which it takes no more, than the write timeout. */
 #define SLOW_BYTES 1000
@@ -41,8 +41,8 @@
 static const char close_request[] =
     "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
 static const char keep_request[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
-static const char patient_request[] =
-    "GET /patient HTTP/1.1\r\nHost: a\r\n\r\n";
+static const char waiting_request[] =
+    "GET /waiting HTTP/1.1\r\nHost: a\r\n\r\n";
 
 typedef struct fixture {
 	struct event_base *base;
@@ -58,8 +58,8 @@
 
 	(void)arg;
 	evbuffer_add(body, bytes, sizeof(bytes));
-	if (strcmp(http_inbound_request(conn)->target, "/patient") == 0)
-		http_inbound_set_patience(conn, PATIENCE_MS);
+	if (strcmp(http_inbound_request(conn)->target, "/waiting") == 0)
+		http_inbound_set_caller_wait(conn, CALLER_WAIT_MS);
 	http_inbound_respond(conn, 200, "", body);
 	evbuffer_free(body);
 }
@@ -283,7 +283,7 @@
 caller_that_waits_for_its_response_may_read_nothing(void **state)
 {
 	const fixture_t *fixture = *state;
-	int fd = client(fixture, patient_request);
+	int fd = client(fixture, waiting_request);
 
 	run_loop(fixture, 3 * WRITE_TIMEOUT_MS);
 	assert_int_equal(read_body(fixture, fd), BODY_SIZE);
