relay: a look at the links begins although one is under way

What callers saw: a request that crashes endpoints got a fourth one, as one of its crashes was not counted (platform_crash_then_same_address, known red beside load).

Cause: a refused connection counts as the end of a process if a connection to another endpoint, begun within 10 ms of it, stays open. That endpoint is picked at random, four times at most: the picks may be endpoints that were interrupted too (2 % with three of eight), or one that is being probed already, which began no probe. The endpoint was then looked at again 100 ms later, when the next process listened at its address, and counted as alive.

Change: the endpoints from a random one on are considered, 16 at most, until a probe has begun.

--- a/moortack/relay/reach_probe.c
+++ b/moortack/relay/reach_probe.c
@@ -99,12 +99,13 @@
 	return count < PROBES_MAX;
 }
 
-void
+bool
 reach_probe_begin(relay_t *relay, endpoint_t *endpoint)
 {
 	reach_probe_t *probe =
 	    probe_may_begin(relay, endpoint) ? calloc(1, sizeof(*probe)) : NULL;
 	struct evbuffer *empty = evbuffer_new();
+	bool begun = false;
 
 	if (probe == NULL || empty == NULL)
 		goto out;
@@ -125,10 +126,12 @@
 	relay->reach_probes = probe;
 	http_outbound_send(probe->conn, &probe_ops, probe, empty, NULL, false);
 	probe = NULL;
+	begun = true;
 out:
 	free(probe);
 	if (empty != NULL)
 		evbuffer_free(empty);
+	return begun;
 }
 
 void
--- a/moortack/relay/reach_probe.h
+++ b/moortack/relay/reach_probe.h
@@ -8,9 +8,9 @@
 
 #include "moortack/relay/relay.h"
 
-/** Probe an endpoint, unless too many probes are in progress. The result is
- * recorded by relay_reach_probed(). */
-void reach_probe_begin(relay_t *, endpoint_t *);
+/** Probe an endpoint. The result is recorded by relay_reach_probed().
+ * @return false: it is being probed already, or too many are */
+bool reach_probe_begin(relay_t *, endpoint_t *);
 /** Cancel all probes. */
 void reach_probes_finish(relay_t *);
 
--- a/moortack/relay/relay_reach.c
+++ b/moortack/relay/relay_reach.c
@@ -17,9 +17,9 @@
 /* Random daemons asked in a round while fewer than HELPERS_MAX are known. */
 #define ASKED_PER_ROUND 3
 #define PROBES_PER_ROUND 2
-/* Random endpoints of a service that are considered for a probe of the links.
- */
-#define PICKS_MAX 4
+/* Endpoints of a service, from a random one on, that are considered for a probe
+ * of the links. */
+#define PICKS_MAX 16
 /* From this many endpoints out of reach on, others are probed. */
 #define PROBE_FAILED_MIN 2
 /* Added to the load of a daemon whose configuration is outdated: as it refuses
@@ -134,18 +134,24 @@
 	return false;
 }
 
-/* An endpoint at which no attempt was interrupted; NULL: none was found. */
-static endpoint_t *
-sound_endpoint_pick(const relay_t *relay, const endpoint_group_t *group)
+/* Probes an endpoint at which no attempt was interrupted. One that is being
+ * probed already doesn't do: that probe began before what it has to show. */
+static void
+sound_endpoint_probe(relay_t *relay, const endpoint_group_t *group)
 {
-	for (int i = 0; i < PICKS_MAX && group->len > 0; i++) {
-		endpoint_t *endpoint = endpoint_pick(relay, group);
+	size_t start;
+
+	if (group->len == 0)
+		return;
+	start = rng_below(relay->rng, (uint32_t)group->len);
+	for (size_t i = 0; i < group->len && i < PICKS_MAX; i++) {
+		endpoint_t *endpoint = group->ring[(start + i) % group->len];
 
 		if (!unresolved_attempts_has(
-			&relay->quarantine.interrupted, endpoint->short_hash))
-			return endpoint;
+			&relay->quarantine.interrupted, endpoint->short_hash) &&
+		    reach_probe_begin(relay, endpoint))
+			return;
 	}
-	return NULL;
 }
 
 void
@@ -153,12 +159,8 @@
 {
 	const endpoint_group_t *group = relay->endpoints->groups;
 
-	for (; group != NULL; group = group->hh.next) {
-		endpoint_t *endpoint = sound_endpoint_pick(relay, group);
-
-		if (endpoint != NULL)
-			reach_probe_begin(relay, endpoint);
-	}
+	for (; group != NULL; group = group->hh.next)
+		sound_endpoint_probe(relay, group);
 }
 
 static int64_t
