--- a/moortack/rollout/canary_verdict.c
+++ b/moortack/rollout/canary_verdict.c
@@ -70,6 +70,9 @@
 #define RATES 26
 #define RATE_LEAST 0.01
 #define RATE_RATIO 1.2
+/* Responses of the old version that are assumed besides the observed ones. */
+#define PRIOR_FAILED 0.2
+#define PRIOR_SOUND 4.8
 
 /* The logarithm of the mean of exp(x), by weights whose logarithms are given.
  */
@@ -99,9 +102,9 @@
 {
 	double bad = new_counts->failed;
 	double good = (double)new_counts->responses - bad;
-	double old_bad = old_counts->failed + 0.2;
+	double old_bad = old_counts->failed + PRIOR_FAILED;
 	double old_good =
-	    (double)old_counts->responses - old_counts->failed + 4.8;
+	    (double)old_counts->responses - old_counts->failed + PRIOR_SOUND;
 	double log_weights[RATES], as_good[RATES], worse[RATES];
 	double p0 = RATE_LEAST;
 
