--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -87,7 +87,7 @@
     services = {{name = "lm", max_conns = 400, warmup_s = self.warmup_s,
       warmup_per_s = self.warmup_per_s, scaling = self.scaling,
       engine = self.engine}},
-    limits = {idle_timeout_ms = 15000},
+    limits = self.limits or {idle_timeout_ms = 15000},
     tenants = self.organisations or {{name = "t1",
       api_keys = keys or {"k1", "k2"},
       regions_allowed = self.organisation_regions}}})
