http_msg: a head takes memory by its bytes, and time by its length

Callers saw the process run out of memory: 100 clients that sent heads of 64 KB in fields of four bytes ("a:") took 136 MB, with a limit of 48.

Cause: the reader made two allocations for each field and a slot that doubled, 80 bytes for 4 sent; the bytes of the line beside name and value did not count against the limit, so that four times as many fitted. Each fragment of a value was appended by strlen and realloc, and each field of a message was compared with all others to learn whether Connection names it: 16,000 fields are 268 million comparisons for one request.

Change: the head's text stands in one buffer, a field is two offsets of four bytes into it until the head is complete, and then a pointer pair. Trailers are counted and not kept. The options that Connection names are noted once; 1 KB of them in four fields is allowed, more is refused with 431.

The new unit tests do not compile before, as http_reader_head_bytes() is new.

decoders_test builds its message by hand; it notes the Connection field as the reader does.

--- a/common/http_msg.c
+++ b/common/http_msg.c
@@ -7,48 +7,96 @@
 #define STATUS_CONTINUE 100
 #define STATUS_SWITCHING 101
 #define STATUS_OK 200
-#define FIELDS_INITIAL_CAP 16
 /* Bytes of a status line that the parser does not report. */
 #define STATUS_LINE_MIN 16
+/* Bytes of a field beside its name and value: a colon and the end of the line.
+ */
+#define FIELD_FRAME_BYTES 3
+#define TEXT_INITIAL_CAP 256
+#define FIELDS_INITIAL_CAP 16
+/* A head that took more is not kept for the next message. */
+#define HEAD_KEPT_MAX 4096
 
 static bool
-text_append(http_reader_t *reader, char **text, const char *bytes, size_t len)
+head_count(http_reader_t *reader, size_t len)
 {
-	size_t old_len = *text != NULL ? strlen(*text) : 0;
-	char *grown;
-
 	reader->msg.head_bytes += len;
-	if (reader->msg.head_bytes + reader->interim_bytes > reader->head_max) {
-		reader->head_too_large = true;
-		return false;
-	}
-	grown = realloc(*text, old_len + len + 1);
-	if (grown == NULL) {
+	if (reader->msg.head_bytes + reader->interim_bytes <=
+		reader->head_max &&
+	    reader->msg.head_bytes < UINT32_MAX)
+		return true;
+	reader->head_too_large = true;
+	return false;
+}
+
+/* @return @p old with room for a larger number of items of a size; NULL: the
+ * reader is out of memory */
+static void *
+items_grow(http_reader_t *reader, void *old, size_t *cap, size_t initial,
+    size_t needed, size_t size)
+{
+	size_t grown_cap = *cap > 0 ? *cap : initial;
+	void *grown;
+
+	while (grown_cap < needed)
+		grown_cap *= 2;
+	grown = realloc(old, grown_cap * size);
+	if (grown == NULL)
 		reader->out_of_memory = true;
+	else
+		*cap = grown_cap;
+	return grown;
+}
+
+/* Continues the last text, which ends with a null byte. */
+static bool
+text_append(http_reader_t *reader, const char *bytes, size_t len)
+{
+	size_t needed = reader->text_len + len + 1;
+
+	if (!head_count(reader, len))
 		return false;
+	if (needed > reader->text_cap) {
+		char *grown = items_grow(reader, reader->text,
+		    &reader->text_cap, TEXT_INITIAL_CAP, needed, 1);
+
+		if (grown == NULL)
+			return false;
+		reader->text = grown;
 	}
-	memcpy(grown + old_len, bytes, len);
-	grown[old_len + len] = '\0';
-	*text = grown;
+	memcpy(reader->text + reader->text_len, bytes, len);
+	reader->text_len += len;
+	reader->text[reader->text_len] = '\0';
 	return true;
 }
 
-static void
-fields_truncate(http_msg_t *msg, size_t len)
+/* Begins another text after the last one.
+ * @return its offset; 0 is that of the target */
+static uint32_t
+text_begin(http_reader_t *reader)
 {
-	for (size_t i = len; i < msg->fields_len; i++) {
-		free(msg->fields[i].name);
-		free(msg->fields[i].value);
-	}
-	msg->fields_len = len;
+	return (uint32_t)++reader->text_len;
 }
 
 static void
-msg_clear(http_msg_t *msg)
+msg_clear(http_reader_t *reader)
 {
-	fields_truncate(msg, 0);
-	free(msg->target);
+	http_msg_t *msg = &reader->msg;
+
+	if (reader->text_cap > HEAD_KEPT_MAX) {
+		free(reader->text);
+		reader->text = NULL;
+		reader->text_cap = 0;
+	}
+	reader->text_len = 0;
+	free(reader->fields_at);
+	reader->fields_at = NULL;
+	reader->fields_at_cap = 0;
+	free(msg->fields);
+	msg->fields = NULL;
+	msg->fields_len = 0;
 	msg->target = NULL;
+	msg->options_len = 0;
 	msg->head_bytes = 0;
 	msg->status = 0;
 	if (evbuffer_get_length(msg->body) > 0)
@@ -60,86 +108,142 @@
 {
 	http_reader_t *reader = parser->data;
 
-	msg_clear(&reader->msg);
+	msg_clear(reader);
 	reader->in_value = true;
 	reader->in_message = true;
+	reader->head_complete = false;
 	reader->complete = false;
 	reader->interim = false;
-	return 0;
+	return text_append(reader, "", 0) ? 0 : -1;
 }
 
 static int
 on_target(http_parser *parser, const char *at, size_t len)
 {
-	http_reader_t *reader = parser->data;
-
-	return text_append(reader, &reader->msg.target, at, len) ? 0 : -1;
+	return text_append(parser->data, at, len) ? 0 : -1;
 }
 
-static http_field_t *
-field_add(http_reader_t *reader)
+static bool
+field_begin(http_reader_t *reader)
 {
 	http_msg_t *msg = &reader->msg;
 
-	if (msg->fields_len == msg->fields_cap) {
-		size_t cap = msg->fields_cap > 0 ? 2 * msg->fields_cap
-						 : FIELDS_INITIAL_CAP;
-		http_field_t *grown =
-		    realloc(msg->fields, cap * sizeof(*grown));
+	if (!head_count(reader, FIELD_FRAME_BYTES))
+		return false;
+	if (msg->fields_len == reader->fields_at_cap) {
+		http_field_at_t *grown = items_grow(reader, reader->fields_at,
+		    &reader->fields_at_cap, FIELDS_INITIAL_CAP,
+		    msg->fields_len + 1, sizeof(*grown));
 
-		if (grown == NULL) {
-			reader->out_of_memory = true;
-			return NULL;
-		}
-		msg->fields = grown;
-		msg->fields_cap = cap;
+		if (grown == NULL)
+			return false;
+		reader->fields_at = grown;
 	}
-	msg->fields[msg->fields_len] = (http_field_t){NULL, NULL};
-	return &msg->fields[msg->fields_len++];
+	reader->fields_at[msg->fields_len++] =
+	    (http_field_at_t){text_begin(reader), 0};
+	return true;
 }
 
+/* Trailers count as part of the head, and are discarded. */
 static int
 on_field_name(http_parser *parser, const char *at, size_t len)
 {
 	http_reader_t *reader = parser->data;
-	http_field_t *field;
+	bool begins = reader->in_value;
 
-	if (reader->in_value) {
-		reader->in_value = false;
-		field = field_add(reader);
-	} else {
-		field = &reader->msg.fields[reader->msg.fields_len - 1];
-	}
-	if (field == NULL)
+	reader->in_value = false;
+	if (reader->head_complete)
+		return head_count(reader, len) ? 0 : -1;
+	if (begins && !field_begin(reader))
 		return -1;
-	return text_append(reader, &field->name, at, len) ? 0 : -1;
+	return text_append(reader, at, len) ? 0 : -1;
 }
 
 static int
 on_field_value(http_parser *parser, const char *at, size_t len)
 {
 	http_reader_t *reader = parser->data;
-	http_msg_t *msg = &reader->msg;
+	bool begins = !reader->in_value;
 
 	reader->in_value = true;
-	return text_append(
-		   reader, &msg->fields[msg->fields_len - 1].value, at, len)
-	    ? 0
-	    : -1;
+	if (reader->head_complete)
+		return head_count(reader, len) ? 0 : -1;
+	if (begins)
+		reader->fields_at[reader->msg.fields_len - 1].value =
+		    text_begin(reader);
+	return text_append(reader, at, len) ? 0 : -1;
+}
+
+/* Whether a list has a token other than "close" and "keep-alive". */
+static bool
+list_has_options(const char *list)
+{
+	while (*list != '\0') {
+		size_t len;
+
+		list += strspn(list, " \t,");
+		len = strcspn(list, " \t,");
+		if (len > 0 &&
+		    !(len == strlen("close") &&
+			strncasecmp(list, "close", len) == 0) &&
+		    !(len == strlen("keep-alive") &&
+			strncasecmp(list, "keep-alive", len) == 0))
+			return true;
+		list += len;
+	}
+	return false;
 }
 
-/* Give fields for which the parser reported no value an empty one. */
+bool
+http_msg_add_options(http_msg_t *msg, const char *list)
+{
+	size_t bytes = strlen(list);
+
+	if (!list_has_options(list))
+		return true;
+	for (size_t i = 0; i < msg->options_len; i++)
+		bytes += strlen(msg->options[i]);
+	if (msg->options_len < HTTP_OPTION_FIELDS_MAX &&
+	    bytes <= HTTP_OPTIONS_MAX) {
+		msg->options[msg->options_len++] = list;
+		return true;
+	}
+	return false;
+}
+
+/* The text no longer moves: offsets become pointers. */
 static bool
-fields_set_empty_values(http_reader_t *reader)
+fields_resolve(http_reader_t *reader)
 {
+	static char empty[1];
 	http_msg_t *msg = &reader->msg;
 
+	if (reader->parser.type == HTTP_REQUEST)
+		msg->target = reader->text;
+	if (msg->fields_len > 0)
+		msg->fields = malloc(msg->fields_len * sizeof(*msg->fields));
+	if (msg->fields_len > 0 && msg->fields == NULL) {
+		msg->fields_len = 0;
+		reader->out_of_memory = true;
+		return false;
+	}
 	for (size_t i = 0; i < msg->fields_len; i++) {
-		if (msg->fields[i].value == NULL)
-			msg->fields[i].value = calloc(1, 1);
-		if (msg->fields[i].value == NULL)
+		const http_field_at_t *at = &reader->fields_at[i];
+		http_field_t *field = &msg->fields[i];
+
+		field->name = reader->text + at->name;
+		/* The parser reports no value if it is empty. */
+		field->value =
+		    at->value != 0 ? reader->text + at->value : empty;
+		if (strcasecmp(field->name, "Connection") == 0 &&
+		    !http_msg_add_options(msg, field->value)) {
+			reader->head_too_large = true;
 			return false;
+		}
 	}
+	free(reader->fields_at);
+	reader->fields_at = NULL;
+	reader->fields_at_cap = 0;
 	return true;
 }
 
@@ -149,10 +253,9 @@
 	http_reader_t *reader = parser->data;
 	http_msg_t *msg = &reader->msg;
 
-	if (!fields_set_empty_values(reader))
+	if (!fields_resolve(reader))
 		return -1;
-	/* Trailers are added to the fields too, and removed at the end. */
-	reader->head_fields_len = msg->fields_len;
+	reader->head_complete = true;
 	msg->keep_alive = http_should_keep_alive(parser) != 0;
 	msg->chunked = (parser->flags & F_CHUNKED) != 0;
 	if (parser->type == HTTP_REQUEST) {
@@ -192,7 +295,6 @@
 	reader->in_message = false;
 	if (reader->interim)
 		return 0;
-	fields_truncate(&reader->msg, reader->head_fields_len);
 	reader->complete = true;
 	http_parser_pause(parser, 1);
 	return 0;
@@ -225,8 +327,8 @@
 void
 http_reader_finish(http_reader_t *reader)
 {
-	msg_clear(&reader->msg);
-	free(reader->msg.fields);
+	msg_clear(reader);
+	free(reader->text);
 	evbuffer_free(reader->msg.body);
 }
 
@@ -235,11 +337,12 @@
 {
 	enum http_parser_type type = reader->parser.type;
 
-	msg_clear(&reader->msg);
+	msg_clear(reader);
 	http_parser_init(&reader->parser, type);
 	reader->parser.data = reader;
 	reader->in_value = true;
 	reader->in_message = false;
+	reader->head_complete = false;
 	reader->complete = false;
 	reader->interim = false;
 	reader->interim_bytes = 0;
@@ -275,6 +378,16 @@
 	return reader->complete ? HTTP_READ_COMPLETE : HTTP_READ_INVALID;
 }
 
+size_t
+http_reader_head_bytes(const http_reader_t *reader)
+{
+	size_t fields = reader->msg.fields != NULL ? reader->msg.fields_len : 0;
+
+	return reader->text_cap +
+	    reader->fields_at_cap * sizeof(*reader->fields_at) +
+	    fields * sizeof(*reader->msg.fields);
+}
+
 const char *
 http_msg_field(const http_msg_t *msg, const char *name)
 {
@@ -312,18 +425,6 @@
 	return false;
 }
 
-bool
-http_msg_field_has_token(const http_msg_t *msg, const char *name,
-    const char *token, size_t token_len)
-{
-	for (size_t i = 0; i < msg->fields_len; i++) {
-		if (strcasecmp(msg->fields[i].name, name) == 0 &&
-		    list_has_token(msg->fields[i].value, token, token_len))
-			return true;
-	}
-	return false;
-}
-
 bool
 http_field_is_hop_by_hop(const http_msg_t *msg, const char *name)
 {
@@ -338,7 +439,11 @@
 		if (strcasecmp(name, hop_by_hop[i]) == 0)
 			return true;
 	}
-	return http_msg_field_has_token(msg, "Connection", name, strlen(name));
+	for (size_t i = 0; i < msg->options_len; i++) {
+		if (list_has_token(msg->options[i], name, strlen(name)))
+			return true;
+	}
+	return false;
 }
 
 static bool
--- a/include/common/http_msg.h
+++ b/include/common/http_msg.h
@@ -14,9 +14,16 @@
 #include <http_parser.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include "common/err.h"
 
+/** Connection fields with options of their own that a head may have, and the
+ * size of all their values in bytes: each field of the head is looked up in
+ * them. */
+#define HTTP_OPTION_FIELDS_MAX 4
+#define HTTP_OPTIONS_MAX 1024
+
 /** A header field. */
 typedef struct http_field {
 	char *name;
@@ -30,8 +37,11 @@
 	int status;	    /**< of a response */
 	http_field_t *fields;
 	size_t fields_len;
-	size_t fields_cap;
-	size_t head_bytes;     /**< of the target and all names and values */
+	size_t head_bytes; /**< of the target, and of all fields as received */
+	/** Values of Connection fields that name other options than "close"
+	 * and "keep-alive". */
+	const char *options[HTTP_OPTION_FIELDS_MAX];
+	size_t options_len;
 	bool keep_alive;       /**< the connection may carry another message */
 	bool chunked;	       /**< the body was sent in chunked encoding */
 	struct evbuffer *body; /**< of a request; never NULL */
@@ -47,21 +57,34 @@
 	void (*on_complete)(void *arg);
 } http_reader_ops_t;
 
+/** A field of a head that is being received, by offsets into the head's text.
+ */
+typedef struct http_field_at {
+	uint32_t name;
+	uint32_t value; /**< 0: none yet */
+} http_field_at_t;
+
 /** Parses the messages of one direction of a connection, one at a time. */
 typedef struct http_reader {
 	http_parser parser;
 	const http_reader_ops_t *ops;
 	void *arg;
 	http_msg_t msg;
-	size_t head_max;	/**< maximum size of a head, bytes */
-	size_t head_fields_len; /**< header fields, without trailers */
-	bool no_body;		/**< a response to HEAD, which has no body */
-	bool in_value;		/**< the last callback was for a value */
-	bool in_message;	/**< a message was started and not completed */
-	bool complete;		/**< the current message is complete */
-	bool head_too_large;	/**< head_max was exceeded */
-	bool interim;		/**< a 1xx response, which is skipped */
-	size_t interim_bytes;	/**< about, of those before this message */
+	char *text; /**< of the head: the target and the fields, each terminated
+		       by a null byte */
+	size_t text_len;
+	size_t text_cap;
+	http_field_at_t *fields_at;
+	size_t fields_at_cap;
+	size_t head_max;      /**< maximum size of a head, bytes */
+	bool head_complete;   /**< of the current message */
+	bool no_body;	      /**< a response to HEAD, which has no body */
+	bool in_value;	      /**< the last callback was for a value */
+	bool in_message;      /**< a message was started and not completed */
+	bool complete;	      /**< the current message is complete */
+	bool head_too_large;  /**< head_max was exceeded */
+	bool interim;	      /**< a 1xx response, which is skipped */
+	size_t interim_bytes; /**< about, of those before this message */
 	bool out_of_memory;
 } http_reader_t;
 
@@ -86,16 +109,19 @@
 /** The peer closed the connection, which ends a response without a length. */
 http_read_result_t http_reader_eof(http_reader_t *);
 
+/** Bytes that the reader has allocated for the head of its message. */
+size_t http_reader_head_bytes(const http_reader_t *);
+
 /** The value of the first field of this name, or NULL. */
 const char *http_msg_field(const http_msg_t *, const char *name);
 
 /** The number of fields of this name. */
 size_t http_msg_field_count(const http_msg_t *, const char *name);
 
-/** Whether a field that holds a comma-separated list, such as Connection, has
- * the token; compared without regard to case. */
-bool http_msg_field_has_token(
-    const http_msg_t *, const char *name, const char *token, size_t token_len);
+/** Note the value of a Connection field of the message, which must last as
+ * long.
+ * @return false: the fields name too many options */
+bool http_msg_add_options(http_msg_t *, const char *list);
 
 /** Whether the field is hop-by-hop: for one connection, and not to be
  * forwarded. */
--- a/test/platform/decoders_test.c
+++ b/test/platform/decoders_test.c
@@ -804,6 +804,8 @@
 	headers->fields[headers->msg.fields_len++] =
 	    (http_field_t){(char *)(uintptr_t)name, (char *)(uintptr_t)value};
 	headers->msg.fields = headers->fields;
+	if (strcmp(name, "Connection") == 0)
+		assert_true(http_msg_add_options(&headers->msg, value));
 }
 
 static void
--- a/test/unit/http_msg_test.c
+++ b/test/unit/http_msg_test.c
@@ -239,6 +239,74 @@
 	parse_finish(&parse);
 }
 
+/* A head of 4 KB in the smallest fields. */
+static void
+tiny_fields_take_memory_by_their_bytes(void **state)
+{
+	char text[4096] = "GET / HTTP/1.1\r\nHost: h\r\n";
+	size_t len = strlen(text);
+	size_t fields = 1;
+	parse_t parse;
+
+	(void)state;
+	for (; len < sizeof(text) - 8; fields++)
+		len +=
+		    (size_t)snprintf(text + len, sizeof(text) - len, "a:\r\n");
+	feed(&parse, HTTP_REQUEST, text, len);
+	assert_int_equal(parse.result, HTTP_READ_INCOMPLETE);
+	assert_true(http_reader_head_bytes(&parse.reader) <= 4 * len);
+	evbuffer_add(parse.in, "\r\n", 2);
+	assert_int_equal(
+	    http_reader_feed(&parse.reader, parse.in), HTTP_READ_COMPLETE);
+	assert_int_equal(parse.reader.msg.fields_len, fields);
+	assert_string_equal(http_msg_field(&parse.reader.msg, "a"), "");
+	assert_true(http_reader_head_bytes(&parse.reader) <= 6 * len);
+	parse_finish(&parse);
+}
+
+/* Each field of a head is looked up in them. */
+static void
+connection_options_without_end_are_refused(void **state)
+{
+	char text[2048] = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close";
+	size_t len = strlen(text);
+	parse_t parse;
+
+	(void)state;
+	ACCEPTED("GET / HTTP/1.1\r\nHost: h\r\nConnection: close, X-Hop\r\n"
+		 "Connection: keep-alive\r\n\r\n");
+	while (len < 1500)
+		len += (size_t)snprintf(
+		    text + len, sizeof(text) - len, ", option");
+	len += (size_t)snprintf(text + len, sizeof(text) - len, "\r\n\r\n");
+	feed(&parse, HTTP_REQUEST, text, len);
+	assert_int_equal(parse.result, HTTP_READ_INVALID);
+	assert_true(parse.reader.head_too_large);
+	parse_finish(&parse);
+}
+
+/* A value that arrives byte by byte is stored once. */
+static void
+heads_in_single_bytes_are_parsed(void **state)
+{
+	static const char text[] = "GET /path HTTP/1.1\r\nHost: h\r\n"
+				   "X-Long: some value\r\nX-Empty:\r\n\r\n";
+	parse_t parse;
+
+	(void)state;
+	feed(&parse, HTTP_REQUEST, text, 1);
+	for (size_t i = 1; i < sizeof(text) - 1; i++) {
+		evbuffer_add(parse.in, text + i, 1);
+		parse.result = http_reader_feed(&parse.reader, parse.in);
+	}
+	assert_int_equal(parse.result, HTTP_READ_COMPLETE);
+	assert_string_equal(parse.reader.msg.target, "/path");
+	assert_string_equal(
+	    http_msg_field(&parse.reader.msg, "X-Long"), "some value");
+	assert_string_equal(http_msg_field(&parse.reader.msg, "X-Empty"), "");
+	parse_finish(&parse);
+}
+
 int
 main(void)
 {
@@ -248,6 +316,9 @@
 	    cmocka_unit_test(bytes_after_a_message_are_not_consumed),
 	    cmocka_unit_test(trailers_are_not_headers),
 	    cmocka_unit_test(too_large_heads_are_refused),
+	    cmocka_unit_test(tiny_fields_take_memory_by_their_bytes),
+	    cmocka_unit_test(connection_options_without_end_are_refused),
+	    cmocka_unit_test(heads_in_single_bytes_are_parsed),
 	    cmocka_unit_test(interim_responses_are_skipped),
 	    cmocka_unit_test(interim_responses_without_end_are_invalid),
 	    cmocka_unit_test(responses_without_length_end_with_the_connection),
