inbound: limits of time run from the first byte of a head

Callers saw: 40 clients that send a byte of a head, or of a body, now and then keep their connections for ever, although header_timeout_ms bounds how long a client may take.

Cause: the limit was the read timeout of the socket, which starts again at each byte; so did the time for which a closing connection is read (LINGER_MS), and the limit for idle connections at each empty line.

Change: one timer a connection runs from the moment at which a wait begins: for the first byte, for the rest of the head, for the close. Between the bytes of a body the limit is a pause as before, since a slow upload is allowed; a body is received for as long as its caller waits for the response, which its head says.

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -12,10 +12,6 @@
 /* Bytes buffered from a caller that sends ahead while its request is being
  * handled. */
 #define PIPELINED_MAX 65536
-/* How long a closing connection is still read after its last byte was written,
- * since a reset by unread bytes could destroy the response before the caller
- * reads it. */
-#define LINGER_MS 1000
 #define NO_TIMEOUT_S 86400
 
 static void inbound_read(http_inbound_t *conn);
@@ -47,41 +43,21 @@
 	evbuffer_remove_cb(
 	    bufferevent_get_output(conn->bev), on_output_changed, conn);
 	server->unsent_bytes -= http_inbound_unsent_bytes(conn);
+	inbound_wait_finish(conn);
 	http_reader_finish(&conn->reader);
 	bufferevent_free(conn->bev);
 	free(conn);
 }
 
 static void
-timeouts_set(http_inbound_t *conn, int64_t read_ms)
+write_timeout_set(http_inbound_t *conn)
 {
-	/* libevent may keep using an old timeout that is merely removed, so a
-	 * long one replaces it. */
+	int64_t ms = inbound_write_check_ms(conn);
+	/* libevent may keep using an old timeout that is merely removed. */
 	struct timeval read = {NO_TIMEOUT_S, 0};
-	int64_t write_ms = inbound_write_check_ms(conn);
-	struct timeval write;
-
-	write = (struct timeval){
-	    write_ms / MS_PER_SEC, write_ms % MS_PER_SEC * US_PER_MS};
-	if (read_ms > 0)
-		read = (struct timeval){
-		    read_ms / MS_PER_SEC, read_ms % MS_PER_SEC * US_PER_MS};
-	bufferevent_set_timeouts(conn->bev, &read, &write);
-}
-
-/* Limit the wait for a request. While a response is unsent the caller is not
- * idle: the write timeout applies. */
-static void
-waiting_timeout_set(http_inbound_t *conn)
-{
-	const http_inbound_limits_t *limits = &conn->server->limits;
+	struct timeval write = {ms / MS_PER_SEC, ms % MS_PER_SEC * US_PER_MS};
 
-	if (http_inbound_unsent_bytes(conn) > 0)
-		timeouts_set(conn, 0);
-	else
-		timeouts_set(conn,
-		    conn->reader.in_message ? limits->read_timeout_ms
-					    : limits->idle_timeout_ms);
+	bufferevent_set_timeouts(conn->bev, &read, &write);
 }
 
 /* The last byte was written. */
@@ -93,20 +69,20 @@
 		return;
 	}
 	shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
-	timeouts_set(conn, LINGER_MS);
+	inbound_wait_start(conn, INBOUND_WAIT_CLOSE);
 }
 
 /* Discard further input until the caller closes the connection or, once all is
- * written, sends nothing for LINGER_MS. */
+ * written, for INBOUND_LINGER_MS. */
 static void
 inbound_linger(http_inbound_t *conn)
 {
 	conn->state = INBOUND_LINGERING;
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, 0);
 	bufferevent_enable(conn->bev, EV_READ);
-	if (http_inbound_unsent_bytes(conn) > 0)
-		timeouts_set(conn, 0);
-	else
+	inbound_wait_start(conn, INBOUND_WAIT_NONE);
+	write_timeout_set(conn);
+	if (http_inbound_unsent_bytes(conn) == 0)
 		linger_start(conn);
 }
 
@@ -159,7 +135,8 @@
 	err_t err;
 
 	conn->state = INBOUND_HANDLING;
-	timeouts_set(conn, 0);
+	inbound_wait_start(conn, INBOUND_WAIT_NONE);
+	write_timeout_set(conn);
 	/* Keep reading, so that a close by the caller is noticed. */
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, PIPELINED_MAX);
 	if (!conn->reader.msg.keep_alive)
@@ -206,7 +183,7 @@
 		if (conn->body_too_large)
 			inbound_refuse_body(conn);
 		else
-			waiting_timeout_set(conn);
+			inbound_wait_update(conn);
 		return;
 	case HTTP_READ_COMPLETE:
 		if (conn->body_too_large)
@@ -241,27 +218,18 @@
 	if (conn->state == INBOUND_LINGERING)
 		linger_start(conn);
 	else if (conn->state == INBOUND_READING)
-		waiting_timeout_set(conn);
+		inbound_wait_update(conn);
 	else if (conn->state == INBOUND_STREAMING)
 		conn->server->ops->on_drained(conn->server->arg, conn);
 }
 
-/* @return false: the connection has timed out */
+/* @return false: the caller reads nothing */
 static bool
-timeout_continue(http_inbound_t *conn, short what)
+write_continue(http_inbound_t *conn)
 {
-	if ((what & BEV_EVENT_WRITING) != 0) {
-		if (!inbound_caller_reads(conn, inbound_write_check_ms(conn)))
-			return false;
-		bufferevent_enable(conn->bev, EV_WRITE);
-		return true;
-	}
-	if (conn->state != INBOUND_LINGERING ||
-	    inbound_queued_bytes(conn) == 0 ||
-	    !inbound_caller_reads(conn, LINGER_MS))
+	if (!inbound_caller_reads(conn, inbound_write_check_ms(conn)))
 		return false;
-	conn->lingered = true;
-	bufferevent_enable(conn->bev, EV_READ);
+	bufferevent_enable(conn->bev, EV_WRITE);
 	return true;
 }
 
@@ -271,7 +239,8 @@
 	http_inbound_t *conn = arg;
 	http_inbound_server_t *server = conn->server;
 
-	if ((what & BEV_EVENT_TIMEOUT) != 0 && timeout_continue(conn, what))
+	if ((what & BEV_EVENT_TIMEOUT) != 0 &&
+	    (what & BEV_EVENT_WRITING) != 0 && write_continue(conn))
 		return;
 	/* A caller that has ended its own side may still read the response. */
 	if ((what & BEV_EVENT_EOF) != 0 &&
@@ -325,7 +294,9 @@
 	bufferevent_setcb(conn->bev, on_readable, on_written, on_event, conn);
 	evbuffer_add_cb(
 	    bufferevent_get_output(conn->bev), on_output_changed, conn);
-	timeouts_set(conn, server->limits.idle_timeout_ms);
+	inbound_wait_init(conn);
+	inbound_wait_start(conn, INBOUND_WAIT_IDLE);
+	write_timeout_set(conn);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 }
 
@@ -378,9 +349,11 @@
 	}
 	http_reader_reset(&conn->reader);
 	conn->state = INBOUND_READING;
+	conn->wait = INBOUND_WAIT_NONE;
 	conn->wait_seq = conn->server->next_wait_seq++;
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, 0);
-	waiting_timeout_set(conn);
+	write_timeout_set(conn);
+	inbound_wait_update(conn);
 	/* Deferred, so that pipelined requests can't nest on the stack. */
 	if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0)
 		bufferevent_trigger(conn->bev, EV_READ,
--- a/common/http_inbound_priv.h
+++ b/common/http_inbound_priv.h
@@ -1,17 +1,32 @@
 /**
  * @file
  * Private definitions of the HTTP server: its connections (http_inbound.c), the
- * server that accepts them (http_inbound_server.c), and callers that read
- * slowly (http_inbound_stall.c).
+ * server that accepts them (http_inbound_server.c), callers that read slowly
+ * (http_inbound_stall.c), and limits of time (http_inbound_wait.c).
  */
 #ifndef COMMON_HTTP_INBOUND_PRIV_H
 #define COMMON_HTTP_INBOUND_PRIV_H
 
 #include <event2/bufferevent.h>
+#include <event2/event_struct.h>
 #include <event2/listener.h>
 
 #include "common/http_inbound.h"
 
+/** How long a closing connection is still read after its last byte was written,
+ * since a reset by unread bytes could destroy the response before the caller
+ * reads it. */
+#define INBOUND_LINGER_MS 1000
+
+/** What a connection waits for, each with a limit of its own. */
+typedef enum inbound_wait {
+	INBOUND_WAIT_NONE,
+	INBOUND_WAIT_IDLE,  /**< the first byte of a request */
+	INBOUND_WAIT_HEAD,  /**< the rest of a head */
+	INBOUND_WAIT_BODY,  /**< further bytes of a body */
+	INBOUND_WAIT_CLOSE, /**< that the caller closes the connection */
+} inbound_wait_t;
+
 typedef enum inbound_state {
 	INBOUND_READING,   /**< idle, or receiving a request */
 	INBOUND_HANDLING,  /**< the request is being handled */
@@ -24,6 +39,9 @@
 	struct bufferevent *bev;
 	http_reader_t reader;
 	inbound_state_t state;
+	inbound_wait_t wait;
+	struct event wait_timer;
+	struct event body_timer; /**< for the whole of a body */
 	bool close_after_response;
 	bool body_too_large;
 	bool input_ended; /**< the caller sends no more; it may still read */
@@ -57,6 +75,13 @@
 void inbound_open(http_inbound_server_t *, evutil_socket_t fd);
 /** Close the connection without calling on_closed. */
 void inbound_free(http_inbound_t *);
+/** Prepare the timers, which are off. */
+void inbound_wait_init(http_inbound_t *);
+void inbound_wait_finish(http_inbound_t *);
+/** Begin to wait, with the limit that this has. */
+void inbound_wait_start(http_inbound_t *, inbound_wait_t);
+/** Limit the wait for a request by what was received of it so far. */
+void inbound_wait_update(http_inbound_t *);
 /** How often to ask whether a caller still reads that can't be written to. */
 int64_t inbound_write_check_ms(const http_inbound_t *);
 /** Bytes in the socket that the caller has not acknowledged; 0: not known. */
--- a/include/common/http_inbound.h
+++ b/include/common/http_inbound.h
@@ -20,7 +20,8 @@
 typedef struct http_inbound_limits {
 	size_t head_max;	  /**< bytes */
 	size_t body_max;	  /**< bytes */
-	int64_t read_timeout_ms;  /**< without new bytes of a request */
+	int64_t read_timeout_ms;  /**< for a head from its first byte on, and
+				     without new bytes of a body */
 	int64_t idle_timeout_ms;  /**< before the first byte of a request */
 	int64_t write_timeout_ms; /**< after which a caller that reads nothing
 				     is disconnected, unless it may be idle for
@@ -41,6 +42,10 @@
 	void (*on_drained)(void *arg, http_inbound_t *);
 	/** A message was refused and not passed to on_request. */
 	void (*on_refused)(void *arg, const err_t *);
+	/** How long the caller waits for its response, by the head of its
+	 * request, in ms: a body that takes longer is not received to its end.
+	 * 0: not known. May be NULL. */
+	int64_t (*caller_wait_ms)(void *arg, const http_msg_t *);
 } http_inbound_ops_t;
 
 http_inbound_server_t *http_inbound_listen(struct event_base *,
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -364,11 +364,22 @@
 	    err_info(err->code)->name, err->detail);
 }
 
-static const http_inbound_ops_t inbound_ops = {
-    on_request, on_caller_disconnected, on_drained, on_bad_message};
+static int64_t
+caller_wait_ms(void *arg, const http_msg_t *msg)
+{
+	const relay_t *relay = arg;
+	arrival_t arrival;
+
+	return relay->caller_dialect->read(msg, &arrival, NULL)
+	    ? arrival.deadline_ms
+	    : 0;
+}
+
+static const http_inbound_ops_t inbound_ops = {on_request,
+    on_caller_disconnected, on_drained, on_bad_message, caller_wait_ms};
 
-static const http_inbound_ops_t forward_inbound_ops = {
-    on_forwarded_request, on_caller_disconnected, on_drained, on_bad_message};
+static const http_inbound_ops_t forward_inbound_ops = {on_forwarded_request,
+    on_caller_disconnected, on_drained, on_bad_message, caller_wait_ms};
 
 static void
 inbound_limits_set(relay_t *relay)
--- a/test/platform/crowd_slow_senders.lua
+++ b/test/platform/crowd_slow_senders.lua
@@ -12,9 +12,7 @@
 end
 
 local function slow(spec)
-  spec.prefix = spec.prefix .. string.rep("x", 2000)
-  spec.unit, spec.units, spec.suffix = nil, 0, nil
-  spec.byte_ms = 20
+  spec.unit, spec.units, spec.byte_ms = "x", 2000, 20
   return spec
 end
 
--- a/test/platform/standin_crowd.c
+++ b/test/platform/standin_crowd.c
@@ -3,7 +3,7 @@
  * Many connections that all send the same bytes and stay open: a prefix, a unit
  * as often as wanted, a suffix. Reads its JSON description from the file that
  * is its argument: "to" (IP:PORT), "count", "prefix", "unit", "units",
- * "suffix", "byte_ms" (one byte of the prefix in this time; 0: as fast as
+ * "suffix", "byte_ms" (one byte after the prefix in this time; 0: as fast as
  * possible) and "reads" (false: never read a response).
  *
  * Prints "sent=BYTES open=N closed=N settled=0|1" ten times a second. Settled:
@@ -204,7 +204,7 @@
 turn(crowd_t *crowd, int64_t elapsed_ms)
 {
 	size_t limit = crowd->byte_ms > 0
-	    ? (size_t)(elapsed_ms / crowd->byte_ms) + 1
+	    ? crowd->prefix.len + (size_t)(elapsed_ms / crowd->byte_ms)
 	    : crowd->total;
 
 	for (size_t i = 0; i < crowd->count; i++) {
--- a/test/unit/http_inbound_test.c
+++ b/test/unit/http_inbound_test.c
@@ -61,7 +61,7 @@
 }
 
 static const http_inbound_ops_t ops = {
-    on_request, on_closed, on_drained, on_refused};
+    on_request, on_closed, on_drained, on_refused, NULL};
 
 typedef struct fixture {
 	struct event_base *base;
--- a/test/unit/slow_caller_test.c
+++ b/test/unit/slow_caller_test.c
@@ -79,7 +79,7 @@
 }
 
 static const http_inbound_ops_t ops = {
-    on_request, on_conn, on_conn, on_refused};
+    on_request, on_conn, on_conn, on_refused, NULL};
 
 static void
 run_loop(const fixture_t *fixture, int ms)
