inbound: a body that is announced as too large is refused at its head

Callers saw the process run out of memory: 24 clients that announced bodies of 16 MB and sent them took 203 MB, with a limit of 48.

Cause: the length in the head was not compared with the limit, and 100 Continue was sent; the body was kept up to the limit, and for a refused request until the connection had closed. A closing connection was read for as long as its caller sent on.

Change: the length is compared when the head is complete, before 100 Continue. A refusal discards what was received at once, and no more bytes than a request may have are read from a closing connection. Refusals are answered as those of whole requests are, with the type of the error, with Retry-After where a later try may succeed, and on the port of other daemons with the line that says so: a daemon that sent a request on took such a refusal for an unknown outcome.

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -86,14 +86,30 @@
 		linger_start(conn);
 }
 
-static void
+void
 inbound_refuse(http_inbound_t *conn, const err_t *err)
 {
-	conn->server->ops->on_refused(conn->server->arg, err);
+	struct evbuffer *in = bufferevent_get_input(conn->bev);
+
 	conn->state = INBOUND_HANDLING;
 	conn->close_after_response = true;
-	http_inbound_respond(
-	    conn, err_info(err->code)->http_status, NULL, NULL);
+	inbound_wait_start(conn, INBOUND_WAIT_NONE);
+	write_timeout_set(conn);
+	evbuffer_drain(in, evbuffer_get_length(in));
+	http_reader_reset(&conn->reader);
+	conn->server->ops->on_refused(conn->server->arg, conn, err);
+}
+
+/* Whether the announced body is refused, before any of it is received. */
+static bool
+announced_body_check(http_inbound_t *conn)
+{
+	const http_parser *parser = &conn->reader.parser;
+
+	if ((parser->flags & F_CONTENTLENGTH) != 0 &&
+	    parser->content_length > conn->server->limits.body_max)
+		conn->refusal = ERR_BODY_TOO_LARGE;
+	return conn->refusal == ERR_NONE;
 }
 
 static void
@@ -103,7 +119,8 @@
 	const char *expect = http_msg_field(msg, "Expect");
 	static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
-	if (expect != NULL && strcasecmp(expect, "100-continue") == 0)
+	if (announced_body_check(conn) && expect != NULL &&
+	    strcasecmp(expect, "100-continue") == 0)
 		bufferevent_write(conn->bev, continue_response,
 		    sizeof(continue_response) - 1);
 }
@@ -115,8 +132,8 @@
 	struct evbuffer *body = conn->reader.msg.body;
 
 	if (evbuffer_get_length(body) + len > conn->server->limits.body_max)
-		conn->body_too_large = true;
-	else
+		conn->refusal = ERR_BODY_TOO_LARGE;
+	else if (conn->refusal == ERR_NONE)
 		evbuffer_add(body, bytes, len);
 }
 
@@ -152,7 +169,8 @@
 {
 	err_t err;
 
-	err_set(&err, ERR_BODY_TOO_LARGE, "the request body is too large");
+	err_set(&err, conn->refusal, "the request body is too large");
+	conn->refusal = ERR_NONE;
 	inbound_refuse(conn, &err);
 }
 
@@ -180,13 +198,13 @@
 
 	switch (http_reader_feed(&conn->reader, in)) {
 	case HTTP_READ_INCOMPLETE:
-		if (conn->body_too_large)
+		if (conn->refusal != ERR_NONE)
 			inbound_refuse_body(conn);
 		else
 			inbound_wait_update(conn);
 		return;
 	case HTTP_READ_COMPLETE:
-		if (conn->body_too_large)
+		if (conn->refusal != ERR_NONE)
 			inbound_refuse_body(conn);
 		else
 			inbound_handle(conn);
@@ -197,16 +215,28 @@
 	}
 }
 
+/* No more is read from a closing connection than a request may have. */
+static void
+inbound_discard(http_inbound_t *conn)
+{
+	struct evbuffer *in = bufferevent_get_input(conn->bev);
+
+	conn->discarded_bytes += evbuffer_get_length(in);
+	evbuffer_drain(in, evbuffer_get_length(in));
+	if (conn->discarded_bytes > conn->server->limits.body_max)
+		bufferevent_disable(conn->bev, EV_READ);
+}
+
 static void
 on_readable(struct bufferevent *bev, void *arg)
 {
 	http_inbound_t *conn = arg;
-	struct evbuffer *in = bufferevent_get_input(bev);
 
+	(void)bev;
 	if (conn->state == INBOUND_READING)
 		inbound_read(conn);
 	else if (conn->state == INBOUND_LINGERING)
-		evbuffer_drain(in, evbuffer_get_length(in));
+		inbound_discard(conn);
 }
 
 static void
--- a/common/http_inbound_priv.h
+++ b/common/http_inbound_priv.h
@@ -43,7 +43,8 @@
 	struct event wait_timer;
 	struct event body_timer; /**< for the whole of a body */
 	bool close_after_response;
-	bool body_too_large;
+	err_code_t refusal; /**< why the request that is received is refused */
+	size_t discarded_bytes; /**< since the connection began to close */
 	bool input_ended; /**< the caller sends no more; it may still read */
 	bool lingered;	  /**< its closing waits only for the caller to read
 			     what is in the socket */
@@ -73,6 +74,9 @@
 /** Start to read requests from a new connection. Takes ownership of the socket,
  * also on failure. */
 void inbound_open(http_inbound_server_t *, evutil_socket_t fd);
+/** Refuse the request that is received, and close the connection after the
+ * response. What was received of the request is discarded. */
+void inbound_refuse(http_inbound_t *, const err_t *);
 /** Close the connection without calling on_closed. */
 void inbound_free(http_inbound_t *);
 /** Prepare the timers, which are off. */
--- a/common/http_msg.c
+++ b/common/http_msg.c
@@ -109,6 +109,7 @@
 	http_reader_t *reader = parser->data;
 
 	msg_clear(reader);
+	reader->msg.method = NULL;
 	reader->in_value = true;
 	reader->in_message = true;
 	reader->head_complete = false;
--- a/include/common/http_inbound.h
+++ b/include/common/http_inbound.h
@@ -40,8 +40,9 @@
 	/** The output buffer was written out; called only while a response is
 	 * streamed. */
 	void (*on_drained)(void *arg, http_inbound_t *);
-	/** A message was refused and not passed to on_request. */
-	void (*on_refused)(void *arg, const err_t *);
+	/** A message was refused and not passed to on_request. The handler
+	 * responds as to a request; the connection closes then. */
+	void (*on_refused)(void *arg, http_inbound_t *, const err_t *);
 	/** How long the caller waits for its response, by the head of its
 	 * request, in ms: a body that takes longer is not received to its end.
 	 * 0: not known. May be NULL. */
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -353,15 +353,25 @@
 }
 
 static void
-on_bad_message(void *arg, const err_t *err)
+bad_message_refuse(
+    relay_t *relay, http_inbound_t *caller, const err_t *err, bool from_daemon)
 {
-	relay_t *relay = arg;
-
 	stats_add(&relay->stats, STAT_BAD_MESSAGES, 1);
-	stats_count_outcome(
-	    &relay->stats, err_info(err->code)->name, "bad_message", false);
 	event_log_write(relay->log, "bad_message", "outcome=%s why=\"%s\"",
 	    err_info(err->code)->name, err->detail);
+	relay_refuse_message(relay, caller, from_daemon, err->code);
+}
+
+static void
+on_bad_message(void *arg, http_inbound_t *caller, const err_t *err)
+{
+	bad_message_refuse(arg, caller, err, false);
+}
+
+static void
+on_bad_forwarded_message(void *arg, http_inbound_t *caller, const err_t *err)
+{
+	bad_message_refuse(arg, caller, err, true);
 }
 
 static int64_t
@@ -379,7 +389,8 @@
     on_caller_disconnected, on_drained, on_bad_message, caller_wait_ms};
 
 static const http_inbound_ops_t forward_inbound_ops = {on_forwarded_request,
-    on_caller_disconnected, on_drained, on_bad_message, caller_wait_ms};
+    on_caller_disconnected, on_drained, on_bad_forwarded_message,
+    caller_wait_ms};
 
 static void
 inbound_limits_set(relay_t *relay)
--- a/moortack/relay/relay_failure.c
+++ b/moortack/relay/relay_failure.c
@@ -102,3 +102,16 @@
 	    relay_config_age_ms(relay), relay->in_flight);
 	error_send(relay, caller, code, retry_after_ms(relay, code), result);
 }
+
+void
+relay_refuse_message(
+    relay_t *relay, http_inbound_t *caller, bool from_daemon, err_code_t code)
+{
+	char result[FORWARD_LINE_SIZE];
+
+	relay_forward_result_line(from_daemon, code, 0, result);
+	http_inbound_set_user_data(caller, NULL);
+	stats_count_outcome(
+	    &relay->stats, err_info(code)->name, "bad_message", false);
+	error_send(relay, caller, code, retry_after_ms(relay, code), result);
+}
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -256,6 +256,9 @@
  * @param why cause for the log, a static text */
 void relay_refuse_arrival(relay_t *, http_inbound_t *, const char *id,
     bool from_daemon, err_code_t, const char *why);
+/** Refuse what can't be a request, or what there is no memory to receive. */
+void
+relay_refuse_message(relay_t *, http_inbound_t *, bool from_daemon, err_code_t);
 /** Log, count and free the request. The response to its caller is sent or
  * aborted separately. */
 void request_end(relay_request_t *, const char *outcome, const char *why);
--- a/test/unit/slow_caller_test.c
+++ b/test/unit/slow_caller_test.c
@@ -72,10 +72,10 @@
 }
 
 static void
-on_refused(void *arg, const err_t *err)
+on_refused(void *arg, http_inbound_t *conn, const err_t *err)
 {
 	(void)arg;
-	(void)err;
+	http_inbound_respond(conn, err_info(err->code)->http_status, "", NULL);
 }
 
 static const http_inbound_ops_t ops = {
