inbound: no further request is read while responses wait to be sent

Callers saw the process run out of memory: 24 clients that pipeline requests and read no response took 403 MB, with a limit of 48; each request of 44 bytes left a response of some hundred in the process.

Cause: the next request of a connection was read as soon as the response to the one before was in its output buffer, whatever stood there already.

Change: with more than 4 KB unsent the connection is not read; it goes on when all is written, and a caller that reads nothing is disconnected by the write limit as before.

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -13,6 +13,9 @@
  * handled. */
 #define PIPELINED_MAX 65536
 #define NO_TIMEOUT_S 86400
+/* No further request of a connection is read while more bytes of earlier
+ * responses are unsent. */
+#define PIPELINE_UNSENT_MAX 4096
 
 static void inbound_read(http_inbound_t *conn);
 
@@ -215,6 +218,44 @@
 	}
 }
 
+/* Whether the caller has to read responses before it gets further ones. */
+static bool
+responses_wait(const http_inbound_t *conn)
+{
+	return http_inbound_unsent_bytes(conn) > PIPELINE_UNSENT_MAX;
+}
+
+static void
+input_trigger(http_inbound_t *conn)
+{
+	/* Deferred, so that pipelined requests can't nest on the stack. */
+	if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0)
+		bufferevent_trigger(conn->bev, EV_READ,
+		    BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+static void
+reading_pause(http_inbound_t *conn, bool pause)
+{
+	if (pause)
+		bufferevent_disable(conn->bev, EV_READ);
+	else if (conn->reading_paused)
+		bufferevent_enable(conn->bev, EV_READ);
+	conn->reading_paused = pause;
+}
+
+/* All responses were written. */
+static void
+reading_resume(http_inbound_t *conn)
+{
+	bool paused = conn->reading_paused;
+
+	reading_pause(conn, false);
+	inbound_wait_update(conn);
+	if (paused)
+		input_trigger(conn);
+}
+
 /* No more is read from a closing connection than a request may have. */
 static void
 inbound_discard(http_inbound_t *conn)
@@ -233,7 +274,9 @@
 	http_inbound_t *conn = arg;
 
 	(void)bev;
-	if (conn->state == INBOUND_READING)
+	if (conn->state == INBOUND_READING && responses_wait(conn))
+		reading_pause(conn, true);
+	else if (conn->state == INBOUND_READING)
 		inbound_read(conn);
 	else if (conn->state == INBOUND_LINGERING)
 		inbound_discard(conn);
@@ -248,7 +291,7 @@
 	if (conn->state == INBOUND_LINGERING)
 		linger_start(conn);
 	else if (conn->state == INBOUND_READING)
-		inbound_wait_update(conn);
+		reading_resume(conn);
 	else if (conn->state == INBOUND_STREAMING)
 		conn->server->ops->on_drained(conn->server->arg, conn);
 }
@@ -384,10 +427,7 @@
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, 0);
 	write_timeout_set(conn);
 	inbound_wait_update(conn);
-	/* Deferred, so that pipelined requests can't nest on the stack. */
-	if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0)
-		bufferevent_trigger(conn->bev, EV_READ,
-		    BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+	input_trigger(conn);
 }
 
 static bool
--- a/common/http_inbound_priv.h
+++ b/common/http_inbound_priv.h
@@ -45,6 +45,7 @@
 	bool close_after_response;
 	err_code_t refusal; /**< why the request that is received is refused */
 	size_t discarded_bytes; /**< since the connection began to close */
+	bool reading_paused;	/**< until the responses are written */
 	bool input_ended; /**< the caller sends no more; it may still read */
 	bool lingered;	  /**< its closing waits only for the caller to read
 			     what is in the socket */
