inbound: what callers send ahead of their response is bounded

Callers saw the process run out of memory: 320 clients that send on while their request is at work took 54 MB, with a limit of 48. What was received and not read counts as the process's memory.

Cause: 64 KB of it were read into the process for each connection, so that a close is noticed, and the system received up to 128 KB more for each socket.

Change: 4 KB are read ahead, and the receive buffer of accepted sockets is 8 KB, set on the listening socket so that the first window has it; up to 12 KB are then received unread, as measured over loopback.

platform_crowd_sends_ahead failed before with 54,422 KB of 49,152 allowed, and passes.

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -11,7 +11,7 @@
 #define US_PER_MS 1000
 /* Bytes buffered from a caller that sends ahead while its request is being
  * handled. */
-#define PIPELINED_MAX 65536
+#define PIPELINED_MAX 4096
 #define NO_TIMEOUT_S 86400
 /* No further request of a connection is read while more bytes of earlier
  * responses are unsent. */
--- a/common/http_inbound_server.c
+++ b/common/http_inbound_server.c
@@ -7,6 +7,9 @@
 #include <sys/socket.h>
 
 #define BACKLOG 1024
+/* What the system receives for a connection before it is read, in bytes; it is up
+ * to half as much again. */
+#define RECEIVE_BUFFER 8192
 /* Bounds the time that a caller can take by sending on. */
 #define FLUSH_READS_MAX 64
 
@@ -60,6 +63,7 @@
     const http_inbound_ops_t *ops, void *arg, err_t *err)
 {
 	http_inbound_server_t *server = calloc(1, sizeof(*server));
+	int receive_buffer = RECEIVE_BUFFER;
 	struct sockaddr_in bind_address = {
 	    .sin_family = AF_INET, .sin_port = htons(address->port)};
 
@@ -80,6 +84,9 @@
 		free(server);
 		return NULL;
 	}
+	/* Accepted sockets inherit it, so that their first window has it. */
+	setsockopt(evconnlistener_get_fd(server->listener), SOL_SOCKET,
+	    SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
 	return server;
 }
 
