inbound: one account of what callers' connections hold

Callers saw the process end: each connection was within its limits, and their sum was over the memory of the VM. 16 bodies of 4 MB but for the last byte, by length or in chunks, took 75 MB with a limit of 48; 300 of 200 KB, 100 in chunks of one byte 59 MB, 24 whole requests of 4 MB at work 117 MB, 24 bodies of 16 MB in chunks 195 MB. The port for other daemons did the same.

Cause: nothing counted what all connections hold. limits.memory_mb was read for the number of requests only.

Change: inbound_budget accounts for all listeners of the process, by what is held: 16 KB a connection for its structures and its receive buffer, input, head with its allocations, body, also while it is handled, buffered and unsent responses. Its size is half of the VM's memory less 4 MB. Without room, the largest requests that are being received give way (503 with Retry-After; they have not run), of equally large ones the oldest, since an upload that makes progress is newer than one that stands still; then connections that close or are idle, and for small requests the oldest incomplete one. Requests at work and unsent responses never do, unless their caller has stopped to read. A quarter is for requests under 64 KB. A body whose announced length finds no room beside what is at work is refused at its head. Endpoints are read less for slow callers when half is in use, and not at all when it is full. Large bodies get a larger receive buffer unless half is in use. The log says memory_short if the largest request never finds room; SIGHUP with a lower limit takes effect. Metrics show the account, refusals, and which connections gave way.

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -29,6 +29,7 @@
 	conn->server->unsent_bytes += info->n_added;
 	conn->server->unsent_bytes -= info->n_deleted;
 	conn->written_bytes += info->n_deleted;
+	inbound_charge(conn);
 }
 
 void
@@ -42,7 +43,7 @@
 		server->connections = conn->next;
 	if (conn->next != NULL)
 		conn->next->prev = conn->prev;
-	server->connections_len--;
+	budget_entry_remove(&conn->entry);
 	evbuffer_remove_cb(
 	    bufferevent_get_output(conn->bev), on_output_changed, conn);
 	server->unsent_bytes -= http_inbound_unsent_bytes(conn);
@@ -85,6 +86,7 @@
 	bufferevent_enable(conn->bev, EV_READ);
 	inbound_wait_start(conn, INBOUND_WAIT_NONE);
 	write_timeout_set(conn);
+	inbound_charge(conn);
 	if (http_inbound_unsent_bytes(conn) == 0)
 		linger_start(conn);
 }
@@ -96,25 +98,15 @@
 
 	conn->state = INBOUND_HANDLING;
 	conn->close_after_response = true;
+	conn->refused = true;
 	inbound_wait_start(conn, INBOUND_WAIT_NONE);
 	write_timeout_set(conn);
 	evbuffer_drain(in, evbuffer_get_length(in));
 	http_reader_reset(&conn->reader);
+	inbound_charge(conn);
 	conn->server->ops->on_refused(conn->server->arg, conn, err);
 }
 
-/* Whether the announced body is refused, before any of it is received. */
-static bool
-announced_body_check(http_inbound_t *conn)
-{
-	const http_parser *parser = &conn->reader.parser;
-
-	if ((parser->flags & F_CONTENTLENGTH) != 0 &&
-	    parser->content_length > conn->server->limits.body_max)
-		conn->refusal = ERR_BODY_TOO_LARGE;
-	return conn->refusal == ERR_NONE;
-}
-
 static void
 on_head(void *arg, http_msg_t *msg)
 {
@@ -122,7 +114,8 @@
 	const char *expect = http_msg_field(msg, "Expect");
 	static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
-	if (announced_body_check(conn) && expect != NULL &&
+	conn->refusal = inbound_body_check(conn);
+	if (conn->refusal == ERR_NONE && expect != NULL &&
 	    strcasecmp(expect, "100-continue") == 0)
 		bufferevent_write(conn->bev, continue_response,
 		    sizeof(continue_response) - 1);
@@ -155,6 +148,8 @@
 	err_t err;
 
 	conn->state = INBOUND_HANDLING;
+	conn->request_bytes = evbuffer_get_length(conn->reader.msg.body);
+	inbound_charge(conn);
 	inbound_wait_start(conn, INBOUND_WAIT_NONE);
 	write_timeout_set(conn);
 	/* Keep reading, so that a close by the caller is noticed. */
@@ -172,7 +167,10 @@
 {
 	err_t err;
 
-	err_set(&err, conn->refusal, "the request body is too large");
+	err_set(&err, conn->refusal, "%s",
+	    conn->refusal == ERR_MEMORY
+		? "no memory is left for the request body"
+		: "the request body is too large");
 	conn->refusal = ERR_NONE;
 	inbound_refuse(conn, &err);
 }
@@ -198,24 +196,22 @@
 inbound_read(http_inbound_t *conn)
 {
 	struct evbuffer *in = bufferevent_get_input(conn->bev);
+	http_read_result_t result = http_reader_feed(&conn->reader, in);
 
-	switch (http_reader_feed(&conn->reader, in)) {
-	case HTTP_READ_INCOMPLETE:
-		if (conn->refusal != ERR_NONE)
-			inbound_refuse_body(conn);
-		else
-			inbound_wait_update(conn);
-		return;
-	case HTTP_READ_COMPLETE:
-		if (conn->refusal != ERR_NONE)
-			inbound_refuse_body(conn);
-		else
-			inbound_handle(conn);
-		return;
-	case HTTP_READ_INVALID:
+	if (result == HTTP_READ_INVALID) {
 		inbound_refuse_invalid(conn);
 		return;
 	}
+	if (conn->refusal != ERR_NONE) {
+		inbound_refuse_body(conn);
+		return;
+	}
+	if (!inbound_request_room(conn))
+		return;
+	if (result == HTTP_READ_COMPLETE)
+		inbound_handle(conn);
+	else
+		inbound_wait_update(conn);
 }
 
 /* Whether the caller has to read responses before it gets further ones. */
@@ -280,6 +276,8 @@
 		inbound_read(conn);
 	else if (conn->state == INBOUND_LINGERING)
 		inbound_discard(conn);
+	else
+		inbound_charge(conn);
 }
 
 static void
@@ -303,6 +301,7 @@
 	if (!inbound_caller_reads(conn, inbound_write_check_ms(conn)))
 		return false;
 	bufferevent_enable(conn->bev, EV_WRITE);
+	inbound_charge(conn);
 	return true;
 }
 
@@ -349,7 +348,6 @@
 	}
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
 	conn->server = server;
-	conn->wait_seq = server->next_wait_seq++;
 	conn->bev =
 	    bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	if (conn->bev == NULL) {
@@ -363,7 +361,8 @@
 	if (server->connections != NULL)
 		server->connections->prev = conn;
 	server->connections = conn;
-	server->connections_len++;
+	budget_entry_add(&conn->entry, &server->share, conn, 0);
+	inbound_charge(conn);
 	bufferevent_setcb(conn->bev, on_readable, on_written, on_event, conn);
 	evbuffer_add_cb(
 	    bufferevent_get_output(conn->bev), on_output_changed, conn);
@@ -416,6 +415,8 @@
 inbound_response_completed(http_inbound_t *conn)
 {
 	conn->user_data = NULL;
+	conn->request_bytes = 0;
+	conn->handler_bytes = 0;
 	if (conn->close_after_response) {
 		inbound_linger(conn);
 		return;
@@ -423,7 +424,7 @@
 	http_reader_reset(&conn->reader);
 	conn->state = INBOUND_READING;
 	conn->wait = INBOUND_WAIT_NONE;
-	conn->wait_seq = conn->server->next_wait_seq++;
+	inbound_charge(conn);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, 0);
 	write_timeout_set(conn);
 	inbound_wait_update(conn);
--- a/common/http_inbound_priv.h
+++ b/common/http_inbound_priv.h
@@ -2,7 +2,8 @@
  * @file
  * Private definitions of the HTTP server: its connections (http_inbound.c), the
  * server that accepts them (http_inbound_server.c), callers that read slowly
- * (http_inbound_stall.c), and limits of time (http_inbound_wait.c).
+ * (http_inbound_stall.c), limits of time (http_inbound_wait.c), and of what
+ * they hold (http_inbound_room.c).
  */
 #ifndef COMMON_HTTP_INBOUND_PRIV_H
 #define COMMON_HTTP_INBOUND_PRIV_H
@@ -53,7 +54,11 @@
 	size_t read_bytes;    /**< of these by the caller, when last checked */
 	int64_t stalled_ms;   /**< since the caller was last seen to read */
 	int64_t caller_wait_ms; /**< see http_inbound_set_caller_wait() */
-	uint64_t wait_seq;	/**< order of starting to wait for a request */
+	budget_entry_t entry;
+	bool refused;	      /**< its request; the connection closes */
+	size_t receive_bytes; /**< that an enlarged receive buffer takes */
+	size_t request_bytes; /**< of the body that is handled */
+	size_t handler_bytes; /**< see http_inbound_set_handler_bytes() */
 	void *user_data;
 	http_inbound_t *next;
 	http_inbound_t *prev;
@@ -65,10 +70,9 @@
 	const http_inbound_ops_t *ops;
 	void *arg;
 	http_inbound_limits_t limits;
+	inbound_share_t share;
 	http_inbound_t *connections;
-	uint32_t connections_len;
 	size_t unsent_bytes; /**< of responses, on all connections */
-	uint64_t next_wait_seq;
 	bool draining;
 };
 
@@ -78,6 +82,18 @@
 /** Refuse the request that is received, and close the connection after the
  * response. What was received of the request is discarded. */
 void inbound_refuse(http_inbound_t *, const err_t *);
+/** Limit what the system receives for connections before it is read. Call it
+ * before the first one is accepted. */
+void inbound_receive_buffer_limit(evutil_socket_t listener);
+/** Account for what the connection holds now. */
+void inbound_charge(http_inbound_t *);
+/** Make room for a new connection. @return false: there is none */
+bool inbound_accept_room(http_inbound_server_t *);
+/** Make room for what was received of a request.
+ * @return false: there is none, and the request is refused */
+bool inbound_request_room(http_inbound_t *);
+/** Check the length of a body that its head announces. */
+err_code_t inbound_body_check(http_inbound_t *);
 /** Close the connection without calling on_closed. */
 void inbound_free(http_inbound_t *);
 /** Prepare the timers, which are off. */
--- a/common/http_inbound_server.c
+++ b/common/http_inbound_server.c
@@ -7,41 +7,9 @@
 #include <sys/socket.h>
 
 #define BACKLOG 1024
-/* What the system receives for a connection before it is read, in bytes; it is up
- * to half as much again. */
-#define RECEIVE_BUFFER 8192
 /* Bounds the time that a caller can take by sending on. */
 #define FLUSH_READS_MAX 64
 
-/* Make room for a new connection by closing the one that has been idle for the
- * longest time or, if none is idle, the one whose request has been incomplete
- * for the longest time. Connections that wait for a response, or for the rest
- * of one, are never closed.
- * @return false if all of them do */
-static bool
-waiting_connection_evict(http_inbound_server_t *server)
-{
-	http_inbound_t *oldest = NULL;
-
-	for (http_inbound_t *conn = server->connections; conn != NULL;
-	     conn = conn->next) {
-		if ((conn->state != INBOUND_READING && !conn->lingered) ||
-		    http_inbound_unsent_bytes(conn) > 0)
-			continue;
-		if (oldest == NULL ||
-		    inbound_request_started(conn) <
-			inbound_request_started(oldest) ||
-		    (inbound_request_started(conn) ==
-			    inbound_request_started(oldest) &&
-			conn->wait_seq < oldest->wait_seq))
-			oldest = conn;
-	}
-	if (oldest == NULL)
-		return false;
-	inbound_free(oldest);
-	return true;
-}
-
 static void
 on_accept(struct evconnlistener *listener, evutil_socket_t fd,
     struct sockaddr *address, int len, void *arg)
@@ -51,19 +19,20 @@
 	(void)listener;
 	(void)address;
 	(void)len;
-	if (server->connections_len >= server->limits.connections_max &&
-	    !waiting_connection_evict(server))
-		evutil_closesocket(fd);
-	else
+	if (inbound_accept_room(server)) {
 		inbound_open(server, fd);
+		return;
+	}
+	server->share.budget->turned_away++;
+	evutil_closesocket(fd);
 }
 
 http_inbound_server_t *
-http_inbound_listen(struct event_base *base, const http_address_t *address,
-    const http_inbound_ops_t *ops, void *arg, err_t *err)
+http_inbound_listen(struct event_base *base, inbound_budget_t *budget,
+    const http_address_t *address, const http_inbound_ops_t *ops, void *arg,
+    err_t *err)
 {
 	http_inbound_server_t *server = calloc(1, sizeof(*server));
-	int receive_buffer = RECEIVE_BUFFER;
 	struct sockaddr_in bind_address = {
 	    .sin_family = AF_INET, .sin_port = htons(address->port)};
 
@@ -84,9 +53,8 @@
 		free(server);
 		return NULL;
 	}
-	/* Accepted sockets inherit it, so that their first window has it. */
-	setsockopt(evconnlistener_get_fd(server->listener), SOL_SOCKET,
-	    SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
+	inbound_receive_buffer_limit(evconnlistener_get_fd(server->listener));
+	inbound_share_init(&server->share, budget);
 	return server;
 }
 
@@ -97,6 +65,7 @@
 		inbound_free(server->connections);
 	if (server->listener != NULL)
 		evconnlistener_free(server->listener);
+	inbound_share_finish(&server->share);
 	free(server);
 }
 
@@ -105,6 +74,8 @@
     http_inbound_server_t *server, const http_inbound_limits_t *limits)
 {
 	server->limits = *limits;
+	server->share.connections_max = limits->connections_max;
+	http_inbound_make_room(server);
 }
 
 void
@@ -219,5 +190,5 @@
 uint32_t
 http_inbound_connection_count(const http_inbound_server_t *server)
 {
-	return server->connections_len;
+	return server->share.connections;
 }
--- a/common/http_inbound_wait.c
+++ b/common/http_inbound_wait.c
@@ -17,6 +17,7 @@
 	    inbound_queued_bytes(conn) > 0 &&
 	    inbound_caller_reads(conn, INBOUND_LINGER_MS)) {
 		conn->lingered = true;
+		inbound_charge(conn);
 		inbound_wait_start(conn, INBOUND_WAIT_CLOSE);
 		return;
 	}
--- a/include/common/http_inbound.h
+++ b/include/common/http_inbound.h
@@ -12,6 +12,7 @@
 
 #include "common/http_call.h"
 #include "common/http_msg.h"
+#include "common/inbound_budget.h"
 
 typedef struct http_inbound http_inbound_t;
 typedef struct http_inbound_server http_inbound_server_t;
@@ -49,12 +50,18 @@
 	int64_t (*caller_wait_ms)(void *arg, const http_msg_t *);
 } http_inbound_ops_t;
 
-http_inbound_server_t *http_inbound_listen(struct event_base *,
+/** @param budget of the process; the server's connections are a share of it */
+http_inbound_server_t *
+http_inbound_listen(struct event_base *, inbound_budget_t *budget,
     const http_address_t *, const http_inbound_ops_t *, void *arg, err_t *);
 void http_inbound_server_free(http_inbound_server_t *);
 void
 http_inbound_set_limits(http_inbound_server_t *, const http_inbound_limits_t *);
 
+/** Close connections until their number and what they hold are within the
+ * limits, if these were lowered. */
+void http_inbound_make_room(http_inbound_server_t *);
+
 /** Leave new connections in the listen queue, or accept them again. */
 void http_inbound_pause_accepting(http_inbound_server_t *, bool pause);
 /** From now on, close each connection after its response. */
@@ -79,6 +86,8 @@
 /** Set how long the caller waits for its response: for as long, a minute at
  * most, it is not disconnected although it reads nothing. */
 void http_inbound_set_caller_wait(http_inbound_t *, int64_t ms);
+/** Account for bytes that the handler of the request holds beside its body. */
+void http_inbound_set_handler_bytes(http_inbound_t *, size_t bytes);
 void http_inbound_set_user_data(http_inbound_t *, void *user_data);
 void *http_inbound_user_data(const http_inbound_t *);
 
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -49,6 +49,8 @@
 	uint32_t body_buffer_max;   /**< bytes of a response that are buffered
 				       before it is forwarded */
 	uint32_t requests_max;	    /**< in flight at the same time */
+	size_t inbound_bytes_max;   /**< that all callers' connections may hold
+				       together; 0: no limit */
 	int64_t silence_timeout_ms; /**< an endpoint's connection is closed
 				       after this long without data */
 	int64_t reused_silence_timeout_ms; /**< the same for a reused connection
@@ -149,8 +151,9 @@
 	relay_stats_t stats;
 	service_state_t *service_states;
 	route_callers_t *route_callers;
-	prefix_index_t prefix_index; /**< prompts sent to endpoints */
-	relay_contents_t contents;   /**< what endpoints report to keep */
+	prefix_index_t prefix_index;	 /**< prompts sent to endpoints */
+	relay_contents_t contents;	 /**< what endpoints report to keep */
+	inbound_budget_t inbound_budget; /**< of all listeners */
 	http_inbound_server_t *server;
 	relay_request_t *requests; /**< in flight, a linked list */
 	uint32_t in_flight;
@@ -174,6 +177,13 @@
 	http_inbound_server_t *forward_server; /**< NULL: there is none */
 };
 
+/** Listen for callers and other daemons, with one account of what they hold. */
+bool relay_inbound_listen(relay_t *, const http_address_t *listen,
+    const http_address_t *forward_listen, err_t *);
+/** Put the limits of the configuration and of the deployment in force. */
+void relay_inbound_limits_set(relay_t *);
+void relay_inbound_write_metrics(const relay_t *, struct evbuffer *out);
+
 /** Listen and initialise what the owner did not fill in.
  * @param forward_listen where other daemons send requests on; port 0: nowhere
  * @return false with @p err set: cannot listen, or out of memory */
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -15,12 +15,6 @@
  * available. Connections wait in the kernel for it no longer than this. */
 #define ACCEPT_MAX_MS 300
 #define SESSION_TAG_SHIFT 32
-/* The users' smallest VMs have 4,100 descriptors; endpoints need some. */
-#define CALLER_CONNECTIONS_MAX 2500
-/* The same for requests that other daemons send on through this one. */
-#define FORWARD_CONNECTIONS_MAX 500
-/* Bytes that sending a request on adds to its head. */
-#define FORWARD_HEAD_EXTRA 512
 
 static void
 request_free(relay_request_t *req)
@@ -241,10 +235,8 @@
 	return req;
 }
 
-/* @param head the terms on which another daemon sent it on; NULL: a caller sent
- * it */
-static void
-request_accept(
+void
+relay_accept_request(
     relay_t *relay, http_inbound_t *caller, const forward_head_t *head)
 {
 	const http_msg_t *msg = http_inbound_request(caller);
@@ -286,6 +278,7 @@
 		return;
 	}
 	http_inbound_set_user_data(caller, req);
+	http_inbound_set_handler_bytes(caller, sizeof(*req));
 	http_inbound_set_caller_wait(caller, limit_ms);
 	req->service = relay_route_service(route, req->split_hash);
 	if (req->service == NULL) {
@@ -302,137 +295,20 @@
 	attempt_begin(req);
 }
 
-static void
-on_request(void *arg, http_inbound_t *caller)
-{
-	relay_t *relay = arg;
-
-	stats_add(&relay->stats, STAT_REQUESTS, 1);
-	http_inbound_set_user_data(caller, NULL);
-	request_accept(relay, caller, NULL);
-}
-
-static void
-on_forwarded_request(void *arg, http_inbound_t *caller)
-{
-	relay_t *relay = arg;
-	forward_head_t head;
-	err_code_t code =
-	    relay_forward_check(relay, http_inbound_request(caller), &head);
-
-	stats_add(&relay->stats, STAT_FORWARDS_ACCEPTED, 1);
-	http_inbound_set_user_data(caller, NULL);
-	if (code != ERR_NONE)
-		relay_refuse_arrival(
-		    relay, caller, "-", true, code, "forwarded");
-	else
-		request_accept(relay, caller, &head);
-}
-
-static void
-on_caller_disconnected(void *arg, http_inbound_t *caller)
-{
-	relay_t *relay = arg;
-	relay_request_t *req = http_inbound_user_data(caller);
-
-	if (req == NULL)
-		return;
-	stats_add(&relay->stats, STAT_CALLERS_GONE, 1);
-	request_end(
-	    req, "caller_gone", req->response_started ? "midway" : "waiting");
-}
-
-static void
-on_drained(void *arg, http_inbound_t *caller)
-{
-	relay_request_t *req = http_inbound_user_data(caller);
-
-	(void)arg;
-	if (req != NULL)
-		response_drained(req);
-}
-
-static void
-bad_message_refuse(
-    relay_t *relay, http_inbound_t *caller, const err_t *err, bool from_daemon)
-{
-	stats_add(&relay->stats, STAT_BAD_MESSAGES, 1);
-	event_log_write(relay->log, "bad_message", "outcome=%s why=\"%s\"",
-	    err_info(err->code)->name, err->detail);
-	relay_refuse_message(relay, caller, from_daemon, err->code);
-}
-
-static void
-on_bad_message(void *arg, http_inbound_t *caller, const err_t *err)
-{
-	bad_message_refuse(arg, caller, err, false);
-}
-
-static void
-on_bad_forwarded_message(void *arg, http_inbound_t *caller, const err_t *err)
-{
-	bad_message_refuse(arg, caller, err, true);
-}
-
-static int64_t
-caller_wait_ms(void *arg, const http_msg_t *msg)
-{
-	const relay_t *relay = arg;
-	arrival_t arrival;
-
-	return relay->caller_dialect->read(msg, &arrival, NULL)
-	    ? arrival.deadline_ms
-	    : 0;
-}
-
-static const http_inbound_ops_t inbound_ops = {on_request,
-    on_caller_disconnected, on_drained, on_bad_message, caller_wait_ms};
-
-static const http_inbound_ops_t forward_inbound_ops = {on_forwarded_request,
-    on_caller_disconnected, on_drained, on_bad_forwarded_message,
-    caller_wait_ms};
-
-static void
-inbound_limits_set(relay_t *relay)
-{
-	const relay_config_t *config = relay->config;
-	http_inbound_limits_t limits = {.head_max = config->head_max,
-	    .body_max = config->body_max,
-	    .read_timeout_ms = config->read_timeout_ms,
-	    .idle_timeout_ms = config->idle_timeout_ms,
-	    .connections_max = CALLER_CONNECTIONS_MAX};
-
-	http_inbound_set_limits(relay->server, &limits);
-	if (relay->forward_server == NULL)
-		return;
-	limits.head_max += FORWARD_HEAD_EXTRA;
-	limits.connections_max = FORWARD_CONNECTIONS_MAX;
-	http_inbound_set_limits(relay->forward_server, &limits);
-}
-
 bool
 relay_init(relay_t *relay, const http_address_t *listen,
     const http_address_t *forward_listen, err_t *err)
 {
 	relay_config_t *config;
 
-	relay->server =
-	    http_inbound_listen(relay->base, listen, &inbound_ops, relay, err);
-	if (relay->server == NULL)
+	if (!relay_inbound_listen(relay, listen, forward_listen, err))
 		return false;
-	relay->forward_port = forward_listen->port;
-	if (relay->forward_port != 0) {
-		relay->forward_server = http_inbound_listen(relay->base,
-		    forward_listen, &forward_inbound_ops, relay, err);
-		if (relay->forward_server == NULL)
-			return false;
-	}
 	/* Default limits until a configuration is received. */
 	config = relay_config_new(0);
 	if (config == NULL)
 		return err_set(err, ERR_MEMORY, "out of memory");
 	relay->config = config;
-	inbound_limits_set(relay);
+	relay_inbound_limits_set(relay);
 	relay->config = NULL;
 	relay_config_release(config);
 	relay->daemons_max_seen = 1;
@@ -477,7 +353,7 @@
 	    config->parts_refused);
 	relay_config_release(relay->config);
 	relay->config = config;
-	inbound_limits_set(relay);
+	relay_inbound_limits_set(relay);
 }
 
 bool
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -472,6 +472,8 @@
 	node->members.settings.liveness = liveness_settings(settings);
 	node->members.liveness.timeouts = node->members.settings.liveness;
 	node->relay.bounds = settings->bounds;
+	if (node->relay.config != NULL)
+		relay_inbound_limits_set(&node->relay);
 	node->rollouts.exposure_max = settings->bounds.exposure_max;
 	node->rollouts.exposure_tolerance = settings->bounds.exposure_tolerance;
 	zone_regions_apply(node, settings);
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -250,6 +250,11 @@
 /** End the request with an error response, or abort a response that has
  * started. */
 void request_fail(relay_request_t *, err_code_t, const char *why);
+/** Accept a request, or refuse it.
+ * @param head the terms on which another daemon sent it on; NULL: a caller sent
+ * it */
+void
+relay_accept_request(relay_t *, http_inbound_t *, const forward_head_t *head);
 /** Refuse a request before it is accepted.
  * @param id of the caller's try; "-": none
  * @param from_daemon another daemon sent it on
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -7,8 +7,9 @@
 
 /* An endpoint is not read while this many bytes are pending for its caller. */
 #define CALLER_PENDING_MAX (256U << 10)
-/* Once so many bytes are pending for all callers together, only these many are
- * held for each further one. */
+/* Once callers' connections hold much of the memory that they may, or so many
+ * bytes are pending for all of them together, only these many are held for each
+ * further one. */
 #define ALL_PENDING_MAX (16U << 20)
 #define CROWDED_PENDING_MAX (16U << 10)
 #define STATUS_OK 200
@@ -257,7 +258,7 @@
 	return true;
 }
 
-/* Bytes that may be held for a caller. */
+/* Bytes that may be held for a caller; the endpoint is not read beyond them. */
 static size_t
 pending_max(const relay_request_t *req, size_t usual)
 {
@@ -266,7 +267,12 @@
 
 	if (relay->forward_server != NULL)
 		all += http_inbound_server_unsent_bytes(relay->forward_server);
-	return all < ALL_PENDING_MAX || usual < CROWDED_PENDING_MAX
+	if (!inbound_budget_has_room(
+		&relay->inbound_budget, CROWDED_PENDING_MAX, false))
+		return 1;
+	return (all < ALL_PENDING_MAX &&
+		   !inbound_budget_is_crowded(&relay->inbound_budget)) ||
+		usual < CROWDED_PENDING_MAX
 	    ? usual
 	    : CROWDED_PENDING_MAX;
 }
@@ -296,6 +302,8 @@
 		return;
 	}
 	evbuffer_add(req->buffered, bytes, len);
+	http_inbound_set_handler_bytes(
+	    req->caller, sizeof(*req) + evbuffer_get_length(req->buffered));
 	if (!req->response_started &&
 	    evbuffer_get_length(req->buffered) >
 		pending_max(req, req->relay->bounds.body_buffer_max))
@@ -303,6 +311,7 @@
 	if (!req->response_started)
 		return;
 	http_inbound_stream_write(req->caller, req->buffered);
+	http_inbound_set_handler_bytes(req->caller, sizeof(*req));
 	endpoint_pause_if_caller_slow(req);
 }
 
--- a/test/unit/http_inbound_test.c
+++ b/test/unit/http_inbound_test.c
@@ -63,6 +63,8 @@
 static const http_inbound_ops_t ops = {
     on_request, on_closed, on_drained, on_refused, NULL};
 
+static inbound_budget_t budget;
+
 typedef struct fixture {
 	struct event_base *base;
 	http_inbound_server_t *server;
@@ -92,13 +94,14 @@
 	handled = 0;
 	defer_response = false;
 	deferred = NULL;
+	inbound_budget_init(&budget, SIZE_MAX);
 	fixture = (fixture_t){
 	    .base = event_base_new(), .address = {.host = "127.0.0.1"}};
 	for (int i = 0; i < PORT_COUNT && fixture.server == NULL; i++) {
 		fixture.address.port =
 		    (uint16_t)(PORT_FIRST + (getpid() + i) % PORT_COUNT);
 		fixture.server = http_inbound_listen(
-		    fixture.base, &fixture.address, &ops, NULL, &err);
+		    fixture.base, &budget, &fixture.address, &ops, NULL, &err);
 	}
 	assert_non_null(fixture.server);
 	http_inbound_set_limits(fixture.server, &limits);
--- a/test/unit/slow_caller_test.c
+++ b/test/unit/slow_caller_test.c
@@ -44,6 +44,8 @@
 static const char waiting_request[] =
     "GET /waiting HTTP/1.1\r\nHost: a\r\n\r\n";
 
+static inbound_budget_t budget;
+
 typedef struct fixture {
 	struct event_base *base;
 	http_inbound_server_t *server;
@@ -102,13 +104,14 @@
 	static fixture_t fixture;
 	err_t err;
 
+	inbound_budget_init(&budget, SIZE_MAX);
 	fixture = (fixture_t){
 	    .base = event_base_new(), .address = {.host = "127.0.0.1"}};
 	for (int i = 0; i < PORT_COUNT && fixture.server == NULL; i++) {
 		fixture.address.port =
 		    (uint16_t)(PORT_FIRST + (getpid() + i) % PORT_COUNT);
 		fixture.server = http_inbound_listen(
-		    fixture.base, &fixture.address, &ops, NULL, &err);
+		    fixture.base, &budget, &fixture.address, &ops, NULL, &err);
 	}
 	assert_non_null(fixture.server);
 	http_inbound_set_limits(fixture.server, &limits);
