inbound: connections leave descriptors for endpoints, store and daemons

Callers saw: with limits.max_fds=600, 700 clients that connect and send nothing made a daemon answer nobody: it had no descriptor left for an endpoint or the store, and accept() failed in a loop that took a core.

Cause: the limits of 2,500 callers and 500 daemons were constants, and limits.max_fds was not read. A connection that gave way to a new one was closed by libevent's finalizer only after all waiting connections had been accepted, so even a limit of 193 let 512 descriptors be open.

A connection that is freed closes its socket at once. When accept() fails as no descriptor is left, a connection of that listener that is idle or incomplete gives way, and else accepting pauses for 100 ms.

Why it works: the sum of the shares and of 200 files is at most the setting, and a descriptor that gives way is free before the next accept. With the usual 4,100, callers have 2,099 and requests in flight 975.

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -36,6 +36,7 @@
 inbound_free(http_inbound_t *conn)
 {
 	http_inbound_server_t *server = conn->server;
+	evutil_socket_t fd = bufferevent_getfd(conn->bev);
 
 	if (conn->prev != NULL)
 		conn->prev->next = conn->next;
@@ -49,6 +50,10 @@
 	server->unsent_bytes -= http_inbound_unsent_bytes(conn);
 	inbound_wait_finish(conn);
 	http_reader_finish(&conn->reader);
+	/* libevent would close it only after all connections that wait have
+	 * been accepted. */
+	bufferevent_setfd(conn->bev, -1);
+	evutil_closesocket(fd);
 	bufferevent_free(conn->bev);
 	free(conn);
 }
@@ -348,8 +353,7 @@
 	}
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
 	conn->server = server;
-	conn->bev =
-	    bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	conn->bev = bufferevent_socket_new(server->base, fd, 0);
 	if (conn->bev == NULL) {
 		evutil_closesocket(fd);
 		free(conn);
--- a/common/http_inbound_priv.h
+++ b/common/http_inbound_priv.h
@@ -70,9 +70,11 @@
 	const http_inbound_ops_t *ops;
 	void *arg;
 	http_inbound_limits_t limits;
+	struct event accept_timer; /**< ends a pause of accepting */
 	inbound_share_t share;
 	http_inbound_t *connections;
 	size_t unsent_bytes; /**< of responses, on all connections */
+	bool paused;	     /**< by the owner */
 	bool draining;
 };
 
@@ -89,6 +91,9 @@
 void inbound_charge(http_inbound_t *);
 /** Make room for a new connection. @return false: there is none */
 bool inbound_accept_room(http_inbound_server_t *);
+/** Close a connection of the listener, as the system has no descriptor left.
+ * @return false: none gives way */
+bool inbound_descriptor_free(http_inbound_server_t *);
 /** Make room for what was received of a request.
  * @return false: there is none, and the request is refused */
 bool inbound_request_room(http_inbound_t *);
--- a/common/http_inbound_room.c
+++ b/common/http_inbound_room.c
@@ -137,6 +137,18 @@
 	return room_make(share->budget, CONNECTION_BYTES, false, NULL);
 }
 
+bool
+inbound_descriptor_free(http_inbound_server_t *server)
+{
+	budget_entry_t *victim = inbound_share_victim(&server->share);
+
+	if (victim == NULL)
+		return false;
+	server->share.budget->closed[victim->phase]++;
+	inbound_free(victim->owner);
+	return true;
+}
+
 bool
 inbound_request_room(http_inbound_t *conn)
 {
--- a/common/http_inbound_server.c
+++ b/common/http_inbound_server.c
@@ -7,6 +7,9 @@
 #include <sys/socket.h>
 
 #define BACKLOG 1024
+/* How long no connection is accepted after the system has refused one, as there
+ * is no descriptor or memory left: the listening socket stays readable. */
+#define ACCEPT_PAUSE_US 100000
 /* Bounds the time that a caller can take by sending on. */
 #define FLUSH_READS_MAX 64
 
@@ -27,6 +30,29 @@
 	evutil_closesocket(fd);
 }
 
+static void
+on_accept_pause_over(evutil_socket_t fd, short what, void *arg)
+{
+	http_inbound_server_t *server = arg;
+
+	(void)fd;
+	(void)what;
+	if (server->listener != NULL && !server->paused)
+		evconnlistener_enable(server->listener);
+}
+
+static void
+on_accept_error(struct evconnlistener *listener, void *arg)
+{
+	http_inbound_server_t *server = arg;
+	struct timeval pause = {0, ACCEPT_PAUSE_US};
+
+	if (inbound_descriptor_free(server))
+		return;
+	evconnlistener_disable(listener);
+	event_add(&server->accept_timer, &pause);
+}
+
 http_inbound_server_t *
 http_inbound_listen(struct event_base *base, inbound_budget_t *budget,
     const http_address_t *address, const http_inbound_ops_t *ops, void *arg,
@@ -54,6 +80,9 @@
 		return NULL;
 	}
 	inbound_receive_buffer_limit(evconnlistener_get_fd(server->listener));
+	evconnlistener_set_error_cb(server->listener, on_accept_error);
+	event_assign(
+	    &server->accept_timer, base, -1, 0, on_accept_pause_over, server);
 	inbound_share_init(&server->share, budget);
 	return server;
 }
@@ -65,6 +94,7 @@
 		inbound_free(server->connections);
 	if (server->listener != NULL)
 		evconnlistener_free(server->listener);
+	event_del(&server->accept_timer);
 	inbound_share_finish(&server->share);
 	free(server);
 }
@@ -81,6 +111,7 @@
 void
 http_inbound_pause_accepting(http_inbound_server_t *server, bool pause)
 {
+	server->paused = pause;
 	if (server->listener == NULL)
 		return;
 	if (pause)
--- a/include/moortack/relay/relay.h
+++ b/include/moortack/relay/relay.h
@@ -15,6 +15,7 @@
 #include "moortack/duty/duties.h"
 #include "moortack/reach/forward_head.h"
 #include "moortack/relay/completion.h"
+#include "moortack/relay/descriptor_shares.h"
 #include "moortack/relay/dialect.h"
 #include "moortack/relay/first_try.h"
 #include "moortack/relay/gossip.h"
@@ -49,6 +50,7 @@
 	uint32_t body_buffer_max;   /**< bytes of a response that are buffered
 				       before it is forwarded */
 	uint32_t requests_max;	    /**< in flight at the same time */
+	uint32_t descriptors_max;   /**< of the process; 0: not known */
 	size_t inbound_bytes_max;   /**< that all callers' connections may hold
 				       together; 0: no limit */
 	int64_t silence_timeout_ms; /**< an endpoint's connection is closed
@@ -154,6 +156,7 @@
 	prefix_index_t prefix_index;	 /**< prompts sent to endpoints */
 	relay_contents_t contents;	 /**< what endpoints report to keep */
 	inbound_budget_t inbound_budget; /**< of all listeners */
+	descriptor_shares_t shares;
 	http_inbound_server_t *server;
 	relay_request_t *requests; /**< in flight, a linked list */
 	uint32_t in_flight;
--- a/include/platform/node_file.h
+++ b/include/platform/node_file.h
@@ -42,6 +42,7 @@
 	int64_t usage_window_ms;     /**< bounds.report_window_s */
 	int64_t usage_due_ms;	     /**< bounds.usage_delay_s */
 	int64_t memory_mb;	     /**< limits.memory_mb */
+	int64_t descriptors_max;     /**< limits.max_fds */
 	double cpu_quota;	     /**< limits.cpu_quota */
 	int64_t drain_ms;	     /**< bounds.drain_ms */
 	int64_t grace_ms;	     /**< bounds.grace_s */
--- /dev/null
+++ b/moortack/relay/descriptor_shares.c
@@ -0,0 +1,40 @@
+#include "moortack/relay/descriptor_shares.h"
+
+/* Descriptors that are not sockets. */
+#define FILES 200
+#define DESCRIPTORS_DEFAULT 4100
+/* Fewer than this are too few for any listener. */
+#define SHARE_MIN 8
+#define CALLERS_MAX 2500
+#define DAEMONS_MAX 500
+#define DIRECTORY_MAX 256
+#define HEALTH_MAX 64
+#define METRICS_MAX 32
+
+static uint32_t
+share(uint32_t sockets, uint32_t divisor, uint32_t max)
+{
+	uint32_t part = sockets / divisor;
+
+	if (part > max)
+		part = max;
+	return part < SHARE_MIN ? SHARE_MIN : part;
+}
+
+descriptor_shares_t
+descriptor_shares(uint32_t descriptors)
+{
+	uint32_t known = descriptors > 0 ? descriptors : DESCRIPTORS_DEFAULT;
+	uint32_t sockets = known > FILES ? known - FILES : 0;
+	descriptor_shares_t shares = {.daemons = share(sockets, 8, DAEMONS_MAX),
+	    .directory = share(sockets, 16, DIRECTORY_MAX),
+	    .health = share(sockets, 50, HEALTH_MAX),
+	    .metrics = share(sockets, 100, METRICS_MAX),
+	    .endpoints = share(sockets, 4, UINT32_MAX)};
+	uint32_t others = shares.daemons + shares.directory + shares.health +
+	    shares.metrics + shares.endpoints;
+
+	shares.callers =
+	    share(sockets > others ? sockets - others : 0, 1, CALLERS_MAX);
+	return shares;
+}
--- a/moortack/relay/relay.c
+++ b/moortack/relay/relay.c
@@ -269,7 +269,8 @@
 		    ERR_DRAINING, "leaving");
 		return;
 	}
-	req = relay->in_flight < relay->bounds.requests_max
+	req = relay->in_flight < relay->bounds.requests_max &&
+		relay->in_flight < relay->shares.endpoints
 	    ? request_new(relay, caller, &arrival, route, organisation, head)
 	    : NULL;
 	if (req == NULL) {
--- a/moortack/relay/relay_inbound.c
+++ b/moortack/relay/relay_inbound.c
@@ -3,10 +3,6 @@
 
 #include "relay_request.h"
 
-/* The users' smallest VMs have 4,100 descriptors; endpoints need some. */
-#define CALLER_CONNECTIONS_MAX 2500
-/* The same for requests that other daemons send on through this one. */
-#define FORWARD_CONNECTIONS_MAX 500
 /* Bytes that sending a request on adds to its head. */
 #define FORWARD_HEAD_EXTRA 512
 
@@ -115,6 +111,7 @@
 	inbound_budget_t *budget = &relay->inbound_budget;
 
 	inbound_budget_init(budget, inbound_bytes_max(relay));
+	relay->shares = descriptor_shares(relay->bounds.descriptors_max);
 	relay->server = http_inbound_listen(
 	    relay->base, budget, listen, &inbound_ops, relay, err);
 	if (relay->server == NULL)
@@ -146,17 +143,18 @@
 	http_inbound_limits_t limits = {.head_max = config->head_max,
 	    .body_max = config->body_max,
 	    .read_timeout_ms = config->read_timeout_ms,
-	    .idle_timeout_ms = config->idle_timeout_ms,
-	    .connections_max = CALLER_CONNECTIONS_MAX};
+	    .idle_timeout_ms = config->idle_timeout_ms};
 
 	inbound_budget_set_max(
 	    &relay->inbound_budget, inbound_bytes_max(relay));
+	relay->shares = descriptor_shares(relay->bounds.descriptors_max);
 	short_memory_log(relay);
+	limits.connections_max = relay->shares.callers;
 	http_inbound_set_limits(relay->server, &limits);
 	if (relay->forward_server == NULL)
 		return;
 	limits.head_max += FORWARD_HEAD_EXTRA;
-	limits.connections_max = FORWARD_CONNECTIONS_MAX;
+	limits.connections_max = relay->shares.daemons;
 	http_inbound_set_limits(relay->forward_server, &limits);
 }
 
