http_inbound_test: a process without descriptors goes on to accept

Callers saw: nothing yet; the pause and the connection that gives way when accept() fails had no test of their own, as the shares of descriptors keep a daemon from getting there.

Change: the test lowers RLIMIT_NOFILE so that accept() fails while idle connections are open, and expects the waiting request to be answered.

Evidence: with the error callback taken out the test fails ("response_received(fd)"); with it, it passes. Its operations are named in its table, as one more member would otherwise shift them.

Why it works: accept() asks for a descriptor before it looks at its queue, so that one idle connection more gives way and stays spare.

--- a/test/unit/http_inbound_test.c
+++ b/test/unit/http_inbound_test.c
@@ -14,6 +14,7 @@
 #include <event2/event.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "common/http_inbound.h"
@@ -61,7 +62,11 @@
 }
 
 static const http_inbound_ops_t ops = {
-    on_request, on_closed, on_drained, on_refused, NULL};
+    .on_request = on_request,
+    .on_closed = on_closed,
+    .on_drained = on_drained,
+    .on_refused = on_refused,
+};
 
 static inbound_budget_t budget;
 
@@ -252,6 +257,36 @@
 	}
 }
 
+/* Accepting fails, as there is no descriptor left: idle connections give
+ * way. */
+static void
+process_without_descriptors_accepts(void **state)
+{
+	const fixture_t *fixture = *state;
+	int idle[CONNECTIONS_MAX - 1];
+	struct rlimit before, few;
+	int fd;
+
+	for (int i = 0; i < CONNECTIONS_MAX - 1; i++)
+		idle[i] = client(fixture, "");
+	http_inbound_pause_accepting(fixture->server, true);
+	fd = client(fixture, complete_request);
+	assert_int_equal(getrlimit(RLIMIT_NOFILE, &before), 0);
+	few = (struct rlimit){(rlim_t)fd + 1, before.rlim_max};
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &few), 0);
+	http_inbound_pause_accepting(fixture->server, false);
+	run_loop(fixture);
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &before), 0);
+	assert_true(response_received(fd));
+	/* Another one has left a descriptor spare. */
+	assert_int_equal(http_inbound_connection_count(fixture->server),
+	    CONNECTIONS_MAX - 2);
+	close(fd);
+	for (int i = 0; i < CONNECTIONS_MAX - 1; i++)
+		close(idle[i]);
+	run_loop(fixture);
+}
+
 int
 main(void)
 {
@@ -270,6 +305,8 @@
 	    cmocka_unit_test_setup_teardown(
 		connections_awaiting_a_response_are_not_evicted, setup,
 		teardown),
+	    cmocka_unit_test_setup_teardown(
+		process_without_descriptors_accepts, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
