platform_http: registry, readiness and metrics within the account

Callers saw: 24 bodies of 16 MB at the registry's port grew a daemon to 408 MB, and were never refused; 100 heads of tiny fields to 187 MB; 700 idle connections there left no descriptor for callers (515 of 400), and ordinary requests at the callers' port got no answer.

Cause: these three listeners were libevent's own HTTP server, which had no limit of body, head or time set and has none of connections.

Change: they are served by the project's inbound server (http_page), with a share of the process's descriptors each and in its account of memory. A Host header stays optional there.

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -104,6 +104,7 @@
 	conn->state = INBOUND_HANDLING;
 	conn->close_after_response = true;
 	conn->refused = true;
+	conn->discarded_bytes = 0;
 	inbound_wait_start(conn, INBOUND_WAIT_NONE);
 	write_timeout_set(conn);
 	evbuffer_drain(in, evbuffer_get_length(in));
@@ -132,8 +133,11 @@
 	http_inbound_t *conn = arg;
 	struct evbuffer *body = conn->reader.msg.body;
 
-	if (evbuffer_get_length(body) + len > conn->server->limits.body_max)
+	if (evbuffer_get_length(body) + conn->discarded_bytes + len >
+	    conn->server->limits.body_max)
 		conn->refusal = ERR_BODY_TOO_LARGE;
+	else if (conn->server->ops->bodies_discarded)
+		conn->discarded_bytes += len;
 	else if (conn->refusal == ERR_NONE)
 		evbuffer_add(body, bytes, len);
 }
@@ -150,6 +154,8 @@
 inbound_handle(http_inbound_t *conn)
 {
 	http_inbound_server_t *server = conn->server;
+	const http_msg_t *msg = &conn->reader.msg;
+	bool valid;
 	err_t err;
 
 	conn->state = INBOUND_HANDLING;
@@ -159,9 +165,11 @@
 	write_timeout_set(conn);
 	/* Keep reading, so that a close by the caller is noticed. */
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, PIPELINED_MAX);
-	if (!conn->reader.msg.keep_alive)
+	if (!msg->keep_alive)
 		conn->close_after_response = true;
-	if (!http_msg_check(&conn->reader.msg, &err))
+	valid = server->ops->host_optional ? http_msg_check_framing(msg, &err)
+					   : http_msg_check(msg, &err);
+	if (!valid)
 		inbound_refuse(conn, &err);
 	else
 		server->ops->on_request(server->arg, conn);
@@ -376,50 +384,12 @@
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 }
 
-const http_msg_t *
-http_inbound_request(const http_inbound_t *conn)
-{
-	return &conn->reader.msg;
-}
-
 void
-http_inbound_set_user_data(http_inbound_t *conn, void *user_data)
-{
-	conn->user_data = user_data;
-}
-
-void *
-http_inbound_user_data(const http_inbound_t *conn)
-{
-	return conn->user_data;
-}
-
-static const char *
-reason_phrase(int status)
-{
-	const char *text = http_status_str((enum http_status)status);
-
-	return text[0] == '<' ? "Status" : text;
-}
-
-static void
-response_head_write(
-    http_inbound_t *conn, int status, const char *head, const char *framing)
-{
-	if (conn->server->draining)
-		conn->close_after_response = true;
-	evbuffer_add_printf(bufferevent_get_output(conn->bev),
-	    "HTTP/1.1 %d %s\r\n%s%s%s\r\n", status, reason_phrase(status),
-	    head != NULL ? head : "", framing,
-	    conn->close_after_response ? "Connection: close\r\n" : "");
-}
-
-/* After a response: read the next request, or close the connection. */
-static void
 inbound_response_completed(http_inbound_t *conn)
 {
 	conn->user_data = NULL;
 	conn->request_bytes = 0;
+	conn->discarded_bytes = 0;
 	conn->handler_bytes = 0;
 	if (conn->close_after_response) {
 		inbound_linger(conn);
@@ -435,56 +405,22 @@
 	input_trigger(conn);
 }
 
-static bool
-response_has_body(const http_inbound_t *conn)
-{
-	return strcmp(conn->reader.msg.method != NULL ? conn->reader.msg.method
-						      : "",
-		   "HEAD") != 0;
-}
-
-void
-http_inbound_respond(
-    http_inbound_t *conn, int status, const char *head, struct evbuffer *body)
-{
-	size_t len = body != NULL ? evbuffer_get_length(body) : 0;
-	char framing[64];
-
-	snprintf(framing, sizeof(framing), "Content-Length: %zu\r\n", len);
-	response_head_write(conn, status, head, framing);
-	if (len > 0 && response_has_body(conn))
-		evbuffer_add_buffer(bufferevent_get_output(conn->bev), body);
-	inbound_response_completed(conn);
-}
-
-void
-http_inbound_stream_begin(http_inbound_t *conn, int status, const char *head)
+const http_msg_t *
+http_inbound_request(const http_inbound_t *conn)
 {
-	conn->state = INBOUND_STREAMING;
-	response_head_write(
-	    conn, status, head, "Transfer-Encoding: chunked\r\n");
+	return &conn->reader.msg;
 }
 
 void
-http_inbound_stream_write(http_inbound_t *conn, struct evbuffer *bytes)
+http_inbound_set_user_data(http_inbound_t *conn, void *user_data)
 {
-	struct evbuffer *out = bufferevent_get_output(conn->bev);
-	size_t len = evbuffer_get_length(bytes);
-
-	if (len == 0)
-		return;
-	evbuffer_add_printf(out, "%zx\r\n", len);
-	evbuffer_add_buffer(out, bytes);
-	evbuffer_add(out, "\r\n", 2);
+	conn->user_data = user_data;
 }
 
-void
-http_inbound_stream_end(http_inbound_t *conn)
+void *
+http_inbound_user_data(const http_inbound_t *conn)
 {
-	static const char last_chunk[] = "0\r\n\r\n";
-
-	bufferevent_write(conn->bev, last_chunk, sizeof(last_chunk) - 1);
-	inbound_response_completed(conn);
+	return conn->user_data;
 }
 
 void
--- a/common/http_inbound_priv.h
+++ b/common/http_inbound_priv.h
@@ -1,9 +1,10 @@
 /**
  * @file
  * Private definitions of the HTTP server: its connections (http_inbound.c), the
- * server that accepts them (http_inbound_server.c), callers that read slowly
- * (http_inbound_stall.c), limits of time (http_inbound_wait.c), and of what
- * they hold (http_inbound_room.c).
+ * server that accepts them (http_inbound_server.c), responses
+ * (http_inbound_response.c), callers that read slowly (http_inbound_stall.c),
+ * limits of time (http_inbound_wait.c), and of what connections hold
+ * (http_inbound_room.c).
  */
 #ifndef COMMON_HTTP_INBOUND_PRIV_H
 #define COMMON_HTTP_INBOUND_PRIV_H
@@ -45,7 +46,8 @@
 	struct event body_timer; /**< for the whole of a body */
 	bool close_after_response;
 	err_code_t refusal; /**< why the request that is received is refused */
-	size_t discarded_bytes; /**< since the connection began to close */
+	size_t discarded_bytes; /**< of the body, or since the connection began
+				   to close */
 	bool reading_paused;	/**< until the responses are written */
 	bool input_ended; /**< the caller sends no more; it may still read */
 	bool lingered;	  /**< its closing waits only for the caller to read
@@ -101,6 +103,8 @@
 err_code_t inbound_body_check(http_inbound_t *);
 /** Close the connection without calling on_closed. */
 void inbound_free(http_inbound_t *);
+/** After a response: read the next request, or close the connection. */
+void inbound_response_completed(http_inbound_t *);
 /** Prepare the timers, which are off. */
 void inbound_wait_init(http_inbound_t *);
 void inbound_wait_finish(http_inbound_t *);
--- a/common/http_inbound_room.c
+++ b/common/http_inbound_room.c
@@ -169,6 +169,8 @@
 
 	if (announced && parser->content_length > server->limits.body_max)
 		return ERR_BODY_TOO_LARGE;
+	if (server->ops->bodies_discarded)
+		return ERR_NONE;
 	if (announced &&
 	    !inbound_budget_may_fit(server->share.budget,
 		CONNECTION_BYTES + (size_t)parser->content_length)) {
--- a/common/http_msg.c
+++ b/common/http_msg.c
@@ -454,7 +454,7 @@
 }
 
 bool
-http_msg_check(const http_msg_t *msg, err_t *err)
+http_msg_check_framing(const http_msg_t *msg, err_t *err)
 {
 	const char *encoding = http_msg_field(msg, "Transfer-Encoding");
 
@@ -466,9 +466,6 @@
 	if (msg->target == NULL || msg->target[0] != '/')
 		return err_set(err, ERR_BAD_REQUEST,
 		    "the request target is not an absolute path");
-	if (http_msg_field_count(msg, "Host") != 1)
-		return err_set(
-		    err, ERR_BAD_REQUEST, "expected exactly one Host header");
 	if (http_msg_field_count(msg, "Content-Length") > 1 ||
 	    http_msg_field_count(msg, "Transfer-Encoding") > 1)
 		return err_set(err, ERR_BAD_REQUEST,
@@ -478,3 +475,12 @@
 		    "the transfer encoding is not chunked");
 	return true;
 }
+
+bool
+http_msg_check(const http_msg_t *msg, err_t *err)
+{
+	if (http_msg_field_count(msg, "Host") != 1)
+		return err_set(
+		    err, ERR_BAD_REQUEST, "expected exactly one Host header");
+	return http_msg_check_framing(msg, err);
+}
--- a/include/common/http_inbound.h
+++ b/include/common/http_inbound.h
@@ -48,6 +48,8 @@
 	 * request, in ms: a body that takes longer is not received to its end.
 	 * 0: not known. May be NULL. */
 	int64_t (*caller_wait_ms)(void *arg, const http_msg_t *);
+	bool host_optional;    /**< a request needs no Host header */
+	bool bodies_discarded; /**< only their length is checked */
 } http_inbound_ops_t;
 
 /** @param budget of the process; the server's connections are a share of it */
--- a/include/common/http_msg.h
+++ b/include/common/http_msg.h
@@ -127,8 +127,11 @@
  * forwarded. */
 bool http_field_is_hop_by_hop(const http_msg_t *, const char *name);
 
-/** Refuse a request whose framing or routing is ambiguous.
+/** Refuse a request whose framing is ambiguous.
  * @return false: refused, with the reason in @p err */
+bool http_msg_check_framing(const http_msg_t *, err_t *);
+
+/** The same, and one that does not name exactly one host. */
 bool http_msg_check(const http_msg_t *, err_t *);
 
 #endif
--- a/include/platform/platform_http.h
+++ b/include/platform/platform_http.h
@@ -6,8 +6,7 @@
 #ifndef PLATFORM_PLATFORM_HTTP_H
 #define PLATFORM_PLATFORM_HTTP_H
 
-#include <event2/http.h>
-
+#include "common/http_page.h"
 #include "moortack/relay/relay_node.h"
 #include "platform/node_file.h"
 #include "platform/store.h"
@@ -16,13 +15,15 @@
 	relay_node_t *node;
 	const platform_store_t *store;
 	int64_t resolve_ttl_ms; /**< how long callers may cache one */
-	struct evhttp *resolve_server;
-	struct evhttp *readiness_server;
-	struct evhttp *metrics_server;
+	http_page_t resolve_page;
+	http_page_t readiness_page;
+	http_page_t metrics_page;
 } platform_http_t;
 
 bool platform_http_init(platform_http_t *, struct event_base *, relay_node_t *,
     const platform_store_t *, const node_file_t *, err_t *);
+/** Apply the limits of connections that the node has now. */
+void platform_http_limits_set(platform_http_t *);
 void platform_http_finish(platform_http_t *);
 
 #endif
--- a/moortack/relay/relay_inbound.c
+++ b/moortack/relay/relay_inbound.c
@@ -89,12 +89,21 @@
 	    : 0;
 }
 
-static const http_inbound_ops_t inbound_ops = {on_request,
-    on_caller_disconnected, on_drained, on_bad_message, caller_wait_ms};
-
-static const http_inbound_ops_t forward_inbound_ops = {on_forwarded_request,
-    on_caller_disconnected, on_drained, on_bad_forwarded_message,
-    caller_wait_ms};
+static const http_inbound_ops_t inbound_ops = {
+    .on_request = on_request,
+    .on_closed = on_caller_disconnected,
+    .on_drained = on_drained,
+    .on_refused = on_bad_message,
+    .caller_wait_ms = caller_wait_ms,
+};
+
+static const http_inbound_ops_t forward_inbound_ops = {
+    .on_request = on_forwarded_request,
+    .on_closed = on_caller_disconnected,
+    .on_drained = on_drained,
+    .on_refused = on_bad_forwarded_message,
+    .caller_wait_ms = caller_wait_ms,
+};
 
 static size_t
 inbound_bytes_max(const relay_t *relay)
--- a/test/unit/slow_caller_test.c
+++ b/test/unit/slow_caller_test.c
@@ -81,7 +81,11 @@
 }
 
 static const http_inbound_ops_t ops = {
-    on_request, on_conn, on_conn, on_refused, NULL};
+    .on_request = on_request,
+    .on_closed = on_conn,
+    .on_drained = on_conn,
+    .on_refused = on_refused,
+};
 
 static void
 run_loop(const fixture_t *fixture, int ms)
