--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -77,6 +77,8 @@
 		inbound_free(conn);
 		return;
 	}
+	if (conn->server->tls != NULL)
+		tls_close_notify(conn->bev);
 	shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
 	inbound_wait_start(conn, INBOUND_WAIT_CLOSE);
 }
@@ -324,6 +326,9 @@
 	http_inbound_t *conn = arg;
 	http_inbound_server_t *server = conn->server;
 
+	/* The TLS handshake is complete. */
+	if ((what & BEV_EVENT_CONNECTED) != 0)
+		return;
 	if ((what & BEV_EVENT_TIMEOUT) != 0 &&
 	    (what & BEV_EVENT_WRITING) != 0 && write_continue(conn))
 		return;
@@ -361,7 +366,9 @@
 	}
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
 	conn->server = server;
-	conn->bev = bufferevent_socket_new(server->base, fd, 0);
+	conn->bev = server->tls != NULL
+	    ? tls_server_bufferevent(server->tls, server->base, fd)
+	    : bufferevent_socket_new(server->base, fd, 0);
 	if (conn->bev == NULL) {
 		evutil_closesocket(fd);
 		free(conn);
--- a/common/http_inbound_priv.h
+++ b/common/http_inbound_priv.h
@@ -14,6 +14,7 @@
 #include <event2/listener.h>
 
 #include "common/http_inbound.h"
+#include "common/tls.h"
 
 /** How long a closing connection is still read after its last byte was written,
  * since a reset by unread bytes could destroy the response before the caller
@@ -72,6 +73,7 @@
 	const http_inbound_ops_t *ops;
 	void *arg;
 	http_inbound_limits_t limits;
+	tls_t *tls; /**< NULL: plain HTTP */
 	struct event accept_timer; /**< ends a pause of accepting */
 	inbound_share_t share;
 	http_inbound_t *connections;
@@ -89,6 +91,8 @@
 /** Limit what the system receives for connections before it is read. Call it
  * before the first one is accepted. */
 void inbound_receive_buffer_limit(evutil_socket_t listener);
+/** Set what each connection takes beside its request. */
+void inbound_connection_bytes_set(http_inbound_server_t *);
 /** Account for what the connection holds now. */
 void inbound_charge(http_inbound_t *);
 /** Make room for a new connection. @return false: there is none */
--- a/common/http_inbound_room.c
+++ b/common/http_inbound_room.c
@@ -5,8 +5,10 @@
 
 /* What a connection takes beside what was received and is unsent: its buffers
  * and timers, about 3 KB, and what the system receives for it before it is
- * read, half as much again as the size of the receive buffer. */
+ * read, half as much again as the size of the receive buffer. TLS adds its
+ * state and its buffers. */
 #define CONNECTION_BYTES 16384
+#define TLS_BYTES 57344
 #define RECEIVE_BUFFER 8192
 /* The same for a connection that receives a large body; more than its first
  * receive buffer does not slow down callers that are some ms away. */
@@ -70,8 +72,8 @@
 	    ? evbuffer_get_length(conn->reader.msg.body)
 	    : conn->request_bytes;
 
-	return CONNECTION_BYTES + conn->receive_bytes + conn->handler_bytes +
-	    body + http_reader_head_bytes(&conn->reader) +
+	return conn->server->share.connection_bytes + conn->receive_bytes +
+	    conn->handler_bytes + body + http_reader_head_bytes(&conn->reader) +
 	    evbuffer_get_length(bufferevent_get_input(conn->bev)) +
 	    http_inbound_unsent_bytes(conn);
 }
@@ -97,8 +99,7 @@
 {
 	http_inbound_t *conn = entry->owner;
 
-	if (entry->phase == BUDGET_INCOMPLETE &&
-	    entry->bytes >= BUDGET_LARGE_BYTES) {
+	if (entry->phase == BUDGET_INCOMPLETE && budget_entry_is_large(entry)) {
 		refuse_without_room(conn);
 		return;
 	}
@@ -122,6 +123,13 @@
 	return true;
 }
 
+void
+inbound_connection_bytes_set(http_inbound_server_t *server)
+{
+	server->share.connection_bytes =
+	    CONNECTION_BYTES + (server->tls != NULL ? TLS_BYTES : 0);
+}
+
 bool
 inbound_accept_room(http_inbound_server_t *server)
 {
@@ -134,7 +142,7 @@
 			return false;
 		give_way(victim);
 	}
-	return room_make(share->budget, CONNECTION_BYTES, false, NULL);
+	return room_make(share->budget, share->connection_bytes, false, NULL);
 }
 
 bool
@@ -154,7 +162,7 @@
 {
 	inbound_charge(conn);
 	if (room_make(conn->server->share.budget, 0,
-		conn->entry.bytes >= BUDGET_LARGE_BYTES, &conn->entry))
+		budget_entry_is_large(&conn->entry), &conn->entry))
 		return true;
 	refuse_without_room(conn);
 	return false;
@@ -172,8 +180,8 @@
 	if (server->ops->bodies_discarded)
 		return ERR_NONE;
 	if (announced &&
-	    !inbound_budget_may_fit(server->share.budget,
-		CONNECTION_BYTES + (size_t)parser->content_length)) {
+	    !inbound_share_may_fit(
+		&server->share, (size_t)parser->content_length)) {
 		server->share.budget->refused++;
 		return ERR_MEMORY;
 	}
@@ -190,6 +198,28 @@
 	inbound_charge(conn);
 }
 
+bool
+http_inbound_reserve(http_inbound_t *conn, size_t bytes)
+{
+	http_inbound_set_handler_bytes(conn, bytes);
+	if (room_make(conn->server->share.budget, 0,
+		budget_entry_is_large(&conn->entry), &conn->entry))
+		return true;
+	http_inbound_set_handler_bytes(conn, 0);
+	conn->server->share.budget->refused++;
+	return false;
+}
+
+void
+http_inbound_release_body(http_inbound_t *conn)
+{
+	struct evbuffer *body = conn->reader.msg.body;
+
+	evbuffer_drain(body, evbuffer_get_length(body));
+	conn->request_bytes = 0;
+	inbound_charge(conn);
+}
+
 void
 http_inbound_make_room(http_inbound_server_t *server)
 {
--- a/common/http_inbound_server.c
+++ b/common/http_inbound_server.c
@@ -1,6 +1,8 @@
 #include "http_inbound_priv.h"
 
 #include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <inttypes.h>
 #include <math.h>
 #include <netinet/in.h>
 #include <stdlib.h>
@@ -84,6 +86,7 @@
 	event_assign(
 	    &server->accept_timer, base, -1, 0, on_accept_pause_over, server);
 	inbound_share_init(&server->share, budget);
+	inbound_connection_bytes_set(server);
 	return server;
 }
 
@@ -108,6 +111,13 @@
 	http_inbound_make_room(server);
 }
 
+void
+http_inbound_set_tls(http_inbound_server_t *server, tls_t *tls)
+{
+	server->tls = tls;
+	inbound_connection_bytes_set(server);
+}
+
 void
 http_inbound_pause_accepting(http_inbound_server_t *server, bool pause)
 {
@@ -223,3 +233,43 @@
 {
 	return server->share.connections;
 }
+
+static void
+metric_write(struct evbuffer *out, const char *prefix, const char *name,
+    const char *type, const char *help, uint64_t value)
+{
+	evbuffer_add_printf(out,
+	    "# HELP %s_inbound_%s %s\n# TYPE %s_inbound_%s %s\n"
+	    "%s_inbound_%s %" PRIu64 "\n",
+	    prefix, name, help, prefix, name, type, prefix, name, value);
+}
+
+void
+http_inbound_write_metrics(
+    const inbound_budget_t *budget, const char *prefix, struct evbuffer *out)
+{
+	static const char *const phases[BUDGET_BUSY] = {
+	    "closing", "idle", "incomplete"};
+
+	metric_write(out, prefix, "bytes", "gauge",
+	    "Memory that callers' connections hold, with what the system "
+	    "receives for them.",
+	    budget->bytes);
+	metric_write(out, prefix, "bytes_max", "gauge",
+	    "Memory that they may hold together.", budget->bytes_max);
+	metric_write(out, prefix, "connections", "gauge",
+	    "Connections of callers, over all listeners.", budget->connections);
+	metric_write(out, prefix, "refused_total", "counter",
+	    "Requests for which no memory was left.", budget->refused);
+	metric_write(out, prefix, "turned_away_total", "counter",
+	    "New connections that were closed at once, as none gave way.",
+	    budget->turned_away);
+	evbuffer_add_printf(out,
+	    "# HELP %s_inbound_closed_total Connections that gave way, by what "
+	    "they did.\n# TYPE %s_inbound_closed_total counter\n",
+	    prefix, prefix);
+	for (int i = 0; i < BUDGET_BUSY; i++)
+		evbuffer_add_printf(out,
+		    "%s_inbound_closed_total{phase=\"%s\"} %" PRIu64 "\n",
+		    prefix, phases[i], budget->closed[i]);
+}
--- a/common/inbound_budget.c
+++ b/common/inbound_budget.c
@@ -51,11 +51,18 @@
 	TAILQ_REMOVE(&share->budget->shares, share, next);
 }
 
+bool
+budget_entry_is_large(const budget_entry_t *entry)
+{
+	return entry->bytes >=
+	    entry->share->connection_bytes + BUDGET_LARGE_BYTES;
+}
+
 static bool
 is_listed_by_size(const budget_entry_t *entry)
 {
 	return entry->phase == BUDGET_INCOMPLETE &&
-	    entry->bytes >= BUDGET_LARGE_BYTES;
+	    budget_entry_is_large(entry);
 }
 
 static void
@@ -156,11 +163,13 @@
 }
 
 bool
-inbound_budget_may_fit(const inbound_budget_t *budget, size_t bytes)
+inbound_share_may_fit(const inbound_share_t *share, size_t bytes)
 {
+	const inbound_budget_t *budget = share->budget;
 	size_t max = limit(budget, bytes >= BUDGET_LARGE_BYTES);
+	size_t wanted = share->connection_bytes + bytes;
 
-	return budget->busy_bytes <= max && bytes <= max - budget->busy_bytes;
+	return budget->busy_bytes <= max && wanted <= max - budget->busy_bytes;
 }
 
 bool
--- a/common/tls.c
+++ b/common/tls.c
@@ -72,19 +72,32 @@
 	free(tls);
 }
 
-static struct bufferevent *
-server_bufferevent(struct event_base *base, void *arg)
+struct bufferevent *
+tls_server_bufferevent(tls_t *tls, struct event_base *base, evutil_socket_t fd)
 {
-	tls_t *tls = arg;
+	SSL *ssl = SSL_new(tls->context);
+	struct bufferevent *bev;
 
-	return bufferevent_openssl_socket_new(base, -1, SSL_new(tls->context),
-	    BUFFEREVENT_SSL_ACCEPTING, BEV_OPT_CLOSE_ON_FREE);
+	if (ssl == NULL)
+		return NULL;
+	bev = bufferevent_openssl_socket_new(
+	    base, fd, ssl, BUFFEREVENT_SSL_ACCEPTING, BEV_OPT_CLOSE_ON_FREE);
+	if (bev == NULL) {
+		SSL_free(ssl);
+		return NULL;
+	}
+	bufferevent_openssl_set_allow_dirty_shutdown(bev, 1);
+	return bev;
 }
 
 void
-tls_server_enable(tls_t *tls, struct evhttp *http)
+tls_close_notify(struct bufferevent *bev)
 {
-	evhttp_set_bevcb(http, server_bufferevent, tls);
+	SSL *ssl = bufferevent_openssl_get_ssl(bev);
+
+	if (ssl != NULL && SSL_is_init_finished(ssl))
+		SSL_shutdown(ssl);
+	ERR_clear_error();
 }
 
 struct evhttp_connection *
--- a/include/common/http_inbound.h
+++ b/include/common/http_inbound.h
@@ -17,6 +17,8 @@
 typedef struct http_inbound http_inbound_t;
 typedef struct http_inbound_server http_inbound_server_t;
 
+struct tls;
+
 /** Limits on what callers may send, from the current configuration. */
 typedef struct http_inbound_limits {
 	size_t head_max;	  /**< bytes */
@@ -60,6 +62,9 @@
 void
 http_inbound_set_limits(http_inbound_server_t *, const http_inbound_limits_t *);
 
+/** Use TLS on new connections. @param tls NULL: plain HTTP */
+void http_inbound_set_tls(http_inbound_server_t *, struct tls *tls);
+
 /** Close connections until their number and what they hold are within the
  * limits, if these were lowered. */
 void http_inbound_make_room(http_inbound_server_t *);
@@ -90,6 +95,13 @@
 void http_inbound_set_caller_wait(http_inbound_t *, int64_t ms);
 /** Account for bytes that the handler of the request holds beside its body. */
 void http_inbound_set_handler_bytes(http_inbound_t *, size_t bytes);
+/** The same, if there is room for them. @return false: there is none */
+bool http_inbound_reserve(http_inbound_t *, size_t bytes);
+/** The handler no longer needs the body of the request. */
+void http_inbound_release_body(http_inbound_t *);
+/** Write the metrics of a process. @param prefix of their names */
+void http_inbound_write_metrics(
+    const inbound_budget_t *, const char *prefix, struct evbuffer *out);
 void http_inbound_set_user_data(http_inbound_t *, void *user_data);
 void *http_inbound_user_data(const http_inbound_t *);
 
--- a/include/common/inbound_budget.h
+++ b/include/common/inbound_budget.h
@@ -13,8 +13,9 @@
 #include <stdint.h>
 #include <sys/queue.h>
 
-/** From this size on, in bytes, a request is large: it has no part in the
- * reserve for small ones, and gives way before idle connections do. */
+/** From this size on, in bytes, a request is large, beside its connection: it
+ * has no part in the reserve for small ones, and gives way before idle
+ * connections do. */
 #define BUDGET_LARGE_BYTES 65536
 /** Size classes of large requests: each of twice the size of the one before. */
 #define BUDGET_SIZE_CLASSES 24
@@ -50,6 +51,7 @@
 struct inbound_share {
 	inbound_budget_t *budget;
 	uint32_t connections_max;
+	size_t connection_bytes; /**< that each takes beside its request */
 	uint32_t connections;
 	budget_list_t phases[BUDGET_PHASES]; /**< oldest first */
 	TAILQ_ENTRY(inbound_share) next;
@@ -74,7 +76,8 @@
 /** Change the limit. What is held beyond it stays until room is made. */
 void inbound_budget_set_max(inbound_budget_t *, size_t bytes_max);
 
-/** Add a listener, without a limit of connections. */
+/** Add a listener, without a limit of connections, which take nothing beside
+ * their requests. */
 void inbound_share_init(inbound_share_t *, inbound_budget_t *);
 /** Remove a listener without connections. */
 void inbound_share_finish(inbound_share_t *);
@@ -85,14 +88,16 @@
 /** Set what a connection does and holds now. */
 void budget_entry_set(budget_entry_t *, budget_phase_t, size_t bytes);
 void budget_entry_remove(budget_entry_t *);
+/** Whether the connection has a large request. */
+bool budget_entry_is_large(const budget_entry_t *);
 
 /** Whether there is room for further bytes of a request.
  * @param large the request has no part in the reserve */
 bool
 inbound_budget_has_room(const inbound_budget_t *, size_t bytes, bool large);
-/** Whether a request of this size finds room even if all connections that may
- * give way do. */
-bool inbound_budget_may_fit(const inbound_budget_t *, size_t bytes);
+/** Whether a request of this size finds room if all connections that may give
+ * way do. */
+bool inbound_share_may_fit(const inbound_share_t *, size_t bytes);
 /** Whether more than half of the bytes are in use. */
 bool inbound_budget_is_crowded(const inbound_budget_t *);
 /** The largest request that finds room when nothing else is held, in bytes. */
--- a/include/common/tls.h
+++ b/include/common/tls.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * TLS for evhttp, by OpenSSL through libevent's bufferevents, version 1.2 or
+ * TLS by OpenSSL through libevent's bufferevents, version 1.2 or
  * newer.
  */
 #ifndef COMMON_TLS_H
@@ -21,8 +21,12 @@
 
 void tls_free(tls_t *);
 
-/** Use TLS on every connection of the server. */
-void tls_server_enable(tls_t *, struct evhttp *);
+/** The server's side of a TLS connection. It owns the socket, unless it fails.
+ * @return NULL: no memory is left */
+struct bufferevent *
+tls_server_bufferevent(tls_t *, struct event_base *, evutil_socket_t fd);
+/** Tell the peer that nothing more is sent. */
+void tls_close_notify(struct bufferevent *);
 
 /** A TLS connection to a host, given as an IP address, which the certificate
  * must name. */
--- a/include/moortack/exchange/deferred.h
+++ b/include/moortack/exchange/deferred.h
@@ -19,10 +19,10 @@
 #include "moortack/ledger/bill.h"
 
 /** Accept a chat request whose caller prefers an asynchronous response. */
-void deferred_accept(front_t *, struct evhttp_request *);
+void deferred_accept(front_t *, http_request_t *);
 
 /** Respond to GET /v1/deferred/ID. @param id what follows the prefix */
-void deferred_collect(front_t *, struct evhttp_request *, const char *id);
+void deferred_collect(front_t *, http_request_t *, const char *id);
 
 /** Attempts of the job, over all its runs so far, that were interrupted. */
 uint32_t deferred_interrupted_attempts(const deferred_job_t *);
--- a/include/moortack/exchange/exchange.h
+++ b/include/moortack/exchange/exchange.h
@@ -9,6 +9,7 @@
 #include <event2/http.h>
 
 #include "common/err.h"
+#include "common/http_request.h"
 #include "moortack/exchange/session.h"
 #include "moortack/exchange/sse.h"
 #include "moortack/ledger/bill.h"
@@ -40,7 +41,7 @@
 	front_t *front;
 	uint64_t tag; /**< of its messages: see front_exchange_find() */
 	exchange_phase_t phase;
-	struct evhttp_request *req; /**< NULL: no caller, or disconnected */
+	http_request_t *req; /**< NULL: no caller, or disconnected */
 	deferred_job_t *job; /**< deferred request that it runs; else NULL */
 	char id[EXCHANGE_ID_SIZE];
 	char organisation[CONFIG_NAME_SIZE];
@@ -96,7 +97,7 @@
 } exchange_t;
 
 /** Handle a chat completion request. It always gets a response. */
-void exchange_chat_start(front_t *, struct evhttp_request *);
+void exchange_chat_start(front_t *, http_request_t *);
 
 /** Run a deferred chat request, which has no caller. @param body its members
  * are shared
@@ -109,8 +110,7 @@
 bool exchange_has_recipient(const exchange_t *);
 
 /** Handle a request to a plain service. @param path what follows the prefix */
-void
-exchange_service_start(front_t *, struct evhttp_request *, const char *path);
+void exchange_service_start(front_t *, http_request_t *, const char *path);
 
 /** Select the version that a new session on the exchange's model gets.
  * @return false with @p err filled when there is none */
--- a/include/moortack/options.h
+++ b/include/moortack/options.h
@@ -53,6 +53,7 @@
 	int64_t orders_lease_ms;
 	int64_t lease_ms; /**< of a deferred request */
 	int64_t body_max;
+	int64_t memory_mb; /**< of the VM */
 	int64_t retry_percent;
 	int64_t guard;
 	int64_t guard_limit;
--- a/include/standin/engine_stream.h
+++ b/include/standin/engine_stream.h
@@ -8,8 +8,8 @@
 
 #include <uthash.h>
 
-#include "common/http_server.h"
 #include "standin/fake.h"
+#include "standin/http_server.h"
 
 #define ENGINE_ID_SIZE 80
 #define ENGINE_PROMPT_SIZE 4096
--- a/include/common/http_server.h
+++ b/include/standin/http_server.h
@@ -2,8 +2,8 @@
  * @file
  * Helpers for requests that evhttp serves.
  */
-#ifndef COMMON_HTTP_SERVER_H
-#define COMMON_HTTP_SERVER_H
+#ifndef STANDIN_HTTP_SERVER_H
+#define STANDIN_HTTP_SERVER_H
 
 #include <event2/http.h>
 #include <jansson.h>
@@ -11,17 +11,17 @@
 #include "common/err.h"
 
 /** The value of a request header, or NULL. */
-const char *http_request_header(struct evhttp_request *, const char *name);
+const char *standin_request_header(struct evhttp_request *, const char *name);
 
 /** Copy a query parameter of the request to @p out. @return false if absent */
-bool http_request_query_param(
+bool standin_request_query_param(
     struct evhttp_request *, const char *name, char *out, size_t size);
 
 /** The request body as a JSON object, or NULL with @p err set. */
-json_t *http_request_json(struct evhttp_request *, err_t *err);
+json_t *standin_request_json(struct evhttp_request *, err_t *err);
 
 /** Respond with a JSON value; takes over its reference. */
-void http_respond_json(struct evhttp_request *, int status, json_t *value);
+void standin_respond_json(struct evhttp_request *, int status, json_t *value);
 
 /**
  * Call @p closed when the caller closes the connection while its request is
@@ -32,14 +32,14 @@
  * as the caller sends more ("illegal connection state"), so that callback is
  * removed until the response is sent.
  */
-void http_request_watch_close(struct evhttp_request *,
+void standin_watch_close(struct evhttp_request *,
     void (*closed)(struct evhttp_connection *, void *), void *arg);
 
 /** Stop watching the connection. */
-void http_request_unwatch_close(struct evhttp_request *);
+void standin_unwatch_close(struct evhttp_request *);
 
 /** Add a header to the response. */
-void http_response_add_header(
+void standin_response_add_header(
     struct evhttp_request *, const char *name, const char *value);
 
 #endif
--- a/moortack/exchange/arrival.c
+++ b/moortack/exchange/arrival.c
@@ -2,7 +2,7 @@
 
 #include <stdlib.h>
 
-#include "common/http_server.h"
+#include "common/http_request.h"
 
 #define DEADLINE_MAX_MS 3600000
 
@@ -82,7 +82,7 @@
 }
 
 static bool
-is_at_most_once(struct evhttp_request *req)
+is_at_most_once(http_request_t *req)
 {
 	return http_request_header(req, TICKET_HEADER) != NULL ||
 	    http_request_header(req, IDEMPOTENCY_KEY_HEADER) != NULL;
@@ -91,7 +91,7 @@
 /* A request with a ticket or key may have run before, although it is refused
  * here. */
 void
-arrival_refuse(front_t *front, struct evhttp_request *req, const err_t *err)
+arrival_refuse(front_t *front, http_request_t *req, const err_t *err)
 {
 	timeline_add(front->process.timeline, EVENT_REQUEST_REFUSED, "", "%s",
 	    err_info(err->code)->name);
--- a/moortack/exchange/arrival.h
+++ b/moortack/exchange/arrival.h
@@ -11,7 +11,7 @@
 /** What is known of a request before its body is parsed. */
 typedef struct arrival {
 	front_t *front;
-	struct evhttp_request *req;
+	http_request_t *req;
 	handle_t organisation;
 	class_t class;
 	/** Admission pools that it may go to; arrival_admit() replaces 0 by
@@ -26,7 +26,7 @@
 bool arrival_admit(arrival_t *, err_t *err);
 
 /** Respond that the request is refused. */
-void arrival_refuse(front_t *, struct evhttp_request *, const err_t *);
+void arrival_refuse(front_t *, http_request_t *, const err_t *);
 
 /** Set the exchange's deadline from the request's header, or to the default.
  * @return false with @p err filled when the header is invalid */
--- a/moortack/exchange/attempt.c
+++ b/moortack/exchange/attempt.c
@@ -6,7 +6,7 @@
 
 #include "../front/front_priv.h"
 #include "common/http_call.h"
-#include "common/http_server.h"
+#include "common/http_request.h"
 #include "common/log.h"
 
 #define RESPONSE_MAX (32 << 20)
@@ -52,15 +52,13 @@
 void
 exchange_response_headers_add(exchange_t *exchange)
 {
-	struct evhttp_request *req = exchange->req;
+	http_request_t *req = exchange->req;
 
 	session_header_add(exchange);
 	http_response_add_header(req, "Moortack-Version", exchange->version);
 	http_response_add_header(
 	    req, "Moortack-Place", exchange->endpoint_place);
 	http_response_add_header(req, "Moortack-Request", exchange->id);
-	if (exchange->front->draining)
-		http_response_add_header(req, "Connection", "close");
 }
 
 static void
@@ -77,9 +75,9 @@
 			exchange_response_headers_add(exchange);
 			http_response_add_header(
 			    exchange->req, "Content-Type", "text/event-stream");
-			evhttp_send_reply_start(exchange->req, STATUS_OK, "OK");
+			http_request_stream_begin(exchange->req, STATUS_OK);
 		}
-		evhttp_send_reply_chunk(exchange->req, out);
+		http_request_stream_write(exchange->req, out);
 	}
 	evbuffer_free(out);
 }
--- a/moortack/exchange/begin.c
+++ b/moortack/exchange/begin.c
@@ -6,7 +6,7 @@
 
 #include "../front/front_priv.h"
 #include "arrival.h"
-#include "common/http_server.h"
+#include "common/http_request.h"
 #include "moortack/exchange/deferred.h"
 
 #define IDEMPOTENCY_KEY_MAX 128
@@ -222,18 +222,12 @@
 }
 
 static void
-caller_disconnected(struct evhttp_connection *conn, void *arg)
+caller_disconnected(void *arg)
 {
 	exchange_t *exchange = arg;
 	front_t *front = exchange->front;
-	struct evhttp_request *req = exchange->req;
 
-	(void)conn;
 	exchange->req = NULL;
-	if (front->stopping)
-		return;
-	/* libevent doesn't free a request whose connection failed. */
-	evhttp_request_free(req);
 	counter_add(front->process.counters, COUNTER_CALLERS_DISCONNECTED, 1);
 	/* A request that may run at most once continues, so that its outcome
 	 * becomes known. */
@@ -251,7 +245,7 @@
 	timeline_add(arrival->front->process.timeline, EVENT_REQUEST_ACCEPTED,
 	    exchange->id, "%.20s %.24s", exchange->organisation,
 	    exchange->version);
-	http_request_watch_close(arrival->req, caller_disconnected, exchange);
+	http_request_set_closed(arrival->req, caller_disconnected, exchange);
 	if (exchange->phase == PHASE_QUEUED)
 		exchange_dispatch(exchange);
 }
@@ -296,7 +290,7 @@
 }
 
 static bool
-prefers_async(struct evhttp_request *req)
+prefers_async(http_request_t *req)
 {
 	const char *prefer = http_request_header(req, "Prefer");
 
@@ -335,7 +329,7 @@
 }
 
 void
-exchange_chat_start(front_t *front, struct evhttp_request *req)
+exchange_chat_start(front_t *front, http_request_t *req)
 {
 	arrival_t arrival = {.front = front,
 	    .req = req,
@@ -413,8 +407,7 @@
 }
 
 void
-exchange_service_start(
-    front_t *front, struct evhttp_request *req, const char *path)
+exchange_service_start(front_t *front, http_request_t *req, const char *path)
 {
 	arrival_t arrival = {.front = front,
 	    .req = req,
--- a/moortack/exchange/deferred.c
+++ b/moortack/exchange/deferred.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "../front/front_priv.h"
-#include "common/http_server.h"
+#include "common/http_request.h"
 
 #define ID_BYTES 16
 #define ID_SIZE 33
@@ -17,7 +17,7 @@
 /** A caller that waits until its request is stored. */
 typedef struct accept_call {
 	front_t *front;
-	struct evhttp_request *req;
+	http_request_t *req;
 	char id[ID_SIZE];
 	char *row;
 	int attempts;
@@ -26,7 +26,7 @@
 /** A caller that waits for a result. */
 typedef struct collect_call {
 	front_t *front;
-	struct evhttp_request *req;
+	http_request_t *req;
 	char organisation[CONFIG_NAME_SIZE];
 	char queue_key[ROW_KEY_SIZE];
 	char result_key[ROW_KEY_SIZE];
@@ -133,7 +133,7 @@
 }
 
 void
-deferred_accept(front_t *front, struct evhttp_request *req)
+deferred_accept(front_t *front, http_request_t *req)
 {
 	const organisation_t *organisation = config_organisation_at(
 	    front->config, auth_organisation(front, req));
@@ -230,7 +230,7 @@
 }
 
 void
-deferred_collect(front_t *front, struct evhttp_request *req, const char *id)
+deferred_collect(front_t *front, http_request_t *req, const char *id)
 {
 	handle_t organisation = auth_organisation(front, req);
 	collect_call_t *call;
--- a/moortack/exchange/dispatch.c
+++ b/moortack/exchange/dispatch.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "../front/front_priv.h"
-#include "common/http_server.h"
+#include "common/http_request.h"
 #include "common/log.h"
 
 static bool
--- a/moortack/exchange/finish.c
+++ b/moortack/exchange/finish.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "../front/front_priv.h"
-#include "common/http_server.h"
+#include "common/http_request.h"
 #include "common/log.h"
 #include "moortack/exchange/deferred.h"
 
@@ -98,8 +98,8 @@
 	struct evbuffer *out = evbuffer_new();
 
 	evbuffer_add(out, done_event, sizeof(done_event) - 1);
-	evhttp_send_reply_chunk(exchange->req, out);
-	evhttp_send_reply_end(exchange->req);
+	http_request_stream_write(exchange->req, out);
+	http_request_stream_end(exchange->req);
 	evbuffer_free(out);
 }
 
@@ -109,8 +109,8 @@
 	exchange_response_headers_add(exchange);
 	http_response_add_header(
 	    exchange->req, "Content-Type", "application/json");
-	evhttp_send_reply(
-	    exchange->req, exchange->status, NULL, exchange->response_body);
+	http_request_respond(
+	    exchange->req, exchange->status, exchange->response_body);
 }
 
 void
@@ -119,7 +119,7 @@
 	front_t *front = exchange->front;
 
 	if (exchange->req != NULL) {
-		http_request_unwatch_close(exchange->req);
+		http_request_set_closed(exchange->req, NULL, NULL);
 		if (exchange->streaming)
 			stream_finish(exchange);
 		else
@@ -147,8 +147,8 @@
 
 	json_decref(body);
 	evbuffer_add_printf(out, "event: error\ndata: %s\n\n", text);
-	evhttp_send_reply_chunk(exchange->req, out);
-	evhttp_send_reply_end(exchange->req);
+	http_request_stream_write(exchange->req, out);
+	http_request_stream_end(exchange->req);
 	evbuffer_free(out);
 	free(text);
 	counter_add(front->process.counters, COUNTER_STREAMS_TRUNCATED, 1);
@@ -184,7 +184,7 @@
 static void
 failure_send(exchange_t *exchange, const err_t *err)
 {
-	http_request_unwatch_close(exchange->req);
+	http_request_set_closed(exchange->req, NULL, NULL);
 	if (exchange->response_started) {
 		stream_fail(exchange, err);
 	} else {
--- a/moortack/exchange/ticketing.c
+++ b/moortack/exchange/ticketing.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "../front/front_priv.h"
-#include "common/http_server.h"
+#include "common/http_request.h"
 
 static void
 witness_query(exchange_t *exchange, int which, witness_op_t op,
@@ -59,7 +59,7 @@
 response_replay(exchange_t *exchange, int status, const char *body)
 {
 	struct evbuffer *out;
-	struct evhttp_request *req = exchange->req;
+	http_request_t *req = exchange->req;
 
 	if (body == NULL || req == NULL) {
 		exchange_fail(exchange, ERR_TICKET_USED,
@@ -68,10 +68,10 @@
 	}
 	out = evbuffer_new();
 	evbuffer_add(out, body, strlen(body));
-	http_request_unwatch_close(req);
+	http_request_set_closed(req, NULL, NULL);
 	http_response_add_header(req, "Content-Type", "application/json");
 	http_response_add_header(req, "Moortack-Replay", "1");
-	evhttp_send_reply(req, status, NULL, out);
+	http_request_respond(req, status, out);
 	evbuffer_free(out);
 	exchange->req = NULL;
 	exchange_free(exchange);
--- a/moortack/front/admin.c
+++ b/moortack/front/admin.c
@@ -3,20 +3,21 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/http_server.h"
+#include "common/http_request.h"
 #include "front_priv.h"
 
 #define EVENTS_MAX 4096
+#define STATUS_ERROR 500
 
 typedef struct admin_path {
 	const char *path;
-	enum evhttp_cmd_type method;
-	void (*serve)(front_t *, struct evhttp_request *,
-	    const operator_row_t *, const char *path_rest);
+	const char *method;
+	void (*serve)(front_t *, http_request_t *, const operator_row_t *,
+	    const char *path_rest);
 } admin_path_t;
 
 static uint64_t
-slot_acquire(front_t *front, struct evhttp_request *req)
+slot_acquire(front_t *front, http_request_t *req)
 {
 	handle_t handle = 0;
 	admin_slot_t *slot;
@@ -44,7 +45,7 @@
 }
 
 static admin_command_t *
-request_new(front_t *front, struct evhttp_request *req,
+request_new(front_t *front, http_request_t *req,
     const operator_row_t *operator_row, admin_action_t action)
 {
 	admin_command_t *request = calloc(1, sizeof(*request));
@@ -59,7 +60,7 @@
 }
 
 static void
-plan_create(front_t *front, struct evhttp_request *req,
+plan_create(front_t *front, http_request_t *req,
     const operator_row_t *operator_row, const char *path_rest)
 {
 	err_t err;
@@ -79,7 +80,7 @@
 }
 
 static void
-plan_show(front_t *front, struct evhttp_request *req,
+plan_show(front_t *front, http_request_t *req,
     const operator_row_t *operator_row, const char *path_rest)
 {
 	admin_command_t *request =
@@ -91,7 +92,7 @@
 }
 
 static void
-plan_confirm(front_t *front, struct evhttp_request *req,
+plan_confirm(front_t *front, http_request_t *req,
     const operator_row_t *operator_row, const char *path_rest)
 {
 	admin_command_t *request =
@@ -103,7 +104,7 @@
 }
 
 static void
-status_show(front_t *front, struct evhttp_request *req,
+status_show(front_t *front, http_request_t *req,
     const operator_row_t *operator_row, const char *path_rest)
 {
 	(void)path_rest;
@@ -112,7 +113,7 @@
 }
 
 static void
-history_show(front_t *front, struct evhttp_request *req,
+history_show(front_t *front, http_request_t *req,
     const operator_row_t *operator_row, const char *path_rest)
 {
 	admin_command_t *request =
@@ -126,7 +127,7 @@
 }
 
 static void
-timeline_show(front_t *front, struct evhttp_request *req,
+timeline_show(front_t *front, http_request_t *req,
     const operator_row_t *operator_row, const char *path_rest)
 {
 	char subject[TIMELINE_SUBJECT_SIZE] = "";
@@ -164,7 +165,7 @@
 }
 
 static void
-endpoints_list(front_t *front, struct evhttp_request *req,
+endpoints_list(front_t *front, http_request_t *req,
     const operator_row_t *operator_row, const char *path_rest)
 {
 	json_t *list = json_array();
@@ -179,13 +180,13 @@
 
 /* Sorted by path. */
 static const admin_path_t paths[] = {
-    {"confirm/", EVHTTP_REQ_POST, plan_confirm},
-    {"endpoints", EVHTTP_REQ_GET, endpoints_list},
-    {"history", EVHTTP_REQ_GET, history_show},
-    {"plan", EVHTTP_REQ_POST, plan_create},
-    {"plan/", EVHTTP_REQ_GET, plan_show},
-    {"status", EVHTTP_REQ_GET, status_show},
-    {"timeline", EVHTTP_REQ_GET, timeline_show},
+    {"confirm/", "POST", plan_confirm},
+    {"endpoints", "GET", endpoints_list},
+    {"history", "GET", history_show},
+    {"plan", "POST", plan_create},
+    {"plan/", "GET", plan_show},
+    {"status", "GET", status_show},
+    {"timeline", "GET", timeline_show},
 };
 
 /* A path that ends in '/' matches as a prefix, any other must match exactly. */
@@ -200,10 +201,9 @@
 }
 
 void
-admin_request(front_t *front, struct evhttp_request *req, const char *path)
+admin_request(front_t *front, http_request_t *req, const char *path)
 {
 	const operator_row_t *operator_row = auth_operator(front, req);
-	enum evhttp_cmd_type method = evhttp_request_get_command(req);
 	err_t err;
 
 	if (operator_row == NULL) {
@@ -213,7 +213,7 @@
 		return;
 	}
 	for (size_t i = 0; i < sizeof(paths) / sizeof(*paths); i++) {
-		if (paths[i].method == method &&
+		if (http_request_has_method(req, paths[i].method) &&
 		    path_matches(&paths[i], path)) {
 			paths[i].serve(front, req, operator_row,
 			    path + strlen(paths[i].path));
@@ -228,7 +228,7 @@
 admin_respond(front_t *front, admin_response_t *response)
 {
 	admin_slot_t *slot = slot_find(front, response->tag);
-	struct evhttp_request *req;
+	http_request_t *req;
 
 	if (slot == NULL || slot->req == NULL)
 		return;
@@ -243,12 +243,12 @@
 }
 
 void
-metrics_respond(front_t *front, struct evhttp_request *req)
+metrics_respond(front_t *front, http_request_t *req)
 {
 	struct evbuffer *out = evbuffer_new();
 
 	if (out == NULL) {
-		evhttp_send_error(req, HTTP_INTERNAL, NULL);
+		http_request_respond(req, STATUS_ERROR, NULL);
 		return;
 	}
 	counters_write(front->process.counters, out);
@@ -261,8 +261,9 @@
 	    front->exchange_count, front->admission.waiting_count,
 	    front->billing_status.unflushed_count,
 	    (unsigned long long)front->config->revision);
+	http_inbound_write_metrics(&front->inbound_budget, "moortack", out);
 	http_response_add_header(
 	    req, "Content-Type", "text/plain; version=0.0.4");
-	evhttp_send_reply(req, 200, NULL, out);
+	http_request_respond(req, 200, out);
 	evbuffer_free(out);
 }
--- a/moortack/front/answer.c
+++ b/moortack/front/answer.c
@@ -1,7 +1,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 
-#include "common/http_server.h"
+#include "common/http_request.h"
 #include "front_priv.h"
 
 #define MS_PER_SEC 1000
@@ -32,7 +32,7 @@
 }
 
 void
-failure_respond(front_t *front, struct evhttp_request *req, const err_t *err,
+failure_respond(front_t *front, http_request_t *req, const err_t *err,
     const char *execution, json_t *extra)
 {
 	const err_info_t *info = err_info(err->code);
@@ -49,7 +49,5 @@
 		    (after_ms + MS_PER_SEC - 1) / MS_PER_SEC);
 		http_response_add_header(req, "Retry-After", seconds);
 	}
-	if (front->draining)
-		http_response_add_header(req, "Connection", "close");
 	http_respond_json(req, info->http_status, body);
 }
--- a/moortack/front/auth.c
+++ b/moortack/front/auth.c
@@ -2,14 +2,14 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "common/http_server.h"
+#include "common/http_request.h"
 #include "front_priv.h"
 
 static const char bearer_prefix[] = "Bearer ";
 
 /* Hash the request's bearer key. Returns false when it has none. */
 static bool
-bearer_key_hash(struct evhttp_request *req, char out[CONFIG_KEY_HASH_SIZE])
+bearer_key_hash(http_request_t *req, char out[CONFIG_KEY_HASH_SIZE])
 {
 	const char *header = http_request_header(req, "Authorization");
 
@@ -21,7 +21,7 @@
 }
 
 handle_t
-auth_organisation(const front_t *front, struct evhttp_request *req)
+auth_organisation(const front_t *front, http_request_t *req)
 {
 	char hash[CONFIG_KEY_HASH_SIZE];
 
@@ -31,7 +31,7 @@
 }
 
 const operator_row_t *
-auth_operator(const front_t *front, struct evhttp_request *req)
+auth_operator(const front_t *front, http_request_t *req)
 {
 	char hash[CONFIG_KEY_HASH_SIZE];
 
--- a/moortack/front/entries.c
+++ b/moortack/front/entries.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "common/http_server.h"
+#include "common/http_request.h"
 #include "front_priv.h"
 
 #define ENTRIES_MAX 4
@@ -86,7 +86,7 @@
 }
 
 void
-entries_respond(front_t *front, struct evhttp_request *req)
+entries_respond(front_t *front, http_request_t *req)
 {
 	entry_t entries[CANDIDATES_MAX];
 	uint32_t count = entries_collect(front, entries);
@@ -138,7 +138,7 @@
 }
 
 void
-tickets_respond(front_t *front, struct evhttp_request *req)
+tickets_respond(front_t *front, http_request_t *req)
 {
 	handle_t organisation = auth_organisation(front, req);
 	json_t *list;
--- a/moortack/front/front.c
+++ b/moortack/front/front.c
@@ -4,27 +4,36 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "common/http_call.h"
-#include "common/http_server.h"
+#include "common/http_request.h"
 #include "common/log.h"
 #include "front_priv.h"
 #include "moortack/exchange/deferred.h"
 
 #define TICK_US 10000
 #define HEADERS_MAX 16384
-#define CALLER_IDLE_TIMEOUT_S 60
+#define CALLER_IDLE_TIMEOUT_MS 60000
+/* The part of the memory that callers' connections and requests may take. */
+#define INBOUND_MEMORY_DIVISOR 2
+#define INBOUND_MEMORY_LESS_MB 4
+#define MB 1048576
+/* Descriptors that are not sockets. */
+#define FILES 200
+#define DESCRIPTORS_DEFAULT 4100
+#define CALLERS_MIN 8
 #define LISTEN_MARGIN_MS \
 	200 /* time for draining to reach the other daemons' lists */
 
 typedef struct front_path {
 	const char *path;
-	enum evhttp_cmd_type method;
-	void (*serve)(front_t *, struct evhttp_request *);
+	const char *method;
+	void (*serve)(front_t *, http_request_t *);
 } front_path_t;
 
 static void
-healthz_respond(front_t *front, struct evhttp_request *req)
+healthz_respond(front_t *front, http_request_t *req)
 {
 	err_t err;
 
@@ -37,29 +46,25 @@
 
 /* Sorted by path. */
 static const front_path_t paths[] = {
-    {"/healthz", EVHTTP_REQ_GET, healthz_respond},
-    {"/metrics", EVHTTP_REQ_GET, metrics_respond},
-    {"/v1/chat/completions", EVHTTP_REQ_POST, exchange_chat_start},
-    {"/v1/entries", EVHTTP_REQ_GET, entries_respond},
-    {"/v1/tickets", EVHTTP_REQ_POST, tickets_respond},
+    {"/healthz", "GET", healthz_respond},
+    {"/metrics", "GET", metrics_respond},
+    {"/v1/chat/completions", "POST", exchange_chat_start},
+    {"/v1/entries", "GET", entries_respond},
+    {"/v1/tickets", "POST", tickets_respond},
 };
 
 static void
-request_handle(struct evhttp_request *req, void *arg)
+request_handle(void *arg, http_request_t *req)
 {
 	static const char admin[] = "/admin/";
 	static const char services[] = "/v1/services/";
 	static const char deferred[] = "/v1/deferred/";
 	front_t *front = arg;
-	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(req);
-	const char *path = uri != NULL ? evhttp_uri_get_path(uri) : NULL;
-	enum evhttp_cmd_type method = evhttp_request_get_command(req);
+	const char *path = http_request_path(req);
 	err_t err;
 
-	if (path == NULL)
-		path = "";
 	for (size_t i = 0; i < sizeof(paths) / sizeof(*paths); i++) {
-		if (paths[i].method == method &&
+		if (http_request_has_method(req, paths[i].method) &&
 		    strcmp(paths[i].path, path) == 0) {
 			paths[i].serve(front, req);
 			return;
@@ -68,10 +73,10 @@
 	if (strncmp(path, admin, sizeof(admin) - 1) == 0) {
 		admin_request(front, req, path + sizeof(admin) - 1);
 	} else if (strncmp(path, services, sizeof(services) - 1) == 0 &&
-	    method == EVHTTP_REQ_POST) {
+	    http_request_has_method(req, "POST")) {
 		exchange_service_start(front, req, path + sizeof(services) - 1);
 	} else if (strncmp(path, deferred, sizeof(deferred) - 1) == 0 &&
-	    method == EVHTTP_REQ_GET) {
+	    http_request_has_method(req, "GET")) {
 		deferred_collect(front, req, path + sizeof(deferred) - 1);
 	} else {
 		err_set(&err, ERR_NOT_FOUND, "no such path");
@@ -201,11 +206,11 @@
 static void
 listener_close_when_due(front_t *front, struct timespec now)
 {
-	if (front->listener == NULL ||
+	if (!front->accepting ||
 	    timespec_ms_between(front->listen_until, now) < 0)
 		return;
-	evhttp_del_accept_socket(front->http, front->listener);
-	front->listener = NULL;
+	http_inbound_stop_accepting(front->server.inbound);
+	front->accepting = false;
 	billing_drain(front->billing);
 }
 
@@ -215,7 +220,7 @@
 	if (!front->draining || front->drained_notified)
 		return;
 	listener_close_when_due(front, now);
-	if (front->listener != NULL || front->exchange_count > 0 ||
+	if (front->accepting || front->exchange_count > 0 ||
 	    !front->billing_status.drained)
 		return;
 	front->drained_notified = true;
@@ -240,35 +245,57 @@
 
 /* --- start and stop --------------------------------------------------- */
 
+static void
+message_refuse(void *arg, http_request_t *req, const err_t *err)
+{
+	failure_respond(arg, req, err, NULL, NULL);
+}
+
+/* Half of the descriptors that are no files are left for endpoints. */
+static uint32_t
+callers_max(void)
+{
+	struct rlimit limit;
+	rlim_t descriptors = DESCRIPTORS_DEFAULT;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+	    limit.rlim_cur != RLIM_INFINITY)
+		descriptors = limit.rlim_cur;
+	return descriptors > FILES + 2 * CALLERS_MIN
+	    ? (uint32_t)(descriptors - FILES) / 2
+	    : CALLERS_MIN;
+}
+
 static bool
 http_listen(front_t *front, err_t *err)
 {
+	const options_t *options = front->options;
+	const http_inbound_limits_t limits = {.head_max = HEADERS_MAX,
+	    .body_max = (size_t)options->body_max,
+	    .read_timeout_ms = CALLER_IDLE_TIMEOUT_MS,
+	    .idle_timeout_ms = CALLER_IDLE_TIMEOUT_MS,
+	    .write_timeout_ms = CALLER_IDLE_TIMEOUT_MS,
+	    .connections_max = callers_max()};
 	http_address_t address;
 
-	front->http = evhttp_new(front->process.base);
-	if (front->http == NULL)
-		return err_set(err, ERR_MEMORY, "no memory");
-	if (*front->options->tls_cert != '\0') {
-		front->tls = tls_server_new(
-		    front->options->tls_cert, front->options->tls_key, err);
+	if (*options->tls_cert != '\0') {
+		front->tls =
+		    tls_server_new(options->tls_cert, options->tls_key, err);
 		if (front->tls == NULL)
 			return false;
-		tls_server_enable(front->tls, front->http);
 	}
-	http_address_parse(front->options->listen, &address);
-	evhttp_set_max_body_size(
-	    front->http, (ev_ssize_t)front->options->body_max);
-	evhttp_set_max_headers_size(front->http, HEADERS_MAX);
-	evhttp_set_timeout(front->http, CALLER_IDLE_TIMEOUT_S);
-	evhttp_set_allowed_methods(
-	    front->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST);
-	evhttp_set_gencb(front->http, request_handle, front);
-	front->listener = evhttp_bind_socket_with_handle(
-	    front->http, address.host, address.port);
-	if (front->listener == NULL)
-		return err_set(err, ERR_SETTING, "cannot listen on %s",
-		    front->options->listen);
-	return true;
+	http_address_parse(options->listen, &address);
+	inbound_budget_init(&front->inbound_budget,
+	    (size_t)(options->memory_mb / INBOUND_MEMORY_DIVISOR -
+		INBOUND_MEMORY_LESS_MB) *
+		MB);
+	front->server = (http_request_server_t){.on_request = request_handle,
+	    .on_refused = message_refuse,
+	    .arg = front};
+	front->accepting =
+	    http_request_listen(&front->server, front->process.base,
+		&front->inbound_budget, &address, front->tls, &limits, err);
+	return front->accepting;
 }
 
 static void
@@ -356,6 +383,7 @@
 front_drain(front_t *front)
 {
 	front->draining = true;
+	http_inbound_drain(front->server.inbound);
 	front->listen_until =
 	    timespec_add_ms(clock_boottime(front->process.clock),
 		front->options->entries_ttl_ms + LISTEN_MARGIN_MS);
@@ -395,8 +423,7 @@
 			exchange_free(slot->exchange);
 	}
 	upstreams_free(front);
-	if (front->http != NULL)
-		evhttp_free(front->http);
+	http_request_server_finish(&front->server);
 	tls_free(front->tls);
 	task_finish(&front->task);
 	table_finish(&front->exchange_slots);
--- a/moortack/front/front_priv.h
+++ b/moortack/front/front_priv.h
@@ -5,6 +5,7 @@
 #ifndef MOORTACK_FRONT_FRONT_PRIV_H
 #define MOORTACK_FRONT_FRONT_PRIV_H
 
+#include "common/http_request.h"
 #include "common/tls.h"
 #include "moortack/exchange/exchange.h"
 #include "moortack/front/front.h"
@@ -32,7 +33,7 @@
 
 /** An operator's request that waits for the registry's response. */
 typedef struct admin_slot {
-	struct evhttp_request *req;
+	http_request_t *req;
 	uint32_t generation;
 } admin_slot_t;
 
@@ -56,9 +57,10 @@
 	store_t *store;
 	peers_t *peers;
 	task_t task;
-	struct evhttp *http;
-	struct evhttp_bound_socket *listener;
-	tls_t *tls; /**< NULL: plain HTTP for callers and operators */
+	inbound_budget_t inbound_budget;
+	http_request_server_t server;
+	bool accepting; /**< the server listens */
+	tls_t *tls;	/**< NULL: plain HTTP for callers and operators */
 	registry_t *registry;
 	witness_task_t *witness_task;
 	billing_t *billing;
@@ -100,7 +102,7 @@
 /** Respond with a failure.
  * @param execution replaces the failure type's "ran" value; NULL: it doesn't
  * @param extra members to add to the body, taken over; NULL: none */
-void failure_respond(front_t *, struct evhttp_request *, const err_t *,
+void failure_respond(front_t *, http_request_t *, const err_t *,
     const char *execution, json_t *extra);
 
 /** The JSON object of a failure, which is counted. */
@@ -110,10 +112,10 @@
 /* auth.c */
 
 /** The organisation whose key came with the request, or HANDLE_NONE. */
-handle_t auth_organisation(const front_t *, struct evhttp_request *);
+handle_t auth_organisation(const front_t *, http_request_t *);
 
 /** The operator whose key came with the request, or NULL. */
-const operator_row_t *auth_operator(const front_t *, struct evhttp_request *);
+const operator_row_t *auth_operator(const front_t *, http_request_t *);
 
 /** Whether the operator may make every change of the intent. */
 bool
@@ -129,17 +131,17 @@
 
 /* entries.c */
 
-void entries_respond(front_t *, struct evhttp_request *);
-void tickets_respond(front_t *, struct evhttp_request *);
+void entries_respond(front_t *, http_request_t *);
+void tickets_respond(front_t *, http_request_t *);
 
 /** Issue a new ticket for the organisation. */
 void ticket_issue(front_t *, const char *organisation, ticket_t *out);
 
 /* admin.c */
 
-void admin_request(front_t *, struct evhttp_request *, const char *path);
+void admin_request(front_t *, http_request_t *, const char *path);
 void admin_respond(front_t *, admin_response_t *);
-void metrics_respond(front_t *, struct evhttp_request *);
+void metrics_respond(front_t *, http_request_t *);
 
 /* front.c */
 
--- a/moortack/relay/relay_inbound.c
+++ b/moortack/relay/relay_inbound.c
@@ -1,6 +1,4 @@
 /* The listeners for callers and for other daemons, and their limits. */
-#include <inttypes.h>
-
 #include "relay_request.h"
 
 /* Bytes that sending a request on adds to its head. */
@@ -170,35 +168,6 @@
 void
 relay_inbound_write_metrics(const relay_t *relay, struct evbuffer *out)
 {
-	static const char *const phases[BUDGET_BUSY] = {
-	    "closing", "idle", "incomplete"};
-	const inbound_budget_t *budget = &relay->inbound_budget;
-
-	evbuffer_add_printf(out,
-	    "# HELP moortack_relay_inbound_bytes Memory that callers' "
-	    "connections hold, with what the system receives for them.\n"
-	    "# TYPE moortack_relay_inbound_bytes gauge\n"
-	    "moortack_relay_inbound_bytes %zu\n"
-	    "# TYPE moortack_relay_inbound_bytes_max gauge\n"
-	    "moortack_relay_inbound_bytes_max %zu\n"
-	    "# TYPE moortack_relay_inbound_connections gauge\n"
-	    "moortack_relay_inbound_connections %u\n"
-	    "# HELP moortack_relay_inbound_refused_total Requests for which "
-	    "no memory was left.\n"
-	    "# TYPE moortack_relay_inbound_refused_total counter\n"
-	    "moortack_relay_inbound_refused_total %" PRIu64 "\n"
-	    "# HELP moortack_relay_inbound_turned_away_total New connections "
-	    "that were closed at once, as none gave way.\n"
-	    "# TYPE moortack_relay_inbound_turned_away_total counter\n"
-	    "moortack_relay_inbound_turned_away_total %" PRIu64 "\n"
-	    "# HELP moortack_relay_inbound_closed_total Connections that gave "
-	    "way, by what they did.\n"
-	    "# TYPE moortack_relay_inbound_closed_total counter\n",
-	    budget->bytes, budget->bytes_max, budget->connections,
-	    budget->refused, budget->turned_away);
-	for (int i = 0; i < BUDGET_BUSY; i++)
-		evbuffer_add_printf(out,
-		    "moortack_relay_inbound_closed_total{phase=\"%s\"} "
-		    "%" PRIu64 "\n",
-		    phases[i], budget->closed[i]);
+	http_inbound_write_metrics(
+	    &relay->inbound_budget, "moortack_relay", out);
 }
--- a/moortackd/options.c
+++ b/moortackd/options.c
@@ -106,6 +106,9 @@
 	"once it has expired"},
     {"body-max", SETTING_INT, OPTION(body_max), 1024, 67108864, "1048576",
 	"bytes", "Largest body of a request"},
+    {"memory-mb", SETTING_INT, OPTION(memory_mb), 16, 1000000, "128", "MB",
+	"Memory of the VM; callers' connections and requests take less than "
+	"half of it"},
     {"retry-percent", SETTING_INT, OPTION(retry_percent), 0, 100, "10",
 	"per cent", "Retries as a share of requests"},
     {"guard-limit", SETTING_INT, OPTION(guard_limit), 2, 30, "14", "",
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -57,7 +57,8 @@
 run_record(engine_t *engine, struct evhttp_request *req, const char *id,
     const char *version)
 {
-	const char *organisation = http_request_header(req, "X-Organisation");
+	const char *organisation =
+	    standin_request_header(req, "X-Organisation");
 
 	json_array_append_new(engine->runs,
 	    json_pack("{s:s,s:s,s:s,s:I}", "id", id, "version", version,
@@ -88,27 +89,27 @@
 completion_handle(
     engine_t *engine, struct evhttp_request *req, const json_t *body)
 {
-	const char *id = http_request_header(req, "X-Request-Id");
+	const char *id = standin_request_header(req, "X-Request-Id");
 	const char *version = json_string_value(json_object_get(body, "model"));
 	const char *prompt = prompt_get(body);
 	stream_t *stream;
 
 	if (id == NULL || version == NULL || prompt == NULL) {
-		http_respond_json(req, 400, json_object());
+		standin_respond_json(req, 400, json_object());
 		return;
 	}
 	if ((engine->leaving && !engine->takes_all) ||
 	    json_object_get(engine->versions, version) == NULL) {
 		/* Refused before it ran: the caller may report "not run". */
-		http_response_add_header(req, "X-Not-Run", "1");
-		http_respond_json(req, 503, json_object());
+		standin_response_add_header(req, "X-Not-Run", "1");
+		standin_respond_json(req, 503, json_object());
 		return;
 	}
 	run_record(engine, req, id, version);
 	if (prompt_crashes(engine, prompt))
 		_exit(EXIT_FAILURE);
 	if (version_fails(engine, version)) {
-		http_respond_json(req, 500, json_object());
+		standin_respond_json(req, 500, json_object());
 		return;
 	}
 	stream = calloc(1, sizeof(*stream));
@@ -137,10 +138,10 @@
 
 	HASH_FIND_STR(engine->streams, id, stream);
 	if (stream == NULL || stream->json_response || stream->req != NULL) {
-		http_respond_json(req, 404, json_object());
+		standin_respond_json(req, 404, json_object());
 		return;
 	}
-	http_request_query_param(req, "from", from, sizeof(from));
+	standin_request_query_param(req, "from", from, sizeof(from));
 	stream->sent = strtoll(from, NULL, 10);
 	engine_stream_attach(stream, req);
 	engine_stream_flush(stream);
@@ -166,7 +167,7 @@
 			engine_stream_end(stream);
 		engine_queue_run(engine);
 	}
-	http_respond_json(req, 200, json_object());
+	standin_respond_json(req, 200, json_object());
 }
 
 static void
@@ -178,11 +179,11 @@
 	int64_t fence = fake_json_int(body, "fence", 0);
 
 	if (op == NULL || version == NULL) {
-		http_respond_json(req, 400, json_object());
+		standin_respond_json(req, 400, json_object());
 		return;
 	}
 	if (!engine->ignore_fence && fence < engine->highest_fence) {
-		http_respond_json(req, 412, json_object());
+		standin_respond_json(req, 412, json_object());
 		return;
 	}
 	engine->highest_fence = fence;
@@ -191,7 +192,7 @@
 		    engine->versions, version, json_integer(fence));
 	else
 		json_object_del(engine->versions, version);
-	http_respond_json(req, 200, json_object());
+	standin_respond_json(req, 200, json_object());
 }
 
 static void
@@ -202,7 +203,7 @@
 	    engine->sample_count > back ? engine->sample_count - back : 0;
 	const int64_t *load = engine->load_samples[at % ENGINE_LOAD_SAMPLES];
 
-	http_respond_json(req, 200,
+	standin_respond_json(req, 200,
 	    json_pack("{s:I,s:I,s:I,s:b,s:O,s:I}", "running",
 		(json_int_t)load[0], "queued", (json_int_t)load[1], "slots",
 		(json_int_t)engine->slots, "leaving", engine->leaving,
@@ -218,7 +219,7 @@
 	const char *path =
 	    evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
 	enum evhttp_cmd_type method = evhttp_request_get_command(req);
-	json_t *body = http_request_json(req, NULL);
+	json_t *body = standin_request_json(req, NULL);
 
 	if (strcmp(path, "/v1/chat/completions") == 0)
 		completion_handle(engine, req, body);
@@ -232,9 +233,9 @@
 	else if (strcmp(path, "/orders") == 0)
 		order_handle(engine, req, body);
 	else if (strcmp(path, "/runs") == 0)
-		http_respond_json(req, 200, json_incref(engine->runs));
+		standin_respond_json(req, 200, json_incref(engine->runs));
 	else
-		http_respond_json(req, 404, json_object());
+		standin_respond_json(req, 404, json_object());
 	json_decref(body);
 }
 
--- a/standin/engine_stream.c
+++ b/standin/engine_stream.c
@@ -71,7 +71,7 @@
 		token_text(stream, i, token, sizeof(token));
 		len += (size_t)sprintf(text + len, "%s", token);
 	}
-	http_respond_json(stream->req, 200,
+	standin_respond_json(stream->req, 200,
 	    json_pack("{s:s,s:s,s:[{s:i,s:{s:s,s:s}}],s:o}", "id", stream->id,
 		"model", stream->version, "choices", "index", 0, "message",
 		"role", "assistant", "content", text, "usage",
@@ -98,7 +98,7 @@
 
 	if (stream->req == NULL)
 		return;
-	http_request_unwatch_close(stream->req);
+	standin_unwatch_close(stream->req);
 	if (stream->json_response) {
 		json_response_send(stream);
 		return;
@@ -161,7 +161,7 @@
 	    stream->req == NULL)
 		return false;
 	engine->cut_after = 0;
-	http_request_unwatch_close(stream->req);
+	standin_unwatch_close(stream->req);
 	if (engine->ends_cleanly) {
 		evhttp_send_reply_end(stream->req);
 		stream->req = NULL;
@@ -198,9 +198,9 @@
 engine_stream_attach(stream_t *stream, struct evhttp_request *req)
 {
 	stream->req = req;
-	http_request_watch_close(req, stream_connection_closed, stream);
+	standin_watch_close(req, stream_connection_closed, stream);
 	if (stream->json_response)
 		return;
-	http_response_add_header(req, "Content-Type", "text/event-stream");
+	standin_response_add_header(req, "Content-Type", "text/event-stream");
 	evhttp_send_reply_start(req, 200, "OK");
 }
--- a/standin/fake.c
+++ b/standin/fake.c
@@ -12,8 +12,8 @@
 #include <unistd.h>
 
 #include "common/http_call.h"
-#include "common/http_server.h"
 #include "common/log.h"
+#include "standin/http_server.h"
 
 #define BODY_MAX (16L << 20)
 
@@ -141,11 +141,11 @@
 static void
 faults_apply(fake_t *fake, struct evhttp_request *req)
 {
-	json_t *body = http_request_json(req, NULL);
+	json_t *body = standin_request_json(req, NULL);
 	const json_t *down = json_object_get(body, "down");
 
 	if (body == NULL) {
-		http_respond_json(req, 400, json_object());
+		standin_respond_json(req, 400, json_object());
 		return;
 	}
 	if (down != NULL)
@@ -156,7 +156,7 @@
 		fake->handle_fault(fake, body);
 	json_decref(fake->faults.latest);
 	fake->faults.latest = json_incref(body);
-	http_respond_json(req, 200, body);
+	standin_respond_json(req, 200, body);
 }
 
 static void
--- a/common/http_server.c
+++ b/standin/http_server.c
@@ -1,4 +1,4 @@
-#include "common/http_server.h"
+#include "standin/http_server.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -11,13 +11,13 @@
 #include <string.h>
 
 const char *
-http_request_header(struct evhttp_request *req, const char *name)
+standin_request_header(struct evhttp_request *req, const char *name)
 {
 	return evhttp_find_header(evhttp_request_get_input_headers(req), name);
 }
 
 bool
-http_request_query_param(
+standin_request_query_param(
     struct evhttp_request *req, const char *name, char *out, size_t size)
 {
 	const char *query =
@@ -38,7 +38,7 @@
 }
 
 json_t *
-http_request_json(struct evhttp_request *req, err_t *err)
+standin_request_json(struct evhttp_request *req, err_t *err)
 {
 	struct evbuffer *input = evhttp_request_get_input_buffer(req);
 	size_t len = evbuffer_get_length(input);
@@ -63,7 +63,7 @@
 }
 
 void
-http_respond_json(struct evhttp_request *req, int status, json_t *value)
+standin_respond_json(struct evhttp_request *req, int status, json_t *value)
 {
 	struct evbuffer *out = evbuffer_new();
 	char *text = json_dumps(value, JSON_COMPACT);
@@ -78,7 +78,7 @@
 	}
 	evbuffer_add_printf(out, "%s\n", text);
 	free(text);
-	http_response_add_header(req, "Content-Type", "application/json");
+	standin_response_add_header(req, "Content-Type", "application/json");
 	evhttp_send_reply(req, status, NULL, out);
 	evbuffer_free(out);
 }
@@ -88,7 +88,7 @@
 #define PIPELINED_MAX 65536
 
 void
-http_request_watch_close(struct evhttp_request *req,
+standin_watch_close(struct evhttp_request *req,
     void (*closed)(struct evhttp_connection *, void *), void *arg)
 {
 	struct evhttp_connection *conn = evhttp_request_get_connection(req);
@@ -110,7 +110,7 @@
 }
 
 void
-http_request_unwatch_close(struct evhttp_request *req)
+standin_unwatch_close(struct evhttp_request *req)
 {
 	struct evhttp_connection *conn = evhttp_request_get_connection(req);
 
@@ -122,7 +122,7 @@
 }
 
 void
-http_response_add_header(
+standin_response_add_header(
     struct evhttp_request *req, const char *name, const char *value)
 {
 	evhttp_add_header(evhttp_request_get_output_headers(req), name, value);
--- a/standin/rating.c
+++ b/standin/rating.c
@@ -8,8 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/http_server.h"
 #include "standin/fake.h"
+#include "standin/http_server.h"
 
 #define ALL_PERCENT 100
 
@@ -33,7 +33,7 @@
 static void
 response_rate(rating_t *rating, struct evhttp_request *req)
 {
-	json_t *body = http_request_json(req, NULL);
+	json_t *body = standin_request_json(req, NULL);
 	const char *version =
 	    json_string_value(json_object_get(body, "version"));
 
@@ -46,7 +46,7 @@
 			"score", (json_int_t)response_score(rating, version)));
 	}
 	json_decref(body);
-	http_respond_json(req, 200, json_object());
+	standin_respond_json(req, 200, json_object());
 }
 
 static void
@@ -60,12 +60,12 @@
 		response_rate(rating, req);
 		return;
 	}
-	http_request_query_param(req, "after", after, sizeof(after));
+	standin_request_query_param(req, "after", after, sizeof(after));
 	found = json_array();
 	for (size_t i = strtoul(after, NULL, 10);
 	     i < json_array_size(rating->ratings); i++)
 		json_array_append(found, json_array_get(rating->ratings, i));
-	http_respond_json(req, 200, json_pack("{s:o}", "ratings", found));
+	standin_respond_json(req, 200, json_pack("{s:o}", "ratings", found));
 }
 
 static void
--- a/standin/relay.c
+++ b/standin/relay.c
@@ -22,8 +22,8 @@
 #include <string.h>
 
 #include "common/http_call.h"
-#include "common/http_server.h"
 #include "standin/fake.h"
+#include "standin/http_server.h"
 
 #define SIDES 2
 #define IP_SIZE 46
@@ -353,7 +353,7 @@
 request(fake_t *fake, struct evhttp_request *req)
 {
 	(void)fake;
-	http_respond_json(req, 404, json_object());
+	standin_respond_json(req, 404, json_object());
 }
 
 int
--- a/standin/service.c
+++ b/standin/service.c
@@ -9,8 +9,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/http_server.h"
 #include "standin/fake.h"
+#include "standin/http_server.h"
 
 typedef struct service {
 	fake_t fake;
@@ -33,7 +33,7 @@
 
 	(void)fd;
 	(void)what;
-	http_respond_json(late->req, 200, late->value);
+	standin_respond_json(late->req, 200, late->value);
 	free(late);
 }
 
@@ -55,14 +55,14 @@
 static void
 call_handle(service_t *service, struct evhttp_request *req)
 {
-	const char *id = http_request_header(req, "X-Request-Id");
-	json_t *body = http_request_json(req, NULL);
+	const char *id = standin_request_header(req, "X-Request-Id");
+	json_t *body = standin_request_json(req, NULL);
 	const char *name = json_string_value(json_object_get(body, "prompt"));
 	int64_t count;
 
 	if (id == NULL) {
 		json_decref(body);
-		http_respond_json(req, 400, json_object());
+		standin_respond_json(req, 400, json_object());
 		return;
 	}
 	if (name == NULL)
@@ -86,15 +86,15 @@
 	const char *uri = evhttp_request_get_uri(req);
 
 	if (strcmp(uri, "/runs") == 0)
-		http_respond_json(req, 200, json_incref(service->runs));
+		standin_respond_json(req, 200, json_incref(service->runs));
 	else if (strcmp(uri, "/load") == 0)
-		http_respond_json(req, 200,
+		standin_respond_json(req, 200,
 		    json_pack("{s:i,s:i,s:i,s:b}", "running", 0, "queued", 0,
 			"slots", 64, "leaving", service->leaving));
 	else if (evhttp_request_get_command(req) == EVHTTP_REQ_POST)
 		call_handle(service, req);
 	else
-		http_respond_json(req, 404, json_object());
+		standin_respond_json(req, 404, json_object());
 }
 
 static void
--- a/standin/store.c
+++ b/standin/store.c
@@ -9,8 +9,8 @@
 #include <string.h>
 #include <uthash.h>
 
-#include "common/http_server.h"
 #include "standin/fake.h"
+#include "standin/http_server.h"
 
 #define SCAN_MAX 1000
 
@@ -125,13 +125,13 @@
 	size_t i;
 
 	if (!write_allowed(store)) {
-		http_respond_json(req, 429, json_object());
+		standin_respond_json(req, 429, json_object());
 		return;
 	}
 	json_array_foreach(checks, i, check)
 	{
 		if (!check_passes(store, check)) {
-			http_respond_json(req, 409,
+			standin_respond_json(req, 409,
 			    json_pack(
 				"{s:O}", "key", json_object_get(check, "key")));
 			return;
@@ -144,7 +144,7 @@
 		fake_connection_drop(&store->fake, req);
 		return;
 	}
-	http_respond_json(req, 200, json_object());
+	standin_respond_json(req, 200, json_object());
 }
 
 static void
@@ -163,7 +163,7 @@
 		if (value != NULL)
 			json_object_set_new(values, name, json_string(value));
 	}
-	http_respond_json(req, 200, json_pack("{s:o}", "values", values));
+	standin_respond_json(req, 200, json_pack("{s:o}", "values", values));
 }
 
 static int
@@ -203,7 +203,7 @@
 	const char *after = json_string_value(json_object_get(body, "after"));
 
 	store->reads_total++;
-	http_respond_json(req, 200,
+	standin_respond_json(req, 200,
 	    json_pack("{s:o}", "rows",
 		rows_after(store, prefix ? prefix : "", after ? after : "")));
 }
@@ -213,7 +213,7 @@
 {
 	store_t *store = (store_t *)fake;
 	const char *uri = evhttp_request_get_uri(req);
-	json_t *body = http_request_json(req, NULL);
+	json_t *body = standin_request_json(req, NULL);
 
 	if (strcmp(uri, "/table/txn") == 0)
 		txn(store, req, body);
@@ -222,12 +222,12 @@
 	else if (strcmp(uri, "/table/scan") == 0)
 		scan(store, req, body);
 	else if (strcmp(uri, "/usage") == 0)
-		http_respond_json(req, 200,
+		standin_respond_json(req, 200,
 		    json_pack("{s:I,s:I,s:I}", "writes", store->writes_total,
 			"reads", store->reads_total, "rows",
 			(json_int_t)HASH_COUNT(store->rows)));
 	else
-		http_respond_json(req, 404, json_object());
+		standin_respond_json(req, 404, json_object());
 	json_decref(body);
 }
 
--- a/standin/vmlist.c
+++ b/standin/vmlist.c
@@ -7,8 +7,8 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "common/http_server.h"
 #include "standin/fake.h"
+#include "standin/http_server.h"
 
 typedef struct vmlist {
 	fake_t fake;
@@ -38,7 +38,7 @@
 static void
 list_send(vmlist_t *list, struct evhttp_request *req)
 {
-	const char *known = http_request_header(req, "If-None-Match");
+	const char *known = standin_request_header(req, "If-None-Match");
 	char etag[32];
 
 	snprintf(etag, sizeof(etag), "\"%lld\"", (long long)list->version);
@@ -46,8 +46,8 @@
 		evhttp_send_reply(req, 304, NULL, NULL);
 		return;
 	}
-	http_response_add_header(req, "ETag", etag);
-	http_respond_json(req, 200,
+	standin_response_add_header(req, "ETag", etag);
+	standin_respond_json(req, 200,
 	    list->published != NULL ? json_incref(list->published)
 				    : json_object());
 }
@@ -60,9 +60,9 @@
 	published_update(list);
 	if (evhttp_request_get_command(req) == EVHTTP_REQ_PUT) {
 		json_decref(list->pending);
-		list->pending = http_request_json(req, NULL);
+		list->pending = standin_request_json(req, NULL);
 		list->pending_at = clock_boottime(&fake->clock);
-		http_respond_json(req, 200, json_object());
+		standin_respond_json(req, 200, json_object());
 		return;
 	}
 	list_send(list, req);
--- a/test/platform/standin_duties.c
+++ b/test/platform/standin_duties.c
@@ -10,8 +10,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/http_server.h"
 #include "standin/fake.h"
+#include "standin/http_server.h"
 
 typedef struct duties {
 	fake_t fake;
@@ -34,7 +34,7 @@
 static void
 call_record(struct evhttp_request *req, const char *path)
 {
-	json_t *body = http_request_json(req, NULL);
+	json_t *body = standin_request_json(req, NULL);
 
 	json_array_append_new(duties.calls,
 	    json_pack("{s:s, s:s, s:I, s:o, s:I}", "path", path, "holder",
@@ -53,7 +53,7 @@
 	    evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
 
 	if (strcmp(path, "/calls") == 0) {
-		http_respond_json(req, 200, json_deep_copy(duties.calls));
+		standin_respond_json(req, 200, json_deep_copy(duties.calls));
 		return;
 	}
 	if (strcmp(path, "/usage") != 0 && strcmp(path, "/scale") != 0) {
--- a/test/platform/standin_endless.c
+++ b/test/platform/standin_endless.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/http_server.h"
+#include "standin/http_server.h"
 
 #define FAST_PART 65536 /* bytes */
 #define FAST_MS 1
@@ -70,7 +70,7 @@
     const char *where, bool slow, int64_t *closed)
 {
 	struct timeval pause = {0, (slow ? SLOW_MS : FAST_MS) * US_PER_MS};
-	const char *id = http_request_header(req, "Moortack-Attempt-Id");
+	const char *id = standin_request_header(req, "Moortack-Attempt-Id");
 	endless_t *endless = calloc(1, sizeof(*endless));
 	size_t kind = 0;
 
@@ -82,7 +82,7 @@
 	endless->part = slow ? 1 : FAST_PART;
 	endless->closed = closed;
 	endless->timer = event_new(base, -1, EV_PERSIST, on_step, endless);
-	http_request_watch_close(req, on_closed, endless);
+	standin_watch_close(req, on_closed, endless);
 	evbuffer_add_printf(bufferevent_get_output(endless->bev),
 	    kinds[kind].head, id != NULL ? id : "");
 	bufferevent_enable(endless->bev, EV_WRITE);
--- a/test/platform/standin_kv.c
+++ b/test/platform/standin_kv.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/http_server.h"
+#include "standin/http_server.h"
 
 #define PARTS_MAX 256
 #define CAPACITY_DEFAULT 64
@@ -136,7 +136,7 @@
 		if (json_integer_value(json_array_get(event, 0)) >= since)
 			json_array_append(events, event);
 	}
-	http_respond_json(req, 200,
+	standin_respond_json(req, 200,
 	    json_pack("{s:I, s:I, s:b, s:o}", "epoch", (json_int_t)cache.epoch,
 		"next", (json_int_t)cache.next, "lost", lost_before(since),
 		"events", events));
@@ -145,7 +145,7 @@
 static void
 call_respond(held_call_t *call)
 {
-	http_request_unwatch_close(call->req);
+	standin_unwatch_close(call->req);
 	events_respond(call->req, call->since);
 	call_end(call);
 }
@@ -184,8 +184,8 @@
 void
 kv_keep_prompt(struct evhttp_request *req)
 {
-	const char *text = http_request_header(req, "Moortack-Prefix-Hash");
-	const char *model = http_request_header(req, "Moortack-Model-Id");
+	const char *text = standin_request_header(req, "Moortack-Prefix-Hash");
+	const char *model = standin_request_header(req, "Moortack-Model-Id");
 	int64_t before;
 	part_t part;
 
@@ -213,7 +213,7 @@
 		    json_pack("[s, s, I, s]", "", cache.parts[i].id,
 			(json_int_t)cache.parts[i].tokens,
 			cache.parts[i].model));
-	http_respond_json(req, 200,
+	standin_respond_json(req, 200,
 	    json_pack("{s:I, s:I, s:o}", "epoch", (json_int_t)cache.epoch,
 		"next", (json_int_t)cache.next, "held", held));
 }
@@ -221,7 +221,7 @@
 static void
 events_serve(struct event_base *base, struct evhttp_request *req)
 {
-	const char *wait = http_request_header(req, "Wait-Ms");
+	const char *wait = standin_request_header(req, "Wait-Ms");
 	const char *since = strstr(evhttp_request_get_uri(req), "since=");
 	int64_t number = since != NULL ? strtoll(since + 6, NULL, 10) : 0;
 	int64_t ms = wait != NULL ? strtoll(wait, NULL, 10) : 0;
@@ -240,7 +240,7 @@
 	*call = (held_call_t){
 	    req, event_new(base, -1, 0, on_wait_over, req), number};
 	event_add(call->timer, &delay);
-	http_request_watch_close(req, on_caller_closed, req);
+	standin_watch_close(req, on_caller_closed, req);
 	if (cache.held_len > cache.held_peak)
 		cache.held_peak = cache.held_len;
 }
@@ -251,7 +251,7 @@
 	if (fault("kv_status") > 0)
 		evhttp_send_reply(req, (int)fault("kv_status"), NULL, NULL);
 	else if (fault("kv_garbage") > 0)
-		http_respond_json(req, 200, json_pack("{s:i}", "epoch", 1));
+		standin_respond_json(req, 200, json_pack("{s:i}", "epoch", 1));
 	else
 		return fault("kv_silent") > 0;
 	return true;
@@ -265,7 +265,7 @@
 
 	cache_init();
 	if (strcmp(uri, "/kv") == 0) {
-		http_respond_json(req, 200,
+		standin_respond_json(req, 200,
 		    json_pack("{s:O, s:O, s:I, s:I}", "lists", cache.lists,
 			"polls", cache.polls, "held_peak",
 			(json_int_t)cache.held_peak, "kept",
--- a/test/platform/standin_replica.c
+++ b/test/platform/standin_replica.c
@@ -37,8 +37,8 @@
 #include <time.h>
 #include <unistd.h>
 
-#include "common/http_server.h"
 #include "standin/fake.h"
+#include "standin/http_server.h"
 #include "standin_endless.h"
 #include "standin_kv.h"
 #include "standin_work.h"
@@ -109,7 +109,7 @@
 	size_t len = evbuffer_get_length(evhttp_request_get_input_buffer(req));
 
 	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
-		const char *value = http_request_header(req, names[i]);
+		const char *value = standin_request_header(req, names[i]);
 
 		if (value != NULL)
 			json_object_set_new(run, names[i], json_string(value));
@@ -125,13 +125,13 @@
 	const char *value = fault_string(fault);
 
 	if (value != NULL)
-		http_response_add_header(req, name, value);
+		standin_response_add_header(req, name, value);
 }
 
 static int64_t
 response_confidence(struct evhttp_request *req)
 {
-	const char *model = http_request_header(req, "Moortack-Model-Id");
+	const char *model = standin_request_header(req, "Moortack-Model-Id");
 	bool small = model != NULL && strcmp(model, "small") == 0;
 
 	return fault_int(small ? "confidence_small" : "confidence",
@@ -143,26 +143,27 @@
 {
 	const char *id = fault_is("stray")
 	    ? "another"
-	    : http_request_header(req, "Moortack-Attempt-Id");
+	    : standin_request_header(req, "Moortack-Attempt-Id");
 	char confidence[16];
 
 	if (id != NULL && !fault_is("unnamed"))
-		http_response_add_header(req, "Moortack-Attempt-Id", id);
+		standin_response_add_header(req, "Moortack-Attempt-Id", id);
 	work_load_add(&replica.work, replica.faults, replica.streams, req);
-	http_response_add_header(req, "Keep-Alive", "timeout=5");
+	standin_response_add_header(req, "Keep-Alive", "timeout=5");
 	header_add_fault(req, "Server-Limit", "limit");
 	header_add_fault(req, "Server-Leaving", "leaving");
 	header_add_fault(req, "Server-Brittle", "brittle");
 	if (!run) {
 		header_add_fault(req, "Retry-After", "retry_after");
-		http_response_add_header(req, "Moortack-Not-Executed", "1");
+		standin_response_add_header(req, "Moortack-Not-Executed", "1");
 		return;
 	}
 	snprintf(confidence, sizeof(confidence), "%" PRId64,
 	    response_confidence(req));
-	http_response_add_header(
+	standin_response_add_header(
 	    req, "Moortack-Estimate-Confidence", confidence);
-	http_response_add_header(req, "Moortack-Response-Signature", "signed");
+	standin_response_add_header(
+	    req, "Moortack-Response-Signature", "signed");
 }
 
 static void
@@ -192,7 +193,7 @@
 static bool
 request_held(struct evhttp_request *req)
 {
-	const char *model = http_request_header(req, "Moortack-Model-Id");
+	const char *model = standin_request_header(req, "Moortack-Model-Id");
 
 	return fault_is("hold") ||
 	    (model != NULL && strcmp(fault_text("hold_model"), model) == 0);
@@ -210,7 +211,7 @@
 static void
 stream_end(stream_t *stream)
 {
-	http_request_unwatch_close(stream->req);
+	standin_unwatch_close(stream->req);
 	if (stream->unframed)
 		fake_connection_drop(&replica.fake, stream->req);
 	else
@@ -245,7 +246,7 @@
 	if (stream->crash != 0 && stream->next > stream->crash)
 		stream_crash(stream);
 	if (stream->cut != 0 && stream->next > stream->cut) {
-		http_request_unwatch_close(stream->req);
+		standin_unwatch_close(stream->req);
 		fake_connection_drop(&replica.fake, stream->req);
 		stream_free(stream);
 		return;
@@ -274,7 +275,7 @@
 shares_crash_part(struct evhttp_request *req)
 {
 	const char *ids = fault_string("crash_parts");
-	const char *parts = http_request_header(req, "Moortack-Prefix-Hash");
+	const char *parts = standin_request_header(req, "Moortack-Prefix-Hash");
 	char id[64];
 
 	while (ids != NULL && parts != NULL && strchr(parts, ',') != NULL) {
@@ -290,9 +291,9 @@
 static void
 stream_start(struct evhttp_request *req)
 {
-	const char *after = http_request_header(req, "Last-Event-Id");
+	const char *after = standin_request_header(req, "Last-Event-Id");
 	stream_t *stream = calloc(1, sizeof(*stream));
-	const char *model = http_request_header(req, "Moortack-Model-Id");
+	const char *model = standin_request_header(req, "Moortack-Model-Id");
 	bool large = model != NULL && strcmp(model, "large") == 0;
 	int64_t pause_ms = fault_int(
 	    large ? "pause_large_ms" : "pause_ms", fault_int("pause_ms", 5));
@@ -307,9 +308,9 @@
 		stream->crash = stream->next - 1 + fault_int("crash_events", 0);
 	stream->timer =
 	    event_new(replica.fake.base, -1, EV_PERSIST, stream_step, stream);
-	http_request_watch_close(req, stream_closed, stream);
+	standin_watch_close(req, stream_closed, stream);
 	stream->unframed = fault_is("unframed");
-	http_response_add_header(req, "Content-Type", "text/event-stream");
+	standin_response_add_header(req, "Content-Type", "text/event-stream");
 	if (stream->unframed)
 		fake_unframed_begin(req);
 	else
@@ -348,7 +349,7 @@
 replica_expected(struct evhttp_request *req)
 {
 	const char *expected =
-	    http_request_header(req, "Moortack-Expect-Replica");
+	    standin_request_header(req, "Moortack-Expect-Replica");
 	const char *id = fault_string("id");
 
 	/* Until it is told its id, no request is meant for it. */
@@ -412,7 +413,7 @@
 static void
 arrival_list(struct evhttp_request *req)
 {
-	const char *id = http_request_header(req, "Moortack-Attempt-Id");
+	const char *id = standin_request_header(req, "Moortack-Attempt-Id");
 
 	if (json_array_size(replica.listed) == ARRIVALS_LISTED_MAX)
 		json_array_remove(replica.listed, 0);
@@ -429,7 +430,7 @@
 	const char *uri = evhttp_request_get_uri(req);
 
 	if (strcmp(uri, "/runs") == 0) {
-		http_respond_json(req, 200,
+		standin_respond_json(req, 200,
 		    json_pack("{s:O, s:I, s:I, s:I}", "runs", replica.runs,
 			"left", (json_int_t)replica.work.left, "cold_peak",
 			(json_int_t)replica.cold_peak, "refusals_peak",
@@ -437,7 +438,7 @@
 		return;
 	}
 	if (strcmp(uri, "/arrivals") == 0) {
-		http_respond_json(
+		standin_respond_json(
 		    req, 200, json_pack("{s:O}", "arrivals", replica.listed));
 		return;
 	}
@@ -476,7 +477,7 @@
 	if (crashes(req))
 		fake_exit_after(&replica.fake, fault_int("crash_ms", 0));
 	if (request_held(req)) {
-		http_request_watch_close(req, held_closed, NULL);
+		standin_watch_close(req, held_closed, NULL);
 		return;
 	}
 	headers_add(req, true);
--- a/test/platform/standin_store.c
+++ b/test/platform/standin_store.c
@@ -17,8 +17,8 @@
 #include <string.h>
 #include <uthash.h>
 
-#include "common/http_server.h"
 #include "standin/fake.h"
+#include "standin/http_server.h"
 
 #define KEY_SIZE 256
 /* The most rows in a response to a read, unless the fault "page" is set. */
@@ -88,7 +88,7 @@
 	if (store.era == 0)
 		return;
 	snprintf(text, sizeof(text), "%" PRId64, store.era);
-	http_response_add_header(req, "Store-Era", text);
+	standin_response_add_header(req, "Store-Era", text);
 }
 
 static json_t *
@@ -144,7 +144,7 @@
 		json_array_append_new(rows, row_json(row, range->table));
 	}
 	era_header_add(req);
-	http_respond_json(req, 200,
+	standin_respond_json(req, 200,
 	    json_pack("{s:o, s:b, s:I, s:I}", "rows", rows, "has_more", more,
 		"row_version", (json_int_t)store.version, "now_ms",
 		(json_int_t)timespec_to_ms(clock_boottime(&store.fake.clock))));
@@ -224,7 +224,7 @@
 	char text[KEY_SIZE] = "0";
 	poll_t *poll;
 
-	http_request_query_param(req, "after", text, sizeof(text));
+	standin_request_query_param(req, "after", text, sizeof(text));
 	if (strtoull(text, NULL, 10) < store.forgotten ||
 	    strtoull(text, NULL, 10) > store.version) {
 		era_header_add(req);
@@ -236,7 +236,7 @@
 	strcpy(poll->table, table);
 	poll->after = strtoull(text, NULL, 10);
 	strcpy(text, "0");
-	http_request_query_param(req, "wait_ms", text, sizeof(text));
+	standin_request_query_param(req, "wait_ms", text, sizeof(text));
 	poll->until = timespec_add_ms(
 	    clock_boottime(&store.fake.clock), strtoll(text, NULL, 10));
 	poll->next = store.polls;
@@ -298,7 +298,7 @@
 static void
 transaction(struct evhttp_request *req)
 {
-	json_t *body = http_request_json(req, NULL);
+	json_t *body = standin_request_json(req, NULL);
 	bool holds = expectations_hold(json_object_get(body, "expected"));
 
 	if (holds) {
@@ -307,7 +307,7 @@
 		changes_apply(json_object_get(body, "remove"), true);
 	}
 	era_header_add(req);
-	http_respond_json(req, holds ? 200 : 412,
+	standin_respond_json(req, holds ? 200 : 412,
 	    json_pack("{s:I, s:I}", "row_version", (json_int_t)store.version,
 		"now_ms",
 		(json_int_t)timespec_to_ms(clock_boottime(&store.fake.clock))));
@@ -333,7 +333,7 @@
 	const range_t range = {
 	    .table = table, .from = from, .limit = store.page};
 
-	http_request_query_param(req, "from", from, sizeof(from));
+	standin_request_query_param(req, "from", from, sizeof(from));
 	rows_respond(req, &range);
 }
 
@@ -345,9 +345,9 @@
 	char table[KEY_SIZE] = "";
 
 	(void)fake;
-	http_request_query_param(req, "table", table, sizeof(table));
+	standin_request_query_param(req, "table", table, sizeof(table));
 	if (strcmp(path, "/calls") == 0) {
-		http_respond_json(req, 200, json_deep_copy(store.calls));
+		standin_respond_json(req, 200, json_deep_copy(store.calls));
 		return;
 	}
 	call_count(path, table);
--- a/test/platform/standin_work.c
+++ b/test/platform/standin_work.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/http_server.h"
+#include "standin/http_server.h"
 
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
@@ -63,7 +63,7 @@
 	work_start_next(work);
 	if (closed)
 		return;
-	http_request_unwatch_close(req);
+	standin_unwatch_close(req);
 	work->done(req);
 }
 
@@ -137,7 +137,7 @@
 	while (*link != NULL)
 		link = &(*link)->next;
 	*link = item;
-	http_request_watch_close(req, on_closed, item);
+	standin_watch_close(req, on_closed, item);
 	if (waits)
 		work->waiting++;
 	else
@@ -157,5 +157,5 @@
 	    streams + work->running,
 	    work->waiting + fake_json_int(faults, "waiting", 0),
 	    fake_json_int(faults, "slots", DEFAULT_SLOTS));
-	http_response_add_header(req, "Moortack-Replica-Load", load);
+	standin_response_add_header(req, "Moortack-Replica-Load", load);
 }
--- a/test/unit/inbound_budget_test.c
+++ b/test/unit/inbound_budget_test.c
@@ -73,12 +73,12 @@
 request_is_refused_at_its_head_if_nothing_can_give_way(void **state)
 {
 	(void)state;
-	assert_true(inbound_budget_may_fit(&budget, 12 * MB));
-	assert_false(inbound_budget_may_fit(&budget, 12 * MB + 1));
+	assert_true(inbound_share_may_fit(&callers, 12 * MB));
+	assert_false(inbound_share_may_fit(&callers, 12 * MB + 1));
 	budget_entry_set(&a, BUDGET_INCOMPLETE, 10 * MB);
-	assert_true(inbound_budget_may_fit(&budget, 4 * MB));
+	assert_true(inbound_share_may_fit(&callers, 4 * MB));
 	budget_entry_set(&a, BUDGET_BUSY, 10 * MB);
-	assert_false(inbound_budget_may_fit(&budget, 4 * MB));
+	assert_false(inbound_share_may_fit(&callers, 4 * MB));
 }
 
 static void
@@ -98,6 +98,23 @@
 	assert_ptr_equal(inbound_budget_victim(&budget, false), &a);
 }
 
+/* A connection that takes much by itself does not make its request large. */
+static void
+small_request_on_a_large_connection_has_the_reserve(void **state)
+{
+	(void)state;
+	callers.connection_bytes = 2 * BUDGET_LARGE_BYTES;
+	budget_entry_set(&a, BUDGET_BUSY, 13 * MB);
+	budget_entry_set(&c, BUDGET_INCOMPLETE, 2 * BUDGET_LARGE_BYTES + 1000);
+	assert_false(budget_entry_is_large(&c));
+	assert_true(inbound_share_may_fit(&callers, 1000));
+	assert_ptr_equal(inbound_budget_victim(&budget, false), &b);
+	budget_entry_set(&c, BUDGET_INCOMPLETE, 3 * BUDGET_LARGE_BYTES);
+	assert_true(budget_entry_is_large(&c));
+	assert_ptr_equal(inbound_budget_victim(&budget, false), &c);
+	assert_false(inbound_share_may_fit(&callers, BUDGET_LARGE_BYTES));
+}
+
 int
 main(void)
 {
@@ -112,6 +129,8 @@
 		request_is_refused_at_its_head_if_nothing_can_give_way, setup),
 	    cmocka_unit_test_setup(
 		idle_connections_give_way_before_small_requests, setup),
+	    cmocka_unit_test_setup(
+		small_request_on_a_large_connection_has_the_reserve, setup),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
