descriptor_shares: room for the store's and daemons' connections

Callers saw: nothing yet. With crowds of all kinds on all ports a daemon with max_fds=600 had up to 381 descriptors where 400 may be sockets, and its connections to the store and to other daemons were in no share: a larger fleet's would have come on top.

Cause: the shares of the listeners and of requests in flight took all descriptors but the 200 that the platform reserves for files.

Change: 40 more are left for sockets that listen or lead to the store and to other daemons.

Why it works: the shares add up to 40 less than the sockets allowed.

--- a/moortack/relay/descriptor_shares.c
+++ b/moortack/relay/descriptor_shares.c
@@ -1,7 +1,7 @@
 #include "moortack/relay/descriptor_shares.h"
 
-/* Descriptors that are not sockets. */
-#define FILES 200
+/* Files, and the sockets that listen or lead to the store and other daemons. */
+#define RESERVED 240
 #define DESCRIPTORS_DEFAULT 4100
 /* Fewer than this are too few for any listener. */
 #define SHARE_MIN 8
@@ -25,7 +25,7 @@
 descriptor_shares(uint32_t descriptors)
 {
 	uint32_t known = descriptors > 0 ? descriptors : DESCRIPTORS_DEFAULT;
-	uint32_t sockets = known > FILES ? known - FILES : 0;
+	uint32_t sockets = known > RESERVED ? known - RESERVED : 0;
 	descriptor_shares_t shares = {.daemons = share(sockets, 8, DAEMONS_MAX),
 	    .directory = share(sockets, 16, DIRECTORY_MAX),
 	    .health = share(sockets, 50, HEALTH_MAX),
