peer_listener: connections to the port for rows are limited

Callers saw: with max_fds=600, 1,500 clients that connect to the port for the daemons' own rows and send nothing took all descriptors of a daemon: it lost the store, and ordinary requests at the callers' port got 503.

Cause: ZeroMQ accepts every connection, in its own thread, has no limit of them, and waits 30 s for a handshake.

Change: peer_listener follows the connections of a bound socket by its monitor. Beyond a share of the descriptors (a twelfth; moortackd: 128) the oldest one that has sent no message is shut down; one that has sent a message, which only holders of the fleet's key can, stays.

Why it works: a connection is closed within a turn of the event loop after ZeroMQ has accepted it, oldest first, so that the number stays at the limit but for what comes in one turn. Daemons send their first request as soon as they are connected, and are not closed after it.

--- a/include/moortack/relay/descriptor_shares.h
+++ b/include/moortack/relay/descriptor_shares.h
@@ -12,6 +12,7 @@
 typedef struct descriptor_shares {
 	uint32_t callers;
 	uint32_t daemons;   /**< for requests that other daemons send on */
+	uint32_t peers;	    /**< for rows that other daemons follow */
 	uint32_t directory; /**< for callers that look up daemons */
 	uint32_t health;
 	uint32_t metrics;
--- a/include/moortack/replication/feed_server.h
+++ b/include/moortack/replication/feed_server.h
@@ -11,6 +11,7 @@
 
 #include "common/work_meter.h"
 #include "moortack/member/peer_auth.h"
+#include "moortack/member/peer_listener.h"
 #include "moortack/member/peer_socket.h"
 #include "moortack/replication/feed_body.h"
 
@@ -35,6 +36,7 @@
 	void *context;
 	const peer_auth_t *auth;
 	peer_socket_t router;
+	peer_listener_t listener;
 	peer_socket_t zap;
 	struct event *flush; /**< responds to held requests */
 	feed_pending_t *pending;
@@ -51,11 +53,12 @@
 
 /** Starts serving.
  * @param context of ZeroMQ
- * @param address tcp://IP:PORT to bind */
+ * @param address tcp://IP:PORT to bind
+ * @param connections_max of other daemons */
 bool feed_server_init(feed_server_t *, struct event_base *,
     const clock_source_t *, void *context, const peer_auth_t *,
     const char *address, const row_cache_t *, const feed_server_ops_t *,
-    void *arg, uint64_t incarnation, int64_t hold_ms);
+    void *arg, uint64_t incarnation, int64_t hold_ms, uint32_t connections_max);
 void feed_server_finish(feed_server_t *);
 
 /** Sets what responses say of this daemon: that the store is unavailable to it,
--- a/include/moortack/replication/row_source.h
+++ b/include/moortack/replication/row_source.h
@@ -84,7 +84,8 @@
 	row_watch_timing_t timings[ROW_TABLES];
 	char peer_address[MEMBER_NAME_SIZE]; /**< IP:PORT; "": follow no daemon
 					      */
-	int64_t hold_ms; /**< requests of other daemons are held this long */
+	int64_t hold_ms;    /**< requests of other daemons are held this long */
+	uint32_t peers_max; /**< connections of other daemons */
 	size_t turn_rows_max;	 /**< rows of the parent that are applied in one
 				    turn of the event loop; 0: as time allows */
 	int64_t start_jitter_ms; /**< the first read is delayed by a random part
--- a/moortack/member/peers.c
+++ b/moortack/member/peers.c
@@ -7,6 +7,7 @@
 #include <zmq.h>
 
 #include "moortack/member/peer_links.h"
+#include "moortack/member/peer_listener.h"
 
 #define TIMER_INTERVAL_MS 20
 #define ZAP_ENDPOINT "inproc://zeromq.zap.01"
@@ -35,11 +36,15 @@
 	uint8_t bytes[];
 };
 
+/* Connections that other daemons may open. */
+#define CONNECTIONS_MAX 128
+
 struct peers {
 	process_context_t process;
 	task_t task;
 	void *context;
 	peer_socket_t router;
+	peer_listener_t listener;
 	peer_socket_t zap;
 	peer_links_t links;
 	pending_t *pending;
@@ -85,6 +90,7 @@
 
 	if (!peer_frame_read(socket, &frame, &more))
 		return NULL;
+	peer_listener_on_message(&peers->listener, &frame);
 	envelope = wire__envelope__unpack(
 	    NULL, zmq_msg_size(&frame), zmq_msg_data(&frame));
 	zmq_msg_close(&frame);
@@ -388,7 +394,9 @@
 		return err_set(err, ERR_INTERNAL, "cannot open peer sockets");
 	peer_auth_apply(&peers->auth, peers->router.socket, true);
 	snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
-	if (zmq_bind(peers->router.socket, endpoint) != 0)
+	if (!peer_listener_bind(&peers->listener, peers->process.base,
+		peers->context, peers->router.socket, endpoint,
+		CONNECTIONS_MAX))
 		return err_set(err, ERR_SETTING, "peer-listen %s: %s", address,
 		    zmq_strerror(zmq_errno()));
 	return true;
@@ -440,6 +448,7 @@
 		free(pending);
 	}
 	peer_links_finish(&peers->links);
+	peer_listener_finish(&peers->listener);
 	if (peers->timer != NULL)
 		event_free(peers->timer);
 	peer_socket_close(&peers->router);
--- a/moortack/relay/relay_node.c
+++ b/moortack/relay/relay_node.c
@@ -284,6 +284,8 @@
 		    {0, SYSTEM_PAUSE_NO_KEY_MS, STORE_RETRY_MS,
 			STORE_RETRY_MAX_MS, SYSTEM_TIMEOUT_MS}},
 		.hold_ms = settings->operator_poll_wait_ms,
+		.peers_max =
+		    descriptor_shares(settings->bounds.descriptors_max).peers,
 		.start_jitter_ms =
 		    settings->bootstrap ? BOOTSTRAP_JITTER_MS : 0,
 		.max_age_ms = {settings->operator_rows_max_age_ms,
@@ -474,6 +476,10 @@
 	node->relay.bounds = settings->bounds;
 	if (node->relay.config != NULL)
 		relay_inbound_limits_set(&node->relay);
+	node->row_sync.settings.peers_max =
+	    descriptor_shares(settings->bounds.descriptors_max).peers;
+	peer_listener_set_max(
+	    &node->row_sync.server.listener, node->row_sync.settings.peers_max);
 	node->rollouts.exposure_max = settings->bounds.exposure_max;
 	node->rollouts.exposure_tolerance = settings->bounds.exposure_tolerance;
 	zone_regions_apply(node, settings);
--- a/moortack/replication/feed_server.c
+++ b/moortack/replication/feed_server.c
@@ -238,6 +238,7 @@
 	if (!peer_frame_read(socket->socket, &identity, &more))
 		return;
 	if (more && peer_frame_read(socket->socket, &body, &more)) {
+		peer_listener_on_message(&server->listener, &body);
 		request_receive(server, &identity, &body);
 		zmq_msg_close(&body);
 	}
@@ -249,7 +250,7 @@
 feed_server_init(feed_server_t *server, struct event_base *base,
     const clock_source_t *clock, void *context, const peer_auth_t *auth,
     const char *address, const row_cache_t *cache, const feed_server_ops_t *ops,
-    void *arg, uint64_t incarnation, int64_t hold_ms)
+    void *arg, uint64_t incarnation, int64_t hold_ms, uint32_t connections_max)
 {
 	*server = (feed_server_t){.clock = clock,
 	    .cache = cache,
@@ -268,7 +269,8 @@
 		&server->router, base, context, ZMQ_ROUTER, on_request, server))
 		return false;
 	peer_auth_apply(auth, server->router.socket, true);
-	return zmq_bind(server->router.socket, address) == 0;
+	return peer_listener_bind(&server->listener, base, context,
+	    server->router.socket, address, connections_max);
 }
 
 void
@@ -282,6 +284,7 @@
 		pending_free(pending);
 	}
 	feed_body_cache_finish(&server->body_cache);
+	peer_listener_finish(&server->listener);
 	peer_socket_close(&server->router);
 	peer_socket_close(&server->zap);
 	if (server->flush != NULL)
--- a/moortack/replication/row_follow.c
+++ b/moortack/replication/row_follow.c
@@ -445,7 +445,8 @@
 	    !peer_auth_init(&self->auth, secret, &err) ||
 	    !feed_server_init(&self->server, self->base, self->clock,
 		self->context, &self->auth, address, &self->cache, &server_ops,
-		self, self->incarnation, self->settings.hold_ms) ||
+		self, self->incarnation, self->settings.hold_ms,
+		self->settings.peers_max) ||
 	    !feed_client_init(&self->client, self->base, self->clock,
 		self->context, &self->auth, &client_ops, self)) {
 		event_log_write(
