inbound_budget: a queue head that cppcheck can parse

Cause: make lint stopped at TAILQ_HEAD without a name ("syntax error"), and one line of http_inbound_priv.h was not formatted.

Change: the head has a name, the line is formatted.

Why it works: the name is only a tag for the anonymous structure.

--- a/common/http_inbound_priv.h
+++ b/common/http_inbound_priv.h
@@ -73,7 +73,7 @@
 	const http_inbound_ops_t *ops;
 	void *arg;
 	http_inbound_limits_t limits;
-	tls_t *tls; /**< NULL: plain HTTP */
+	tls_t *tls;		   /**< NULL: plain HTTP */
 	struct event accept_timer; /**< ends a pause of accepting */
 	inbound_share_t share;
 	http_inbound_t *connections;
--- a/include/common/inbound_budget.h
+++ b/include/common/inbound_budget.h
@@ -63,7 +63,7 @@
 	size_t bytes;
 	size_t busy_bytes; /**< of bytes, of connections that do not give way */
 	uint32_t connections;
-	TAILQ_HEAD(, inbound_share) shares;
+	TAILQ_HEAD(inbound_shares, inbound_share) shares;
 	budget_list_t sizes[BUDGET_SIZE_CLASSES]; /**< oldest first */
 	uint64_t next_since;
 	uint64_t closed[BUDGET_PHASES]; /**< connections that gave way */
