http_request: callers that read no stream are hung up on

Callers saw: nothing yet; found while the crowds were looked through. moortackd reads an endpoint's stream whether its caller reads it or not, so clients that ask for long streams and read none grew it without end.

Cause: what is unsent was charged to the account, but nothing acted on an account that was over its limit by unsent responses.

Change: when the account is full, a stream's caller with 64 KB or more unsent is hung up on, and its request ends as when a caller leaves.

Evidence: unit_http_request writes 24 MB in a stream to a client that reads nothing, with an account of 4 MB: it stays below that and two events.

Why it works: the connection is shut down, which libevent reports from the event loop, so that the request is not freed while it is written to.

--- a/common/http_inbound_room.c
+++ b/common/http_inbound_room.c
@@ -210,6 +210,13 @@
 	return false;
 }
 
+void
+http_inbound_hang_up(http_inbound_t *conn)
+{
+	conn->server->share.budget->closed[BUDGET_BUSY]++;
+	shutdown(bufferevent_getfd(conn->bev), SHUT_RDWR);
+}
+
 void
 http_inbound_release_body(http_inbound_t *conn)
 {
--- a/common/http_inbound_server.c
+++ b/common/http_inbound_server.c
@@ -248,8 +248,8 @@
 http_inbound_write_metrics(
     const inbound_budget_t *budget, const char *prefix, struct evbuffer *out)
 {
-	static const char *const phases[BUDGET_BUSY] = {
-	    "closing", "idle", "incomplete"};
+	static const char *const phases[BUDGET_PHASES] = {
+	    "closing", "idle", "incomplete", "busy"};
 
 	metric_write(out, prefix, "bytes", "gauge",
 	    "Memory that callers' connections hold, with what the system "
@@ -268,7 +268,7 @@
 	    "# HELP %s_inbound_closed_total Connections that gave way, by what "
 	    "they did.\n# TYPE %s_inbound_closed_total counter\n",
 	    prefix, prefix);
-	for (int i = 0; i < BUDGET_BUSY; i++)
+	for (int i = 0; i < BUDGET_PHASES; i++)
 		evbuffer_add_printf(out,
 		    "%s_inbound_closed_total{phase=\"%s\"} %" PRIu64 "\n",
 		    prefix, phases[i], budget->closed[i]);
--- a/common/http_request.c
+++ b/common/http_request.c
@@ -8,6 +8,9 @@
 #include <string.h>
 
 #define STATUS_ERROR 500
+/* Of a stream, from which on its caller counts as slow, once the memory of all
+ * callers is full. */
+#define SLOW_UNSENT_BYTES 65536
 /* Bytes of a parsed body beside its text, by the characters that begin a value
  * or end one. */
 #define JSON_OBJECT_BYTES 192
@@ -20,6 +23,7 @@
 	http_inbound_t *caller; /**< NULL: its connection was closed */
 	char *path;
 	struct evbuffer *head; /**< lines of the response's head */
+	bool hung_up;	       /**< its caller does not read */
 	http_closed_handler_t closed;
 	void *closed_arg;
 	http_request_t *next;
@@ -127,6 +131,7 @@
     inbound_budget_t *budget, const http_address_t *address, tls_t *tls,
     const http_inbound_limits_t *limits, err_t *err)
 {
+	server->budget = budget;
 	server->inbound = http_inbound_listen(
 	    base, budget, address, &inbound_ops, server, err);
 	if (server->inbound == NULL)
@@ -317,10 +322,18 @@
 void
 http_request_stream_write(http_request_t *req, struct evbuffer *bytes)
 {
-	if (req->caller != NULL)
-		http_inbound_stream_write(req->caller, bytes);
-	else
+	const http_inbound_t *caller = req->caller;
+
+	if (caller == NULL || req->hung_up) {
 		evbuffer_drain(bytes, evbuffer_get_length(bytes));
+		return;
+	}
+	http_inbound_stream_write(req->caller, bytes);
+	if (inbound_budget_has_room(req->server->budget, 0, false) ||
+	    http_inbound_unsent_bytes(caller) < SLOW_UNSENT_BYTES)
+		return;
+	req->hung_up = true;
+	http_inbound_hang_up(req->caller);
 }
 
 void
--- a/include/common/http_inbound.h
+++ b/include/common/http_inbound.h
@@ -122,6 +122,10 @@
  * sees that it is truncated. */
 void http_inbound_abort(http_inbound_t *);
 
+/** End the connection of a caller that does not read its response; on_closed is
+ * called from the event loop. */
+void http_inbound_hang_up(http_inbound_t *);
+
 /** Bytes of the response that were not yet written to the socket. */
 size_t http_inbound_unsent_bytes(const http_inbound_t *);
 
--- a/include/common/http_request.h
+++ b/include/common/http_request.h
@@ -24,6 +24,7 @@
 
 typedef struct http_request_server {
 	http_inbound_server_t *inbound; /**< NULL: it does not listen */
+	const inbound_budget_t *budget;
 	http_request_handler_t on_request;
 	http_refusal_handler_t on_refused;
 	void *arg;
@@ -74,7 +75,8 @@
 
 /** Start a response of unknown length. */
 void http_request_stream_begin(http_request_t *, int status);
-/** @param bytes drained */
+/** Send a chunk. When the memory of all callers is full, the connection of one
+ * that does not read ends. @param bytes drained */
 void http_request_stream_write(http_request_t *, struct evbuffer *bytes);
 /** Complete the response, which ends the request. */
 void http_request_stream_end(http_request_t *);
--- a/test/unit/http_request_test.c
+++ b/test/unit/http_request_test.c
@@ -11,6 +11,7 @@
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -244,6 +245,36 @@
 	free(post);
 }
 
+/* The stream goes on to be written, as an endpoint sends it, to a caller that
+ * reads none of it. */
+static void
+caller_that_reads_no_stream_is_hung_up_on(void **state)
+{
+	fixture_t *fixture = *state;
+	struct evbuffer *bytes = evbuffer_new();
+	static char event[60000];
+	int fd;
+
+	fixture->keep = true;
+	fd = client(fixture, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+	http_request_set_closed(fixture->kept, on_closed, fixture);
+	http_request_stream_begin(fixture->kept, 200);
+	for (int i = 0; i < 400 && !fixture->closed; i++) {
+		evbuffer_add(bytes, event, sizeof(event));
+		http_request_stream_write(fixture->kept, bytes);
+		assert_int_equal(evbuffer_get_length(bytes), 0);
+		assert_true(
+		    fixture->budget.bytes < BUDGET_BYTES + 2 * sizeof(event));
+		if (i % 20 == 0)
+			run_loop(fixture);
+	}
+	run_loop(fixture);
+	assert_true(fixture->closed);
+	assert_null(fixture->server.requests);
+	evbuffer_free(bytes);
+	close(fd);
+}
+
 int
 main(void)
 {
@@ -259,7 +290,10 @@
 	    cmocka_unit_test_setup_teardown(
 		body_that_parses_to_more_than_the_memory_is_refused, setup,
 		teardown),
+	    cmocka_unit_test_setup_teardown(
+		caller_that_reads_no_stream_is_hung_up_on, setup, teardown),
 	};
 
+	signal(SIGPIPE, SIG_IGN);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
