--- a/include/common/http_inbound.h
+++ b/include/common/http_inbound.h
@@ -97,7 +97,7 @@
 void http_inbound_set_handler_bytes(http_inbound_t *, size_t bytes);
 /** The same, if there is room for them. @return false: there is none */
 bool http_inbound_reserve(http_inbound_t *, size_t bytes);
-/** The handler no longer needs the body of the request. */
+/** Free the body of the request that is handled. */
 void http_inbound_release_body(http_inbound_t *);
 /** Write the metrics of a process. @param prefix of their names */
 void http_inbound_write_metrics(
