--- a/soak/soak.lua
+++ b/soak/soak.lua
@@ -5,7 +5,8 @@
 -- they affect, their order and their duration, but not what the traffic does
 -- meanwhile.
 --
---   runner BUILD soak/soak.lua, with SOAK_SEED and SOAK_SECONDS
+--   runner BUILD soak/soak.lua, with SOAK_SEED and SOAK_SECONDS; SOAK_CROWDS=1: with
+--   crowds, on small VMs
 package.path = script_dir .. "/../test/platform/?.lua;" .. package.path
 local root = script_dir
 script_dir = root .. "/../test/platform"
@@ -13,6 +14,7 @@
 local words = require("words")
 local notices = require("notices")
 local lib = words.lib
+local crowds = os.getenv("SOAK_CROWDS") and require("crowds")
 local seed = tonumber(os.getenv("SOAK_SEED") or "1")
 local seconds = tonumber(os.getenv("SOAK_SECONDS") or "30")
 math.randomseed(seed)
@@ -20,7 +22,8 @@
 local DAEMONS, REPLICAS, CALLS_MAX = 4, 4, 6
 local FAULT_INTERVAL_MS = {200, 900} -- bounds of the time between faults
 local ACTIVE_FAULTS_MAX = 2 -- when the next one starts
-local world = words.world(REPLICAS, 0, nil, {own_sources = true})
+local world = words.world(REPLICAS, 0, nil, {own_sources = true,
+  extra_settings = crowds and crowds.settings})
 for i = 1, REPLICAS do world:link(i) end
 for i = 1, DAEMONS do world:store_link(i) end
 for i = 1, DAEMONS do world:daemon(i) end
@@ -404,6 +407,7 @@
   calls_poll()
   directory_check()
   connections_poll()
+  if crowds then crowds.step(world.daemons, stopped) end
   run.sleep(5)
 end
 
@@ -434,6 +438,7 @@
     long_down = nil
   end
 end
+if crowds then crowds.stop() end
 if long_down then daemon_start(long_down) end
 for _, restore in ipairs(active_faults) do restore() end
 for i = 1, REPLICAS do
