front: a refused message does not claim that it never ran

Callers saw: a request with a ticket that was refused before it was handled (413, 431, or 503 for want of memory) said "ran": "not_run". On the page that means, under a ticket, that it never ran and never will; but an earlier sending under the same ticket may have run.

Cause: since moortackd answers such messages itself, and their head, with the ticket, is gone when it does.

Why it works: "unknown" is true whether there was a ticket or not; the same request may be sent again under its ticket.

--- a/moortack/front/front.c
+++ b/moortack/front/front.c
@@ -248,7 +248,9 @@
 static void
 message_refuse(void *arg, http_request_t *req, const err_t *err)
 {
-	failure_respond(arg, req, err, NULL, NULL);
+	/* Its head is gone, and with it a ticket under which it may have run
+	 * before. */
+	failure_respond(arg, req, err, "unknown", NULL);
 }
 
 /* Half of the descriptors that are no files are left for endpoints. */
--- a/test/scenario/bad_input.lua
+++ b/test/scenario/bad_input.lua
@@ -94,6 +94,17 @@
 local socket = run.connect(d.address)
 run.write(socket, "GET / HTTP/1.1\r\nX: " .. string.rep("y", 40000) ..
   "\r\n\r\n")
+-- An earlier sending under its ticket may have run, so no refusal says that it did not.
+local ticketed = run.connect(d.address)
+run.write(ticketed, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n" ..
+  "Moortack-Ticket: x\r\nContent-Length: 99999999\r\n\r\n")
+local refusal = ""
+lib.wait_until("a refusal at its head", function()
+  refusal = refusal .. run.read(ticketed)
+  return refusal:find('"ran":"%w')
+end)
+lib.equal(refusal:match('"ran":"([%w_]+)"'), "unknown",
+  "a body that is too large, under a ticket")
 local junk = run.connect(d.address)
 run.write(junk, string.rep("\0\255\r\n", 5000))
 run.sleep(200)
