http_syntax: a response has a status line of HTTP/1.x

Callers saw: an endpoint in trouble answered with status 000, and the caller got "HTTP/1.1 0" as the answer. 042, 20, "2 00", 0200, 101, 600 and 999 were passed on as well, as were HTTP/2.0, HTTP/9.9 and HTTQ/1.1. A refusal with status 000 and Moortack-Not-Executed became a 503 that says not run, though nothing else in such a head can be believed.

Cause: Debian's build of http-parser is not strict. It takes any protocol name and version and any digits as a status, and normalizes them ("2 00" is 2, 0200 is 200), so that no later check can see it.

Change: http_syntax checks the bytes of a message before they are passed to the parser; now the status line: its form (RFC 9112, 4), version 1.x, status 100 to 599, and not 101, as no upgrade is ever requested. The reader stops at the first byte that breaks a rule, so on_head is never called for such a head, and none of its fields is read. Heads of interim responses go through the same check. The space before an empty reason may be missing, as some servers leave it out and nothing depends on it.

Why it works: all readers of endpoints' and daemons' responses get them through this reader, and a head that breaks a rule never becomes one. An invalid response is what it was: the request may have run, an unsafe one is not repeated, and its connection is not kept.

--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -201,6 +201,9 @@
 		    &err, ERR_HEAD_TOO_LARGE, "the request head is too large");
 	else if (reader->out_of_memory)
 		err_set(&err, ERR_MEMORY, "out of memory");
+	else if (reader->syntax.defect != HTTP_DEFECT_NONE)
+		err_set(&err, ERR_BAD_REQUEST, "invalid HTTP: %s",
+		    http_defect_name(reader->syntax.defect));
 	else
 		err_set(&err, ERR_BAD_REQUEST, "%s",
 		    http_errno_description(HTTP_PARSER_ERRNO(&reader->parser)));
--- a/common/http_msg.c
+++ b/common/http_msg.c
@@ -318,6 +318,7 @@
 	memset(reader, 0, sizeof(*reader));
 	http_parser_init(&reader->parser, type);
 	reader->parser.data = reader;
+	http_syntax_init(&reader->syntax, type == HTTP_RESPONSE);
 	reader->ops = ops;
 	reader->arg = arg;
 	reader->head_max = head_max;
@@ -341,12 +342,26 @@
 	msg_clear(reader);
 	http_parser_init(&reader->parser, type);
 	reader->parser.data = reader;
+	http_syntax_init(&reader->syntax, type == HTTP_RESPONSE);
 	reader->in_value = true;
 	reader->in_message = false;
 	reader->head_complete = false;
 	reader->complete = false;
 	reader->interim = false;
 	reader->interim_bytes = 0;
+	reader->truncated = false;
+}
+
+/* @return how many of the bytes were parsed */
+static size_t
+bytes_parse(http_reader_t *reader, const char *bytes, size_t len)
+{
+	size_t valid = http_syntax_check(&reader->syntax, bytes, len);
+
+	/* No bytes would be the end of the connection. */
+	return valid > 0 ? http_parser_execute(
+			       &reader->parser, &parser_settings, bytes, valid)
+			 : 0;
 }
 
 http_read_result_t
@@ -356,14 +371,11 @@
 		size_t len = evbuffer_get_contiguous_space(in);
 		const char *bytes =
 		    (const char *)evbuffer_pullup(in, (ev_ssize_t)len);
-		size_t used = http_parser_execute(
-		    &reader->parser, &parser_settings, bytes, len);
 
-		evbuffer_drain(in, used);
+		evbuffer_drain(in, bytes_parse(reader, bytes, len));
 		if (reader->complete)
 			break;
-		if (HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK ||
-		    reader->parser.upgrade)
+		if (http_reader_defect(reader) != HTTP_DEFECT_NONE)
 			return HTTP_READ_INVALID;
 	}
 	return reader->complete ? HTTP_READ_COMPLETE : HTTP_READ_INCOMPLETE;
@@ -372,13 +384,27 @@
 http_read_result_t
 http_reader_eof(http_reader_t *reader)
 {
-	if (!reader->in_message)
-		return reader->complete ? HTTP_READ_COMPLETE
-					: HTTP_READ_INVALID;
-	http_parser_execute(&reader->parser, &parser_settings, NULL, 0);
+	if (reader->in_message)
+		http_parser_execute(&reader->parser, &parser_settings, NULL, 0);
+	reader->truncated = !reader->complete;
 	return reader->complete ? HTTP_READ_COMPLETE : HTTP_READ_INVALID;
 }
 
+http_defect_t
+http_reader_defect(const http_reader_t *reader)
+{
+	if (reader->syntax.defect != HTTP_DEFECT_NONE)
+		return reader->syntax.defect;
+	if (reader->truncated)
+		return HTTP_DEFECT_TRUNCATED;
+	if (reader->head_too_large)
+		return HTTP_DEFECT_HEAD_TOO_LARGE;
+	return HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK ||
+		reader->parser.upgrade
+	    ? HTTP_DEFECT_OTHER
+	    : HTTP_DEFECT_NONE;
+}
+
 size_t
 http_reader_head_bytes(const http_reader_t *reader)
 {
--- /dev/null
+++ b/common/http_syntax.c
@@ -0,0 +1,207 @@
+#include "common/http_syntax.h"
+
+#include <ctype.h>
+
+#define STATUS_CONTINUE 100
+#define STATUS_SWITCHING 101
+#define STATUS_OK 200
+#define STATUS_MAX 599
+/* The start of a status line; '#' stands for a digit. */
+#define STATUS_LINE_FORM "HTTP/1.# ###"
+#define VERSION_AT 5
+#define VERSION_END 8
+#define STATUS_AT 9
+#define DELETE_BYTE 0x7f
+
+/** The part of the message to which the next byte belongs. */
+enum state {
+	START_LINE,
+	STATUS_LINE,
+	REASON,
+	LINE,	   /**< the first byte of a field line, or the empty line */
+	LINE_FEED, /**< that of a line with a carriage return */
+	EMPTY_LINE_FEED,
+	FIELD,
+	BODY, /**< up to a length or the end of the connection */
+};
+
+const char *
+http_defect_name(http_defect_t defect)
+{
+	static const char *const names[HTTP_DEFECTS] = {"none", "status_line",
+	    "version", "status", "line_end", "head_too_large", "other",
+	    "truncated", "reset"};
+
+	return names[defect];
+}
+
+static void
+fail(http_syntax_t *syntax, http_defect_t defect)
+{
+	syntax->defect = defect;
+}
+
+/* A byte of a reason. */
+static bool
+is_text(unsigned char c)
+{
+	return c == '\t' || (c >= ' ' && c != DELETE_BYTE);
+}
+
+static void
+step_start_line(http_syntax_t *syntax, unsigned char c)
+{
+	/* Empty lines may come before a request. */
+	if (c == '\n' && syntax->line_at > 0)
+		syntax->state = LINE;
+	else if (c != '\r' && c != '\n')
+		syntax->line_at++;
+}
+
+static void
+status_check(http_syntax_t *syntax)
+{
+	if (syntax->status < STATUS_CONTINUE || syntax->status > STATUS_MAX ||
+	    syntax->status == STATUS_SWITCHING)
+		fail(syntax, HTTP_DEFECT_STATUS);
+}
+
+static void
+step_reason(http_syntax_t *syntax, unsigned char c)
+{
+	if (c == '\r')
+		syntax->state = LINE_FEED;
+	else if (c == '\n')
+		syntax->state = LINE;
+	else if (!is_text(c))
+		fail(syntax, HTTP_DEFECT_STATUS_LINE);
+}
+
+/* The space before an empty reason may be missing. */
+static void
+status_line_end(http_syntax_t *syntax, unsigned char c)
+{
+	status_check(syntax);
+	syntax->state = REASON;
+	if (c == '\r' || c == '\n')
+		step_reason(syntax, c);
+	else if (c != ' ')
+		fail(syntax, HTTP_DEFECT_STATUS_LINE);
+}
+
+static void
+step_status_line(http_syntax_t *syntax, unsigned char c)
+{
+	static const char form[] = STATUS_LINE_FORM;
+	size_t at = syntax->line_at++;
+
+	if (at == sizeof(form) - 1) {
+		status_line_end(syntax, c);
+		return;
+	}
+	if (form[at] == '#' ? !isdigit(c) : c != (unsigned char)form[at]) {
+		fail(syntax,
+		    at >= VERSION_AT && at < VERSION_END
+			? HTTP_DEFECT_VERSION
+			: HTTP_DEFECT_STATUS_LINE);
+		return;
+	}
+	if (at >= STATUS_AT)
+		syntax->status = 10 * syntax->status + (c - '0');
+}
+
+static void
+message_begin(http_syntax_t *syntax)
+{
+	syntax->state = syntax->response ? STATUS_LINE : START_LINE;
+	syntax->line_at = 0;
+	syntax->status = 0;
+}
+
+static void
+head_end(http_syntax_t *syntax)
+{
+	bool interim = syntax->response && syntax->status < STATUS_OK;
+
+	syntax->section_ends = true;
+	if (interim)
+		message_begin(syntax);
+	else
+		syntax->state = BODY;
+}
+
+static void
+step_line(http_syntax_t *syntax, unsigned char c)
+{
+	if (c == '\r')
+		syntax->state = EMPTY_LINE_FEED;
+	else if (c == '\n')
+		head_end(syntax);
+	else
+		syntax->state = FIELD;
+}
+
+static void
+step_line_feed(http_syntax_t *syntax, unsigned char c)
+{
+	syntax->state = LINE;
+	if (c != '\n')
+		fail(syntax, HTTP_DEFECT_LINE_END);
+}
+
+static void
+step_empty_line_feed(http_syntax_t *syntax, unsigned char c)
+{
+	if (c == '\n')
+		head_end(syntax);
+	else
+		fail(syntax, HTTP_DEFECT_LINE_END);
+}
+
+static void
+step_field(http_syntax_t *syntax, unsigned char c)
+{
+	if (c == '\n')
+		syntax->state = LINE;
+}
+
+static void
+step_body(http_syntax_t *syntax, unsigned char c)
+{
+	(void)syntax;
+	(void)c;
+}
+
+static void (*const steps[])(http_syntax_t *, unsigned char) = {
+    [START_LINE] = step_start_line,
+    [STATUS_LINE] = step_status_line,
+    [REASON] = step_reason,
+    [LINE] = step_line,
+    [LINE_FEED] = step_line_feed,
+    [EMPTY_LINE_FEED] = step_empty_line_feed,
+    [FIELD] = step_field,
+    [BODY] = step_body,
+};
+
+void
+http_syntax_init(http_syntax_t *syntax, bool response)
+{
+	*syntax = (http_syntax_t){.response = response};
+	message_begin(syntax);
+}
+
+size_t
+http_syntax_check(http_syntax_t *syntax, const char *bytes, size_t len)
+{
+	size_t at = 0;
+
+	syntax->section_ends = false;
+	while (syntax->defect == HTTP_DEFECT_NONE && !syntax->section_ends) {
+		if (at == len || syntax->state == BODY)
+			return len;
+		steps[syntax->state](syntax, (unsigned char)bytes[at]);
+		if (syntax->defect == HTTP_DEFECT_NONE)
+			at++;
+	}
+	return at;
+}
--- a/include/common/http_msg.h
+++ b/include/common/http_msg.h
@@ -4,8 +4,8 @@
  *
  * Messages that a peer could frame differently are refused, since they allow
  * request smuggling. The parser library refuses a second length, a length
- * together with chunked encoding, and unknown methods; http_msg_check() refuses
- * what the library accepts.
+ * together with chunked encoding, and unknown methods; http_syntax_check() and
+ * http_msg_check() refuse what the library accepts.
  */
 #ifndef COMMON_HTTP_MSG_H
 #define COMMON_HTTP_MSG_H
@@ -17,6 +17,7 @@
 #include <stdint.h>
 
 #include "common/err.h"
+#include "common/http_syntax.h"
 
 /** Connection fields with options of their own that a head may have, and the
  * size of all their values in bytes: each field of the head is looked up in
@@ -67,6 +68,7 @@
 /** Parses the messages of one direction of a connection, one at a time. */
 typedef struct http_reader {
 	http_parser parser;
+	http_syntax_t syntax;
 	const http_reader_ops_t *ops;
 	void *arg;
 	http_msg_t msg;
@@ -83,6 +85,7 @@
 	bool in_message;      /**< a message was started and not completed */
 	bool complete;	      /**< the current message is complete */
 	bool head_too_large;  /**< head_max was exceeded */
+	bool truncated;	      /**< the connection ended before the message */
 	bool interim;	      /**< a 1xx response, which is skipped */
 	size_t interim_bytes; /**< about, of those before this message */
 	bool out_of_memory;
@@ -109,6 +112,9 @@
 /** The peer closed the connection, which ends a response without a length. */
 http_read_result_t http_reader_eof(http_reader_t *);
 
+/** Why the result was HTTP_READ_INVALID. */
+http_defect_t http_reader_defect(const http_reader_t *);
+
 /** Bytes that the reader has allocated for the head of its message. */
 size_t http_reader_head_bytes(const http_reader_t *);
 
--- /dev/null
+++ b/include/common/http_syntax.h
@@ -0,0 +1,52 @@
+/**
+ * @file
+ * Syntax of HTTP/1.1 messages (RFC 9112), checked byte by byte before they are
+ * parsed.
+ *
+ * A parser may accept more than the grammar and normalize it, and then frame a
+ * message in another way than its sender. No byte that breaks a rule is passed
+ * on to it. The start line of a request is left to the parser.
+ */
+#ifndef COMMON_HTTP_SYNTAX_H
+#define COMMON_HTTP_SYNTAX_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/** Why a message is not valid. */
+typedef enum http_defect {
+	HTTP_DEFECT_NONE,
+	HTTP_DEFECT_STATUS_LINE, /**< not of its form (RFC 9112, 4) */
+	HTTP_DEFECT_VERSION,	 /**< not HTTP/1.x */
+	HTTP_DEFECT_STATUS, /**< not 100 to 599, or 101 without a request for an
+			       upgrade */
+	HTTP_DEFECT_LINE_END, /**< a carriage return without a line feed */
+	HTTP_DEFECT_HEAD_TOO_LARGE,
+	HTTP_DEFECT_OTHER,     /**< the parser refuses it */
+	HTTP_DEFECT_TRUNCATED, /**< the connection ended before the message */
+	HTTP_DEFECT_RESET,     /**< the connection was reset or timed out */
+	HTTP_DEFECTS,
+} http_defect_t;
+
+/** The defect in one word, for logs and metrics. */
+const char *http_defect_name(http_defect_t);
+
+/** The check of one message and the interim responses before it. */
+typedef struct http_syntax {
+	bool response;
+	http_defect_t defect;
+	int state;
+	size_t line_at;	   /**< of a status line: bytes so far */
+	int status;	   /**< of a response: its digits so far */
+	bool section_ends; /**< a head is complete */
+} http_syntax_t;
+
+/** @param response a response, not a request */
+void http_syntax_init(http_syntax_t *, bool response);
+
+/** Check further bytes, up to the end of a head or a message.
+ * @return how many may be passed to a parser; fewer than @p len at such an end,
+ * or where http_syntax_t.defect is set */
+size_t http_syntax_check(http_syntax_t *, const char *bytes, size_t len);
+
+#endif
