http_syntax: field names are tokens, and lines are not folded

Callers saw: an endpoint in trouble sent a field line whose name held a blank, inside or before the colon, in a 200 or a 404; the caller got the answer with the line passed on, which its own parser may refuse or read otherwise. With "Content-Length : 3" beside a body of 5 bytes the body was framed by something that the endpoint may not have meant. A line that begins with a blank was joined to the field before it; a folded first line made an answer that the caller could not parse. A refusal with such a line became a 503 that says not run. Control bytes in names and values were refused before and still are.

Cause: the parser is not strict and takes blanks in names, and joins folded lines; only requests were checked for blanks, after the parser.

Change: http_syntax checks field lines in both directions: the name is a token followed by a colon (RFC 9110, 5.6.2), no line begins with whitespace (RFC 9112, 5.2, lets a proxy refuse it), values have no control bytes. The check of requests' names in http_msg_check_framing goes; requests with folded lines are refused as 400 now, where they were joined.

Evidence, on: unit_response_syntax fails in broken_field_lines_are_invalid; in platform_broken_responses the caller got 200 for "X Y: 1", "X : 1", a folded line and a broken interim head, 404 for the same in a 404, no parsable answer for a folded first line, 504 after its whole time for "Content Length: 3", and 503 for the refusal. Now 502 at once, the request ran once, the connection is closed. Control bytes and NUL in names and values: 502 on both. platform_framing and platform_failures pass.

Why it works: the bytes are checked before anything normalizes them, in the one reader that both directions share, and interim heads with them.

--- a/common/http_fields.c
+++ b/common/http_fields.c
@@ -62,22 +62,11 @@
 	return false;
 }
 
-static bool
-field_name_is_valid(const char *name)
-{
-	return *name != '\0' && strpbrk(name, " \t\r\n") == NULL;
-}
-
 bool
 http_msg_check_framing(const http_msg_t *msg, err_t *err)
 {
 	const char *encoding = http_msg_field(msg, "Transfer-Encoding");
 
-	for (size_t i = 0; i < msg->fields_len; i++) {
-		if (!field_name_is_valid(msg->fields[i].name))
-			return err_set(err, ERR_BAD_REQUEST,
-			    "a header name is empty or contains whitespace");
-	}
 	if (msg->target == NULL || msg->target[0] != '/')
 		return err_set(err, ERR_BAD_REQUEST,
 		    "the request target is not an absolute path");
--- a/common/http_syntax.c
+++ b/common/http_syntax.c
@@ -1,6 +1,7 @@
 #include "common/http_syntax.h"
 
 #include <ctype.h>
+#include <string.h>
 
 #define STATUS_CONTINUE 100
 #define STATUS_SWITCHING 101
@@ -21,7 +22,8 @@
 	LINE,	   /**< the first byte of a field line, or the empty line */
 	LINE_FEED, /**< that of a line with a carriage return */
 	EMPTY_LINE_FEED,
-	FIELD,
+	NAME,
+	VALUE,
 	BODY, /**< up to a length or the end of the connection */
 };
 
@@ -29,8 +31,8 @@
 http_defect_name(http_defect_t defect)
 {
 	static const char *const names[HTTP_DEFECTS] = {"none", "status_line",
-	    "version", "status", "line_end", "head_too_large", "other",
-	    "truncated", "reset"};
+	    "version", "status", "field_name", "field_value", "folded_line",
+	    "line_end", "head_too_large", "other", "truncated", "reset"};
 
 	return names[defect];
 }
@@ -41,7 +43,15 @@
 	syntax->defect = defect;
 }
 
-/* A byte of a reason. */
+/* A byte of a token (RFC 9110, 5.6.2). */
+static bool
+is_token(unsigned char c)
+{
+	return c < 0x80 &&
+	    (isalnum(c) || (c != '\0' && strchr("!#$%&'*+-.^_`|~", c) != NULL));
+}
+
+/* A byte of a field value or a reason. */
 static bool
 is_text(unsigned char c)
 {
@@ -110,6 +120,13 @@
 		syntax->status = 10 * syntax->status + (c - '0');
 }
 
+static void
+name_check(http_syntax_t *syntax, unsigned char c)
+{
+	if (!is_token(c))
+		fail(syntax, HTTP_DEFECT_FIELD_NAME);
+}
+
 static void
 message_begin(http_syntax_t *syntax)
 {
@@ -133,12 +150,16 @@
 static void
 step_line(http_syntax_t *syntax, unsigned char c)
 {
-	if (c == '\r')
+	if (c == '\r') {
 		syntax->state = EMPTY_LINE_FEED;
-	else if (c == '\n')
+	} else if (c == '\n') {
 		head_end(syntax);
-	else
-		syntax->state = FIELD;
+	} else if (c == ' ' || c == '\t') {
+		fail(syntax, HTTP_DEFECT_FOLDED_LINE);
+	} else {
+		syntax->state = NAME;
+		name_check(syntax, c);
+	}
 }
 
 static void
@@ -159,10 +180,22 @@
 }
 
 static void
-step_field(http_syntax_t *syntax, unsigned char c)
+step_name(http_syntax_t *syntax, unsigned char c)
 {
-	if (c == '\n')
-		syntax->state = LINE;
+	if (c == ':')
+		syntax->state = VALUE;
+	else
+		name_check(syntax, c);
+}
+
+static void
+step_value(http_syntax_t *syntax, unsigned char c)
+{
+	if (c == '\r' || c == '\n') {
+		syntax->state = c == '\r' ? LINE_FEED : LINE;
+	} else if (!is_text(c)) {
+		fail(syntax, HTTP_DEFECT_FIELD_VALUE);
+	}
 }
 
 static void
@@ -179,7 +212,8 @@
     [LINE] = step_line,
     [LINE_FEED] = step_line_feed,
     [EMPTY_LINE_FEED] = step_empty_line_feed,
-    [FIELD] = step_field,
+    [NAME] = step_name,
+    [VALUE] = step_value,
     [BODY] = step_body,
 };
 
--- a/include/common/http_syntax.h
+++ b/include/common/http_syntax.h
@@ -20,7 +20,10 @@
 	HTTP_DEFECT_VERSION,	 /**< not HTTP/1.x */
 	HTTP_DEFECT_STATUS, /**< not 100 to 599, or 101 without a request for an
 			       upgrade */
-	HTTP_DEFECT_LINE_END, /**< a carriage return without a line feed */
+	HTTP_DEFECT_FIELD_NAME,	 /**< not a token followed by a colon */
+	HTTP_DEFECT_FIELD_VALUE, /**< has a control byte */
+	HTTP_DEFECT_FOLDED_LINE, /**< a line that begins with whitespace */
+	HTTP_DEFECT_LINE_END,	 /**< a carriage return without a line feed */
 	HTTP_DEFECT_HEAD_TOO_LARGE,
 	HTTP_DEFECT_OTHER,     /**< the parser refuses it */
 	HTTP_DEFECT_TRUNCATED, /**< the connection ended before the message */
--- a/test/platform/broken_responses.lua
+++ b/test/platform/broken_responses.lua
@@ -33,6 +33,21 @@
   ["version 2.0"] = "HTTP/2.0 200 OK\r\n" .. SIGNED .. BODY,
   ["version 9.9"] = "HTTP/9.9 200 OK\r\n" .. SIGNED .. BODY,
   ["protocol HTTQ"] = "HTTQ/1.1 200 OK\r\n" .. SIGNED .. BODY,
+  ["blank in a name"] = OK .. SIGNED .. "X Y: 1\r\n" .. BODY,
+  ["blank in a name, 404"] = "HTTP/1.1 404 No\r\n" .. SIGNED .. "X Y: 1\r\n" ..
+    BODY,
+  ["blank before a colon"] = OK .. SIGNED .. "X : 1\r\n" .. BODY,
+  ["control byte in a name"] = OK .. SIGNED .. "X\1Y: 1\r\n" .. BODY,
+  ["NUL in a name"] = OK .. SIGNED .. "X\0Y: 1\r\n" .. BODY,
+  ["control byte in a value"] = OK .. SIGNED .. "X: a\1b\r\n" .. BODY,
+  ["length with a blank"] = OK .. SIGNED .. "Content-Length : 3\r\n" .. BODY,
+  ["length in two words"] = OK .. SIGNED .. "Content Length: 3\r\n\r\ndone\n",
+  ["folded line"] = OK .. SIGNED .. "X: 1\r\n more\r\n" .. BODY,
+  ["folded first line"] = OK .. " X: 1\r\n" .. SIGNED .. BODY,
+  ["interim head with a blank"] = "HTTP/1.1 103 Hints\r\nX Y: 1\r\n\r\n" .. OK ..
+    SIGNED .. BODY,
+  ["refusal with a blank"] = "HTTP/1.1 503 Busy\r\n" .. NOT_RUN ..
+    "X Y: 1\r\nContent-Length: 0\r\n\r\n",
   ["refusal with status 000"] = "HTTP/1.1 000 Zero\r\n" .. NOT_RUN ..
     "Content-Length: 0\r\n\r\n",
 }
@@ -83,7 +98,8 @@
 end
 
 -- Requests that may be repeated: no other endpoint can serve them.
-for _, name in ipairs({"status 000", "refusal with status 000"}) do
+for _, name in ipairs({"status 000", "blank in a name",
+    "refusal with a blank"}) do
   for _, route in ipairs({ROUTES[1], ROUTES[3]}) do
     raw:respond(broken[name])
     local response = words.call(d, route[2], {method = route[1],
@@ -111,7 +127,8 @@
 w:replica(1)
 raw.others = 1
 w:faults(1, {events = 4, pause_ms = 5})
-for name, bytes in pairs({["status 000"] = broken["status 000"]}) do
+for name, bytes in pairs({["status 000"] = broken["status 000"],
+    ["blank in a name"] = broken["blank in a name"]}) do
   for _, path in ipairs({"/scan/a", "/stream/a"}) do
     raw:respond(bytes)
     local at_raw = 0
--- a/test/unit/response_syntax_test.c
+++ b/test/unit/response_syntax_test.c
@@ -178,6 +178,33 @@
 	check_sound(responses, COUNT(responses));
 }
 
+static void
+broken_field_lines_are_invalid(void **state)
+{
+	static const response_t lines[] = {BROKEN("X Y: 1"), BROKEN("X : 1"),
+	    BROKEN("X\t: 1"), BROKEN("X\tY: 1"), BROKEN("X\001Y: 1"),
+	    BROKEN("X\177: 1"), BROKEN("X\xe9: 1"), BROKEN("X(Y): 1"),
+	    BROKEN("X/Y: 1"), BROKEN("X\"Y: 1"), BROKEN(": 1"), BROKEN("X"),
+	    BROKEN("X Y"), BROKEN(" X: 1"), BROKEN("X: 1\r\n Y: 2"),
+	    BROKEN("X: 1\r\n\tmore"), BROKEN("X: 1\r\n "), BROKEN("X: 1\rY: 2"),
+	    BROKEN("X: a\001b"), BROKEN("X: a\177b"), BROKEN("X\0Y: 1"),
+	    BROKEN("X: a\0b"), BROKEN("Content-Length : 2"),
+	    BROKEN("Content Length: 2"),
+	    BROKEN("Content-Length : 1\r\nContent-Length: 2")};
+
+	(void)state;
+	for (size_t i = 0; i < COUNT(lines); i++) {
+		char bytes[128] = OK;
+		response_t response = {.bytes = bytes, .len = strlen(OK)};
+
+		memcpy(bytes + response.len, lines[i].bytes, lines[i].len);
+		response.len += lines[i].len;
+		strcpy(bytes + response.len, "\r\n" LENGTH);
+		response.len += strlen("\r\n" LENGTH);
+		check_broken(&response, 1, 0);
+	}
+}
+
 static void
 sound_field_lines_are_valid(void **state)
 {
@@ -216,6 +243,8 @@
 broken_interim_heads_are_invalid(void **state)
 {
 	static const response_t responses[] = {
+	    BROKEN("HTTP/1.1 103 Hints\r\nX Y: 1\r\n\r\n" OK LENGTH),
+	    BROKEN("HTTP/1.1 103 Hints\r\nX: 1\r\n more\r\n\r\n" OK LENGTH),
 	    BROKEN("HTTP/9.9 103 Hints\r\n\r\n" OK LENGTH),
 	    BROKEN("HTTP/1.1 101 Switching\r\n\r\n" OK LENGTH),
 	    BROKEN("HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 000 Zero\r\n" LENGTH),
@@ -246,6 +275,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(broken_status_lines_are_invalid),
 	    cmocka_unit_test(sound_status_lines_are_valid),
+	    cmocka_unit_test(broken_field_lines_are_invalid),
 	    cmocka_unit_test(sound_field_lines_are_valid),
 	    cmocka_unit_test(sound_chunks_are_valid),
 	    cmocka_unit_test(broken_interim_heads_are_invalid),
