http_syntax: the only transfer encoding is chunked

Callers saw: an endpoint in trouble sent "Transfer-Encoding: foo", "chunked, foo" or "chun ked"; the coded bytes were taken for a plain body up to the end of the connection, and the field was dropped, so that nothing told the caller. Where the endpoint kept its connection open, the caller got a 504 after all of its time.

Cause: the parser takes a body as chunked if "chunked" is among the encodings at the right place, and ignores any others; only requests were checked for that, after the parser.

Change: http_syntax checks both fields that frame a body, in both directions: one Content-Length at most, a number, and not beside an encoding; one Transfer-Encoding at most, and that is chunked. The reader also refuses a message that the parser frames otherwise ("chunked" with a tab after it). The same checks of requests after the parser go, and http_msg_check_target is what is left of them. A response of HTTP/1.0 with chunks, which that version does not have, does not keep its connection.

Evidence, on: unit_response_syntax fails in broken_framing_is_invalid; in platform_broken_responses the three encodings give 504 after 3 s (200 with the coded bytes where the connection is closed, as played by the users' developers). Now 502 at once. Two lengths, and a length beside chunks, were refused before and still are. platform_framing (requests) and platform_failures pass.

Why it works: the check and the parser have to agree on how the body is framed before any byte of it is passed on.

--- a/common/http_fields.c
+++ b/common/http_fields.c
@@ -63,20 +63,11 @@
 }
 
 bool
-http_msg_check_framing(const http_msg_t *msg, err_t *err)
+http_msg_check_target(const http_msg_t *msg, err_t *err)
 {
-	const char *encoding = http_msg_field(msg, "Transfer-Encoding");
-
 	if (msg->target == NULL || msg->target[0] != '/')
 		return err_set(err, ERR_BAD_REQUEST,
 		    "the request target is not an absolute path");
-	if (http_msg_field_count(msg, "Content-Length") > 1 ||
-	    http_msg_field_count(msg, "Transfer-Encoding") > 1)
-		return err_set(err, ERR_BAD_REQUEST,
-		    "duplicate Content-Length or Transfer-Encoding header");
-	if (encoding != NULL && strcasecmp(encoding, "chunked") != 0)
-		return err_set(err, ERR_BAD_REQUEST,
-		    "the transfer encoding is not chunked");
 	return true;
 }
 
@@ -86,5 +77,5 @@
 	if (http_msg_field_count(msg, "Host") != 1)
 		return err_set(
 		    err, ERR_BAD_REQUEST, "expected exactly one Host header");
-	return http_msg_check_framing(msg, err);
+	return http_msg_check_target(msg, err);
 }
--- a/common/http_inbound.c
+++ b/common/http_inbound.c
@@ -169,7 +169,7 @@
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, PIPELINED_MAX);
 	if (!msg->keep_alive)
 		conn->close_after_response = true;
-	valid = server->ops->host_optional ? http_msg_check_framing(msg, &err)
+	valid = server->ops->host_optional ? http_msg_check_target(msg, &err)
 					   : http_msg_check(msg, &err);
 	if (!valid)
 		inbound_refuse(conn, &err);
--- a/common/http_msg.c
+++ b/common/http_msg.c
@@ -253,12 +253,20 @@
 {
 	http_reader_t *reader = parser->data;
 	http_msg_t *msg = &reader->msg;
+	bool interim =
+	    parser->type == HTTP_RESPONSE && parser->status_code < STATUS_OK;
 
 	if (!fields_resolve(reader))
 		return -1;
 	reader->head_complete = true;
-	msg->keep_alive = http_should_keep_alive(parser) != 0;
 	msg->chunked = (parser->flags & F_CHUNKED) != 0;
+	if (!interim && msg->chunked != reader->syntax.chunked) {
+		reader->syntax.defect = HTTP_DEFECT_ENCODING;
+		return -1;
+	}
+	/* HTTP/1.0 has no chunks (RFC 9112, 6.1). */
+	msg->keep_alive = http_should_keep_alive(parser) != 0 &&
+	    !(msg->chunked && parser->http_minor == 0);
 	if (parser->type == HTTP_REQUEST) {
 		msg->method = http_method_str((enum http_method)parser->method);
 		reader->ops->on_head(reader->arg, msg);
--- a/common/http_syntax.c
+++ b/common/http_syntax.c
@@ -2,6 +2,7 @@
 
 #include <ctype.h>
 #include <string.h>
+#include <strings.h>
 
 #define STATUS_CONTINUE 100
 #define STATUS_SWITCHING 101
@@ -32,7 +33,8 @@
 {
 	static const char *const names[HTTP_DEFECTS] = {"none", "status_line",
 	    "version", "status", "field_name", "field_value", "folded_line",
-	    "line_end", "head_too_large", "other", "truncated", "reset"};
+	    "line_end", "length", "encoding", "head_too_large", "other",
+	    "truncated", "reset"};
 
 	return names[defect];
 }
@@ -121,10 +123,15 @@
 }
 
 static void
-name_check(http_syntax_t *syntax, unsigned char c)
+name_add(http_syntax_t *syntax, unsigned char c)
 {
-	if (!is_token(c))
+	if (!is_token(c)) {
 		fail(syntax, HTTP_DEFECT_FIELD_NAME);
+		return;
+	}
+	if (syntax->name_len < sizeof(syntax->name))
+		syntax->name[syntax->name_len] = (char)c;
+	syntax->name_len++;
 }
 
 static void
@@ -133,6 +140,8 @@
 	syntax->state = syntax->response ? STATUS_LINE : START_LINE;
 	syntax->line_at = 0;
 	syntax->status = 0;
+	syntax->has_length = false;
+	syntax->chunked = false;
 }
 
 static void
@@ -141,7 +150,9 @@
 	bool interim = syntax->response && syntax->status < STATUS_OK;
 
 	syntax->section_ends = true;
-	if (interim)
+	if (syntax->chunked && syntax->has_length)
+		fail(syntax, HTTP_DEFECT_LENGTH);
+	else if (interim)
 		message_begin(syntax);
 	else
 		syntax->state = BODY;
@@ -158,7 +169,8 @@
 		fail(syntax, HTTP_DEFECT_FOLDED_LINE);
 	} else {
 		syntax->state = NAME;
-		name_check(syntax, c);
+		syntax->name_len = 0;
+		name_add(syntax, c);
 	}
 }
 
@@ -182,18 +194,74 @@
 static void
 step_name(http_syntax_t *syntax, unsigned char c)
 {
-	if (c == ':')
-		syntax->state = VALUE;
-	else
-		name_check(syntax, c);
+	if (c != ':') {
+		name_add(syntax, c);
+		return;
+	}
+	syntax->state = VALUE;
+	syntax->value_len = 0;
+	syntax->value_has_space = false;
+	syntax->value_is_number = true;
+}
+
+static bool
+name_is(const http_syntax_t *syntax, const char *name)
+{
+	return syntax->name_len == strlen(name) &&
+	    strncasecmp(syntax->name, name, syntax->name_len) == 0;
+}
+
+static bool
+value_is(const http_syntax_t *syntax, const char *value)
+{
+	return syntax->value_len == strlen(value) &&
+	    strncasecmp(syntax->value, value, syntax->value_len) == 0;
+}
+
+static void
+field_end(http_syntax_t *syntax)
+{
+	syntax->state = LINE;
+	if (name_is(syntax, "Content-Length")) {
+		if (syntax->has_length || syntax->value_len == 0 ||
+		    !syntax->value_is_number)
+			fail(syntax, HTTP_DEFECT_LENGTH);
+		syntax->has_length = true;
+	} else if (name_is(syntax, "Transfer-Encoding")) {
+		if (syntax->chunked || !value_is(syntax, "chunked"))
+			fail(syntax, HTTP_DEFECT_ENCODING);
+		syntax->chunked = true;
+	}
+}
+
+static void
+value_add(http_syntax_t *syntax, unsigned char c)
+{
+	if (c == ' ' || c == '\t') {
+		syntax->value_has_space = syntax->value_len > 0;
+		return;
+	}
+	if (!isdigit(c) || syntax->value_has_space)
+		syntax->value_is_number = false;
+	/* Whitespace inside a value differs from any text that is compared. */
+	syntax->value_len += syntax->value_has_space;
+	if (syntax->value_len < sizeof(syntax->value))
+		syntax->value[syntax->value_len] =
+		    syntax->value_has_space ? ' ' : (char)c;
+	syntax->value_len++;
+	syntax->value_has_space = false;
 }
 
 static void
 step_value(http_syntax_t *syntax, unsigned char c)
 {
 	if (c == '\r' || c == '\n') {
-		syntax->state = c == '\r' ? LINE_FEED : LINE;
-	} else if (!is_text(c)) {
+		field_end(syntax);
+		if (c == '\r')
+			syntax->state = LINE_FEED;
+	} else if (is_text(c)) {
+		value_add(syntax, c);
+	} else {
 		fail(syntax, HTTP_DEFECT_FIELD_VALUE);
 	}
 }
--- a/include/common/http_msg.h
+++ b/include/common/http_msg.h
@@ -3,9 +3,8 @@
  * HTTP/1.1 messages as received on a connection, parsed by http_parser.
  *
  * Messages that a peer could frame differently are refused, since they allow
- * request smuggling. The parser library refuses a second length, a length
- * together with chunked encoding, and unknown methods; http_syntax_check() and
- * http_msg_check() refuse what the library accepts.
+ * request smuggling. http_syntax_check() refuses what the parser library
+ * accepts beyond the grammar, in both directions.
  */
 #ifndef COMMON_HTTP_MSG_H
 #define COMMON_HTTP_MSG_H
@@ -133,9 +132,9 @@
  * forwarded. */
 bool http_field_is_hop_by_hop(const http_msg_t *, const char *name);
 
-/** Refuse a request whose framing is ambiguous.
+/** Refuse a request whose target is not a path.
  * @return false: refused, with the reason in @p err */
-bool http_msg_check_framing(const http_msg_t *, err_t *);
+bool http_msg_check_target(const http_msg_t *, err_t *);
 
 /** The same, and one that does not name exactly one host. */
 bool http_msg_check(const http_msg_t *, err_t *);
--- a/include/common/http_syntax.h
+++ b/include/common/http_syntax.h
@@ -12,6 +12,10 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
+
+#define HTTP_SYNTAX_NAME_SIZE 20  /**< bytes; the longest name that counts */
+#define HTTP_SYNTAX_VALUE_SIZE 12 /**< bytes of a value that are compared */
 
 /** Why a message is not valid. */
 typedef enum http_defect {
@@ -24,6 +28,8 @@
 	HTTP_DEFECT_FIELD_VALUE, /**< has a control byte */
 	HTTP_DEFECT_FOLDED_LINE, /**< a line that begins with whitespace */
 	HTTP_DEFECT_LINE_END,	 /**< a carriage return without a line feed */
+	HTTP_DEFECT_LENGTH,	 /**< no number, twice, or beside an encoding */
+	HTTP_DEFECT_ENCODING,	 /**< a transfer encoding other than chunked */
 	HTTP_DEFECT_HEAD_TOO_LARGE,
 	HTTP_DEFECT_OTHER,     /**< the parser refuses it */
 	HTTP_DEFECT_TRUNCATED, /**< the connection ended before the message */
@@ -42,6 +48,14 @@
 	size_t line_at;	   /**< of a status line: bytes so far */
 	int status;	   /**< of a response: its digits so far */
 	bool section_ends; /**< a head is complete */
+	bool has_length;   /**< of the head */
+	bool chunked;	   /**< of the head */
+	char name[HTTP_SYNTAX_NAME_SIZE];
+	size_t name_len;
+	char value[HTTP_SYNTAX_VALUE_SIZE];
+	size_t value_len;     /**< without whitespace around it */
+	bool value_has_space; /**< since its last other byte */
+	bool value_is_number; /**< only digits so far */
 } http_syntax_t;
 
 /** @param response a response, not a request */
--- a/test/platform/broken_responses.lua
+++ b/test/platform/broken_responses.lua
@@ -44,6 +44,15 @@
   ["length in two words"] = OK .. SIGNED .. "Content Length: 3\r\n\r\ndone\n",
   ["folded line"] = OK .. SIGNED .. "X: 1\r\n more\r\n" .. BODY,
   ["folded first line"] = OK .. " X: 1\r\n" .. SIGNED .. BODY,
+  ["encoding foo"] = OK .. SIGNED .. "Transfer-Encoding: foo\r\n\r\ndone\n",
+  ["encoding chunked, foo"] = OK .. SIGNED ..
+    "Transfer-Encoding: chunked, foo\r\n\r\n" .. chunk("done\n") ..
+    "0\r\n\r\n",
+  ["encoding chun ked"] = OK .. SIGNED .. "Transfer-Encoding: chun ked\r\n" ..
+    "\r\n" .. chunk("done\n") .. "0\r\n\r\n",
+  ["two lengths"] = OK .. SIGNED .. "Content-Length: 3\r\n" .. BODY,
+  ["length beside chunks"] = OK .. SIGNED .. "Content-Length: 5\r\n" .. CHUNKS ..
+    chunk("done\n") .. "0\r\n\r\n",
   ["interim head with a blank"] = "HTTP/1.1 103 Hints\r\nX Y: 1\r\n\r\n" .. OK ..
     SIGNED .. BODY,
   ["refusal with a blank"] = "HTTP/1.1 503 Busy\r\n" .. NOT_RUN ..
--- a/test/unit/response_syntax_test.c
+++ b/test/unit/response_syntax_test.c
@@ -220,6 +220,35 @@
 	check_sound(responses, COUNT(responses));
 }
 
+static void
+broken_framing_is_invalid(void **state)
+{
+	static const char *const lines[] = {"Transfer-Encoding: foo",
+	    "Transfer-Encoding: chunked, foo",
+	    "Transfer-Encoding: foo, chunked", "Transfer-Encoding: chun ked",
+	    "Transfer-Encoding: xchunked", "Transfer-Encoding: chunkedx",
+	    "Transfer-Encoding: identity",
+	    "Transfer-Encoding:", "Transfer-Encoding: chunked, chunked",
+	    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+	    "Transfer-Encoding: chunked\r\nTransfer-Encoding: foo",
+	    "Transfer-Encoding: chunked\r\nContent-Length: 12",
+	    "Content-Length: 12\r\nTransfer-Encoding: chunked",
+	    "Content-Length:", "Content-Length: x", "Content-Length: -2",
+	    "Content-Length: +2", "Content-Length: 2, 2", "Content-Length: 0x2",
+	    "Content-Length: 2 2", "Content-Length: 99999999999999999999999",
+	    "Content-Length: 2\r\nContent-Length: 3"};
+
+	(void)state;
+	for (size_t i = 0; i < COUNT(lines); i++) {
+		char bytes[128];
+		response_t response = {.bytes = bytes};
+
+		response.len = (size_t)snprintf(bytes, sizeof(bytes),
+		    OK "%s\r\n\r\n2\r\nok\r\n0\r\n\r\n", lines[i]);
+		check_broken(&response, 1, 0);
+	}
+}
+
 static void
 sound_chunks_are_valid(void **state)
 {
@@ -247,6 +276,8 @@
 	    BROKEN("HTTP/1.1 103 Hints\r\nX: 1\r\n more\r\n\r\n" OK LENGTH),
 	    BROKEN("HTTP/9.9 103 Hints\r\n\r\n" OK LENGTH),
 	    BROKEN("HTTP/1.1 101 Switching\r\n\r\n" OK LENGTH),
+	    BROKEN("HTTP/1.1 103 Hints\r\nTransfer-Encoding: foo\r\n\r\n" OK
+		    LENGTH),
 	    BROKEN("HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 000 Zero\r\n" LENGTH),
 	    BROKEN("HTTP/1.1 103 Hints\r\n\r\n"),
 	    BROKEN(
@@ -277,6 +308,7 @@
 	    cmocka_unit_test(sound_status_lines_are_valid),
 	    cmocka_unit_test(broken_field_lines_are_invalid),
 	    cmocka_unit_test(sound_field_lines_are_valid),
+	    cmocka_unit_test(broken_framing_is_invalid),
 	    cmocka_unit_test(sound_chunks_are_valid),
 	    cmocka_unit_test(broken_interim_heads_are_invalid),
 	    cmocka_unit_test(sound_interim_heads_are_skipped),
