http_syntax: responses without a body end with their head

Callers saw: a 304 that names the length of the body that it does not send was never answered; the daemon waited for that body until the caller's time was over. After an interim response or a 204 with a length, as many bytes of what followed were taken for a body.

Cause: the parser frames every response by its fields. Responses of 1xx, 204 and 304, and those to HEAD, end with their head whatever their fields say (RFC 9112, 6.3); only HEAD was told to the parser.

Change: http_syntax says after each head whether a body may follow, and the reader tells the parser.

Evidence: unit_response_syntax fails on in responses_that_never_have_a_body_end_with_their_head ("refused: HTTP/1.1 304 Not Modified") and passes now, in one piece, in pieces of 7 bytes and byte by byte. Bytes after such a head are no part of the response: they keep the connection from being used again, as before.

Why it works: where a message ends no longer depends on fields that the grammar says to ignore there.

--- a/common/http_msg.c
+++ b/common/http_msg.c
@@ -253,14 +253,13 @@
 {
 	http_reader_t *reader = parser->data;
 	http_msg_t *msg = &reader->msg;
-	bool interim =
-	    parser->type == HTTP_RESPONSE && parser->status_code < STATUS_OK;
 
 	if (!fields_resolve(reader))
 		return -1;
 	reader->head_complete = true;
 	msg->chunked = (parser->flags & F_CHUNKED) != 0;
-	if (!interim && msg->chunked != reader->syntax.chunked) {
+	if (!reader->syntax.bodiless &&
+	    msg->chunked != reader->syntax.chunked) {
 		reader->syntax.defect = HTTP_DEFECT_ENCODING;
 		return -1;
 	}
@@ -283,7 +282,7 @@
 	}
 	if (!reader->interim)
 		reader->ops->on_head(reader->arg, msg);
-	return reader->no_body ? 1 : 0;
+	return reader->syntax.bodiless ? 1 : 0;
 }
 
 static int
@@ -360,6 +359,12 @@
 	reader->truncated = false;
 }
 
+void
+http_reader_expect_no_body(http_reader_t *reader)
+{
+	reader->syntax.no_body = true;
+}
+
 /* @return how many of the bytes were parsed */
 static size_t
 bytes_parse(http_reader_t *reader, const char *bytes, size_t len)
--- a/common/http_outbound.c
+++ b/common/http_outbound.c
@@ -325,7 +325,8 @@
     void *arg, struct evbuffer *head, struct evbuffer *body, bool no_body)
 {
 	http_reader_reset(&conn->reader);
-	conn->reader.no_body = no_body;
+	if (no_body)
+		http_reader_expect_no_body(&conn->reader);
 	conn->ops = ops;
 	conn->arg = arg;
 	conn->idle_closed = NULL;
--- a/common/http_syntax.c
+++ b/common/http_syntax.c
@@ -7,6 +7,8 @@
 #define STATUS_CONTINUE 100
 #define STATUS_SWITCHING 101
 #define STATUS_OK 200
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
 #define STATUS_MAX 599
 /* The start of a status line; '#' stands for a digit. */
 #define STATUS_LINE_FORM "HTTP/1.# ###"
@@ -150,6 +152,11 @@
 	bool interim = syntax->response && syntax->status < STATUS_OK;
 
 	syntax->section_ends = true;
+	/* RFC 9112, 6.3. */
+	syntax->bodiless = syntax->response &&
+	    (interim || syntax->no_body ||
+		syntax->status == STATUS_NO_CONTENT ||
+		syntax->status == STATUS_NOT_MODIFIED);
 	if (syntax->chunked && syntax->has_length)
 		fail(syntax, HTTP_DEFECT_LENGTH);
 	else if (interim)
--- a/include/common/http_msg.h
+++ b/include/common/http_msg.h
@@ -79,7 +79,6 @@
 	size_t fields_at_cap;
 	size_t head_max;      /**< maximum size of a head, bytes */
 	bool head_complete;   /**< of the current message */
-	bool no_body;	      /**< a response to HEAD, which has no body */
 	bool in_value;	      /**< the last callback was for a value */
 	bool in_message;      /**< a message was started and not completed */
 	bool complete;	      /**< the current message is complete */
@@ -105,6 +104,9 @@
 /** Discard the previous message and prepare for the next one. */
 void http_reader_reset(http_reader_t *);
 
+/** The response that is read next has no body, as to HEAD. */
+void http_reader_expect_no_body(http_reader_t *);
+
 /** Parse and drain @p in up to the end of the message. */
 http_read_result_t http_reader_feed(http_reader_t *, struct evbuffer *in);
 
--- a/include/common/http_syntax.h
+++ b/include/common/http_syntax.h
@@ -43,6 +43,10 @@
 /** The check of one message and the interim responses before it. */
 typedef struct http_syntax {
 	bool response;
+	/** Set by the owner: the response is to HEAD. */
+	bool no_body;
+	/** Of the last head: no body follows it, whatever its fields say. */
+	bool bodiless;
 	http_defect_t defect;
 	int state;
 	size_t line_at;	   /**< of a status line: bytes so far */
--- a/test/unit/response_syntax_test.c
+++ b/test/unit/response_syntax_test.c
@@ -300,6 +300,24 @@
 	check_sound(responses, COUNT(responses));
 }
 
+/* Such a response ends with its head, whatever length it announces. */
+static void
+responses_that_never_have_a_body_end_with_their_head(void **state)
+{
+	static const response_t responses[] = {
+	    SOUND("HTTP/1.1 204 No Content\r\n\r\n", 204, ""),
+	    SOUND("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", 204,
+		""),
+	    SOUND("HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", 304,
+		""),
+	    SOUND("HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: "
+		  "chunked\r\n\r\n",
+		304, "")};
+
+	(void)state;
+	check_sound(responses, COUNT(responses));
+}
+
 int
 main(void)
 {
@@ -312,6 +330,8 @@
 	    cmocka_unit_test(sound_chunks_are_valid),
 	    cmocka_unit_test(broken_interim_heads_are_invalid),
 	    cmocka_unit_test(sound_interim_heads_are_skipped),
+	    cmocka_unit_test(
+		responses_that_never_have_a_body_end_with_their_head),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
