http_syntax: chunks end with their line end, and trailers are fields

Callers saw: a chunk of "done\n" followed by "XX0" instead of a line end gave a whole answer, as did a broken trailer section; what the endpoint meant by such bytes is not known. Nobody had reported it. Requests in chunks were read in the same way, so that two servers could see different requests in the same bytes.

Cause: without HTTP_PARSER_STRICT the parser takes any two bytes for the line end after a chunk, any byte for the line feed after its size, and any bytes at all in a chunk extension; trailers have the names that heads had.

Change: http_syntax follows a body in chunks, in both directions: the size, the extension without control bytes, the line ends, and the lines of the trailer section as those of a head. It looks at no byte of the data. Spaces after the size, which some servers send, stay allowed.

Evidence, on: unit_response_syntax fails in broken_chunks_are_invalid, unit_http_msg in ambiguous_requests_are_refused with a request of such chunks, and platform_broken_responses gives 200 for "chunk without its end" and "trailer with a blank". Now 502 for responses and 400 for requests. A stream whose chunk breaks after two events goes on at another endpoint, and the caller has each event once. platform_framing, _failures and _bytes_without_end pass.

Why it works: a chunk that does not end where its size says ends the message as a cut does, so that what follows is never taken for its rest.

--- a/common/http_syntax.c
+++ b/common/http_syntax.c
@@ -15,6 +15,8 @@
 #define VERSION_AT 5
 #define VERSION_END 8
 #define STATUS_AT 9
+#define CHUNK_DIGITS_MAX 16
+#define BITS_PER_HEX_DIGIT 4
 #define DELETE_BYTE 0x7f
 
 /** The part of the message to which the next byte belongs. */
@@ -27,7 +29,14 @@
 	EMPTY_LINE_FEED,
 	NAME,
 	VALUE,
+	CHUNK_SIZE,
+	CHUNK_EXTENSION,
+	CHUNK_LINE_FEED,
+	CHUNK_DATA,
+	CHUNK_RETURN, /**< the line end after the data */
+	CHUNK_FEED,
 	BODY, /**< up to a length or the end of the connection */
+	END,
 };
 
 const char *
@@ -35,8 +44,8 @@
 {
 	static const char *const names[HTTP_DEFECTS] = {"none", "status_line",
 	    "version", "status", "field_name", "field_value", "folded_line",
-	    "line_end", "length", "encoding", "head_too_large", "other",
-	    "truncated", "reset"};
+	    "line_end", "length", "encoding", "chunk", "head_too_large",
+	    "other", "truncated", "reset"};
 
 	return names[defect];
 }
@@ -55,7 +64,7 @@
 	    (isalnum(c) || (c != '\0' && strchr("!#$%&'*+-.^_`|~", c) != NULL));
 }
 
-/* A byte of a field value or a reason. */
+/* A byte of a field value, a reason or a chunk extension. */
 static bool
 is_text(unsigned char c)
 {
@@ -151,7 +160,6 @@
 {
 	bool interim = syntax->response && syntax->status < STATUS_OK;
 
-	syntax->section_ends = true;
 	/* RFC 9112, 6.3. */
 	syntax->bodiless = syntax->response &&
 	    (interim || syntax->no_body ||
@@ -162,7 +170,18 @@
 	else if (interim)
 		message_begin(syntax);
 	else
-		syntax->state = BODY;
+		syntax->state =
+		    syntax->chunked && !syntax->bodiless ? CHUNK_SIZE : BODY;
+}
+
+static void
+section_end(http_syntax_t *syntax)
+{
+	syntax->section_ends = true;
+	if (syntax->in_trailer)
+		syntax->state = END;
+	else
+		head_end(syntax);
 }
 
 static void
@@ -171,7 +190,7 @@
 	if (c == '\r') {
 		syntax->state = EMPTY_LINE_FEED;
 	} else if (c == '\n') {
-		head_end(syntax);
+		section_end(syntax);
 	} else if (c == ' ' || c == '\t') {
 		fail(syntax, HTTP_DEFECT_FOLDED_LINE);
 	} else {
@@ -193,7 +212,7 @@
 step_empty_line_feed(http_syntax_t *syntax, unsigned char c)
 {
 	if (c == '\n')
-		head_end(syntax);
+		section_end(syntax);
 	else
 		fail(syntax, HTTP_DEFECT_LINE_END);
 }
@@ -229,6 +248,8 @@
 field_end(http_syntax_t *syntax)
 {
 	syntax->state = LINE;
+	if (syntax->in_trailer)
+		return;
 	if (name_is(syntax, "Content-Length")) {
 		if (syntax->has_length || syntax->value_len == 0 ||
 		    !syntax->value_is_number)
@@ -273,6 +294,81 @@
 	}
 }
 
+static int
+hex_value(unsigned char c)
+{
+	if (isdigit(c))
+		return c - '0';
+	return isxdigit(c) ? tolower(c) - 'a' + 10 : -1;
+}
+
+static void
+step_chunk_extension(http_syntax_t *syntax, unsigned char c)
+{
+	if (c == '\r')
+		syntax->state = CHUNK_LINE_FEED;
+	else if (!is_text(c))
+		fail(syntax, HTTP_DEFECT_CHUNK);
+}
+
+static void
+step_chunk_size(http_syntax_t *syntax, unsigned char c)
+{
+	int digit = hex_value(c);
+
+	if (digit >= 0 && syntax->chunk_digits < CHUNK_DIGITS_MAX) {
+		syntax->chunk_digits++;
+		syntax->chunk_remaining = syntax->chunk_remaining
+			<< BITS_PER_HEX_DIGIT |
+		    (uint64_t)digit;
+		return;
+	}
+	/* Some servers pad the size with spaces. */
+	if (syntax->chunk_digits == 0 || (c != '\r' && c != ';' && c != ' ')) {
+		fail(syntax, HTTP_DEFECT_CHUNK);
+		return;
+	}
+	syntax->state = CHUNK_EXTENSION;
+	step_chunk_extension(syntax, c);
+}
+
+static void
+step_chunk_line_feed(http_syntax_t *syntax, unsigned char c)
+{
+	syntax->state = CHUNK_DATA;
+	if (c != '\n')
+		fail(syntax, HTTP_DEFECT_CHUNK);
+	if (syntax->chunk_remaining > 0)
+		return;
+	syntax->in_trailer = true;
+	syntax->state = LINE;
+}
+
+static void
+step_chunk_data(http_syntax_t *syntax, unsigned char c)
+{
+	(void)c;
+	if (--syntax->chunk_remaining == 0)
+		syntax->state = CHUNK_RETURN;
+}
+
+static void
+step_chunk_return(http_syntax_t *syntax, unsigned char c)
+{
+	syntax->state = CHUNK_FEED;
+	if (c != '\r')
+		fail(syntax, HTTP_DEFECT_CHUNK);
+}
+
+static void
+step_chunk_feed(http_syntax_t *syntax, unsigned char c)
+{
+	syntax->state = CHUNK_SIZE;
+	syntax->chunk_digits = 0;
+	if (c != '\n')
+		fail(syntax, HTTP_DEFECT_CHUNK);
+}
+
 static void
 step_body(http_syntax_t *syntax, unsigned char c)
 {
@@ -289,7 +385,14 @@
     [EMPTY_LINE_FEED] = step_empty_line_feed,
     [NAME] = step_name,
     [VALUE] = step_value,
+    [CHUNK_SIZE] = step_chunk_size,
+    [CHUNK_EXTENSION] = step_chunk_extension,
+    [CHUNK_LINE_FEED] = step_chunk_line_feed,
+    [CHUNK_DATA] = step_chunk_data,
+    [CHUNK_RETURN] = step_chunk_return,
+    [CHUNK_FEED] = step_chunk_feed,
     [BODY] = step_body,
+    [END] = step_body,
 };
 
 void
@@ -299,6 +402,21 @@
 	message_begin(syntax);
 }
 
+/* Bytes whose values don't matter. */
+static size_t
+bytes_skip(http_syntax_t *syntax, size_t len)
+{
+	if (syntax->state == BODY || syntax->state == END)
+		return len;
+	if (syntax->state != CHUNK_DATA)
+		return 0;
+	/* The last one is stepped over. */
+	if (len >= syntax->chunk_remaining)
+		len = (size_t)syntax->chunk_remaining - 1;
+	syntax->chunk_remaining -= len;
+	return len;
+}
+
 size_t
 http_syntax_check(http_syntax_t *syntax, const char *bytes, size_t len)
 {
@@ -306,7 +424,8 @@
 
 	syntax->section_ends = false;
 	while (syntax->defect == HTTP_DEFECT_NONE && !syntax->section_ends) {
-		if (at == len || syntax->state == BODY)
+		at += bytes_skip(syntax, len - at);
+		if (at == len)
 			return len;
 		steps[syntax->state](syntax, (unsigned char)bytes[at]);
 		if (syntax->defect == HTTP_DEFECT_NONE)
--- a/include/common/http_syntax.h
+++ b/include/common/http_syntax.h
@@ -30,6 +30,7 @@
 	HTTP_DEFECT_LINE_END,	 /**< a carriage return without a line feed */
 	HTTP_DEFECT_LENGTH,	 /**< no number, twice, or beside an encoding */
 	HTTP_DEFECT_ENCODING,	 /**< a transfer encoding other than chunked */
+	HTTP_DEFECT_CHUNK,	 /**< of the line or the end of a chunk */
 	HTTP_DEFECT_HEAD_TOO_LARGE,
 	HTTP_DEFECT_OTHER,     /**< the parser refuses it */
 	HTTP_DEFECT_TRUNCATED, /**< the connection ended before the message */
@@ -51,15 +52,18 @@
 	int state;
 	size_t line_at;	   /**< of a status line: bytes so far */
 	int status;	   /**< of a response: its digits so far */
-	bool section_ends; /**< a head is complete */
+	bool in_trailer;   /**< of a field line: after the last chunk */
+	bool section_ends; /**< a head or a trailer section is complete */
 	bool has_length;   /**< of the head */
 	bool chunked;	   /**< of the head */
 	char name[HTTP_SYNTAX_NAME_SIZE];
 	size_t name_len;
 	char value[HTTP_SYNTAX_VALUE_SIZE];
-	size_t value_len;     /**< without whitespace around it */
-	bool value_has_space; /**< since its last other byte */
-	bool value_is_number; /**< only digits so far */
+	size_t value_len;	  /**< without whitespace around it */
+	bool value_has_space;	  /**< since its last other byte */
+	bool value_is_number;	  /**< only digits so far */
+	size_t chunk_digits;	  /**< of the size of a chunk */
+	uint64_t chunk_remaining; /**< bytes */
 } http_syntax_t;
 
 /** @param response a response, not a request */
--- a/test/platform/broken_responses.lua
+++ b/test/platform/broken_responses.lua
@@ -17,6 +17,7 @@
 local OK = "HTTP/1.1 200 OK\r\n"
 local BODY = "Content-Length: 5\r\n\r\ndone\n"
 local CHUNKS = "Transfer-Encoding: chunked\r\n\r\n"
+local EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 local ROUTES = {{"GET", "/scan/a"}, {"POST", "/book/a"}, {"POST", "/stream/a"}}
 
 local function chunk(text) return string.format("%x\r\n%s\r\n", #text, text) end
@@ -53,6 +54,9 @@
   ["two lengths"] = OK .. SIGNED .. "Content-Length: 3\r\n" .. BODY,
   ["length beside chunks"] = OK .. SIGNED .. "Content-Length: 5\r\n" .. CHUNKS ..
     chunk("done\n") .. "0\r\n\r\n",
+  ["chunk without its end"] = OK .. SIGNED .. CHUNKS .. "5\r\ndone\nXX0\r\n\r\n",
+  ["trailer with a blank"] = OK .. SIGNED .. CHUNKS .. chunk("done\n") ..
+    "0\r\nX Y: 1\r\n\r\n",
   ["interim head with a blank"] = "HTTP/1.1 103 Hints\r\nX Y: 1\r\n\r\n" .. OK ..
     SIGNED .. BODY,
   ["refusal with a blank"] = "HTTP/1.1 503 Busy\r\n" .. NOT_RUN ..
@@ -137,7 +141,10 @@
 raw.others = 1
 w:faults(1, {events = 4, pause_ms = 5})
 for name, bytes in pairs({["status 000"] = broken["status 000"],
-    ["blank in a name"] = broken["blank in a name"]}) do
+    ["blank in a name"] = broken["blank in a name"],
+    ["chunk without its end, after events"] = OK .. SIGNED ..
+      "Content-Type: text/event-stream\r\n" .. CHUNKS .. chunk(EVENTS) ..
+      "3\r\nid:XX"}) do
   for _, path in ipairs({"/scan/a", "/stream/a"}) do
     raw:respond(bytes)
     local at_raw = 0
--- a/test/unit/http_msg_test.c
+++ b/test/unit/http_msg_test.c
@@ -117,6 +117,12 @@
 		"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n");
 	REFUSED("POST /a HTTP/1.1\r\nHost: h\r\n"
 		"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n");
+	REFUSED("POST /a HTTP/1.1\r\nHost: h\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n4\r\nabcdXX0\r\n\r\n");
+	REFUSED("POST /a HTTP/1.1\r\nHost: h\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n4;a\nb\r\nabcd\r\n0\r\n"
+		"\r\n");
+	REFUSED("GET /a HTTP/1.1\r\nHost: h\r\nX: 1\r\n more\r\n\r\n");
 	REFUSED("GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n");
 	REFUSED("GET /a HTTP/1.1\r\n\r\n");
 	REFUSED("GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/test/unit/response_syntax_test.c
+++ b/test/unit/response_syntax_test.c
@@ -249,6 +249,33 @@
 	}
 }
 
+static void
+broken_chunks_are_invalid(void **state)
+{
+	static const response_t responses[] = {
+	    BROKEN(CHUNKED "2\r\nokXX0\r\n\r\n"),
+	    BROKEN(CHUNKED "2\r\nok0\r\n\r\n"),
+	    BROKEN(CHUNKED "2\r\nok\rX0\r\n\r\n"),
+	    BROKEN(CHUNKED "2\r\nok\n0\r\n\r\n"),
+	    BROKEN(CHUNKED "2\rXok\r\n0\r\n\r\n"),
+	    BROKEN(CHUNKED "2\nok\r\n0\r\n\r\n"),
+	    BROKEN(CHUNKED "2;a\nb\r\nok\r\n0\r\n\r\n"),
+	    BROKEN(CHUNKED "2;a\001b\r\nok\r\n0\r\n\r\n"),
+	    BROKEN(CHUNKED "x\r\nok\r\n0\r\n\r\n"),
+	    BROKEN(CHUNKED "\r\n2\r\nok\r\n0\r\n\r\n"),
+	    BROKEN(CHUNKED "-2\r\nok\r\n0\r\n\r\n"),
+	    BROKEN(CHUNKED "0x2\r\nok\r\n0\r\n\r\n"),
+	    BROKEN(CHUNKED "fffffffffffffffff\r\nok\r\n0\r\n\r\n"),
+	    BROKEN(CHUNKED "2\r\nok\r\n0\r\n"), BROKEN(CHUNKED "2\r\nok\r\n"),
+	    BROKEN(CHUNKED "2\r\nok\r\n0\r\nX Y: 1\r\n\r\n"),
+	    BROKEN(CHUNKED "2\r\nok\r\n0\r\nX: 1\r\n folded\r\n\r\n"),
+	    BROKEN(CHUNKED "2\r\nok\r\n0\r\nX: a\001b\r\n\r\n"),
+	    BROKEN(CHUNKED "2\r\nok\r\n0\r\nok\r\n\r\n")};
+
+	(void)state;
+	check_broken(responses, COUNT(responses), 1);
+}
+
 static void
 sound_chunks_are_valid(void **state)
 {
@@ -327,6 +354,7 @@
 	    cmocka_unit_test(broken_field_lines_are_invalid),
 	    cmocka_unit_test(sound_field_lines_are_valid),
 	    cmocka_unit_test(broken_framing_is_invalid),
+	    cmocka_unit_test(broken_chunks_are_invalid),
 	    cmocka_unit_test(sound_chunks_are_valid),
 	    cmocka_unit_test(broken_interim_heads_are_invalid),
 	    cmocka_unit_test(sound_interim_heads_are_skipped),
