http_outbound: a reset during an upload completes no response

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer; so with a 404, and where the endpoint closed the connection with the upload unread.

Cause: the end of a response without a length was any event with BEV_EVENT_EOF. Callbacks are deferred, and their events add up: the write that fails takes the error from the socket (ECONNRESET), the read that follows returns 0 as if the endpoint had ended its side, and one call has both.

Change: only the end of reading alone, without an error, ends such a response, and only if the kernel has not seen a reset: after the peer's end a connection is in TCP_CLOSE_WAIT, after a reset in TCP_CLOSE, whichever call took the error. While part of the request is still on its way when the end comes, the connection is watched until all of it is acknowledged, it is reset, or for 1 s: an endpoint that has closed the connection resets it within a round trip of the next bytes. The question how many bytes are unacknowledged, which the inbound server asks too, moves to socket_state.

An endpoint that ends its side and reads on, or reads nothing more without a reset, has answered whole, as before; so has one that answers with a length.

Why it works: a response without a length is complete at a FIN only (RFC 9112, 8), and the kernel's state tells a FIN from a reset where the results of reads and writes do not.

--- a/common/http_inbound_stall.c
+++ b/common/http_inbound_stall.c
@@ -1,8 +1,7 @@
 /* Tells callers that read slowly from those that no longer read. */
 #include "http_inbound_priv.h"
 
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
+#include "common/socket_state.h"
 
 /* A caller that reads nothing for this long is considered disconnected, unless
  * it may be idle or wait for its response for longer. */
@@ -33,11 +32,7 @@
 size_t
 inbound_queued_bytes(const http_inbound_t *conn)
 {
-	int queued = 0;
-
-	if (ioctl(bufferevent_getfd(conn->bev), SIOCOUTQ, &queued) != 0)
-		return 0;
-	return queued > 0 ? (size_t)queued : 0;
+	return socket_unacknowledged_bytes(bufferevent_getfd(conn->bev));
 }
 
 bool
--- a/common/http_msg.c
+++ b/common/http_msg.c
@@ -394,6 +394,13 @@
 	return reader->complete ? HTTP_READ_COMPLETE : HTTP_READ_INCOMPLETE;
 }
 
+bool
+http_reader_ends_by_close(const http_reader_t *reader)
+{
+	return reader->in_message && reader->head_complete &&
+	    !reader->syntax.has_length && !reader->syntax.chunked;
+}
+
 http_read_result_t
 http_reader_eof(http_reader_t *reader)
 {
--- a/common/http_outbound.c
+++ b/common/http_outbound.c
@@ -8,6 +8,8 @@
 #include <stdlib.h>
 #include <sys/socket.h>
 
+#include "common/socket_state.h"
+
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
 #define NO_TIMEOUT_S 86400
@@ -21,6 +23,11 @@
  * probe is due. With this much more than the silence timeout, a peer that is
  * silent for a second or so has a further probe to respond to. */
 #define PROBED_SILENCE_MS 1500
+/* How often, and for how long, an end of the peer's side is watched for a
+ * reset. A peer that has closed the connection resets it within a round trip of
+ * the next bytes that it receives, or of their retransmission. */
+#define END_CHECK_MS 5
+#define END_WAIT_MAX_MS 1000
 
 struct http_outbound {
 	struct bufferevent *bev;
@@ -31,6 +38,8 @@
 	void *idle_arg;
 	struct evbuffer *unsent_request; /**< until connected */
 	int64_t silence_timeout_ms;
+	struct event *end_timer; /**< NULL: no end is watched */
+	int64_t end_waited_ms;
 	bool silence_limited; /**< http_outbound_limit_silence() is in force */
 	bool connected;
 	bool response_started;	 /**< a byte of it was received */
@@ -72,6 +81,8 @@
 	http_reader_finish(&conn->reader);
 	if (conn->unsent_request != NULL)
 		evbuffer_free(conn->unsent_request);
+	if (conn->end_timer != NULL)
+		event_free(conn->end_timer);
 	bufferevent_free(conn->bev);
 	free(conn);
 }
@@ -183,13 +194,76 @@
 	conn->ops->on_sent(conn->arg);
 }
 
+static void
+response_fail(http_outbound_t *conn)
+{
+	request_fail(conn,
+	    conn->response_started ? HTTP_OUTBOUND_BAD_RESPONSE
+				   : HTTP_OUTBOUND_NO_RESPONSE);
+}
+
+/* The peer has ended its side of the connection. */
+static void
+response_end(http_outbound_t *conn)
+{
+	http_read_result_t result;
+
+	if (!reader_step(conn, true, &result))
+		return;
+	if (result != HTTP_READ_COMPLETE) {
+		response_fail(conn);
+		return;
+	}
+	conn->reader.msg.keep_alive = false;
+	conn->ended_by_close = true;
+	request_complete(conn);
+}
+
+/* Whether a response that ends with its connection may turn out to be reset,
+ * since part of the request is still on its way. */
+static bool
+end_is_uncertain(const http_outbound_t *conn)
+{
+	return conn->end_waited_ms < END_WAIT_MAX_MS &&
+	    http_reader_ends_by_close(&conn->reader) &&
+	    (evbuffer_get_length(bufferevent_get_output(conn->bev)) > 0 ||
+		socket_unacknowledged_bytes(bufferevent_getfd(conn->bev)) > 0);
+}
+
+static void
+end_check(http_outbound_t *conn)
+{
+	static const struct timeval interval = {0, END_CHECK_MS * US_PER_MS};
+
+	if (socket_was_reset(bufferevent_getfd(conn->bev))) {
+		response_fail(conn);
+	} else if (end_is_uncertain(conn) && conn->end_timer != NULL &&
+	    event_add(conn->end_timer, &interval) == 0) {
+		conn->end_waited_ms += END_CHECK_MS;
+	} else {
+		response_end(conn);
+	}
+}
+
+static void
+on_end_timer(evutil_socket_t fd, short what, void *arg)
+{
+	http_outbound_t *conn = arg;
+
+	(void)fd;
+	(void)what;
+	if (conn->ops != NULL)
+		end_check(conn);
+}
+
 static void
 on_disconnected(http_outbound_t *conn, short what)
 {
-	bool eof = (what & BEV_EVENT_EOF) != 0;
+	bool failed = (what & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0;
+	bool eof = (what & BEV_EVENT_EOF) != 0 &&
+	    (what & BEV_EVENT_READING) != 0 && !failed;
 	bool refused = (what & BEV_EVENT_ERROR) != 0 &&
 	    EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
-	http_read_result_t result;
 
 	if (conn->ops == NULL || !conn->connected) {
 		request_fail(conn,
@@ -197,19 +271,16 @@
 			    : HTTP_OUTBOUND_NOT_SENT);
 		return;
 	}
-	if (eof && conn->response_started) {
-		if (!reader_step(conn, true, &result))
-			return;
-		if (result == HTTP_READ_COMPLETE) {
-			conn->reader.msg.keep_alive = false;
-			conn->ended_by_close = true;
-			request_complete(conn);
-			return;
-		}
+	/* A write that fails takes the error from the socket, so that the next
+	 * read seems to find an orderly end. */
+	if (!eof || !conn->response_started) {
+		response_fail(conn);
+		return;
 	}
-	request_fail(conn,
-	    conn->response_started ? HTTP_OUTBOUND_BAD_RESPONSE
-				   : HTTP_OUTBOUND_NO_RESPONSE);
+	if (conn->end_timer == NULL)
+		conn->end_timer = evtimer_new(
+		    bufferevent_get_base(conn->bev), on_end_timer, conn);
+	end_check(conn);
 }
 
 static void
--- a/include/common/http_msg.h
+++ b/include/common/http_msg.h
@@ -110,6 +110,9 @@
 /** Parse and drain @p in up to the end of the message. */
 http_read_result_t http_reader_feed(http_reader_t *, struct evbuffer *in);
 
+/** Whether the response ends with its connection. */
+bool http_reader_ends_by_close(const http_reader_t *);
+
 /** The peer closed the connection, which ends a response without a length. */
 http_read_result_t http_reader_eof(http_reader_t *);
 
--- a/test/unit/http_outbound_test.c
+++ b/test/unit/http_outbound_test.c
@@ -1,7 +1,8 @@
 /**
  * @file
  * A request is sent only if its owner still wants it once the connection is
- * established, and a connection whose sent bytes are not acknowledged fails.
+ * established, a connection whose sent bytes are not acknowledged fails, and
+ * the end of one that is reset completes no response.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -11,7 +12,9 @@
 
 #include <arpa/inet.h>
 #include <event2/event.h>
+#include <signal.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "common/http_outbound.h"
@@ -27,6 +30,8 @@
 	bool wanted;
 	int sent;
 	int failed;
+	int completed;
+	size_t received; /**< bytes of the body */
 	http_outbound_failure_t failure;
 	struct event_base *base;
 	http_outbound_t *conn;
@@ -60,15 +65,18 @@
 static void
 on_body(void *arg, const char *bytes, size_t len)
 {
-	(void)arg;
 	(void)bytes;
-	(void)len;
+	((owner_t *)arg)->received += len;
 }
 
 static void
 on_done(void *arg)
 {
-	(void)arg;
+	owner_t *owner = arg;
+
+	owner->completed++;
+	if (owner->base != NULL)
+		event_base_loopbreak(owner->base);
 }
 
 static void
@@ -237,6 +245,172 @@
 	event_base_free(base);
 }
 
+/** How a server ends a connection on which it has responded. */
+typedef enum server_end {
+	END_RESET,	/**< resets it, the rest of the request unread */
+	END_HALF_READ,	/**< ends its own side, and reads the rest */
+	END_HALF_STALL, /**< ends its own side, and reads nothing */
+	END_HALF_RESET, /**< ends its own side, and resets soon after */
+} server_end_t;
+
+/** A server that responds before it has read a request. */
+typedef struct server {
+	struct event_base *base;
+	int listener;
+	int fd; /**< -1: none, or closed */
+	const char *response;
+	server_end_t end;
+	struct event *accepting;
+	struct event *reading;
+	struct event *resetting;
+} server_t;
+
+static void
+server_reset(evutil_socket_t fd, short what, void *arg)
+{
+	struct linger discard = {.l_onoff = 1};
+	server_t *server = arg;
+
+	(void)fd;
+	(void)what;
+	setsockopt(
+	    server->fd, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+	close(server->fd);
+	server->fd = -1;
+}
+
+static void
+server_read(evutil_socket_t fd, short what, void *arg)
+{
+	static char bytes[65536];
+
+	(void)what;
+	if (recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT) == 0)
+		event_del(((server_t *)arg)->reading);
+}
+
+static void
+server_accept(evutil_socket_t fd, short what, void *arg)
+{
+	static const struct timeval soon = {0, 100000};
+	server_t *server = arg;
+	size_t len = strlen(server->response);
+
+	(void)what;
+	server->fd = accept(fd, NULL, NULL);
+	assert_int_equal(send(server->fd, server->response, len, 0), len);
+	if (server->end == END_RESET) {
+		server_reset(fd, what, server);
+		return;
+	}
+	shutdown(server->fd, SHUT_WR);
+	if (server->end == END_HALF_RESET)
+		event_add(server->resetting, &soon);
+	if (server->end != END_HALF_READ)
+		return;
+	server->reading = event_new(server->base, server->fd,
+	    EV_READ | EV_PERSIST, server_read, server);
+	event_add(server->reading, NULL);
+}
+
+static void
+server_listen(server_t *server, http_address_t *address)
+{
+	struct sockaddr_in at = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(at);
+	int window = WINDOW;
+
+	server->fd = -1;
+	server->listener = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(
+	    server->listener, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
+	assert_int_equal(
+	    bind(server->listener, (struct sockaddr *)&at, len), 0);
+	assert_int_equal(listen(server->listener, 1), 0);
+	getsockname(server->listener, (struct sockaddr *)&at, &len);
+	address->port = ntohs(at.sin_port);
+	server->accepting = event_new(
+	    server->base, server->listener, EV_READ, server_accept, server);
+	server->resetting = evtimer_new(server->base, server_reset, server);
+	event_add(server->accepting, NULL);
+}
+
+static void
+server_finish(server_t *server)
+{
+	event_free(server->accepting);
+	event_free(server->resetting);
+	if (server->reading != NULL)
+		event_free(server->reading);
+	if (server->fd >= 0)
+		close(server->fd);
+	close(server->listener);
+}
+
+/* Send a request of 16 MB to a server that responds before it has read it. */
+static void
+send_to_early_server(owner_t *owner, const char *response, server_end_t end)
+{
+	struct event_base *base = event_base_new();
+	server_t server = {.base = base, .response = response, .end = end};
+	http_address_t address = {.host = "127.0.0.1"};
+	struct timeval limit = {LIMIT_S, 0};
+	struct evbuffer *head = evbuffer_new();
+	struct evbuffer *body = evbuffer_new();
+	char *bytes = calloc(1, BODY_LEN);
+
+	*owner = (owner_t){.wanted = true, .base = base};
+	server_listen(&server, &address);
+	owner->conn = http_outbound_new(base, &address, NULL, 1000, 60000);
+	evbuffer_add_printf(
+	    head, "PUT / HTTP/1.1\r\nContent-Length: %u\r\n\r\n", BODY_LEN);
+	evbuffer_add(body, bytes, BODY_LEN);
+	http_outbound_send(owner->conn, &ops, owner, head, body, false);
+	event_base_loopexit(base, &limit);
+	event_base_dispatch(base);
+	http_outbound_free(owner->conn);
+	server_finish(&server);
+	evbuffer_free(head);
+	evbuffer_free(body);
+	event_base_free(base);
+	free(bytes);
+}
+
+#define UNFRAMED "HTTP/1.1 200 OK\r\n\r\npart"
+#define FRAMED "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart"
+
+/* The error of a write that fails hides that of the read that follows. */
+static void
+reset_during_an_upload_completes_no_response(void **state)
+{
+	static const server_end_t ends[] = {END_RESET, END_HALF_RESET};
+	owner_t owner;
+
+	(void)state;
+	for (int i = 0; i < 40; i++) {
+		send_to_early_server(&owner, UNFRAMED, ends[i % 2]);
+		assert_int_equal(owner.completed, 0);
+		assert_int_equal(owner.failed, 1);
+	}
+}
+
+static void
+half_closed_connection_completes_a_response(void **state)
+{
+	owner_t owner;
+
+	(void)state;
+	send_to_early_server(&owner, UNFRAMED, END_HALF_READ);
+	assert_int_equal(owner.completed, 1);
+	assert_int_equal(owner.received, 4);
+	send_to_early_server(&owner, UNFRAMED, END_HALF_STALL);
+	assert_int_equal(owner.completed, 1);
+	assert_int_equal(owner.received, 4);
+	send_to_early_server(&owner, FRAMED, END_HALF_STALL);
+	assert_int_equal(owner.completed, 1);
+}
+
 int
 main(void)
 {
@@ -246,7 +420,10 @@
 	    cmocka_unit_test(silent_connections_fail),
 	    cmocka_unit_test(the_connect_timeout_ends_with_connecting),
 	    cmocka_unit_test(connection_refusals_are_distinguished),
+	    cmocka_unit_test(reset_during_an_upload_completes_no_response),
+	    cmocka_unit_test(half_closed_connection_completes_a_response),
 	};
 
+	signal(SIGPIPE, SIG_IGN);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
