http_outbound: a response ahead of a reset is read

Callers saw: an endpoint answered a long upload at once with a whole response, with its length, and reset the connection; sometimes the caller got a 502, though the response had arrived.

Cause: a write that fails ended the request at once, and what the kernel had received until then was not read any more. Whether the read or the write came first was chance.

Change: when the write alone fails and the kernel has seen a reset, the request goes on until the read side, which the reset ends too, has given what came before. Any other failed write ends it at once, as before.

Its server now waits for part of the request, as its reset could else come before the connection was established.

Why it works: Linux keeps what was received before a reset and gives it to reads before the error; a framed response needs nothing after it, and one without a length is still not completed by a reset.

--- a/common/http_outbound.c
+++ b/common/http_outbound.c
@@ -271,6 +271,10 @@
 			    : HTTP_OUTBOUND_NOT_SENT);
 		return;
 	}
+	/* What came before the reset is read first. */
+	if ((what & BEV_EVENT_READING) == 0 &&
+	    socket_was_reset(bufferevent_getfd(conn->bev)))
+		return;
 	/* A write that fails takes the error from the socket, so that the next
 	 * read seems to find an orderly end. */
 	if (!eof || !conn->response_started) {
--- a/test/platform/reset_during_upload.lua
+++ b/test/platform/reset_during_upload.lua
@@ -16,18 +16,22 @@
   "Moortack-Response-Signature: signed\r\n"
 local UPLOAD = string.rep("0123456789abcdef", 3 << 16)
 local PART = string.rep("part of a response\n", 400)
+local GOOD = "HTTP/1.1 200 OK\r\n" .. SIGNED .. "Content-Length: 0\r\n\r\n"
 
 local function upload(what, head, how, status)
   how.early = true
-  raw:respond(head .. SIGNED .. (how.length and "Content-Length: " .. #PART ..
+  raw:set(head .. SIGNED .. (how.length and "Content-Length: " .. #PART ..
     "\r\n" or "") .. "\r\n" .. PART, how)
   local response = words.call(d, "/book/a", {deadline = 5000, body = UPLOAD})
   lib.check(response.status == status, "%s: status %d, body of %d bytes", what,
     response.status, #response.body)
   lib.equal(response.body == PART, status < 500, "the body of " .. what)
   lib.equal(raw:ran(response.id), 1, "runs of " .. what)
+  raw:set(GOOD)
+  lib.equal(words.call(d, "/book/a").status, 200, "after " .. what)
 end
 
+raw:respond(GOOD)
 local OK, MISSING = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 404 Not Found\r\n"
 for _, after in ipairs({0, 1, 5, 20, 100}) do
   for _, ends in ipairs({"reset", "unread", "half_reset"}) do
@@ -41,8 +45,12 @@
   local status = tonumber(head:match(" (%d+) "))
   upload("half", head, {["end"] = "half"}, status)
   upload("a length, half", head, {["end"] = "half", length = true}, status)
-  upload("a length, reset", head, {["end"] = "reset", end_ms = 100,
-    length = true}, status)
+  for _, after in ipairs({0, 0, 0, 1, 1, 100}) do
+    for _, ends in ipairs({"reset", "unread"}) do
+      upload(string.format("a length, %s after %d ms", ends, after), head,
+        {["end"] = ends, end_ms = after, length = true}, status)
+    end
+  end
 end
 
 -- Without an upload on its way, a reset is none either, and a close is an end.
--- a/test/unit/http_outbound_test.c
+++ b/test/unit/http_outbound_test.c
@@ -258,6 +258,7 @@
 	struct event_base *base;
 	int listener;
 	int fd; /**< -1: none, or closed */
+	bool responded;
 	const char *response;
 	server_end_t end;
 	struct event *accepting;
@@ -279,35 +280,44 @@
 	server->fd = -1;
 }
 
+static void
+server_respond(server_t *server)
+{
+	static const struct timeval soon = {0, 100000};
+	size_t len = strlen(server->response);
+
+	assert_int_equal(send(server->fd, server->response, len, 0), len);
+	server->responded = true;
+	if (server->end != END_HALF_READ)
+		event_del(server->reading);
+	if (server->end == END_RESET)
+		server_reset(server->fd, 0, server);
+	else
+		shutdown(server->fd, SHUT_WR);
+	if (server->end == END_HALF_RESET)
+		event_add(server->resetting, &soon);
+}
+
 static void
 server_read(evutil_socket_t fd, short what, void *arg)
 {
-	static char bytes[65536];
+	static char bytes[WINDOW];
+	server_t *server = arg;
 
 	(void)what;
-	if (recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT) == 0)
-		event_del(((server_t *)arg)->reading);
+	if (recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT) <= 0)
+		event_del(server->reading);
+	else if (!server->responded)
+		server_respond(server);
 }
 
 static void
 server_accept(evutil_socket_t fd, short what, void *arg)
 {
-	static const struct timeval soon = {0, 100000};
 	server_t *server = arg;
-	size_t len = strlen(server->response);
 
 	(void)what;
 	server->fd = accept(fd, NULL, NULL);
-	assert_int_equal(send(server->fd, server->response, len, 0), len);
-	if (server->end == END_RESET) {
-		server_reset(fd, what, server);
-		return;
-	}
-	shutdown(server->fd, SHUT_WR);
-	if (server->end == END_HALF_RESET)
-		event_add(server->resetting, &soon);
-	if (server->end != END_HALF_READ)
-		return;
 	server->reading = event_new(server->base, server->fd,
 	    EV_READ | EV_PERSIST, server_read, server);
 	event_add(server->reading, NULL);
@@ -395,6 +405,20 @@
 	}
 }
 
+/* What was received before the reset is read even if a write fails first. */
+static void
+whole_response_ahead_of_a_reset_is_read(void **state)
+{
+	owner_t owner;
+
+	(void)state;
+	for (int i = 0; i < 40; i++) {
+		send_to_early_server(&owner, FRAMED, END_RESET);
+		assert_int_equal(owner.completed, 1);
+		assert_int_equal(owner.received, 4);
+	}
+}
+
 static void
 half_closed_connection_completes_a_response(void **state)
 {
@@ -421,6 +445,7 @@
 	    cmocka_unit_test(the_connect_timeout_ends_with_connecting),
 	    cmocka_unit_test(connection_refusals_are_distinguished),
 	    cmocka_unit_test(reset_during_an_upload_completes_no_response),
+	    cmocka_unit_test(whole_response_ahead_of_a_reset_is_read),
 	    cmocka_unit_test(half_closed_connection_completes_a_response),
 	};
 
