relay: the log and a counter say what is wrong with a response

On call saw "why=broken" for a status of 000, a name with a blank, a cut and a reset alike, and one counter for all of them and for silence.

--- a/common/http_outbound.c
+++ b/common/http_outbound.c
@@ -45,6 +45,7 @@
 	bool response_started;	 /**< a byte of it was received */
 	bool response_completed; /**< without an error */
 	bool ended_by_close;	 /**< by the end of the connection */
+	http_defect_t defect;	 /**< of a bad response */
 	bool in_reader;		 /**< during a callback of the reader */
 	bool free_pending;	 /**< to be freed after the callback */
 };
@@ -102,6 +103,15 @@
 	}
 }
 
+static void
+response_fail(http_outbound_t *conn, http_defect_t defect)
+{
+	conn->defect = defect;
+	request_fail(conn,
+	    conn->response_started ? HTTP_OUTBOUND_BAD_RESPONSE
+				   : HTTP_OUTBOUND_NO_RESPONSE);
+}
+
 static void
 request_complete(http_outbound_t *conn)
 {
@@ -173,7 +183,7 @@
 	if (result == HTTP_READ_COMPLETE)
 		request_complete(conn);
 	else if (result == HTTP_READ_INVALID)
-		request_fail(conn, HTTP_OUTBOUND_BAD_RESPONSE);
+		response_fail(conn, http_reader_defect(&conn->reader));
 }
 
 static void
@@ -194,14 +204,6 @@
 	conn->ops->on_sent(conn->arg);
 }
 
-static void
-response_fail(http_outbound_t *conn)
-{
-	request_fail(conn,
-	    conn->response_started ? HTTP_OUTBOUND_BAD_RESPONSE
-				   : HTTP_OUTBOUND_NO_RESPONSE);
-}
-
 /* The peer has ended its side of the connection. */
 static void
 response_end(http_outbound_t *conn)
@@ -211,7 +213,7 @@
 	if (!reader_step(conn, true, &result))
 		return;
 	if (result != HTTP_READ_COMPLETE) {
-		response_fail(conn);
+		response_fail(conn, http_reader_defect(&conn->reader));
 		return;
 	}
 	conn->reader.msg.keep_alive = false;
@@ -236,7 +238,7 @@
 	static const struct timeval interval = {0, END_CHECK_MS * US_PER_MS};
 
 	if (socket_was_reset(bufferevent_getfd(conn->bev))) {
-		response_fail(conn);
+		response_fail(conn, HTTP_DEFECT_RESET);
 	} else if (end_is_uncertain(conn) && conn->end_timer != NULL &&
 	    event_add(conn->end_timer, &interval) == 0) {
 		conn->end_waited_ms += END_CHECK_MS;
@@ -278,7 +280,7 @@
 	/* A write that fails takes the error from the socket, so that the next
 	 * read seems to find an orderly end. */
 	if (!eof || !conn->response_started) {
-		response_fail(conn);
+		response_fail(conn, HTTP_DEFECT_RESET);
 		return;
 	}
 	if (conn->end_timer == NULL)
@@ -407,6 +409,7 @@
 	conn->idle_closed = NULL;
 	conn->response_started = false;
 	conn->response_completed = false;
+	conn->defect = HTTP_DEFECT_NONE;
 	if (conn->connected) {
 		bufferevent_write_buffer(conn->bev, head);
 		if (body != NULL)
@@ -434,6 +437,12 @@
 	return conn->ended_by_close;
 }
 
+http_defect_t
+http_outbound_defect(const http_outbound_t *conn)
+{
+	return conn->defect;
+}
+
 void
 http_outbound_set_idle(
     http_outbound_t *conn, http_outbound_idle_closed_t closed, void *arg)
--- a/include/common/http_outbound.h
+++ b/include/common/http_outbound.h
@@ -80,6 +80,10 @@
  * of the connection was taken for its end. */
 bool http_outbound_ended_by_close(const http_outbound_t *);
 
+/** Why a response is bad (HTTP_OUTBOUND_BAD_RESPONSE), while on_failed is
+ * called. */
+http_defect_t http_outbound_defect(const http_outbound_t *);
+
 /** Keep the connection open without a request.
  * @param closed called when the connection can no longer be used */
 void http_outbound_set_idle(
--- a/include/moortack/relay/relay_stats.h
+++ b/include/moortack/relay/relay_stats.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 
 #include "common/err.h"
+#include "common/http_syntax.h"
 
 /** Buckets with an upper bound. */
 #define STATS_BUCKETS 14
@@ -88,6 +89,7 @@
 typedef struct relay_stats {
 	uint64_t counters[RELAY_COUNTERS];
 	uint64_t failures[ERR_CODE_COUNT]; /**< error responses by err_code_t */
+	uint64_t bad_responses[HTTP_DEFECTS];
 	stats_outcome_t outcomes[STATS_OUTCOMES_MAX];
 	size_t outcomes_len;
 	/* Milliseconds since a request was received. */
@@ -98,6 +100,8 @@
 } relay_stats_t;
 
 void stats_add(relay_stats_t *, relay_counter_t, uint64_t by);
+/** Count a response that is not valid HTTP, or was cut. */
+void stats_count_defect(relay_stats_t *, http_defect_t);
 /** Count a request that has ended. The texts are static. Once there are
  * STATS_OUTCOMES_MAX pairs of outcome and cause, further pairs are not counted.
  * @param late the response started after the route's objective, counted from
--- a/moortack/relay/contents_calls.c
+++ b/moortack/relay/contents_calls.c
@@ -254,8 +254,12 @@
 static void
 on_failed(void *arg, http_outbound_failure_t failure)
 {
-	(void)failure;
-	call_abort(arg, FOLLOW_NO_RESPONSE);
+	followed_endpoint_t *self = arg;
+
+	if (failure == HTTP_OUTBOUND_BAD_RESPONSE)
+		stats_count_defect(
+		    &self->relay->stats, http_outbound_defect(self->conn));
+	call_abort(self, FOLLOW_NO_RESPONSE);
 }
 
 static const http_outbound_ops_t call_ops = {
--- a/moortack/relay/relay_forward.c
+++ b/moortack/relay/relay_forward.c
@@ -192,6 +192,8 @@
 	relay_request_t *req = arg;
 
 	req->attempt.connection_lost = true;
+	if (failure == HTTP_OUTBOUND_BAD_RESPONSE)
+		response_record_defect(req);
 	if (failure == HTTP_OUTBOUND_NOT_SENT ||
 	    failure == HTTP_OUTBOUND_CONNECTION_REFUSED)
 		attempt_retry_or_fail(req, ATTEMPT_NOT_SENT, "forward_connect");
@@ -290,12 +292,13 @@
 	inet_ntop(AF_INET, &attempt->helper.sin_addr, host, sizeof(host));
 	event_log_write(req->relay->log, "forward_over",
 	    "id=%s helper=%s why=%s end=%d result=%s helper_sends=%u sends=%u "
-	    "begun=%d last_event=%" PRId64,
+	    "defect=%s begun=%d last_event=%" PRId64,
 	    req->arrival.id, host, why, (int)outcome,
 	    attempt->has_forward_result
 		? err_info(attempt->forward_result.code)->name
 		: "-",
-	    attempt->forward_result.sends, req->sends, req->response_started,
+	    attempt->forward_result.sends, req->sends,
+	    http_defect_name(attempt->defect), req->response_started,
 	    req->last_event_id);
 	stats_add(&req->relay->stats, STAT_FORWARDS_FAILED, 1);
 	/* A daemon that can't be connected to, or that refuses, is asked again
--- a/moortack/relay/relay_request.h
+++ b/moortack/relay/relay_request.h
@@ -74,6 +74,7 @@
 	struct timespec event_at;   /**< the last event */
 	bool late_recorded;	    /**< in the model's statistics */
 	bool connection_lost;	    /**< before the response was complete */
+	http_defect_t defect;	    /**< why the response is bad */
 	bool connection_refused; /**< by the endpoint's host: nothing listens */
 	struct timespec decode_since; /**< first of the events of which the
 					 time is measured */
@@ -503,6 +504,8 @@
  * be resumed with it. The attempt may have ended afterwards.
  * @return false: it has */
 bool response_head_accept(relay_request_t *, const http_msg_t *);
+/** Note why the attempt's response is bad, and count it. */
+void response_record_defect(relay_request_t *);
 /** Pass on, or buffer, a part of the response's body. */
 void response_body_add(relay_request_t *, const char *bytes, size_t len);
 /** All of the response was received. */
--- a/moortack/relay/relay_response.c
+++ b/moortack/relay/relay_response.c
@@ -428,6 +428,13 @@
 	}
 }
 
+void
+response_record_defect(relay_request_t *req)
+{
+	req->attempt.defect = http_outbound_defect(req->attempt.conn);
+	stats_count_defect(&req->relay->stats, req->attempt.defect);
+}
+
 static void
 on_failed(void *arg, http_outbound_failure_t failure)
 {
@@ -453,6 +460,7 @@
 		attempt_retry_or_fail(req, ATTEMPT_UNKNOWN, "no_answer");
 		break;
 	case HTTP_OUTBOUND_BAD_RESPONSE:
+		response_record_defect(req);
 		attempt_retry_or_fail(req, ATTEMPT_UNKNOWN, "broken");
 		break;
 	}
--- a/moortack/relay/relay_retry.c
+++ b/moortack/relay/relay_retry.c
@@ -150,14 +150,15 @@
 	char parts[PARTS_LOGGED_SIZE];
 
 	event_log_write(req->relay->log, "attempt_over",
-	    "id=%s endpoint=%s why=%s end=%d sends=%u kept=%d begun=%d "
+	    "id=%s endpoint=%s why=%s defect=%s end=%d sends=%u kept=%d "
+	    "begun=%d "
 	    "last_event=%" PRId64 " model=%s confidence=%d running=%u "
 	    "waiting=%u digest=%016" PRIx64 " parts=%s",
-	    req->arrival.id, attempt->endpoint->info.id, why, (int)outcome,
-	    req->sends, attempt->reused, req->response_started,
-	    req->last_event_id, attempt->model != NULL ? attempt->model : "-",
-	    req->confidence, attempt->endpoint->load.running,
-	    attempt->endpoint->load.waiting,
+	    req->arrival.id, attempt->endpoint->info.id, why,
+	    http_defect_name(attempt->defect), (int)outcome, req->sends,
+	    attempt->reused, req->response_started, req->last_event_id,
+	    attempt->model != NULL ? attempt->model : "-", req->confidence,
+	    attempt->endpoint->load.running, attempt->endpoint->load.waiting,
 	    unknown ? relay_request_digest(req) : 0,
 	    unknown ? parts_format(req, parts) : "-");
 }
--- a/moortack/relay/relay_stats.c
+++ b/moortack/relay/relay_stats.c
@@ -79,6 +79,12 @@
 	stats->counters[counter] += by;
 }
 
+void
+stats_count_defect(relay_stats_t *stats, http_defect_t defect)
+{
+	stats->bad_responses[defect]++;
+}
+
 static stats_outcome_t *
 outcome_get(relay_stats_t *stats, const char *outcome, const char *why)
 {
@@ -132,6 +138,22 @@
 	}
 }
 
+static void
+defects_write(const relay_stats_t *stats, struct evbuffer *out)
+{
+	evbuffer_add_printf(out,
+	    "# HELP moortack_relay_bad_responses_total Responses of endpoints "
+	    "and daemons that are not valid HTTP, or were cut.\n"
+	    "# TYPE moortack_relay_bad_responses_total counter\n");
+	for (int i = HTTP_DEFECT_NONE + 1; i < HTTP_DEFECTS; i++) {
+		evbuffer_add_printf(out,
+		    "moortack_relay_bad_responses_total{defect=\"%s\"} "
+		    "%" PRIu64 "\n",
+		    http_defect_name((http_defect_t)i),
+		    stats->bad_responses[i]);
+	}
+}
+
 void
 stats_observe(stats_histogram_t *histogram, double ms)
 {
@@ -186,6 +208,7 @@
 			    "%" PRIu64 "\n",
 			    err_info((err_code_t)i)->name, stats->failures[i]);
 	}
+	defects_write(stats, out);
 	outcomes_write(stats, out);
 	histogram_write(&stats->first_byte_ms, "first", out);
 	histogram_write(&stats->complete_ms, "whole", out);
--- a/test/platform/broken_responses.lua
+++ b/test/platform/broken_responses.lua
@@ -20,6 +20,13 @@
 local EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 local ROUTES = {{"GET", "/scan/a"}, {"POST", "/book/a"}, {"POST", "/stream/a"}}
 
+-- How many responses the daemon found to have this defect.
+local function bad_responses(defect)
+  local text = lib.http("GET", d.metrics, "/metrics").body
+  return tonumber(text:match('bad_responses_total{defect="' .. defect ..
+    '"} (%d+)'))
+end
+
 local function chunk(text) return string.format("%x\r\n%s\r\n", #text, text) end
 
 local broken = {
@@ -110,6 +117,13 @@
   end
 end
 
+-- Each was counted by its defect, twice.
+for defect, count in pairs({status = 6, status_line = 4, version = 2,
+    field_name = 10, field_value = 1, folded_line = 2, encoding = 3, length = 2,
+    chunk = 1, reset = 0}) do
+  lib.equal(bad_responses(defect), 2 * count, "responses with " .. defect)
+end
+
 -- Requests that may be repeated: no other endpoint can serve them.
 for _, name in ipairs({"status 000", "blank in a name",
     "refusal with a blank"}) do
