http_call: a broken response is none

The store's calls of moortack-edge, and moortackd's calls to its store, machine list, engines' reports and ratings, go through libevent's HTTP client, which has a parser of its own.

Seen on (unit_http_call, 21 broken responses, in one piece and in pieces of 5 bytes): it takes a status of 042, 20, "2 00" (as 2), 0200, 101, 600 and 999, names with a blank or a control byte, folded lines, two lengths (the first counts) and broken trailers. A row or an acknowledgement in such a response was believed. Status 000, other protocols, unknown encodings and broken chunks were refused.

Change: http_guard checks what a connection of libevent's client receives with http_syntax, in a callback of the input buffer, which runs before libevent parses the bytes. A call whose response has a defect ends at once without a response, which its callers take as an unknown outcome.

Why it works: the same check as for http_outbound sees the bytes themselves, whatever the parser behind it would make of them.

--- a/common/http_call.c
+++ b/common/http_call.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/http_guard.h"
+
 #define MS_PER_SEC 1000
 #define US_PER_MS 1000
 #define HEAD_MAX 65536 /* bytes */
@@ -20,6 +22,7 @@
 typedef struct pending_call {
 	struct event_base *base;
 	struct evhttp_connection *conn;
+	http_guard_t guard;
 	http_call_done_t done;
 	void *arg;
 	struct event *cleanup; /**< frees the call outside evhttp's callback */
@@ -117,6 +120,16 @@
 	pending_cancel(arg);
 }
 
+/* Outside evhttp's callbacks, and at once: the end of a broken response may
+ * never come. */
+static void
+on_defect(void *arg)
+{
+	pending_call_t *call = arg;
+
+	event_active(call->limit, EV_TIMEOUT, 0);
+}
+
 static void
 on_response(struct evhttp_request *req, void *arg)
 {
@@ -125,7 +138,8 @@
 	http_response_t response = {0};
 	struct evbuffer *input;
 
-	if (req != NULL && evhttp_request_get_response_code(req) != 0) {
+	if (req != NULL && evhttp_request_get_response_code(req) != 0 &&
+	    !http_guard_has_defect(&call->guard)) {
 		input = evhttp_request_get_input_buffer(req);
 		evbuffer_add(input, "", 1);
 		response.status = evhttp_request_get_response_code(req);
@@ -182,7 +196,9 @@
 		pending_calls->prev = pending;
 	pending_calls = pending;
 	if (pending->conn != NULL && pending->cleanup != NULL &&
-	    pending->limit != NULL)
+	    pending->limit != NULL &&
+	    http_guard_attach(
+		&pending->guard, pending->conn, on_defect, pending))
 		return pending;
 	pending_free(pending);
 	return NULL;
--- a/include/common/http_call.h
+++ b/include/common/http_call.h
@@ -40,9 +40,9 @@
 
 /** A response; valid only during the callback. */
 typedef struct http_response {
-	int status;		   /**< 0: no response was received */
-	const char *body;	   /**< terminated by a zero byte */
-	size_t body_len;	   /**< bytes */
+	int status;	  /**< 0: no response was received, or a broken one */
+	const char *body; /**< terminated by a zero byte */
+	size_t body_len;  /**< bytes */
 	struct evkeyvalq *headers; /**< NULL if no response was received */
 } http_response_t;
 
