upstream: moortackd takes no broken response of an endpoint

Cause: the responses of engines and services are read by libevent's HTTP client, whose parser takes them (see http_call).

Change: each connection to an endpoint has an http_guard. Data of a broken response are not used, its connection is closed, and it counts as a connection that was lost: a stream of an engine is resumed, anything else fails as one that may have run.

Evidence: platform_broken_responses_moortackd, with a service that sends raw bytes, fails on (3 of 3 runs, at the first case in its random order: "control byte in a name: status 200", "status 0200: status 200", "blank before a colon: status 200") and passes now (3 of 3): 13 broken responses are 5xx with "ran": "unknown", each ran once; five sound ones of unusual form are served. cut_stream, whole_path, lost_reply, half_cut, caller_leaves, cascade and deferred pass.

Why it works: whether the response is valid is known before libevent gives any of it to the exchange.

--- a/common/http_guard.c
+++ b/common/http_guard.c
@@ -54,6 +54,14 @@
 	    NULL;
 }
 
+void
+http_guard_detach(http_guard_t *guard, struct evhttp_connection *conn)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
+
+	evbuffer_remove_cb(bufferevent_get_input(bev), on_input, guard);
+}
+
 void
 http_guard_begin(http_guard_t *guard)
 {
--- a/include/common/http_guard.h
+++ b/include/common/http_guard.h
@@ -20,12 +20,15 @@
 } http_guard_t;
 
 /** Check all that is received on a connection, before it is parsed. The guard
- * lasts as long as the connection, and does not move.
+ * does not move, and lasts as long as the connection or until it is detached.
  * @param on_defect called once for a response with a defect; must not change
  * the connection; may be NULL */
 bool http_guard_attach(http_guard_t *, struct evhttp_connection *,
     void (*on_defect)(void *arg), void *arg);
 
+/** Check no more on the connection. */
+void http_guard_detach(http_guard_t *, struct evhttp_connection *);
+
 /** A request is sent: what is received next is its response. */
 void http_guard_begin(http_guard_t *);
 
--- a/moortack/exchange/attempt.c
+++ b/moortack/exchange/attempt.c
@@ -88,7 +88,8 @@
 	exchange_t *exchange = arg;
 	struct evbuffer *in = evhttp_request_get_input_buffer(upstream_req);
 
-	if (evhttp_request_get_response_code(upstream_req) != STATUS_OK)
+	if (evhttp_request_get_response_code(upstream_req) != STATUS_OK ||
+	    http_guard_has_defect(&exchange->upstream->guard))
 		return;
 	first_byte_record(exchange);
 	if (exchange->streaming) {
@@ -192,17 +193,20 @@
 	upstream_t *upstream = exchange->upstream;
 	bool connected = upstream_req == NULL ||
 	    evhttp_request_get_response_code(upstream_req) != 0;
+	bool broken = http_guard_has_defect(&upstream->guard);
 
 	exchange->upstream = NULL;
 	exchange->upstream_req = NULL;
-	if (upstream_req == NULL || !connected) {
+	if (upstream_req == NULL || !connected || broken) {
 		upstream_close(front, upstream);
 		if (!connected && exchange->phase != PHASE_RESUME)
 			exchange_attempt_failed(exchange, false, true,
 			    "the endpoint could not be reached");
 		else if (!exchange_stream_resume(exchange))
 			exchange_attempt_failed(exchange, true, true,
-			    "the connection to the endpoint was lost");
+			    broken ? "the response is not valid HTTP"
+				   : "the connection to the endpoint was "
+				     "lost");
 		return;
 	}
 	if (exchange->idempotent)
@@ -278,6 +282,7 @@
 	}
 	exchange->upstream = upstream;
 	exchange->upstream_req = req;
+	http_guard_begin(&upstream->guard);
 	if (evhttp_make_request(upstream->conn, req, method, path) == 0)
 		return true;
 	exchange->upstream = NULL;
--- a/moortack/exchange/upstream.c
+++ b/moortack/exchange/upstream.c
@@ -24,7 +24,10 @@
 	snprintf(upstream->address, sizeof(upstream->address), "%s", address);
 	upstream->conn = evhttp_connection_base_new(
 	    front->process.base, NULL, http.host, http.port);
-	if (upstream->conn == NULL) {
+	if (upstream->conn == NULL ||
+	    !http_guard_attach(&upstream->guard, upstream->conn, NULL, NULL)) {
+		if (upstream->conn != NULL)
+			evhttp_connection_free(upstream->conn);
 		free(upstream);
 		return NULL;
 	}
@@ -77,6 +80,7 @@
 {
 	static const struct timeval now = {0, 0};
 
+	http_guard_detach(&upstream->guard, upstream->conn);
 	event_base_once(front->process.base, -1, EV_TIMEOUT, connection_free,
 	    upstream->conn, &now);
 	free(upstream);
--- a/moortack/front/front_priv.h
+++ b/moortack/front/front_priv.h
@@ -5,6 +5,7 @@
 #ifndef MOORTACK_FRONT_FRONT_PRIV_H
 #define MOORTACK_FRONT_FRONT_PRIV_H
 
+#include "common/http_guard.h"
 #include "common/http_request.h"
 #include "common/tls.h"
 #include "moortack/exchange/exchange.h"
@@ -47,6 +48,7 @@
 /** A connection to an endpoint, idle between requests. */
 struct upstream {
 	struct evhttp_connection *conn;
+	http_guard_t guard;
 	char address[ENDPOINT_ADDRESS_SIZE];
 	upstream_t *next;
 };
--- a/test/platform/raw_endpoint.lua
+++ b/test/platform/raw_endpoint.lua
@@ -6,6 +6,7 @@
 local raw_endpoint = {}
 
 -- Its field "others" is how many endpoints are listed beside it.
+-- @param world of moortack-edge; optional
 -- @param service optional
 function raw_endpoint.start(world, service)
   local address = network .. "40:8000"
@@ -60,6 +61,15 @@
   return found
 end
 
+-- How many POST requests reached it.
+function Raw:posts()
+  local count = 0
+  for _, executed in ipairs(lib.http("GET", self.address, "/runs").json.runs) do
+    if executed.method == "POST" then count = count + 1 end
+  end
+  return count
+end
+
 function Raw:ran(id) return #self:runs(id) end
 
 -- The connection on which a request reached it.
--- a/test/platform/standin_raw.c
+++ b/test/platform/standin_raw.c
@@ -3,14 +3,14 @@
  * A fake replica that responds with raw bytes, on the port after its own.
  *
  * GET /runs returns the requests that it read ("runs"), each with its attempt
- * id and the number of its connection. Faults: "hex" is the response, in
- * which @ID@ stands for the request's attempt id; "early" sends it once the
- * head of the request was read, instead of all of it; "delay_ms" is how long it
- * waits before that; "end" is what follows: "keep" leaves the connection open,
- * "close" closes it, "reset" resets it, "unread" closes it without having read
- * the rest of the request, "half" ends its own side, reads the rest and
- * closes, "half_reset" ends its own side and resets; "end_ms" is how long it
- * waits before the end, or before the reset of "half_reset".
+ * id, its method and the number of its connection. Faults: "hex" is the
+ * response, in which @ID@ stands for the request's attempt id; "early" sends it
+ * once the head of the request was read, instead of all of it; "delay_ms" is
+ * how long it waits before that; "end" is what follows: "keep" leaves the
+ * connection open, "close" closes it, "reset" resets it, "unread" closes it
+ * without having read the rest of the request, "half" ends its own side, reads
+ * the rest and closes, "half_reset" ends its own side and resets; "end_ms" is
+ * how long it waits before the end, or before the reset of "half_reset".
  */
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -193,8 +193,9 @@
 	caller->in_body = true;
 	caller->answered = false;
 	json_array_append_new(raw.runs,
-	    json_pack("{s:s, s:I}", "Moortack-Attempt-Id", caller->id,
-		"connection", (json_int_t)caller->number));
+	    json_pack("{s:s, s:s%, s:I}", "Moortack-Attempt-Id", caller->id,
+		"method", head, strcspn(head, " "), "connection",
+		(json_int_t)caller->number));
 	if (!fault_is("early"))
 		return;
 	if (end_is("reset") || end_is("unread") || end_is("half_reset"))
