other_writers: rows nested deeply, and with numbers that no type holds

Other operators reported that one odd row among those of the replicas ended the daemons that read it, or stopped them from following the list: nested very deeply, with a number too large, with a port out of range.

No code changes.

--- a/test/platform/other_writers.lua
+++ b/test/platform/other_writers.lua
@@ -25,6 +25,36 @@
   w:put("servers", string.format("a-%03d", i), invalid[i % #invalid + 1])
   w:put("servers", string.format("z-%03d", i), invalid[i % #invalid + 1])
 end
+
+-- Values that a parser of JSON may fail on: nested deeply, with numbers that no
+-- type holds, with ports out of range.
+local DIGITS = ("9"):rep(400)
+local odd = {("["):rep(1000), ("["):rep(100000),
+  ("["):rep(2000) .. ("]"):rep(2000), ('{"a":'):rep(50000),
+  ('{"a":'):rep(1500) .. "1" .. ("}"):rep(1500), DIGITS, "1e400", "-1e400"}
+for _, field in ipairs({'"sequence":1e400', '"batch_slots":' .. DIGITS,
+    '"batch_slots":-' .. DIGITS, '"born":1e400', '"warmup_left_ms":1e400',
+    '"batch_slots":1e400', '"address":"127.0.0.1:65536"',
+    '"address":"127.0.0.1:0"', '"address":"127.0.0.1:-1"',
+    '"address":"127.0.0.1:' .. DIGITS .. '"',
+    '"extra":' .. ("["):rep(3000) .. ("]"):rep(3000)}) do
+  local name = field:match('^"([%w_]+)"')
+  odd[#odd + 1] = (run.encode(entry({[name] = name .. " here"}))
+    :gsub('"' .. name .. '":%s*"' .. name .. ' here"', function()
+      return field
+    end))
+end
+local function put_odd(tbl, key)
+  for i, text in ipairs(odd) do
+    w:put_text(tbl, string.format(key, i), text)
+  end
+end
+for _, key in ipairs({"a-odd-%d", "z-odd-%d"}) do put_odd("servers", key) end
+for _, key in ipairs({"member/odd-%d", "member/10.0.0.%d:80", "rollout/odd-%d",
+    "quarantine/%d", "odd-%d"}) do
+  put_odd("moortack", key)
+end
+put_odd("status", "rollout/odd-%d")
 w:put("servers", ("long"):rep(40) .. "\n", valid)
 w:put("servers", "big", {text = ("x"):rep(4000000)})
 for _, key in ipairs({"member/", "member/nobody", "member/10.0.0.1:80",
@@ -79,4 +109,7 @@
   lib.equal(words.call(w.daemons[i], "/scan/x", {method = "GET"}).status, 200,
     "a scan")
 end
+for i = 1, 4 do
+  lib.check(not run.reap(w.daemons[i].pid), "daemon %d ended", i)
+end
 lib.say("ok")
--- a/test/platform/words.lua
+++ b/test/platform/words.lua
@@ -38,12 +38,12 @@
   return process
 end
 
--- Writes a row as the operator or a replica would; a nil value removes it.
-function World:put(tbl, key, value)
+-- Writes a row with any text as its value; nil removes it.
+function World:put_text(tbl, key, text)
   local row = {table = tbl, part = "", key = key}
   local body = {expected = {}, write = {}, remove = {}}
-  if value then
-    row.value = base64(run.encode(value))
+  if text then
+    row.value = base64(text)
     body.write = {row}
   else
     body.remove = {row}
@@ -53,6 +53,11 @@
   lib.equal(response.status, 200, "write of " .. key)
 end
 
+-- Writes a row as the operator or a replica would; a nil value removes it.
+function World:put(tbl, key, value)
+  self:put_text(tbl, key, value and run.encode(value))
+end
+
 function World:rows(tbl)
   local response = lib.http("GET", self.store.address,
     "/-/rows-get?part=&table=" .. tbl)
