--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 	@[ -f build-fuzz/build.ninja ] || CC=clang meson setup build-fuzz \
 		-Dfuzz=true -Db_lundef=false >/dev/null
 	@ninja -C build-fuzz --quiet
-	@for name in admission bills brittle budget contents events follow freshness intent lives messages parts quarantine rate_limit reach retries rollouts rows sse ticket \
+	@for name in admission bills brittle budget contents events follow freshness intent lives messages parts quarantine rate_limit reach responses retries rollouts rows sse ticket \
 		token warmup; do \
 		mkdir -p build-fuzz/corpus/$$name; \
 		build-fuzz/test/fuzz/fuzz_$$name -max_total_time=$(SECONDS) \
