--- a/common/http_fields.c
+++ b/common/http_fields.c
@@ -1,4 +1,4 @@
-/* What the fields of a message say. */
+/* Lookups in the fields of a message. */
 #include "common/http_msg.h"
 
 #include <string.h>
--- a/common/http_outbound.c
+++ b/common/http_outbound.c
@@ -273,7 +273,7 @@
 			    : HTTP_OUTBOUND_NOT_SENT);
 		return;
 	}
-	/* What came before the reset is read first. */
+	/* Bytes received before the reset are read first. */
 	if ((what & BEV_EVENT_READING) == 0 &&
 	    socket_was_reset(bufferevent_getfd(conn->bev)))
 		return;
--- a/include/common/socket_state.h
+++ b/include/common/socket_state.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * What the kernel knows of a TCP connection.
+ * State of a TCP connection, as the kernel has it.
  */
 #ifndef COMMON_SOCKET_STATE_H
 #define COMMON_SOCKET_STATE_H
--- a/test/unit/http_outbound_test.c
+++ b/test/unit/http_outbound_test.c
@@ -405,7 +405,7 @@
 	}
 }
 
-/* What was received before the reset is read even if a write fails first. */
+/* Bytes received before the reset are read even if a write fails first. */
 static void
 whole_response_ahead_of_a_reset_is_read(void **state)
 {
