http_outbound_test: broken heads are not given to the owner

Responses, forwarded requests, probes, calls for contents and calls for duties all read through http_outbound, and most of their stand-ins can't send raw bytes. The test holds what they share: a head with a status of 000, with a blank in a name, or cut, never reaches on_head, the request fails as a bad response, and the defect is named.

--- a/test/unit/http_outbound_test.c
+++ b/test/unit/http_outbound_test.c
@@ -30,6 +30,8 @@
 	bool wanted;
 	int sent;
 	int failed;
+	http_defect_t defect;
+	int heads;
 	int completed;
 	size_t received; /**< bytes of the body */
 	http_outbound_failure_t failure;
@@ -58,8 +60,8 @@
 static void
 on_head(void *arg, const http_msg_t *msg)
 {
-	(void)arg;
 	(void)msg;
+	((owner_t *)arg)->heads++;
 }
 
 static void
@@ -85,6 +87,7 @@
 	owner_t *owner = arg;
 
 	owner->failed++;
+	owner->defect = http_outbound_defect(owner->conn);
 	owner->failure = failure;
 	if (owner->base != NULL)
 		event_base_loopbreak(owner->base);
@@ -419,6 +422,29 @@
 	}
 }
 
+/* None of their fields is read by any owner of a connection. */
+static void
+broken_heads_are_not_given_to_the_owner(void **state)
+{
+	static const struct {
+		const char *response;
+		http_defect_t defect;
+	} cases[] = {{"HTTP/1.1 000 Zero\r\nContent-Length: 4\r\n\r\npart",
+			 HTTP_DEFECT_STATUS},
+	    {"HTTP/1.1 200 OK\r\nX Y: 1\r\n\r\npart", HTTP_DEFECT_FIELD_NAME},
+	    {"HTTP/1.1 200 OK\r\nX: 1\r\n", HTTP_DEFECT_TRUNCATED}};
+	owner_t owner;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		send_to_early_server(&owner, cases[i].response, END_HALF_STALL);
+		assert_int_equal(owner.heads, 0);
+		assert_int_equal(owner.failed, 1);
+		assert_int_equal(owner.failure, HTTP_OUTBOUND_BAD_RESPONSE);
+		assert_int_equal(owner.defect, cases[i].defect);
+	}
+}
+
 static void
 half_closed_connection_completes_a_response(void **state)
 {
@@ -446,6 +472,7 @@
 	    cmocka_unit_test(connection_refusals_are_distinguished),
 	    cmocka_unit_test(reset_during_an_upload_completes_no_response),
 	    cmocka_unit_test(whole_response_ahead_of_a_reset_is_read),
+	    cmocka_unit_test(broken_heads_are_not_given_to_the_owner),
 	    cmocka_unit_test(half_closed_connection_completes_a_response),
 	};
 
