--- a/review/deployment.py
+++ b/review/deployment.py
@@ -4,7 +4,7 @@
 import asyncio, base64, json, os, random, shutil, signal, socket, struct, sys, tempfile, time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-EDGE = os.path.join(ROOT, 'target/platform/moortack-edge')
+EDGE = os.path.join(ROOT, 'target', 'platform/moortack-edge')
 T0 = time.monotonic()
 
 
