--- a/review/deployment.py
+++ b/review/deployment.py
@@ -112,6 +112,8 @@
         self.delay_s = 0.004
         self.lose = 0.0           # part of the writes done and not answered
         self.late = 0.0           # part of the writes done later, not answered
+        self.era = None           # a number: named in all answers
+        self.copy = None
         self.log, self.more = [], []
 
     async def listen(self, host):
@@ -147,6 +149,16 @@
         self.compacted = self.version
         self.gone.clear()
 
+    def save(self):
+        self.copy = dict(self.rows), dict(self.gone), self.version
+
+    def restore(self):
+        """Comes back from the copy: later changes are lost, versions go back."""
+        rows, gone, self.version = self.copy
+        self.rows, self.gone = dict(rows), dict(gone)
+        self.era += 1
+        self.wake()
+
     def row(self, table, key):
         version, value = self.rows[table, key]
         return {'table': table, 'part': '', 'key': key, 'value': value,
@@ -172,8 +184,9 @@
     async def feed(self, query):
         table, after = query['table'], int(query['after'])
         until = time.monotonic() + min(int(query.get('wait_ms', 0)), 30000) / 1000
+        era = self.era
         while True:
-            if after < self.compacted:
+            if after < self.compacted or after > self.version or era != self.era:
                 return 410, {}
             rows = self.changes(table, after)
             left = until - time.monotonic()
@@ -241,8 +254,10 @@
             reset(writer)
             return False
         text = json.dumps(answer).encode()
-        writer.write(b'HTTP/1.1 %d X\r\nContent-Type: application/json\r\n'
-                     b'Content-Length: %d\r\n\r\n' % (status, len(text)) + text)
+        extra = b'' if self.era is None else b'Store-Era: %d\r\n' % self.era
+        writer.write(b'HTTP/1.1 %d X\r\nContent-Type: application/json\r\n%s'
+                     b'Content-Length: %d\r\n\r\n' % (status, extra, len(text)) +
+                     text)
         await writer.drain()
         return True
 
